--- /dev/null
+++ b/src/libs/platform/memorytable.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "tableservice.h"
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace Platform {
+
+/*!
+    The table's semantics in memory: used by the stand-in of the platform and by tests.
+
+    Safe for use from several threads.
+*/
+class MemoryTable final : public TableService {
+public:
+    Utils::Result<Schema::Row> get(std::string_view key) override;
+    Utils::Result<Schema::ScanReply> scan(
+        std::string_view prefix, std::string_view after, std::uint32_t limit) override;
+    Utils::Result<Schema::CommitReply> commit(const Schema::CommitRequest& request) override;
+
+    /*! \return number of commits that took effect. */
+    std::uint64_t commitCount() const;
+
+private:
+    bool conditionsHold(const Schema::CommitRequest& request, Schema::CommitReply& reply) const;
+
+    mutable std::mutex mutex_;
+    std::map<std::string, Schema::Row, std::less<>> rows_;
+    std::uint64_t lastVersion_ = 0;
+    std::uint64_t commitCount_ = 0;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/utils/log/log.cpp
@@ -0,0 +1,98 @@
+#include "log.h"
+
+#include <boost/json.hpp>
+#include <easylogging++.h>
+
+#include <chrono>
+#include <ctime>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace Utils {
+
+namespace {
+
+std::string processName;
+LogLevel leastLevel = LogLevel::Info;
+
+const char* levelName(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        break;
+    }
+    return "error";
+}
+
+std::string timestamp()
+{
+    const auto now = std::chrono::system_clock::now();
+    const auto millis
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    char text[40];
+    const std::size_t length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text + length, sizeof text - length, ".%03dZ", static_cast<int>(millis));
+    return text;
+}
+
+void writeLine(LogLevel level, const std::string& line)
+{
+    switch (level) {
+    case LogLevel::Debug:
+    case LogLevel::Info:
+        LOG(INFO) << line;
+        return;
+    case LogLevel::Warning:
+        LOG(WARNING) << line;
+        return;
+    case LogLevel::Error:
+        LOG(ERROR) << line;
+        return;
+    }
+}
+
+} // namespace
+
+void startLog(std::string_view process, LogLevel level)
+{
+    processName = process;
+    leastLevel = level;
+    el::Configurations configurations;
+    configurations.setToDefault();
+    configurations.setGlobally(el::ConfigurationType::Format, "%msg");
+    configurations.setGlobally(el::ConfigurationType::ToFile, "false");
+    configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    el::Loggers::reconfigureAllLoggers(configurations);
+}
+
+void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (level < leastLevel)
+        return;
+    boost::json::object line;
+    line["time"] = timestamp();
+    line["level"] = levelName(level);
+    line["process"] = processName;
+    line["event"] = event;
+    for (const LogField& field : fields)
+        line[field.name] = field.value;
+    writeLine(level, boost::json::serialize(line));
+}
+
+void logError(std::string_view event, const Error& error)
+{
+    log(LogLevel::Warning, event,
+        { { "code", std::string(errorCodeName(error.code)) }, { "step", error.step }, { "peer", error.peer },
+            { "message", error.message } });
+}
+
+} // namespace Utils
--- /dev/null
+++ b/src/libs/utils/steadyclock.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "clock.h"
+
+namespace Utils {
+
+/*! The monotonic clock of the machine. */
+class SteadyClock final : public Clock {
+public:
+    TimePoint now() const override { return std::chrono::steady_clock::now(); }
+};
+
+} // namespace Utils
--- /dev/null
+++ b/tests/auto/shared/catchmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
