Add HTTP library, platform adapters, daemon frame and two stand-ins

Cause: the cores need shells: HTTP server and client over Beast, the platform's ports over HTTP, a common frame for daemons, and stand-ins of platform and backend server with faults switched over HTTP. Ruled out: a client that drives a shared io_context for blocking callers; each pooled connection has its own small context, so a blocked caller never waits on another's operations.

--- /dev/null
+++ b/src/libs/daemon/periodictask.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "utils/clock.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace Daemon {
+
+/*! Runs a function on a thread of its own, again and again with a pause, until destroyed. */
+class PeriodicTask {
+public:
+    /*!
+        \param pause time between the end of a run and the start of the next.
+        \param function what to run; it may block.
+    */
+    PeriodicTask(Utils::Duration pause, std::function<void()> function);
+    ~PeriodicTask();
+    PeriodicTask(const PeriodicTask&) = delete;
+    PeriodicTask& operator=(const PeriodicTask&) = delete;
+
+    /*! Starts the next run now instead of after the pause. */
+    void wake();
+
+private:
+    void loop();
+
+    Utils::Duration pause_;
+    std::function<void()> function_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool stopping_ = false;
+    bool woken_ = false;
+    std::thread thread_;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/http/server.cpp
@@ -0,0 +1,287 @@
+#include "server.h"
+
+#include "beastmessage.h"
+#include "headers.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <unordered_set>
+
+namespace Http {
+
+namespace {
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast;
+using Tcp = Asio::ip::tcp;
+
+constexpr std::uint32_t maxHeaderBytes = 32U << 10U;
+constexpr auto writeTimeout = std::chrono::seconds(30);
+constexpr auto acceptPause = std::chrono::milliseconds(20);
+
+std::string errorBody(std::string_view message)
+{
+    return "{\"error\":\"invalid-argument\",\"step\":\"http.read\",\"peer\":\"\",\"message\":\""
+        + std::string(message) + "\"}";
+}
+
+// The answer to bytes that are no acceptable request; nothing if the peer has just gone.
+std::optional<Response> answerToFailedRead(const boost::system::error_code& failure)
+{
+    namespace Error = Beast::http;
+    if (failure == Error::error::body_limit)
+        return jsonResponse(413, errorBody("the body is too large"));
+    if (failure == Error::error::header_limit)
+        return jsonResponse(431, errorBody("the header is too large"));
+    const bool malformed = failure.category() == Error::make_error_code(Error::error::bad_method).category()
+        && failure != Error::error::end_of_stream && failure != Error::error::partial_message;
+    if (malformed)
+        return jsonResponse(400, errorBody("the request is malformed"));
+    return std::nullopt;
+}
+
+} // namespace
+
+class Server::Private : public std::enable_shared_from_this<Server::Private> {
+public:
+    Private(Asio::io_context& context, ServerOptions options, Handler handler)
+        : options_(std::move(options))
+        , handler_(std::move(handler))
+        , context_(context)
+        , acceptor_(Asio::make_strand(context))
+    {
+    }
+
+    Utils::Status open();
+    void stop(std::function<void()> done);
+    std::uint16_t port() const { return port_; }
+    std::size_t requestsInProgress() const { return inProgress_; }
+
+private:
+    using Stream = Beast::tcp_stream;
+
+    void acceptLoop(const Asio::yield_context& yield);
+    void serve(const std::shared_ptr<Stream>& stream, const Asio::yield_context& yield);
+    bool serveOne(Stream& stream, Beast::flat_buffer& buffer, const Asio::yield_context& yield);
+    Response handle(Request request, const Asio::yield_context& yield);
+    bool write(Stream& stream, Response response, bool keepAlive, const Asio::yield_context& yield);
+    Utils::Duration readTimeout() const;
+    void add(const std::shared_ptr<Stream>& stream);
+    void remove(const std::shared_ptr<Stream>& stream);
+    void retireIdle();
+
+    ServerOptions options_;
+    Handler handler_;
+    Asio::io_context& context_;
+    Tcp::acceptor acceptor_;
+    std::uint16_t port_ = 0;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<std::size_t> inProgress_ = 0;
+    std::mutex mutex_;
+    std::unordered_set<std::shared_ptr<Stream>> streams_;
+    std::function<void()> done_;
+};
+
+Utils::Status Server::Private::open()
+{
+    boost::system::error_code failure;
+    const auto address = Asio::ip::make_address(options_.address, failure);
+    const Tcp::endpoint endpoint(address, options_.port);
+    if (!failure)
+        acceptor_.open(endpoint.protocol(), failure);
+    if (!failure)
+        acceptor_.set_option(Asio::socket_base::reuse_address(true), failure);
+    if (!failure)
+        acceptor_.bind(endpoint, failure);
+    if (!failure)
+        acceptor_.listen(Asio::socket_base::max_listen_connections, failure);
+    if (failure) {
+        return Utils::Error { Utils::ErrorCode::Unavailable, "http.listen",
+            options_.address + ":" + std::to_string(options_.port), failure.message() };
+    }
+    port_ = acceptor_.local_endpoint().port();
+    Asio::spawn(
+        acceptor_.get_executor(),
+        [self = shared_from_this()](const Asio::yield_context& yield) { self->acceptLoop(yield); },
+        Asio::detached);
+    return Utils::success();
+}
+
+void Server::Private::acceptLoop(const Asio::yield_context& yield)
+{
+    while (!stopping_) {
+        boost::system::error_code failure;
+        auto strand = Asio::make_strand(context_);
+        auto stream = std::make_shared<Stream>(strand);
+        acceptor_.async_accept(stream->socket(), yield[failure]);
+        if (failure == Asio::error::operation_aborted || failure == Asio::error::bad_descriptor)
+            return;
+        if (failure) {
+            // Out of descriptors or the like: wait instead of spinning.
+            Asio::steady_timer pause(acceptor_.get_executor(), acceptPause);
+            pause.async_wait(yield[failure]);
+            continue;
+        }
+        add(stream);
+        Asio::spawn(
+            strand,
+            [self = shared_from_this(), stream](
+                const Asio::yield_context& connectionYield) { self->serve(stream, connectionYield); },
+            Asio::detached);
+    }
+}
+
+void Server::Private::serve(const std::shared_ptr<Stream>& stream, const Asio::yield_context& yield)
+{
+    boost::system::error_code ignored;
+    stream->socket().set_option(Tcp::no_delay(true), ignored);
+    Beast::flat_buffer buffer;
+    while (serveOne(*stream, buffer, yield)) { }
+    stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    stream->close();
+    remove(stream);
+}
+
+// Serves one request; false if the connection is to be closed.
+bool Server::Private::serveOne(Stream& stream, Beast::flat_buffer& buffer, const Asio::yield_context& yield)
+{
+    Beast::http::request_parser<Beast::http::string_body> parser;
+    parser.body_limit(options_.maxBodyBytes);
+    parser.header_limit(maxHeaderBytes);
+    boost::system::error_code failure;
+    stream.expires_after(readTimeout());
+    Beast::http::async_read(stream, buffer, parser, yield[failure]);
+    if (failure) {
+        auto answer = answerToFailedRead(failure);
+        if (answer)
+            write(stream, std::move(*answer), false, yield);
+        return false;
+    }
+    stream.expires_never();
+    const bool keepAlive = parser.get().keep_alive();
+    Response response = handle(Internal::fromBeast(parser.release()), yield);
+    return write(stream, std::move(response), keepAlive, yield);
+}
+
+Response Server::Private::handle(Request request, const Asio::yield_context& yield)
+{
+    ++inProgress_;
+    auto initiate = [this, &request](auto completion) {
+        using Completion = decltype(completion);
+        auto shared = std::make_shared<Completion>(std::move(completion));
+        auto executor = Asio::get_associated_executor(*shared);
+        handler_(std::move(request), [shared, executor](Response response) {
+            Asio::post(
+                executor, [shared, moved = std::move(response)]() mutable { (*shared)(std::move(moved)); });
+        });
+    };
+    Response response = Asio::async_initiate<const Asio::yield_context&, void(Response)>(initiate, yield);
+    --inProgress_;
+    return response;
+}
+
+bool Server::Private::write(
+    Stream& stream, Response response, bool keepAlive, const Asio::yield_context& yield)
+{
+    keepAlive = keepAlive && !stopping_;
+    Internal::BeastResponse message = Internal::toBeast(std::move(response));
+    message.keep_alive(keepAlive);
+    boost::system::error_code failure;
+    stream.expires_after(writeTimeout);
+    Beast::http::async_write(stream, message, yield[failure]);
+    return !failure && keepAlive;
+}
+
+Utils::Duration Server::Private::readTimeout() const
+{
+    return stopping_ ? options_.drainGrace : options_.idleTimeout;
+}
+
+void Server::Private::add(const std::shared_ptr<Stream>& stream)
+{
+    const std::lock_guard<std::mutex> guard(mutex_);
+    streams_.insert(stream);
+}
+
+void Server::Private::remove(const std::shared_ptr<Stream>& stream)
+{
+    std::function<void()> done;
+    {
+        const std::lock_guard<std::mutex> guard(mutex_);
+        streams_.erase(stream);
+        if (stopping_ && streams_.empty())
+            done = std::exchange(done_, nullptr);
+    }
+    if (done)
+        done();
+}
+
+void Server::Private::stop(std::function<void()> done)
+{
+    bool idle = false;
+    {
+        const std::lock_guard<std::mutex> guard(mutex_);
+        stopping_ = true;
+        idle = streams_.empty();
+        if (!idle)
+            done_ = std::move(done);
+    }
+    Asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+        boost::system::error_code ignored;
+        self->acceptor_.close(ignored);
+    });
+    if (idle) {
+        done();
+        return;
+    }
+    auto timer = std::make_shared<Asio::steady_timer>(context_, options_.drainGrace);
+    timer->async_wait([self = shared_from_this(), timer](boost::system::error_code) { self->retireIdle(); });
+}
+
+// Ends the reads of connections without a request in progress; a running answer is not touched.
+void Server::Private::retireIdle()
+{
+    const std::lock_guard<std::mutex> guard(mutex_);
+    for (const std::shared_ptr<Stream>& stream : streams_) {
+        Asio::post(stream->get_executor(), [stream] {
+            boost::system::error_code ignored;
+            stream->socket().shutdown(Tcp::socket::shutdown_receive, ignored);
+        });
+    }
+}
+
+Server::Server(Asio::io_context& context, ServerOptions options, Handler handler)
+    : d_(std::make_shared<Private>(context, std::move(options), std::move(handler)))
+{
+}
+
+Server::~Server() = default;
+
+Utils::Status Server::start()
+{
+    return d_->open();
+}
+
+std::uint16_t Server::port() const
+{
+    return d_->port();
+}
+
+void Server::stop(std::function<void()> done)
+{
+    d_->stop(std::move(done));
+}
+
+std::size_t Server::requestsInProgress() const
+{
+    return d_->requestsInProgress();
+}
+
+} // namespace Http
--- /dev/null
+++ b/src/libs/platform/http/httptableservice.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "platform/tableservice.h"
+
+#include "http/blockingclient.h"
+
+namespace Platform {
+
+/*! The table service over HTTP with protobuf bodies. Safe for use from several threads. */
+class HttpTableService final : public TableService {
+public:
+    /*! \param options address, port and time limit of the platform's service. */
+    explicit HttpTableService(Http::ClientOptions options);
+
+    Utils::Result<Schema::Row> get(std::string_view key) override;
+    Utils::Result<Schema::ScanReply> scan(
+        std::string_view prefix, std::string_view after, std::uint32_t limit) override;
+    Utils::Result<Schema::CommitReply> commit(const Schema::CommitRequest& request) override;
+
+private:
+    Http::BlockingClient client_;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/platform/http/httpworkeragent.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "platform/workeragent.h"
+
+#include "utils/clock.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace Http {
+class BlockingClient;
+}
+
+namespace Platform {
+
+/*! Reaches workers' task agents over HTTP with protobuf bodies. Safe for use from several threads. */
+class HttpWorkerAgent final : public WorkerAgent {
+public:
+    /*! \param timeout time limit of one call. */
+    explicit HttpWorkerAgent(Utils::Duration timeout);
+    ~HttpWorkerAgent() override;
+
+    Utils::Result<Schema::WorkerReport> send(
+        const Schema::VmEntry& worker, const Schema::CommandBatch& batch) override;
+
+private:
+    std::shared_ptr<Http::BlockingClient> clientOf(const Schema::VmEntry& worker);
+
+    Utils::Duration timeout_;
+    std::mutex mutex_;
+    std::map<std::string, std::shared_ptr<Http::BlockingClient>> clients_;
+};
+
+} // namespace Platform
