Add the shell of the request path around the request cores

Cause: a caller's request must reach a backend server and come back with its outcome. Ruled out: one lock for all services; each service has its own decision core under its own lock, and exchanges run outside of it. Conclusion: an exchange reports whether a byte was sent, so that not-run is never said of one that ran.

--- /dev/null
+++ b/src/libs/gateway/backendconnection.cpp
@@ -0,0 +1,122 @@
+#include "backendconnection.h"
+
+#include "http/beastmessage.h"
+#include "http/headers.h"
+
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+
+#include <sys/socket.h>
+
+namespace Gateway::Internal {
+
+namespace {
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast;
+
+constexpr unsigned statusTooMany = 429;
+constexpr unsigned statusUnavailable = 503;
+constexpr char outcomeHeader[] = "Geraniumquay-Outcome";
+constexpr char outcomeNotRun[] = "not-run";
+constexpr std::uint32_t maxAnswerHeaderBytes = 64U << 10U;
+
+Utils::Error failed(std::string_view step, const boost::system::error_code& failure)
+{
+    const auto code
+        = failure == Beast::error::timeout ? Utils::ErrorCode::Timeout : Utils::ErrorCode::Unavailable;
+    return { code, std::string(step), {}, failure.message() };
+}
+
+// A backend server that says so has not executed the request.
+bool isRefusal(const Http::Response& response)
+{
+    if (response.status != statusUnavailable && response.status != statusTooMany)
+        return false;
+    return Http::findHeader(response.headers, outcomeHeader) == std::string_view(outcomeNotRun);
+}
+
+Utils::TimePoint earlier(Utils::TimePoint deadline, Utils::Duration limit)
+{
+    if (limit == Utils::Duration::zero())
+        return deadline;
+    return std::min(deadline, std::chrono::steady_clock::now() + limit);
+}
+
+} // namespace
+
+BackendConnection::BackendConnection(const Strand& strand)
+    : strand_(strand)
+    , stream_(strand)
+{
+}
+
+boost::system::error_code BackendConnection::open(
+    const BackendAddress& backend, const ExchangeLimits& limits, const Asio::yield_context& yield)
+{
+    boost::system::error_code failure;
+    const auto address = Asio::ip::make_address(backend.address, failure);
+    if (failure)
+        return failure;
+    stream_.expires_at(earlier(limits.deadline, limits.connectTimeout));
+    stream_.async_connect(Asio::ip::tcp::endpoint(address, backend.port), yield[failure]);
+    if (failure)
+        return failure;
+    boost::system::error_code ignored;
+    stream_.socket().set_option(Asio::ip::tcp::no_delay(true), ignored);
+    lastProgress_ = std::chrono::steady_clock::now();
+    reusable_ = true;
+    return failure;
+}
+
+ExchangeResult BackendConnection::exchange(
+    const Http::Request& request, const ExchangeLimits& limits, const Asio::yield_context& yield)
+{
+    reusable_ = false;
+    Http::Internal::BeastRequest message = Http::Internal::toBeast(request);
+    boost::system::error_code failure;
+    stream_.expires_at(earlier(limits.deadline, limits.progressTimeout));
+    const std::size_t sent = Beast::http::async_write(stream_, message, yield[failure]);
+    if (failure) {
+        const auto phase = sent == 0 ? ExchangePhase::NotSent : ExchangePhase::Broken;
+        return { phase, {}, failed("backend.write", failure), {} };
+    }
+    return readAnswer(request.method == "HEAD", limits, yield);
+}
+
+ExchangeResult BackendConnection::readAnswer(
+    bool isHead, const ExchangeLimits& limits, const Asio::yield_context& yield)
+{
+    Beast::http::response_parser<Beast::http::string_body> parser;
+    parser.body_limit(limits.maxBodyBytes);
+    parser.header_limit(maxAnswerHeaderBytes);
+    parser.skip(isHead);
+    boost::system::error_code failure;
+    while (!failure && !parser.is_done()) {
+        stream_.expires_at(earlier(limits.deadline, limits.progressTimeout));
+        Beast::http::async_read_some(stream_, buffer_, parser, yield[failure]);
+    }
+    if (failure)
+        return { ExchangePhase::Broken, {}, failed("backend.read", failure), {} };
+    // An answer that only the end of the connection delimits cannot be told from a truncated one.
+    if (parser.need_eof() && !isHead)
+        return { ExchangePhase::Broken, {},
+            { Utils::ErrorCode::OutcomeUnknown, "backend.read", {}, "answer without length" }, {} };
+    lastProgress_ = std::chrono::steady_clock::now();
+    reusable_ = parser.keep_alive() && buffer_.size() == 0;
+    Http::Response response = Http::Internal::fromBeast(parser.release());
+    const auto phase = isRefusal(response) ? ExchangePhase::Refused : ExchangePhase::Completed;
+    return { phase, std::move(response), {}, {} };
+}
+
+bool BackendConnection::isUsable(Utils::Duration maxIdle)
+{
+    if (!reusable_ || std::chrono::steady_clock::now() - lastProgress_ > maxIdle)
+        return false;
+    char byte = 0;
+    const ssize_t count = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace Gateway::Internal
--- /dev/null
+++ b/src/libs/gateway/backendpool.cpp
@@ -0,0 +1,130 @@
+#include "backendpool.h"
+
+#include "backendconnection.h"
+
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace Gateway {
+
+namespace {
+
+namespace Asio = boost::asio;
+using Internal::BackendConnection;
+
+} // namespace
+
+class BackendPool::Private : public std::enable_shared_from_this<BackendPool::Private> {
+public:
+    explicit Private(Asio::io_context& context)
+        : context_(context)
+    {
+    }
+
+    void start(const BackendAddress& backend, Http::Request request, const ExchangeLimits& limits,
+        ExchangeDone done);
+    void retireIdle(const BackendAddress& backend);
+
+private:
+    using Connection = std::shared_ptr<BackendConnection>;
+
+    ExchangeResult run(Connection connection, bool isOpen, const BackendAddress& backend,
+        const Http::Request& request, const ExchangeLimits& limits, const Asio::yield_context& yield);
+    Connection takeIdle(const BackendAddress& backend, Utils::Duration maxIdle);
+    void giveBack(const BackendAddress& backend, Connection connection);
+
+    Asio::io_context& context_;
+    std::mutex mutex_;
+    std::unordered_map<std::string, std::vector<Connection>> idle_;
+};
+
+void BackendPool::Private::start(const BackendAddress& backend, Http::Request request,
+    const ExchangeLimits& limits, BeforeSend beforeSend, ExchangeDone done)
+{
+    Connection connection = takeIdle(backend, limits.maxIdle);
+    const bool isOpen = connection != nullptr;
+    if (!isOpen)
+        connection = std::make_shared<BackendConnection>(Asio::make_strand(context_));
+    const auto strand = connection->strand();
+    Exchange exchange { backend, std::move(request), limits, std::move(beforeSend), std::move(done) };
+    Asio::spawn(
+        strand,
+        [self = shared_from_this(), connection, isOpen, exchange = std::move(exchange)](
+            const Asio::yield_context& yield) {
+            const auto begin = std::chrono::steady_clock::now();
+            ExchangeResult result = self->run(connection, isOpen, exchange, yield);
+            result.error.peer = exchange.backend.toString();
+            result.elapsed = std::chrono::steady_clock::now() - begin;
+            exchange.done(std::move(result));
+        },
+        Asio::detached);
+}
+
+ExchangeResult BackendPool::Private::run(
+    Connection connection, bool isOpen, const Exchange& exchange, const Asio::yield_context& yield)
+{
+    if (!isOpen) {
+        const auto failure = connection->open(exchange.backend, exchange.limits, yield);
+        if (failure) {
+            return { ExchangePhase::NotSent, {},
+                { Utils::ErrorCode::Unavailable, "backend.connect", {}, failure.message() }, {} };
+        }
+    }
+    if (!exchange.beforeSend()) {
+        giveBack(exchange.backend, std::move(connection));
+        return { ExchangePhase::NotSent, {},
+            { Utils::ErrorCode::Timeout, "backend.write", {}, "decided meanwhile" }, {} };
+    }
+    ExchangeResult result = connection->exchange(exchange.request, exchange.limits, yield);
+    if (result.phase == ExchangePhase::Completed || result.phase == ExchangePhase::Refused)
+        giveBack(exchange.backend, std::move(connection));
+    return result;
+}
+
+BackendPool::Private::Connection BackendPool::Private::takeIdle(
+    const BackendAddress& backend, Utils::Duration maxIdle)
+{
+    const std::lock_guard<std::mutex> guard(mutex_);
+    std::vector<Connection>& idle = idle_[backend.toString()];
+    while (!idle.empty()) {
+        Connection connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->isUsable(maxIdle))
+            return connection;
+    }
+    return nullptr;
+}
+
+void BackendPool::Private::giveBack(const BackendAddress& backend, Connection connection)
+{
+    const std::lock_guard<std::mutex> guard(mutex_);
+    idle_[backend.toString()].push_back(std::move(connection));
+}
+
+void BackendPool::Private::retireIdle(const BackendAddress& backend)
+{
+    std::vector<Connection> retired;
+    const std::lock_guard<std::mutex> guard(mutex_);
+    idle_[backend.toString()].swap(retired);
+}
+
+BackendPool::BackendPool(Asio::io_context& context)
+    : d_(std::make_shared<Private>(context))
+{
+}
+
+BackendPool::~BackendPool() = default;
+
+void BackendPool::exchange(const BackendAddress& backend, Http::Request request, const ExchangeLimits& limits,
+    BeforeSend beforeSend, ExchangeDone done)
+{
+    d_->start(backend, std::move(request), limits, std::move(beforeSend), std::move(done));
+}
+
+void BackendPool::retireIdle(const BackendAddress& backend)
+{
+    d_->retireIdle(backend);
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/servicegateway.cpp
@@ -0,0 +1,213 @@
+#include "servicegateway.h"
+
+#include "backendpool.h"
+#include "gatewaymetrics.h"
+#include "outcomeresponse.h"
+
+#include <platform.pb.h>
+#include <policy.pb.h>
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace Gateway {
+
+namespace {
+
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusUnavailable = 503;
+
+unsigned statusOf(const Utils::Error& error)
+{
+    return error.code == Utils::ErrorCode::NotFound ? statusNotFound : statusBadRequest;
+}
+
+BackendTarget targetOf(const Schema::VmEntry& vm)
+{
+    BackendTarget target;
+    target.backend.name = vm.name();
+    target.backend.domain = vm.domain();
+    target.backend.region = vm.region();
+    target.backend.slots = vm.slots();
+    target.backend.connections = vm.connections();
+    target.backend.leaving = vm.leaving();
+    target.address = { vm.address(), static_cast<std::uint16_t>(vm.port()) };
+    target.isEntry = vm.role() == Schema::VM_ROLE_ENTRY;
+    return target;
+}
+
+} // namespace
+
+class ServiceGateway::Private {
+public:
+    using Shard = std::shared_ptr<ServiceShard>;
+
+    Private(boost::asio::io_context& context, EntryPlace entryPlace, const GatewayLimits& gatewayLimits,
+        Utils::Duration deadline)
+        : place(std::move(entryPlace))
+        , defaultDeadline(deadline)
+        , context_(context)
+        , limits_(gatewayLimits)
+        , pool_(context)
+    {
+    }
+
+    Shard find(const std::string& service) const
+    {
+        const std::lock_guard<std::mutex> guard(mutex_);
+        const auto found = shards_.find(service);
+        return found == shards_.end() ? nullptr : found->second;
+    }
+
+    bool hasClass(const std::string& name) const
+    {
+        const std::lock_guard<std::mutex> guard(mutex_);
+        return name.empty() || std::ranges::find(classes_, name) != classes_.end();
+    }
+
+    bool hasPolicy() const
+    {
+        const std::lock_guard<std::mutex> guard(mutex_);
+        return hasPolicy_;
+    }
+
+    std::map<std::string, Shard> shards() const
+    {
+        const std::lock_guard<std::mutex> guard(mutex_);
+        return shards_;
+    }
+
+    void applyPolicy(const Schema::PolicyDocument& policy);
+    std::vector<BackendTarget> targetsOf(const std::string& service) const;
+    void rememberVms(std::span<const Schema::VmEntry* const> vms);
+
+    EntryPlace place;
+    Utils::Duration defaultDeadline;
+
+private:
+    bool isCandidate(const Schema::VmEntry& vm, const std::string& service) const;
+
+    boost::asio::io_context& context_;
+    GatewayLimits limits_;
+    BackendPool pool_;
+    mutable std::mutex mutex_;
+    bool hasPolicy_ = false;
+    std::map<std::string, Shard> shards_;
+    std::vector<std::string> classes_;
+    std::vector<Schema::VmEntry> vms_;
+};
+
+// A service that left the policy keeps its shard only for the requests in progress.
+void ServiceGateway::Private::applyPolicy(const Schema::PolicyDocument& policy)
+{
+    const std::lock_guard<std::mutex> guard(mutex_);
+    classes_.clear();
+    for (const Schema::PriorityClassPolicy& one : policy.priority_class())
+        classes_.push_back(one.name());
+    std::map<std::string, Shard> kept;
+    for (const Schema::ServicePolicy& service : policy.service()) {
+        Shard& shard = kept[service.name()];
+        const auto found = shards_.find(service.name());
+        if (found != shards_.end()) {
+            shard = found->second;
+            continue;
+        }
+        Requests::CoreParameters parameters;
+        parameters.service = service.name();
+        parameters.domain = place.domain;
+        parameters.region = place.region;
+        parameters.seed = std::hash<std::string> {}(place.name + "/" + service.name());
+        shard = std::make_shared<ServiceShard>(context_, pool_, std::move(parameters), limits_);
+    }
+    shards_.swap(kept);
+    hasPolicy_ = true;
+}
+
+bool ServiceGateway::Private::isCandidate(const Schema::VmEntry& vm, const std::string& service) const
+{
+    if (vm.role() == Schema::VM_ROLE_BACKEND)
+        return vm.service() == service && vm.domain() == place.domain;
+    return vm.role() == Schema::VM_ROLE_ENTRY && vm.domain() != place.domain;
+}
+
+std::vector<BackendTarget> ServiceGateway::Private::targetsOf(const std::string& service) const
+{
+    std::vector<BackendTarget> targets;
+    const std::lock_guard<std::mutex> guard(mutex_);
+    for (const Schema::VmEntry& vm : vms_) {
+        if (isCandidate(vm, service))
+            targets.push_back(targetOf(vm));
+    }
+    return targets;
+}
+
+void ServiceGateway::Private::rememberVms(std::span<const Schema::VmEntry* const> vms)
+{
+    const std::lock_guard<std::mutex> guard(mutex_);
+    vms_.clear();
+    for (const Schema::VmEntry* vm : vms)
+        vms_.push_back(*vm);
+}
+
+ServiceGateway::ServiceGateway(boost::asio::io_context& context, EntryPlace place,
+    const GatewayLimits& limits, Utils::Duration defaultDeadline)
+    : d_(std::make_unique<Private>(context, std::move(place), limits, defaultDeadline))
+{
+}
+
+ServiceGateway::~ServiceGateway() = default;
+
+void ServiceGateway::handle(Http::Request request, Http::Responder respond)
+{
+    auto parsed = parseCallerRequest(request, d_->defaultDeadline);
+    const auto refuse = [&respond](unsigned status, const Utils::Error& error) {
+        respond(Internal::outcomeResponse(status, Requests::Outcome::NotRun, error));
+    };
+    if (!Utils::isOk(parsed))
+        return refuse(statusOf(Utils::error(parsed)), Utils::error(parsed));
+    CallerRequest& caller = Utils::value(parsed);
+    if (!d_->hasPolicy()) {
+        return refuse(statusUnavailable,
+            { Utils::ErrorCode::Unavailable, "request.route", {}, "no configuration is in force yet" });
+    }
+    const auto shard = d_->find(caller.service);
+    if (!shard) {
+        return refuse(statusNotFound,
+            { Utils::ErrorCode::NotFound, "request.route", {}, "unknown service " + caller.service });
+    }
+    if (!d_->hasClass(caller.priorityClass)) {
+        return refuse(statusBadRequest,
+            { Utils::ErrorCode::InvalidArgument, "request.parse", {},
+                "unknown class " + caller.priorityClass });
+    }
+    shard->submit(std::move(request), std::move(caller), std::move(respond));
+}
+
+void ServiceGateway::setPolicy(const Schema::PolicyDocument& policy)
+{
+    d_->applyPolicy(policy);
+    for (const auto& [service, shard] : d_->shards()) {
+        shard->setTargets(d_->targetsOf(service));
+        shard->setPolicy(policy);
+    }
+}
+
+void ServiceGateway::setVms(std::span<const Schema::VmEntry* const> vms)
+{
+    d_->rememberVms(vms);
+    for (const auto& [service, shard] : d_->shards())
+        shard->setTargets(d_->targetsOf(service));
+}
+
+std::string ServiceGateway::metrics() const
+{
+    std::string text;
+    for (const auto& [service, shard] : d_->shards())
+        Internal::appendMetrics(service, shard->counters(), text);
+    return text;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/servicegateway.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "serviceshard.h"
+
+#include <memory>
+#include <span>
+#include <string>
+
+namespace Schema {
+class VmEntry;
+}
+
+namespace Gateway {
+
+/*! Where an entry VM stands. */
+struct EntryPlace {
+    std::string name;
+    std::string domain;
+    std::string region;
+};
+
+/*!
+    Serves "/services/<service>/<path>": finds the service's shard and gives it the request.
+
+    Safe for use from several threads.
+*/
+class ServiceGateway {
+public:
+    /*!
+        \param context runs timers and exchanges; must outlive the gateway.
+        \param place name, domain and region of this entry VM.
+        \param limits time limits and sizes.
+        \param defaultDeadline of requests that name none.
+    */
+    ServiceGateway(boost::asio::io_context& context, EntryPlace place, const GatewayLimits& limits,
+        Utils::Duration defaultDeadline);
+    ~ServiceGateway();
+    ServiceGateway(const ServiceGateway&) = delete;
+    ServiceGateway& operator=(const ServiceGateway&) = delete;
+
+    /*!
+        Handles one request.
+        \param request the request as received.
+        \param respond takes the answer.
+    */
+    void handle(Http::Request request, Http::Responder respond);
+
+    /*! Applies a policy. \param policy the document in force. */
+    void setPolicy(const Schema::PolicyDocument& policy);
+
+    /*! Applies the VM list. \param vms the VMs as the platform knows them. */
+    void setVms(std::span<const Schema::VmEntry* const> vms);
+
+    /*! \return the metrics of all services as Prometheus text. */
+    std::string metrics() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d_;
+};
+
+} // namespace Gateway
--- a/src/libs/http/message.h
+++ b/src/libs/http/message.h
@@ -17,6 +17,7 @@
     std::string target = "/"; //!< Path and query as they stand on the request line.
     std::vector<Header> headers;
     std::string body;
+    std::string peer; //!< IP number of the sender; set by the server, not sent.
 };
 
 /*! A whole HTTP response. */
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -166,7 +166,9 @@
     }
     stream.expires_never();
     const bool keepAlive = parser.get().keep_alive();
-    Response response = handle(Internal::fromBeast(parser.release()), yield);
+    Request request = Internal::fromBeast(parser.release());
+    request.peer = stream.socket().remote_endpoint(failure).address().to_string();
+    Response response = handle(std::move(request), yield);
     return write(stream, std::move(response), keepAlive, yield);
 }
 
--- a/src/libs/platform/http/httpobjectstore.cpp
+++ b/src/libs/platform/http/httpobjectstore.cpp
@@ -29,7 +29,7 @@
 
 Utils::Status HttpObjectStore::put(std::string_view name, std::string_view content)
 {
-    const auto response = client_.send({ "PUT", objectTarget(name), {}, std::string(content) });
+    const auto response = client_.send({ "PUT", objectTarget(name), {}, std::string(content), {} });
     if (!Utils::isOk(response))
         return Utils::error(response);
     const unsigned status = Utils::value(response).status;
@@ -40,7 +40,7 @@
 
 Utils::Result<std::string> HttpObjectStore::get(std::string_view name)
 {
-    auto response = client_.send({ "GET", objectTarget(name), {}, {} });
+    auto response = client_.send({ "GET", objectTarget(name), {}, {}, {} });
     if (!Utils::isOk(response))
         return Utils::error(response);
     Http::Response& answer = Utils::value(response);
