--- a/src/libs/requests/requestcore.h
+++ b/src/libs/requests/requestcore.h
@@ -23,7 +23,9 @@
     std::string region; //!< Region of this entry VM.
     std::uint64_t seed = 1; //!< Of the random source for jitter and tied choices.
     std::uint32_t maxAttempts = 3; //!< Sends of one request at most.
-    Utils::Duration spillDelay = std::chrono::milliseconds(50); //!< Stay in the queue before another domain is asked.
+    double linkShare = 0.25; //!< Of the budgets of links to other regions.
+    Utils::Duration spillDelay
+        = std::chrono::milliseconds(50); //!< Stay in the queue before another domain is asked.
 };
 
 /*!
