--- /dev/null
+++ b/src/libs/entry/entrydaemon.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <memory>
+
+namespace Schema {
+class EntryDaemonSettings;
+}
+
+namespace Entry {
+
+/*! The entry daemon: takes callers' requests and job submissions. */
+class EntryDaemon {
+public:
+    /*! \param settings checked settings. */
+    explicit EntryDaemon(const Schema::EntryDaemonSettings& settings);
+    ~EntryDaemon();
+    EntryDaemon(const EntryDaemon&) = delete;
+    EntryDaemon& operator=(const EntryDaemon&) = delete;
+
+    /*! Runs until a planned stop. \return the exit code of the process. */
+    int run();
+
+private:
+    class Private;
+    std::unique_ptr<Private> d_;
+};
+
+} // namespace Entry
--- a/src/libs/gateway/backendpool.cpp
+++ b/src/libs/gateway/backendpool.cpp
@@ -23,14 +23,22 @@
     }
 
     void start(const BackendAddress& backend, Http::Request request, const ExchangeLimits& limits,
-        ExchangeDone done);
+        BeforeSend beforeSend, ExchangeDone done);
     void retireIdle(const BackendAddress& backend);
 
 private:
     using Connection = std::shared_ptr<BackendConnection>;
 
-    ExchangeResult run(Connection connection, bool isOpen, const BackendAddress& backend,
-        const Http::Request& request, const ExchangeLimits& limits, const Asio::yield_context& yield);
+    struct Exchange {
+        BackendAddress backend;
+        Http::Request request;
+        ExchangeLimits limits;
+        BeforeSend beforeSend;
+        ExchangeDone done;
+    };
+
+    ExchangeResult run(
+        Connection connection, bool isOpen, const Exchange& exchange, const Asio::yield_context& yield);
     Connection takeIdle(const BackendAddress& backend, Utils::Duration maxIdle);
     void giveBack(const BackendAddress& backend, Connection connection);
 
--- a/src/libs/gateway/backendpool.h
+++ b/src/libs/gateway/backendpool.h
@@ -28,10 +28,11 @@
         \param backend the backend server.
         \param request the request.
         \param limits time limits.
+        \param beforeSend asked before the first byte is sent.
         \param done takes the result.
     */
     void exchange(const BackendAddress& backend, Http::Request request, const ExchangeLimits& limits,
-        ExchangeDone done);
+        BeforeSend beforeSend, ExchangeDone done);
 
     /*!
         Closes the idle connections to a backend server, for example after one was found silent.
