Add membership table, metrics and service-level burn

Domain freshness is a counter that only members of the domain raise: ages passed on from peer to peer were ruled out, as each hop forgets its transit time and a chain of peers can keep a dead domain alive. For the same reason only own exchanges count as evidence for a suspect. Burn is merged from counts and fixed latency buckets, as quantiles of several processes cannot be combined. Not tested yet.

--- a/src/libs/configuration/configurationcache.h
+++ b/src/libs/configuration/configurationcache.h
@@ -50,7 +50,8 @@
     */
     OfferResult offer(const Schema::AcceptedConfiguration& accepted);
 
-    /*! \return the configuration in force as this thread sees it, never an older one than before; null if none. */
+    /*! \return the configuration in force as this thread sees it, never an older one than before; null if
+     * none. */
     std::shared_ptr<const ConfigurationInForce> current() const;
 
     /*! \return revision that all threads have in force; 0 if none. */
--- a/src/libs/configuration/configurationstore.cpp
+++ b/src/libs/configuration/configurationstore.cpp
@@ -34,7 +34,8 @@
 {
     Schema::AcceptedConfiguration accepted;
     if (!accepted.ParseFromString(row.value()))
-        return makeError(Utils::ErrorCode::Internal, "configuration.decode", "row " + row.key() + " is damaged");
+        return makeError(
+            Utils::ErrorCode::Internal, "configuration.decode", "row " + row.key() + " is damaged");
     return accepted;
 }
 
@@ -141,7 +142,8 @@
 {
     const auto next = table_.get(historyKey(change.baseRevision + 1));
     if (!Utils::isOk(next))
-        return makeError(Utils::ErrorCode::OutcomeUnknown, "configuration.resolve", Utils::error(next).message);
+        return makeError(
+            Utils::ErrorCode::OutcomeUnknown, "configuration.resolve", Utils::error(next).message);
     if (Utils::value(next).version() != 0 && Utils::value(next).write_id() == change.writeId) {
         const auto accepted = decode(Utils::value(next));
         if (!Utils::isOk(accepted))
--- a/src/libs/configuration/policychecks.cpp
+++ b/src/libs/configuration/policychecks.cpp
@@ -60,7 +60,8 @@
             const std::string section = "service " + service.name();
             checkClass(section, "default_class", service.default_class());
             if (service.connections() < service.slots())
-                add(section, "connections", "must be at least slots (" + std::to_string(service.slots()) + ")");
+                add(section, "connections",
+                    "must be at least slots (" + std::to_string(service.slots()) + ")");
         }
     }
 
--- a/src/libs/configuration/policytext.h
+++ b/src/libs/configuration/policytext.h
@@ -7,7 +7,7 @@
 namespace google::protobuf {
 class FieldDescriptor;
 class Message;
-}
+} // namespace google::protobuf
 
 namespace Configuration {
 
@@ -17,7 +17,8 @@
     \param field a field of it.
     \return the text; items of a list are separated by ", ".
 */
-std::string fieldText(const google::protobuf::Message& message, const google::protobuf::FieldDescriptor& field);
+std::string fieldText(
+    const google::protobuf::Message& message, const google::protobuf::FieldDescriptor& field);
 
 /*!
     Writes a policy document as INI text; parsePolicy() reads it back to an equal document.
--- /dev/null
+++ b/src/libs/membership/membertable.cpp
@@ -0,0 +1,412 @@
+#include "membertable.h"
+
+#include "memberstates.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Membership {
+
+using Internal::Entry;
+using Internal::MemberStates;
+
+namespace {
+
+constexpr int maxChangesPerView = 64;
+constexpr std::size_t maxSeedsPerHeartbeat = 4;
+constexpr double jitter = 0.1;
+
+struct Seed {
+    std::string address;
+    std::uint32_t port = 0;
+
+    bool operator==(const Seed&) const = default;
+};
+
+std::uint32_t ageMs(Utils::TimePoint heard, Utils::TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - heard).count();
+    constexpr std::int64_t largest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, largest));
+}
+
+} // namespace
+
+struct MemberTable::Private {
+    Private(const Schema::Member& selfMember, const MembershipOptions& tableOptions,
+        std::mt19937_64& randomSource, Utils::TimePoint now)
+        : self(selfMember)
+        , options(tableOptions)
+        , random(randomSource)
+        , states(selfMember.name(), selfMember.domain(), tableOptions)
+        , beat(selfMember.incarnation())
+        , lastCall(now)
+        , nextRound(now)
+    {
+        self.set_state(Schema::MEMBER_ALIVE);
+    }
+
+    Utils::Duration jittered(Utils::Duration duration)
+    {
+        std::uniform_real_distribution<double> spread(1.0 - jitter, 1.0 + jitter);
+        return std::chrono::duration_cast<Utils::Duration>(duration * spread(random));
+    }
+
+    std::size_t pick(std::size_t count)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+    }
+
+    bool isPeer(const Entry& entry) const
+    {
+        return MemberStates::isIn(entry) && entry.member.domain() == self.domain();
+    }
+
+    void noticePause(Utils::TimePoint now);
+    void readmit(std::uint64_t incarnation);
+    std::uint64_t lowestRevision() const;
+    void receive(const Schema::PeerView& received, Utils::TimePoint now);
+    void hearOfSelf(const Schema::Member& told);
+    Schema::PeerView makeView(Utils::TimePoint now, bool withDomains) const;
+    void addChanges(Schema::PeerView& view, Utils::TimePoint now) const;
+    void addDomainMembers(Schema::PeerView& view, std::string_view domain, Utils::TimePoint now) const;
+    Schema::DomainSummary ownSummary() const;
+    Schema::Member told(const Entry& entry, Utils::TimePoint now) const;
+    Exchange exchangeWith(const Schema::Member& member, Utils::TimePoint now, bool withDomains) const;
+    void addPeerExchanges(std::vector<Exchange>& exchanges, Utils::TimePoint now);
+    void addRoundExchanges(std::vector<Exchange>& exchanges, Utils::TimePoint now);
+    void addRemoteExchanges(std::vector<Exchange>& exchanges, Utils::TimePoint now);
+    void addSeedExchanges(std::vector<Exchange>& exchanges, Utils::TimePoint now);
+    std::vector<const Entry*> entriesWhere(bool (*condition)(const Entry&), std::string_view domain) const;
+
+    Schema::Member self;
+    MembershipOptions options;
+    std::mt19937_64& random;
+    MemberStates states;
+    std::uint64_t beat;
+    std::vector<Seed> seeds;
+    std::vector<std::string> domainOrder; // Domains still to be contacted in this turn.
+    std::vector<MemberEvent> events;
+    Utils::TimePoint lastCall;
+    Utils::TimePoint nextRound;
+    std::size_t summariesLeft = 0;
+};
+
+// A pause as long as suspicion takes may have cost this process its place without its knowing.
+void MemberTable::Private::noticePause(Utils::TimePoint now)
+{
+    if (now - lastCall >= options.suspectAfter) {
+        readmit(self.incarnation() + 1);
+        states.forgiveSilence(now);
+    }
+    lastCall = now;
+}
+
+void MemberTable::Private::readmit(std::uint64_t incarnation)
+{
+    self.set_incarnation(incarnation);
+    events.push_back({ MemberChange::Readmitted, self });
+}
+
+std::uint64_t MemberTable::Private::lowestRevision() const
+{
+    std::uint64_t lowest = self.configuration_revision();
+    for (const auto& [name, entry] : states.entries()) {
+        if (isPeer(entry))
+            lowest = std::min(lowest, entry.member.configuration_revision());
+    }
+    return lowest;
+}
+
+void MemberTable::Private::hearOfSelf(const Schema::Member& told)
+{
+    if (self.state() == Schema::MEMBER_LEFT || told.incarnation() < self.incarnation())
+        return;
+    const bool removed = told.state() == Schema::MEMBER_DEAD || told.state() == Schema::MEMBER_LEFT;
+    if (removed || told.incarnation() > self.incarnation())
+        readmit(told.incarnation() + 1);
+}
+
+void MemberTable::Private::receive(const Schema::PeerView& received, Utils::TimePoint now)
+{
+    if (received.sender().name() != self.name())
+        states.hearSender(received.sender(), now, events);
+    for (const Schema::Member& member : received.members()) {
+        if (member.name() == self.name())
+            hearOfSelf(member);
+        else if (member.name() != received.sender().name())
+            states.merge(member, now, events);
+    }
+    for (const Schema::DomainSummary& summary : received.domains()) {
+        if (summary.domain() == self.domain())
+            beat = std::max(beat, summary.beat());
+        else
+            states.mergeDomain(summary, now, events);
+    }
+}
+
+Schema::Member MemberTable::Private::told(const Entry& entry, Utils::TimePoint now) const
+{
+    Schema::Member member = entry.member;
+    // Only own exchanges are evidence; passing on hearsay would keep a dead member alive.
+    member.set_age_ms(ageMs(entry.directHeard, now));
+    return member;
+}
+
+void MemberTable::Private::addChanges(Schema::PeerView& view, Utils::TimePoint now) const
+{
+    for (const auto& [name, entry] : states.entries()) {
+        if (view.members_size() >= maxChangesPerView)
+            return;
+        if (now - entry.changedAt < options.spreadFor || states.isSuspect(entry, now))
+            *view.add_members() = told(entry, now);
+    }
+}
+
+void MemberTable::Private::addDomainMembers(
+    Schema::PeerView& view, std::string_view domain, Utils::TimePoint now) const
+{
+    for (const auto& [name, entry] : states.entries()) {
+        if (entry.member.domain() == domain)
+            *view.add_members() = told(entry, now);
+    }
+}
+
+Schema::DomainSummary MemberTable::Private::ownSummary() const
+{
+    Schema::DomainSummary own;
+    own.set_domain(self.domain());
+    own.set_beat(beat);
+    own.set_members_hash(states.membersHash(self.domain(), self));
+    own.set_lowest_revision(lowestRevision());
+    return own;
+}
+
+Schema::PeerView MemberTable::Private::makeView(Utils::TimePoint now, bool withDomains) const
+{
+    Schema::PeerView view;
+    *view.mutable_sender() = self;
+    addChanges(view, now);
+    if (!withDomains)
+        return view;
+    *view.add_domains() = ownSummary();
+    for (const auto& [name, domain] : states.domains()) {
+        Schema::DomainSummary* summary = view.add_domains();
+        summary->set_domain(name);
+        summary->set_beat(domain.beat);
+        summary->set_members_hash(states.membersHash(name, self));
+        summary->set_lowest_revision(domain.lowestRevision);
+    }
+    return view;
+}
+
+Exchange MemberTable::Private::exchangeWith(
+    const Schema::Member& member, Utils::TimePoint now, bool withDomains) const
+{
+    return { member.name(), member.address(), member.port(), makeView(now, withDomains) };
+}
+
+void MemberTable::Private::addPeerExchanges(std::vector<Exchange>& exchanges, Utils::TimePoint now)
+{
+    for (auto& [name, entry] : states.entries()) {
+        if (!isPeer(entry))
+            continue;
+        const bool suspect = states.isSuspect(entry, now);
+        if (suspect)
+            entry.nextExchange = std::min(entry.nextExchange, entry.lastHeard + options.suspectAfter);
+        if (now < entry.nextExchange)
+            continue;
+        entry.nextExchange = now + jittered(suspect ? options.probe : options.heartbeat);
+        const bool withDomains = summariesLeft > 0;
+        summariesLeft -= withDomains ? 1 : 0;
+        exchanges.push_back(exchangeWith(entry.member, now, withDomains));
+    }
+}
+
+std::vector<const Entry*> MemberTable::Private::entriesWhere(
+    bool (*condition)(const Entry&), std::string_view domain) const
+{
+    std::vector<const Entry*> found;
+    for (const auto& [name, entry] : states.entries()) {
+        if (entry.member.domain() == domain && condition(entry))
+            found.push_back(&entry);
+    }
+    return found;
+}
+
+void MemberTable::Private::addRemoteExchanges(std::vector<Exchange>& exchanges, Utils::TimePoint now)
+{
+    if (domainOrder.empty()) {
+        for (const auto& [name, domain] : states.domains())
+            domainOrder.push_back(name);
+        std::shuffle(domainOrder.begin(), domainOrder.end(), random);
+    }
+    for (std::size_t i = 0; i < options.remoteLinks && !domainOrder.empty(); ++i) {
+        const auto candidates = entriesWhere(&MemberStates::isIn, domainOrder.back());
+        domainOrder.pop_back();
+        if (!candidates.empty())
+            exchanges.push_back(exchangeWith(candidates[pick(candidates.size())]->member, now, true));
+    }
+}
+
+void MemberTable::Private::addSeedExchanges(std::vector<Exchange>& exchanges, Utils::TimePoint now)
+{
+    std::vector<const Seed*> unknown;
+    for (const Seed& seed : seeds) {
+        const bool known
+            = std::any_of(states.entries().begin(), states.entries().end(), [&](const auto& item) {
+                  return MemberStates::isIn(item.second) && item.second.member.address() == seed.address
+                      && item.second.member.port() == seed.port;
+              });
+        if (!known && !(seed.address == self.address() && seed.port == self.port()))
+            unknown.push_back(&seed);
+    }
+    std::shuffle(unknown.begin(), unknown.end(), random);
+    if (unknown.size() > maxSeedsPerHeartbeat)
+        unknown.resize(maxSeedsPerHeartbeat);
+    for (const Seed* seed : unknown)
+        exchanges.push_back({ {}, seed->address, seed->port, makeView(now, true) });
+}
+
+// Once a heartbeat: other domains, seeds, and one member of the own domain that is thought dead.
+void MemberTable::Private::addRoundExchanges(std::vector<Exchange>& exchanges, Utils::TimePoint now)
+{
+    if (now < nextRound)
+        return;
+    nextRound = now + jittered(options.heartbeat);
+    ++beat;
+    summariesLeft = options.summaryPeers;
+    addRemoteExchanges(exchanges, now);
+    addSeedExchanges(exchanges, now);
+    const auto isDead = [](const Entry& entry) { return entry.member.state() == Schema::MEMBER_DEAD; };
+    const auto dead = entriesWhere(isDead, self.domain());
+    if (dead.empty())
+        return;
+    const Entry& chosen = *dead[pick(dead.size())];
+    exchanges.push_back(exchangeWith(chosen.member, now, true));
+    // If it lives it must learn that it was removed, also long after the news has stopped spreading.
+    *exchanges.back().view.add_members() = chosen.member;
+}
+
+MemberTable::MemberTable(const Schema::Member& self, const MembershipOptions& options,
+    std::mt19937_64& random, Utils::TimePoint now)
+    : d_(std::make_unique<Private>(self, options, random, now))
+{
+}
+
+MemberTable::~MemberTable() = default;
+
+void MemberTable::addSeed(const std::string& address, std::uint32_t port)
+{
+    const Seed seed { address, port };
+    if (std::find(d_->seeds.begin(), d_->seeds.end(), seed) == d_->seeds.end())
+        d_->seeds.push_back(seed);
+}
+
+void MemberTable::setRevision(std::uint64_t revision)
+{
+    d_->self.set_configuration_revision(std::max(revision, d_->self.configuration_revision()));
+}
+
+std::vector<Exchange> MemberTable::dueExchanges(Utils::TimePoint now)
+{
+    if (d_->self.state() == Schema::MEMBER_LEFT)
+        return {};
+    d_->noticePause(now);
+    d_->states.tick(now, d_->events);
+    std::vector<Exchange> exchanges;
+    d_->addRoundExchanges(exchanges, now);
+    d_->addPeerExchanges(exchanges, now);
+    return exchanges;
+}
+
+Schema::PeerView MemberTable::answer(const Schema::PeerView& received, Utils::TimePoint now)
+{
+    d_->noticePause(now);
+    const auto known = d_->states.entries().find(received.sender().name());
+    const bool newcomer = known == d_->states.entries().end()
+        || known->second.member.incarnation() < received.sender().incarnation();
+    d_->receive(received, now);
+    Schema::PeerView view = d_->makeView(now, !received.domains().empty());
+    // A sender that was removed must learn it.
+    if (const auto sender = d_->states.entries().find(received.sender().name());
+        sender != d_->states.entries().end() && !MemberStates::isIn(sender->second))
+        *view.add_members() = sender->second.member;
+    if (newcomer) {
+        d_->addDomainMembers(view, d_->self.domain(), now);
+        for (const auto& [name, domain] : d_->states.domains())
+            d_->addDomainMembers(view, name, now);
+        return view;
+    }
+    for (const Schema::DomainSummary& summary : received.domains()) {
+        const bool quiet = now - d_->states.changedAt(summary.domain()) >= d_->options.repairAfter;
+        if (quiet && summary.members_hash() != d_->states.membersHash(summary.domain(), d_->self))
+            d_->addDomainMembers(view, summary.domain(), now);
+    }
+    return view;
+}
+
+void MemberTable::handleAnswer(const Schema::PeerView& received, Utils::TimePoint now)
+{
+    d_->noticePause(now);
+    d_->receive(received, now);
+}
+
+std::vector<Exchange> MemberTable::leave(Utils::TimePoint now)
+{
+    d_->self.set_state(Schema::MEMBER_LEFT);
+    std::vector<Exchange> exchanges;
+    for (const auto& [name, entry] : d_->states.entries()) {
+        if (d_->isPeer(entry))
+            exchanges.push_back(d_->exchangeWith(entry.member, now, false));
+    }
+    d_->addRemoteExchanges(exchanges, now);
+    return exchanges;
+}
+
+std::vector<MemberEvent> MemberTable::takeEvents()
+{
+    return std::exchange(d_->events, {});
+}
+
+const Schema::Member& MemberTable::self() const
+{
+    return d_->self;
+}
+
+std::vector<Schema::Member> MemberTable::members(Utils::TimePoint now) const
+{
+    std::map<std::string_view, Schema::Member> byName { { d_->self.name(), d_->self } };
+    for (const auto& [name, entry] : d_->states.entries()) {
+        Schema::Member member = d_->told(entry, now);
+        member.set_age_ms(ageMs(entry.lastHeard, now));
+        const auto domain = d_->states.domains().find(member.domain());
+        if (d_->states.isSuspect(entry, now))
+            member.set_state(Schema::MEMBER_SUSPECT);
+        if (MemberStates::isIn(entry) && domain != d_->states.domains().end() && domain->second.lost)
+            member.set_state(Schema::MEMBER_UNREACHABLE);
+        byName[name] = member;
+    }
+    std::vector<Schema::Member> members;
+    for (auto& [name, member] : byName)
+        members.push_back(std::move(member));
+    return members;
+}
+
+std::vector<Schema::DomainSummary> MemberTable::domains() const
+{
+    const Schema::PeerView view = d_->makeView({}, true);
+    return { view.domains().begin(), view.domains().end() };
+}
+
+bool MemberTable::isAmongFirst(std::size_t count) const
+{
+    const auto isBefore = [&](const auto& item) {
+        return d_->isPeer(item.second) && item.second.member.role() == d_->self.role()
+            && item.first < d_->self.name();
+    };
+    const auto before = std::count_if(d_->states.entries().begin(), d_->states.entries().end(), isBefore);
+    return static_cast<std::size_t>(before) < count;
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/telemetry/burncounter.cpp
@@ -0,0 +1,201 @@
+#include "burncounter.h"
+
+#include "latencyhistogram.h"
+#include "utils/sharded.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Telemetry {
+
+namespace {
+
+constexpr std::size_t shardCount = 16;
+constexpr Utils::Duration sliceLength = std::chrono::seconds(10);
+constexpr std::array<std::uint32_t, 3> windowsS { 300, 3600, 21600 };
+constexpr std::int64_t keptSlices = std::chrono::seconds(windowsS.back()) / sliceLength;
+constexpr std::size_t maxCauses = 16; // Per slice; further ones count as other.
+constexpr std::string_view slowCause = "slow";
+constexpr std::string_view otherCause = "other";
+
+using CauseCounts = std::map<std::string, std::uint64_t, std::less<>>;
+
+struct Slice {
+    std::int64_t number = 0;
+    std::uint64_t good = 0;
+    std::uint64_t bad = 0;
+    CauseCounts causes;
+    LatencyHistogram latencies;
+};
+
+std::int64_t sliceNumber(Utils::TimePoint now)
+{
+    return now.time_since_epoch() / sliceLength;
+}
+
+// Counts for one objective.
+struct Objective {
+    std::string name; // Empty for the service's own.
+    std::string priorityClass; // Empty for the service's own.
+    std::uint32_t latencyMs = 0;
+    double percent = 0;
+    std::deque<Slice> slices;
+
+    bool sameAs(const Objective& other) const
+    {
+        return name == other.name && priorityClass == other.priorityClass && latencyMs == other.latencyMs
+            && percent == other.percent;
+    }
+
+    Slice& sliceAt(std::int64_t number)
+    {
+        if (slices.empty() || slices.back().number < number) {
+            slices.emplace_back();
+            slices.back().number = number;
+        }
+        while (slices.front().number <= number - keptSlices)
+            slices.pop_front();
+        return slices.back();
+    }
+
+    void add(const RequestOutcome& outcome, std::int64_t number)
+    {
+        Slice& slice = sliceAt(number);
+        slice.latencies.add(outcome.latencyMs);
+        if (outcome.succeeded && outcome.latencyMs <= latencyMs) {
+            ++slice.good;
+            return;
+        }
+        ++slice.bad;
+        const std::string_view cause = outcome.cause.empty() ? slowCause : outcome.cause;
+        const bool full = slice.causes.size() >= maxCauses && !slice.causes.contains(cause);
+        ++slice.causes[std::string(full ? otherCause : cause)];
+    }
+
+    void writeWindow(std::int64_t number, std::uint32_t windowS, Schema::BurnWindow& window) const
+    {
+        const std::int64_t first = number - std::chrono::seconds(windowS) / sliceLength + 1;
+        window.set_window_s(windowS);
+        CauseCounts causes;
+        for (const Slice& slice : slices) {
+            if (slice.number < first)
+                continue;
+            window.set_good(window.good() + slice.good);
+            window.set_bad(window.bad() + slice.bad);
+            for (const auto& [cause, count] : slice.causes)
+                causes[cause] += count;
+        }
+        for (const auto& [cause, count] : causes) {
+            Schema::BurnCause* entry = window.add_causes();
+            entry->set_cause(cause);
+            entry->set_count(count);
+        }
+    }
+
+    void write(std::int64_t number, Schema::BurnSample& sample) const
+    {
+        sample.set_objective(name);
+        sample.set_latency_ms(latencyMs);
+        sample.set_percent(percent);
+        for (const std::uint32_t windowS : windowsS)
+            writeWindow(number, windowS, *sample.add_windows());
+        LatencyHistogram latencies;
+        for (const Slice& slice : slices) {
+            if (slice.number > number - keptSlices)
+                latencies.merge(slice.latencies.counts());
+        }
+        sample.mutable_latency_buckets()->Add(latencies.counts().begin(), latencies.counts().end());
+    }
+};
+
+// The objectives of one service; the service's own comes first.
+using Objectives = std::vector<Objective>;
+using ServiceMap = std::map<std::string, Objectives, std::less<>>;
+
+Objectives objectivesOf(const Schema::PolicyDocument& policy, const Schema::ServicePolicy& service)
+{
+    Objectives objectives { { {}, {}, service.objective_ms(), service.objective_percent(), {} } };
+    for (const Schema::ObjectivePolicy& further : policy.objective()) {
+        if (further.service() == service.name())
+            objectives.push_back(
+                { further.name(), further.priority_class(), further.latency_ms(), further.percent(), {} });
+    }
+    return objectives;
+}
+
+void takeCounts(Objectives& wanted, Objectives& former)
+{
+    for (Objective& objective : wanted) {
+        const auto same = std::find_if(former.begin(), former.end(),
+            [&](const Objective& candidate) { return candidate.sameAs(objective); });
+        if (same != former.end())
+            objective.slices = std::move(same->slices);
+    }
+}
+
+} // namespace
+
+struct BurnCounter::Private {
+    Utils::Sharded<ServiceMap> shards { shardCount };
+};
+
+BurnCounter::BurnCounter()
+    : d_(std::make_unique<Private>())
+{
+}
+
+BurnCounter::~BurnCounter() = default;
+
+void BurnCounter::setObjectives(const Schema::PolicyDocument& policy)
+{
+    d_->shards.forEachShard([&](ServiceMap& services) {
+        std::erase_if(services, [&](const auto& item) {
+            return std::none_of(policy.service().begin(), policy.service().end(),
+                [&](const auto& service) { return service.name() == item.first; });
+        });
+    });
+    for (const Schema::ServicePolicy& service : policy.service()) {
+        Objectives wanted = objectivesOf(policy, service);
+        d_->shards.withShard(service.name(), [&](ServiceMap& services) {
+            Objectives& kept = services[service.name()];
+            takeCounts(wanted, kept);
+            kept = std::move(wanted);
+        });
+    }
+}
+
+void BurnCounter::add(const RequestOutcome& outcome, Utils::TimePoint now)
+{
+    d_->shards.withShard(outcome.service, [&](ServiceMap& services) {
+        const auto service = services.find(outcome.service);
+        if (service == services.end())
+            return;
+        Objectives& objectives = service->second;
+        const auto found = std::find_if(objectives.begin(), objectives.end(),
+            [&](const Objective& objective) { return objective.priorityClass == outcome.priorityClass; });
+        Objective& objective = found == objectives.end() ? objectives.front() : *found;
+        objective.add(outcome, sliceNumber(now));
+    });
+}
+
+Schema::BurnSamples BurnCounter::samples(Utils::TimePoint now) const
+{
+    Schema::BurnSamples samples;
+    d_->shards.forEachShard([&](const ServiceMap& services) {
+        for (const auto& [name, objectives] : services) {
+            for (const Objective& objective : objectives) {
+                Schema::BurnSample* sample = samples.add_samples();
+                sample->set_service(name);
+                objective.write(sliceNumber(now), *sample);
+            }
+        }
+    });
+    return samples;
+}
+
+} // namespace Telemetry
--- /dev/null
+++ b/src/libs/telemetry/metrics.cpp
@@ -0,0 +1,152 @@
+#include "metrics.h"
+
+#include "utils/sharded.h"
+
+// Boost 1.81's extended_p_square_quantile.hpp uses std::ostringstream without including it.
+#include <sstream>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <map>
+#include <optional>
+
+namespace Telemetry {
+
+namespace {
+
+namespace Accumulators = boost::accumulators;
+
+constexpr std::size_t shardCount = 16;
+constexpr std::array<double, 3> shares { 0.5, 0.9, 0.99 };
+
+using Summary = Accumulators::accumulator_set<double,
+    Accumulators::stats<Accumulators::tag::count, Accumulators::tag::sum,
+        Accumulators::tag::extended_p_square_quantile>>;
+
+enum class Kind {
+    Counter,
+    Gauge,
+    Summary,
+};
+
+struct Metric {
+    Kind kind = Kind::Counter;
+    double value = 0;
+    std::optional<Summary> summary;
+};
+
+struct MetricName {
+    std::string name;
+    std::string labels;
+
+    auto operator<=>(const MetricName&) const = default;
+};
+
+using MetricMap = std::map<MetricName, Metric>;
+
+constexpr std::array<const char*, 3> kindNames { "counter", "gauge", "summary" };
+
+void writeSample(std::ostream& out, const std::string& name, const std::string& labels, double value)
+{
+    out << name;
+    if (!labels.empty())
+        out << '{' << labels << '}';
+    out << ' ' << value << '\n';
+}
+
+void writeSummary(std::ostream& out, const MetricName& name, const Summary& summary)
+{
+    const std::string separator = name.labels.empty() ? "" : ",";
+    for (const double share : shares) {
+        std::ostringstream labels;
+        labels << name.labels << separator << "quantile=\"" << share << '"';
+        writeSample(out, name.name, labels.str(),
+            Accumulators::quantile(summary, Accumulators::quantile_probability = share));
+    }
+    writeSample(out, name.name + "_sum", name.labels, Accumulators::sum(summary));
+    writeSample(out, name.name + "_count", name.labels, static_cast<double>(Accumulators::count(summary)));
+}
+
+} // namespace
+
+struct Metrics::Private {
+    template <typename Function>
+    void update(std::string_view name, std::string_view labels, Kind kind, Function&& function)
+    {
+        const std::string key = std::string(name) + std::string(labels);
+        shards.withShard(key, [&](MetricMap& metrics) {
+            Metric& metric = metrics[{ std::string(name), std::string(labels) }];
+            metric.kind = kind;
+            function(metric);
+        });
+    }
+
+    Utils::Sharded<MetricMap> shards { shardCount };
+};
+
+Metrics::Metrics()
+    : d_(std::make_unique<Private>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::add(std::string_view name, std::string_view labels, double amount)
+{
+    d_->update(name, labels, Kind::Counter, [&](Metric& metric) { metric.value += amount; });
+}
+
+void Metrics::set(std::string_view name, std::string_view labels, double value)
+{
+    d_->update(name, labels, Kind::Gauge, [&](Metric& metric) { metric.value = value; });
+}
+
+void Metrics::observe(std::string_view name, std::string_view labels, double value)
+{
+    d_->update(name, labels, Kind::Summary, [&](Metric& metric) {
+        if (!metric.summary)
+            metric.summary.emplace(Accumulators::tag::extended_p_square::probabilities = shares);
+        (*metric.summary)(value);
+    });
+}
+
+std::string Metrics::toPrometheus() const
+{
+    MetricMap all;
+    d_->shards.forEachShard([&](const MetricMap& metrics) { all.insert(metrics.begin(), metrics.end()); });
+    std::ostringstream out;
+    out.precision(15);
+    std::string lastName;
+    for (const auto& [name, metric] : all) {
+        if (name.name != lastName)
+            out << "# TYPE " << name.name << ' ' << kindNames.at(static_cast<std::size_t>(metric.kind))
+                << '\n';
+        lastName = name.name;
+        if (metric.summary)
+            writeSummary(out, name, *metric.summary);
+        else
+            writeSample(out, name.name, name.labels, metric.value);
+    }
+    return out.str();
+}
+
+std::string label(std::string_view name, std::string_view value)
+{
+    std::string text = std::string(name) + "=\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            text += '\\';
+        if (c == '\n')
+            text += "\\n";
+        else
+            text += c;
+    }
+    return text + '"';
+}
+
+} // namespace Telemetry
