Estimate quantiles with one P-square accumulator each

One p_square_quantile for each share builds; before five samples P-square has no estimate, so NaN is written.

--- a/src/libs/telemetry/metrics.cpp
+++ b/src/libs/telemetry/metrics.cpp
@@ -2,18 +2,18 @@
 
 #include "utils/sharded.h"
 
-// Boost 1.81's extended_p_square_quantile.hpp uses std::ostringstream without including it.
-#include <sstream>
-
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
 #include <array>
+#include <cmath>
+#include <limits>
 #include <map>
-#include <optional>
+#include <sstream>
+#include <vector>
 
 namespace Telemetry {
 
@@ -24,9 +24,29 @@
 constexpr std::size_t shardCount = 16;
 constexpr std::array<double, 3> shares { 0.5, 0.9, 0.99 };
 
-using Summary = Accumulators::accumulator_set<double,
-    Accumulators::stats<Accumulators::tag::count, Accumulators::tag::sum,
-        Accumulators::tag::extended_p_square_quantile>>;
+// P-square needs five samples before its first estimate.
+constexpr std::size_t leastSamples = 5;
+
+using TotalAccumulator = Accumulators::accumulator_set<double,
+    Accumulators::stats<Accumulators::tag::count, Accumulators::tag::sum>>;
+using QuantileAccumulator
+    = Accumulators::accumulator_set<double, Accumulators::stats<Accumulators::tag::p_square_quantile>>;
+
+struct QuantileSummary {
+    TotalAccumulator total;
+    std::vector<QuantileAccumulator> quantiles; // In the order of shares.
+
+    void add(double value)
+    {
+        if (quantiles.empty()) {
+            for (const double share : shares)
+                quantiles.emplace_back(Accumulators::quantile_probability = share);
+        }
+        total(value);
+        for (QuantileAccumulator& quantile : quantiles)
+            quantile(value);
+    }
+};
 
 enum class Kind {
     Counter,
@@ -37,7 +57,7 @@
 struct Metric {
     Kind kind = Kind::Counter;
     double value = 0;
-    std::optional<Summary> summary;
+    QuantileSummary summary;
 };
 
 struct MetricName {
@@ -56,20 +76,26 @@
     out << name;
     if (!labels.empty())
         out << '{' << labels << '}';
-    out << ' ' << value << '\n';
+    out << ' ';
+    if (std::isnan(value))
+        out << "NaN\n";
+    else
+        out << value << '\n';
 }
 
-void writeSummary(std::ostream& out, const MetricName& name, const Summary& summary)
+void writeSummary(std::ostream& out, const MetricName& name, const QuantileSummary& summary)
 {
     const std::string separator = name.labels.empty() ? "" : ",";
-    for (const double share : shares) {
+    const std::size_t count = Accumulators::count(summary.total);
+    for (std::size_t i = 0; i < shares.size(); ++i) {
         std::ostringstream labels;
-        labels << name.labels << separator << "quantile=\"" << share << '"';
-        writeSample(out, name.name, labels.str(),
-            Accumulators::quantile(summary, Accumulators::quantile_probability = share));
+        labels << name.labels << separator << "quantile=\"" << shares.at(i) << '"';
+        const double estimate = count < leastSamples ? std::numeric_limits<double>::quiet_NaN()
+                                                     : Accumulators::p_square_quantile(summary.quantiles[i]);
+        writeSample(out, name.name, labels.str(), estimate);
     }
-    writeSample(out, name.name + "_sum", name.labels, Accumulators::sum(summary));
-    writeSample(out, name.name + "_count", name.labels, static_cast<double>(Accumulators::count(summary)));
+    writeSample(out, name.name + "_sum", name.labels, Accumulators::sum(summary.total));
+    writeSample(out, name.name + "_count", name.labels, static_cast<double>(count));
 }
 
 } // namespace
@@ -108,11 +134,7 @@
 
 void Metrics::observe(std::string_view name, std::string_view labels, double value)
 {
-    d_->update(name, labels, Kind::Summary, [&](Metric& metric) {
-        if (!metric.summary)
-            metric.summary.emplace(Accumulators::tag::extended_p_square::probabilities = shares);
-        (*metric.summary)(value);
-    });
+    d_->update(name, labels, Kind::Summary, [&](Metric& metric) { metric.summary.add(value); });
 }
 
 std::string Metrics::toPrometheus() const
@@ -127,8 +149,8 @@
             out << "# TYPE " << name.name << ' ' << kindNames.at(static_cast<std::size_t>(metric.kind))
                 << '\n';
         lastName = name.name;
-        if (metric.summary)
-            writeSummary(out, name, *metric.summary);
+        if (metric.kind == Kind::Summary)
+            writeSummary(out, name, metric.summary);
         else
             writeSample(out, name.name, name.labels, metric.value);
     }
