Prove the phases of an exchange with scripted backend servers

Cause: "not-run" must never be said of a request that ran, and a truncated answer never be passed on. Ruled out: judging by the HTTP client's error alone; the exchange reports whether a byte was sent.

--- /dev/null
+++ b/tests/auto/gateway/scriptedbackend.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Testing {
+
+/*! What a scripted backend server does with the requests it receives. */
+struct BackendScript {
+    bool refuseConnections = false; //!< Nothing listens on the port.
+    bool closeAtOnce = false; //!< Closes a connection before it reads.
+    std::string answer; //!< Bytes written once a whole head was read.
+    bool closeAfterAnswer = true; //!< Closes after the bytes, else stays silent.
+    int healthyAfter = -1; //!< Connections from this one on answer well; -1: never.
+};
+
+/*! A TCP server on a thread of its own that counts the requests it ran and answers as scripted. */
+class ScriptedBackend {
+public:
+    /*! \param script what to do. */
+    explicit ScriptedBackend(BackendScript script);
+    ~ScriptedBackend();
+
+    /*! \return the port it listens on, or one on which nothing listens. */
+    std::uint16_t port() const;
+
+    /*! \return number of requests whose head arrived whole, that is, which ran. */
+    int runs() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d_;
+};
+
+} // namespace Testing
--- /dev/null
+++ b/tests/auto/gateway/tst_exchangephases.cpp
@@ -0,0 +1,197 @@
+#include "scriptedbackend.h"
+
+#include <gateway/servicegateway.h>
+#include <http/headers.h>
+
+#include <platform.pb.h>
+#include <policy.pb.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <thread>
+
+namespace {
+
+using Testing::BackendScript;
+using Testing::ScriptedBackend;
+
+Schema::PolicyDocument testPolicy()
+{
+    Schema::PolicyDocument policy;
+    auto* priorityClass = policy.add_priority_class();
+    priorityClass->set_name("normal");
+    priorityClass->set_guaranteed_percent(50);
+    priorityClass->set_ceiling_percent(100);
+    priorityClass->set_max_queue_ms(500);
+    auto* service = policy.add_service();
+    service->set_name("rounds");
+    service->set_default_class("normal");
+    service->set_objective_ms(250);
+    service->set_slots(8);
+    service->set_connections(64);
+    return policy;
+}
+
+// A gateway with one thread and the given backend servers.
+class GatewayFixture {
+public:
+    explicit GatewayFixture(std::span<const std::uint16_t> ports)
+        : gateway_(context_, { "entry-1", "lagos-a", "lagos" }, limits(), std::chrono::seconds(10))
+        , work_(context_.get_executor())
+        , thread_([this] { context_.run(); })
+    {
+        gateway_.setPolicy(testPolicy());
+        std::vector<Schema::VmEntry> vms;
+        for (const std::uint16_t port : ports) {
+            Schema::VmEntry& vm = vms.emplace_back();
+            vm.set_name("backend-" + std::to_string(vms.size()));
+            vm.set_role(Schema::VM_ROLE_BACKEND);
+            vm.set_address("127.0.0.1");
+            vm.set_port(port);
+            vm.set_domain("lagos-a");
+            vm.set_region("lagos");
+            vm.set_service("rounds");
+            vm.set_slots(8);
+            vm.set_connections(64);
+        }
+        std::vector<const Schema::VmEntry*> pointers;
+        pointers.reserve(vms.size());
+        for (const Schema::VmEntry& vm : vms)
+            pointers.push_back(&vm);
+        gateway_.setVms(pointers);
+    }
+
+    ~GatewayFixture()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    Http::Response send(const std::string& method, const std::string& deadlineMs = "5000")
+    {
+        std::promise<Http::Response> promise;
+        gateway_.handle(
+            { method, "/services/rounds/plan", { { "Geraniumquay-Deadline-Ms", deadlineMs } }, "order", "" },
+            [&promise](Http::Response response) { promise.set_value(std::move(response)); });
+        return promise.get_future().get();
+    }
+
+    std::string outcomeOf(const std::string& method, const std::string& deadlineMs = "5000")
+    {
+        return std::string(
+            Http::findHeader(send(method, deadlineMs).headers, "Geraniumquay-Outcome").value_or(""));
+    }
+
+private:
+    static Gateway::GatewayLimits limits()
+    {
+        Gateway::GatewayLimits limits;
+        limits.progressTimeout = std::chrono::milliseconds(200);
+        return limits;
+    }
+
+    boost::asio::io_context context_ { 1 };
+    Gateway::ServiceGateway gateway_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::thread thread_;
+};
+
+BackendScript answering(std::string answer, bool close = true)
+{
+    BackendScript script;
+    script.answer = std::move(answer);
+    script.closeAfterAnswer = close;
+    return script;
+}
+
+constexpr char wholeAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+
+} // namespace
+
+TEST_CASE("A whole answer is passed on as completed")
+{
+    ScriptedBackend backend(answering(wholeAnswer, false));
+    const std::uint16_t ports[] = { backend.port() };
+    GatewayFixture fixture(ports);
+    const Http::Response response = fixture.send("POST");
+    CHECK(response.status == 200);
+    CHECK(response.body == "whole");
+    CHECK(Http::findHeader(response.headers, "Geraniumquay-Outcome") == std::string_view("completed"));
+    CHECK(Http::findHeader(response.headers, "Geraniumquay-Served-By") == std::string_view("backend-1"));
+    CHECK(backend.runs() == 1);
+}
+
+TEST_CASE("A request that no backend server received is not-run")
+{
+    BackendScript refusing;
+    refusing.refuseConnections = true;
+    ScriptedBackend backend(refusing);
+    const std::uint16_t ports[] = { backend.port() };
+    GatewayFixture fixture(ports);
+    CHECK(fixture.outcomeOf("POST") == "not-run");
+    CHECK(backend.runs() == 0);
+}
+
+TEST_CASE("A non-idempotent request that may have run is unknown and is sent once")
+{
+    const std::string truncated[] = { "", "HTTP/1.1 20", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nno length",
+        "garbage\r\n\r\n" };
+    for (const std::string& answer : truncated) {
+        INFO("answer: " << answer);
+        ScriptedBackend broken(answering(answer));
+        ScriptedBackend second(answering(answer));
+        const std::uint16_t ports[] = { broken.port(), second.port() };
+        GatewayFixture fixture(ports);
+        CHECK(fixture.outcomeOf("POST") == "unknown");
+        CHECK(broken.runs() + second.runs() == 1);
+    }
+}
+
+TEST_CASE("A truncated answer of an idempotent request is retried and never passed on")
+{
+    BackendScript script = answering("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf");
+    script.healthyAfter = 1;
+    ScriptedBackend backend(script);
+    const std::uint16_t ports[] = { backend.port() };
+    GatewayFixture fixture(ports);
+    const Http::Response response = fixture.send("GET");
+    CHECK(response.body == "ok");
+    CHECK(backend.runs() == 2);
+}
+
+TEST_CASE("A refusal before execution is retried even if the request is not idempotent")
+{
+    ScriptedBackend refusing(answering("HTTP/1.1 503 Busy\r\nGeraniumquay-Outcome: not-run\r\nConnection: "
+                                       "close\r\nContent-Length: 0\r\n\r\n"));
+    ScriptedBackend healthy(answering(wholeAnswer, false));
+    const std::uint16_t ports[] = { refusing.port(), healthy.port() };
+    GatewayFixture fixture(ports);
+    for (int request = 0; request < 4; ++request)
+        CHECK(fixture.outcomeOf("POST") == "completed");
+    CHECK(healthy.runs() == 4);
+}
+
+TEST_CASE("A silent connection is left for a new one when the request is idempotent")
+{
+    BackendScript script = answering("", false);
+    script.healthyAfter = 1;
+    ScriptedBackend backend(script);
+    const std::uint16_t ports[] = { backend.port() };
+    GatewayFixture fixture(ports);
+    CHECK(fixture.outcomeOf("GET") == "completed");
+}
+
+TEST_CASE("A silent backend server ends a non-idempotent request as unknown at its deadline")
+{
+    ScriptedBackend backend(answering("", false));
+    const std::uint16_t ports[] = { backend.port() };
+    GatewayFixture fixture(ports);
+    CHECK(fixture.outcomeOf("POST", "300") == "unknown");
+    CHECK(backend.runs() == 1);
+}
