Add peers over gRPC and the services every daemon shares

Cause: each daemon needs the platform's adapters, the configuration in force, the VM list and its peers. Ruled out: every process polling the table. At 22 domains that would be 66 and more readers; two readers a domain poll, the others are told by their peers and poll seldom in case none of the readers is left. Conclusion: Node::NodeServices is what gqentryd, gqschedd and gqconsoled share.

--- /dev/null
+++ b/src/libs/node/nodeservices.cpp
@@ -0,0 +1,227 @@
+#include "nodeservices.h"
+
+#include "configuration/configurationstore.h"
+#include "daemon/periodictask.h"
+#include "peering/peercredentials.h"
+#include "platform/http/httpobjectstore.h"
+#include "platform/http/httptableservice.h"
+#include "platform/http/httpvmlist.h"
+#include "utils/log/log.h"
+
+#include <mutex>
+#include <optional>
+
+namespace Node {
+
+namespace {
+
+constexpr std::size_t readersPerDomain = 2;
+constexpr std::uint32_t seldomPollFactor = 8;
+
+Http::ClientOptions platformOptions(const Schema::PlatformSettings& settings)
+{
+    return { settings.address(), static_cast<std::uint16_t>(settings.port()),
+        std::chrono::milliseconds(settings.timeout_ms()) };
+}
+
+Schema::Member selfOf(const NodeSettings& settings)
+{
+    Schema::Member self;
+    self.set_name(settings.node.name() + "/" + settings.role);
+    self.set_role(settings.role);
+    self.set_region(settings.node.region());
+    self.set_domain(settings.node.domain());
+    self.set_address(settings.listen.address());
+    self.set_port(settings.listen.peer_port());
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    self.set_incarnation(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()));
+    return self;
+}
+
+} // namespace
+
+class NodeServices::Private {
+public:
+    Private(const NodeSettings& nodeSettings, Daemon::Readiness& ready, NodeHandlers nodeHandlers)
+        : settings(nodeSettings)
+        , readiness(ready)
+        , handlers(std::move(nodeHandlers))
+        , table(platformOptions(settings.platform))
+        , objects(platformOptions(settings.platform))
+        , cache(settings.listen.threads())
+        , peers(selfOf(settings), settings.security, peerHandlers())
+        , vmList_(platformOptions(settings.platform))
+        , store_(table)
+    {
+        readiness.set("configuration", "none is in force yet");
+        readiness.set("vm-list", "not read yet");
+    }
+
+    void startPolls()
+    {
+        const auto pause = std::chrono::milliseconds(settings.platform.poll_ms());
+        configurationPoll.emplace(pause, [this] { pollConfiguration(); });
+        vmPoll.emplace(pause, [this] { pollVms(); });
+    }
+
+    NodeSettings settings;
+    Daemon::Readiness& readiness;
+    NodeHandlers handlers;
+    Platform::HttpTableService table;
+    Platform::HttpObjectStore objects;
+    Configuration::ConfigurationCache cache;
+    Peering::PeerNode peers;
+    std::optional<Daemon::PeriodicTask> configurationPoll;
+    std::optional<Daemon::PeriodicTask> vmPoll;
+
+private:
+    Peering::PeerHandlers peerHandlers();
+    void pollConfiguration();
+    void pollVms();
+    void offer(const Schema::AcceptedConfiguration& accepted);
+    bool isPollDue();
+
+    Platform::HttpVmList vmList_;
+    Configuration::ConfigurationStore store_;
+    std::mutex applyMutex_;
+    std::uint32_t pollsLeftOut_ = 0;
+};
+
+Peering::PeerHandlers NodeServices::Private::peerHandlers()
+{
+    Peering::PeerHandlers result;
+    result.configuration = [this] {
+        const auto inForce = cache.current();
+        return inForce ? inForce->accepted : Schema::AcceptedConfiguration();
+    };
+    result.offer = [this](const Schema::AcceptedConfiguration& accepted) { offer(accepted); };
+    result.burn = handlers.burn;
+    result.changed = handlers.member;
+    return result;
+}
+
+// Until something is in force every process asks the table; later only the readers do so often.
+bool NodeServices::Private::isPollDue()
+{
+    if (!cache.isReady() || peers.isAmongFirst(readersPerDomain)) {
+        pollsLeftOut_ = 0;
+        return true;
+    }
+    pollsLeftOut_ = (pollsLeftOut_ + 1) % seldomPollFactor;
+    return pollsLeftOut_ == 0;
+}
+
+void NodeServices::Private::pollConfiguration()
+{
+    if (!isPollDue())
+        return;
+    const auto loaded = store_.load();
+    if (!Utils::isOk(loaded)) {
+        Utils::logError("configuration-poll-failed", Utils::error(loaded));
+        return;
+    }
+    if (Utils::value(loaded).revision() > 0)
+        offer(Utils::value(loaded));
+}
+
+// The lock keeps two offers from handing their policies on in the wrong order.
+void NodeServices::Private::offer(const Schema::AcceptedConfiguration& accepted)
+{
+    const std::lock_guard<std::mutex> guard(applyMutex_);
+    const auto result = cache.offer(accepted);
+    if (result.outcome == Configuration::OfferOutcome::NotNewer)
+        return;
+    if (result.outcome != Configuration::OfferOutcome::Applied) {
+        Utils::log(Utils::LogLevel::Error, "configuration-refused",
+            { { "revision", std::to_string(accepted.revision()) },
+                { "message", Settings::faultsToString(result.faults) } });
+        return;
+    }
+    handlers.policy(cache.current()->policy);
+    peers.setRevision(cache.revision());
+    readiness.set("configuration", "");
+    Utils::log(
+        Utils::LogLevel::Info, "configuration-applied", { { "revision", std::to_string(cache.revision()) } });
+}
+
+void NodeServices::Private::pollVms()
+{
+    const auto list = vmList_.list();
+    if (!Utils::isOk(list)) {
+        Utils::logError("vm-list-poll-failed", Utils::error(list));
+        return;
+    }
+    const auto& vms = Utils::value(list).vms();
+    const std::vector<const Schema::VmEntry*> entries(vms.pointer_begin(), vms.pointer_end());
+    handlers.vms(entries);
+    readiness.set("vm-list", "");
+}
+
+NodeServices::NodeServices(const NodeSettings& settings, Daemon::Readiness& readiness, NodeHandlers handlers)
+    : d_(std::make_unique<Private>(settings, readiness, std::move(handlers)))
+{
+}
+
+NodeServices::~NodeServices() = default;
+
+Utils::Status NodeServices::start()
+{
+    const auto problem = Peering::checkSecurity(d_->settings.security, d_->settings.listen.address());
+    if (!problem.empty())
+        return Utils::Error { Utils::ErrorCode::InvalidArgument, "settings.check", {}, problem };
+    auto status = d_->peers.start();
+    if (!Utils::isOk(status))
+        return status;
+    Utils::log(Utils::LogLevel::Info, "listening",
+        { { "name", "peers" }, { "address", d_->settings.listen.address() },
+            { "port", std::to_string(d_->peers.port()) } });
+    for (const Schema::PeerSettings& peer : d_->settings.peers)
+        d_->peers.addSeed(peer.address(), peer.port());
+    d_->startPolls();
+    return status;
+}
+
+void NodeServices::stop()
+{
+    d_->configurationPoll.reset();
+    d_->vmPoll.reset();
+    d_->peers.leave();
+}
+
+Platform::TableService& NodeServices::table()
+{
+    return d_->table;
+}
+
+Platform::ObjectStore& NodeServices::objects()
+{
+    return d_->objects;
+}
+
+const Configuration::ConfigurationCache& NodeServices::configuration() const
+{
+    return d_->cache;
+}
+
+void NodeServices::pollNow()
+{
+    if (d_->configurationPoll)
+        d_->configurationPoll->wake();
+}
+
+Peering::PeerNode& NodeServices::peers()
+{
+    return d_->peers;
+}
+
+std::string NodeServices::metrics() const
+{
+    std::string text = "geraniumquay_configuration_revision " + std::to_string(d_->cache.revision()) + "\n";
+    std::size_t alive = 0;
+    for (const Schema::Member& member : d_->peers.members())
+        alive += member.state() == Schema::MEMBER_ALIVE ? 1 : 0;
+    return text + "geraniumquay_members_alive " + std::to_string(alive) + "\n";
+}
+
+} // namespace Node
