--- a/src/libs/daemon/frame.cpp
+++ b/src/libs/daemon/frame.cpp
@@ -186,7 +186,7 @@
     d_->serve(maxBodyBytes, std::move(handler));
 }
 
-int Frame::run(std::function<void()> beforeStop)
+int Frame::run(const std::function<void()>& beforeStop)
 {
     return d_->run(beforeStop);
 }
--- a/src/libs/daemon/frame.h
+++ b/src/libs/daemon/frame.h
@@ -66,7 +66,7 @@
         \param beforeStop called when the signal comes, before the servers stop; it may block.
         \return the exit code of the process.
     */
-    int run(std::function<void()> beforeStop = {});
+    int run(const std::function<void()>& beforeStop = {});
 
 private:
     class Private;
--- a/src/libs/entry/entrydaemon.cpp
+++ b/src/libs/entry/entrydaemon.cpp
@@ -55,6 +55,7 @@
         Node::NodeHandlers result;
         result.policy = [this](const Schema::PolicyDocument& policy) { gateway_.setPolicy(policy); };
         result.vms = [this](std::span<const Schema::VmEntry* const> vms) { gateway_.setVms(vms); };
+        result.burn = [this] { return gateway_.burnSamples(); };
         return result;
     }
 
--- a/src/libs/gateway/backendpool.cpp
+++ b/src/libs/gateway/backendpool.cpp
@@ -2,6 +2,8 @@
 
 #include "backendconnection.h"
 
+#include <boost/asio/detached.hpp>
+
 #include <mutex>
 #include <unordered_map>
 #include <vector>
--- a/src/libs/gateway/servicegateway.cpp
+++ b/src/libs/gateway/servicegateway.cpp
@@ -4,6 +4,8 @@
 #include "gatewaymetrics.h"
 #include "outcomeresponse.h"
 
+#include "telemetry/burncounter.h"
+
 #include <platform.pb.h>
 #include <policy.pb.h>
 
@@ -86,6 +88,7 @@
 
     EntryPlace place;
     Utils::Duration defaultDeadline;
+    Telemetry::BurnCounter burn;
 
 private:
     bool isCandidate(const Schema::VmEntry& vm, const std::string& service) const;
@@ -120,7 +123,7 @@
         parameters.domain = place.domain;
         parameters.region = place.region;
         parameters.seed = std::hash<std::string> {}(place.name + "/" + service.name());
-        shard = std::make_shared<ServiceShard>(context_, pool_, std::move(parameters), limits_);
+        shard = std::make_shared<ServiceShard>(context_, pool_, burn, std::move(parameters), limits_);
     }
     shards_.swap(kept);
     hasPolicy_ = true;
@@ -188,6 +191,7 @@
 
 void ServiceGateway::setPolicy(const Schema::PolicyDocument& policy)
 {
+    d_->burn.setObjectives(policy);
     d_->applyPolicy(policy);
     for (const auto& [service, shard] : d_->shards()) {
         shard->setTargets(d_->targetsOf(service));
@@ -202,6 +206,11 @@
         shard->setTargets(d_->targetsOf(service));
 }
 
+Schema::BurnSamples ServiceGateway::burnSamples() const
+{
+    return d_->burn.samples(std::chrono::steady_clock::now());
+}
+
 std::string ServiceGateway::metrics() const
 {
     std::string text;
--- a/src/libs/gateway/servicegateway.h
+++ b/src/libs/gateway/servicegateway.h
@@ -7,8 +7,9 @@
 #include <string>
 
 namespace Schema {
+class BurnSamples;
 class VmEntry;
-}
+} // namespace Schema
 
 namespace Gateway {
 
@@ -51,6 +52,9 @@
     /*! Applies the VM list. \param vms the VMs as the platform knows them. */
     void setVms(std::span<const Schema::VmEntry* const> vms);
 
+    /*! \return what was counted for the burn report. */
+    Schema::BurnSamples burnSamples() const;
+
     /*! \return the metrics of all services as Prometheus text. */
     std::string metrics() const;
 
--- a/src/libs/gateway/serviceshard.cpp
+++ b/src/libs/gateway/serviceshard.cpp
@@ -4,6 +4,7 @@
 #include "outcomeresponse.h"
 
 #include "http/headers.h"
+#include "telemetry/burncounter.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -20,6 +21,7 @@
 using Requests::Outcome;
 using Requests::RequestId;
 
+constexpr unsigned statusServerError = 500;
 constexpr unsigned statusBadGateway = 502;
 constexpr unsigned statusUnavailable = 503;
 constexpr char outcomeHeader[] = "Geraniumquay-Outcome";
@@ -34,6 +36,7 @@
     Http::Request request;
     CallerRequest caller;
     Http::Responder respond;
+    Utils::TimePoint arrival {};
     Utils::TimePoint deadline {};
     Http::Response answer;
     std::string servedBy;
@@ -52,6 +55,9 @@
 struct Answer {
     Http::Responder respond;
     Http::Response response;
+    CallerRequest caller;
+    Utils::TimePoint arrival {};
+    std::string cause; // Why there is no answer of a backend server; empty if there is one.
 };
 
 struct Work {
@@ -81,9 +87,10 @@
 
 class ServiceShard::Private {
 public:
-    Private(boost::asio::io_context& context, BackendPool& pool, Requests::CoreParameters parameters,
-        const GatewayLimits& limits)
+    Private(boost::asio::io_context& context, BackendPool& pool, Telemetry::BurnCounter& burn,
+        Requests::CoreParameters parameters, const GatewayLimits& limits)
         : core(std::move(parameters))
+        , burn_(burn)
         , limits_(limits)
         , pool_(pool)
         , timer_(context)
@@ -114,13 +121,15 @@
     void collectOne(const Requests::Dispatch& dispatch, Work& work);
     void collectOne(const Requests::Reject& reject, Work& work);
     void collectOne(const Requests::Finish& finish, Work& work);
-    void answer(RequestId request, Http::Response response, Work& work);
+    void answer(RequestId request, Http::Response response, std::string cause, Work& work);
+    void count(const Answer& answer);
     ExchangeLimits limitsOf(const Waiting& caller) const;
     void arm(const std::shared_ptr<ServiceShard>& owner);
     void carryOut(const std::shared_ptr<ServiceShard>& owner, Work& work);
     void send(const std::shared_ptr<ServiceShard>& owner, Send& send);
     void finished(const Send& send, ExchangeResult result);
 
+    Telemetry::BurnCounter& burn_;
     GatewayLimits limits_;
     BackendPool& pool_;
     boost::asio::steady_timer timer_;
@@ -145,7 +154,10 @@
 {
     const auto caller = waiting.find(dispatch.request);
     const auto target = targets.find(dispatch.backend);
-    if (caller == waiting.end() || target == targets.end()) {
+    // A request that was sent on once is not sent on again: two domains must not pass it to and fro.
+    const bool isLoop = caller != waiting.end() && target != targets.end() && caller->second.caller.forwarded
+        && target->second.isEntry;
+    if (caller == waiting.end() || target == targets.end() || isLoop) {
         core.attemptNotSent(dispatch.attempt, now());
         return;
     }
@@ -160,7 +172,7 @@
 
 void ServiceShard::Private::collectOne(const Requests::Reject& reject, Work& work)
 {
-    answer(reject.request, Internal::rejectResponse(reject), work);
+    answer(reject.request, Internal::rejectResponse(reject), Requests::rejectReasonName(reject.reason), work);
 }
 
 void ServiceShard::Private::collectOne(const Requests::Finish& finish, Work& work)
@@ -170,20 +182,25 @@
         return;
     Waiting& caller = found->second;
     if (finish.outcome == Outcome::Completed) {
-        answer(finish.request, Internal::completedResponse(std::move(caller.answer), caller.servedBy), work);
+        answer(
+            finish.request, Internal::completedResponse(std::move(caller.answer), caller.servedBy), {}, work);
         return;
     }
     const unsigned status = finish.outcome == Outcome::NotRun ? statusUnavailable : statusBadGateway;
-    answer(finish.request, Internal::outcomeResponse(status, finish.outcome, caller.lastError), work);
+    std::string cause = caller.lastError.step.empty() ? "no-answer" : caller.lastError.step;
+    answer(finish.request, Internal::outcomeResponse(status, finish.outcome, caller.lastError),
+        std::move(cause), work);
 }
 
-void ServiceShard::Private::answer(RequestId request, Http::Response response, Work& work)
+void ServiceShard::Private::answer(RequestId request, Http::Response response, std::string cause, Work& work)
 {
     const auto found = waiting.find(request);
     if (found == waiting.end())
         return;
     response.headers.push_back({ "Geraniumquay-Request-Id", found->second.caller.id });
-    work.answers.push_back({ std::move(found->second.respond), std::move(response) });
+    Waiting& caller = found->second;
+    work.answers.push_back({ std::move(caller.respond), std::move(response), std::move(caller.caller),
+        caller.arrival, std::move(cause) });
     waiting.erase(found);
 }
 
@@ -220,12 +237,26 @@
 
 void ServiceShard::Private::carryOut(const std::shared_ptr<ServiceShard>& owner, Work& work)
 {
-    for (Answer& one : work.answers)
+    for (Answer& one : work.answers) {
+        count(one);
         one.respond(std::move(one.response));
+    }
     for (Send& one : work.sends)
         send(owner, one);
 }
 
+// A request sent on by another entry VM is counted there.
+void ServiceShard::Private::count(const Answer& answer)
+{
+    if (answer.caller.forwarded)
+        return;
+    const std::chrono::duration<double, std::milli> latency = now() - answer.arrival;
+    const bool failed = !answer.cause.empty() || answer.response.status >= statusServerError;
+    const std::string_view cause
+        = answer.cause.empty() && failed ? "backend-error" : std::string_view(answer.cause);
+    burn_.add({ answer.caller.service, answer.caller.priorityClass, latency.count(), !failed, cause }, now());
+}
+
 void ServiceShard::Private::send(const std::shared_ptr<ServiceShard>& owner, Send& send)
 {
     const auto beforeSend = [this, owner, attempt = send.attempt] {
@@ -272,9 +303,9 @@
     core.attemptCompleted(send.attempt, status, now());
 }
 
-ServiceShard::ServiceShard(boost::asio::io_context& context, BackendPool& pool,
+ServiceShard::ServiceShard(boost::asio::io_context& context, BackendPool& pool, Telemetry::BurnCounter& burn,
     Requests::CoreParameters parameters, const GatewayLimits& limits)
-    : d_(std::make_unique<Private>(context, pool, std::move(parameters), limits))
+    : d_(std::make_unique<Private>(context, pool, burn, std::move(parameters), limits))
 {
 }
 
@@ -284,12 +315,14 @@
 {
     d_->update(shared_from_this(), [&] {
         const RequestId id = ++d_->lastRequest;
-        const Utils::TimePoint deadline = now() + caller.deadline;
+        const Utils::TimePoint arrival = now();
+        const Utils::TimePoint deadline = arrival + caller.deadline;
         Requests::RequestDescription description { id, caller.service, caller.priorityClass, caller.caller,
             deadline, caller.idempotent, caller.key, request.body.size() };
-        d_->waiting.emplace(
-            id, Waiting { std::move(request), std::move(caller), std::move(respond), deadline, {}, {}, {} });
-        d_->core.submit(std::move(description), now());
+        d_->waiting.emplace(id,
+            Waiting {
+                std::move(request), std::move(caller), std::move(respond), arrival, deadline, {}, {}, {} });
+        d_->core.submit(std::move(description), arrival);
     });
 }
 
--- a/src/libs/gateway/serviceshard.h
+++ b/src/libs/gateway/serviceshard.h
@@ -19,6 +19,10 @@
 class PolicyDocument;
 }
 
+namespace Telemetry {
+class BurnCounter;
+}
+
 namespace Gateway {
 
 class BackendPool;
@@ -49,11 +53,12 @@
     /*!
         \param context runs timers and exchanges.
         \param pool connections to backend servers.
+        \param burn counts the requests for the burn report.
         \param parameters service and place.
         \param limits time limits.
     */
-    ServiceShard(boost::asio::io_context& context, BackendPool& pool, Requests::CoreParameters parameters,
-        const GatewayLimits& limits);
+    ServiceShard(boost::asio::io_context& context, BackendPool& pool, Telemetry::BurnCounter& burn,
+        Requests::CoreParameters parameters, const GatewayLimits& limits);
     ~ServiceShard();
     ServiceShard(const ServiceShard&) = delete;
     ServiceShard& operator=(const ServiceShard&) = delete;
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -3,6 +3,7 @@
 #include "beastmessage.h"
 #include "headers.h"
 
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/strand.hpp>
