Test the request cores against oracles, with unsound variants kept

The credits' world (clocks 3% apart, pauses, kills, cuts, outages) found a fault in CreditHolder: a process that had been left out of a division counted itself as settled with 4 requests still in progress, took the previous division for closed and proposed the next one; 11 of 8 slots were in use. A process now counts itself as any other member. It also found that an incarnation heard late could pass for a later process of the VM; incarnations are now ordered.

--- a/src/libs/requests/creditholder.cpp
+++ b/src/libs/requests/creditholder.cpp
@@ -19,9 +19,9 @@
 
 } // namespace
 
-CreditHolder::CreditHolder(std::string name, std::string incarnation, CreditParameters parameters)
+CreditHolder::CreditHolder(std::string name, std::uint64_t incarnation, CreditParameters parameters)
     : name_(std::move(name))
-    , incarnation_(std::move(incarnation))
+    , incarnation_(incarnation)
     , parameters_(parameters)
 {
 }
@@ -128,7 +128,7 @@
 
 std::string CreditHolder::memberKey(const Schema::CreditMember& member)
 {
-    return member.name() + "/" + member.incarnation();
+    return member.name() + "/" + std::to_string(member.incarnation());
 }
 
 bool CreditHolder::isSelf(const Schema::CreditMember& member) const
@@ -140,9 +140,9 @@
 {
     if (isSelf(member) || gone_.contains(memberKey(member)))
         return true;
-    // A process of the same VM takes the place of the one before it.
+    // A later process of the same VM proves that the one before it has ended.
     for (const Schema::CreditMember& other : divisions_.current().members()) {
-        if (other.name() == member.name() && other.incarnation() != member.incarnation())
+        if (other.name() == member.name() && other.incarnation() > member.incarnation())
             return true;
     }
     const auto peer = peers_.find(memberKey(member));
@@ -152,7 +152,7 @@
 bool CreditHolder::hasSettled(const Schema::CreditMember& member) const
 {
     if (isSelf(member))
-        return true;
+        return settledEpoch_ >= adoptedEpoch();
     const auto peer = peers_.find(memberKey(member));
     return peer != peers_.end() && peer->second.settled >= adoptedEpoch();
 }
--- a/src/libs/requests/creditholder.h
+++ b/src/libs/requests/creditholder.h
@@ -41,10 +41,10 @@
 public:
     /*!
         \param name this entry VM.
-        \param incarnation unique id of this process.
+        \param incarnation start of this process in microseconds of Unix time.
         \param parameters bounds.
     */
-    CreditHolder(std::string name, std::string incarnation, CreditParameters parameters);
+    CreditHolder(std::string name, std::uint64_t incarnation, CreditParameters parameters);
 
     /*!
         The row was read or written.
@@ -122,7 +122,7 @@
     bool weightsDiffer(std::span<const Schema::CreditMember> members) const;
 
     std::string name_;
-    std::string incarnation_;
+    std::uint64_t incarnation_;
     CreditParameters parameters_;
     Schema::CreditDivisions divisions_;
     Utils::TimePoint learned_ {}; // When the current division was first seen.
--- a/src/libs/requests/slotdivision.cpp
+++ b/src/libs/requests/slotdivision.cpp
@@ -35,8 +35,7 @@
 bool precedes(const Share& a, const Share& b)
 {
     const auto key = [](const Share& share) {
-        return std::tuple(share.order, std::string_view(share.member->name()),
-            std::string_view(share.member->incarnation()));
+        return std::tuple(share.order, std::string_view(share.member->name()), share.member->incarnation());
     };
     return key(a) < key(b);
 }
@@ -44,7 +43,7 @@
 } // namespace
 
 std::uint32_t slotShare(const Schema::CreditDivision& division, std::string_view member,
-    std::string_view incarnation, std::string_view backend, std::uint32_t slots)
+    std::uint64_t incarnation, std::string_view backend, std::uint32_t slots)
 {
     std::uint64_t total = 0;
     for (const Schema::CreditMember& other : division.members())
@@ -54,7 +53,7 @@
     for (const Schema::CreditMember& other : division.members()) {
         const std::uint64_t product = std::uint64_t { slots } * std::max(1U, other.weight());
         shares.push_back({ &other, product / total, product % total,
-            stableHash(backend, other.name() + other.incarnation()) });
+            stableHash(backend, other.name() + std::to_string(other.incarnation())) });
         given += product / total;
     }
     std::ranges::sort(shares, precedes);
--- a/src/libs/requests/slotdivision.h
+++ b/src/libs/requests/slotdivision.h
@@ -17,6 +17,6 @@
    divide. \return the member's share; 0 if it is not in the division.
 */
 std::uint32_t slotShare(const Schema::CreditDivision& division, std::string_view member,
-    std::string_view incarnation, std::string_view backend, std::uint32_t slots);
+    std::uint64_t incarnation, std::string_view backend, std::uint32_t slots);
 
 } // namespace Requests
--- /dev/null
+++ b/tests/auto/requests/tst_keyclaim.cpp
@@ -0,0 +1,224 @@
+#include "propertyparameters.h"
+
+#include <platform/memorytable.h>
+#include <requests/keyclaim.h>
+#include <requests/keywritebatch.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <random>
+
+using namespace Requests;
+
+namespace {
+
+const bool parametersSet = Testing::setPropertyParameters("seed=47 max_success=500 max_size=100");
+
+enum class Variant { Sound, TrustsLostWrite, IgnoresCondition, TakesClaimOver };
+
+using Operations = std::vector<std::pair<std::uint8_t, std::uint8_t>>;
+
+struct Submission {
+    KeyClaim claim;
+    KeyStep step;
+    bool over = false; // Answered or killed.
+};
+
+// Several entry VMs are given the same key; each operation lets one of them make a step under a fault.
+class World {
+public:
+    explicit World(Variant variant)
+        : variant_(variant)
+    {
+    }
+
+    void apply(std::uint8_t kind, std::uint8_t value)
+    {
+        if (submissions_.empty() || kind % 16 == 0) {
+            KeyClaim claim({ std::to_string(submissions_.size()), "vm", "digest" });
+            submissions_.push_back({ claim, claim.start() });
+            return;
+        }
+        if (kind % 16 == 1 && !delayed_.empty()) {
+            table_.commit(delayed_.back());
+            delayed_.pop_back();
+            return;
+        }
+        Submission& submission = submissions_[value % submissions_.size()];
+        if (submission.over)
+            return;
+        if (kind % 16 == 2) {
+            submission.over = true;
+            return;
+        }
+        std::visit([&](const auto& step) { take(submission, step, kind / 16); }, KeyStep(submission.step));
+    }
+
+    int runs = 0;
+    bool contradicted = false;
+
+private:
+    void take(Submission& submission, const ReadKeyRow&, int fault)
+    {
+        if (fault == 0) {
+            submission.step = submission.claim.tableFailed();
+            return;
+        }
+        Schema::Row row = Utils::value(table_.get("key"));
+        Schema::KeyRecord record;
+        record.ParseFromString(row.value());
+        if (variant_ == Variant::TakesClaimOver && record.phase() == Schema::KEY_PHASE_CLAIMED) {
+            record.set_phase(Schema::KEY_PHASE_NOT_RUN);
+            row.set_value(record.SerializeAsString());
+        }
+        submission.step = submission.claim.rowRead(row);
+    }
+
+    void take(Submission& submission, const WriteKeyRow& write, int fault)
+    {
+        const Schema::CommitRequest request = commitOf(write);
+        if (fault <= 2) {
+            if (fault == 0)
+                table_.commit(request);
+            if (fault == 1)
+                delayed_.push_back(request);
+            submission.step = submission.claim.writeLost();
+            if (variant_ == Variant::TrustsLostWrite)
+                submission.step = KeyGranted {};
+            return;
+        }
+        const auto reply = Utils::value(table_.commit(request));
+        submission.step = submission.claim.writeAnswered(reply.committed(), reply.version());
+    }
+
+    void take(Submission& submission, const KeyGranted&, int fault)
+    {
+        submission.over = true;
+        if (fault < 4) {
+            answer(Outcome::NotRun);
+            record(submission, Outcome::NotRun, fault);
+            return;
+        }
+        ++runs;
+        const Outcome outcome = fault < 8 ? Outcome::Unknown : Outcome::Completed;
+        answer(outcome);
+        record(submission, outcome, fault % 4);
+    }
+
+    void take(Submission& submission, const KeyKnown& known, int)
+    {
+        submission.over = true;
+        answer(known.outcome);
+    }
+
+    void take(Submission& submission, const KeyInProgress&, int fault)
+    {
+        submission.over = fault < 8;
+        submission.step = ReadKeyRow {};
+    }
+
+    void take(Submission& submission, const auto&, int) { submission.over = true; }
+
+    void record(const Submission& submission, Outcome outcome, int fault)
+    {
+        const Schema::CommitRequest request = commitOf(submission.claim.outcomeWrite(outcome, {}));
+        if (fault == 1)
+            delayed_.push_back(request);
+        else if (fault != 2)
+            table_.commit(request);
+    }
+
+    void answer(Outcome outcome)
+    {
+        contradicted = contradicted || (outcome == Outcome::NotRun && runs > 0);
+        contradicted = contradicted || (outcome == Outcome::Completed && runs == 0);
+    }
+
+    Schema::CommitRequest commitOf(const WriteKeyRow& write)
+    {
+        KeyWriteBatch batch;
+        batch.add({ "key", write.expectedVersion, write.record.SerializeAsString() });
+        Schema::CommitRequest request = batch.request(std::to_string(++writes_));
+        if (variant_ == Variant::IgnoresCondition)
+            request.clear_conditions();
+        return request;
+    }
+
+    Variant variant_;
+    Platform::MemoryTable table_;
+    std::vector<Submission> submissions_;
+    std::vector<Schema::CommitRequest> delayed_; // Lost writes that take effect later.
+    int writes_ = 0;
+};
+
+bool holds(Variant variant, const Operations& operations)
+{
+    World world(variant);
+    for (const auto& [kind, value] : operations)
+        world.apply(kind, value);
+    return world.runs <= 1 && !world.contradicted;
+}
+
+bool anyViolation(Variant variant)
+{
+    std::mt19937 random(13);
+    for (int run = 0; run < 3000; ++run) {
+        Operations operations(80);
+        for (auto& [kind, value] : operations) {
+            kind = static_cast<std::uint8_t>(random());
+            value = static_cast<std::uint8_t>(random());
+        }
+        if (!holds(variant, operations))
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("A request with a key runs once and is truthfully answered under any faults")
+{
+    const bool passed
+        = rc::check([](const Operations& operations) { RC_ASSERT(holds(Variant::Sound, operations)); });
+    CHECK(passed);
+    CHECK_FALSE(anyViolation(Variant::Sound));
+}
+
+TEST_CASE("The check sees unsound claims")
+{
+    CHECK(anyViolation(Variant::TrustsLostWrite));
+    CHECK(anyViolation(Variant::IgnoresCondition));
+    CHECK(anyViolation(Variant::TakesClaimOver));
+}
+
+TEST_CASE("Another request under the same key is refused")
+{
+    Platform::MemoryTable table;
+    KeyClaim first({ "1", "vm", "digest" });
+    const auto write = std::get<WriteKeyRow>(first.rowRead(Utils::value(table.get("key"))));
+    KeyWriteBatch batch;
+    batch.add({ "key", write.expectedVersion, write.record.SerializeAsString() });
+    table.commit(batch.request("w"));
+    KeyClaim second({ "2", "vm", "other digest" });
+    CHECK(std::holds_alternative<KeyMismatch>(second.rowRead(Utils::value(table.get("key")))));
+}
+
+TEST_CASE("A conflicting write does not hold up the others of its batch")
+{
+    Platform::MemoryTable table;
+    KeyWriteBatch other;
+    other.add({ "b", 0, "taken" });
+    table.commit(other.request("w0"));
+    KeyWriteBatch batch;
+    for (const char* row : { "a", "b", "c" })
+        batch.add({ row, 0, "mine" });
+    CHECK(batch.add({ "a", 0, "again" }) == batch.size());
+    const auto refused = Utils::value(table.commit(batch.request("w1")));
+    REQUIRE_FALSE(refused.committed());
+    CHECK(batch.exclude(refused.conflicting_key()) == 1);
+    CHECK(Utils::value(table.commit(batch.request("w2"))).committed());
+    CHECK(batch.isIncluded(0));
+    CHECK_FALSE(batch.isIncluded(1));
+    CHECK(Utils::value(table.get("b")).value() == "taken");
+}
--- /dev/null
+++ b/tests/auto/requests/tst_requestcore.cpp
@@ -0,0 +1,291 @@
+#include "propertyparameters.h"
+
+#include <requests/requestcore.h>
+
+#include <policy.pb.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+#include <random>
+
+using namespace std::chrono_literals;
+using namespace Requests;
+
+namespace {
+
+const bool parametersSet = Testing::setPropertyParameters("seed=53 max_success=300 max_size=400");
+constexpr std::uint32_t slotCount = 2;
+
+using Operations = std::vector<std::pair<std::uint8_t, std::uint8_t>>;
+
+// The sound shell reports what it knows; the unsound ones err in one place.
+enum class Variant { Sound, CallsCutNotSent, CallsFrozenRefused };
+
+Schema::PolicyDocument policy()
+{
+    Schema::PolicyDocument document;
+    for (const char* name : { "urgent", "low" }) {
+        auto* priorityClass = document.add_priority_class();
+        priorityClass->set_name(name);
+        priorityClass->set_rank(static_cast<std::uint32_t>(document.priority_class_size()));
+        priorityClass->set_guaranteed_percent(30);
+        priorityClass->set_ceiling_percent(100);
+        priorityClass->set_max_queue_ms(500);
+    }
+    auto* service = document.add_service();
+    service->set_name("app");
+    service->set_default_class("low");
+    return document;
+}
+
+std::vector<Backend> threeBackends(bool leaving)
+{
+    std::vector<Backend> backends;
+    for (const char* name : { "b0", "b1", "b2" })
+        backends.push_back({ .name = name, .domain = "a", .region = "north", .slots = slotCount });
+    backends[0].leaving = leaving;
+    return backends;
+}
+
+struct Request {
+    bool idempotent = false;
+    int runs = 0;
+    int decisions = 0;
+    bool saidNotRun = false;
+    bool saidCompleted = false;
+    bool wholeAnswer = false;
+};
+
+class World {
+public:
+    explicit World(Variant variant)
+        : variant_(variant)
+        , core_({ .service = "app", .domain = "a", .region = "north" })
+    {
+        core_.setPolicy(policy(), now_);
+        core_.setBackends(threeBackends(false), now_);
+    }
+
+    void apply(std::uint8_t kind, std::uint8_t value)
+    {
+        now_ += std::chrono::milliseconds(value % 16);
+        if (kind % 8 <= 1)
+            submit(kind, value);
+        else if (kind % 8 <= 5 && !attempts_.empty())
+            end(*std::next(attempts_.begin(), value % attempts_.size()), kind / 8);
+        else if (kind % 8 == 6)
+            core_.cancel(value, now_);
+        else if (value % 4 == 0)
+            core_.setBackends(threeBackends(value % 8 == 0), now_);
+        core_.tick(now_);
+        carryOut();
+    }
+
+    void drain()
+    {
+        for (int round = 0; round < 2000 && !(core_.isIdle() && attempts_.empty()); ++round)
+            apply(round % 2 ? 2 : 7, 1);
+    }
+
+    std::string fault()
+    {
+        for (const auto& [id, request] : requests_) {
+            if (request.decisions > 1)
+                return "decided twice";
+            if (request.saidNotRun && request.runs > 0)
+                return "not-run was said and it ran";
+            if (!request.idempotent && request.runs > 1)
+                return "ran twice";
+            if (request.saidCompleted && !request.wholeAnswer)
+                return "no whole answer";
+        }
+        for (const auto& [name, backend] : core_.counters().backends) {
+            if (backend.running > slotCount)
+                return "too many slots";
+        }
+        return {};
+    }
+
+    bool allDecided() const
+    {
+        return std::ranges::all_of(requests_, [](const auto& item) { return item.second.decisions == 1; });
+    }
+
+private:
+    void submit(std::uint8_t kind, std::uint8_t value)
+    {
+        const RequestId id = requests_.size() + 1;
+        requests_[id].idempotent = kind & 8U;
+        core_.submit({ .id = id,
+                         .service = "app",
+                         .priorityClass = kind & 16U ? "urgent" : "",
+                         .caller = std::to_string(value % 3),
+                         .deadline = now_ + std::chrono::milliseconds(20 * value),
+                         .idempotent = requests_[id].idempotent,
+                         .key = {} },
+            now_);
+    }
+
+    void end(std::pair<const AttemptId, RequestId> attempt, int phase)
+    {
+        attempts_.erase(attempt.first);
+        Request& request = requests_.at(attempt.second);
+        if (phase == 0) { // No connection.
+            core_.attemptNotSent(attempt.first, now_);
+            return;
+        }
+        if (!core_.attemptConnected(attempt.first, now_)) {
+            core_.attemptNotSent(attempt.first, now_);
+            return;
+        }
+        if (phase <= 3) { // Refused before execution.
+            core_.attemptRefused(
+                attempt.first, phase == 1 ? RefusalKind::Leaving : RefusalKind::Overloaded, now_);
+            return;
+        }
+        // From phase 8 on the last byte arrived.
+        request.runs += phase >= 8;
+        if (phase >= 24) {
+            request.wholeAnswer = true;
+            core_.attemptCompleted(attempt.first, phase >= 28 ? 500 : 200, now_);
+        } else if (phase % 2 == 0 && variant_ == Variant::CallsCutNotSent) {
+            core_.attemptNotSent(attempt.first, now_);
+        } else if (phase % 2 == 0) {
+            core_.attemptBroken(attempt.first, now_);
+        } else if (variant_ == Variant::CallsFrozenRefused) {
+            core_.attemptRefused(attempt.first, RefusalKind::Overloaded, now_);
+        } else {
+            core_.attemptTimedOut(attempt.first, now_);
+        }
+    }
+
+    void carryOut()
+    {
+        std::vector<Action> actions;
+        core_.takeActions(actions);
+        for (const Action& action : actions) {
+            if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+                attempts_[dispatch->attempt] = dispatch->request;
+            } else if (const auto* finish = std::get_if<Finish>(&action)) {
+                Request& request = requests_.at(finish->request);
+                ++request.decisions;
+                request.saidNotRun = finish->outcome == Outcome::NotRun;
+                request.saidCompleted = finish->outcome == Outcome::Completed;
+            } else {
+                Request& request = requests_.at(std::get<Reject>(action).request);
+                ++request.decisions;
+                request.saidNotRun = true;
+            }
+        }
+    }
+
+    Variant variant_;
+    Utils::TimePoint now_ = Utils::TimePoint {} + 1h;
+    RequestCore core_;
+    std::map<RequestId, Request> requests_;
+    std::map<AttemptId, RequestId> attempts_; // Open ones.
+};
+
+std::string run(Variant variant, const Operations& operations)
+{
+    World world(variant);
+    for (const auto& [kind, value] : operations) {
+        world.apply(kind, value);
+        if (const std::string fault = world.fault(); !fault.empty())
+            return fault;
+    }
+    world.drain();
+    if (!world.allDecided())
+        return "left undecided";
+    return world.fault();
+}
+
+std::string firstFault(Variant variant)
+{
+    std::mt19937 random(17);
+    for (int round = 0; round < 100; ++round) {
+        Operations operations(400);
+        for (auto& [kind, value] : operations) {
+            kind = static_cast<std::uint8_t>(random());
+            value = static_cast<std::uint8_t>(random());
+        }
+        if (const std::string fault = run(variant, operations); !fault.empty())
+            return fault;
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("Outcomes are true, single and in time whatever phase an attempt fails in")
+{
+    const bool passed
+        = rc::check([](const Operations& operations) { RC_ASSERT(run(Variant::Sound, operations).empty()); });
+    CHECK(passed);
+    CHECK(firstFault(Variant::Sound).empty());
+}
+
+TEST_CASE("The check sees a shell that takes a cut or a silent exchange for a refusal")
+{
+    const std::string cut = firstFault(Variant::CallsCutNotSent);
+    CHECK((cut == "ran twice" || cut == "not-run was said and it ran"));
+    CHECK(firstFault(Variant::CallsFrozenRefused) == "not-run was said and it ran");
+}
+
+TEST_CASE("A stop refuses what comes and finishes what was accepted")
+{
+    Utils::TimePoint now = Utils::TimePoint {} + 1h;
+    RequestCore core({ .service = "app", .domain = "a", .region = "north" });
+    core.setPolicy(policy(), now);
+    core.setBackends(threeBackends(false), now);
+    core.submit(
+        { .id = 1, .service = "app", .priorityClass = {}, .caller = "c", .deadline = now + 1s, .key = {} },
+        now);
+    core.beginStop();
+    core.submit(
+        { .id = 2, .service = "app", .priorityClass = {}, .caller = "c", .deadline = now + 1s, .key = {} },
+        now);
+    std::vector<Action> actions;
+    core.takeActions(actions);
+    REQUIRE(actions.size() == 2);
+    const AttemptId attempt = std::get<Dispatch>(actions[0]).attempt;
+    CHECK(std::get<Reject>(actions[1]).reason == RejectReason::Stopping);
+    CHECK_FALSE(core.isIdle());
+    REQUIRE(core.attemptConnected(attempt, now));
+    core.attemptCompleted(attempt, 200, now);
+    CHECK(core.isIdle());
+}
+
+TEST_CASE("The slot of a closed connection stays taken while the request may still run")
+{
+    Utils::TimePoint now = Utils::TimePoint {} + 1h;
+    RequestCore core({ .service = "app", .domain = "a", .region = "north" });
+    core.setPolicy(policy(), now);
+    core.setBackends(threeBackends(false), now);
+    const auto submit = [&](RequestId id) {
+        core.submit({ .id = id,
+                        .service = "app",
+                        .priorityClass = {},
+                        .caller = "c",
+                        .deadline = now + 5s,
+                        .key = {} },
+            now);
+        std::vector<Action> actions;
+        core.takeActions(actions);
+        const auto dispatch = std::get<Dispatch>(actions.back());
+        core.attemptConnected(dispatch.attempt, now);
+        return dispatch;
+    };
+    const Dispatch first = submit(1);
+    now += 100ms;
+    core.attemptCompleted(first.attempt, 200, now);
+    const Dispatch second = submit(2);
+    core.cancel(2, now);
+    core.attemptBroken(second.attempt, now);
+    CHECK(core.counters().backends.at(second.backend).running == 1);
+    REQUIRE(core.nextWake() == now + 100ms);
+    core.tick(now + 100ms);
+    CHECK(core.counters().backends.at(second.backend).running == 0);
+}
--- /dev/null
+++ b/tests/auto/requests/tst_router.cpp
@@ -0,0 +1,114 @@
+#include <requests/router.h>
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using namespace Requests;
+
+namespace {
+
+std::vector<Backend> backends(int count, const std::string& domain, const std::string& region)
+{
+    std::vector<Backend> result;
+    for (int index = 0; index < count; ++index)
+        result.push_back({ .name = domain + std::to_string(index), .domain = domain, .region = region });
+    return result;
+}
+
+struct Share {
+    int failing = 0;
+    int total = 0;
+};
+
+// One backend server answers each request with a failure after 1 ms, the others succeed after 50 ms.
+Share runWithFailing(Router& router, Utils::Duration length, Utils::Duration countFrom, bool tellFailures)
+{
+    std::multimap<Utils::TimePoint, std::string> running;
+    Share share;
+    for (Utils::TimePoint now {}; now < Utils::TimePoint {} + length; now += 2ms) {
+        while (!running.empty() && running.begin()->first <= now) {
+            const std::string name = running.begin()->second;
+            running.erase(running.begin());
+            const bool failing = name == "a0" && tellFailures;
+            router.record(
+                name, failing ? AttemptEnd::Failure : AttemptEnd::Success, name == "a0" ? 1ms : 50ms, now);
+            router.release(name);
+        }
+        const auto chosen = router.choose({}, now);
+        if (!chosen)
+            continue;
+        router.begin(chosen->first, 0, now);
+        running.emplace(now + (chosen->first == "a0" ? 1ms : 50ms), chosen->first);
+        if (now < Utils::TimePoint {} + countFrom)
+            continue;
+        ++share.total;
+        share.failing += chosen->first == "a0";
+    }
+    return share;
+}
+
+} // namespace
+
+TEST_CASE("A backend server that fails everything quickly gets under 1% after 5 s")
+{
+    Router router("a", "north", 5);
+    router.setBackends(backends(17, "a", "north"));
+    const Share share = runWithFailing(router, 35s, 5s, true);
+    REQUIRE(share.total > 10000);
+    CHECK(share.failing < share.total / 100);
+    Router misled("a", "north", 5);
+    misled.setBackends(backends(17, "a", "north"));
+    // The check sees that a router that takes the quick failures for successes sends most there.
+    const Share attracted = runWithFailing(misled, 35s, 5s, false);
+    CHECK(attracted.failing > attracted.total / 10);
+}
+
+TEST_CASE("No more than the cap is ejected")
+{
+    Router router("a", "north", 5);
+    const auto all = backends(10, "a", "north");
+    router.setBackends(all);
+    const Utils::TimePoint now {};
+    for (const Backend& backend : all) {
+        for (int failure = 0; failure < 30; ++failure)
+            router.record(backend.name, AttemptEnd::Failure, 1ms, now);
+    }
+    CHECK(router.capacity(now) == 7 * 8);
+}
+
+TEST_CASE("Own domain goes first, then the region, then the other region within the link's budget")
+{
+    Router router("a", "north", 5);
+    auto all = backends(1, "a", "north");
+    for (const auto& more : { backends(1, "b", "north"), backends(1, "c", "south") })
+        all.insert(all.end(), more.begin(), more.end());
+    router.setBackends(all);
+    const std::vector<LinkBudget> budgets { { "south", 1000 } };
+    router.setLinkBudgets(budgets);
+    const Utils::TimePoint now = Utils::TimePoint {} + 10s;
+    const RouteQuery query { .avoid = {}, .bytes = 200, .mayLeaveDomain = true };
+    std::string order;
+    while (const auto chosen = router.choose(query, now)) {
+        router.begin(chosen->first, query.bytes, now);
+        order += chosen->first[0];
+    }
+    CHECK(order == "aaaaaaaabbbbbbbbc"); // The stock of a quarter second is 250 bytes.
+    CHECK(router.choose(query, now + 1s)->first == "c0");
+    CHECK_FALSE(router.choose({ .avoid = {}, .bytes = 200, .mayLeaveDomain = false }, now + 1s));
+}
+
+TEST_CASE("A leaving backend server and one with lapsed credits get nothing")
+{
+    Router router("a", "north", 5);
+    auto all = backends(2, "a", "north");
+    router.setBackends(all);
+    const Utils::TimePoint now = Utils::TimePoint {} + 10s;
+    router.setCredits("a1", 3, now + 1s);
+    CHECK(router.capacity(now) == 11);
+    CHECK(router.capacity(now + 1s) == 8);
+    router.record("a0", AttemptEnd::Leaving, 1ms, now);
+    CHECK(router.capacity(now) == 3);
+    all[1].leaving = true;
+    router.setBackends(all);
+    CHECK_FALSE(router.hasUsable(now));
+}
