--- /dev/null
+++ b/src/libs/batch/firstfitplacer.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "placer.h"
+
+namespace Batch {
+
+/*! Gives each task the first worker that has room for its declared size. */
+class FirstFitPlacer final : public Placer {
+public:
+    std::vector<Choice> place(std::span<const PendingTask> tasks, std::span<const WorkerRoom> workers,
+        std::span<const RunningTask> running, Utils::TimePoint now) override;
+};
+
+} // namespace Batch
--- /dev/null
+++ b/src/libs/batch/journal.cpp
@@ -0,0 +1,262 @@
+#include "journal.h"
+
+#include "rowkeys.h"
+
+namespace Batch {
+
+namespace {
+
+constexpr std::size_t maxSegmentBytes = 512 * 1024;
+constexpr std::size_t maxInformingRows = 200;
+constexpr std::size_t maxCompactedSegments = 8;
+
+} // namespace
+
+TaskKey taskKey(const Schema::TaskRecord& record)
+{
+    return { record.job(), record.task() };
+}
+
+Journal::Journal(std::string shard, std::uint32_t maxRecords, std::uint32_t maxSegments)
+    : shard_(std::move(shard))
+    , maxRecords_(maxRecords)
+    , maxSegments_(maxSegments)
+{
+}
+
+bool Journal::load(const std::vector<Schema::Row>& rows, const Schema::ShardRow& row)
+{
+    nextSegment_ = row.first_segment();
+    std::map<std::uint64_t, Schema::JournalSegment> contents;
+    for (const Schema::Row& segmentRow : rows) {
+        Schema::JournalSegment& content = contents[nextSegment_];
+        if (segmentRow.key() != journalKey(shard_, nextSegment_)
+            || !content.ParseFromString(segmentRow.value()))
+            return false;
+        ++nextSegment_;
+    }
+    // Compaction may have moved a job's record behind those of its tasks.
+    for (const auto& [number, content] : contents)
+        addJobs(number, content);
+    for (const auto& [number, content] : contents)
+        addTasks(number, content);
+    return nextSegment_ == row.next_segment();
+}
+
+void Journal::put(const Schema::JobRecord& record, const std::string& inboxKey)
+{
+    bufferedJobs_[record.id()] = record;
+    if (!inboxKey.empty())
+        bufferedInbox_.emplace(record.id(), inboxKey);
+}
+
+void Journal::put(const Schema::TaskRecord& record)
+{
+    bufferedTasks_[taskKey(record)] = record;
+}
+
+void Journal::inform(const std::string& key, std::string value)
+{
+    bufferedRows_[key] = std::move(value);
+}
+
+void Journal::erase(const std::string& key)
+{
+    bufferedRows_.erase(key);
+    bufferedDeletes_.push_back(key);
+}
+
+bool Journal::dirty() const
+{
+    return !bufferedJobs_.empty() || !bufferedTasks_.empty() || !bufferedRows_.empty()
+        || !bufferedDeletes_.empty();
+}
+
+void Journal::prepare(Schema::ShardRow& row, Schema::CommitRequest& request)
+{
+    prepared_ = {};
+    prepared_.segment = nextSegment_;
+    prepared_.content.set_epoch(row.epoch());
+    Schema::RowPut* rowPut = request.add_puts();
+    const std::size_t bytes = addBuffered(request);
+    if (compactionDue())
+        compactOldest(request, bytes);
+    prepared_.writesSegment = prepared_.content.jobs_size() + prepared_.content.tasks_size() > 0;
+    if (prepared_.writesSegment) {
+        Schema::RowPut* put = request.add_puts();
+        put->set_key(journalKey(shard_, prepared_.segment));
+        put->set_value(prepared_.content.SerializeAsString());
+    }
+    const std::uint64_t next = nextSegment_ + (prepared_.writesSegment ? 1 : 0);
+    const std::size_t kept
+        = segments_.size() - prepared_.compacted.size() + (prepared_.writesSegment ? 1 : 0);
+    row.set_next_segment(next);
+    row.set_first_segment(next - kept);
+    rowPut->set_key(shardKey(shard_));
+    rowPut->set_value(row.SerializeAsString());
+}
+
+std::size_t Journal::addBuffered(Schema::CommitRequest& request)
+{
+    std::size_t bytes = 0;
+    std::uint32_t records = 0;
+    const auto hasRoom = [&] { return records < maxRecords_ && bytes < maxSegmentBytes; };
+    while (!bufferedJobs_.empty() && hasRoom()) {
+        const auto job = bufferedJobs_.begin();
+        const auto [first, last] = bufferedInbox_.equal_range(job->first);
+        for (auto inbox = first; inbox != last; ++inbox)
+            request.add_deletes(inbox->second);
+        bufferedInbox_.erase(first, last);
+        bytes += job->second.ByteSizeLong();
+        ++records;
+        const auto known = jobs_.find(job->first);
+        job->second.set_admitted_segment(
+            known == jobs_.end() ? prepared_.segment : known->second.admitted_segment());
+        *prepared_.content.add_jobs() = std::move(job->second);
+        bufferedJobs_.erase(job);
+    }
+    while (!bufferedTasks_.empty() && hasRoom()) {
+        const auto task = bufferedTasks_.begin();
+        bytes += task->second.ByteSizeLong();
+        ++records;
+        *prepared_.content.add_tasks() = std::move(task->second);
+        bufferedTasks_.erase(task);
+    }
+    for (std::size_t rows = 0; !bufferedRows_.empty() && rows < maxInformingRows; ++rows) {
+        const auto row = bufferedRows_.begin();
+        Schema::RowPut* put = request.add_puts();
+        put->set_key(row->first);
+        put->set_value(std::move(row->second));
+        bufferedRows_.erase(row);
+    }
+    for (std::string& key : bufferedDeletes_)
+        request.add_deletes(std::move(key));
+    bufferedDeletes_.clear();
+    return bytes;
+}
+
+bool Journal::taskCounts(const TaskKey& key) const
+{
+    const auto job = jobs_.find(key.first);
+    return job != jobs_.end() && !job->second.finished();
+}
+
+bool Journal::compactionDue() const
+{
+    if (segments_.size() <= maxSegments_)
+        return false;
+    const std::size_t counting = jobs_.size() + tasks_.size();
+    const std::size_t neededSegments = 2 * counting / maxRecords_;
+    return entryCount_ > 2 * counting || segments_.size() > 4 * maxSegments_ + neededSegments;
+}
+
+std::size_t Journal::copyCounting(std::uint64_t number, Schema::JournalSegment& content) const
+{
+    std::size_t records = 0;
+    const Segment& segment = segments_.at(number);
+    for (const std::string& job : segment.jobs) {
+        const auto latest = jobSegments_.find(job);
+        if (latest == jobSegments_.end() || latest->second != number)
+            continue;
+        *content.add_jobs() = jobs_.at(job);
+        ++records;
+    }
+    for (const TaskKey& task : segment.tasks) {
+        const auto latest = taskSegments_.find(task);
+        if (latest == taskSegments_.end() || latest->second != number)
+            continue;
+        *content.add_tasks() = tasks_.at(task);
+        ++records;
+    }
+    return records;
+}
+
+void Journal::compactOldest(Schema::CommitRequest& request, std::size_t bytes)
+{
+    std::size_t records = prepared_.content.jobs_size() + prepared_.content.tasks_size();
+    Schema::JournalSegment copied;
+    for (const auto& [number, segment] : segments_) {
+        if (prepared_.compacted.size() == maxCompactedSegments)
+            break;
+        Schema::JournalSegment counting;
+        const std::size_t count = copyCounting(number, counting);
+        const std::size_t size = counting.ByteSizeLong();
+        if (records + count > maxRecords_ || bytes + size > maxSegmentBytes)
+            break;
+        records += count;
+        bytes += size;
+        copied.MergeFrom(counting);
+        prepared_.compacted.push_back(number);
+        request.add_deletes(journalKey(shard_, number));
+    }
+    // Within a segment later records prevail, so copies stand before what is new.
+    copied.set_epoch(prepared_.content.epoch());
+    copied.MergeFrom(prepared_.content);
+    prepared_.content = std::move(copied);
+}
+
+JournalFlush Journal::committed()
+{
+    JournalFlush flush;
+    for (const std::uint64_t number : prepared_.compacted) {
+        entryCount_ -= segments_[number].jobs.size() + segments_[number].tasks.size();
+        segments_.erase(number);
+    }
+    if (prepared_.writesSegment) {
+        addJobs(prepared_.segment, prepared_.content);
+        addTasks(prepared_.segment, prepared_.content);
+        nextSegment_ = prepared_.segment + 1;
+        flush.jobs.assign(prepared_.content.jobs().begin(), prepared_.content.jobs().end());
+        flush.tasks.assign(prepared_.content.tasks().begin(), prepared_.content.tasks().end());
+    }
+    prepared_ = {};
+    return flush;
+}
+
+void Journal::addJobs(std::uint64_t number, const Schema::JournalSegment& content)
+{
+    Segment& segment = segments_[number];
+    for (const Schema::JobRecord& job : content.jobs()) {
+        segment.jobs.push_back(job.id());
+        if (job.forgotten()) {
+            jobs_.erase(job.id());
+            jobSegments_.erase(job.id());
+        } else {
+            jobs_[job.id()] = job;
+            jobSegments_[job.id()] = number;
+        }
+        if (job.finished() || job.forgotten())
+            dropTasks(job.id());
+    }
+    entryCount_ += segment.jobs.size();
+}
+
+void Journal::addTasks(std::uint64_t number, const Schema::JournalSegment& content)
+{
+    Segment& segment = segments_[number];
+    for (const Schema::TaskRecord& task : content.tasks()) {
+        const TaskKey key = taskKey(task);
+        segment.tasks.push_back(key);
+        if (!taskCounts(key) || number < jobs_.at(key.first).admitted_segment())
+            continue;
+        tasks_[key] = task;
+        taskSegments_[key] = number;
+    }
+    entryCount_ += segment.tasks.size();
+}
+
+void Journal::dropTasks(const std::string& job)
+{
+    for (auto task = tasks_.lower_bound({ job, 0 }); task != tasks_.end() && task->first.first == job;) {
+        taskSegments_.erase(task->first);
+        task = tasks_.erase(task);
+    }
+}
+
+const Schema::TaskRecord* Journal::recorded(const TaskKey& key) const
+{
+    const auto found = tasks_.find(key);
+    return found == tasks_.end() ? nullptr : &found->second;
+}
+
+} // namespace Batch
--- a/src/libs/batch/shardowner.h
+++ b/src/libs/batch/shardowner.h
@@ -16,7 +16,8 @@
     std::string region;
     std::string domain;
     Utils::Duration lease = std::chrono::seconds(3); //!< Of the shard and of the workers' attempts.
-    Utils::Duration round = std::chrono::milliseconds(200); //!< Least time between flushes and between batches.
+    Utils::Duration round
+        = std::chrono::milliseconds(200); //!< Least time between flushes and between batches.
     Utils::Duration outageGrace = std::chrono::hours(2); //!< Workers are renewed so long without the table.
     std::uint32_t stock = 200; //!< Greatest number of attempts recorded ahead of free capacity.
     std::uint32_t maxRecordsPerFlush = 2000; //!< Bounds a segment.
@@ -74,7 +75,8 @@
         \param version of the rows if committed.
         \param now the current time.
     */
-    void onCommit(std::string_view writeId, CommitOutcome outcome, std::uint64_t version, Utils::TimePoint now);
+    void onCommit(
+        std::string_view writeId, CommitOutcome outcome, std::uint64_t version, Utils::TimePoint now);
 
     /*!
         Takes in a row that was asked for.
@@ -111,9 +113,8 @@
 
     /*!
         Starts the planned hand-over: what is buffered is recorded, then the shard is released.
-        \param now the current time.
     */
-    void release(Utils::TimePoint now);
+    void release();
 
     /*! \return true once nothing is owned and no write is outstanding after release(). */
     bool released() const;
--- /dev/null
+++ b/src/libs/batch/taskbook.cpp
@@ -0,0 +1,186 @@
+#include "taskbook.h"
+
+namespace Batch {
+
+namespace {
+
+bool atWorker(TaskPhase phase)
+{
+    return phase != TaskPhase::Pending && phase != TaskPhase::Ended;
+}
+
+} // namespace
+
+Job& TaskBook::add(const Schema::JobRecord& record, Utils::TimePoint now)
+{
+    std::unique_ptr<Job>& slot = jobs_[record.id()];
+    slot = std::make_unique<Job>();
+    Job& job = *slot;
+    job.record = record;
+    job.finishedAt = now;
+    if (record.spec().deadline_ms() > 0)
+        job.deadline = now + std::chrono::milliseconds(record.spec().deadline_ms());
+    if (record.finished())
+        return job;
+    job.tasks.resize(record.count());
+    for (std::uint32_t offset = 0; offset < record.count(); ++offset) {
+        Task& task = job.tasks[offset];
+        task.job = &job;
+        task.record.set_job(record.id());
+        task.record.set_task(record.first() + offset);
+        task.waitingSince = now;
+        enter(task);
+    }
+    return job;
+}
+
+Job* TaskBook::job(const std::string& id)
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+Task* TaskBook::task(const TaskKey& key)
+{
+    Job* owner = job(key.first);
+    if (owner == nullptr || key.second < owner->record.first())
+        return nullptr;
+    const std::size_t offset = key.second - owner->record.first();
+    return offset < owner->tasks.size() ? &owner->tasks[offset] : nullptr;
+}
+
+void TaskBook::setPhase(Task& task, TaskPhase phase)
+{
+    if (task.phase == phase)
+        return;
+    leave(task);
+    task.phase = phase;
+    enter(task);
+}
+
+void TaskBook::assign(Task& task, const std::string& worker, const std::string& incarnation)
+{
+    leave(task);
+    task.record.set_attempt(task.record.attempt() + 1);
+    task.record.set_open(true);
+    task.record.set_state(Schema::RUNNING);
+    task.record.set_worker(worker);
+    task.record.set_incarnation(incarnation);
+    task.phase = TaskPhase::Recording;
+    task.checkpointAsked = false;
+    task.stopAsked = false;
+    task.throttleAsked = false;
+    task.share = 1;
+    task.progress = 0;
+    task.sentSequence = 0;
+    enter(task);
+}
+
+void TaskBook::restore(Task& task, const Schema::TaskRecord& record)
+{
+    leave(task);
+    task.record = record;
+    if (record.open())
+        task.phase = TaskPhase::Unresolved;
+    else if (record.state() == Schema::PENDING || record.state() == Schema::RUNNING)
+        task.phase = TaskPhase::Pending;
+    else
+        task.phase = TaskPhase::Ended;
+    enter(task);
+}
+
+void TaskBook::finish(Job& job)
+{
+    for (Task& task : job.tasks)
+        leave(task);
+    job.tasks.clear();
+}
+
+void TaskBook::erase(const std::string& id)
+{
+    if (Job* gone = job(id))
+        finish(*gone);
+    jobs_.erase(id);
+}
+
+std::vector<Task*> TaskBook::openAt(const std::string& worker)
+{
+    std::vector<Task*> tasks;
+    const auto found = openAt_.find(worker);
+    if (found == openAt_.end())
+        return tasks;
+    for (const TaskKey& key : found->second)
+        tasks.push_back(task(key));
+    return tasks;
+}
+
+std::vector<Task*> TaskBook::pending(std::size_t limit, Utils::TimePoint now)
+{
+    std::vector<Task*> tasks;
+    for (const auto& [urgencyOfTask, task] : pending_) {
+        if (tasks.size() == limit)
+            break;
+        if (!task->job->never && task->waitingSince <= now)
+            tasks.push_back(task);
+    }
+    return tasks;
+}
+
+Schema::JobPartState TaskBook::partState(const Job& job)
+{
+    Schema::JobPartState state;
+    state.set_reason(job.reason);
+    state.set_evictions(job.evictions);
+    if (job.record.finished()) {
+        state.set_done(job.record.done());
+        state.set_failed(job.record.failed());
+        state.set_cancelled(job.record.count() - job.record.done() - job.record.failed());
+        return state;
+    }
+    for (const Task& task : job.tasks) {
+        const Schema::TaskState recorded = task.record.state();
+        if (task.phase == TaskPhase::Ended && recorded == Schema::DONE)
+            state.set_done(state.done() + 1);
+        else if (task.phase == TaskPhase::Ended && recorded == Schema::FAILED)
+            state.set_failed(state.failed() + 1);
+        else if (task.phase == TaskPhase::Ended)
+            state.set_cancelled(state.cancelled() + 1);
+        else if (task.phase == TaskPhase::Running || task.phase == TaskPhase::Starting)
+            state.set_running(state.running() + 1);
+        else if (job.never)
+            state.set_never(state.never() + 1);
+        else
+            state.set_pending(state.pending() + 1);
+    }
+    return state;
+}
+
+TaskBook::Urgency TaskBook::urgency(const Task& task)
+{
+    return { !task.job->isService(), task.job->deadline, task.waitingSince, taskKey(task.record) };
+}
+
+void TaskBook::enter(Task& task)
+{
+    ++counts_[static_cast<std::size_t>(task.phase)];
+    task.job->informDue = true;
+    if (task.phase == TaskPhase::Pending)
+        pending_[urgency(task)] = &task;
+    if (atWorker(task.phase))
+        openAt_[task.record.worker()].insert(taskKey(task.record));
+}
+
+void TaskBook::leave(Task& task)
+{
+    --counts_[static_cast<std::size_t>(task.phase)];
+    if (task.phase == TaskPhase::Pending)
+        pending_.erase(urgency(task));
+    if (!atWorker(task.phase))
+        return;
+    const auto found = openAt_.find(task.record.worker());
+    found->second.erase(taskKey(task.record));
+    if (found->second.empty())
+        openAt_.erase(found);
+}
+
+} // namespace Batch
--- /dev/null
+++ b/src/libs/batch/taskbook.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "journal.h"
+#include "utils/clock.h"
+
+#include <batch.pb.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace Batch {
+
+struct Job;
+
+/*! Where a task stands in its owner's memory. */
+enum class TaskPhase {
+    Pending, //!< Waits for a worker.
+    Recording, //!< Its attempt is being recorded; nothing was sent.
+    Stocked, //!< Its attempt is recorded and was never sent.
+    Starting, //!< Its attempt may have been sent.
+    Running, //!< The worker reported its attempt as running.
+    Unresolved, //!< An earlier owner recorded its attempt; its worker has not reported yet.
+    Ended,
+};
+
+/*! A task of a job. */
+struct Task {
+    Job* job = nullptr;
+    Schema::TaskRecord record;
+    TaskPhase phase = TaskPhase::Pending;
+    bool holdsCapacity = false;
+    bool checkpointAsked = false;
+    bool stopAsked = false;
+    bool throttleAsked = false;
+    double share = 1;
+    double progress = 0;
+    std::uint64_t sentSequence = 0; //!< First batch that carried the start; 0 if none.
+    Utils::TimePoint waitingSince;
+    Utils::TimePoint startedAt;
+};
+
+/*! The part of a job that belongs to the shard. */
+struct Job {
+    Schema::JobRecord record;
+    std::vector<Task> tasks; //!< Empty once finished.
+    Utils::TimePoint deadline = Utils::TimePoint::max();
+    Utils::TimePoint finishedAt;
+    Utils::TimePoint informedAt;
+    Utils::TimePoint unfitSince = Utils::TimePoint::max(); //!< No worker could hold a task since then.
+    bool never = false;
+    bool informDue = true;
+    std::uint32_t evictions = 0;
+    std::string reason;
+
+    /*! \return whether it is a service whose replicas are kept running. */
+    bool isService() const { return record.spec().kind() == Schema::SERVICE; }
+};
+
+/*! Jobs and tasks of a shard, found by id, by worker and in the order of urgency. */
+class TaskBook {
+public:
+    /*!
+        Adds a job with all its tasks pending.
+        \param record its record.
+        \param now the current time.
+        \return the job.
+    */
+    Job& add(const Schema::JobRecord& record, Utils::TimePoint now);
+
+    /*! \return the job, or nullptr. \param id its id. */
+    Job* job(const std::string& id);
+
+    /*! \return the task, or nullptr. \param key the task. */
+    Task* task(const TaskKey& key);
+
+    /*! \return all jobs. */
+    std::map<std::string, std::unique_ptr<Job>>& jobs() { return jobs_; }
+
+    /*!
+        Changes a task's phase and keeps all indices.
+        \param task the task.
+        \param phase the new phase.
+    */
+    void setPhase(Task& task, TaskPhase phase);
+
+    /*!
+        Changes the attempt of a task to a new one at a worker.
+        \param task the task.
+        \param worker the worker.
+        \param incarnation of the worker.
+    */
+    void assign(Task& task, const std::string& worker, const std::string& incarnation);
+
+    /*! Takes over the record of an earlier owner. \param task the task. \param record its record. */
+    void restore(Task& task, const Schema::TaskRecord& record);
+
+    /*! Drops the tasks of a finished job. \param job the job. */
+    void finish(Job& job);
+
+    /*! Removes a job. \param id its id. */
+    void erase(const std::string& id);
+
+    /*! \return tasks with an open attempt at a worker, as copies of pointers. \param worker the worker. */
+    std::vector<Task*> openAt(const std::string& worker);
+
+    /*! \return up to limit pending tasks that are due, most urgent first. */
+    std::vector<Task*> pending(std::size_t limit, Utils::TimePoint now);
+
+    /*! \return number of tasks in a phase. \param phase the phase. */
+    std::size_t count(TaskPhase phase) const { return counts_[static_cast<std::size_t>(phase)]; }
+
+    /*! \return counts of one job for its callers. \param job the job. */
+    static Schema::JobPartState partState(const Job& job);
+
+private:
+    using Urgency = std::tuple<bool, Utils::TimePoint, Utils::TimePoint, TaskKey>;
+
+    static Urgency urgency(const Task& task);
+    void enter(Task& task);
+    void leave(Task& task);
+
+    std::map<std::string, std::unique_ptr<Job>> jobs_;
+    std::map<Urgency, Task*> pending_;
+    std::map<std::string, std::set<TaskKey>> openAt_;
+    std::size_t counts_[7] = {};
+};
+
+} // namespace Batch
