--- a/src/libs/batch/shardowner.h
+++ b/src/libs/batch/shardowner.h
@@ -113,9 +113,8 @@
 
     /*!
         Starts the planned hand-over: what is buffered is recorded, then the shard is released.
-        \param now the current time.
     */
-    void release(Utils::TimePoint now);
+    void release();
 
     /*! \return true once nothing is owned and no write is outstanding after release(). */
     bool released() const;
