--- /dev/null
+++ b/tests/auto/configuration/tst_configurationcache.cpp
@@ -0,0 +1,129 @@
+#include <configuration/configurationcache.h>
+#include <configuration/policy.h>
+#include <propertyparameters.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <atomic>
+#include <thread>
+
+namespace {
+
+const bool parametersSet = Testing::setPropertyParameters("seed=606 max_success=300 max_size=60");
+
+constexpr std::uint64_t threadRevisions = 300;
+constexpr int readerCount = 4;
+
+Schema::AcceptedConfiguration makeAccepted(std::uint64_t revision, int variant = 0)
+{
+    Schema::AcceptedConfiguration accepted;
+    accepted.set_revision(revision);
+    accepted.set_text("[priority_class a]\nguaranteed_percent = 1\nrank = " + std::to_string(variant) + "\n");
+    accepted.set_digest(Configuration::policyDigest(accepted.text()));
+    return accepted;
+}
+
+// What the cache must hold: the highest valid revision offered so far.
+struct CacheModel {
+    std::uint64_t revision = 0;
+    int variant = 0;
+};
+
+struct CacheUnderTest {
+    Configuration::ConfigurationCache cache { 3 };
+};
+
+struct Offer : rc::state::Command<CacheModel, CacheUnderTest> {
+    std::uint64_t revision = *rc::gen::inRange<std::uint64_t>(0, 12);
+    int variant = *rc::gen::inRange(0, 2);
+    bool damaged = *rc::gen::weightedElement<bool>({ { 4, false }, { 1, true } });
+
+    void apply(CacheModel& model) const override
+    {
+        if (!damaged && revision > model.revision)
+            model = { revision, variant };
+    }
+
+    void run(const CacheModel& model, CacheUnderTest& sut) const override
+    {
+        using Configuration::OfferOutcome;
+        auto accepted = makeAccepted(revision, variant);
+        if (damaged)
+            accepted.set_text(accepted.text() + "x = 1\n");
+        const OfferOutcome outcome = sut.cache.offer(accepted).outcome;
+        const bool newer = revision > model.revision;
+        const bool conflicting = revision != 0 && revision == model.revision && variant != model.variant;
+        RC_ASSERT((outcome == OfferOutcome::Applied) == (newer && !damaged));
+        RC_ASSERT((outcome == OfferOutcome::Invalid) == (newer && damaged));
+        RC_ASSERT((outcome == OfferOutcome::Conflicting) == conflicting);
+        const CacheModel next = nextState(model);
+        RC_ASSERT(sut.cache.revision() == next.revision);
+        RC_ASSERT(sut.cache.isReady() == (next.revision != 0));
+        const auto inForce = sut.cache.current();
+        RC_ASSERT((inForce != nullptr) == (next.revision != 0));
+        if (!inForce)
+            return;
+        RC_ASSERT(inForce->accepted.revision() == next.revision);
+        RC_ASSERT(inForce->policy.priority_class(0).rank() == static_cast<std::uint32_t>(next.variant));
+    }
+
+    void show(std::ostream& os) const override
+    {
+        os << "Offer(" << revision << ", " << variant << (damaged ? ", damaged)" : ")");
+    }
+};
+
+} // namespace
+
+TEST_CASE("The cache holds the highest valid revision, whatever the order of offers")
+{
+    CHECK(rc::check([] {
+        CacheUnderTest sut;
+        rc::state::check(CacheModel {}, sut, rc::state::gen::execOneOfWithArgs<Offer>());
+    }));
+}
+
+TEST_CASE("A document that this program cannot read leaves the former one in force")
+{
+    Configuration::ConfigurationCache cache(1);
+    cache.offer(makeAccepted(1));
+    auto unreadable = makeAccepted(2);
+    unreadable.set_text("[unheard_of]\n");
+    unreadable.set_digest(Configuration::policyDigest(unreadable.text()));
+    const auto result = cache.offer(unreadable);
+    CHECK(result.outcome == Configuration::OfferOutcome::Invalid);
+    CHECK_FALSE(result.faults.empty());
+    CHECK(cache.current()->accepted.revision() == 1);
+}
+
+TEST_CASE("No thread sees a revision go back, nor one below what the process reports")
+{
+    Configuration::ConfigurationCache cache(2);
+    cache.offer(makeAccepted(1));
+    std::atomic<bool> reverted { false };
+    std::vector<std::thread> readers;
+    for (int i = 0; i < readerCount; ++i) {
+        readers.emplace_back([&] {
+            std::uint64_t last = 0;
+            while (last < threadRevisions) {
+                const std::uint64_t reported = cache.revision();
+                const std::uint64_t seen = cache.current()->accepted.revision();
+                if (seen < last || seen < reported)
+                    reverted = true;
+                last = seen;
+            }
+        });
+    }
+    std::thread older([&] {
+        for (std::uint64_t revision = 1; revision <= threadRevisions; ++revision)
+            cache.offer(makeAccepted(revision / 2));
+    });
+    for (std::uint64_t revision = 2; revision <= threadRevisions; ++revision)
+        cache.offer(makeAccepted(revision));
+    older.join();
+    for (std::thread& reader : readers)
+        reader.join();
+    CHECK_FALSE(reverted);
+}
--- /dev/null
+++ b/tests/auto/configuration/tst_configurationstore.cpp
@@ -0,0 +1,215 @@
+#include <configuration/configurationcache.h>
+#include <configuration/configurationstore.h>
+#include <platform/memorytable.h>
+#include <propertyparameters.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <functional>
+#include <thread>
+
+namespace {
+
+const bool parametersSet = Testing::setPropertyParameters("seed=607 max_success=300 max_size=60");
+
+constexpr int operatorCount = 20;
+
+using Configuration::ChangeConflict;
+using Configuration::ChangeOutcome;
+using Configuration::ConfigurationChange;
+using Configuration::ConfigurationStore;
+
+ConfigurationChange makeChange(std::uint64_t base, const std::string& writeId, int rank)
+{
+    return { "[priority_class a]\nguaranteed_percent = 1\nrank = " + std::to_string(rank) + "\n", base,
+        "author of " + writeId, 1, writeId };
+}
+
+// A table whose commits are lost before or after they take effect, as the plan says.
+class FaultyTable final : public Platform::TableService {
+public:
+    enum class Fault {
+        None,
+        Refused, //!< Not sent.
+        RequestLost, //!< Does not take effect; the outcome is unknown.
+        AnswerLost, //!< Takes effect; the outcome is unknown.
+    };
+
+    std::vector<Fault> plan; // Used from the back, one for each commit.
+    std::function<void()> afterCommit; // Runs once, after a commit that took effect.
+    bool isDown = false;
+
+    Utils::Result<Schema::Row> get(std::string_view key) override
+    {
+        if (isDown)
+            return Utils::Error { Utils::ErrorCode::Unavailable, "table.get", "test", "down" };
+        return table.get(key);
+    }
+
+    Utils::Result<Schema::ScanReply> scan(
+        std::string_view prefix, std::string_view after, std::uint32_t limit) override
+    {
+        return table.scan(prefix, after, limit);
+    }
+
+    Utils::Result<Schema::CommitReply> commit(const Schema::CommitRequest& request) override
+    {
+        const Fault fault = plan.empty() ? Fault::None : plan.back();
+        if (!plan.empty())
+            plan.pop_back();
+        if (fault == Fault::Refused)
+            return Utils::Error { Utils::ErrorCode::Unavailable, "table.commit", "test", "refused" };
+        const Utils::Error lost { Utils::ErrorCode::OutcomeUnknown, "table.commit", "test", "lost" };
+        if (fault == Fault::RequestLost)
+            return lost;
+        const auto reply = table.commit(request);
+        if (afterCommit && Utils::value(reply).committed())
+            std::exchange(afterCommit, {})();
+        if (fault == Fault::AnswerLost)
+            return lost;
+        return reply;
+    }
+
+    Platform::MemoryTable table;
+};
+
+bool isAccepted(const Utils::Result<ChangeOutcome>& outcome)
+{
+    return Utils::isOk(outcome)
+        && std::holds_alternative<Schema::AcceptedConfiguration>(Utils::value(outcome));
+}
+
+const ChangeConflict* conflictOf(const Utils::Result<ChangeOutcome>& outcome)
+{
+    return Utils::isOk(outcome) ? std::get_if<ChangeConflict>(&Utils::value(outcome)) : nullptr;
+}
+
+} // namespace
+
+TEST_CASE("A lost race names what was accepted and what was wanted")
+{
+    Platform::MemoryTable table;
+    const ConfigurationStore store(table);
+    CHECK(Utils::value(store.load()).revision() == 0);
+    REQUIRE(isAccepted(store.put(makeChange(0, "first", 1))));
+    REQUIRE(isAccepted(store.put(makeChange(1, "second", 2))));
+    const auto late = store.put(makeChange(1, "late", 3));
+    const ChangeConflict* conflict = conflictOf(late);
+    REQUIRE(conflict);
+    CHECK(conflict->inForce.revision() == 2);
+    REQUIRE(conflict->changedSinceBase.size() == 1);
+    CHECK(
+        conflict->changedSinceBase[0] == Configuration::Difference { "priority_class a", "rank", "1", "2" });
+    REQUIRE(conflict->wanted.size() == 1);
+    CHECK(conflict->wanted[0].after == "3");
+    CHECK(conflictOf(store.put(makeChange(7, "ahead", 3))));
+}
+
+TEST_CASE("An invalid change reaches no table")
+{
+    Platform::MemoryTable table;
+    const auto outcome = ConfigurationStore(table).put({ "[nothing]\n", 0, "a", 1, "w" });
+    CHECK(std::holds_alternative<std::vector<Settings::Fault>>(Utils::value(outcome)));
+    CHECK(table.commitCount() == 0);
+}
+
+TEST_CASE("A lost answer is resolved although another change was accepted meanwhile")
+{
+    FaultyTable table;
+    const ConfigurationStore store(table);
+    const ConfigurationStore other(table.table);
+    table.plan = { FaultyTable::Fault::AnswerLost };
+    table.afterCommit = [&] { REQUIRE(isAccepted(other.put(makeChange(1, "other", 2)))); };
+    const auto outcome = store.put(makeChange(0, "mine", 1));
+    REQUIRE(isAccepted(outcome));
+    CHECK(std::get<Schema::AcceptedConfiguration>(Utils::value(outcome)).revision() == 1);
+    CHECK(Utils::value(store.load()).write_id() == "other");
+    CHECK(isAccepted(store.put(makeChange(0, "mine", 1))));
+    CHECK(Utils::value(store.history(0, 10)).size() == 2);
+}
+
+TEST_CASE("An outage is an error, and unknown only if something may have been written")
+{
+    FaultyTable table;
+    const ConfigurationStore store(table);
+    table.plan.assign(9, FaultyTable::Fault::Refused);
+    CHECK(Utils::error(store.put(makeChange(0, "a", 1))).code == Utils::ErrorCode::Unavailable);
+    table.plan.assign(9, FaultyTable::Fault::RequestLost);
+    CHECK(Utils::error(store.put(makeChange(0, "a", 1))).code == Utils::ErrorCode::OutcomeUnknown);
+    table.isDown = true;
+    CHECK(Utils::error(store.put(makeChange(0, "a", 1))).code == Utils::ErrorCode::Unavailable);
+}
+
+TEST_CASE("The history is listed newest first and by pages")
+{
+    Platform::MemoryTable table;
+    const ConfigurationStore store(table);
+    for (int i = 0; i < 5; ++i)
+        REQUIRE(isAccepted(store.put(makeChange(i, std::to_string(i), i))));
+    const auto page = Utils::value(store.history(4, 2));
+    REQUIRE(page.size() == 2);
+    CHECK(page[0].revision() == 3);
+    CHECK(page[1].revision() == 2);
+    CHECK(Utils::value(store.revision(5)).write_id() == "4");
+    CHECK(Utils::error(store.revision(6)).code == Utils::ErrorCode::NotFound);
+}
+
+TEST_CASE("Of operators that race from one revision exactly one wins")
+{
+    Platform::MemoryTable table;
+    const ConfigurationStore store(table);
+    std::vector<std::thread> operators;
+    std::vector<Utils::Result<ChangeOutcome>> outcomes(operatorCount);
+    for (int i = 0; i < operatorCount; ++i) {
+        operators.emplace_back(
+            [&, i] { outcomes[i] = store.put(makeChange(0, "op" + std::to_string(i), i)); });
+    }
+    for (std::thread& thread : operators)
+        thread.join();
+    CHECK(std::count_if(outcomes.begin(), outcomes.end(), isAccepted) == 1);
+    CHECK(std::count_if(outcomes.begin(), outcomes.end(), [](const auto& o) {
+        return conflictOf(o) != nullptr;
+    }) == operatorCount - 1);
+}
+
+// Interleaved operators with lost requests and answers; caches poll and exchange as processes do. No
+// accepted change is lost, none is accepted twice, and no cache goes back.
+TEST_CASE("Every acceptance is one revision of the history, whatever is lost")
+{
+    CHECK(rc::check([] {
+        using Fault = FaultyTable::Fault;
+        FaultyTable table;
+        const ConfigurationStore store(table);
+        std::vector<std::pair<std::string, std::uint64_t>> accepted;
+        std::array<Configuration::ConfigurationCache, 3> caches { Configuration::ConfigurationCache(1),
+            Configuration::ConfigurationCache(1), Configuration::ConfigurationCache(1) };
+        std::array<std::uint64_t, 3> bases {};
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
+        for (std::size_t i = 0; i < steps.size(); ++i) {
+            const int step = steps[i];
+            const std::size_t who = step % 3;
+            table.plan = { static_cast<Fault>(step / 3 % 4), static_cast<Fault>(step / 12 % 4),
+                static_cast<Fault>(step / 48 % 4) };
+            const std::string writeId = "w" + std::to_string(i);
+            const auto outcome = store.put(makeChange(bases[who], writeId, step));
+            if (isAccepted(outcome))
+                accepted.emplace_back(
+                    writeId, std::get<Schema::AcceptedConfiguration>(Utils::value(outcome)).revision());
+            if (step % 2 == 0)
+                bases[who] = Utils::value(store.load()).revision();
+            const std::uint64_t before = caches[who].revision();
+            if (step % 5 == 0)
+                caches[who].offer(Utils::value(store.load()));
+            else if (const auto peer = caches[(who + 1) % 3].current())
+                caches[who].offer(peer->accepted);
+            RC_ASSERT(caches[who].revision() >= before);
+        }
+        std::map<std::string, std::uint64_t> history;
+        for (const auto& entry : Utils::value(store.history(0, 10000)))
+            RC_ASSERT(history.emplace(entry.write_id(), entry.revision()).second);
+        for (const auto& [writeId, revision] : accepted)
+            RC_ASSERT(history.at(writeId) == revision);
+        RC_ASSERT(Utils::value(store.load()).revision() == history.size());
+    }));
+}
