--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -234,7 +234,7 @@
         stopping_ = true;
         idle = streams_.empty();
         if (!idle)
-            done_ = std::move(done);
+            done_ = done;
     }
     Asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
         boost::system::error_code ignored;
