Add gqfloodbench: floods against the request policy, simulated

Discrete events at the interfaces of the decision core; backend servers go on running what was abandoned.

--- /dev/null
+++ b/src/tools/gqfloodbench/corepolicy.cpp
@@ -0,0 +1,69 @@
+#include "corepolicy.h"
+
+#include <requests/slotdivision.h>
+
+#include <policy.pb.h>
+
+namespace FloodBench {
+
+namespace {
+
+Schema::PolicyDocument policyOf(const Scenario& scenario)
+{
+    Schema::PolicyDocument policy;
+    std::uint32_t rank = 0;
+    for (const ClassLoad& load : scenario.classes) {
+        Schema::PriorityClassPolicy* target = policy.add_priority_class();
+        target->set_name(load.name);
+        target->set_rank(rank++);
+        target->set_guaranteed_percent(load.guaranteed * 100);
+        target->set_ceiling_percent(load.ceiling * 100);
+        target->set_max_queue_ms(static_cast<std::uint32_t>(load.maxQueue / std::chrono::milliseconds(1)));
+    }
+    return policy;
+}
+
+} // namespace
+
+CorePolicy::CorePolicy(const Scenario& scenario, const std::string& domain, std::uint32_t index,
+    std::uint32_t members, std::span<const Requests::Backend> backends)
+    : core_({ .service = "app", .domain = domain, .region = "r", .seed = scenario.seed * 100 + index })
+{
+    const Utils::TimePoint start {};
+    core_.setPolicy(policyOf(scenario), start);
+    core_.setBackends(backends, start);
+    Schema::CreditDivision division;
+    for (std::uint32_t member = 0; member < members; ++member)
+        division.add_members()->set_name(std::to_string(member));
+    for (const Requests::Backend& backend : backends) {
+        const std::uint32_t share
+            = Requests::slotShare(division, std::to_string(index), 0, backend.name, backend.slots);
+        core_.setCredits(backend.name, share, Utils::TimePoint::max(), start);
+    }
+}
+
+void CorePolicy::submit(const Requests::RequestDescription& description, Utils::TimePoint now)
+{
+    core_.submit(description, now);
+}
+
+void CorePolicy::attemptEnded(Requests::AttemptId attempt, AttemptResult result, Utils::TimePoint now)
+{
+    core_.attemptConnected(attempt, now);
+    switch (result) {
+    case AttemptResult::Completed:
+        core_.attemptCompleted(attempt, 200, now);
+        return;
+    case AttemptResult::Failed:
+        core_.attemptCompleted(attempt, 500, now);
+        return;
+    case AttemptResult::Refused:
+        core_.attemptRefused(attempt, Requests::RefusalKind::Overloaded, now);
+        return;
+    case AttemptResult::Closed:
+        core_.attemptBroken(attempt, now);
+        return;
+    }
+}
+
+} // namespace FloodBench
--- /dev/null
+++ b/src/tools/gqfloodbench/corepolicy.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "entrypolicy.h"
+#include "scenario.h"
+
+#include <requests/requestcore.h>
+
+#include <span>
+
+namespace FloodBench {
+
+/*! The policy of the library. */
+class CorePolicy final : public EntryPolicy {
+public:
+    /*!
+        \param scenario classes and seed.
+        \param domain failure domain of the entry VM.
+        \param index of the entry VM in its domain.
+        \param members number of entry VMs in the domain.
+        \param backends backend servers of the domain.
+    */
+    CorePolicy(const Scenario& scenario, const std::string& domain, std::uint32_t index,
+        std::uint32_t members, std::span<const Requests::Backend> backends);
+
+    void submit(const Requests::RequestDescription& description, Utils::TimePoint now) override;
+    void attemptEnded(Requests::AttemptId attempt, AttemptResult result, Utils::TimePoint now) override;
+    void tick(Utils::TimePoint now) override { core_.tick(now); }
+    std::optional<Utils::TimePoint> nextWake() const override { return core_.nextWake(); }
+    void takeActions(std::vector<Requests::Action>& actions) override { core_.takeActions(actions); }
+
+private:
+    Requests::RequestCore core_;
+};
+
+} // namespace FloodBench
--- /dev/null
+++ b/src/tools/gqfloodbench/scenario.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <utils/clock.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace FloodBench {
+
+/*! Size of one user's service. */
+struct FleetSize {
+    std::string name;
+    std::uint32_t backends = 50;
+    std::uint32_t entryVms = 8;
+    std::uint32_t domains = 3;
+    std::uint32_t slots = 8;
+    std::uint32_t connections = 64;
+};
+
+/*! One class of requests and its load. */
+struct ClassLoad {
+    std::string name;
+    double guaranteed = 0; //!< Share of slots, 0 to 1.
+    double ceiling = 1; //!< Share of slots, 0 to 1.
+    Utils::Duration maxQueue {};
+    Utils::Duration deadline {};
+    double baseLoad = 0; //!< Offered at all times, as a share of capacity.
+    double floodLoad = 0; //!< Offered in addition during the flood, as a share of capacity.
+};
+
+/*! What is simulated. */
+struct Scenario {
+    std::string name;
+    std::vector<ClassLoad> classes; //!< Most urgent first.
+    bool noisyBackends = true; //!< Every tenth backend server is slow in waves.
+    bool failingBackend = false; //!< Backend server 0 answers everything with 500 after 1 ms.
+    bool domainLost = false; //!< Domain 0 is lost 2 s after the flood began.
+    std::uint64_t seed = 1;
+};
+
+constexpr Utils::Duration meanService = std::chrono::milliseconds(50);
+constexpr Utils::Duration floodStart = std::chrono::seconds(10);
+constexpr Utils::Duration floodEnd = std::chrono::seconds(20);
+constexpr Utils::Duration simulationEnd = std::chrono::seconds(30);
+constexpr Utils::Duration lossDelay = std::chrono::seconds(2);
+constexpr Utils::Duration oneWay = std::chrono::microseconds(250);
+
+/*! \return time since the start of the simulation as a time point. */
+constexpr Utils::TimePoint at(Utils::Duration elapsed)
+{
+    return Utils::TimePoint {} + elapsed;
+}
+
+} // namespace FloodBench
--- /dev/null
+++ b/src/tools/gqfloodbench/simulation.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "entrypolicy.h"
+#include "measurement.h"
+#include "scenario.h"
+
+#include <requests/requesttypes.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace FloodBench {
+
+/*! Makes the policy of one entry VM: its domain, its index there, number of members, backend servers. */
+using PolicyFactory = std::function<std::unique_ptr<EntryPolicy>(const std::string& domain,
+    std::uint32_t index, std::uint32_t members, std::span<const Requests::Backend> backends)>;
+
+/*!
+    Discrete events of entry VMs' decisions against fake backend servers.
+
+    A backend server runs as many requests as it has slots, keeps more waiting up to its connections, and goes
+   on running what was abandoned. Callers reach an entry VM of a live domain at random.
+*/
+class Simulation {
+public:
+    /*!
+        \param fleet its size.
+        \param scenario loads and faults.
+        \param makePolicy makes each entry VM's policy.
+    */
+    Simulation(const FleetSize& fleet, const Scenario& scenario, const PolicyFactory& makePolicy);
+
+    /*! \return results of the whole run. */
+    Measurement run();
+
+private:
+    enum class EventKind { Arrival, Reach, ServiceEnd, AttemptEnd, Wake, DomainLoss };
+
+    struct Event {
+        Utils::TimePoint when {};
+        std::uint64_t order = 0;
+        EventKind kind = EventKind::Wake;
+        std::size_t index = 0; // Class, backend server or entry VM.
+        std::uint64_t id = 0; // Exchange.
+        bool operator>(const Event& other) const
+        {
+            return when != other.when ? when > other.when : order > other.order;
+        }
+    };
+
+    struct Request {
+        std::size_t classIndex = 0;
+        bool base = true;
+        Utils::TimePoint submitted {};
+        Utils::TimePoint deadline {};
+        std::uint64_t exchange = 0; // Open one.
+        bool sent = false;
+        double slotSeconds = 0;
+    };
+
+    struct Exchange {
+        std::size_t entry = 0;
+        std::size_t backend = 0;
+        Requests::RequestId request = 0;
+        Requests::AttemptId attempt = 0;
+        AttemptResult result = AttemptResult::Completed;
+        double slotSeconds = 0;
+        bool closed = false;
+    };
+
+    struct EntryVm {
+        std::uint32_t domain = 0;
+        std::unique_ptr<EntryPolicy> policy;
+        Utils::TimePoint wake = Utils::TimePoint::max();
+    };
+
+    struct BackendServer {
+        std::uint32_t domain = 0;
+        std::uint32_t running = 0;
+        std::deque<std::uint64_t> waiting;
+    };
+
+    void schedule(Utils::TimePoint when, EventKind kind, std::size_t index, std::uint64_t id = 0);
+    void handle(const Event& event);
+    void arrive(std::size_t stream);
+    void scheduleArrival(std::size_t stream);
+    void reach(std::uint64_t id);
+    void startService(std::uint64_t id);
+    void endService(std::uint64_t id);
+    void endAttempt(std::uint64_t id);
+    void loseDomain();
+    void carryOut(std::size_t entry);
+    void take(std::size_t entry, const Requests::Dispatch& dispatch);
+    void take(std::size_t entry, const Requests::Finish& finish);
+    void take(std::size_t entry, const Requests::Reject& reject);
+    std::size_t chooseEntry();
+    Utils::Duration serviceTime(std::size_t backend);
+    ClassResult& result(Utils::TimePoint when, std::size_t classIndex);
+    static std::size_t part(Utils::TimePoint when);
+    double capacityPerSecond() const;
+    void countAvailable();
+
+    FleetSize fleet_;
+    Scenario scenario_;
+    std::mt19937_64 random_;
+    std::vector<EntryVm> entries_;
+    std::vector<BackendServer> backends_;
+    std::unordered_map<std::string, std::size_t> backendIndex_;
+    std::unordered_map<Requests::RequestId, Request> requests_;
+    std::unordered_map<std::uint64_t, Exchange> exchanges_;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    std::uint64_t lastOrder_ = 0;
+    std::uint64_t lastExchange_ = 0;
+    Requests::RequestId lastRequest_ = 0;
+    bool lost_ = false;
+    Utils::TimePoint now_ {};
+    Measurement measurement_;
+};
+
+} // namespace FloodBench
