Keep forwarded requests in the domain; credits may be required

A request that another domain sent on was dispatched to entry VMs again and reported as not sent, which counted as a failure of the entry VM.

--- a/src/libs/requests/keyclaim.h
+++ b/src/libs/requests/keyclaim.h
@@ -70,8 +70,8 @@
     /*! \param description what identifies the submission. */
     explicit KeyClaim(KeyClaimDescription description);
 
-    /*! \return the first step. */
-    KeyStep start() const { return ReadKeyRow {}; }
+    /*! \return the first step: a write, since most keys are new. */
+    KeyStep start() const { return WriteKeyRow { 0, claimRecord() }; }
 
     /*!
         The row was read.
--- a/src/libs/requests/requestcore.cpp
+++ b/src/libs/requests/requestcore.cpp
@@ -88,7 +88,7 @@
     : parameters_(std::move(parameters))
     , random_(parameters_.seed)
     , queue_(std::vector<ClassRule>(1, ClassRule { .name = "default" }))
-    , router_(parameters_.domain, parameters_.region, parameters_.seed)
+    , router_(parameters_.domain, parameters_.region, parameters_.seed, parameters_.requireCredits)
 {
 }
 
@@ -111,7 +111,7 @@
     const bool waitedLong = now - queued->enqueued >= parameters_.spillDelay;
     const RouteQuery query { .avoid = state.lastBackend,
         .bytes = state.description.bytes,
-        .mayLeaveDomain = waitedLong || router_.capacity(now) == 0 };
+        .mayLeaveDomain = !state.description.ownDomainOnly && (waitedLong || router_.capacity(now) == 0) };
     const auto chosen = router_.choose(query, now);
     if (!chosen)
         return false;
--- a/src/libs/requests/requestcore.h
+++ b/src/libs/requests/requestcore.h
@@ -23,6 +23,7 @@
     std::string region; //!< Region of this entry VM.
     std::uint64_t seed = 1; //!< Of the random source for jitter and tied choices.
     std::uint32_t maxAttempts = 3; //!< Sends of one request at most.
+    bool requireCredits = false; //!< Backend servers of the own domain get nothing before setCredits().
     double linkShare = 0.25; //!< Of the budgets of links to other regions.
     Utils::Duration spillDelay
         = std::chrono::milliseconds(50); //!< Stay in the queue before another domain is asked.
@@ -34,7 +35,8 @@
     Not safe for several threads: the shell keeps one per service, each under its own lock, feeds events
     with the current time, and carries out the actions after it has left the lock. Every Dispatch must be
     followed by attemptConnected() before the first byte is sent, and by exactly one of the five ends.
-    Without a call of setCredits() for a backend server, its whole slots count as this entry VM's.
+    Without a call of setCredits() for a backend server, its whole slots count as this entry VM's, unless
+    CoreParameters::requireCredits is set.
 */
 class RequestCore {
 public:
--- a/src/libs/requests/requesttypes.h
+++ b/src/libs/requests/requesttypes.h
@@ -22,6 +22,7 @@
     Utils::TimePoint deadline {}; //!< No answer is useful after it.
     bool idempotent = false; //!< A second run does no harm.
     std::string key; //!< Idempotency key; empty if none.
+    bool ownDomainOnly = false; //!< Another domain sent it on; it must not be sent on again.
     std::size_t bytes = 0; //!< Expected bytes of request and answer, for the link's budget.
 };
 
--- a/src/libs/requests/router.cpp
+++ b/src/libs/requests/router.cpp
@@ -12,13 +12,15 @@
 constexpr double linkBurstSeconds = 0.25;
 constexpr Utils::Duration leavingHold = std::chrono::seconds(10);
 constexpr Utils::Duration overloadHold = std::chrono::milliseconds(20);
+constexpr Utils::Duration overloadHoldElsewhere = std::chrono::seconds(1);
 
 } // namespace
 
-Router::Router(std::string domain, std::string region, std::uint64_t seed)
+Router::Router(std::string domain, std::string region, std::uint64_t seed, bool requireCredits)
     : domain_(std::move(domain))
     , region_(std::move(region))
     , random_(seed)
+    , requireCredits_(requireCredits)
 {
 }
 
@@ -32,7 +34,7 @@
         target.backend = backend;
         target.distance = distanceOf(backend);
         target.listed = true;
-        if (isNew)
+        if (isNew && !(requireCredits_ && target.distance == Distance::OwnDomain))
             target.credits = backend.slots;
     }
     std::erase_if(targets_, [](const auto& item) { return !item.second.listed && item.second.running == 0; });
@@ -128,7 +130,8 @@
         return;
     case AttemptEnd::Overloaded:
         ++target.counters.refused;
-        target.leavingUntil = std::max(target.leavingUntil, now + overloadHold);
+        target.leavingUntil = std::max(target.leavingUntil,
+            now + (target.distance == Distance::OwnDomain ? overloadHold : overloadHoldElsewhere));
         return;
     case AttemptEnd::Leaving:
         ++target.counters.refused;
--- a/src/libs/requests/router.h
+++ b/src/libs/requests/router.h
@@ -53,8 +53,9 @@
         \param domain own failure domain.
         \param region own region.
         \param seed of the random source for tied choices.
+        \param requireCredits whether own backend servers get nothing before setCredits().
     */
-    Router(std::string domain, std::string region, std::uint64_t seed);
+    Router(std::string domain, std::string region, std::uint64_t seed, bool requireCredits = false);
 
     /*! Replaces the targets. \param backends the targets. */
     void setBackends(std::span<const Backend> backends);
@@ -145,6 +146,7 @@
     std::string domain_;
     std::string region_;
     std::mt19937_64 random_;
+    bool requireCredits_ = false;
     Targets targets_;
     std::map<std::string, TokenBucket, std::less<>> links_;
     double meanLatencySeconds_ = 0;
