--- a/src/libs/batch/shardowner.cpp
+++ b/src/libs/batch/shardowner.cpp
@@ -106,6 +106,8 @@
 void ShardOwner::Private::startTakeover(Utils::TimePoint now)
 {
     row_ = watch_.shard();
+    row_.set_longest_lease_ms(std::max(row_.longest_lease_ms(), toMilliseconds(options_.lease)));
+    longestLease_ = std::chrono::milliseconds(row_.longest_lease_ms());
     row_.set_owner(options_.owner);
     row_.set_epoch(row_.epoch() + 1);
     row_.set_duration_ms(toMilliseconds(options_.lease));
@@ -272,11 +274,12 @@
 void ShardOwner::Private::takeList(Utils::TimePoint now)
 {
     const Utils::TimePoint lapsedAfter
-        = ownedSince_ + withClockMargin(std::chrono::milliseconds(row_.outage_grace_ms()) + options_.lease);
+        = ownedSince_ + withClockMargin(std::chrono::milliseconds(row_.outage_grace_ms()) + longestLease_);
     std::set<std::string, std::less<>> names;
     for (const Schema::VmEntry& vm : listed_) {
         names.insert(vm.name());
-        const auto [place, isNew] = workers_.try_emplace(vm.name(), WorkerLink(vm, lapsedAfter));
+        const auto [place, isNew]
+            = workers_.try_emplace(vm.name(), WorkerLink(vm, lapsedAfter, longestLease_));
         place->second.link.vm() = vm;
         place->second.listed = true;
         commitments_.setCapacity(vm.name(), vmSize(vm));
@@ -286,7 +289,7 @@
         Schema::VmEntry vm;
         vm.set_name(record.worker());
         if (record.open() && !workers_.contains(record.worker()))
-            workers_.try_emplace(record.worker(), WorkerLink(vm, lapsedAfter));
+            workers_.try_emplace(record.worker(), WorkerLink(vm, lapsedAfter, longestLease_));
     }
     for (auto& [name, worker] : workers_) {
         if (names.contains(name))
--- a/src/libs/batch/shardownerprivate.h
+++ b/src/libs/batch/shardownerprivate.h
@@ -143,6 +143,7 @@
     Utils::TimePoint scanAt_;
     Utils::TimePoint inboxAt_;
     Utils::TimePoint ownedSince_;
+    Utils::Duration longestLease_ {};
     Utils::TimePoint renewedAt_; //!< When the last write that took effect was first sent.
     Utils::TimePoint roundAt_;
     Utils::TimePoint jobsCheckedAt_;
--- a/src/libs/batch/workerlink.cpp
+++ b/src/libs/batch/workerlink.cpp
@@ -7,9 +7,10 @@
 
 namespace Batch {
 
-WorkerLink::WorkerLink(Schema::VmEntry vm, Utils::TimePoint lapsedAfter)
+WorkerLink::WorkerLink(Schema::VmEntry vm, Utils::TimePoint lapsedAfter, Utils::Duration longestLease)
     : vm_(std::move(vm))
     , lapsedAfter_(lapsedAfter)
+    , longestLease_(longestLease)
 {
 }
 
@@ -34,6 +35,8 @@
     reportedSequence_ = sequence;
     if (sequence == sequence_)
         awaitsReport_ = false;
+    if (!heard_)
+        lapsedAfter_ = now + withClockMargin(longestLease_);
     heard_ = true;
     incarnation_ = report.incarnation();
     workerClockMs_ = report.clock_ms();
--- a/src/libs/batch/workerlink.h
+++ b/src/libs/batch/workerlink.h
@@ -21,9 +21,11 @@
 public:
     /*!
         \param vm the worker as listed.
-        \param lapsedAfter when every lease that earlier owners may have granted has lapsed.
+        \param lapsedAfter when every lease that earlier owners may have granted has lapsed, if it stays
+       unheard. \param longestLease longest lease of this and earlier owners; once the worker has reported, it
+       refuses earlier owners, so what they granted lapses within it.
     */
-    WorkerLink(Schema::VmEntry vm, Utils::TimePoint lapsedAfter);
+    WorkerLink(Schema::VmEntry vm, Utils::TimePoint lapsedAfter, Utils::Duration longestLease);
 
     /*!
         Numbers a batch and grants the lease with it.
@@ -83,6 +85,7 @@
     Utils::TimePoint reportReceivedAt_;
     Utils::TimePoint lastSentAt_;
     Utils::TimePoint lapsedAfter_;
+    Utils::Duration longestLease_;
 };
 
 } // namespace Batch
--- a/tests/auto/batch/faultworld.cpp
+++ b/tests/auto/batch/faultworld.cpp
@@ -35,8 +35,7 @@
         makeOwner(index);
 }
 
-void FaultWorld::submit(
-    const std::string& id, std::uint32_t count, std::uint64_t runMs, Schema::JobKind kind)
+void FaultWorld::submit(const std::string& id, std::uint32_t count, std::uint64_t runMs, Schema::JobKind kind)
 {
     Schema::InboxRow row;
     row.set_job(id);
@@ -207,7 +206,8 @@
         event(*owner.core);
         return;
     }
-    events_.emplace(owner.pausedUntil, [this, index, generation, event] { toOwner(index, generation, event); });
+    events_.emplace(
+        owner.pausedUntil, [this, index, generation, event] { toOwner(index, generation, event); });
 }
 
 void FaultWorld::perform(std::size_t index, Batch::Actions actions)
@@ -218,7 +218,8 @@
             const bool reached = tableReachable(index);
             const Schema::Row row = Utils::value(table_.get(read.key));
             later(latency(), [=, this] {
-                toOwner(index, generation, [=, this](auto& core) { core.onRow(read.id, reached ? &row : nullptr, now_); });
+                toOwner(index, generation,
+                    [=, this](auto& core) { core.onRow(read.id, reached ? &row : nullptr, now_); });
             });
         });
     }
@@ -228,7 +229,8 @@
             const auto reply = Utils::value(table_.scan(scan.prefix, "", 100000));
             const std::vector<Schema::Row> rows(reply.rows().begin(), reply.rows().end());
             later(latency(), [=, this] {
-                toOwner(index, generation, [=, this](auto& core) { core.onRows(scan.id, reached ? &rows : nullptr, now_); });
+                toOwner(index, generation,
+                    [=, this](auto& core) { core.onRows(scan.id, reached ? &rows : nullptr, now_); });
             });
         });
     }
@@ -256,7 +258,8 @@
                 if (reply.committed())
                     observe(sent);
                 if (answered)
-                    outcome = reply.committed() ? Batch::CommitOutcome::Committed : Batch::CommitOutcome::Conflict;
+                    outcome = reply.committed() ? Batch::CommitOutcome::Committed
+                                                : Batch::CommitOutcome::Conflict;
             }
             later(answered ? latency() : Milliseconds(2000), [=, this] {
                 toOwner(index, generation,
@@ -317,7 +320,8 @@
     const std::string name = workers_[worker].vm.name();
     if (cut_[index][worker]) {
         later(Milliseconds(1000), [=, this] {
-            toOwner(index, generation, [=, this](auto& core) { core.onReport(name, sequence, nullptr, now_); });
+            toOwner(
+                index, generation, [=, this](auto& core) { core.onReport(name, sequence, nullptr, now_); });
         });
         return;
     }
@@ -474,7 +478,8 @@
         if (done)
             faults.push_back(text(run.attempt) + " ran after the task was done");
         if (run.resumedFrom != latest)
-            faults.push_back(text(run.attempt) + " resumed from '" + run.resumedFrom + "', not '" + latest + "'");
+            faults.push_back(
+                text(run.attempt) + " resumed from '" + run.resumedFrom + "', not '" + latest + "'");
         const auto recorded = recordedEnds_.find(run.attempt);
         if (recorded == recordedEnds_.end())
             continue;
