--- a/src/libs/batch/jobs.cpp
+++ b/src/libs/batch/jobs.cpp
@@ -65,7 +65,7 @@
 
 void ShardOwner::Private::checkFits(Utils::TimePoint now)
 {
-    if (listed_.empty())
+    if (!listKnown_)
         return;
     for (const auto& [id, job] : book_.jobs()) {
         if (job->record.finished())
--- /dev/null
+++ b/src/libs/scheduling/scheduledaemon.cpp
@@ -0,0 +1,144 @@
+#include "scheduledaemon.h"
+
+#include "batch/firstfitplacer.h"
+#include "batch/rowkeys.h"
+#include "daemon/frame.h"
+#include "daemon/periodictask.h"
+#include "node/nodeservices.h"
+#include "platform/http/httpworkeragent.h"
+#include "shardset.h"
+#include "utils/identifiers.h"
+#include "utils/log/log.h"
+#include "utils/steadyclock.h"
+
+#include <settings.pb.h>
+
+#include <boost/asio/thread_pool.hpp>
+
+#include <optional>
+#include <thread>
+
+namespace Scheduling {
+
+namespace {
+
+constexpr std::size_t tableThreadCount = 4;
+constexpr std::size_t workerThreadCount = 32;
+constexpr int ticksPerRound = 2;
+constexpr int callsPerLease = 4;
+constexpr auto handOverLimit = std::chrono::seconds(10);
+constexpr auto handOverPoll = std::chrono::milliseconds(20);
+constexpr auto shardScanInterval = std::chrono::seconds(30);
+constexpr std::uint32_t shardScanLimit = 1000;
+
+Batch::ShardOwnerOptions ownerOptions(const Schema::ScheduleDaemonSettings& settings)
+{
+    Batch::ShardOwnerOptions options;
+    options.owner = settings.node().name() + "/" + Utils::makeUniqueId();
+    options.region = settings.node().region();
+    options.domain = settings.node().domain();
+    options.lease = std::chrono::milliseconds(settings.batch().lease_ms());
+    options.round = std::chrono::milliseconds(settings.batch().round_ms());
+    options.stock = settings.batch().stock();
+    return options;
+}
+
+} // namespace
+
+class ScheduleDaemon::Private {
+public:
+    explicit Private(const Schema::ScheduleDaemonSettings& settings)
+        : options_(ownerOptions(settings))
+        , frame_(settings.listen(), [this] { return shards_.metrics() + node_.metrics(); })
+        , node_(Node::sharedSettings(settings, "schedule"), frame_.readiness(), handlers())
+        , agent_(options_.lease / callsPerLease)
+        , shards_(options_, [] { return std::make_unique<Batch::FirstFitPlacer>(); },
+              { node_.table(), agent_, clock_, tableThreads_, workerThreads_ })
+    {
+    }
+
+    ~Private()
+    {
+        ticks_.reset();
+        shardScans_.reset();
+        tableThreads_.stop();
+        workerThreads_.stop();
+        tableThreads_.join();
+        workerThreads_.join();
+    }
+
+    Private(const Private&) = delete;
+    Private& operator=(const Private&) = delete;
+
+    int run()
+    {
+        const auto status = node_.start();
+        if (!Utils::isOk(status)) {
+            Utils::logError("start-failed", Utils::error(status));
+            return Utils::error(status).code == Utils::ErrorCode::InvalidArgument ? Daemon::ExitUsage
+                                                                                  : Daemon::ExitFailure;
+        }
+        ticks_.emplace(options_.round / ticksPerRound, [this] { shards_.tick(); });
+        shardScans_.emplace(shardScanInterval, [this] { findShards(); });
+        return frame_.run([this] { stop(); });
+    }
+
+private:
+    Node::NodeHandlers handlers()
+    {
+        Node::NodeHandlers result;
+        result.policy = [](const Schema::PolicyDocument&) {};
+        result.vms = [this](std::span<const Schema::VmEntry* const> vms) { shards_.setVms(vms); };
+        return result;
+    }
+
+    void findShards()
+    {
+        const auto reply = node_.table().scan(Batch::shardPrefix(), "", shardScanLimit);
+        if (!Utils::isOk(reply))
+            return;
+        for (const Schema::Row& row : Utils::value(reply).rows()) {
+            Schema::ShardRow shard;
+            if (shard.ParseFromString(row.value()) && shard.domain() == options_.domain)
+                shards_.addShard(row.key().substr(Batch::shardPrefix().size()));
+        }
+    }
+
+    void stop()
+    {
+        shards_.release();
+        const auto end = std::chrono::steady_clock::now() + handOverLimit;
+        while (!shards_.released() && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(handOverPoll);
+        if (!shards_.released())
+            Utils::log(Utils::LogLevel::Warning, "hand-over-incomplete");
+        ticks_.reset();
+        shardScans_.reset();
+        node_.stop();
+    }
+
+    Batch::ShardOwnerOptions options_;
+    Utils::SteadyClock clock_;
+    boost::asio::thread_pool tableThreads_ { tableThreadCount };
+    boost::asio::thread_pool workerThreads_ { workerThreadCount };
+    Daemon::Frame frame_;
+    Node::NodeServices node_;
+    Platform::HttpWorkerAgent agent_;
+    ShardSet shards_;
+    std::optional<Daemon::PeriodicTask> ticks_;
+    std::optional<Daemon::PeriodicTask> shardScans_;
+};
+
+ScheduleDaemon::ScheduleDaemon(const Schema::ScheduleDaemonSettings& settings)
+    : d_(std::make_unique<Private>(settings))
+{
+}
+
+ScheduleDaemon::~ScheduleDaemon() = default;
+
+int ScheduleDaemon::run()
+{
+    return d_->run();
+}
+
+} // namespace Scheduling
