--- a/src/libs/entry/entrydaemon.cpp
+++ b/src/libs/entry/entrydaemon.cpp
@@ -1,5 +1,7 @@
 #include "entrydaemon.h"
 
+#include "jobhandler.h"
+
 #include "daemon/frame.h"
 #include "gateway/servicegateway.h"
 #include "node/nodeservices.h"
@@ -31,10 +33,14 @@
               gatewayLimits(settings.requests()),
               std::chrono::milliseconds(settings.requests().default_deadline_ms()))
         , node_(Node::sharedSettings(settings, "entry"), frame_.readiness(), handlers())
+        , jobs_(node_.table())
     {
         frame_.serve(gatewayLimits(settings.requests()).maxBodyBytes,
             [this](Http::Request request, Http::Responder respond) {
-                gateway_.handle(std::move(request), std::move(respond));
+                if (JobHandler::accepts(request.target))
+                    jobs_.handle(std::move(request), std::move(respond));
+                else
+                    gateway_.handle(std::move(request), std::move(respond));
             });
     }
 
@@ -62,6 +68,7 @@
     Daemon::Frame frame_;
     Gateway::ServiceGateway gateway_;
     Node::NodeServices node_;
+    JobHandler jobs_;
 };
 
 EntryDaemon::EntryDaemon(const Schema::EntryDaemonSettings& settings)
--- a/src/libs/gateway/serviceshard.cpp
+++ b/src/libs/gateway/serviceshard.cpp
@@ -154,10 +154,7 @@
 {
     const auto caller = waiting.find(dispatch.request);
     const auto target = targets.find(dispatch.backend);
-    // A request that was sent on once is not sent on again: two domains must not pass it to and fro.
-    const bool isLoop = caller != waiting.end() && target != targets.end() && caller->second.caller.forwarded
-        && target->second.isEntry;
-    if (caller == waiting.end() || target == targets.end() || isLoop) {
+    if (caller == waiting.end() || target == targets.end()) {
         core.attemptNotSent(dispatch.attempt, now());
         return;
     }
@@ -318,7 +315,7 @@
         const Utils::TimePoint arrival = now();
         const Utils::TimePoint deadline = arrival + caller.deadline;
         Requests::RequestDescription description { id, caller.service, caller.priorityClass, caller.caller,
-            deadline, caller.idempotent, caller.key, request.body.size() };
+            deadline, caller.idempotent, caller.key, caller.forwarded, request.body.size() };
         d_->waiting.emplace(id,
             Waiting {
                 std::move(request), std::move(caller), std::move(respond), arrival, deadline, {}, {}, {} });
