--- a/src/libs/entry/entrydaemon.cpp
+++ b/src/libs/entry/entrydaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/frame.h"
 #include "gateway/servicegateway.h"
+#include "jobsendpoint.h"
 #include "node/nodeservices.h"
 #include "utils/log/log.h"
 
@@ -34,7 +35,10 @@
     {
         frame_.serve(gatewayLimits(settings.requests()).maxBodyBytes,
             [this](Http::Request request, Http::Responder respond) {
-                gateway_.handle(std::move(request), std::move(respond));
+                if (JobsEndpoint::takes(request.target))
+                    jobs_.handle(std::move(request), std::move(respond));
+                else
+                    gateway_.handle(std::move(request), std::move(respond));
             });
     }
 
@@ -62,6 +66,7 @@
     Daemon::Frame frame_;
     Gateway::ServiceGateway gateway_;
     Node::NodeServices node_;
+    JobsEndpoint jobs_ { node_.table() };
 };
 
 EntryDaemon::EntryDaemon(const Schema::EntryDaemonSettings& settings)
