--- a/src/libs/entry/jobhandler.cpp
+++ b/src/libs/entry/jobhandler.cpp
@@ -74,7 +74,8 @@
 
 bool JobHandler::accepts(std::string_view target)
 {
-    return target.starts_with(prefix);
+    const std::string path = Http::parseTarget(target).path;
+    return path == prefix || path.starts_with(std::string(prefix) + "/");
 }
 
 void JobHandler::handle(Http::Request request, Http::Responder respond)
