Claim idempotency keys in the table before the send

While the table is down a request with a key is answered unknown, not not-run: an earlier send under the key may have run. A claim that was written but never used is released when the table is back; that of a killed claimer never is.

--- a/src/libs/entry/entrydaemon.cpp
+++ b/src/libs/entry/entrydaemon.cpp
@@ -1,6 +1,7 @@
 #include "entrydaemon.h"
 
 #include "daemon/frame.h"
+#include "gateway/keyledger.h"
 #include "gateway/servicegateway.h"
 #include "node/nodeservices.h"
 #include "utils/log/log.h"
@@ -31,7 +32,9 @@
               gatewayLimits(settings.requests()),
               std::chrono::milliseconds(settings.requests().default_deadline_ms()))
         , node_(Node::sharedSettings(settings, "entry"), frame_.readiness(), handlers())
+        , keyLedger_(node_.table(), settings.node().name())
     {
+        gateway_.useKeyLedger(keyLedger_);
         frame_.serve(gatewayLimits(settings.requests()).maxBodyBytes,
             [this](Http::Request request, Http::Responder respond) {
                 gateway_.handle(std::move(request), std::move(respond));
@@ -62,6 +65,7 @@
     Daemon::Frame frame_;
     Gateway::ServiceGateway gateway_;
     Node::NodeServices node_;
+    Gateway::KeyLedger keyLedger_;
 };
 
 EntryDaemon::EntryDaemon(const Schema::EntryDaemonSettings& settings)
--- a/src/libs/gateway/servicegateway.cpp
+++ b/src/libs/gateway/servicegateway.cpp
@@ -2,8 +2,10 @@
 
 #include "backendpool.h"
 #include "gatewaymetrics.h"
+#include "keyledger.h"
 #include "outcomeresponse.h"
 
+#include "http/headers.h"
 #include "telemetry/burncounter.h"
 
 #include <platform.pb.h>
@@ -18,6 +20,7 @@
 
 namespace {
 
+constexpr std::uint32_t maxForwardedPerEntry = 64; // Requests sent on at once to one entry VM.
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusUnavailable = 503;
@@ -27,6 +30,16 @@
     return error.code == Utils::ErrorCode::NotFound ? statusNotFound : statusBadRequest;
 }
 
+Requests::Outcome outcomeOf(const Http::Response& response)
+{
+    const auto name = Http::findHeader(response.headers, "Geraniumquay-Outcome").value_or("");
+    for (const Requests::Outcome outcome : { Requests::Outcome::Completed, Requests::Outcome::NotRun }) {
+        if (name == Requests::outcomeName(outcome))
+            return outcome;
+    }
+    return Requests::Outcome::Unknown;
+}
+
 BackendTarget targetOf(const Schema::VmEntry& vm)
 {
     BackendTarget target;
@@ -38,6 +51,8 @@
     target.backend.leaving = vm.leaving();
     target.address = { vm.address(), static_cast<std::uint16_t>(vm.port()) };
     target.isEntry = vm.role() == Schema::VM_ROLE_ENTRY;
+    if (target.isEntry)
+        target.backend.slots = target.backend.connections = maxForwardedPerEntry;
     return target;
 }
 
@@ -86,6 +101,10 @@
     std::vector<BackendTarget> targetsOf(const std::string& service) const;
     void rememberVms(std::span<const Schema::VmEntry* const> vms);
 
+    void claimAndSubmit(
+        const Shard& shard, Http::Request request, CallerRequest caller, Http::Responder respond);
+
+    KeyLedger* keyLedger = nullptr;
     EntryPlace place;
     Utils::Duration defaultDeadline;
     Telemetry::BurnCounter burn;
@@ -103,6 +122,30 @@
     std::vector<Schema::VmEntry> vms_;
 };
 
+void ServiceGateway::Private::claimAndSubmit(
+    const Shard& shard, Http::Request request, CallerRequest caller, Http::Responder respond)
+{
+    const Utils::TimePoint deadline = std::chrono::steady_clock::now() + caller.deadline;
+    const KeyUse use { caller.service, caller.key, requestFingerprint(request), deadline };
+    keyLedger->claim(use,
+        [ledger = keyLedger, shard, deadline, request = std::move(request), caller = std::move(caller),
+            respond = std::move(respond)](KeyDecision decision) mutable {
+            if (!std::holds_alternative<Requests::KeyGranted>(decision.step)) {
+                Http::Response response = keyResponse(decision.step);
+                response.headers.push_back({ "Geraniumquay-Request-Id", caller.id });
+                respond(std::move(response));
+                return;
+            }
+            caller.deadline = deadline - std::chrono::steady_clock::now();
+            const auto answered = [ledger, decision = std::move(decision), respond = std::move(respond)](
+                                      Http::Response response) {
+                ledger->record(decision, outcomeOf(response), response);
+                respond(std::move(response));
+            };
+            shard->submit(std::move(request), std::move(caller), answered);
+        });
+}
+
 // A service that left the policy keeps its shard only for the requests in progress.
 void ServiceGateway::Private::applyPolicy(const Schema::PolicyDocument& policy)
 {
@@ -186,7 +229,16 @@
             { Utils::ErrorCode::InvalidArgument, "request.parse", {},
                 "unknown class " + caller.priorityClass });
     }
-    shard->submit(std::move(request), std::move(caller), std::move(respond));
+    // The entry VM that sent it on holds the claim.
+    if (!d_->keyLedger || caller.key.empty() || caller.forwarded)
+        shard->submit(std::move(request), std::move(caller), std::move(respond));
+    else
+        d_->claimAndSubmit(shard, std::move(request), std::move(caller), std::move(respond));
+}
+
+void ServiceGateway::useKeyLedger(KeyLedger& ledger)
+{
+    d_->keyLedger = &ledger;
 }
 
 void ServiceGateway::setPolicy(const Schema::PolicyDocument& policy)
--- a/src/libs/gateway/servicegateway.h
+++ b/src/libs/gateway/servicegateway.h
@@ -13,6 +13,8 @@
 
 namespace Gateway {
 
+class KeyLedger;
+
 /*! Where an entry VM stands. */
 struct EntryPlace {
     std::string name;
@@ -46,6 +48,12 @@
     */
     void handle(Http::Request request, Http::Responder respond);
 
+    /*!
+        Lets requests with an idempotency key claim it first; without this call keys are ignored.
+        \param ledger claims and outcomes; must outlive the gateway's requests.
+    */
+    void useKeyLedger(KeyLedger& ledger);
+
     /*! Applies a policy. \param policy the document in force. */
     void setPolicy(const Schema::PolicyDocument& policy);
 
--- a/src/libs/gateway/serviceshard.cpp
+++ b/src/libs/gateway/serviceshard.cpp
@@ -318,7 +318,7 @@
         const Utils::TimePoint arrival = now();
         const Utils::TimePoint deadline = arrival + caller.deadline;
         Requests::RequestDescription description { id, caller.service, caller.priorityClass, caller.caller,
-            deadline, caller.idempotent, caller.key, request.body.size() };
+            deadline, caller.idempotent, caller.key, caller.forwarded, request.body.size() };
         d_->waiting.emplace(id,
             Waiting {
                 std::move(request), std::move(caller), std::move(respond), arrival, deadline, {}, {}, {} });
--- /dev/null
+++ b/tests/auto/gateway/tst_keyledger.cpp
@@ -0,0 +1,196 @@
+#include "scriptedbackend.h"
+
+#include <gateway/keyledger.h>
+#include <gateway/servicegateway.h>
+#include <http/headers.h>
+#include <platform/memorytable.h>
+
+#include <platform.pb.h>
+#include <policy.pb.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+enum class Fault { None, LoseAnswer, LoseWrite, Down };
+
+// A table that fails commits as told; reads fail only when it is down.
+class FaultyTable final : public Platform::TableService {
+public:
+    Utils::Result<Schema::Row> get(std::string_view key) override
+    {
+        if (fault == Fault::Down)
+            return Utils::Error { Utils::ErrorCode::Unavailable, "table.get", "test", "down" };
+        return table_.get(key);
+    }
+    Utils::Result<Schema::ScanReply> scan(
+        std::string_view prefix, std::string_view after, std::uint32_t limit) override
+    {
+        return table_.scan(prefix, after, limit);
+    }
+    Utils::Result<Schema::CommitReply> commit(const Schema::CommitRequest& request) override
+    {
+        // A commit that is lost is followed by another fault.
+        const Fault now = fault == Fault::LoseAnswer || fault == Fault::LoseWrite ? fault.exchange(afterLoss)
+                                                                                  : fault.load();
+        if (now == Fault::Down)
+            return Utils::Error { Utils::ErrorCode::Unavailable, "table.commit", "test", "down" };
+        if (now == Fault::LoseWrite)
+            return Utils::Error { Utils::ErrorCode::OutcomeUnknown, "table.commit", "test", "lost" };
+        auto reply = table_.commit(request);
+        if (now == Fault::LoseAnswer)
+            return Utils::Error { Utils::ErrorCode::OutcomeUnknown, "table.commit", "test", "lost" };
+        return reply;
+    }
+
+    std::atomic<Fault> fault = Fault::None;
+    Fault afterLoss = Fault::None;
+
+private:
+    Platform::MemoryTable table_;
+};
+
+std::future<Gateway::KeyDecision> claim(
+    Gateway::KeyLedger& ledger, const std::string& key, Utils::Duration limit = 20s)
+{
+    auto promise = std::make_shared<std::promise<Gateway::KeyDecision>>();
+    ledger.claim({ "rounds", key, "digest", std::chrono::steady_clock::now() + limit },
+        [promise](Gateway::KeyDecision decision) { promise->set_value(std::move(decision)); });
+    return promise->get_future();
+}
+
+template <typename Step> bool is(const Gateway::KeyDecision& decision)
+{
+    return std::holds_alternative<Step>(decision.step);
+}
+
+std::string outcomeOf(const Http::Response& response)
+{
+    return std::string(Http::findHeader(response.headers, "Geraniumquay-Outcome").value_or(""));
+}
+
+} // namespace
+
+TEST_CASE("Of claims at two entry VMs one is granted, and the other finds its answer")
+{
+    FaultyTable table;
+    Gateway::KeyLedger first(table, "entry-1");
+    Gateway::KeyLedger second(table, "entry-2");
+    for (int round = 0; round < 30; ++round) {
+        const std::string key = std::to_string(round);
+        auto futures = std::array { claim(first, key), claim(second, key) };
+        const auto granted = [&futures](std::size_t index) {
+            return futures[index].wait_for(0s) == std::future_status::ready;
+        };
+        while (!granted(0) && !granted(1))
+            std::this_thread::yield();
+        const std::size_t winner = granted(0) ? 0 : 1;
+        const Gateway::KeyDecision decision = futures[winner].get();
+        REQUIRE(is<Requests::KeyGranted>(decision));
+        (winner == 0 ? first : second)
+            .record(decision, Requests::Outcome::Completed,
+                { 201, { { "Content-Type", "text/plain" } }, "receipt" });
+        const Gateway::KeyDecision other = futures[1 - winner].get();
+        REQUIRE(is<Requests::KeyKnown>(other));
+        const Http::Response response = Gateway::keyResponse(other.step);
+        CHECK(response.status == 201);
+        CHECK(response.body == "receipt");
+        CHECK(outcomeOf(response) == "completed");
+    }
+}
+
+TEST_CASE("A lost answer to a claim or to a record is resolved")
+{
+    FaultyTable table;
+    Gateway::KeyLedger ledger(table, "entry-1");
+    const Fault fault = GENERATE(Fault::LoseAnswer, Fault::LoseWrite);
+    table.fault = fault;
+    const Gateway::KeyDecision decision = claim(ledger, "k").get();
+    REQUIRE(is<Requests::KeyGranted>(decision));
+    table.fault = fault;
+    ledger.record(decision, Requests::Outcome::Completed, { 200, {}, "whole" });
+    CHECK(is<Requests::KeyKnown>(claim(ledger, "k").get()));
+}
+
+TEST_CASE("While the table is down a request with a key is refused without a claim of not-run")
+{
+    FaultyTable table;
+    Gateway::KeyLedger ledger(table, "entry-1");
+    table.afterLoss = Fault::Down;
+    table.fault = Fault::LoseAnswer; // The claim stands, then the table is down.
+    const Gateway::KeyDecision decision = claim(ledger, "k").get();
+    REQUIRE(is<Requests::KeyUnavailable>(decision));
+    CHECK(outcomeOf(Gateway::keyResponse(decision.step)) == "unknown");
+    CHECK(is<Requests::KeyUnavailable>(claim(ledger, "k").get()));
+    table.fault = Fault::None;
+    // The claim that was never used is released.
+    CHECK(is<Requests::KeyGranted>(claim(ledger, "k").get()));
+}
+
+TEST_CASE("The key of a killed claimer is not granted again")
+{
+    FaultyTable table;
+    {
+        Gateway::KeyLedger killed(table, "entry-1");
+        REQUIRE(is<Requests::KeyGranted>(claim(killed, "k").get()));
+    }
+    Gateway::KeyLedger ledger(table, "entry-2");
+    const Gateway::KeyDecision decision = claim(ledger, "k", 1ms).get();
+    CHECK_FALSE(is<Requests::KeyGranted>(decision));
+    CHECK(outcomeOf(Gateway::keyResponse(decision.step)) == "unknown");
+}
+
+TEST_CASE("A request sent with one key to two entry VMs at once runs once")
+{
+    FaultyTable table;
+    Gateway::KeyLedger ledger(table, "entry-1");
+    Testing::BackendScript script;
+    script.answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    Testing::ScriptedBackend backend(script);
+    Schema::PolicyDocument policy;
+    policy.add_priority_class()->set_name("normal");
+    policy.mutable_priority_class(0)->set_ceiling_percent(100);
+    policy.mutable_priority_class(0)->set_max_queue_ms(500);
+    policy.add_service()->set_name("rounds");
+    Schema::VmEntry vm;
+    vm.set_name("backend-1");
+    vm.set_role(Schema::VM_ROLE_BACKEND);
+    vm.set_address("127.0.0.1");
+    vm.set_port(backend.port());
+    vm.set_domain("a");
+    vm.set_service("rounds");
+    vm.set_slots(8);
+    const Schema::VmEntry* const vms[] = { &vm };
+    boost::asio::io_context context { 1 };
+    Gateway::ServiceGateway gateways[]
+        = { { context, { "entry-1", "a", "r" }, {}, 20s }, { context, { "entry-2", "a", "r" }, {}, 20s } };
+    std::vector<std::promise<Http::Response>> answers(4);
+    for (Gateway::ServiceGateway& gateway : gateways) {
+        gateway.useKeyLedger(ledger);
+        gateway.setPolicy(policy);
+        gateway.setVms(vms);
+    }
+    const auto work = boost::asio::make_work_guard(context);
+    std::thread thread([&context] { context.run(); });
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        gateways[index % 2].handle(
+            { "POST", "/services/rounds/charge", { { "Idempotency-Key", "k" } }, "7", "" },
+            [&answers, index](Http::Response response) { answers[index].set_value(std::move(response)); });
+    }
+    for (auto& answer : answers) {
+        const Http::Response response = answer.get_future().get();
+        CHECK(outcomeOf(response) == "completed");
+        CHECK(response.body == "whole");
+    }
+    CHECK(backend.runs() == 1);
+    context.stop();
+    thread.join();
+}
