--- a/src/libs/entry/entrydaemon.cpp
+++ b/src/libs/entry/entrydaemon.cpp
@@ -3,6 +3,7 @@
 #include "jobhandler.h"
 
 #include "daemon/frame.h"
+#include "gateway/keyledger.h"
 #include "gateway/servicegateway.h"
 #include "node/nodeservices.h"
 #include "utils/log/log.h"
@@ -34,7 +35,9 @@
               std::chrono::milliseconds(settings.requests().default_deadline_ms()))
         , node_(Node::sharedSettings(settings, "entry"), frame_.readiness(), handlers())
         , jobs_(node_.table())
+        , keyLedger_(node_.table(), settings.node().name())
     {
+        gateway_.useKeyLedger(keyLedger_);
         frame_.serve(gatewayLimits(settings.requests()).maxBodyBytes,
             [this](Http::Request request, Http::Responder respond) {
                 if (JobHandler::accepts(request.target))
@@ -69,6 +72,7 @@
     Gateway::ServiceGateway gateway_;
     Node::NodeServices node_;
     JobHandler jobs_;
+    Gateway::KeyLedger keyLedger_;
 };
 
 EntryDaemon::EntryDaemon(const Schema::EntryDaemonSettings& settings)
