Test membership in simulated time

Cause: the member table had no test; a simulated network with delay, loss, pauses and partitions is needed to judge it. Ruled out: real time, on which no verdict may hang.

--- a/src/libs/membership/memberstates.cpp
+++ b/src/libs/membership/memberstates.cpp
@@ -197,20 +197,21 @@
         domain.lastWord = now;
 }
 
-std::uint64_t MemberStates::membersHash(std::string_view domain, const Schema::Member& self) const
+std::map<std::string_view, std::uint64_t> MemberStates::memberHashes(const Schema::Member& self) const
 {
-    std::uint64_t hash = 0;
+    std::map<std::string_view, std::uint64_t> hashes;
     // A sum does not depend on the order.
     const auto add = [&](const Schema::Member& member) {
-        hash += XXH3_64bits_withSeed(member.name().data(), member.name().size(), member.incarnation());
+        hashes[member.domain()]
+            += XXH3_64bits_withSeed(member.name().data(), member.name().size(), member.incarnation());
     };
     for (const auto& [name, entry] : entries_) {
-        if (isIn(entry) && entry.member.domain() == domain)
+        if (isIn(entry))
             add(entry.member);
     }
-    if (self.domain() == domain && !isOut(self.state()))
+    if (!isOut(self.state()))
         add(self);
-    return hash;
+    return hashes;
 }
 
 } // namespace Membership::Internal
--- a/src/libs/membership/memberstates.h
+++ b/src/libs/membership/memberstates.h
@@ -55,8 +55,8 @@
     /*! Forgets all silence up to \a now, after a pause of this process. */
     void forgiveSilence(Utils::TimePoint now);
 
-    /*! \return hash over the alive members of a domain, including \a self if it is in it. */
-    std::uint64_t membersHash(std::string_view domain, const Schema::Member& self) const;
+    /*! \return for each domain with alive members a hash over them, including \a self. */
+    std::map<std::string_view, std::uint64_t> memberHashes(const Schema::Member& self) const;
 
     /*! \return true if silence of this member of the own domain counts as suspicion. */
     bool isSuspect(const Entry& entry, Utils::TimePoint now) const;
--- a/src/libs/membership/membertable.cpp
+++ b/src/libs/membership/membertable.cpp
@@ -177,7 +177,6 @@
     Schema::DomainSummary own;
     own.set_domain(self.domain());
     own.set_beat(beat);
-    own.set_members_hash(states.membersHash(self.domain(), self));
     own.set_lowest_revision(lowestRevision());
     return own;
 }
@@ -189,12 +188,14 @@
     addChanges(view, now);
     if (!withDomains)
         return view;
+    auto hashes = states.memberHashes(self);
     *view.add_domains() = ownSummary();
+    view.mutable_domains(0)->set_members_hash(hashes[self.domain()]);
     for (const auto& [name, domain] : states.domains()) {
         Schema::DomainSummary* summary = view.add_domains();
         summary->set_domain(name);
         summary->set_beat(domain.beat);
-        summary->set_members_hash(states.membersHash(name, self));
+        summary->set_members_hash(hashes[name]);
         summary->set_lowest_revision(domain.lowestRevision);
     }
     return view;
@@ -338,9 +339,10 @@
             d_->addDomainMembers(view, name, now);
         return view;
     }
+    auto hashes = d_->states.memberHashes(d_->self);
     for (const Schema::DomainSummary& summary : received.domains()) {
         const bool quiet = now - d_->states.changedAt(summary.domain()) >= d_->options.repairAfter;
-        if (quiet && summary.members_hash() != d_->states.membersHash(summary.domain(), d_->self))
+        if (quiet && summary.members_hash() != hashes[summary.domain()])
             d_->addDomainMembers(view, summary.domain(), now);
     }
     return view;
--- /dev/null
+++ b/tests/auto/membership/simulatedmembers.cpp
@@ -0,0 +1,177 @@
+#include "simulatedmembers.h"
+
+namespace Testing {
+
+namespace {
+
+constexpr Utils::Duration tickInterval = std::chrono::milliseconds(100);
+constexpr char address[] = "127.0.0.1";
+
+} // namespace
+
+SimulatedMembers::SimulatedMembers(
+    const Membership::MembershipOptions& options, const NetworkOptions& network, std::uint64_t seed)
+    : options_(options)
+    , network_(network)
+    , random_(seed)
+    // Away from the clock's epoch, as on a machine that has been up for long.
+    , now_(std::chrono::hours(24))
+{
+}
+
+void SimulatedMembers::start(const std::string& name, const std::string& domain)
+{
+    Schema::Member self;
+    self.set_name(name);
+    self.set_role("entry");
+    self.set_region("region");
+    self.set_domain(domain);
+    self.set_address(address);
+    self.set_incarnation(lastIncarnation_ += 1000000);
+    std::uint32_t port = 0;
+    for (const auto& [knownPort, knownName] : namesByPort_) {
+        if (knownName == name)
+            port = knownPort;
+    }
+    if (port == 0)
+        port = static_cast<std::uint32_t>(namesByPort_.size() + 1);
+    namesByPort_[port] = name;
+    self.set_port(port);
+    Node& node = nodes[name];
+    node.domain = domain;
+    node.paused = false;
+    node.table = std::make_unique<Membership::MemberTable>(self, options_, random_, now_);
+    node.nextTick = now_
+        + Utils::Duration(std::uniform_int_distribution<std::int64_t>(0, tickInterval.count())(random_));
+    // Two seeds, so that the loss of one process does not cut the others off.
+    for (std::uint32_t seed = 1; seed <= 2; ++seed)
+        node.table->addSeed(address, seed);
+}
+
+void SimulatedMembers::kill(const std::string& name)
+{
+    nodes[name].table.reset();
+}
+
+void SimulatedMembers::leave(const std::string& name)
+{
+    for (Membership::Exchange& exchange : nodes[name].table->leave(now_))
+        send(name, namesByPort_[exchange.port], std::move(exchange.view), false);
+    kill(name);
+}
+
+void SimulatedMembers::pause(const std::string& name)
+{
+    nodes[name].paused = true;
+}
+
+void SimulatedMembers::resume(const std::string& name)
+{
+    nodes[name].paused = false;
+    nodes[name].nextTick = now_;
+}
+
+void SimulatedMembers::setCut(const std::string& domain, bool cut)
+{
+    if (cut)
+        cutDomains_.insert(domain);
+    else
+        cutDomains_.erase(domain);
+}
+
+bool SimulatedMembers::isCutBetween(const std::string& from, const std::string& to) const
+{
+    const std::string& first = nodes.at(from).domain;
+    const std::string& second = nodes.at(to).domain;
+    return first != second && (cutDomains_.contains(first) || cutDomains_.contains(second));
+}
+
+void SimulatedMembers::send(
+    const std::string& from, const std::string& to, Schema::PeerView view, bool isAnswer)
+{
+    Node& sender = nodes[from];
+    sender.sentBytes += view.ByteSizeLong();
+    ++sender.sentMessages;
+    const bool lost = std::uniform_real_distribution<double>(0, 1)(random_) < network_.loss;
+    if (lost || !nodes.contains(to) || isCutBetween(from, to))
+        return;
+    const bool local = sender.domain == nodes.at(to).domain;
+    const Utils::Duration delay = local ? network_.localDelay : network_.remoteDelay;
+    messages_.push({ now_ + delay, ++messageCount_, from, to, std::move(view), isAnswer });
+}
+
+void SimulatedMembers::deliver(const Message& message)
+{
+    Node& node = nodes.at(message.to);
+    if (!node.table || node.paused)
+        return;
+    if (message.isAnswer)
+        node.table->handleAnswer(message.view, now_);
+    else
+        send(message.to, message.from, node.table->answer(message.view, now_), true);
+}
+
+void SimulatedMembers::tick(const std::string& name, Node& node)
+{
+    for (Membership::Exchange& exchange : node.table->dueExchanges(now_))
+        send(name, namesByPort_[exchange.port], std::move(exchange.view), false);
+    for (Membership::MemberEvent& event : node.table->takeEvents())
+        node.events.push_back(std::move(event));
+    node.nextTick = now_ + tickInterval;
+}
+
+void SimulatedMembers::advance(Utils::Duration duration)
+{
+    const Utils::TimePoint end = now_ + duration;
+    while (true) {
+        Utils::TimePoint next = end;
+        for (const auto& [name, node] : nodes) {
+            if (node.table && !node.paused)
+                next = std::min(next, node.nextTick);
+        }
+        if (!messages_.empty() && messages_.top().at <= next) {
+            const Message message = messages_.top();
+            messages_.pop();
+            now_ = message.at;
+            deliver(message);
+            continue;
+        }
+        now_ = next;
+        for (auto& [name, node] : nodes) {
+            if (node.table && !node.paused && node.nextTick <= now_)
+                tick(name, node);
+        }
+        if (now_ >= end)
+            return;
+    }
+}
+
+std::set<std::string> SimulatedMembers::namesIn(const std::string& viewer, Schema::MemberState state) const
+{
+    std::set<std::string> names;
+    for (const Schema::Member& member : nodes.at(viewer).table->members(now_)) {
+        if (member.state() == state)
+            names.insert(member.name());
+    }
+    return names;
+}
+
+std::size_t SimulatedMembers::count(const std::string& viewer, Membership::MemberChange change) const
+{
+    std::size_t number = 0;
+    for (const Membership::MemberEvent& event : nodes.at(viewer).events)
+        number += event.change == change ? 1 : 0;
+    return number;
+}
+
+Utils::Duration SimulatedMembers::timeUntil(const std::function<bool()>& condition, Utils::Duration limit)
+{
+    Utils::Duration passed {};
+    while (passed < limit && !condition()) {
+        advance(tickInterval);
+        passed += tickInterval;
+    }
+    return passed;
+}
+
+} // namespace Testing
--- /dev/null
+++ b/tests/auto/membership/simulatedmembers.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <membership/membertable.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Testing {
+
+/*! How the simulated network behaves. */
+struct NetworkOptions {
+    Utils::Duration localDelay = std::chrono::microseconds(500);
+    Utils::Duration remoteDelay = std::chrono::milliseconds(12);
+    double loss = 0; //!< Share of messages lost, each way.
+};
+
+/*! Member tables that exchange over a simulated network in simulated time; the seed fixes everything. */
+class SimulatedMembers {
+public:
+    struct Node {
+        std::string domain;
+        std::unique_ptr<Membership::MemberTable> table; //!< Null while the process is dead.
+        bool paused = false;
+        Utils::TimePoint nextTick {};
+        std::vector<Membership::MemberEvent> events; //!< All events so far.
+        std::uint64_t sentBytes = 0;
+        std::uint64_t sentMessages = 0;
+    };
+
+    SimulatedMembers(
+        const Membership::MembershipOptions& options, const NetworkOptions& network, std::uint64_t seed);
+
+    /*! Starts a process that knows the address of one other, or starts it again after a kill. */
+    void start(const std::string& name, const std::string& domain);
+    void kill(const std::string& name);
+    void leave(const std::string& name);
+    void pause(const std::string& name);
+    void resume(const std::string& name);
+
+    /*! Cuts a domain off from all others, or joins it again. */
+    void setCut(const std::string& domain, bool cut);
+
+    void advance(Utils::Duration duration);
+
+    /*! \return names that a process has in its list in the given state. */
+    std::set<std::string> namesIn(const std::string& viewer, Schema::MemberState state) const;
+
+    /*! \return number of events of one kind at one process. */
+    std::size_t count(const std::string& viewer, Membership::MemberChange change) const;
+
+    /*! \return simulated time until the condition holds, looked at every 100 ms; the limit if it never does.
+     */
+    Utils::Duration timeUntil(const std::function<bool()>& condition, Utils::Duration limit);
+
+    std::map<std::string, Node> nodes;
+
+private:
+    struct Message {
+        Utils::TimePoint at;
+        std::uint64_t order = 0;
+        std::string from;
+        std::string to;
+        Schema::PeerView view;
+        bool isAnswer = false;
+
+        bool operator>(const Message& other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    void tick(const std::string& name, Node& node);
+    void send(const std::string& from, const std::string& to, Schema::PeerView view, bool isAnswer);
+    void deliver(const Message& message);
+    bool isCutBetween(const std::string& from, const std::string& to) const;
+
+    Membership::MembershipOptions options_;
+    NetworkOptions network_;
+    std::mt19937_64 random_;
+    Utils::TimePoint now_ {};
+    std::uint64_t messageCount_ = 0;
+    std::uint64_t lastIncarnation_ = 0;
+    std::set<std::string> cutDomains_;
+    std::map<std::uint32_t, std::string> namesByPort_;
+    std::priority_queue<Message, std::vector<Message>, std::greater<>> messages_;
+};
+
+} // namespace Testing
--- /dev/null
+++ b/tests/auto/membership/tst_membertable.cpp
@@ -0,0 +1,188 @@
+#include "simulatedmembers.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace std::chrono_literals;
+using Membership::MemberChange;
+
+constexpr double testLoss = 0.05;
+constexpr std::uint64_t seeds[] = { 11, 12, 13, 14, 15 };
+constexpr Utils::Duration removalLimit = 5s;
+constexpr Utils::Duration settleTime = 30s;
+
+std::string nameOf(int domain, int member)
+{
+    return "d" + std::to_string(domain) + "-m" + std::to_string(member);
+}
+
+std::unique_ptr<Testing::SimulatedMembers> makeMembers(
+    int domains, int members, double loss, std::uint64_t seed)
+{
+    auto simulation = std::make_unique<Testing::SimulatedMembers>(
+        Membership::MembershipOptions {}, Testing::NetworkOptions { .loss = loss }, seed);
+    for (int domain = 0; domain < domains; ++domain) {
+        for (int member = 0; member < members; ++member)
+            simulation->start(nameOf(domain, member), "d" + std::to_string(domain));
+    }
+    simulation->advance(settleTime);
+    return simulation;
+}
+
+bool everyoneElse(
+    Testing::SimulatedMembers& simulation, const std::function<bool(const std::string&)>& condition)
+{
+    for (const auto& [name, node] : simulation.nodes) {
+        if (node.table && !node.paused && !condition(name))
+            return false;
+    }
+    return true;
+}
+
+bool outEverywhere(Testing::SimulatedMembers& simulation, const std::string& gone)
+{
+    return everyoneElse(simulation, [&](const std::string& viewer) {
+        return !simulation.namesIn(viewer, Schema::MEMBER_ALIVE).contains(gone)
+            && !simulation.namesIn(viewer, Schema::MEMBER_SUSPECT).contains(gone);
+    });
+}
+
+} // namespace
+
+TEST_CASE("Nobody is removed at 5% loss, and all know all")
+{
+    for (const std::uint64_t seed : seeds) {
+        auto simulation = makeMembers(3, 8, testLoss, seed);
+        CHECK(everyoneElse(*simulation, [&](const std::string& viewer) {
+            return simulation->namesIn(viewer, Schema::MEMBER_ALIVE).size() == 24;
+        }));
+        simulation->advance(10min);
+        for (const auto& [name, node] : simulation->nodes) {
+            CHECK(simulation->count(name, MemberChange::Died) == 0);
+            CHECK(simulation->count(name, MemberChange::Unreachable) == 0);
+            CHECK(simulation->count(name, MemberChange::Readmitted) == 0);
+        }
+    }
+}
+
+TEST_CASE("Two members of a domain keep each other at 5% loss without a third to ask")
+{
+    for (const std::uint64_t seed : seeds) {
+        auto simulation = makeMembers(1, 2, testLoss, seed);
+        simulation->advance(60min);
+        CHECK(simulation->count(nameOf(0, 0), MemberChange::Died) == 0);
+        CHECK(simulation->count(nameOf(0, 1), MemberChange::Died) == 0);
+    }
+}
+
+TEST_CASE("A dead member is out everywhere within 5 s at 5% loss")
+{
+    for (const std::uint64_t seed : seeds) {
+        auto simulation = makeMembers(3, 8, testLoss, seed);
+        simulation->kill(nameOf(1, 3));
+        const auto passed
+            = simulation->timeUntil([&] { return outEverywhere(*simulation, nameOf(1, 3)); }, 20s);
+        INFO("seed " << seed);
+        CHECK(std::chrono::duration<double>(passed).count()
+            <= std::chrono::duration<double>(removalLimit).count());
+    }
+}
+
+TEST_CASE("A member that leaves as planned is out everywhere within 3 s")
+{
+    for (const std::uint64_t seed : seeds) {
+        auto simulation = makeMembers(3, 8, testLoss, seed);
+        simulation->leave(nameOf(1, 3));
+        CHECK(simulation->timeUntil([&] { return outEverywhere(*simulation, nameOf(1, 3)); }, 20s) <= 3s);
+        CHECK(simulation->count(nameOf(1, 4), MemberChange::Left) == 1);
+    }
+}
+
+TEST_CASE("A member paused beyond removal comes back under a higher incarnation only")
+{
+    auto simulation = makeMembers(2, 4, 0, 21);
+    const std::string paused = nameOf(0, 2);
+    const std::uint64_t before = simulation->nodes[paused].table->self().incarnation();
+    simulation->pause(paused);
+    simulation->advance(10s);
+    CHECK(outEverywhere(*simulation, paused));
+    simulation->resume(paused);
+    simulation->advance(10s);
+    const std::uint64_t after = simulation->nodes[paused].table->self().incarnation();
+    CHECK(after > before);
+    CHECK(simulation->count(paused, MemberChange::Readmitted) >= 1);
+    CHECK(simulation->count(paused, MemberChange::Died) == 0);
+    for (const auto& [name, node] : simulation->nodes) {
+        CHECK(simulation->namesIn(name, Schema::MEMBER_ALIVE).size() == 8);
+        std::uint64_t incarnation = before;
+        for (const Membership::MemberEvent& event : node.events) {
+            if (event.member.name() != paused)
+                continue;
+            CHECK(event.member.incarnation() >= incarnation);
+            incarnation = event.member.incarnation();
+        }
+        CHECK(incarnation == after);
+    }
+}
+
+TEST_CASE("A short pause that costs no place still costs the incarnation once suspicion was possible")
+{
+    auto simulation = makeMembers(1, 3, 0, 22);
+    const std::string paused = nameOf(0, 1);
+    const std::uint64_t before = simulation->nodes[paused].table->self().incarnation();
+    simulation->pause(paused);
+    simulation->advance(2s);
+    simulation->resume(paused);
+    simulation->advance(1s);
+    CHECK(simulation->nodes[paused].table->self().incarnation() == before);
+    simulation->pause(paused);
+    simulation->advance(2500ms);
+    simulation->resume(paused);
+    simulation->advance(3s);
+    CHECK(simulation->nodes[paused].table->self().incarnation() == before + 1);
+}
+
+TEST_CASE("A domain cut off is unreachable and reachable again, and nobody in it is removed")
+{
+    auto simulation = makeMembers(3, 4, testLoss, 23);
+    simulation->setCut("d2", true);
+    simulation->advance(60s);
+    CHECK(simulation->namesIn(nameOf(0, 0), Schema::MEMBER_UNREACHABLE).size() == 4);
+    CHECK(simulation->namesIn(nameOf(0, 0), Schema::MEMBER_ALIVE).size() == 8);
+    CHECK(simulation->namesIn(nameOf(2, 0), Schema::MEMBER_ALIVE).size() == 4);
+    CHECK(simulation->namesIn(nameOf(2, 0), Schema::MEMBER_UNREACHABLE).size() == 8);
+    simulation->setCut("d2", false);
+    const auto allAlive = [&] {
+        return everyoneElse(*simulation, [&](const std::string& viewer) {
+            return simulation->namesIn(viewer, Schema::MEMBER_ALIVE).size() == 12;
+        });
+    };
+    CHECK(simulation->timeUntil(allAlive, 20s) <= 5s);
+    for (const auto& [name, node] : simulation->nodes)
+        CHECK(simulation->count(name, MemberChange::Died) == 0);
+}
+
+TEST_CASE("What changed in a cut-off domain is learnt after the cut, however long it lasted")
+{
+    auto simulation = makeMembers(2, 4, 0, 24);
+    simulation->setCut("d1", true);
+    simulation->kill(nameOf(1, 3));
+    simulation->start(nameOf(1, 9), "d1");
+    simulation->advance(15min);
+    simulation->setCut("d1", false);
+    simulation->advance(20s);
+    const auto alive = simulation->namesIn(nameOf(0, 0), Schema::MEMBER_ALIVE);
+    CHECK(alive.contains(nameOf(1, 9)));
+    CHECK_FALSE(alive.contains(nameOf(1, 3)));
+}
+
+TEST_CASE("The lowest revision in force in each domain is known everywhere")
+{
+    auto simulation = makeMembers(3, 4, 0, 25);
+    for (auto& [name, node] : simulation->nodes)
+        node.table->setRevision(name == nameOf(1, 2) ? 6 : 7);
+    simulation->advance(10s);
+    for (const auto& summary : simulation->nodes[nameOf(0, 0)].table->domains())
+        CHECK(summary.lowest_revision() == (summary.domain() == "d1" ? 6 : 7));
+}
