--- a/tests/auto/membership/tst_memberstateful.cpp
+++ b/tests/auto/membership/tst_memberstateful.cpp
@@ -124,8 +124,10 @@
             std::uint64_t& known = highest[event.member.name()];
             RC_ASSERT(incarnation >= known);
             known = incarnation;
-            if (event.change == MemberChange::Died || event.change == MemberChange::Left)
+            if (event.change == MemberChange::Died || event.change == MemberChange::Left) {
+                RC_ASSERT(incarnation > out[event.member.name()]);
                 out[event.member.name()] = incarnation;
+            }
             if (event.change == MemberChange::Joined || event.change == MemberChange::Reachable)
                 RC_ASSERT(incarnation > out[event.member.name()]);
         }
--- a/tests/auto/membership/tst_membertable.cpp
+++ b/tests/auto/membership/tst_membertable.cpp
@@ -76,6 +76,27 @@
     }
 }
 
+TEST_CASE("Two members of a domain keep each other at 20% loss, as suspects are probed more often")
+{
+    auto simulation = std::make_unique<Testing::SimulatedMembers>(
+        Membership::MembershipOptions {}, Testing::NetworkOptions { .loss = 0.2 }, 16);
+    simulation->start(nameOf(0, 0), "d0");
+    simulation->start(nameOf(0, 1), "d0");
+    simulation->advance(120min);
+    CHECK(simulation->count(nameOf(0, 0), MemberChange::Died) == 0);
+    CHECK(simulation->count(nameOf(0, 1), MemberChange::Died) == 0);
+}
+
+TEST_CASE("Members that ask each other about a dead one do not keep it alive, however slow the network")
+{
+    Testing::SimulatedMembers simulation({}, { .localDelay = 200ms }, 17);
+    for (int member = 0; member < 12; ++member)
+        simulation.start(nameOf(0, member), "d0");
+    simulation.advance(settleTime);
+    simulation.kill(nameOf(0, 5));
+    CHECK(simulation.timeUntil([&] { return outEverywhere(simulation, nameOf(0, 5)); }, 60s) <= removalLimit);
+}
+
 TEST_CASE("A dead member is out everywhere within 5 s at 5% loss")
 {
     for (const std::uint64_t seed : seeds) {
@@ -168,6 +189,7 @@
     auto simulation = makeMembers(2, 4, 0, 24);
     simulation->setCut("d1", true);
     simulation->kill(nameOf(1, 3));
+    simulation->advance(1min);
     simulation->start(nameOf(1, 9), "d1");
     simulation->advance(15min);
     simulation->setCut("d1", false);
