--- a/src/libs/membership/memberstates.h
+++ b/src/libs/membership/memberstates.h
@@ -18,6 +18,7 @@
     Utils::TimePoint lastHeard; //!< Last word, direct or told by a peer that had direct word.
     Utils::TimePoint changedAt; //!< Last change of incarnation or state.
     Utils::TimePoint nextExchange;
+    Utils::TimePoint lastSent; //!< Start of the last exchange from here.
 };
 
 /*! What is known of one other failure domain. */
--- a/src/libs/membership/membertable.cpp
+++ b/src/libs/membership/membertable.cpp
@@ -212,12 +212,11 @@
     for (auto& [name, entry] : states.entries()) {
         if (!isPeer(entry))
             continue;
-        const bool suspect = states.isSuspect(entry, now);
-        if (suspect)
-            entry.nextExchange = std::min(entry.nextExchange, entry.lastHeard + options.suspectAfter);
-        if (now < entry.nextExchange)
+        const bool isProbe = states.isSuspect(entry, now) && now - entry.lastSent >= options.probe;
+        if (!isProbe && now < entry.nextExchange)
             continue;
-        entry.nextExchange = now + jittered(suspect ? options.probe : options.heartbeat);
+        entry.nextExchange = now + jittered(options.heartbeat);
+        entry.lastSent = now;
         const bool withDomains = summariesLeft > 0;
         summariesLeft -= withDomains ? 1 : 0;
         exchanges.push_back(exchangeWith(entry.member, now, withDomains));
--- a/tests/auto/membership/simulatedmembers.cpp
+++ b/tests/auto/membership/simulatedmembers.cpp
@@ -44,16 +44,9 @@
     node.table = std::make_unique<Membership::MemberTable>(self, options_, random_, now_);
     node.nextTick = now_
         + Utils::Duration(std::uniform_int_distribution<std::int64_t>(0, tickInterval.count())(random_));
-    // The VM list names the other processes of the domain; the first of a domain knows one of another.
-    bool isFirst = true;
-    for (const auto& [knownPort, knownName] : namesByPort_) {
-        if (knownPort == port || nodes[knownName].domain != domain)
-            continue;
-        isFirst = false;
+    // As from the VM list: all processes that have been started so far.
+    for (const auto& [knownPort, knownName] : namesByPort_)
         node.table->addSeed(address, knownPort);
-    }
-    if (isFirst)
-        node.table->addSeed(address, 1);
 }
 
 void SimulatedMembers::kill(const std::string& name)
