--- a/src/libs/membership/membershipoptions.h
+++ b/src/libs/membership/membershipoptions.h
@@ -10,7 +10,7 @@
 struct MembershipOptions {
     Utils::Duration heartbeat = std::chrono::milliseconds(1000); //!< Between exchanges of a pair.
     Utils::Duration suspectAfter = std::chrono::milliseconds(2200); //!< Silence until suspicion.
-    Utils::Duration probe = std::chrono::milliseconds(250); //!< Between exchanges with a suspect.
+    Utils::Duration probe = std::chrono::milliseconds(100); //!< Between exchanges with a suspect.
     Utils::Duration deadAfter = std::chrono::milliseconds(4000); //!< Silence until removal.
     Utils::Duration domainLostAfter = std::chrono::milliseconds(4000); //!< Silence of a whole domain.
     Utils::Duration spreadFor = std::chrono::milliseconds(6000); //!< How long a change is repeated.
