--- a/src/libs/membership/memberstates.h
+++ b/src/libs/membership/memberstates.h
@@ -18,6 +18,7 @@
     Utils::TimePoint lastHeard; //!< Last word, direct or told by a peer that had direct word.
     Utils::TimePoint changedAt; //!< Last change of incarnation or state.
     Utils::TimePoint nextExchange;
+    Utils::TimePoint lastSent; //!< Start of the last exchange from here.
 };
 
 /*! What is known of one other failure domain. */
@@ -55,8 +56,8 @@
     /*! Forgets all silence up to \a now, after a pause of this process. */
     void forgiveSilence(Utils::TimePoint now);
 
-    /*! \return hash over the alive members of a domain, including \a self if it is in it. */
-    std::uint64_t membersHash(std::string_view domain, const Schema::Member& self) const;
+    /*! \return for each domain with alive members a hash over them, including \a self. */
+    std::map<std::string_view, std::uint64_t> memberHashes(const Schema::Member& self) const;
 
     /*! \return true if silence of this member of the own domain counts as suspicion. */
     bool isSuspect(const Entry& entry, Utils::TimePoint now) const;
