--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -14,6 +14,7 @@
 #include <mutex>
 #include <optional>
 #include <unordered_set>
+#include <vector>
 
 namespace Http {
 
@@ -25,6 +26,9 @@
 
 constexpr std::uint32_t maxHeaderBytes = 32U << 10U;
 constexpr auto writeTimeout = std::chrono::seconds(30);
+constexpr auto drainTimeout = std::chrono::seconds(2);
+constexpr std::size_t drainChunkBytes = 64U << 10U;
+constexpr std::size_t maxDrainBytes = 64U << 20U;
 constexpr auto acceptPause = std::chrono::milliseconds(20);
 
 std::string errorBody(std::string_view message)
@@ -73,6 +77,7 @@
     bool serveOne(Stream& stream, Beast::flat_buffer& buffer, const Asio::yield_context& yield);
     Response handle(Request request, const Asio::yield_context& yield);
     bool write(Stream& stream, Response response, bool keepAlive, const Asio::yield_context& yield);
+    static void drain(Stream& stream, const Asio::yield_context& yield);
     Utils::Duration readTimeout() const;
     void add(const std::shared_ptr<Stream>& stream);
     void remove(const std::shared_ptr<Stream>& stream);
@@ -161,8 +166,10 @@
     Beast::http::async_read(stream, buffer, parser, yield[failure]);
     if (failure) {
         auto answer = answerToFailedRead(failure);
-        if (answer)
+        if (answer) {
             write(stream, std::move(*answer), false, yield);
+            drain(stream, yield);
+        }
         return false;
     }
     stream.expires_never();
@@ -202,6 +209,18 @@
     return !failure && keepAlive;
 }
 
+// Closing with unread bytes resets the connection, and the sender would lose the answer that says why.
+void Server::Private::drain(Stream& stream, const Asio::yield_context& yield)
+{
+    boost::system::error_code failure;
+    stream.socket().shutdown(Tcp::socket::shutdown_send, failure);
+    std::vector<char> scratch(drainChunkBytes);
+    std::size_t drained = 0;
+    stream.expires_after(drainTimeout);
+    while (!failure && drained < maxDrainBytes)
+        drained += stream.async_read_some(Asio::buffer(scratch), yield[failure]);
+}
+
 Utils::Duration Server::Private::readTimeout() const
 {
     return stopping_ ? options_.drainGrace : options_.idleTimeout;
