--- a/src/libs/node/nodeservices.cpp
+++ b/src/libs/node/nodeservices.cpp
@@ -97,6 +97,8 @@
     };
     result.offer = [this](const Schema::AcceptedConfiguration& accepted) { offer(accepted); };
     result.burn = handlers.burn;
+    result.credits = handlers.credits;
+    result.creditsTold = handlers.creditsTold;
     result.changed = handlers.member;
     return result;
 }
