--- /dev/null
+++ b/src/libs/gateway/creditkeeper.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "servicegateway.h"
+
+#include "requests/creditholder.h"
+
+#include <requests.pb.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace Platform {
+class TableService;
+}
+
+namespace Gateway {
+
+/*!
+    Keeps this entry VM's slot credits of all services: reads the divisions, hears its peers, proposes
+   changes.
+
+    Safe for use from several threads; readTable() and apply() are each called on one thread.
+*/
+class CreditKeeper {
+public:
+    /*!
+        \param gateway receives the credits.
+        \param place name and domain of this entry VM.
+        \param incarnation start of this process in microseconds of Unix time.
+    */
+    CreditKeeper(ServiceGateway& gateway, EntryPlace place, std::uint64_t incarnation);
+    ~CreditKeeper();
+    CreditKeeper(const CreditKeeper&) = delete;
+    CreditKeeper& operator=(const CreditKeeper&) = delete;
+
+    /*!
+        Reads the divisions and proposes changes; waits for the table.
+        \param table the platform's table.
+    */
+    void readTable(Platform::TableService& table);
+
+    /*! Gives the shares to the gateway. \return true if each service has a division. */
+    bool apply();
+
+    /*! \return this process's state, for peers. */
+    Schema::CreditReports reports() const;
+
+    /*!
+        Takes a peer's state.
+        \param reports the state.
+        \param asked when this process asked for it; TimePoint::min() if it did not.
+    */
+    void take(const Schema::CreditReports& reports, Utils::TimePoint asked);
+
+    /*! The platform says that a VM is gone. \param name its name. */
+    void vmGone(const std::string& name);
+
+private:
+    class Private;
+    std::unique_ptr<Private> d_;
+};
+
+} // namespace Gateway
--- a/src/libs/gateway/servicegateway.cpp
+++ b/src/libs/gateway/servicegateway.cpp
@@ -165,6 +165,7 @@
         parameters.service = service.name();
         parameters.domain = place.domain;
         parameters.region = place.region;
+        parameters.requireCredits = limits_.requireCredits;
         parameters.seed = std::hash<std::string> {}(place.name + "/" + service.name());
         shard = std::make_shared<ServiceShard>(context_, pool_, burn, std::move(parameters), limits_);
     }
@@ -258,6 +259,37 @@
         shard->setTargets(d_->targetsOf(service));
 }
 
+std::vector<std::string> ServiceGateway::services() const
+{
+    std::vector<std::string> names;
+    for (const auto& [service, shard] : d_->shards())
+        names.push_back(service);
+    return names;
+}
+
+std::vector<Requests::Backend> ServiceGateway::ownBackends(const std::string& service) const
+{
+    std::vector<Requests::Backend> backends;
+    for (const BackendTarget& target : d_->targetsOf(service)) {
+        if (!target.isEntry)
+            backends.push_back(target.backend);
+    }
+    return backends;
+}
+
+void ServiceGateway::setCredits(
+    const std::string& service, std::string_view backend, std::uint32_t slots, Utils::TimePoint expiry)
+{
+    if (const auto shard = d_->find(service))
+        shard->setCredits(backend, slots, expiry);
+}
+
+Requests::RequestCounters ServiceGateway::counters(const std::string& service) const
+{
+    const auto shard = d_->find(service);
+    return shard ? shard->counters() : Requests::RequestCounters {};
+}
+
 Schema::BurnSamples ServiceGateway::burnSamples() const
 {
     return d_->burn.samples(std::chrono::steady_clock::now());
--- a/src/libs/node/nodeservices.h
+++ b/src/libs/node/nodeservices.h
@@ -48,6 +48,9 @@
     std::function<void(const Schema::PolicyDocument&)> policy; //!< Another configuration is in force.
     std::function<void(std::span<const Schema::VmEntry* const>)> vms; //!< The VM list was read.
     std::function<Schema::BurnSamples()> burn; //!< Counts for the burn report; may be empty.
+    std::function<Schema::CreditReports()> credits; //!< State of slot credits for peers; may be empty.
+    std::function<void(const Schema::CreditReports&, Utils::TimePoint)>
+        creditsTold; //!< A peer's state of slot credits; set with credits.
     std::function<void(const Membership::MemberEvent&)> member; //!< A member's state changed; may be empty.
 };
 
--- a/src/libs/peering/peernode.cpp
+++ b/src/libs/peering/peernode.cpp
@@ -96,6 +96,7 @@
     Utils::Status start();
     void leave();
     std::vector<Schema::BurnSamples> fetchBurn();
+    void exchangeCredits();
 
     template <typename Function> auto withTable(Function&& function)
     {
@@ -108,12 +109,15 @@
 private:
     using Stub = std::shared_ptr<Schema::Peers::Stub>;
     using ExchangeCall = Call<Schema::PeerView, Schema::PeerView>;
+    using CreditsCall = Call<Schema::CreditReports, Schema::CreditReports>;
     using FetchCall = Call<Schema::FetchConfigurationRequest, Schema::AcceptedConfiguration>;
 
     grpc::ServerUnaryReactor* Exchange(grpc::CallbackServerContext* context, const Schema::PeerView* request,
         Schema::PeerView* reply) override;
     grpc::ServerUnaryReactor* FetchConfiguration(grpc::CallbackServerContext* context,
         const Schema::FetchConfigurationRequest* request, Schema::AcceptedConfiguration* reply) override;
+    grpc::ServerUnaryReactor* ExchangeCredits(grpc::CallbackServerContext* context,
+        const Schema::CreditReports* request, Schema::CreditReports* reply) override;
     grpc::ServerUnaryReactor* FetchBurn(grpc::CallbackServerContext* context,
         const Schema::FetchBurnRequest* request, Schema::BurnSamples* reply) override;
 
@@ -268,6 +272,41 @@
     return reactor;
 }
 
+grpc::ServerUnaryReactor* PeerNode::Private::ExchangeCredits(
+    grpc::CallbackServerContext* context, const Schema::CreditReports* request, Schema::CreditReports* reply)
+{
+    if (handlers_.credits) {
+        handlers_.creditsTold(*request, Utils::TimePoint::min());
+        *reply = handlers_.credits();
+    }
+    grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+}
+
+void PeerNode::Private::exchangeCredits()
+{
+    const auto members = withTable([](Membership::MemberTable& table) { return table.members(now()); });
+    const Schema::CreditReports mine = handlers_.credits();
+    for (const Schema::Member& member : members) {
+        const bool gone = member.state() == Schema::MEMBER_DEAD || member.state() == Schema::MEMBER_LEFT;
+        if (gone || member.role() != self_.role() || member.domain() != self_.domain()
+            || member.name() == self_.name())
+            continue;
+        auto call = std::make_shared<CreditsCall>(callTimeout);
+        call->request = mine;
+        const Stub peer = stub(member.address(), member.port());
+        const Utils::TimePoint sent = now();
+        calls_.add();
+        peer->async()->ExchangeCredits(&call->context, &call->request, &call->reply,
+            [this, call, peer, sent](const grpc::Status& status) {
+                if (status.ok())
+                    handlers_.creditsTold(call->reply, sent);
+                calls_.remove();
+            });
+    }
+}
+
 std::vector<Schema::BurnSamples> PeerNode::Private::fetchBurn()
 {
     const auto members = withTable([](Membership::MemberTable& table) { return table.members(now()); });
@@ -333,6 +372,11 @@
     return d_->fetchBurn();
 }
 
+void PeerNode::exchangeCredits()
+{
+    d_->exchangeCredits();
+}
+
 void PeerNode::leave()
 {
     d_->leave();
