Find entry VMs through the VM list

Cause: two entry VMs of a domain without [peer] sections never met, so credits were not shared. Ruled out: naming every peer in settings; entry VMs are replaced at any time.

--- a/src/libs/node/nodeservices.cpp
+++ b/src/libs/node/nodeservices.cpp
@@ -79,6 +79,7 @@
     Peering::PeerHandlers peerHandlers();
     void pollConfiguration();
     void pollVms();
+    void addSeeds(std::span<const Schema::VmEntry* const> vms);
     void offer(const Schema::AcceptedConfiguration& accepted);
     bool isPollDue();
 
@@ -147,6 +148,15 @@
         Utils::LogLevel::Info, "configuration-applied", { { "revision", std::to_string(cache.revision()) } });
 }
 
+void NodeServices::Private::addSeeds(std::span<const Schema::VmEntry* const> vms)
+{
+    for (const Schema::VmEntry* vm : vms) {
+        const bool isSelf = vm->address() == settings.listen.address() && vm->peer_port() == peers.port();
+        if (vm->role() == Schema::VM_ROLE_ENTRY && vm->peer_port() != 0 && !isSelf)
+            peers.addSeed(vm->address(), vm->peer_port());
+    }
+}
+
 void NodeServices::Private::pollVms()
 {
     const auto list = vmList_.list();
@@ -156,6 +166,7 @@
     }
     const auto& vms = Utils::value(list).vms();
     const std::vector<const Schema::VmEntry*> entries(vms.pointer_begin(), vms.pointer_end());
+    addSeeds(entries);
     handlers.vms(entries);
     readiness.set("vm-list", "");
 }
--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -189,5 +189,5 @@
         entry = self.start_daemon("gqentryd", name, domain, region, extra)
         if listed:
             self.vms.append({"name": name, "role": "VM_ROLE_ENTRY", "address": "127.0.0.1", "port": entry.port(),
-                             "region": region, "domain": domain})
+                             "peer_port": entry.port("peers"), "region": region, "domain": domain})
         return entry
