Start the estimate of service times at 10 ms; simulate flaky backend servers

Before the first answer a queue held no more than the slots: of 64 kept connections that began at once, 360 requests were refused within the first 20 ms. The simulation no longer counts a failure passed on as goodput.

--- a/src/libs/requests/admissionqueue.cpp
+++ b/src/libs/requests/admissionqueue.cpp
@@ -10,6 +10,7 @@
 constexpr double serviceWeight = 0.02; // Of a new sample in the average service time.
 constexpr double balanceLimitSeconds = 0.25; // Times the class's guaranteed slots.
 constexpr std::size_t minimumQueueLength = 4;
+constexpr double initialServiceSeconds = 0.01; // Until the first request has ended.
 
 double seconds(Utils::Duration duration)
 {
@@ -165,11 +166,10 @@
 
 std::size_t AdmissionQueue::lengthLimit(const ClassState& state) const
 {
-    if (serviceSeconds_ == 0)
-        return std::max<std::size_t>(minimumQueueLength, capacity_);
     const double slots
         = std::max({ state.rule.guaranteed * capacity_, static_cast<double>(state.running), 1.0 });
-    const double length = seconds(state.rule.maxQueue) * slots / serviceSeconds_;
+    const double service = serviceSeconds_ > 0 ? serviceSeconds_ : initialServiceSeconds;
+    const double length = seconds(state.rule.maxQueue) * slots / service;
     return std::max(minimumQueueLength, static_cast<std::size_t>(std::ceil(length)));
 }
 
--- a/src/tools/gqfloodbench/main.cpp
+++ b/src/tools/gqfloodbench/main.cpp
@@ -49,7 +49,10 @@
     Scenario failing = base;
     failing.name = "no flood, one backend server fails quickly";
     failing.failingBackend = true;
-    return { base, low, urgent, both, lost, failing };
+    Scenario flaky = low;
+    flaky.name = "least urgent at 10 times, every fifth backend server fails half";
+    flaky.flakyBackends = true;
+    return { base, low, urgent, both, lost, flaky, failing };
 }
 
 Measurement measure(const FleetSize& fleet, const Scenario& scenario, bool baseline)
--- a/src/tools/gqfloodbench/scenario.h
+++ b/src/tools/gqfloodbench/scenario.h
@@ -35,6 +35,8 @@
     std::vector<ClassLoad> classes; //!< Most urgent first.
     bool noisyBackends = true; //!< Every tenth backend server is slow in waves.
     bool failingBackend = false; //!< Backend server 0 answers everything with 500 after 1 ms.
+    bool flakyBackends
+        = false; //!< Every fifth backend server answers half of its requests with 500 after 1 ms.
     bool domainLost = false; //!< Domain 0 is lost 2 s after the flood began.
     std::uint64_t seed = 1;
 };
--- a/src/tools/gqfloodbench/simulation.cpp
+++ b/src/tools/gqfloodbench/simulation.cpp
@@ -10,6 +10,7 @@
 constexpr double serviceSpread = 0.5; // Of the logarithm of service times.
 constexpr double noiseFactor = 3;
 constexpr std::size_t noisyEvery = 10;
+constexpr std::size_t flakyEvery = 5;
 constexpr Utils::Duration noisePeriod = std::chrono::seconds(4);
 constexpr Utils::Duration failureTime = std::chrono::milliseconds(1);
 constexpr Utils::Duration failingCountFrom = std::chrono::seconds(5);
@@ -165,7 +166,8 @@
 {
     Exchange& exchange = exchanges_.at(id);
     ++backends_[exchange.backend].running;
-    const bool failing = scenario_.failingBackend && exchange.backend == 0;
+    const bool flaky = scenario_.flakyBackends && exchange.backend % flakyEvery == 1 && random_() % 2 == 0;
+    const bool failing = flaky || (scenario_.failingBackend && exchange.backend == 0);
     const Utils::Duration length = failing ? failureTime : serviceTime(exchange.backend);
     exchange.result = failing ? AttemptResult::Failed : AttemptResult::Completed;
     exchange.slotSeconds = seconds(length);
@@ -197,6 +199,7 @@
     if (const auto request = requests_.find(exchange.request); request != requests_.end()) {
         request->second.exchange = 0;
         request->second.slotSeconds = exchange.slotSeconds;
+        request->second.failed = exchange.result == AttemptResult::Failed;
     }
     entries_[exchange.entry].policy->attemptEnded(exchange.attempt, exchange.result, now_);
     carryOut(exchange.entry);
@@ -251,7 +254,7 @@
         open->second.closed = true;
         entries_[entry].policy->attemptEnded(open->second.attempt, AttemptResult::Closed, now_);
     }
-    if (finish.outcome != Requests::Outcome::Completed || now_ > request.deadline)
+    if (finish.outcome != Requests::Outcome::Completed || request.failed || now_ > request.deadline)
         return;
     ClassResult& target = result(request.submitted, request.classIndex);
     ++target.good;
--- a/src/tools/gqfloodbench/simulation.h
+++ b/src/tools/gqfloodbench/simulation.h
@@ -62,6 +62,7 @@
         Utils::TimePoint deadline {};
         std::uint64_t exchange = 0; // Open one.
         bool sent = false;
+        bool failed = false; // The last answer was a failure.
         double slotSeconds = 0;
     };
 
--- a/tests/auto/requests/tst_admissionqueue.cpp
+++ b/tests/auto/requests/tst_admissionqueue.cpp
@@ -82,6 +82,7 @@
     AdmissionQueue queue(twoClasses(0.2));
     queue.setCapacity(4);
     const Utils::TimePoint now {};
+    queue.release(0, 250ms, now); // Two guaranteed slots serve 4 requests in the longest stay of 500 ms.
     for (RequestId id = 1; id <= 4; ++id)
         REQUIRE(queue.push({ id, 0, "greedy", now, now + 10s }, now).accepted);
     CHECK_FALSE(queue.push({ 5, 0, "greedy", now, now + 10s }, now).accepted);
