--- /dev/null
+++ b/src/libs/console/consoledaemon.cpp
@@ -0,0 +1,114 @@
+#include "consoledaemon.h"
+
+#include "consolehandler.h"
+#include "daemon/frame.h"
+#include "http/headers.h"
+#include "node/nodeservices.h"
+#include "utils/log/log.h"
+
+#include <settings.pb.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+#include <atomic>
+#include <optional>
+
+namespace Console {
+
+namespace {
+
+constexpr std::size_t threadCount = 8;
+constexpr int maxWaiting = 256;
+constexpr std::uint64_t maxBodyBytes = 1U << 20U;
+constexpr unsigned unavailable = 503;
+
+} // namespace
+
+class ConsoleDaemon::Private {
+public:
+    explicit Private(const Schema::ConsoleDaemonSettings& settings)
+        : settings_(settings)
+        , frame_(settings.listen(), [this] { return node_.metrics(); })
+        , node_(Node::sharedSettings(settings, "console"), frame_.readiness(), handlers())
+    {
+        frame_.serve(maxBodyBytes, [this](Http::Request request, Http::Responder respond) {
+            handle(std::move(request), std::move(respond));
+        });
+    }
+
+    ~Private() { threads_.join(); }
+
+    int run()
+    {
+        auto token = OperatorToken::read(settings_.security().operator_token_file());
+        if (!Utils::isOk(token)) {
+            Utils::logError("start-failed", Utils::error(token));
+            return Daemon::ExitUsage;
+        }
+        handler_.emplace(sources(), Utils::value(std::move(token)));
+        const auto status = node_.start();
+        if (!Utils::isOk(status)) {
+            Utils::logError("start-failed", Utils::error(status));
+            return Utils::error(status).code == Utils::ErrorCode::InvalidArgument ? Daemon::ExitUsage
+                                                                                  : Daemon::ExitFailure;
+        }
+        return frame_.run([this] { node_.stop(); });
+    }
+
+private:
+    static Node::NodeHandlers handlers()
+    {
+        Node::NodeHandlers result;
+        result.policy = [](const Schema::PolicyDocument&) {};
+        result.vms = [](std::span<const Schema::VmEntry* const>) {};
+        return result;
+    }
+
+    ConsoleSources sources()
+    {
+        return { node_.table(),
+            [this] {
+                const auto inForce = node_.configuration().current();
+                return inForce ? inForce->accepted : Schema::AcceptedConfiguration();
+            },
+            [this] { return node_.peers().members(); }, [this] { return node_.peers().fetchBurn(); },
+            [this] { node_.pollNow(); } };
+    }
+
+    // The calls of the handler block, so they run on threads of their own.
+    void handle(Http::Request request, Http::Responder respond)
+    {
+        if (++waiting_ > maxWaiting) {
+            --waiting_;
+            return respond(Http::jsonResponse(unavailable,
+                R"({"error":"refused","step":"console.admit","peer":"","message":"too many requests"})"));
+        }
+        boost::asio::post(threads_, [this, moved = std::move(request), answer = std::move(respond)] {
+            Http::Response response = handler_->handle(moved);
+            --waiting_;
+            answer(std::move(response));
+        });
+    }
+
+    Schema::ConsoleDaemonSettings settings_;
+    Daemon::Frame frame_;
+    Node::NodeServices node_;
+    std::optional<ConsoleHandler> handler_;
+    std::atomic<int> waiting_ = 0;
+    boost::asio::thread_pool threads_ { threadCount };
+};
+
+ConsoleDaemon::ConsoleDaemon(const Schema::ConsoleDaemonSettings& settings)
+    : d_(std::make_unique<Private>(settings))
+{
+}
+
+ConsoleDaemon::~ConsoleDaemon() = default;
+
+int ConsoleDaemon::run()
+{
+    return d_->run();
+}
+
+} // namespace Console
--- /dev/null
+++ b/src/libs/console/formdata.cpp
@@ -0,0 +1,24 @@
+#include "formdata.h"
+
+#include "http/target.h"
+
+#include <algorithm>
+
+namespace Console {
+
+// A form's body has the syntax of a query, with CR LF for line ends.
+FormData parseFormData(std::string_view body)
+{
+    FormData data = Http::parseTarget("/?" + std::string(body)).query;
+    for (auto& [name, value] : data)
+        std::erase(value, '\r');
+    return data;
+}
+
+std::string fieldOf(const FormData& data, std::string_view name)
+{
+    const auto found = data.find(name);
+    return found == data.end() ? std::string() : found->second;
+}
+
+} // namespace Console
