--- a/src/libs/gateway/servicegateway.h
+++ b/src/libs/gateway/servicegateway.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Schema {
 class BurnSamples;
@@ -60,6 +62,25 @@
     /*! Applies the VM list. \param vms the VMs as the platform knows them. */
     void setVms(std::span<const Schema::VmEntry* const> vms);
 
+    /*! \return names of the services in force. */
+    std::vector<std::string> services() const;
+
+    /*! \return backend servers of a service in the own domain. \param service its name. */
+    std::vector<Requests::Backend> ownBackends(const std::string& service) const;
+
+    /*!
+        Sets how many slots of a backend server this entry VM may use.
+        \param service name of the service.
+        \param backend name of the backend server.
+        \param slots how many.
+        \param expiry when they lapse.
+    */
+    void setCredits(
+        const std::string& service, std::string_view backend, std::uint32_t slots, Utils::TimePoint expiry);
+
+    /*! \return counters of a service. \param service its name. */
+    Requests::RequestCounters counters(const std::string& service) const;
+
     /*! \return what was counted for the burn report. */
     Schema::BurnSamples burnSamples() const;
 
--- a/src/libs/gateway/serviceshard.h
+++ b/src/libs/gateway/serviceshard.h
@@ -42,6 +42,7 @@
     Utils::Duration maxIdleUnsafe
         = std::chrono::seconds(1); //!< Of a connection for a request that must not run twice.
     std::uint64_t maxBodyBytes = 8U << 20U;
+    bool requireCredits = false; //!< Backend servers get nothing before ServiceGateway::setCredits().
 };
 
 /*!
--- a/src/libs/peering/peernode.h
+++ b/src/libs/peering/peernode.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "membership/memberevent.h"
+#include "utils/clock.h"
 #include "utils/result.h"
 
 #include <peer.pb.h>
 #include <policy.pb.h>
+#include <requests.pb.h>
 
 #include <functional>
 #include <memory>
@@ -25,6 +27,9 @@
         offer; //!< Takes a newer configuration from a peer.
     std::function<Schema::BurnSamples()>
         burn; //!< What this process counted for the burn report; may be empty.
+    std::function<Schema::CreditReports()> credits; //!< State of this process's slot credits; may be empty.
+    std::function<void(const Schema::CreditReports&, Utils::TimePoint)>
+        creditsTold; //!< Takes a peer's state and when it was asked for, TimePoint::min() if it was not.
     std::function<void(const Membership::MemberEvent&)> changed; //!< A member's state changed; may be empty.
 };
 
@@ -66,6 +71,9 @@
      * member. */
     std::vector<Schema::BurnSamples> fetchBurn();
 
+    /*! Exchanges the state of slot credits with the entry daemons of the own domain; does not block. */
+    void exchangeCredits();
+
     /*! Tells the peers that this process leaves and stops exchanging. */
     void leave();
 
