--- a/src/libs/batch/jobs.cpp
+++ b/src/libs/batch/jobs.cpp
@@ -70,8 +70,9 @@
     for (const auto& [id, job] : book_.jobs()) {
         if (job->record.finished())
             continue;
+        const Schema::TaskSize& size = job->record.spec().size();
         const bool fits = std::ranges::any_of(workers_, [&](const auto& entry) {
-            return entry.second.listed && commitments_.fitsEmpty(entry.first, job->record.spec().size());
+            return entry.second.listed && commitments_.fitsEmpty(entry.first, size);
         });
         if (fits && job->never)
             job->informDue = true;
--- a/src/libs/batch/journal.cpp
+++ b/src/libs/batch/journal.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t maxSegmentBytes = 512 * 1024;
+constexpr std::size_t maxSegmentBytes = 512UL * 1024;
 constexpr std::size_t maxInformingRows = 200;
 constexpr std::size_t maxCompactedSegments = 8;
 
@@ -147,7 +147,7 @@
         return false;
     const std::size_t counting = jobs_.size() + tasks_.size();
     const std::size_t neededSegments = 2 * counting / maxRecords_;
-    return entryCount_ > 2 * counting || segments_.size() > 4 * maxSegments_ + neededSegments;
+    return entryCount_ > 2 * counting || segments_.size() > std::size_t { 4 } * maxSegments_ + neededSegments;
 }
 
 std::size_t Journal::copyCounting(std::uint64_t number, Schema::JournalSegment& content) const
--- a/src/libs/batch/workercore.h
+++ b/src/libs/batch/workercore.h
@@ -4,11 +4,11 @@
 
 #include <batch.pb.h>
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Batch {
@@ -19,7 +19,13 @@
     std::uint32_t task = 0;
     std::uint32_t attempt = 0;
 
-    auto operator<=>(const AttemptId&) const = default;
+    bool operator==(const AttemptId&) const = default;
+
+    /*! \return whether it sorts before another. \param other the other. */
+    bool operator<(const AttemptId& other) const
+    {
+        return std::tie(job, task, attempt) < std::tie(other.job, other.task, other.attempt);
+    }
 };
 
 /*! \return the id. \param ref the attempt as it stands in messages. */
--- a/tests/auto/batch/faultworld.cpp
+++ b/tests/auto/batch/faultworld.cpp
@@ -197,7 +197,8 @@
     worker.sizes.clear();
 }
 
-void FaultWorld::toOwner(std::size_t index, int generation, std::function<void(Batch::ShardOwner&)> event)
+void FaultWorld::toOwner(
+    std::size_t index, int generation, const std::function<void(Batch::ShardOwner&)>& event)
 {
     Owner& owner = owners_[index];
     if (owner.generation != generation)
@@ -210,7 +211,7 @@
         owner.pausedUntil, [this, index, generation, event] { toOwner(index, generation, event); });
 }
 
-void FaultWorld::perform(std::size_t index, Batch::Actions actions)
+void FaultWorld::perform(std::size_t index, const Batch::Actions& actions)
 {
     const int generation = owners_[index].generation;
     for (const Batch::ReadAction& read : actions.reads) {
@@ -453,7 +454,7 @@
 std::vector<std::string> FaultWorld::judge()
 {
     if (!allFinished())
-        faults_.push_back("a task was lost: not all jobs are finished");
+        faults_.emplace_back("a task was lost: not all jobs are finished");
     std::map<std::pair<std::string, std::uint32_t>, std::vector<Run>> tasks;
     for (const Run& run : runs_)
         tasks[{ run.attempt.job, run.attempt.task }].push_back(run);
--- a/tests/auto/batch/faultworld.h
+++ b/tests/auto/batch/faultworld.h
@@ -110,8 +110,8 @@
     bool chance(double probability) { return std::uniform_real_distribution<>()(random_) < probability; }
     void makeOwner(std::size_t index);
     void makeWorker(std::size_t index);
-    void toOwner(std::size_t index, int generation, std::function<void(Batch::ShardOwner&)> event);
-    void perform(std::size_t index, Batch::Actions actions);
+    void toOwner(std::size_t index, int generation, const std::function<void(Batch::ShardOwner&)>& event);
+    void perform(std::size_t index, const Batch::Actions& actions);
     void performCommit(std::size_t index, const Schema::CommitRequest& request);
     void observe(const Schema::CommitRequest& request);
     void performSend(std::size_t index, const Batch::SendAction& action);
--- /dev/null
+++ b/tests/auto/batch/tst_jobapi.cpp
@@ -0,0 +1,129 @@
+#include <batch/jobapi.h>
+#include <batch/jobassignment.h>
+#include <batch/rowkeys.h>
+#include <platform/memorytable.h>
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+Schema::TaskSize size(double processors, double memoryMb)
+{
+    Schema::TaskSize made;
+    made.set_processors(processors);
+    made.set_memory_mb(memoryMb);
+    return made;
+}
+
+Batch::ShardOffer offer(const std::string& shard, const std::string& domain, double freeProcessors)
+{
+    Batch::ShardOffer made;
+    made.shard = shard;
+    made.row.set_domain(domain);
+    made.row.set_region("lagos");
+    Schema::ShardCapacity& capacity = *made.row.mutable_capacity();
+    capacity.set_workers(8);
+    *capacity.mutable_total() = size(256, 1000000);
+    *capacity.mutable_free() = size(freeProcessors, 1000000);
+    *capacity.add_kinds() = size(32, 125000);
+    return made;
+}
+
+Schema::JobSpec spec(std::uint32_t count, double processors, Schema::JobKind kind = Schema::BATCH)
+{
+    Schema::JobSpec made;
+    made.set_count(count);
+    made.set_kind(kind);
+    *made.mutable_size() = size(processors, 100);
+    return made;
+}
+
+void publish(Platform::MemoryTable& table, const Batch::ShardOffer& shard)
+{
+    Schema::CommitRequest request;
+    request.set_write_id(shard.shard);
+    Schema::RowPut* put = request.add_puts();
+    put->set_key(Batch::shardKey(shard.shard));
+    put->set_value(shard.row.SerializeAsString());
+    table.commit(request);
+}
+
+constexpr const char* smallJob = R"({"id":"a","count":3,"size":{"processors":1,"memory_mb":10},"run_ms":5})";
+
+} // namespace
+
+TEST_CASE("Batch tasks go where room is free, the rest where most can run")
+{
+    const std::vector<Batch::ShardOffer> shards { offer("r1", "d1", 10), offer("r2", "d1", 100) };
+    const auto few = Batch::assignJob(spec(50, 1), shards);
+    REQUIRE(few.parts.size() == 1);
+    CHECK(few.parts[0].shard() == "r2");
+    std::uint32_t sum = 0;
+    for (const Schema::JobPart& part : Batch::assignJob(spec(1000, 1), shards).parts) {
+        CHECK(part.first() == sum);
+        sum += part.count();
+    }
+    CHECK(sum == 1000);
+}
+
+TEST_CASE("Replicas of a service are spread over failure domains and shards")
+{
+    const std::vector<Batch::ShardOffer> shards { offer("r1", "d1", 99), offer("r2", "d1", 1),
+        offer("r3", "d2", 1) };
+    const auto assignment = Batch::assignJob(spec(4, 1, Schema::SERVICE), shards);
+    REQUIRE(assignment.parts.size() == 3);
+    CHECK(assignment.parts[0].count() == 1);
+    CHECK(assignment.parts[2].count() == 2);
+}
+
+TEST_CASE("A job that no worker can hold is told so, though all workers together could")
+{
+    const std::vector<Batch::ShardOffer> shards { offer("r1", "d1", 100) };
+    CHECK(Batch::assignJob(spec(1, 33), shards).reason.find("large enough") != std::string::npos);
+    CHECK(Batch::assignJob(spec(1, 32), shards).reason.empty());
+    Schema::JobSpec elsewhere = spec(1, 1);
+    elsewhere.set_region("abuja");
+    CHECK(Batch::assignJob(elsewhere, shards).reason.find("abuja") != std::string::npos);
+}
+
+TEST_CASE("A submission is idempotent by its id, and another job of that id is refused")
+{
+    Platform::MemoryTable table;
+    Batch::JobApi api(table);
+    CHECK(api.handle("POST", "/v1/jobs", smallJob, 1).status == 503); // No shard is known yet.
+    publish(table, offer("r1", "d1", 100));
+    CHECK(api.handle("POST", "/v1/jobs", smallJob, 1).status == 201);
+    CHECK(api.handle("POST", "/v1/jobs", smallJob, 2).status == 200);
+    CHECK(Utils::value(table.scan(Batch::inboxPrefix("r1"), "", 10)).rows_size() == 1);
+    const std::string other = R"({"id":"a","count":4,"size":{"processors":1}})";
+    CHECK(api.handle("POST", "/v1/jobs", other, 3).status == 409);
+}
+
+TEST_CASE("Wrong submissions are refused with the step and the reason")
+{
+    Platform::MemoryTable table;
+    Batch::JobApi api(table);
+    CHECK(api.handle("POST", "/v1/jobs", "{", 1).body.find("jobs.parse") != std::string::npos);
+    CHECK(api.handle("POST", "/v1/jobs", R"({"count":0})", 1).body.find("count") != std::string::npos);
+    CHECK(api.handle("POST", "/v1/jobs", R"({"id":"a/b","count":1})", 1).status == 400);
+    CHECK(api.handle("GET", "/v1/jobs/none", "", 1).status == 404);
+    CHECK(api.handle("PUT", "/v1/jobs/none", "", 1).status == 405);
+}
+
+TEST_CASE("The state of a job is the sum of its parts")
+{
+    Schema::JobRow job;
+    *job.mutable_spec() = spec(5, 1);
+    CHECK(Batch::sumJobStatus(job, {}).state() == Schema::PENDING);
+    Schema::JobPartState first;
+    first.set_done(3);
+    Schema::JobPartState second;
+    second.set_running(2);
+    CHECK(Batch::sumJobStatus(job, { first, second }).state() == Schema::RUNNING);
+    second.clear_running();
+    second.set_failed(2);
+    CHECK(Batch::sumJobStatus(job, { first, second }).state() == Schema::FAILED);
+    second.clear_failed();
+    second.set_never(2);
+    CHECK(Batch::sumJobStatus(job, { first, second }).state() == Schema::NEVER);
+}
