--- a/src/libs/membership/membertable.cpp
+++ b/src/libs/membership/membertable.cpp
@@ -177,7 +177,6 @@
     Schema::DomainSummary own;
     own.set_domain(self.domain());
     own.set_beat(beat);
-    own.set_members_hash(states.membersHash(self.domain(), self));
     own.set_lowest_revision(lowestRevision());
     return own;
 }
@@ -189,12 +188,14 @@
     addChanges(view, now);
     if (!withDomains)
         return view;
+    auto hashes = states.memberHashes(self);
     *view.add_domains() = ownSummary();
+    view.mutable_domains(0)->set_members_hash(hashes[self.domain()]);
     for (const auto& [name, domain] : states.domains()) {
         Schema::DomainSummary* summary = view.add_domains();
         summary->set_domain(name);
         summary->set_beat(domain.beat);
-        summary->set_members_hash(states.membersHash(name, self));
+        summary->set_members_hash(hashes[name]);
         summary->set_lowest_revision(domain.lowestRevision);
     }
     return view;
@@ -211,12 +212,11 @@
     for (auto& [name, entry] : states.entries()) {
         if (!isPeer(entry))
             continue;
-        const bool suspect = states.isSuspect(entry, now);
-        if (suspect)
-            entry.nextExchange = std::min(entry.nextExchange, entry.lastHeard + options.suspectAfter);
-        if (now < entry.nextExchange)
+        const bool isProbe = states.isSuspect(entry, now) && now - entry.lastSent >= options.probe;
+        if (!isProbe && now < entry.nextExchange)
             continue;
-        entry.nextExchange = now + jittered(suspect ? options.probe : options.heartbeat);
+        entry.nextExchange = now + jittered(options.heartbeat);
+        entry.lastSent = now;
         const bool withDomains = summariesLeft > 0;
         summariesLeft -= withDomains ? 1 : 0;
         exchanges.push_back(exchangeWith(entry.member, now, withDomains));
@@ -338,9 +338,10 @@
             d_->addDomainMembers(view, name, now);
         return view;
     }
+    auto hashes = d_->states.memberHashes(d_->self);
     for (const Schema::DomainSummary& summary : received.domains()) {
         const bool quiet = now - d_->states.changedAt(summary.domain()) >= d_->options.repairAfter;
-        if (quiet && summary.members_hash() != d_->states.membersHash(summary.domain(), d_->self))
+        if (quiet && summary.members_hash() != hashes[summary.domain()])
             d_->addDomainMembers(view, summary.domain(), now);
     }
     return view;
