Find the tasks of a worker without comparing names

Tasks open at a worker are kept as pointers, and a report marks what it tells instead of building a set of names.

--- a/src/libs/batch/attempts.cpp
+++ b/src/libs/batch/attempts.cpp
@@ -45,14 +45,10 @@
     worker.acknowledgements.clear();
     worker.strayStops.clear();
     loseOtherIncarnations(worker, now);
-    std::set<AttemptId> reported;
-    for (const Schema::AttemptReport& attempt : report.attempts()) {
-        reported.insert(attemptId(attempt.attempt()));
-        takeAttempt(worker, attempt, now);
-    }
+    for (const Schema::AttemptReport& attempt : report.attempts())
+        takeAttempt(worker, attempt, sequence, now);
     for (Task* task : book_.openAt(worker.link.vm().name())) {
-        const AttemptId id { task->record.job(), task->record.task(), task->record.attempt() };
-        if (!reported.contains(id))
+        if (task->reportedSequence != sequence)
             takeMissing(*task, report.accepted(), sequence, now);
     }
     for (const Schema::UsageSample& sample : report.samples())
@@ -72,7 +68,7 @@
 }
 
 void ShardOwner::Private::takeAttempt(
-    Worker& worker, const Schema::AttemptReport& report, Utils::TimePoint now)
+    Worker& worker, const Schema::AttemptReport& report, std::uint64_t sequence, Utils::TimePoint now)
 {
     const Schema::AttemptRef& ref = report.attempt();
     Task* task = book_.task({ ref.job(), ref.task() });
@@ -81,6 +77,7 @@
         takeStray(worker, report);
         return;
     }
+    task->reportedSequence = sequence;
     if (!task->holdsCapacity) {
         commitments_.occupy(task->record.worker(), task->job->record.spec().size());
         task->holdsCapacity = true;
--- a/src/libs/batch/shardownerprivate.h
+++ b/src/libs/batch/shardownerprivate.h
@@ -91,7 +91,8 @@
     void takeReport(
         Worker& worker, const Schema::WorkerReport& report, std::uint64_t sequence, Utils::TimePoint now);
     void loseOtherIncarnations(const Worker& worker, Utils::TimePoint now);
-    void takeAttempt(Worker& worker, const Schema::AttemptReport& report, Utils::TimePoint now);
+    void takeAttempt(
+        Worker& worker, const Schema::AttemptReport& report, std::uint64_t sequence, Utils::TimePoint now);
     void takeStray(Worker& worker, const Schema::AttemptReport& report);
     void takeMissing(Task& task, bool executed, std::uint64_t sequence, Utils::TimePoint now);
     void endAttempt(Task& task, const Schema::AttemptReport& report, Utils::TimePoint now);
--- a/src/libs/batch/taskbook.cpp
+++ b/src/libs/batch/taskbook.cpp
@@ -73,6 +73,7 @@
     task.share = 1;
     task.progress = 0;
     task.sentSequence = 0;
+    task.reportedSequence = 0;
     enter(task);
 }
 
@@ -103,14 +104,15 @@
     jobs_.erase(id);
 }
 
-std::vector<Task*> TaskBook::openAt(const std::string& worker)
+std::vector<Task*> TaskBook::openAt(std::string_view worker) const
 {
     std::vector<Task*> tasks;
     const auto found = openAt_.find(worker);
     if (found == openAt_.end())
         return tasks;
-    for (const TaskKey& key : found->second)
-        tasks.push_back(task(key));
+    tasks.reserve(found->second.size());
+    for (const auto& [key, task] : found->second)
+        tasks.push_back(task);
     return tasks;
 }
 
@@ -167,7 +169,7 @@
     if (task.phase == TaskPhase::Pending)
         pending_[urgency(task)] = &task;
     if (atWorker(task.phase))
-        openAt_[task.record.worker()].insert(taskKey(task.record));
+        openAt_[task.record.worker()][taskKey(task.record)] = &task;
 }
 
 void TaskBook::leave(Task& task)
--- a/src/libs/batch/taskbook.h
+++ b/src/libs/batch/taskbook.h
@@ -7,8 +7,8 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -39,6 +39,7 @@
     double share = 1;
     double progress = 0;
     std::uint64_t sentSequence = 0; //!< First batch that carried the start; 0 if none.
+    std::uint64_t reportedSequence = 0; //!< Latest batch whose report told of the attempt.
     Utils::TimePoint waitingSince;
     Utils::TimePoint startedAt;
 };
@@ -105,7 +106,7 @@
     void erase(const std::string& id);
 
     /*! \return tasks with an open attempt at a worker, as copies of pointers. \param worker the worker. */
-    std::vector<Task*> openAt(const std::string& worker);
+    std::vector<Task*> openAt(std::string_view worker) const;
 
     /*! \return up to limit pending tasks that are due, most urgent first. */
     std::vector<Task*> pending(std::size_t limit, Utils::TimePoint now);
@@ -125,7 +126,7 @@
 
     std::map<std::string, std::unique_ptr<Job>> jobs_;
     std::map<Urgency, Task*> pending_;
-    std::map<std::string, std::set<TaskKey>> openAt_;
+    std::map<std::string, std::map<TaskKey, Task*>, std::less<>> openAt_;
     std::size_t counts_[7] = {};
 };
 
--- a/tests/auto/batch/tst_lease.cpp
+++ b/tests/auto/batch/tst_lease.cpp
@@ -157,7 +157,7 @@
     return batch;
 }
 
-constexpr std::int64_t originMs = 1000 * 1000;
+constexpr std::int64_t originMs = 1'000'000;
 
 } // namespace
 
