--- a/src/libs/batch/rounds.cpp
+++ b/src/libs/batch/rounds.cpp
@@ -223,11 +223,12 @@
 
 void ShardOwner::Private::addTaskCommands(Task& task, Schema::CommandBatch& batch)
 {
-    const Schema::AttemptRef ref
-        = attemptRef({ task.record.job(), task.record.task(), task.record.attempt() });
+    const auto ref = [&task] {
+        return attemptRef({ task.record.job(), task.record.task(), task.record.attempt() });
+    };
     if (task.phase == TaskPhase::Starting) {
         Schema::StartCommand* start = batch.add_starts();
-        *start->mutable_attempt() = ref;
+        *start->mutable_attempt() = ref();
         *start->mutable_size() = task.job->record.spec().size();
         start->set_task_class(task.job->record.spec().task_class());
         start->set_run_ms(task.job->record.spec().run_ms());
@@ -237,13 +238,13 @@
     if (task.phase != TaskPhase::Running)
         return;
     if (task.stopAsked || task.job->record.cancelled())
-        *batch.add_stops() = ref;
+        *batch.add_stops() = ref();
     else if (task.checkpointAsked)
-        *batch.add_checkpoints() = ref;
+        *batch.add_checkpoints() = ref();
     if (!task.throttleAsked)
         return;
     Schema::ThrottleCommand* throttle = batch.add_throttles();
-    *throttle->mutable_attempt() = ref;
+    *throttle->mutable_attempt() = ref();
     throttle->set_share(task.share);
     task.throttleAsked = task.share < 1;
 }
