Be ready only with slots in hand

Cause: right after its start an entry VM said ready while its share of the slots was still 0, and refused the first requests as not-run (seen by the two tests with one key and two entry VMs). Ruled out: waiting in the tests; a balancer would have sent requests just as early. Conclusion: readiness asks for a share above 0 of a service with backend servers in the own domain.

--- a/src/libs/gateway/creditkeeper.cpp
+++ b/src/libs/gateway/creditkeeper.cpp
@@ -165,7 +165,8 @@
     one.demand = (3 * one.demand + demand) / 4 + 1;
     if (epoch == one.holder.adoptedEpoch())
         one.holder.setSettled(withinShares);
-    return one.holder.adoptedEpoch() > 0;
+    const bool holdsSlots = std::ranges::any_of(shares, [](const auto& item) { return item.second > 0; });
+    return one.holder.adoptedEpoch() > 0 && (shares.empty() || holdsSlots);
 }
 
 CreditKeeper::CreditKeeper(ServiceGateway& gateway, EntryPlace place, std::uint64_t incarnation)
--- a/src/libs/gateway/creditkeeper.h
+++ b/src/libs/gateway/creditkeeper.h
@@ -41,7 +41,7 @@
     */
     void readTable(Platform::TableService& table);
 
-    /*! Gives the shares to the gateway. \return true if each service has a division. */
+    /*! Gives the shares to the gateway. \return true if each service with backend servers here has slots. */
     bool apply();
 
     /*! \return this process's state, for peers. */
