--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -15,6 +15,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BUILD = os.environ.get("GQ_BUILD", os.path.join(ROOT, "build"))
 WAIT_SECONDS = 30.0
+TOKEN = "correct-horse-battery-staple"
 
 POLICY = """\
 [priority_class urgent]
@@ -142,6 +143,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.vms = []
         self.platform = None
+        self.console = None
 
     def __enter__(self):
         return self
@@ -191,3 +193,24 @@
             self.vms.append({"name": name, "role": "VM_ROLE_ENTRY", "address": "127.0.0.1", "port": entry.port(),
                              "peer_port": entry.port("peers"), "region": region, "domain": domain})
         return entry
+
+    def start_worker(self, name, domain="lagos-a", region="lagos", rack="rack-1", processors=4):
+        worker = self.start(name, "tests/standins/standin-worker", ["--port", "0"])
+        self.vms.append({"name": name, "role": "VM_ROLE_WORKER", "address": "127.0.0.1", "port": worker.port(),
+                         "region": region, "domain": domain, "rack": rack, "processors": processors,
+                         "memory_mb": 16000})
+        return worker
+
+    def start_console(self, name, domain="lagos-a", region="lagos", extra=""):
+        token_file = os.path.join(self.folder.name, "token")
+        with open(token_file, "w", encoding="utf-8") as stream:
+            stream.write(TOKEN + "\n")
+        extra += "[security]\noperator_token_file = %s\n" % token_file
+        self.console = self.start_daemon("gqconsoled", name, domain, region, extra)
+        return self.console
+
+    def put_policy(self, text):
+        """Has the first policy accepted through a console."""
+        console = self.console or self.start_console("console-1")
+        answer = console.call("PUT", "/v1/configuration", text, {"Authorization": "Bearer " + TOKEN})
+        assert answer.status == 200, answer.body
