Add gqctl, and drains as part of the policy

A drain is a section of the policy, so it spreads, lasts and is listed like any other change; marking the VM in the table was ruled out, as every process would have to read a second list. Processes treat a drained VM as one that the platform lists as leaving.

--- a/src/libs/console/consolepages.cpp
+++ b/src/libs/console/consolepages.cpp
@@ -149,7 +149,8 @@
             true);
         content += "<ul>";
         for (const Settings::Fault& fault : faults)
-            content += "<li>" + escapeHtml(fault.toString()) + "</li>";
+            content += "<li>" + escapeHtml("[" + fault.section + "] " + fault.key + ": " + fault.message)
+                + "</li>";
         content += "</ul>";
     }
     content += policyForms(std::get<PolicyDraft>(draft), faults, { baseRevision, formToken });
--- a/src/libs/console/html.cpp
+++ b/src/libs/console/html.cpp
@@ -7,7 +7,7 @@
 constexpr std::string_view style = R"(
 body { font: 16px/1.45 sans-serif; margin: 0; color: #1b1f23; background: #f6f7f8; }
 header { background: #17324a; color: #fff; padding: .6rem 1.2rem; display: flex; flex-wrap: wrap; gap: 1.2rem; align-items: baseline; }
-header strong { font-size: 1.1rem; } header a { color: #cfe3f3; }
+header nav { display: flex; gap: 1rem; } header strong { font-size: 1.1rem; } header a { color: #cfe3f3; }
 main { max-width: 62rem; margin: 1rem auto 3rem; padding: 0 1.2rem; }
 h1 { font-size: 1.5rem; } h2 { font-size: 1.15rem; margin-top: 2rem; }
 form.part { background: #fff; border: 1px solid #d5dade; border-radius: 6px; padding: .4rem 1rem 1rem; margin: .8rem 0; }
--- a/src/libs/node/nodeservices.cpp
+++ b/src/libs/node/nodeservices.cpp
@@ -1,6 +1,7 @@
 #include "nodeservices.h"
 
 #include "configuration/configurationstore.h"
+#include "configuration/drains.h"
 #include "daemon/periodictask.h"
 #include "peering/peercredentials.h"
 #include "platform/http/httpobjectstore.h"
@@ -149,11 +150,13 @@
 
 void NodeServices::Private::pollVms()
 {
-    const auto list = vmList_.list();
+    auto list = vmList_.list();
     if (!Utils::isOk(list)) {
         Utils::logError("vm-list-poll-failed", Utils::error(list));
         return;
     }
+    if (const auto inForce = cache.current())
+        Configuration::markDrained(inForce->policy, Utils::value(list));
     const auto& vms = Utils::value(list).vms();
     const std::vector<const Schema::VmEntry*> entries(vms.pointer_begin(), vms.pointer_end());
     handlers.vms(entries);
--- /dev/null
+++ b/src/tools/gqctl/commands.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "options.h"
+
+namespace Control {
+
+/*! The commands of gqctl; each prints its result and returns the exit code. \param options the command line.
+ */
+int submitJob(const Options& options);
+int jobStatus(const Options& options);
+int cancelJob(const Options& options);
+int configurationGet(const Options& options);
+int configurationValidate(const Options& options);
+int configurationPut(const Options& options);
+int configurationHistory(const Options& options);
+int drainVm(const Options& options);
+int undrainVm(const Options& options);
+int listMembers(const Options& options);
+int burnReport(const Options& options);
+
+} // namespace Control
