--- a/cmake/GqTargets.cmake
+++ b/cmake/GqTargets.cmake
@@ -19,7 +19,7 @@
     add_compile_options(-fsanitize=${GQ_SANITIZE} -fno-omit-frame-pointer -fno-sanitize-recover=all -g1)
     add_link_options(-fsanitize=${GQ_SANITIZE})
     # gcc 12 reports libstdc++'s own <regex> as uninitialized when it instruments it.
-    target_compile_options(GqOptions INTERFACE -Wno-maybe-uninitialized)
+    target_compile_options(GqOptions INTERFACE $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
 endif()
 
 # gq_add_library(NAME SOURCES ... DEPENDS ... PRIVATE_DEPENDS ...)
