--- a/src/libs/entry/entrydaemon.cpp
+++ b/src/libs/entry/entrydaemon.cpp
@@ -3,6 +3,8 @@
 #include "jobhandler.h"
 
 #include "daemon/frame.h"
+#include "daemon/periodictask.h"
+#include "gateway/creditkeeper.h"
 #include "gateway/keyledger.h"
 #include "gateway/servicegateway.h"
 #include "node/nodeservices.h"
@@ -10,6 +12,8 @@
 
 #include <settings.pb.h>
 
+#include <optional>
+
 namespace Entry {
 
 namespace {
@@ -20,23 +24,38 @@
     limits.connectTimeout = std::chrono::milliseconds(settings.connect_timeout_ms());
     limits.progressTimeout = std::chrono::milliseconds(settings.progress_timeout_ms());
     limits.maxBodyBytes = std::uint64_t { settings.max_body_kb() } * 1024;
+    limits.requireCredits = true;
     return limits;
 }
 
+Gateway::EntryPlace place(const Schema::EntryDaemonSettings& settings)
+{
+    return { settings.node().name(), settings.node().domain(), settings.node().region() };
+}
+
+std::uint64_t startMicroseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+constexpr Utils::Duration creditPause = std::chrono::milliseconds(250);
+
 } // namespace
 
 class EntryDaemon::Private {
 public:
     explicit Private(const Schema::EntryDaemonSettings& settings)
         : frame_(settings.listen(), [this] { return gateway_.metrics() + node_.metrics(); })
-        , gateway_(frame_.context(),
-              { settings.node().name(), settings.node().domain(), settings.node().region() },
-              gatewayLimits(settings.requests()),
+        , gateway_(frame_.context(), place(settings), gatewayLimits(settings.requests()),
               std::chrono::milliseconds(settings.requests().default_deadline_ms()))
+        , credits_(gateway_, place(settings), startMicroseconds())
         , node_(Node::sharedSettings(settings, "entry"), frame_.readiness(), handlers())
         , jobs_(node_.table())
         , keyLedger_(node_.table(), settings.node().name())
     {
+        frame_.readiness().set("credits", "no slots are divided yet");
         gateway_.useKeyLedger(keyLedger_);
         frame_.serve(gatewayLimits(settings.requests()).maxBodyBytes,
             [this](Http::Request request, Http::Responder respond) {
@@ -55,7 +74,13 @@
             return Utils::error(status).code == Utils::ErrorCode::InvalidArgument ? Daemon::ExitUsage
                                                                                   : Daemon::ExitFailure;
         }
-        return frame_.run([this] { node_.stop(); });
+        creditReads_.emplace(creditPause, [this] { credits_.readTable(node_.table()); });
+        creditExchanges_.emplace(creditPause, [this] { exchangeCredits(); });
+        return frame_.run([this] {
+            creditReads_.reset();
+            creditExchanges_.reset();
+            node_.stop();
+        });
     }
 
 private:
@@ -65,14 +90,28 @@
         result.policy = [this](const Schema::PolicyDocument& policy) { gateway_.setPolicy(policy); };
         result.vms = [this](std::span<const Schema::VmEntry* const> vms) { gateway_.setVms(vms); };
         result.burn = [this] { return gateway_.burnSamples(); };
+        result.credits = [this] { return credits_.reports(); };
+        result.creditsTold = [this](const Schema::CreditReports& reports, Utils::TimePoint asked) {
+            credits_.take(reports, asked);
+        };
         return result;
     }
 
+    void exchangeCredits()
+    {
+        node_.peers().exchangeCredits();
+        const bool divided = credits_.apply() && node_.configuration().isReady();
+        frame_.readiness().set("credits", divided ? "" : "no slots are divided yet");
+    }
+
     Daemon::Frame frame_;
     Gateway::ServiceGateway gateway_;
+    Gateway::CreditKeeper credits_; // Used by the peers until they are gone.
     Node::NodeServices node_;
     JobHandler jobs_;
     Gateway::KeyLedger keyLedger_;
+    std::optional<Daemon::PeriodicTask> creditReads_;
+    std::optional<Daemon::PeriodicTask> creditExchanges_;
 };
 
 EntryDaemon::EntryDaemon(const Schema::EntryDaemonSettings& settings)
