--- a/tests/auto/requests/tst_requestcore.cpp
+++ b/tests/auto/requests/tst_requestcore.cpp
@@ -193,7 +193,7 @@
     World world(variant);
     for (const auto& [kind, value] : operations) {
         world.apply(kind, value);
-        if (const std::string fault = world.fault(); !fault.empty())
+        if (std::string fault = world.fault(); !fault.empty())
             return fault;
     }
     world.drain();
@@ -211,7 +211,7 @@
             kind = static_cast<std::uint8_t>(random());
             value = static_cast<std::uint8_t>(random());
         }
-        if (const std::string fault = run(variant, operations); !fault.empty())
+        if (std::string fault = run(variant, operations); !fault.empty())
             return fault;
     }
     return {};
@@ -274,7 +274,7 @@
             now);
         std::vector<Action> actions;
         core.takeActions(actions);
-        const auto dispatch = std::get<Dispatch>(actions.back());
+        auto dispatch = std::get<Dispatch>(actions.back());
         core.attemptConnected(dispatch.attempt, now);
         return dispatch;
     };
--- a/tests/auto/requests/tst_router.cpp
+++ b/tests/auto/requests/tst_router.cpp
@@ -10,6 +10,7 @@
 std::vector<Backend> backends(int count, const std::string& domain, const std::string& region)
 {
     std::vector<Backend> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index)
         result.push_back({ .name = domain + std::to_string(index), .domain = domain, .region = region });
     return result;
