Add placement library: ledger, index, interference, give way

Cause: batch tasks and service replicas need one account of capacity and one place for decisions on it. The decision core does no I/O; time and random source are passed in.

Its broken variant, which releases a commitment when an eviction is ordered instead of when the end is known, is kept in the test and is caught with: RC_ASSERT(ledger.committed(each) == oracle.sum(each)).

--- /dev/null
+++ b/src/libs/placement/resources.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace Placement {
+
+/*! Amounts of a worker or a task; integers, so that sums are exact. */
+struct Resources {
+    std::int64_t milliProcessors = 0;
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
+
+    /*!
+        Whether these amounts are available in others.
+        \param available the amounts to take from.
+        \return true if each amount is at most the available one.
+    */
+    bool fitsIn(const Resources& available) const;
+
+    /*! \return true if no amount is negative. */
+    bool isValid() const;
+
+    Resources& operator+=(const Resources& other);
+    Resources& operator-=(const Resources& other);
+    friend Resources operator+(Resources left, const Resources& right) { return left += right; }
+    friend Resources operator-(Resources left, const Resources& right) { return left -= right; }
+    friend auto operator<=>(const Resources&, const Resources&) = default;
+};
+
+} // namespace Placement
--- /dev/null
+++ b/tests/auto/placement/tst_capacityledger.cpp
@@ -0,0 +1,110 @@
+#include <placement/capacityledger.h>
+
+#include <propertyparameters.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <functional>
+#include <map>
+
+namespace {
+
+using Placement::CapacityLedger;
+using Placement::Resources;
+
+const bool parametersSet = Testing::setPropertyParameters("seed=20 max_success=400 max_size=80");
+
+/*! Recomputes every sum from a plain list of commitments. */
+class Oracle {
+public:
+    std::vector<Resources> capacities;
+    std::map<std::uint64_t, CapacityLedger::Commitment> commitments;
+
+    Resources sum(Placement::WorkerIndex worker) const
+    {
+        Resources total;
+        for (const auto& [attempt, commitment] : commitments) {
+            if (commitment.worker == worker)
+                total += commitment.size;
+        }
+        return total;
+    }
+
+    bool commit(std::uint64_t attempt, Placement::WorkerIndex worker, const Resources& size)
+    {
+        const auto found = commitments.find(attempt);
+        if (found != commitments.end())
+            return found->second.worker == worker && found->second.size == size;
+        if (!size.isValid() || !(sum(worker) + size).fitsIn(capacities[worker]))
+            return false;
+        commitments[attempt] = { worker, size };
+        return true;
+    }
+};
+
+using Release = std::function<bool(CapacityLedger&, std::uint64_t, bool isKnownEnded)>;
+
+bool releaseWhenEnded(CapacityLedger& ledger, std::uint64_t attempt, bool isKnownEnded)
+{
+    return isKnownEnded && ledger.release(attempt).has_value();
+}
+
+// Broken: takes an eviction order for an end, as if the task had stopped already.
+bool releaseWhenOrdered(CapacityLedger& ledger, std::uint64_t attempt, bool isKnownEnded)
+{
+    (void)isKnownEnded;
+    return ledger.release(attempt).has_value();
+}
+
+Resources arbitrarySize()
+{
+    return { *rc::gen::inRange<std::int64_t>(-1, 9), *rc::gen::inRange<std::int64_t>(-1, 9),
+        *rc::gen::inRange<std::int64_t>(0, 3) };
+}
+
+void runEvents(const Release& release)
+{
+    constexpr std::uint32_t workerCount = 3;
+    constexpr std::uint64_t attemptCount = 12;
+    CapacityLedger ledger;
+    Oracle oracle;
+    for (std::uint32_t worker = 0; worker < workerCount; ++worker) {
+        oracle.capacities.push_back({ 10, 10, 2 });
+        ledger.addWorker(oracle.capacities.back());
+    }
+    const int steps = *rc::gen::inRange(1, 80);
+    for (int step = 0; step < steps; ++step) {
+        const auto attempt = *rc::gen::inRange<std::uint64_t>(0, attemptCount);
+        const auto worker = *rc::gen::inRange<std::uint32_t>(0, workerCount);
+        const int event = *rc::gen::inRange(0, 8);
+        if (event < 5) {
+            const Resources size = arbitrarySize();
+            const bool isCommitted = Utils::isOk(ledger.commit(attempt, worker, size));
+            RC_ASSERT(isCommitted == oracle.commit(attempt, worker, size));
+        } else if (event < 7) {
+            const bool isKnownEnded = event == 6;
+            release(ledger, attempt, isKnownEnded);
+            if (isKnownEnded)
+                oracle.commitments.erase(attempt);
+        } else {
+            oracle.capacities[worker] = { *rc::gen::inRange<std::int64_t>(0, 14),
+                *rc::gen::inRange<std::int64_t>(0, 14), *rc::gen::inRange<std::int64_t>(0, 3) };
+            ledger.setCapacity(worker, oracle.capacities[worker]);
+        }
+        for (std::uint32_t each = 0; each < workerCount; ++each)
+            RC_ASSERT(ledger.committed(each) == oracle.sum(each));
+    }
+}
+
+} // namespace
+
+TEST_CASE("Commitments equal those of the oracle and never exceed capacity, by any events")
+{
+    CHECK(rc::check([] { runEvents(releaseWhenEnded); }));
+}
+
+TEST_CASE("The check catches a ledger that releases before the end is known")
+{
+    CHECK_FALSE(rc::check([] { runEvents(releaseWhenOrdered); }));
+}
--- /dev/null
+++ b/tests/auto/placement/tst_workerquarantine.cpp
@@ -0,0 +1,65 @@
+#include <placement/workerquarantine.h>
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using Placement::WorkerQuarantine;
+
+namespace {
+
+const Utils::TimePoint start { 100s };
+
+void setAside(WorkerQuarantine& quarantine, Placement::WorkerIndex worker)
+{
+    for (int failure = 0; failure < 5; ++failure)
+        quarantine.onFailure(worker, "job" + std::to_string(worker), start);
+}
+
+} // namespace
+
+TEST_CASE("A worker is set aside after five failures in a row, not before")
+{
+    WorkerQuarantine quarantine;
+    quarantine.setWorkerCount(50);
+    for (int failure = 0; failure < 4; ++failure)
+        CHECK_FALSE(quarantine.onFailure(7, "job", start));
+    CHECK(quarantine.onFailure(7, "job", start));
+    CHECK(quarantine.isAside(7));
+}
+
+TEST_CASE("A job that fails on every worker sets none aside")
+{
+    WorkerQuarantine quarantine;
+    quarantine.setWorkerCount(50);
+    for (int round = 0; round < 20; ++round) {
+        for (Placement::WorkerIndex worker = 0; worker < 50; ++worker)
+            quarantine.onFailure(worker, "broken", start);
+    }
+    CHECK(quarantine.asideCount() == 0);
+}
+
+TEST_CASE("Probes come after a growing delay and their end decides")
+{
+    WorkerQuarantine quarantine;
+    quarantine.setWorkerCount(50);
+    setAside(quarantine, 7);
+    CHECK(quarantine.dueProbes(start + 29s).empty());
+    REQUIRE(quarantine.dueProbes(start + 30s).size() == 1);
+    quarantine.onProbeStarted(7);
+    CHECK(quarantine.dueProbes(start + 40s).empty());
+    quarantine.onFailure(7, "probe", start + 40s);
+    CHECK(quarantine.dueProbes(start + 99s).empty());
+    REQUIRE(quarantine.dueProbes(start + 100s).size() == 1);
+    quarantine.onProbeStarted(7);
+    quarantine.onSuccess(7, "probe");
+    CHECK_FALSE(quarantine.isAside(7));
+}
+
+TEST_CASE("No more than a tenth of the workers is aside at once")
+{
+    WorkerQuarantine quarantine;
+    quarantine.setWorkerCount(50);
+    for (Placement::WorkerIndex worker = 0; worker < 20; ++worker)
+        setAside(quarantine, worker);
+    CHECK(quarantine.asideCount() == 5);
+}
