Add tool that measures placement against fixed rules

Cause: the targets for services over their objective, batch work, evictions, deadlines and urgent starts need one workload on which several ways of placing are compared.

--- a/src/libs/placement/enginestate.cpp
+++ b/src/libs/placement/enginestate.cpp
@@ -59,11 +59,12 @@
     const WorkerEntry& entry = workers[worker];
     if (!request.region.empty() && regions.name(entry.region) != request.region)
         return std::nullopt;
-    if (request.kind == TaskKind::Batch && (entry.load.batchShare < 1 || !hasBatchRoom(worker, size)))
+    const bool givesWay = request.kind == TaskKind::Batch && request.rank > 0;
+    if (givesWay && (entry.load.batchShare < 1 || !hasBatchRoom(worker, size)))
         return std::nullopt;
     const double ratio = taskClass < meanRatios.size() ? meanRatios[taskClass] : 1;
     const ScoreInput input { entry.load, ledger.capacity(worker), ledger.available(worker), taskClass,
-        request.kind, size, static_cast<double>(request.declared.milliProcessors) * ratio, isTight };
+        givesWay, size, static_cast<double>(request.declared.milliProcessors) * ratio, isTight };
     std::optional<double> score = scoreWorker(model, input, meanRatios, parameters.score);
     if (!score || request.kind == TaskKind::Batch)
         return score;
--- a/src/libs/placement/workerscore.cpp
+++ b/src/libs/placement/workerscore.cpp
@@ -63,11 +63,12 @@
     const double rateAfter = Internal::workRate(model, mix, mix);
     const double ratioAfter = input.load.serviceRatio * serviceSlowdown(model, input.load, mix)
         / std::max(input.load.slowdownThen, 1.0);
-    if (input.kind == TaskKind::Batch && ratioAfter > parameters.targetRatio)
+    if (input.givesWay && ratioAfter > parameters.targetRatio)
         return std::nullopt;
     const double expected = std::max(input.milliProcessors / total, 1e-6);
     double score = (rateAfter - rateBefore) / expected;
     score -= parameters.serviceWeight * ratioAfter;
+    score -= parameters.excessWeight * std::max(ratioAfter - parameters.targetRatio, 0.0);
     score -= parameters.balanceWeight * Internal::imbalance(input.available - input.size, input.capacity);
     if (input.isTight)
         score -= parameters.urgencyWeight * (model.predict(input.taskClass, mix) - 1);
--- a/src/libs/placement/workerscore.h
+++ b/src/libs/placement/workerscore.h
@@ -13,7 +13,7 @@
     const Resources& capacity;
     Resources available; //!< What may still be committed.
     ClassIndex taskClass = 0;
-    TaskKind kind = TaskKind::Batch;
+    bool givesWay = true; //!< Whether it must not make services miss their objective.
     Resources size; //!< What the task would be given.
     double milliProcessors = 0; //!< What it is expected to use.
     bool isTight = false; //!< Whether its deadline leaves little slack.
--- /dev/null
+++ b/src/tools/gqinterferencebench/fakefleet.cpp
@@ -0,0 +1,242 @@
+#include "fakefleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Bench {
+
+namespace {
+
+constexpr double startSeconds = 0.3;
+constexpr double checkpointSeconds = 2;
+constexpr double stopSeconds = 0.5;
+constexpr double repairSeconds = 300;
+
+} // namespace
+
+FakeFleet::FakeFleet(const GroundTruth& truth, Strategy& strategy)
+    : truth_(truth)
+    , strategy_(strategy)
+    , processors_(static_cast<double>(truth.size().capacity.milliProcessors) / 1000)
+    , tasks_(truth.tasks())
+    , workers_(truth.size().workers)
+{
+}
+
+Utils::TimePoint FakeFleet::now() const
+{
+    return Utils::TimePoint(std::chrono::milliseconds(std::llround(time_ * 1000)));
+}
+
+Outcome FakeFleet::run(double seconds)
+{
+    strategy_.begin(*this);
+    const auto steps = static_cast<std::size_t>(seconds / stepSeconds);
+    for (std::size_t step = 1; step <= steps; ++step) {
+        time_ = static_cast<double>(step) * stepSeconds;
+        submit();
+        failWorkers();
+        for (std::size_t worker = 0; worker < workers_.size(); ++worker)
+            work(worker);
+        if (step % static_cast<std::size_t>(sampleSeconds / stepSeconds) == 0)
+            measure();
+        deliver();
+        strategy_.round(*this);
+    }
+    return outcome(seconds);
+}
+
+void FakeFleet::submit()
+{
+    for (; nextTask_ < tasks_.size() && tasks_[nextTask_].submittedAt <= time_; ++nextTask_) {
+        tasks_[nextTask_].phase = TaskPhase::Waiting;
+        waiting_.insert(nextTask_);
+    }
+}
+
+void FakeFleet::failWorkers()
+{
+    const auto& failures = truth_.failures();
+    for (; nextFailure_ < failures.size() && failures[nextFailure_].first <= time_; ++nextFailure_) {
+        Worker& worker = workers_[failures[nextFailure_].second];
+        worker.isLive = false;
+        worker.backAt = time_ + repairSeconds;
+        worker.share = 1;
+        const std::vector<std::size_t> lost = worker.tasks;
+        for (const std::size_t task : lost) {
+            tasks_[task].keepsProgress = false;
+            leave(task, Placement::AttemptEnd::GaveWay);
+        }
+        strategy_.onWorker(*this, failures[nextFailure_].second, false);
+    }
+    for (std::size_t number = 0; number < workers_.size(); ++number) {
+        if (workers_[number].isLive || workers_[number].backAt > time_)
+            continue;
+        workers_[number].isLive = true;
+        strategy_.onWorker(*this, number, true);
+    }
+}
+
+Usage FakeFleet::usage(std::size_t worker) const
+{
+    Usage used(GroundTruth::classCount, 0.0);
+    used[0] = truth_.serviceProcessors(time_);
+    for (const std::size_t task : workers_[worker].tasks) {
+        if (tasks_[task].phase == TaskPhase::Running)
+            used[tasks_[task].taskClass] += tasks_[task].processors * workers_[worker].share;
+    }
+    return used;
+}
+
+void FakeFleet::work(std::size_t worker)
+{
+    Worker& entry = workers_[worker];
+    if (!entry.isLive)
+        return;
+    const Usage used = usage(worker);
+    const double serviceSlowdown = truth_.slowdown(0, used, processors_, time_);
+    ++serviceSteps_;
+    overSteps_ += truth_.serviceRatio(serviceSlowdown, time_) > 1 ? 1 : 0;
+    std::vector<double> speeds(GroundTruth::classCount, 0.0);
+    for (std::size_t each = 1; each < speeds.size(); ++each)
+        speeds[each] = entry.share / truth_.slowdown(each, used, processors_, time_);
+    const std::vector<std::size_t> present = entry.tasks;
+    for (const std::size_t task : present)
+        advance(tasks_[task], speeds[tasks_[task].taskClass]);
+    killForMemory(worker);
+}
+
+void FakeFleet::advance(WorkTask& task, double speed)
+{
+    if (task.phase == TaskPhase::Starting && task.phaseEndsAt <= time_) {
+        task.phase = TaskPhase::Running;
+        if (task.firstStartAt < 0)
+            task.firstStartAt = time_;
+        return;
+    }
+    if (task.phase == TaskPhase::Leaving && task.phaseEndsAt <= time_) {
+        leave(task.number, Placement::AttemptEnd::GaveWay);
+        return;
+    }
+    if (task.phase != TaskPhase::Running)
+        return;
+    task.doneSeconds += speed * stepSeconds;
+    if (task.doneSeconds < task.runSeconds)
+        return;
+    task.doneSeconds = task.runSeconds;
+    task.endedAt = time_;
+    leave(task.number, Placement::AttemptEnd::Succeeded);
+}
+
+void FakeFleet::killForMemory(std::size_t worker)
+{
+    const auto capacity = static_cast<double>(truth_.size().capacity.memoryMb);
+    double used = static_cast<double>(truth_.serviceSize().memoryMb);
+    std::size_t largest = tasks_.size();
+    for (const std::size_t task : workers_[worker].tasks) {
+        used += tasks_[task].memoryMb;
+        if (largest == tasks_.size() || tasks_[task].memoryMb > tasks_[largest].memoryMb)
+            largest = task;
+    }
+    if (used <= capacity || largest == tasks_.size())
+        return;
+    ++memoryKills_;
+    tasks_[largest].keepsProgress = false;
+    leave(largest, Placement::AttemptEnd::GaveWay);
+}
+
+void FakeFleet::measure()
+{
+    for (std::size_t worker = 0; worker < workers_.size(); ++worker) {
+        if (!workers_[worker].isLive)
+            continue;
+        const Usage used = usage(worker);
+        Sample sample { time_, worker, {}, 0 };
+        for (std::size_t each = 0; each < used.size(); ++each) {
+            if (used[each] <= 0)
+                continue;
+            double memory = 0;
+            for (const std::size_t task : workers_[worker].tasks)
+                memory += tasks_[task].taskClass == each ? tasks_[task].memoryMb : 0;
+            sample.classes.push_back({ "class" + std::to_string(each), used[each] * 1000, memory,
+                truth_.slowdown(each, used, processors_, time_) });
+        }
+        sample.serviceRatio = truth_.serviceRatio(truth_.slowdown(0, used, processors_, time_), time_);
+        samples_.push_back(std::move(sample));
+    }
+}
+
+void FakeFleet::deliver()
+{
+    while (!samples_.empty() && samples_.front().measuredAt + lagSeconds <= time_) {
+        const Sample& sample = samples_.front();
+        const Utils::TimePoint measuredAt(std::chrono::milliseconds(std::llround(sample.measuredAt * 1000)));
+        if (workers_[sample.worker].isLive)
+            strategy_.onUsage(*this, sample.worker, { sample.classes, sample.serviceRatio, measuredAt });
+        samples_.pop_front();
+    }
+}
+
+void FakeFleet::start(std::size_t task, std::size_t worker)
+{
+    WorkTask& entry = tasks_[task];
+    entry.phase = TaskPhase::Starting;
+    entry.phaseEndsAt = time_ + startSeconds;
+    entry.worker = worker;
+    entry.doneSeconds = entry.savedSeconds;
+    ++entry.starts;
+    workers_[worker].tasks.push_back(task);
+    waiting_.erase(task);
+}
+
+void FakeFleet::evict(std::size_t task, Placement::GiveWayStep step)
+{
+    WorkTask& entry = tasks_[task];
+    if (entry.phase != TaskPhase::Running && entry.phase != TaskPhase::Starting)
+        return;
+    ++evictions_;
+    const bool savesProgress = step == Placement::GiveWayStep::Checkpoint && entry.request.checkpointable;
+    entry.keepsProgress = savesProgress;
+    entry.phase = TaskPhase::Leaving;
+    entry.phaseEndsAt = time_ + (savesProgress ? checkpointSeconds : stopSeconds);
+}
+
+void FakeFleet::leave(std::size_t task, Placement::AttemptEnd end)
+{
+    WorkTask& entry = tasks_[task];
+    std::erase(workers_[entry.worker].tasks, task);
+    if (end == Placement::AttemptEnd::Succeeded) {
+        entry.phase = TaskPhase::Done;
+        entry.savedSeconds = entry.doneSeconds;
+    } else {
+        if (entry.keepsProgress)
+            entry.savedSeconds = entry.doneSeconds;
+        entry.doneSeconds = entry.savedSeconds;
+        entry.phase = TaskPhase::Waiting;
+        waiting_.insert(task);
+    }
+    strategy_.onEnded(*this, task, end);
+}
+
+Outcome FakeFleet::outcome(double seconds) const
+{
+    Outcome result;
+    result.overObjectivePercent = 100.0 * static_cast<double>(overSteps_)
+        / static_cast<double>(std::max<std::size_t>(serviceSteps_, 1));
+    result.evictions = evictions_;
+    result.memoryKills = memoryKills_;
+    std::vector<double> urgentStarts;
+    for (const WorkTask& task : tasks_) {
+        result.processorHours += task.doneSeconds * task.processors / 3600;
+        result.metDeadlines.push_back(task.deadlineAt <= 0 || task.deadlineAt > seconds
+            || (task.endedAt >= 0 && task.endedAt <= task.deadlineAt));
+        if (task.isUrgent && task.submittedAt < seconds - 60)
+            urgentStarts.push_back((task.firstStartAt < 0 ? seconds : task.firstStartAt) - task.submittedAt);
+    }
+    std::ranges::sort(urgentStarts);
+    if (!urgentStarts.empty())
+        result.urgentStartP99 = urgentStarts[urgentStarts.size() * 99 / 100];
+    return result;
+}
+
+} // namespace Bench
--- /dev/null
+++ b/src/tools/gqinterferencebench/firstfitstrategy.cpp
@@ -0,0 +1,75 @@
+#include "firstfitstrategy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Bench {
+
+namespace {
+
+constexpr std::size_t scanLimit = 60; // Waiting tasks tried after the first that does not fit.
+
+} // namespace
+
+FirstFitStrategy::FirstFitStrategy(std::string title, double batchShare, bool evictsAboveThreshold)
+    : title_(std::move(title))
+    , batchShare_(batchShare)
+    , evictsAboveThreshold_(evictsAboveThreshold)
+{
+}
+
+void FirstFitStrategy::begin(FakeFleet& fleet)
+{
+    const Placement::Resources& capacity = fleet.truth().size().capacity;
+    const Placement::Resources rest = capacity - fleet.truth().serviceSize();
+    const Placement::Resources capped { static_cast<std::int64_t>(
+                                            static_cast<double>(capacity.milliProcessors) * batchShare_),
+        static_cast<std::int64_t>(static_cast<double>(capacity.memoryMb) * batchShare_), 0 };
+    const Placement::Resources room { std::min(rest.milliProcessors, capped.milliProcessors),
+        std::min(rest.memoryMb, capped.memoryMb), 0 };
+    available_.assign(fleet.workerCount(), room);
+}
+
+bool FirstFitStrategy::place(FakeFleet& fleet, std::size_t task)
+{
+    const Placement::Resources& size = fleet.task(task).request.declared;
+    for (std::size_t worker = 0; worker < available_.size(); ++worker) {
+        if (!fleet.isLive(worker) || !size.fitsIn(available_[worker]))
+            continue;
+        available_[worker] -= size;
+        fleet.start(task, worker);
+        return true;
+    }
+    return false;
+}
+
+void FirstFitStrategy::round(FakeFleet& fleet)
+{
+    std::vector<std::size_t> order;
+    std::size_t count = 0;
+    for (const std::size_t task : fleet.waiting()) {
+        if (fleet.task(task).isUrgent)
+            order.insert(order.begin(), task);
+        else if (++count <= scanLimit)
+            order.push_back(task);
+    }
+    for (const std::size_t task : order)
+        place(fleet, task);
+}
+
+void FirstFitStrategy::onUsage(FakeFleet& fleet, std::size_t worker, const Placement::WorkerUsage& usage)
+{
+    if (!evictsAboveThreshold_ || usage.serviceRatio.value_or(0) <= 1)
+        return;
+    const std::vector<std::size_t>& tasks = fleet.tasksOn(worker);
+    if (!tasks.empty())
+        fleet.evict(tasks.back(), Placement::GiveWayStep::Checkpoint);
+}
+
+void FirstFitStrategy::onEnded(FakeFleet& fleet, std::size_t task, Placement::AttemptEnd end)
+{
+    (void)end;
+    available_[fleet.task(task).worker] += fleet.task(task).request.declared;
+}
+
+} // namespace Bench
--- /dev/null
+++ b/src/tools/gqinterferencebench/strategy.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <placement/placementengine.h>
+
+#include <string>
+
+namespace Bench {
+
+class FakeFleet;
+
+/*! A way of placing and giving way that is measured. */
+class Strategy {
+public:
+    virtual ~Strategy() = default;
+
+    /*! \return its name in the table. */
+    virtual std::string name() const = 0;
+
+    /*! Called once, before the first round. */
+    virtual void begin(FakeFleet& fleet) = 0;
+
+    /*! One round of decisions. */
+    virtual void round(FakeFleet& fleet) = 0;
+
+    /*! A lagging measurement of a worker. */
+    virtual void onUsage(FakeFleet& fleet, std::size_t worker, const Placement::WorkerUsage& usage)
+    {
+        (void)fleet;
+        (void)worker;
+        (void)usage;
+    }
+
+    /*! A task is known to have left its worker. */
+    virtual void onEnded(FakeFleet& fleet, std::size_t task, Placement::AttemptEnd end)
+    {
+        (void)fleet;
+        (void)task;
+        (void)end;
+    }
+
+    /*! A VM failed or came back. */
+    virtual void onWorker(FakeFleet& fleet, std::size_t worker, bool isLive)
+    {
+        (void)fleet;
+        (void)worker;
+        (void)isLive;
+    }
+};
+
+} // namespace Bench
