Plan room for urgent work around tasks that already leave

Cause: several urgent tasks of one burst planned to evict the same task; each then waited for a new plan.

--- a/src/libs/placement/enginestate.cpp
+++ b/src/libs/placement/enginestate.cpp
@@ -150,7 +150,7 @@
         return status;
     const auto taskClass = static_cast<ClassIndex>(classes.intern(request.taskClass));
     const AttemptEntry attempt { request.job, request.team, taskClass, request.kind, request.rank,
-        request.checkpointable, request.declared, request.declaredRun, startedAt };
+        request.checkpointable, false, request.declared, request.declaredRun, startedAt };
     WorkerEntry& worker = workers[placed.worker];
     worker.attempts.push_back(request.attempt);
     if (request.kind == TaskKind::Batch)
@@ -198,7 +198,7 @@
     for (const AttemptId attempt : entry.attempts) {
         const AttemptEntry& running = attempts.at(attempt);
         const CapacityLedger::Commitment* commitment = ledger.find(attempt);
-        if (running.kind == TaskKind::Batch && running.rank > request.rank)
+        if (running.kind == TaskKind::Batch && running.rank > request.rank && !running.isLeaving)
             options.push_back({ attempt, commitment->size, lostWork(running, commitment->size, now) });
     }
     std::ranges::sort(options, {}, &Option::lost);
--- a/src/libs/placement/enginestate.h
+++ b/src/libs/placement/enginestate.h
@@ -33,6 +33,7 @@
     TaskKind kind = TaskKind::Batch;
     std::uint32_t rank = 0;
     bool checkpointable = false;
+    bool isLeaving = false; //!< Told to leave, and not yet known to have ended.
     Resources declared;
     Utils::Duration declaredRun {};
     Utils::TimePoint startedAt {};
--- a/src/libs/placement/placementengine.cpp
+++ b/src/libs/placement/placementengine.cpp
@@ -133,6 +133,13 @@
     private_->reindex(ended->worker);
 }
 
+void PlacementEngine::setLeaving(AttemptId attempt)
+{
+    const auto found = private_->attempts.find(attempt);
+    if (found != private_->attempts.end())
+        found->second.isLeaving = true;
+}
+
 void PlacementEngine::onUsage(WorkerIndex worker, const WorkerUsage& usage)
 {
     private_->learnSizes(worker, usage);
@@ -168,7 +175,7 @@
     std::vector<RunningAttempt> found;
     for (const AttemptId attempt : entry.attempts) {
         const Internal::AttemptEntry& running = private_->attempts.at(attempt);
-        if (running.kind != TaskKind::Batch)
+        if (running.kind != TaskKind::Batch || running.isLeaving)
             continue;
         const double ratio
             = running.taskClass < private_->meanRatios.size() ? private_->meanRatios[running.taskClass] : 1;
--- a/src/libs/placement/placementengine.h
+++ b/src/libs/placement/placementengine.h
@@ -163,6 +163,13 @@
     */
     void onEnded(AttemptId attempt, AttemptEnd end, Utils::TimePoint now);
 
+    /*!
+        Notes that an attempt has been told to leave. Its capacity stays committed until its end is known, but
+        no further plan counts on it.
+        \param attempt the attempt; unknown ones are ignored.
+    */
+    void setLeaving(AttemptId attempt);
+
     /*!
         Learns from a measurement.
         \param worker the worker.
--- a/src/tools/gqinterferencebench/learningstrategy.cpp
+++ b/src/tools/gqinterferencebench/learningstrategy.cpp
@@ -98,8 +98,10 @@
         return;
     roomMadeAt_[task] = fleet.time();
     for (const Placement::AttemptId attempt : plan->attempts) {
-        if (controller_.tryEvict(fleet.now()))
-            fleet.evict(attempt / startsPerTask, Placement::GiveWayStep::Checkpoint);
+        if (!controller_.tryEvict(fleet.now()))
+            continue;
+        engine_.setLeaving(attempt);
+        fleet.evict(attempt / startsPerTask, Placement::GiveWayStep::Checkpoint);
     }
 }
 
@@ -137,8 +139,10 @@
         controller_.onNothingToEvict(indices_[worker]);
         return;
     }
-    if (controller_.tryEvict(fleet.now()))
-        fleet.evict(candidates[*chosen].attempt / startsPerTask, action.step);
+    if (!controller_.tryEvict(fleet.now()))
+        return;
+    engine_.setLeaving(candidates[*chosen].attempt);
+    fleet.evict(candidates[*chosen].attempt / startsPerTask, action.step);
 }
 
 void LearningStrategy::onUsage(FakeFleet& fleet, std::size_t worker, const Placement::WorkerUsage& usage)
--- a/tests/auto/placement/tst_placementengine.cpp
+++ b/tests/auto/placement/tst_placementengine.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 
 using namespace std::chrono_literals;
@@ -145,6 +146,10 @@
     const auto plan = fleet.engine.planRoom(urgent, start + 10min, fleet.random);
     REQUIRE(plan);
     CHECK(plan->attempts == std::vector<AttemptId> { 3 });
+    fleet.engine.setLeaving(3);
+    const auto second = fleet.engine.planRoom(urgent, start + 10min, fleet.random);
+    REQUIRE(second);
+    CHECK(std::ranges::count(second->attempts, AttemptId { 3 }) == 0);
     fleet.engine.onEnded(3, AttemptEnd::GaveWay, start);
     CHECK(fleet.place(urgent));
     TaskRequest equal = request(41, TaskKind::Service, 20000);
