Refuse overlong texts before matching a pattern

std::regex_match recurses once a character: a section name of 200000 characters in a policy document or a settings file overflowed the stack (seen under ASan with fuzz_policy; tst_settingsfile with 1000000 characters ended with SIGSEGV in the plain build before the change, passes after it). Texts with a pattern now have at most 1024 characters, and a fault shows the first 80 bytes of a value only.

--- a/src/libs/settings/messagereader.cpp
+++ b/src/libs/settings/messagereader.cpp
@@ -19,6 +19,8 @@
 namespace Proto = google::protobuf;
 
 constexpr char nameField[] = "name";
+constexpr std::size_t maxPatternTextLength = 1024; // std::regex recurses once a character.
+constexpr std::size_t maxQuotedLength = 80;
 
 std::string formatNumber(double number)
 {
@@ -83,6 +85,20 @@
     return items;
 }
 
+bool matchesPattern(const Proto::FieldOptions& options, const std::string& text)
+{
+    return text.size() <= maxPatternTextLength
+        && std::regex_match(text, std::regex(options.GetExtension(Schema::pattern)));
+}
+
+// The value as a fault shows it.
+std::string quoted(const std::string& value)
+{
+    if (value.size() <= maxQuotedLength)
+        return "'" + value + "'";
+    return "'" + value.substr(0, maxQuotedLength) + "...' (" + std::to_string(value.size()) + " bytes)";
+}
+
 // Sets one scalar; false if the text does not meet the field's rules.
 bool setScalar(const Proto::FieldDescriptor& field, const std::string& text, Proto::Message& message)
 {
@@ -109,8 +125,7 @@
         return true;
     case Proto::FieldDescriptor::CPPTYPE_STRING: {
         const Proto::FieldOptions& options = field.options();
-        if (options.HasExtension(Schema::pattern)
-            && !std::regex_match(text, std::regex(options.GetExtension(Schema::pattern))))
+        if (options.HasExtension(Schema::pattern) && !matchesPattern(options, text))
             return false;
         if (field.is_repeated())
             reflection.AddString(&message, &field, text);
@@ -180,7 +195,7 @@
             return;
         }
         if (!setField(*field, entry.value, message_))
-            addFault(entry.key, "'" + entry.value + "' is not allowed; " + allowedRange(*field));
+            addFault(entry.key, quoted(entry.value) + " is not allowed; " + allowedRange(*field));
     }
 
     void addFault(const std::string& key, const std::string& message)
--- a/tests/auto/settings/tst_settingsfile.cpp
+++ b/tests/auto/settings/tst_settingsfile.cpp
@@ -71,3 +71,12 @@
     REQUIRE(policy.give_way().order_size() == 2);
     CHECK(policy.give_way().order(1) == "stop");
 }
+
+TEST_CASE("A text of any length is refused without exhausting the stack")
+{
+    constexpr std::size_t length = 1'000'000;
+    const std::string faults = faultsOf("[node]\nname = " + std::string(length, 'a') + "\n");
+    CHECK(faults.find("[node] name: ") != std::string::npos);
+    CHECK(faults.find("must match [A-Za-z0-9._-]+") != std::string::npos);
+    CHECK(faults.size() < length);
+}
