--- a/src/libs/node/nodeservices.cpp
+++ b/src/libs/node/nodeservices.cpp
@@ -1,6 +1,7 @@
 #include "nodeservices.h"
 
 #include "configuration/configurationstore.h"
+#include "configuration/drains.h"
 #include "daemon/periodictask.h"
 #include "peering/peercredentials.h"
 #include "platform/http/httpobjectstore.h"
@@ -159,11 +160,13 @@
 
 void NodeServices::Private::pollVms()
 {
-    const auto list = vmList_.list();
+    auto list = vmList_.list();
     if (!Utils::isOk(list)) {
         Utils::logError("vm-list-poll-failed", Utils::error(list));
         return;
     }
+    if (const auto inForce = cache.current())
+        Configuration::markDrained(inForce->policy, Utils::value(list));
     const auto& vms = Utils::value(list).vms();
     const std::vector<const Schema::VmEntry*> entries(vms.pointer_begin(), vms.pointer_end());
     addSeeds(entries);
