Let a request that has begun to arrive finish during a planned stop

Ruled out: shutting the receiving side down, which also ends a read whose first bytes are queued already. The wait for the first byte is a read of its own now, and only that one is cancelled.

--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -25,6 +25,7 @@
 using Tcp = Asio::ip::tcp;
 
 constexpr std::uint32_t maxHeaderBytes = 32U << 10U;
+constexpr std::size_t firstReadBytes = 4U << 10U;
 constexpr auto writeTimeout = std::chrono::seconds(30);
 constexpr auto drainTimeout = std::chrono::seconds(2);
 constexpr std::size_t drainChunkBytes = 64U << 10U;
@@ -72,15 +73,21 @@
 private:
     using Stream = Beast::tcp_stream;
 
+    struct Connection {
+        Stream stream;
+        bool awaitsRequest = false; // No byte of the next request has come; used on its strand.
+    };
+
     void acceptLoop(const Asio::yield_context& yield);
-    void serve(const std::shared_ptr<Stream>& stream, const Asio::yield_context& yield);
-    bool serveOne(Stream& stream, Beast::flat_buffer& buffer, const Asio::yield_context& yield);
+    void serve(const std::shared_ptr<Connection>& connection, const Asio::yield_context& yield);
+    bool awaitRequest(Connection& connection, Beast::flat_buffer& buffer, const Asio::yield_context& yield);
+    bool serveOne(Connection& connection, Beast::flat_buffer& buffer, const Asio::yield_context& yield);
     Response handle(Request request, const Asio::yield_context& yield);
     bool write(Stream& stream, Response response, bool keepAlive, const Asio::yield_context& yield);
     static void drain(Stream& stream, const Asio::yield_context& yield);
     Utils::Duration readTimeout() const;
-    void add(const std::shared_ptr<Stream>& stream);
-    void remove(const std::shared_ptr<Stream>& stream);
+    void add(const std::shared_ptr<Connection>& connection);
+    void remove(const std::shared_ptr<Connection>& connection);
     void retireIdle();
 
     ServerOptions options_;
@@ -91,7 +98,7 @@
     std::atomic<bool> stopping_ = false;
     std::atomic<std::size_t> inProgress_ = 0;
     std::mutex mutex_;
-    std::unordered_set<std::shared_ptr<Stream>> streams_;
+    std::unordered_set<std::shared_ptr<Connection>> connections_;
     std::function<void()> done_;
 };
 
@@ -125,8 +132,8 @@
     while (!stopping_) {
         boost::system::error_code failure;
         auto strand = Asio::make_strand(context_);
-        auto stream = std::make_shared<Stream>(strand);
-        acceptor_.async_accept(stream->socket(), yield[failure]);
+        auto connection = std::make_shared<Connection>(Connection { Stream(strand) });
+        acceptor_.async_accept(connection->stream.socket(), yield[failure]);
         if (failure == Asio::error::operation_aborted || failure == Asio::error::bad_descriptor)
             return;
         if (failure) {
@@ -135,34 +142,55 @@
             pause.async_wait(yield[failure]);
             continue;
         }
-        add(stream);
+        add(connection);
         Asio::spawn(
             strand,
-            [self = shared_from_this(), stream](
-                const Asio::yield_context& connectionYield) { self->serve(stream, connectionYield); },
+            [self = shared_from_this(), connection](
+                const Asio::yield_context& connectionYield) { self->serve(connection, connectionYield); },
             Asio::detached);
     }
 }
 
-void Server::Private::serve(const std::shared_ptr<Stream>& stream, const Asio::yield_context& yield)
+void Server::Private::serve(const std::shared_ptr<Connection>& connection, const Asio::yield_context& yield)
 {
     boost::system::error_code ignored;
-    stream->socket().set_option(Tcp::no_delay(true), ignored);
+    Stream& stream = connection->stream;
+    stream.socket().set_option(Tcp::no_delay(true), ignored);
     Beast::flat_buffer buffer;
-    while (serveOne(*stream, buffer, yield)) { }
-    stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    stream->close();
-    remove(stream);
+    while (serveOne(*connection, buffer, yield)) { }
+    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    stream.close();
+    remove(connection);
+}
+
+// False if the connection ended, was idle too long or is retired before the first byte of a request.
+bool Server::Private::awaitRequest(
+    Connection& connection, Beast::flat_buffer& buffer, const Asio::yield_context& yield)
+{
+    if (buffer.size() > 0)
+        return true;
+    boost::system::error_code failure;
+    connection.stream.expires_after(readTimeout());
+    connection.awaitsRequest = true;
+    const std::size_t size
+        = connection.stream.async_read_some(buffer.prepare(firstReadBytes), yield[failure]);
+    connection.awaitsRequest = false;
+    buffer.commit(size);
+    return !failure;
 }
 
 // Serves one request; false if the connection is to be closed.
-bool Server::Private::serveOne(Stream& stream, Beast::flat_buffer& buffer, const Asio::yield_context& yield)
+bool Server::Private::serveOne(
+    Connection& connection, Beast::flat_buffer& buffer, const Asio::yield_context& yield)
 {
+    if (!awaitRequest(connection, buffer, yield))
+        return false;
+    Stream& stream = connection.stream;
     Beast::http::request_parser<Beast::http::string_body> parser;
     parser.body_limit(options_.maxBodyBytes);
     parser.header_limit(maxHeaderBytes);
     boost::system::error_code failure;
-    stream.expires_after(readTimeout());
+    stream.expires_after(options_.idleTimeout);
     Beast::http::async_read(stream, buffer, parser, yield[failure]);
     if (failure) {
         auto answer = answerToFailedRead(failure);
@@ -226,19 +254,19 @@
     return stopping_ ? options_.drainGrace : options_.idleTimeout;
 }
 
-void Server::Private::add(const std::shared_ptr<Stream>& stream)
+void Server::Private::add(const std::shared_ptr<Connection>& connection)
 {
     const std::lock_guard<std::mutex> guard(mutex_);
-    streams_.insert(stream);
+    connections_.insert(connection);
 }
 
-void Server::Private::remove(const std::shared_ptr<Stream>& stream)
+void Server::Private::remove(const std::shared_ptr<Connection>& connection)
 {
     std::function<void()> done;
     {
         const std::lock_guard<std::mutex> guard(mutex_);
-        streams_.erase(stream);
-        if (stopping_ && streams_.empty())
+        connections_.erase(connection);
+        if (stopping_ && connections_.empty())
             done = std::exchange(done_, nullptr);
     }
     if (done)
@@ -251,7 +279,7 @@
     {
         const std::lock_guard<std::mutex> guard(mutex_);
         stopping_ = true;
-        idle = streams_.empty();
+        idle = connections_.empty();
         if (!idle)
             done_ = done;
     }
@@ -267,14 +295,14 @@
     timer->async_wait([self = shared_from_this(), timer](boost::system::error_code) { self->retireIdle(); });
 }
 
-// Ends the reads of connections without a request in progress; a running answer is not touched.
+// Closes connections that wait for a request; one that has begun to arrive or is in progress is not touched.
 void Server::Private::retireIdle()
 {
     const std::lock_guard<std::mutex> guard(mutex_);
-    for (const std::shared_ptr<Stream>& stream : streams_) {
-        Asio::post(stream->get_executor(), [stream] {
-            boost::system::error_code ignored;
-            stream->socket().shutdown(Tcp::socket::shutdown_receive, ignored);
+    for (const std::shared_ptr<Connection>& connection : connections_) {
+        Asio::post(connection->stream.get_executor(), [connection] {
+            if (connection->awaitsRequest)
+                connection->stream.cancel();
         });
     }
 }
