Look at the credits again before the first byte

A process that was paused between dispatch and connection sent under credits that had lapsed. The check leaves the time between itself and the write. With the check left out, tst_requestcore reported the send and a failure counted against the backend server.

--- a/src/libs/requests/requestcore.cpp
+++ b/src/libs/requests/requestcore.cpp
@@ -34,6 +34,7 @@
     std::size_t classIndex = 0;
     bool ownDomain = true;
     bool connected = false;
+    bool withdrawn = false; // The credits lapsed before the first byte.
     bool decided = false; // The request was finished or goes on without this attempt.
     Utils::TimePoint started {};
 };
@@ -385,12 +386,15 @@
         d_->decideOpen(request, now);
 }
 
-bool RequestCore::attemptConnected(AttemptId attempt, Utils::TimePoint)
+bool RequestCore::attemptConnected(AttemptId attempt, Utils::TimePoint now)
 {
     if (!d_->openRequest(attempt))
         return false;
-    d_->attempts_.at(attempt).connected = true;
-    return true;
+    AttemptState& state = d_->attempts_.at(attempt);
+    // The process may have been paused since the dispatch.
+    state.withdrawn = !d_->router_.holdsCredits(state.backend, now);
+    state.connected = !state.withdrawn;
+    return state.connected;
 }
 
 void RequestCore::attemptNotSent(AttemptId attempt, Utils::TimePoint now)
@@ -398,7 +402,8 @@
     if (!d_->attempts_.contains(attempt))
         return;
     const RequestState* state = d_->openRequest(attempt);
-    d_->endAttempt(attempt, state ? AttemptEnd::NotReached : AttemptEnd::Abandoned, false, now);
+    const bool reached = !state || d_->attempts_.at(attempt).withdrawn;
+    d_->endAttempt(attempt, reached ? AttemptEnd::Abandoned : AttemptEnd::NotReached, false, now);
     if (state)
         d_->retryOrFinish(
             state->description.id, true, false, state->mayHaveRun ? Outcome::Unknown : Outcome::NotRun, now);
--- a/src/libs/requests/requestcore.h
+++ b/src/libs/requests/requestcore.h
@@ -94,7 +94,8 @@
         The next byte goes to the backend server: from now on the outcome is unknown.
         \param attempt id from the Dispatch.
         \param now the current time.
-        \return false if the request was decided meanwhile; then nothing may be sent.
+        \return false if the request was decided or the credits lapsed meanwhile; then nothing may be sent,
+       and attemptNotSent() follows.
     */
     bool attemptConnected(AttemptId attempt, Utils::TimePoint now);
 
--- a/src/libs/requests/router.cpp
+++ b/src/libs/requests/router.cpp
@@ -142,6 +142,12 @@
     }
 }
 
+bool Router::holdsCredits(std::string_view backend, Utils::TimePoint now) const
+{
+    const auto found = targets_.find(backend);
+    return found != targets_.end() && found->second.creditExpiry > now;
+}
+
 void Router::release(std::string_view backend)
 {
     const auto found = targets_.find(backend);
--- a/src/libs/requests/router.h
+++ b/src/libs/requests/router.h
@@ -106,6 +106,14 @@
     */
     void record(std::string_view backend, AttemptEnd end, Utils::Duration latency, Utils::TimePoint now);
 
+    /*!
+        Whether the credits under which a request was dispatched have not lapsed.
+        \param backend the target.
+        \param now the current time.
+        \return false if nothing may be sent to it now.
+    */
+    bool holdsCredits(std::string_view backend, Utils::TimePoint now) const;
+
     /*! Gives a slot back. \param backend the target. */
     void release(std::string_view backend);
 
--- a/tests/auto/requests/tst_requestcore.cpp
+++ b/tests/auto/requests/tst_requestcore.cpp
@@ -258,6 +258,30 @@
     CHECK(core.isIdle());
 }
 
+TEST_CASE("Nothing is sent under credits that lapsed after the dispatch")
+{
+    Utils::TimePoint now = Utils::TimePoint {} + 1h;
+    RequestCore core({ .service = "app", .domain = "a", .region = "north", .requireCredits = true });
+    core.setPolicy(policy(), now);
+    core.setBackends(threeBackends(false), now);
+    core.setCredits("b1", 1, now + 3s, now);
+    core.submit(
+        { .id = 1, .service = "app", .priorityClass = {}, .caller = "c", .deadline = now + 9s, .key = {} },
+        now);
+    std::vector<Action> actions;
+    core.takeActions(actions);
+    const AttemptId attempt = std::get<Dispatch>(actions.at(0)).attempt;
+    now += 3s; // A pause.
+    CHECK_FALSE(core.attemptConnected(attempt, now));
+    core.attemptNotSent(attempt, now);
+    CHECK(core.counters().backends.at("b1").failed == 0);
+    core.setCredits("b1", 1, now + 3s, now);
+    actions.clear();
+    core.takeActions(actions);
+    REQUIRE(actions.size() == 1);
+    CHECK(core.attemptConnected(std::get<Dispatch>(actions[0]).attempt, now));
+}
+
 TEST_CASE("The slot of a closed connection stays taken while the request may still run")
 {
     Utils::TimePoint now = Utils::TimePoint {} + 1h;
