--- a/src/libs/entry/entrydaemon.cpp
+++ b/src/libs/entry/entrydaemon.cpp
@@ -6,6 +6,7 @@
 #include "daemon/periodictask.h"
 #include "gateway/creditkeeper.h"
 #include "gateway/keyledger.h"
+#include "gateway/keysweeper.h"
 #include "gateway/servicegateway.h"
 #include "node/nodeservices.h"
 #include "utils/log/log.h"
@@ -33,7 +34,7 @@
     return { settings.node().name(), settings.node().domain(), settings.node().region() };
 }
 
-std::uint64_t startMicroseconds()
+std::uint64_t unixMicroseconds()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
     return static_cast<std::uint64_t>(
@@ -41,6 +42,13 @@
 }
 
 constexpr Utils::Duration creditPause = std::chrono::milliseconds(250);
+constexpr Utils::Duration sweepPause = std::chrono::seconds(5);
+constexpr int maxSweepSteps = 10;
+
+std::int64_t unixMilliseconds()
+{
+    return static_cast<std::int64_t>(unixMicroseconds() / 1000);
+}
 
 } // namespace
 
@@ -50,7 +58,7 @@
         : frame_(settings.listen(), [this] { return gateway_.metrics() + node_.metrics(); })
         , gateway_(frame_.context(), place(settings), gatewayLimits(settings.requests()),
               std::chrono::milliseconds(settings.requests().default_deadline_ms()))
-        , credits_(gateway_, place(settings), startMicroseconds())
+        , credits_(gateway_, place(settings), unixMicroseconds())
         , node_(Node::sharedSettings(settings, "entry"), frame_.readiness(), handlers())
         , jobs_(node_.table())
         , keyLedger_(node_.table(), settings.node().name())
@@ -76,7 +84,9 @@
         }
         creditReads_.emplace(creditPause, [this] { credits_.readTable(node_.table()); });
         creditExchanges_.emplace(creditPause, [this] { exchangeCredits(); });
+        keySweeps_.emplace(sweepPause, [this] { sweepKeys(); });
         return frame_.run([this] {
+            keySweeps_.reset();
             creditReads_.reset();
             creditExchanges_.reset();
             node_.stop();
@@ -97,6 +107,14 @@
         return result;
     }
 
+    // A full page of old rows is followed by the next one at once.
+    void sweepKeys()
+    {
+        std::uint32_t deleted = Gateway::KeySweeper::rowsPerStep;
+        for (int step = 0; step < maxSweepSteps && deleted == Gateway::KeySweeper::rowsPerStep; ++step)
+            deleted = node_.peers().isAmongFirst(1) ? keySweeper_.step(node_.table(), unixMilliseconds()) : 0;
+    }
+
     void exchangeCredits()
     {
         node_.peers().exchangeCredits();
@@ -110,6 +128,8 @@
     Node::NodeServices node_;
     JobHandler jobs_;
     Gateway::KeyLedger keyLedger_;
+    Gateway::KeySweeper keySweeper_;
+    std::optional<Daemon::PeriodicTask> keySweeps_;
     std::optional<Daemon::PeriodicTask> creditReads_;
     std::optional<Daemon::PeriodicTask> creditExchanges_;
 };
--- /dev/null
+++ b/src/libs/gateway/keysweeper.cpp
@@ -0,0 +1,50 @@
+#include "keysweeper.h"
+
+#include "platform/tableservice.h"
+#include "utils/identifiers.h"
+#include "utils/log/log.h"
+
+#include <requests.pb.h>
+
+namespace Gateway {
+
+namespace {
+
+constexpr char prefix[] = "request-keys/";
+
+bool isOld(const Schema::Row& row, std::int64_t unixMs)
+{
+    Schema::KeyRecord record;
+    return record.ParseFromString(row.value()) && record.claimed_unix_ms() + KeySweeper::retentionMs < unixMs;
+}
+
+} // namespace
+
+// After a conflict or a fault the rows are met again in the next round.
+std::uint32_t KeySweeper::step(Platform::TableService& table, std::int64_t unixMs)
+{
+    const auto reply = table.scan(prefix, after_, rowsPerStep);
+    if (!Utils::isOk(reply)) {
+        Utils::logError("key-sweep-failed", Utils::error(reply));
+        return 0;
+    }
+    const Schema::ScanReply& page = Utils::value(reply);
+    after_ = page.more() ? page.rows(page.rows_size() - 1).key() : std::string();
+    Schema::CommitRequest request;
+    request.set_write_id(Utils::makeUniqueId());
+    for (const Schema::Row& row : page.rows()) {
+        if (!isOld(row, unixMs))
+            continue;
+        Schema::RowCondition* condition = request.add_conditions();
+        condition->set_key(row.key());
+        condition->set_version(row.version());
+        request.add_deletes(row.key());
+    }
+    if (request.deletes().empty())
+        return 0;
+    const auto committed = table.commit(request);
+    const bool deleted = Utils::isOk(committed) && Utils::value(committed).committed();
+    return deleted ? static_cast<std::uint32_t>(request.deletes_size()) : 0;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/keysweeper.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Platform {
+class TableService;
+}
+
+namespace Gateway {
+
+/*!
+    Deletes rows of idempotency keys whose retention is over, a part of them with each step.
+
+    A row is deleted only as it was read; one that is claimed anew meanwhile stays. Not safe for threads.
+*/
+class KeySweeper {
+public:
+    static constexpr std::int64_t retentionMs = 24LL * 60 * 60 * 1000; //!< From the claim of the key.
+    static constexpr std::uint32_t rowsPerStep = 200;
+
+    /*!
+        Reads the next rows and deletes the old ones in one commit; waits for the table.
+        \param table the platform's table.
+        \param unixMs the current time, milliseconds since 1970.
+        \return number of rows deleted.
+    */
+    std::uint32_t step(Platform::TableService& table, std::int64_t unixMs);
+
+private:
+    std::string after_;
+};
+
+} // namespace Gateway
--- a/tests/auto/gateway/tst_keyledger.cpp
+++ b/tests/auto/gateway/tst_keyledger.cpp
@@ -1,6 +1,7 @@
 #include "scriptedbackend.h"
 
 #include <gateway/keyledger.h>
+#include <gateway/keysweeper.h>
 #include <gateway/servicegateway.h>
 #include <http/headers.h>
 #include <platform/memorytable.h>
@@ -148,6 +149,30 @@
     CHECK(outcomeOf(Gateway::keyResponse(decision.step)) == "unknown");
 }
 
+TEST_CASE("Rows of keys are deleted after their retention")
+{
+    Platform::MemoryTable table;
+    const auto put = [&table](const std::string& key, std::int64_t claimedMs) {
+        Schema::KeyRecord record;
+        record.set_claimed_unix_ms(claimedMs);
+        Schema::CommitRequest request;
+        request.set_write_id(key);
+        request.add_puts()->set_key("request-keys/rounds/" + key);
+        request.mutable_puts(0)->set_value(record.SerializeAsString());
+        table.commit(request);
+    };
+    constexpr std::uint32_t oldCount = Gateway::KeySweeper::rowsPerStep + 10;
+    for (std::uint32_t index = 0; index < oldCount; ++index)
+        put("old" + std::to_string(index), 1000);
+    put("young", Gateway::KeySweeper::retentionMs);
+    Gateway::KeySweeper sweeper;
+    const std::int64_t time = Gateway::KeySweeper::retentionMs + 2000;
+    CHECK(sweeper.step(table, 1000) == 0);
+    CHECK(sweeper.step(table, 1000) == 0);
+    CHECK(sweeper.step(table, time) + sweeper.step(table, time) == oldCount);
+    CHECK(Utils::value(table.scan("request-keys/", "", 10)).rows_size() == 1);
+}
+
 TEST_CASE("A request sent with one key to two entry VMs at once runs once")
 {
     FaultyTable table;
