Index a worker's tasks by phase and send only what is due

Rounds visited every open task of every worker several times; now only stocked, starting or told ones are visited.

--- a/src/libs/batch/attempts.cpp
+++ b/src/libs/batch/attempts.cpp
@@ -237,6 +237,7 @@
     if (!task->job->record.spec().checkpointable())
         return false;
     task->checkpointAsked = true;
+    askCommands(*task);
     return true;
 }
 
--- a/src/libs/batch/jobs.cpp
+++ b/src/libs/batch/jobs.cpp
@@ -60,6 +60,8 @@
         const bool unsent = task.phase == TaskPhase::Starting && task.sentSequence == 0;
         if (task.phase == TaskPhase::Pending || task.phase == TaskPhase::Stocked || unsent)
             closeCancelled(task);
+        else if (task.phase == TaskPhase::Running)
+            askCommands(task);
     }
 }
 
--- a/src/libs/batch/rounds.cpp
+++ b/src/libs/batch/rounds.cpp
@@ -65,9 +65,9 @@
 void ShardOwner::Private::startStocked(std::span<const WorkerRoom> rooms)
 {
     for (const WorkerRoom& room : rooms) {
-        for (Task* task : book_.openAt(room.worker)) {
-            const bool startable = task->phase == TaskPhase::Stocked && !task->job->record.cancelled();
-            if (!startable || !commitments_.hold(room.worker, task->job->record.spec().size()))
+        for (Task* task : book_.openAt(TaskPhase::Stocked, room.worker)) {
+            if (task->job->record.cancelled()
+                || !commitments_.hold(room.worker, task->job->record.spec().size()))
                 continue;
             task->holdsCapacity = true;
             book_.setPhase(*task, TaskPhase::Starting);
@@ -79,8 +79,8 @@
 {
     // What waits for the table must not keep recorded attempts from starting.
     for (const auto& [name, worker] : workers_) {
-        for (Task* task : book_.openAt(name)) {
-            if (task->phase != TaskPhase::Recording || !task->holdsCapacity)
+        for (Task* task : book_.openAt(TaskPhase::Recording, name)) {
+            if (!task->holdsCapacity)
                 continue;
             commitments_.release(name, task->job->record.spec().size());
             task->holdsCapacity = false;
@@ -101,8 +101,8 @@
     std::vector<Task*> candidates = book_.pending(maxCandidates, now);
     // Attempts recorded ahead for a full worker may move to one with room; they were never sent.
     for (const WorkerRoom& room : rooms) {
-        for (Task* task : book_.openAt(room.worker)) {
-            if (task->phase == TaskPhase::Stocked && candidates.size() < maxCandidates)
+        for (Task* task : book_.openAt(TaskPhase::Stocked, room.worker)) {
+            if (candidates.size() < maxCandidates)
                 candidates.push_back(task);
         }
     }
@@ -163,6 +163,7 @@
             task->throttleAsked = true;
             task->share = order.share;
         }
+        askCommands(*task);
     }
 }
 
@@ -171,9 +172,11 @@
     for (auto& [name, worker] : workers_) {
         if (!worker.link.vm().leaving())
             continue;
-        for (Task* task : book_.openAt(name)) {
-            if (task->phase == TaskPhase::Running && task->job->record.spec().checkpointable())
-                task->checkpointAsked = true;
+        for (Task* task : book_.openAt(TaskPhase::Running, name)) {
+            if (!task->job->record.spec().checkpointable())
+                continue;
+            task->checkpointAsked = true;
+            worker.commandsDue = true;
         }
     }
 }
@@ -186,13 +189,13 @@
         const Utils::Duration age = now - worker.link.lastSentAt();
         if (age < options_.round)
             continue;
-        Schema::CommandBatch batch = makeBatch(name, worker);
-        const bool commands = batch.starts_size() + batch.stops_size() + batch.checkpoints_size()
-                + batch.throttles_size() + batch.acknowledged_size()
-            > 0;
         const bool renewalDue = age >= options_.lease / renewalsPerLease || !worker.link.heard();
-        if (!commands && !renewalDue)
+        const bool answersDue = !worker.acknowledgements.empty() || !worker.strayStops.empty();
+        const bool commandsDue = worker.commandsDue || answersDue;
+        if (!renewalDue && !commandsDue && book_.openAt(TaskPhase::Starting, name).empty())
             continue;
+        worker.commandsDue = false;
+        Schema::CommandBatch batch = makeBatch(name, worker);
         worker.link.stamp(batch, options_.lease, now);
         for (const Schema::StartCommand& start : batch.starts()) {
             Task* task = book_.task({ start.attempt().job(), start.attempt().task() });
@@ -206,6 +209,13 @@
     }
 }
 
+void ShardOwner::Private::askCommands(const Task& task)
+{
+    const auto found = workers_.find(task.record.worker());
+    if (found != workers_.end())
+        found->second.commandsDue = true;
+}
+
 Schema::CommandBatch ShardOwner::Private::makeBatch(const std::string& name, Worker& worker)
 {
     Schema::CommandBatch batch;
--- a/src/libs/batch/shardownerprivate.h
+++ b/src/libs/batch/shardownerprivate.h
@@ -40,6 +40,7 @@
         std::vector<Schema::AttemptRef> strayStops; //!< Attempts that run though they were given up.
         bool listed = true;
         Utils::TimePoint missingSince;
+        bool commandsDue = false; //!< A running attempt has to be told something.
     };
 
     Private(ShardOwnerOptions options, Placer& placer);
@@ -114,6 +115,7 @@
     void relieve(
         std::span<const WorkerRoom> rooms, std::span<const RunningTask> running, Utils::TimePoint now);
     void drainLeaving();
+    void askCommands(const Task& task);
     void freeUnsentHolds();
     void record(Task& task, const std::string& worker, bool holds);
     void sendBatches(Utils::TimePoint now, Actions& actions);
--- a/src/libs/batch/taskbook.cpp
+++ b/src/libs/batch/taskbook.cpp
@@ -107,10 +107,23 @@
 std::vector<Task*> TaskBook::openAt(std::string_view worker) const
 {
     std::vector<Task*> tasks;
-    const auto found = openAt_.find(worker);
-    if (found == openAt_.end())
+    for (const TasksByWorker& phase : openAt_) {
+        const auto found = phase.find(worker);
+        if (found == phase.end())
+            continue;
+        for (const auto& [key, task] : found->second)
+            tasks.push_back(task);
+    }
+    return tasks;
+}
+
+std::vector<Task*> TaskBook::openAt(TaskPhase phase, std::string_view worker) const
+{
+    std::vector<Task*> tasks;
+    const TasksByWorker& workers = openAt_[static_cast<std::size_t>(phase)];
+    const auto found = workers.find(worker);
+    if (found == workers.end())
         return tasks;
-    tasks.reserve(found->second.size());
     for (const auto& [key, task] : found->second)
         tasks.push_back(task);
     return tasks;
@@ -169,7 +182,7 @@
     if (task.phase == TaskPhase::Pending)
         pending_[urgency(task)] = &task;
     if (atWorker(task.phase))
-        openAt_[task.record.worker()][taskKey(task.record)] = &task;
+        openAt_[static_cast<std::size_t>(task.phase)][task.record.worker()][taskKey(task.record)] = &task;
 }
 
 void TaskBook::leave(Task& task)
@@ -179,10 +192,11 @@
         pending_.erase(urgency(task));
     if (!atWorker(task.phase))
         return;
-    const auto found = openAt_.find(task.record.worker());
+    TasksByWorker& workers = openAt_[static_cast<std::size_t>(task.phase)];
+    const auto found = workers.find(task.record.worker());
     found->second.erase(taskKey(task.record));
     if (found->second.empty())
-        openAt_.erase(found);
+        workers.erase(found);
 }
 
 } // namespace Batch
--- a/src/libs/batch/taskbook.h
+++ b/src/libs/batch/taskbook.h
@@ -5,6 +5,7 @@
 
 #include <batch.pb.h>
 
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,6 +28,9 @@
     Ended,
 };
 
+/*! Number of phases. */
+constexpr std::size_t taskPhaseCount = 7;
+
 /*! A task of a job. */
 struct Task {
     Job* job = nullptr;
@@ -108,6 +112,10 @@
     /*! \return tasks with an open attempt at a worker, as copies of pointers. \param worker the worker. */
     std::vector<Task*> openAt(std::string_view worker) const;
 
+    /*! \return tasks of one phase at a worker, as copies of pointers. \param phase Stocked, Starting and so
+     * on. \param worker the worker. */
+    std::vector<Task*> openAt(TaskPhase phase, std::string_view worker) const;
+
     /*! \return up to limit pending tasks that are due, most urgent first. */
     std::vector<Task*> pending(std::size_t limit, Utils::TimePoint now);
 
@@ -126,8 +134,10 @@
 
     std::map<std::string, std::unique_ptr<Job>> jobs_;
     std::map<Urgency, Task*> pending_;
-    std::map<std::string, std::map<TaskKey, Task*>, std::less<>> openAt_;
-    std::size_t counts_[7] = {};
+    using TasksByWorker = std::map<std::string, std::map<TaskKey, Task*>, std::less<>>;
+
+    std::array<TasksByWorker, taskPhaseCount> openAt_;
+    std::array<std::size_t, taskPhaseCount> counts_ {};
 };
 
 } // namespace Batch
