--- a/tests/standins/simulatedtasks.cpp
+++ b/tests/standins/simulatedtasks.cpp
@@ -71,16 +71,20 @@
     return all;
 }
 
-Schema::UsageSample SimulatedTasks::usage() const
+std::vector<Schema::UsageSample> SimulatedTasks::usage() const
 {
-    Schema::UsageSample sample;
+    std::map<std::string, Schema::UsageSample> classes;
     for (const auto& [id, task] : tasks_) {
+        Schema::UsageSample& sample = classes[task.command.task_class()];
+        sample.set_task_class(task.command.task_class());
         sample.set_processors(sample.processors() + task.command.size().processors() * task.share);
         sample.set_memory_mb(sample.memory_mb() + task.command.size().memory_mb());
-        sample.set_task_class(task.command.task_class());
+        sample.set_slowdown(1);
     }
-    sample.set_slowdown(1);
-    return sample;
+    std::vector<Schema::UsageSample> samples;
+    for (auto& [name, sample] : classes)
+        samples.push_back(std::move(sample));
+    return samples;
 }
 
 } // namespace StandIns
--- a/tests/standins/simulatedtasks.h
+++ b/tests/standins/simulatedtasks.h
@@ -29,8 +29,8 @@
     /*! \return progress of all running attempts, 0 to 1. */
     std::map<Batch::AttemptId, double> progress() const;
 
-    /*! \return a sample of what the running attempts use. */
-    Schema::UsageSample usage() const;
+    /*! \return what the running attempts use, a sample for each class of tasks. */
+    std::vector<Schema::UsageSample> usage() const;
 
 private:
     struct Task {
--- a/tests/standins/standinworker.cpp
+++ b/tests/standins/standinworker.cpp
@@ -103,7 +103,8 @@
         if (now - sampledAt_ < sampleInterval)
             return;
         sampledAt_ = now;
-        samples_.emplace_back(now, tasks_.usage());
+        for (Schema::UsageSample& sample : tasks_.usage())
+            samples_.emplace_back(now, std::move(sample));
     }
 
     void waitForStep()
--- a/tests/system/test_batch.py
+++ b/tests/system/test_batch.py
@@ -71,17 +71,18 @@
         wait_until(lambda: self.job(job).get("state") == state, "%s is %s" % (job, state), seconds)
 
     def runs(self):
-        """Run log of all workers as (job, task) to a list of [attempt, start, end, state]."""
+        """Run log of all workers as (job, task) to a list of [attempt, start, end, state, resumed, written]."""
         tasks = {}
         for worker in self.workers:
             opened = {}
             for entry in worker.call("GET", "/runs").json():
                 key = (entry["job"], entry["task"], entry["attempt"])
                 if entry["event"] == "start":
-                    opened[key] = [entry["attempt"], entry["at_ms"], float("inf"), "RUNNING", entry["checkpoint"]]
+                    opened[key] = [entry["attempt"], entry["at_ms"], float("inf"), "RUNNING", entry["checkpoint"], ""]
                     tasks.setdefault(key[:2], []).append(opened[key])
                 else:
                     opened[key][2:4] = [entry["at_ms"], entry["state"]]
+                    opened[key][5] = entry["checkpoint"]
         return tasks
 
 
@@ -169,6 +170,35 @@
             tasks = self.check_runs(fleet, "job-1", 30)
             self.assertTrue(all(len(runs) == 1 for runs in tasks.values()), "a task was disturbed")
 
+    def test_leaving_worker_is_drained_and_checkpoints_are_resumed_once(self):
+        with BatchFleet() as fleet:
+            fleet.submit("job-1", 12, 4000)
+            wait_until(lambda: fleet.job("job-1")["running"] == 12, "all processors are taken")
+            leaving = [vm for vm in fleet.vms if vm["name"] == "worker-0"][0]
+            leaving["leaving"] = True
+            fleet.publish_vms()
+            wait_until(lambda: metric(fleet.owner(), "gq_batch_evictions_total") == 4, "its tasks are evicted")
+            fleet.wait_state("job-1", "DONE")
+            tasks = self.check_runs(fleet, "job-1", 12)
+            resumed = [run[4] for runs in tasks.values() for run in runs if run[4]]
+            written = [run[5] for runs in tasks.values() for run in runs if run[5]]
+            self.assertEqual(sorted(resumed), sorted(written))
+            self.assertEqual(len(resumed), 4)
+
+    def test_lost_replica_is_replaced_elsewhere(self):
+        with BatchFleet() as fleet:
+            fleet.submit("service-1", 6, 600000, kind="SERVICE")
+            wait_until(lambda: fleet.job("service-1")["running"] == 6, "all replicas run")
+            lost = [worker for worker in fleet.workers if worker.call("GET", "/runs").json()][0]
+            lost.kill()
+            fleet.workers.remove(lost)
+
+            def replaced():
+                runs = [run for runs in fleet.runs().values() for run in runs]
+                return len([run for run in runs if run[3] == "RUNNING"]) == 6
+
+            wait_until(replaced, "six replicas run on the workers that are left")
+
     def test_cancellation_of_many_tasks_costs_few_writes(self):
         with BatchFleet() as fleet:
             fleet.submit("job-1", 10000, 60000)
