--- a/src/libs/batch/taskbook.cpp
+++ b/src/libs/batch/taskbook.cpp
@@ -90,6 +90,35 @@
     enter(task);
 }
 
+void TaskBook::setRank(Job& job, std::uint32_t rank)
+{
+    if (job.rank == rank)
+        return;
+    std::vector<Task*> pending;
+    for (Task& task : job.tasks) {
+        if (task.phase == TaskPhase::Pending)
+            pending.push_back(&task);
+    }
+    for (Task* task : pending)
+        leave(*task);
+    job.rank = rank;
+    for (Task* task : pending)
+        enter(*task);
+}
+
+bool TaskBook::pendingGoesBefore(const Task& task, Utils::TimePoint now) const
+{
+    const std::pair<bool, std::uint32_t> own { !task.job->isService(), task.job->rank };
+    for (const auto& [urgencyOfOther, other] : pending_) {
+        const std::pair<bool, std::uint32_t> others { !other->job->isService(), other->job->rank };
+        if (others >= own)
+            return false;
+        if (!other->job->never && other->waitingSince <= now)
+            return true;
+    }
+    return false;
+}
+
 void TaskBook::finish(Job& job)
 {
     for (Task& task : job.tasks)
@@ -107,10 +136,23 @@
 std::vector<Task*> TaskBook::openAt(std::string_view worker) const
 {
     std::vector<Task*> tasks;
-    const auto found = openAt_.find(worker);
-    if (found == openAt_.end())
+    for (const TasksByWorker& phase : openAt_) {
+        const auto found = phase.find(worker);
+        if (found == phase.end())
+            continue;
+        for (const auto& [key, task] : found->second)
+            tasks.push_back(task);
+    }
+    return tasks;
+}
+
+std::vector<Task*> TaskBook::openAt(TaskPhase phase, std::string_view worker) const
+{
+    std::vector<Task*> tasks;
+    const TasksByWorker& workers = openAt_[static_cast<std::size_t>(phase)];
+    const auto found = workers.find(worker);
+    if (found == workers.end())
         return tasks;
-    tasks.reserve(found->second.size());
     for (const auto& [key, task] : found->second)
         tasks.push_back(task);
     return tasks;
@@ -159,7 +201,8 @@
 
 TaskBook::Urgency TaskBook::urgency(const Task& task)
 {
-    return { !task.job->isService(), task.job->deadline, task.waitingSince, taskKey(task.record) };
+    return { !task.job->isService(), task.job->rank, task.job->deadline, task.waitingSince,
+        taskKey(task.record) };
 }
 
 void TaskBook::enter(Task& task)
@@ -169,7 +212,7 @@
     if (task.phase == TaskPhase::Pending)
         pending_[urgency(task)] = &task;
     if (atWorker(task.phase))
-        openAt_[task.record.worker()][taskKey(task.record)] = &task;
+        openAt_[static_cast<std::size_t>(task.phase)][task.record.worker()][taskKey(task.record)] = &task;
 }
 
 void TaskBook::leave(Task& task)
@@ -179,10 +222,11 @@
         pending_.erase(urgency(task));
     if (!atWorker(task.phase))
         return;
-    const auto found = openAt_.find(task.record.worker());
+    TasksByWorker& workers = openAt_[static_cast<std::size_t>(task.phase)];
+    const auto found = workers.find(task.record.worker());
     found->second.erase(taskKey(task.record));
     if (found->second.empty())
-        openAt_.erase(found);
+        workers.erase(found);
 }
 
 } // namespace Batch
