Measure placement also without giving less than declared

Cause: the owner of a shard commits declared sizes; what the correction downwards brings has to be told apart.

--- a/src/tools/gqinterferencebench/gqinterferencebench.cpp
+++ b/src/tools/gqinterferencebench/gqinterferencebench.cpp
@@ -36,7 +36,8 @@
         firstFit("static cap 40%", 0.4, false),
         firstFit("static cap 60%", 0.6, false),
         firstFit("threshold only", 1.0, true),
-        [] { return std::make_unique<LearningStrategy>(); },
+        [] { return std::make_unique<LearningStrategy>(false); },
+        [] { return std::make_unique<LearningStrategy>(true); },
     };
 }
 
--- a/src/tools/gqinterferencebench/learningstrategy.cpp
+++ b/src/tools/gqinterferencebench/learningstrategy.cpp
@@ -13,18 +13,20 @@
 constexpr Placement::AttemptId firstReplica = 1ULL << 60;
 constexpr Placement::AttemptId startsPerTask = 1ULL << 20;
 
-Placement::PlacementEngine::Parameters parameters()
+Placement::PlacementEngine::Parameters parameters(bool givesLessThanDeclared)
 {
     Placement::PlacementEngine::Parameters chosen;
     chosen.batchProcessorsShare = 0.8;
     chosen.batchMemoryShare = 0.87;
+    chosen.givesLessThanDeclared = givesLessThanDeclared;
     return chosen;
 }
 
 } // namespace
 
-LearningStrategy::LearningStrategy()
-    : engine_(parameters())
+LearningStrategy::LearningStrategy(bool givesLessThanDeclared)
+    : title_(givesLessThanDeclared ? "geraniumquay" : "geraniumquay, at least as declared")
+    , engine_(parameters(givesLessThanDeclared))
     , nextReplica_(firstReplica)
 {
 }
--- a/src/tools/gqinterferencebench/learningstrategy.h
+++ b/src/tools/gqinterferencebench/learningstrategy.h
@@ -9,9 +9,12 @@
 /*! The library under measurement: placement engine and give-way controller. */
 class LearningStrategy final : public Strategy {
 public:
-    LearningStrategy();
+    /*!
+        \param givesLessThanDeclared whether tasks may be given less than they declare.
+    */
+    explicit LearningStrategy(bool givesLessThanDeclared);
 
-    std::string name() const override { return "geraniumquay"; }
+    std::string name() const override { return title_; }
     void begin(FakeFleet& fleet) override;
     void round(FakeFleet& fleet) override;
     void onUsage(FakeFleet& fleet, std::size_t worker, const Placement::WorkerUsage& usage) override;
@@ -26,6 +29,7 @@
     void giveWay(FakeFleet& fleet, std::size_t worker, const Placement::GiveWayAction& action);
     std::vector<std::size_t> orderOf(const FakeFleet& fleet) const;
 
+    std::string title_;
     Placement::PlacementEngine engine_;
     Placement::GiveWayController controller_;
     std::mt19937_64 random_ { 1 };
