--- a/src/libs/placement/enginestate.cpp
+++ b/src/libs/placement/enginestate.cpp
@@ -24,11 +24,18 @@
         counts.erase(key);
 }
 
+Resources EngineState::availableOf(WorkerIndex worker) const
+{
+    const Resources rest = ledger.available(worker) - workers[worker].withheld;
+    return { std::max<std::int64_t>(rest.milliProcessors, 0), std::max<std::int64_t>(rest.memoryMb, 0),
+        std::max<std::int64_t>(rest.accelerators, 0) };
+}
+
 void EngineState::reindex(WorkerIndex worker)
 {
     const WorkerEntry& entry = workers[worker];
     if (entry.isInFleet && entry.accepts && !quarantine.isAside(worker))
-        index.update(worker, ledger.available(worker));
+        index.update(worker, availableOf(worker));
     else
         index.remove(worker);
 }
@@ -63,8 +70,8 @@
     if (givesWay && (entry.load.batchShare < 1 || !hasBatchRoom(worker, size)))
         return std::nullopt;
     const double ratio = taskClass < meanRatios.size() ? meanRatios[taskClass] : 1;
-    const ScoreInput input { entry.load, ledger.capacity(worker), ledger.available(worker), taskClass,
-        givesWay, size, static_cast<double>(request.declared.milliProcessors) * ratio, isTight };
+    const ScoreInput input { entry.load, ledger.capacity(worker), availableOf(worker), taskClass, givesWay,
+        size, static_cast<double>(request.declared.milliProcessors) * ratio, isTight };
     std::optional<double> score = scoreWorker(model, input, meanRatios, parameters.score);
     if (!score || request.kind == TaskKind::Batch)
         return score;
@@ -86,7 +93,7 @@
     for (const WorkerIndex worker : quarantine.dueProbes(now)) {
         const WorkerEntry& entry = workers[worker];
         const bool isUsable = entry.isInFleet && entry.accepts && hasBatchRoom(worker, size);
-        if (isUsable && size.fitsIn(ledger.available(worker))
+        if (isUsable && size.fitsIn(availableOf(worker))
             && (request.region.empty() || regions.name(entry.region) == request.region))
             return worker;
     }
@@ -203,7 +210,7 @@
     }
     std::ranges::sort(options, {}, &Option::lost);
     RoomPlan plan { worker, {} };
-    Resources available = ledger.available(worker);
+    Resources available = availableOf(worker);
     lost = 0;
     for (const Option& option : options) {
         if (size.fitsIn(available))
--- a/src/libs/placement/enginestate.h
+++ b/src/libs/placement/enginestate.h
@@ -21,6 +21,7 @@
     bool accepts = true;
     bool isInFleet = true;
     Resources batchGiven;
+    Resources withheld; //!< Not committed here, and not to be given.
     WorkerLoad load;
     std::vector<AttemptId> attempts;
 };
@@ -75,6 +76,7 @@
     }
 
     void reindex(WorkerIndex worker);
+    Resources availableOf(WorkerIndex worker) const;
     Resources expectedSize(const TaskRequest& request) const;
     bool hasBatchRoom(WorkerIndex worker, const Resources& size) const;
     std::optional<double> rate(const TaskRequest& request, WorkerIndex worker, const Resources& size,
--- a/src/libs/placement/freecapacityindex.h
+++ b/src/libs/placement/freecapacityindex.h
@@ -52,6 +52,7 @@
 
 private:
     static constexpr int levelCount = 32;
+    static constexpr std::size_t cellCount = 1024;
 
     struct Entry {
         Resources available;
@@ -60,7 +61,7 @@
     };
 
     struct Grid {
-        std::array<std::vector<WorkerIndex>, levelCount * levelCount> cells;
+        std::array<std::vector<WorkerIndex>, cellCount> cells;
         std::array<std::uint32_t, levelCount> occupied {}; //!< Bit per memory level, by processors level.
     };
 
--- a/src/libs/placement/placementengine.cpp
+++ b/src/libs/placement/placementengine.cpp
@@ -51,6 +51,12 @@
     private_->reindex(worker);
 }
 
+void PlacementEngine::setWithheld(WorkerIndex worker, const Resources& withheld)
+{
+    private_->workers[worker].withheld = withheld;
+    private_->reindex(worker);
+}
+
 void PlacementEngine::removeWorker(WorkerIndex worker)
 {
     Internal::WorkerEntry& entry = private_->workers[worker];
--- a/src/libs/placement/placementengine.h
+++ b/src/libs/placement/placementengine.h
@@ -116,6 +116,13 @@
     */
     void setAccepting(WorkerIndex worker, bool accepts);
 
+    /*!
+        Keeps part of a worker from being given, beside what is committed.
+        \param worker the worker.
+        \param withheld amounts that are used in ways of which this engine has no account.
+    */
+    void setWithheld(WorkerIndex worker, const Resources& withheld);
+
     /*!
         Takes a worker out of the fleet. Its commitments stay until their attempts are told to have ended.
         \param worker the worker.
--- a/src/libs/placement/resources.h
+++ b/src/libs/placement/resources.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace Placement {
 
@@ -25,7 +25,12 @@
     Resources& operator-=(const Resources& other);
     friend Resources operator+(Resources left, const Resources& right) { return left += right; }
     friend Resources operator-(Resources left, const Resources& right) { return left -= right; }
-    friend auto operator<=>(const Resources&, const Resources&) = default;
+    friend bool operator==(const Resources&, const Resources&) = default;
+    friend bool operator<(const Resources& left, const Resources& right)
+    {
+        return std::tie(left.milliProcessors, left.memoryMb, left.accelerators)
+            < std::tie(right.milliProcessors, right.memoryMb, right.accelerators);
+    }
 };
 
 } // namespace Placement
--- a/src/tools/gqinterferencebench/learningstrategy.cpp
+++ b/src/tools/gqinterferencebench/learningstrategy.cpp
@@ -76,6 +76,7 @@
     }
     std::ranges::sort(order);
     std::vector<std::size_t> tasks;
+    tasks.reserve(order.size());
     for (const auto& [position, task] : order)
         tasks.push_back(task);
     return tasks;
