--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -82,12 +82,12 @@
 class Process:
     """A running process whose log lines are read as they come."""
 
-    def __init__(self, name, program, arguments):
+    def __init__(self, name, program, arguments, prefix=()):
         self.name = name
         self.lines = []
         self.ports = {}
-        path = os.path.join(BUILD, program)
-        self.process = subprocess.Popen([path] + arguments, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+        command = [*prefix, os.path.join(BUILD, program), *arguments]
+        self.process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
         self.reader = threading.Thread(target=self._read, daemon=True)
         self.reader.start()
 
@@ -144,6 +144,7 @@
         self.vms = []
         self.platform = None
         self.console = None
+        self.prefix = {}
 
     def __enter__(self):
         return self
@@ -157,7 +158,7 @@
         self.folder.cleanup()
 
     def start(self, name, program, arguments):
-        process = Process(name, program, arguments)
+        process = Process(name, program, arguments, self.prefix.get(os.path.basename(program), ()))
         self.processes.append(process)
         return process
 
