--- a/src/libs/configuration/policydifference.cpp
+++ b/src/libs/configuration/policydifference.cpp
@@ -6,6 +6,7 @@
 #include <google/protobuf/message.h>
 
 #include <map>
+#include <tuple>
 
 namespace Configuration {
 
@@ -17,7 +18,10 @@
     std::string section;
     std::string key;
 
-    auto operator<=>(const KeyName&) const = default;
+    bool operator<(const KeyName& other) const
+    {
+        return std::tie(section, key) < std::tie(other.section, other.key);
+    }
 };
 
 using KeyValues = std::map<KeyName, std::string>;
@@ -69,6 +73,7 @@
             differences.erase(found);
     }
     std::vector<Difference> result;
+    result.reserve(differences.size());
     for (auto& [name, entry] : differences)
         result.push_back(std::move(entry));
     return result;
--- a/src/libs/membership/membertable.cpp
+++ b/src/libs/membership/membertable.cpp
@@ -389,6 +389,7 @@
         byName[name] = member;
     }
     std::vector<Schema::Member> members;
+    members.reserve(byName.size());
     for (auto& [name, member] : byName)
         members.push_back(std::move(member));
     return members;
--- a/src/libs/telemetry/burnreport.cpp
+++ b/src/libs/telemetry/burnreport.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace Telemetry {
 
@@ -20,7 +21,11 @@
     std::uint32_t latencyMs = 0;
     double percent = 0;
 
-    auto operator<=>(const ObjectiveKey&) const = default;
+    bool operator<(const ObjectiveKey& other) const
+    {
+        return std::tie(service, objective, latencyMs, percent)
+            < std::tie(other.service, other.objective, other.latencyMs, other.percent);
+    }
 };
 
 struct WindowSum {
--- a/src/libs/telemetry/metrics.cpp
+++ b/src/libs/telemetry/metrics.cpp
@@ -13,6 +13,7 @@
 #include <limits>
 #include <map>
 #include <sstream>
+#include <tuple>
 #include <vector>
 
 namespace Telemetry {
@@ -64,7 +65,10 @@
     std::string name;
     std::string labels;
 
-    auto operator<=>(const MetricName&) const = default;
+    bool operator<(const MetricName& other) const
+    {
+        return std::tie(name, labels) < std::tie(other.name, other.labels);
+    }
 };
 
 using MetricMap = std::map<MetricName, Metric>;
