--- a/tests/auto/gateway/scriptedbackend.cpp
+++ b/tests/auto/gateway/scriptedbackend.cpp
@@ -44,6 +44,7 @@
 
     std::uint16_t port() const { return port_; }
     int runs() const { return runs_; }
+    void silenceOpenConnections() { silentBelow_ = accepted_.load(); }
 
 private:
     void acceptLoop(const Asio::yield_context& yield)
@@ -54,15 +55,17 @@
             acceptor_.async_accept(*socket, yield[failure]);
             if (failure)
                 return;
+            accepted_ = connection + 1;
             const bool healthy = script_.healthyAfter >= 0 && connection >= script_.healthyAfter;
             Asio::spawn(
                 context_,
-                [this, socket, healthy](const Asio::yield_context& inner) { serve(*socket, healthy, inner); },
+                [this, socket, healthy, connection](
+                    const Asio::yield_context& inner) { serve(*socket, connection, healthy, inner); },
                 Asio::detached);
         }
     }
 
-    void serve(Tcp::socket& socket, bool healthy, const Asio::yield_context& yield)
+    void serve(Tcp::socket& socket, int connection, bool healthy, const Asio::yield_context& yield)
     {
         boost::system::error_code failure;
         if (script_.closeAtOnce && !healthy)
@@ -74,6 +77,8 @@
             if (failure)
                 return;
             head.erase(0, length);
+            if (connection < silentBelow_)
+                continue;
             ++runs_;
             const std::string answer = healthy ? healthyAnswer : script_.answer;
             Asio::async_write(socket, Asio::buffer(answer), yield[failure]);
@@ -87,6 +92,8 @@
     Tcp::acceptor acceptor_;
     std::uint16_t port_;
     std::atomic<int> runs_ = 0;
+    std::atomic<int> accepted_ = 0;
+    std::atomic<int> silentBelow_ = 0;
     std::thread thread_;
 };
 
@@ -102,6 +109,11 @@
     return d_->port();
 }
 
+void ScriptedBackend::silenceOpenConnections()
+{
+    d_->silenceOpenConnections();
+}
+
 int ScriptedBackend::runs() const
 {
     return d_->runs();
--- a/tests/auto/gateway/scriptedbackend.h
+++ b/tests/auto/gateway/scriptedbackend.h
@@ -26,6 +26,9 @@
     /*! \return the port it listens on, or one on which nothing listens. */
     std::uint16_t port() const;
 
+    /*! Drops what arrives on the connections opened so far; new ones work. */
+    void silenceOpenConnections();
+
     /*! \return number of requests whose head arrived whole, that is, which ran. */
     int runs() const;
 
--- a/tests/auto/gateway/tst_exchangephases.cpp
+++ b/tests/auto/gateway/tst_exchangephases.cpp
@@ -90,6 +90,7 @@
     {
         Gateway::GatewayLimits limits;
         limits.progressTimeout = std::chrono::milliseconds(200);
+        limits.maxIdleUnsafe = std::chrono::milliseconds(50);
         return limits;
     }
 
@@ -195,3 +196,18 @@
     CHECK(fixture.outcomeOf("POST", "300") == "unknown");
     CHECK(backend.runs() == 1);
 }
+
+TEST_CASE("Requests recover after all open connections went silent, without a second run")
+{
+    ScriptedBackend backend(answering(wholeAnswer, false));
+    const std::uint16_t ports[] = { backend.port() };
+    GatewayFixture fixture(ports);
+    REQUIRE(fixture.outcomeOf("POST") == "completed");
+    backend.silenceOpenConnections();
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK(fixture.outcomeOf("POST") == "completed");
+    CHECK(backend.runs() == 2);
+    backend.silenceOpenConnections();
+    CHECK(fixture.outcomeOf("GET") == "completed");
+    CHECK(backend.runs() == 3);
+}
