Confirm credits until the last request of a planned stop is finished

Ruled out: longer credits, which would lengthen every handover. Figures: two entry VMs, 2 slots, a request queued behind one of 5 s: unanswered before (the new test failed), completed after. Conclusion: the peers are left after the last request.

--- a/src/libs/daemon/frame.cpp
+++ b/src/libs/daemon/frame.cpp
@@ -91,7 +91,7 @@
         server_.emplace(context_, options, std::move(handler));
     }
 
-    int run(const std::function<void()>& beforeStop);
+    int run(const std::function<void()>& beforeStop, const std::function<void()>& afterRequests);
 
 private:
     bool start(Http::Server& server, std::string_view name);
@@ -140,7 +140,7 @@
     finished.wait();
 }
 
-int Frame::Private::run(const std::function<void()>& beforeStop)
+int Frame::Private::run(const std::function<void()>& beforeStop, const std::function<void()>& afterRequests)
 {
     if (!start(administration_, "administration") || (server_ && !start(*server_, "main")))
         return ExitFailure;
@@ -156,6 +156,8 @@
     if (beforeStop)
         beforeStop();
     finishRequests();
+    if (afterRequests)
+        afterRequests();
     context_.stop();
     administrationContext_.stop();
     for (std::thread& thread : threads)
@@ -186,9 +188,9 @@
     d_->serve(maxBodyBytes, std::move(handler));
 }
 
-int Frame::run(const std::function<void()>& beforeStop)
+int Frame::run(const std::function<void()>& beforeStop, const std::function<void()>& afterRequests)
 {
-    return d_->run(beforeStop);
+    return d_->run(beforeStop, afterRequests);
 }
 
 } // namespace Daemon
--- a/src/libs/daemon/frame.h
+++ b/src/libs/daemon/frame.h
@@ -64,9 +64,10 @@
         Runs until SIGTERM or SIGINT, then stops gracefully: the readiness fails first, the requests in
         progress are finished, then the call returns.
         \param beforeStop called when the signal comes, before the servers stop; it may block.
+        \param afterRequests called when the last request is finished; it may block.
         \return the exit code of the process.
     */
-    int run(const std::function<void()>& beforeStop = {});
+    int run(const std::function<void()>& beforeStop, const std::function<void()>& afterRequests = {});
 
 private:
     class Private;
--- a/src/libs/entry/entrydaemon.cpp
+++ b/src/libs/entry/entrydaemon.cpp
@@ -85,7 +85,8 @@
         creditReads_.emplace(creditPause, [this] { credits_.readTable(node_.table()); });
         creditExchanges_.emplace(creditPause, [this] { exchangeCredits(); });
         keySweeps_.emplace(sweepPause, [this] { sweepKeys(); });
-        return frame_.run([this] {
+        // Requests in progress need their credits confirmed to the end.
+        return frame_.run({}, [this] {
             keySweeps_.reset();
             creditReads_.reset();
             creditExchanges_.reset();
--- a/tests/system/test_requests.py
+++ b/tests/system/test_requests.py
@@ -70,12 +70,12 @@
         self.addCleanup(self.fleet.__exit__)
         self.fleet.start_platform()
 
-    def start(self, backends=2, entries=1, slots=8):
+    def start(self, backends=2, entries=1, slots=8, policy=harness.POLICY):
         """A domain with backend servers and entry VMs, ready for requests."""
         self.backends = [self.fleet.start_backend("backend-%d" % i, slots=slots) for i in range(backends)]
         self.entries = [self.fleet.start_entry("entry-%d" % i) for i in range(entries)]
         self.fleet.publish_vms()
-        self.fleet.put_policy(harness.POLICY)
+        self.fleet.put_policy(policy)
         for entry in self.entries:
             entry.wait_ready()
         self.entry = self.entries[0]
@@ -178,6 +178,20 @@
         ran = sum(sum(run_log(backend)["runs"].values()) for backend in self.backends)
         self.assertEqual(ran, answered)
 
+    def test_a_planned_stop_finishes_a_request_that_waits_longer_than_credits_last(self):
+        policy = harness.POLICY.replace("guaranteed_percent = 30\n", "guaranteed_percent = 30\nmax_queue_ms = 20000\n")
+        self.start(backends=1, entries=2, slots=2, policy=policy)
+        answers = []
+        first = self.send_later(self.entry, answers, query="?ms=5000", headers={"Geraniumquay-Request-Id": "first"})
+        wait_until(lambda: runs_of(self.backends, "first") == 1, "the first request runs")
+        second = self.send_later(self.entry, answers, headers={"Geraniumquay-Request-Id": "second"})
+        queued = b'geraniumquay_requests_queued{service="rounds",class="normal"} 1'
+        wait_until(lambda: queued in self.entry.call("GET", "/metrics", port="administration").body, "the second waits")
+        self.assertEqual(self.entry.stop(), 0)
+        first.join(harness.WAIT_SECONDS)
+        second.join(harness.WAIT_SECONDS)
+        self.assertEqual([answer.outcome for answer in answers], ["completed", "completed"])
+
     def test_a_leaving_backend_server_gets_no_new_work(self):
         self.start()
         caller = Caller(self.entry.port())
