--- a/src/libs/console/consolehandler.cpp
+++ b/src/libs/console/consolehandler.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr std::string_view cookieName = "gq_session=";
-constexpr std::int64_t sessionSeconds = 8 * 3600;
+constexpr std::int64_t sessionSeconds = std::int64_t { 8 } * 3600;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned forbidden = 403;
 constexpr unsigned notFound = 404;
--- a/tests/auto/configuration/tst_configurationcache.cpp
+++ b/tests/auto/configuration/tst_configurationcache.cpp
@@ -104,6 +104,7 @@
     cache.offer(makeAccepted(1));
     std::atomic<bool> reverted { false };
     std::vector<std::thread> readers;
+    readers.reserve(readerCount);
     for (int i = 0; i < readerCount; ++i) {
         readers.emplace_back([&] {
             std::uint64_t last = 0;
--- a/tests/auto/configuration/tst_configurationstore.cpp
+++ b/tests/auto/configuration/tst_configurationstore.cpp
@@ -66,7 +66,7 @@
             delayed_.push_back(request);
         if (fault == Fault::RequestLost || fault == Fault::Delayed)
             return lost;
-        const auto reply = table.commit(request);
+        auto reply = table.commit(request);
         if (afterCommit && Utils::value(reply).committed())
             std::exchange(afterCommit, {})();
         if (fault == Fault::AnswerLost)
@@ -185,6 +185,7 @@
     Platform::MemoryTable table;
     const ConfigurationStore store(table);
     std::vector<std::thread> operators;
+    operators.reserve(operatorCount);
     std::vector<Utils::Result<ChangeOutcome>> outcomes(operatorCount);
     for (int i = 0; i < operatorCount; ++i) {
         operators.emplace_back(
--- a/tests/auto/telemetry/tst_metrics.cpp
+++ b/tests/auto/telemetry/tst_metrics.cpp
@@ -40,6 +40,7 @@
 {
     Telemetry::Metrics metrics;
     std::vector<std::thread> threads;
+    threads.reserve(threadCount);
     for (int i = 0; i < threadCount; ++i) {
         threads.emplace_back([&] {
             for (int j = 0; j < samplesPerThread; ++j)
