Judge an undrained VM by draining the other one

The test waited until both backend servers answered among 20 requests sent one after the other. At load 28 one run in 5 saw only one of them for 30 s after the undrain, so the condition rested on how the router chooses between two usable targets, which it is free to do.

--- a/tests/system/test_gqctl.py
+++ b/tests/system/test_gqctl.py
@@ -72,14 +72,16 @@
                 answers = [entry.call("GET", "/services/rounds/echo") for _ in range(20)]
                 return {answer.headers["Geraniumquay-Served-By"] for answer in answers}
 
-            wait_until(lambda: servers() == {"backend-a", "backend-b"}, "both backend servers answer")
+            self.assertLessEqual(servers(), {"backend-a", "backend-b"})
             self.assertEqual(control.run("--reason", "new kernel", "drain", "backend-a").returncode, 0)
             wait_until(lambda: servers() == {"backend-b"}, "the drained one gets nothing")
             self.assertEqual(servers(), {"backend-b"})
             self.assertIn("[drain backend-a]\nreason = new kernel\n", get(fleet.consoles[0]).body.decode())
             self.assertEqual(control.run("undrain", "backend-a").returncode, 0)
             self.assertEqual(get(fleet.consoles[0]).body.decode(), POLICY)
-            wait_until(lambda: servers() == {"backend-a", "backend-b"}, "both backend servers answer again")
+            self.assertEqual(control.run("drain", "backend-b").returncode, 0)
+            wait_until(lambda: servers() == {"backend-a"}, "only the undrained one gets work")
+            self.assertEqual(servers(), {"backend-a"})
 
     def test_jobs_members_and_burn(self):
         with ConsoleFleet() as fleet:
