--- a/tests/auto/http/tst_serverstop.cpp
+++ b/tests/auto/http/tst_serverstop.cpp
@@ -32,7 +32,7 @@
         return options;
     }
 
-    static void answerWithSize(Http::Request request, const Http::Responder& respond)
+    static void answerWithSize(const Http::Request& request, const Http::Responder& respond)
     {
         respond(Http::jsonResponse(200, std::to_string(request.body.size())));
     }
