--- a/src/libs/batch/shardownerprivate.h
+++ b/src/libs/batch/shardownerprivate.h
@@ -40,6 +40,7 @@
         std::vector<Schema::AttemptRef> strayStops; //!< Attempts that run though they were given up.
         bool listed = true;
         Utils::TimePoint missingSince;
+        bool commandsDue = false; //!< A running attempt has to be told something.
     };
 
     Private(ShardOwnerOptions options, Placer& placer);
@@ -52,6 +53,7 @@
     void onRows(std::uint64_t id, const std::vector<Schema::Row>* rows, Utils::TimePoint now);
     void onWorkers(std::span<const Schema::VmEntry> workers, Utils::TimePoint now);
     ShardOwnerStatistics statistics() const;
+    void setPolicy(const Schema::PolicyDocument& policy);
 
     // Attempts: attempts.cpp
     void onReport(std::string_view worker, std::uint64_t sequence, const Schema::WorkerReport* report,
@@ -82,6 +84,7 @@
     void askInbox(Utils::TimePoint now, Actions& actions);
     void onInbox(const std::vector<Schema::Row>& rows, Utils::TimePoint now);
     void cancel(Job& job);
+    std::uint32_t rankOf(const Job& job) const;
     void checkFits(Utils::TimePoint now);
     void finishJobs(Utils::TimePoint now);
     bool allEnded(const Job& job) const;
@@ -107,13 +110,14 @@
     void scheduleRound(Utils::TimePoint now);
     std::vector<WorkerRoom> rooms(Utils::TimePoint now);
     std::vector<RunningTask> running(std::span<const WorkerRoom> rooms);
-    void startStocked(std::span<const WorkerRoom> rooms);
+    void startStocked(std::span<const WorkerRoom> rooms, Utils::TimePoint now);
     void placePending(
         std::span<const WorkerRoom> rooms, std::span<const RunningTask> running, Utils::TimePoint now);
     void fillStock(std::span<const WorkerRoom> rooms, Utils::TimePoint now);
     void relieve(
         std::span<const WorkerRoom> rooms, std::span<const RunningTask> running, Utils::TimePoint now);
     void drainLeaving();
+    void askCommands(const Task& task);
     void freeUnsentHolds();
     void record(Task& task, const std::string& worker, bool holds);
     void sendBatches(Utils::TimePoint now, Actions& actions);
@@ -129,6 +133,7 @@
     Commitments commitments_;
     std::map<std::string, Worker, std::less<>> workers_;
     std::vector<Schema::VmEntry> listed_;
+    std::map<std::string, std::uint32_t> ranks_;
     bool listKnown_ = false;
     Schema::ShardRow row_;
     ShardOwnerStatistics counts_;
