--- a/src/tools/gqfloodbench/corepolicy.cpp
+++ b/src/tools/gqfloodbench/corepolicy.cpp
@@ -49,7 +49,6 @@
 
 void CorePolicy::attemptEnded(Requests::AttemptId attempt, AttemptResult result, Utils::TimePoint now)
 {
-    core_.attemptConnected(attempt, now);
     switch (result) {
     case AttemptResult::Completed:
         core_.attemptCompleted(attempt, 200, now);
@@ -66,4 +65,15 @@
     }
 }
 
+void CorePolicy::takeActions(std::vector<Requests::Action>& actions)
+{
+    const std::size_t first = actions.size();
+    core_.takeActions(actions);
+    // Connections are kept open: the first byte follows at once.
+    for (std::size_t index = first; index < actions.size(); ++index) {
+        if (const auto* dispatch = std::get_if<Requests::Dispatch>(&actions[index]))
+            core_.attemptConnected(dispatch->attempt, {});
+    }
+}
+
 } // namespace FloodBench
--- a/src/tools/gqfloodbench/corepolicy.h
+++ b/src/tools/gqfloodbench/corepolicy.h
@@ -26,7 +26,7 @@
     void attemptEnded(Requests::AttemptId attempt, AttemptResult result, Utils::TimePoint now) override;
     void tick(Utils::TimePoint now) override { core_.tick(now); }
     std::optional<Utils::TimePoint> nextWake() const override { return core_.nextWake(); }
-    void takeActions(std::vector<Requests::Action>& actions) override { core_.takeActions(actions); }
+    void takeActions(std::vector<Requests::Action>& actions) override;
 
 private:
     Requests::RequestCore core_;
