--- a/src/libs/batch/taskbook.h
+++ b/src/libs/batch/taskbook.h
@@ -5,6 +5,7 @@
 
 #include <batch.pb.h>
 
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,6 +28,9 @@
     Ended,
 };
 
+/*! Number of phases. */
+constexpr std::size_t taskPhaseCount = 7;
+
 /*! A task of a job. */
 struct Task {
     Job* job = nullptr;
@@ -52,6 +56,7 @@
     Utils::TimePoint finishedAt;
     Utils::TimePoint informedAt;
     Utils::TimePoint unfitSince = Utils::TimePoint::max(); //!< No worker could hold a task since then.
+    std::uint32_t rank = 0; //!< Of its priority class, 0 is the most urgent.
     bool never = false;
     bool informDue = true;
     std::uint32_t evictions = 0;
@@ -99,6 +104,13 @@
     /*! Takes over the record of an earlier owner. \param task the task. \param record its record. */
     void restore(Task& task, const Schema::TaskRecord& record);
 
+    /*! Changes the rank of a job. \param job the job. \param rank its rank. */
+    void setRank(Job& job, std::uint32_t rank);
+
+    /*! \return whether a pending task that is due goes before a task. \param task the task. \param now the
+     * current time. */
+    bool pendingGoesBefore(const Task& task, Utils::TimePoint now) const;
+
     /*! Drops the tasks of a finished job. \param job the job. */
     void finish(Job& job);
 
@@ -108,6 +120,10 @@
     /*! \return tasks with an open attempt at a worker, as copies of pointers. \param worker the worker. */
     std::vector<Task*> openAt(std::string_view worker) const;
 
+    /*! \return tasks of one phase at a worker, as copies of pointers. \param phase Stocked, Starting and so
+     * on. \param worker the worker. */
+    std::vector<Task*> openAt(TaskPhase phase, std::string_view worker) const;
+
     /*! \return up to limit pending tasks that are due, most urgent first. */
     std::vector<Task*> pending(std::size_t limit, Utils::TimePoint now);
 
@@ -118,7 +134,7 @@
     static Schema::JobPartState partState(const Job& job);
 
 private:
-    using Urgency = std::tuple<bool, Utils::TimePoint, Utils::TimePoint, TaskKey>;
+    using Urgency = std::tuple<bool, std::uint32_t, Utils::TimePoint, Utils::TimePoint, TaskKey>;
 
     static Urgency urgency(const Task& task);
     void enter(Task& task);
@@ -126,8 +142,10 @@
 
     std::map<std::string, std::unique_ptr<Job>> jobs_;
     std::map<Urgency, Task*> pending_;
-    std::map<std::string, std::map<TaskKey, Task*>, std::less<>> openAt_;
-    std::size_t counts_[7] = {};
+    using TasksByWorker = std::map<std::string, std::map<TaskKey, Task*>, std::less<>>;
+
+    std::array<TasksByWorker, taskPhaseCount> openAt_;
+    std::array<std::size_t, taskPhaseCount> counts_ {};
 };
 
 } // namespace Batch
