--- a/tests/auto/batch/faultworld.h
+++ b/tests/auto/batch/faultworld.h
@@ -16,6 +16,12 @@
 
 using Milliseconds = std::chrono::milliseconds;
 
+/*! The only shard of these tests. */
+constexpr const char* shardName = "north/rack-1";
+
+/*! \return an attempt as text. \param id the attempt. */
+std::string text(const Batch::AttemptId& id);
+
 /*! Rules that a broken variant breaks; each must be caught by the oracle. */
 enum class Broken {
     Nothing,
