--- a/src/libs/placement/interferenceawareplacer.cpp
+++ b/src/libs/placement/interferenceawareplacer.cpp
@@ -337,9 +337,10 @@
     std::vector<Batch::ReliefOrder> orders;
     std::set<std::string> seen;
     // The latest order of an attempt counts.
-    for (auto order = private_->orders.rbegin(); order != private_->orders.rend(); ++order) {
-        if (seen.insert(Internal::keyOf(order->attempt)).second)
-            orders.push_back(*order);
+    std::ranges::reverse(private_->orders);
+    for (const Batch::ReliefOrder& order : private_->orders) {
+        if (seen.insert(Internal::keyOf(order.attempt)).second)
+            orders.push_back(order);
     }
     private_->orders.clear();
     return orders;
--- a/tests/auto/placement/tst_capacityledger.cpp
+++ b/tests/auto/placement/tst_capacityledger.cpp
@@ -36,7 +36,13 @@
         const auto found = commitments.find(attempt);
         if (found != commitments.end())
             return found->second.worker == worker && found->second.size == size;
-        if (!size.isValid() || !(sum(worker) + size).fitsIn(capacities[worker]))
+        const Resources after = sum(worker) + size;
+        const Resources& most = capacities[worker];
+        if (size.milliProcessors < 0 || size.memoryMb < 0 || size.accelerators < 0)
+            return false;
+        if (after.milliProcessors > most.milliProcessors || after.memoryMb > most.memoryMb)
+            return false;
+        if (after.accelerators > most.accelerators)
             return false;
         commitments[attempt] = { worker, size };
         return true;
