--- a/src/tools/gqinterferencebench/gqinterferencebench.cpp
+++ b/src/tools/gqinterferencebench/gqinterferencebench.cpp
@@ -80,19 +80,27 @@
 
 int main(int argc, char** argv)
 {
-    if (argc > 2) {
-        std::fprintf(stderr, "usage: gqinterferencebench [part of a placement's name]\n");
+    const std::string part = argc > 1 ? argv[1] : "";
+    const std::size_t workers = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 0;
+    const std::uint64_t onlySeed = argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 0;
+    if (argc > 4 || part == "--help") {
+        std::fprintf(stderr,
+            "usage: gqinterferencebench [part of a placement's name [workers [seed]]]\n"
+            "0 workers: both fleets; seed 0: all seeds\n");
         return EXIT_FAILURE;
     }
-    const std::string part = argc > 1 ? argv[1] : "";
     for (const FleetSize& size : fleets) {
+        if (workers != 0 && workers != size.workers)
+            continue;
         std::printf("\n%s, 3 h\n\n", size.name);
         std::printf(
             "| seed | placement | over objective, %% of time | batch work, processor hours | evictions | "
             "memory kills | deadlines met, %% | urgent start p99, s |\n");
         std::printf("|---|---|---|---|---|---|---|---|\n");
-        for (const std::uint64_t seed : seeds)
-            printRows(size, seed, part);
+        for (const std::uint64_t seed : seeds) {
+            if (onlySeed == 0 || onlySeed == seed)
+                printRows(size, seed, part);
+        }
     }
     return EXIT_SUCCESS;
 }
