--- a/tests/auto/requests/tst_requestcore.cpp
+++ b/tests/auto/requests/tst_requestcore.cpp
@@ -193,7 +193,7 @@
     World world(variant);
     for (const auto& [kind, value] : operations) {
         world.apply(kind, value);
-        if (const std::string fault = world.fault(); !fault.empty())
+        if (std::string fault = world.fault(); !fault.empty())
             return fault;
     }
     world.drain();
@@ -211,7 +211,7 @@
             kind = static_cast<std::uint8_t>(random());
             value = static_cast<std::uint8_t>(random());
         }
-        if (const std::string fault = run(variant, operations); !fault.empty())
+        if (std::string fault = run(variant, operations); !fault.empty())
             return fault;
     }
     return {};
@@ -258,6 +258,30 @@
     CHECK(core.isIdle());
 }
 
+TEST_CASE("Nothing is sent under credits that lapsed after the dispatch")
+{
+    Utils::TimePoint now = Utils::TimePoint {} + 1h;
+    RequestCore core({ .service = "app", .domain = "a", .region = "north", .requireCredits = true });
+    core.setPolicy(policy(), now);
+    core.setBackends(threeBackends(false), now);
+    core.setCredits("b1", 1, now + 3s, now);
+    core.submit(
+        { .id = 1, .service = "app", .priorityClass = {}, .caller = "c", .deadline = now + 9s, .key = {} },
+        now);
+    std::vector<Action> actions;
+    core.takeActions(actions);
+    const AttemptId attempt = std::get<Dispatch>(actions.at(0)).attempt;
+    now += 3s; // A pause.
+    CHECK_FALSE(core.attemptConnected(attempt, now));
+    core.attemptNotSent(attempt, now);
+    CHECK(core.counters().backends.at("b1").failed == 0);
+    core.setCredits("b1", 1, now + 3s, now);
+    actions.clear();
+    core.takeActions(actions);
+    REQUIRE(actions.size() == 1);
+    CHECK(core.attemptConnected(std::get<Dispatch>(actions[0]).attempt, now));
+}
+
 TEST_CASE("The slot of a closed connection stays taken while the request may still run")
 {
     Utils::TimePoint now = Utils::TimePoint {} + 1h;
@@ -274,7 +298,7 @@
             now);
         std::vector<Action> actions;
         core.takeActions(actions);
-        const auto dispatch = std::get<Dispatch>(actions.back());
+        auto dispatch = std::get<Dispatch>(actions.back());
         core.attemptConnected(dispatch.attempt, now);
         return dispatch;
     };
