--- a/tests/auto/telemetry/tst_burn.cpp
+++ b/tests/auto/telemetry/tst_burn.cpp
@@ -111,12 +111,14 @@
         for (auto& counter : counters)
             counter.setObjectives(makePolicy());
         std::vector<double> latencies;
+        latencies.reserve(micros.size());
         for (std::size_t i = 0; i < micros.size(); ++i) {
             latencies.push_back(micros[i] / 1000.0);
             counters[i * 7 % processes].add({ "rounds", "urgent", latencies.back(), i % 3 != 0, "" }, now);
             whole.add({ "rounds", "urgent", latencies.back(), i % 3 != 0, "" }, now);
         }
         std::vector<Schema::BurnSamples> samples;
+        samples.reserve(processes);
         for (const auto& counter : counters)
             samples.push_back(counter.samples(now));
         const auto merged = reportOf(samples).objectives[0];
