Drop answers to batches of an earlier ownership

Cause: numbers of batches began anew with each ownership, so a very late answer could be taken for one to a later batch and a running attempt counted as lost; found by reading while modelling (point 5 of docs/design/models.md). Also, a worker that left the list and came back within one ownership got numbers it had to refuse. Ruled out: passing the epoch through the shell; numbers that never repeat need no change there. Figures: the new case of tst_lease fails without the guard (both checks) and passes with it; tst_faults passes. Conclusion: a batch's number is the epoch in its upper 32 bits and a counter of the process below.

--- a/src/libs/batch/rounds.cpp
+++ b/src/libs/batch/rounds.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr unsigned sequenceBitsPerEpoch = 32;
 constexpr std::size_t maxCandidates = 4096;
 constexpr int renewalsPerLease = 4;
 constexpr int timeoutsPerLease = 2;
@@ -185,6 +186,13 @@
     }
 }
 
+// Grows over all ownerships of the shard by this process, so that a late answer fits no later batch.
+std::uint64_t ShardOwner::Private::nextSequence()
+{
+    lastSequence_ = std::max(lastSequence_ + 1, row_.epoch() << sequenceBitsPerEpoch);
+    return lastSequence_;
+}
+
 void ShardOwner::Private::sendBatches(Utils::TimePoint now, Actions& actions)
 {
     for (auto& [name, worker] : workers_) {
@@ -200,7 +208,7 @@
             continue;
         worker.commandsDue = false;
         Schema::CommandBatch batch = makeBatch(name, worker);
-        worker.link.stamp(batch, options_.lease, now);
+        worker.link.stamp(batch, nextSequence(), options_.lease, now);
         for (const Schema::StartCommand& start : batch.starts()) {
             Task* task = book_.task({ start.attempt().job(), start.attempt().task() });
             counts_.attemptsSent += task->sentSequence == 0 ? 1 : 0;
--- a/src/libs/batch/shardownerprivate.h
+++ b/src/libs/batch/shardownerprivate.h
@@ -120,6 +120,7 @@
     void askCommands(const Task& task);
     void freeUnsentHolds();
     void record(Task& task, const std::string& worker, bool holds);
+    std::uint64_t nextSequence();
     void sendBatches(Utils::TimePoint now, Actions& actions);
     Schema::CommandBatch makeBatch(const std::string& name, Worker& worker);
     void addTaskCommands(Task& task, Schema::CommandBatch& batch);
@@ -137,6 +138,7 @@
     bool listKnown_ = false;
     Schema::ShardRow row_;
     ShardOwnerStatistics counts_;
+    std::uint64_t lastSequence_ = 0;
 
     std::uint64_t nextReadId_ = 0;
     std::uint64_t nextWriteId_ = 0;
--- a/src/libs/batch/workerlink.cpp
+++ b/src/libs/batch/workerlink.cpp
@@ -14,9 +14,14 @@
 {
 }
 
-void WorkerLink::stamp(Schema::CommandBatch& batch, Utils::Duration lease, Utils::TimePoint now)
+void WorkerLink::stamp(
+    Schema::CommandBatch& batch, std::uint64_t sequence, Utils::Duration lease, Utils::TimePoint now)
 {
-    batch.set_sequence(++sequence_);
+    // Answers to batches from before this link say nothing about what was sent through it.
+    if (sequence_ == 0)
+        reportedSequence_ = sequence - 1;
+    sequence_ = sequence;
+    batch.set_sequence(sequence);
     batch.set_lease_ms(
         static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(lease).count()));
     awaitsReport_ = true;
--- a/src/libs/batch/workerlink.h
+++ b/src/libs/batch/workerlink.h
@@ -30,17 +30,19 @@
     /*!
         Numbers a batch and grants the lease with it.
         \param batch the batch to complete.
+        \param sequence its number: higher than that of any earlier batch of this process to the worker.
         \param lease duration of the lease.
         \param now the current time.
     */
-    void stamp(Schema::CommandBatch& batch, Utils::Duration lease, Utils::TimePoint now);
+    void stamp(
+        Schema::CommandBatch& batch, std::uint64_t sequence, Utils::Duration lease, Utils::TimePoint now);
 
     /*!
         Takes in a report.
         \param sequence of the batch that it answers.
         \param report the report.
         \param now the current time.
-        \return false if a later one came first.
+        \return false if a later one came first, or if it answers a batch from before this link.
     */
     bool onReport(std::uint64_t sequence, const Schema::WorkerReport& report, Utils::TimePoint now);
 
--- a/tests/auto/batch/tst_lease.cpp
+++ b/tests/auto/batch/tst_lease.cpp
@@ -217,10 +217,11 @@
             Batch::WorkerCore core("w", "one");
             Batch::WorkerLink link({}, origin, assumedLease);
             Utils::Duration elapsed {};
+            std::uint64_t sequence = 0;
             for (const int delay : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 2500))) {
                 Schema::CommandBatch batch = startBatch(1, 0, 0);
                 batch.clear_incarnation();
-                link.stamp(batch, assumedLease, skewed(elapsed, 1.01));
+                link.stamp(batch, ++sequence, assumedLease, skewed(elapsed, 1.01));
                 batch.set_lease_ms(3000);
                 elapsed += std::chrono::milliseconds(delay);
                 Batch::WorkerOrders orders;
@@ -240,3 +241,18 @@
     CHECK(holds(3000ms));
     CHECK_FALSE(holds(2000ms));
 }
+
+TEST_CASE("An answer to a batch of an earlier ownership is dropped")
+{
+    Schema::WorkerReport report;
+    report.set_incarnation("one");
+    Batch::WorkerLink first({}, origin, 3s);
+    Schema::CommandBatch early;
+    first.stamp(early, 7, 3s, origin);
+    Batch::WorkerLink second({}, origin, 3s);
+    Schema::CommandBatch late;
+    second.stamp(late, 9, 3s, origin + 5s);
+    CHECK_FALSE(second.onReport(early.sequence(), report, origin + 6s));
+    CHECK_FALSE(second.heard());
+    CHECK(second.onReport(late.sequence(), report, origin + 6s));
+}
