--- a/tests/standins/simulatedtasks.cpp
+++ b/tests/standins/simulatedtasks.cpp
@@ -82,6 +82,7 @@
         sample.set_slowdown(1);
     }
     std::vector<Schema::UsageSample> samples;
+    samples.reserve(classes.size());
     for (auto& [name, sample] : classes)
         samples.push_back(std::move(sample));
     return samples;
