Give slots to replaced entry VMs, place by interference, and mend who may forward

Cause: (1) nothing told the credits that a VM is gone, so a domain whose entry VMs were all replaced under new names never closed its old division; (2) gqschedd still placed by first fit; (3) any caller could set Geraniumquay-Forwarded and skip the claim of its key. Ruled out: taking a VM for gone as soon as the list lacks it; the list lags, so it must be missing and silent for 10 s. Conclusion: the policy's batch room, ranks, eviction bound and give-way order reach the placer. Team quotas do not yet.

--- a/src/libs/batch/jobs.cpp
+++ b/src/libs/batch/jobs.cpp
@@ -62,6 +62,7 @@
         ranks_[priorityClass.name()] = priorityClass.rank();
     for (const auto& [id, job] : book_.jobs())
         book_.setRank(*job, rankOf(*job));
+    placer_.setPolicy(policy);
 }
 
 std::uint32_t ShardOwner::Private::rankOf(const Job& job) const
--- a/src/libs/batch/placer.h
+++ b/src/libs/batch/placer.h
@@ -9,6 +9,10 @@
 #include <string>
 #include <vector>
 
+namespace Schema {
+class PolicyDocument;
+}
+
 namespace Batch {
 
 /*! A task that waits for a worker. */
@@ -121,6 +125,12 @@
         (void)state;
         (void)now;
     }
+
+    /*!
+        Applies a policy.
+        \param policy the document in force.
+    */
+    virtual void setPolicy(const Schema::PolicyDocument& policy) { (void)policy; }
 };
 
 } // namespace Batch
--- a/src/libs/entry/entrydaemon.cpp
+++ b/src/libs/entry/entrydaemon.cpp
@@ -11,9 +11,11 @@
 #include "node/nodeservices.h"
 #include "utils/log/log.h"
 
+#include <platform.pb.h>
 #include <settings.pb.h>
 
 #include <optional>
+#include <set>
 
 namespace Entry {
 
@@ -50,6 +52,16 @@
     return static_cast<std::int64_t>(unixMicroseconds() / 1000);
 }
 
+std::set<std::string> entryNames(std::span<const Schema::VmEntry* const> vms)
+{
+    std::set<std::string> names;
+    for (const Schema::VmEntry* vm : vms) {
+        if (vm->role() == Schema::VM_ROLE_ENTRY)
+            names.insert(vm->name());
+    }
+    return names;
+}
+
 } // namespace
 
 class EntryDaemon::Private {
@@ -99,7 +111,10 @@
     {
         Node::NodeHandlers result;
         result.policy = [this](const Schema::PolicyDocument& policy) { gateway_.setPolicy(policy); };
-        result.vms = [this](std::span<const Schema::VmEntry* const> vms) { gateway_.setVms(vms); };
+        result.vms = [this](std::span<const Schema::VmEntry* const> vms) {
+            gateway_.setVms(vms);
+            credits_.vmsListed(entryNames(vms));
+        };
         result.burn = [this] { return gateway_.burnSamples(); };
         result.credits = [this] { return credits_.reports(); };
         result.creditsTold = [this](const Schema::CreditReports& reports, Utils::TimePoint asked) {
--- a/src/libs/gateway/creditkeeper.cpp
+++ b/src/libs/gateway/creditkeeper.cpp
@@ -1,6 +1,7 @@
 #include "creditkeeper.h"
 
 #include "platform/tableservice.h"
+#include "requests/vmabsence.h"
 #include "utils/identifiers.h"
 #include "utils/log/log.h"
 
@@ -15,6 +16,8 @@
 constexpr Utils::Duration memberSilence
     = std::chrono::seconds(2); // Then a peer gets no share in a new division.
 
+constexpr Utils::Duration goneAfter = std::chrono::seconds(10); // Missing from the VM list and silent.
+
 Utils::TimePoint now()
 {
     return std::chrono::steady_clock::now();
@@ -62,6 +65,7 @@
     std::uint64_t incarnation;
     mutable std::mutex mutex;
     std::map<std::string, ServiceState> services;
+    Requests::VmAbsence absence { goneAfter };
 };
 
 ServiceState& CreditKeeper::Private::state(const std::string& service)
@@ -216,17 +220,21 @@
             || report.name() == d_->place.name)
             continue;
         found->second.holder.peerReported(report, asked, now());
+        d_->absence.heard(report.name(), now());
         Heard& heard = found->second.peers[report.name()];
         if (report.incarnation() >= heard.report.incarnation())
             heard = { report, now() };
     }
 }
 
-void CreditKeeper::vmGone(const std::string& name)
+void CreditKeeper::vmsListed(const std::set<std::string>& entryNames)
 {
     const std::lock_guard<std::mutex> guard(d_->mutex);
-    for (auto& [service, state] : d_->services)
-        state.holder.vmGone(name, now());
+    d_->absence.listed(entryNames);
+    for (auto& [service, state] : d_->services) {
+        for (const std::string& name : d_->absence.gone(state.holder.otherMembers(), now()))
+            state.holder.vmGone(name, now());
+    }
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/creditkeeper.h
+++ b/src/libs/gateway/creditkeeper.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace Platform {
@@ -54,8 +55,8 @@
     */
     void take(const Schema::CreditReports& reports, Utils::TimePoint asked);
 
-    /*! The platform says that a VM is gone. \param name its name. */
-    void vmGone(const std::string& name);
+    /*! The platform's list was read. \param entryNames the entry VMs on it. */
+    void vmsListed(const std::set<std::string>& entryNames);
 
 private:
     class Private;
--- a/src/libs/gateway/servicegateway.cpp
+++ b/src/libs/gateway/servicegateway.cpp
@@ -99,6 +99,7 @@
 
     void applyPolicy(const Schema::PolicyDocument& policy);
     std::vector<BackendTarget> targetsOf(const std::string& service) const;
+    bool isEntryAddress(const std::string& address) const;
     void rememberVms(std::span<const Schema::VmEntry* const> vms);
 
     void claimAndSubmit(
@@ -191,6 +192,14 @@
     return targets;
 }
 
+bool ServiceGateway::Private::isEntryAddress(const std::string& address) const
+{
+    const std::lock_guard<std::mutex> guard(mutex_);
+    return std::ranges::any_of(vms_, [&address](const Schema::VmEntry& vm) {
+        return vm.role() == Schema::VM_ROLE_ENTRY && vm.address() == address;
+    });
+}
+
 void ServiceGateway::Private::rememberVms(std::span<const Schema::VmEntry* const> vms)
 {
     const std::lock_guard<std::mutex> guard(mutex_);
@@ -230,7 +239,8 @@
             { Utils::ErrorCode::InvalidArgument, "request.parse", {},
                 "unknown class " + caller.priorityClass });
     }
-    // The entry VM that sent it on holds the claim.
+    // Only another entry VM may say that it sent a request on: it holds the claim of the key.
+    caller.forwarded = caller.forwarded && d_->isEntryAddress(request.peer);
     if (!d_->keyLedger || caller.key.empty() || caller.forwarded)
         shard->submit(std::move(request), std::move(caller), std::move(respond));
     else
--- a/src/libs/placement/givewaycontroller.cpp
+++ b/src/libs/placement/givewaycontroller.cpp
@@ -24,6 +24,14 @@
 {
 }
 
+void GiveWayController::setPolicy(std::vector<GiveWayStep> order, std::uint32_t evictionsPerMinute)
+{
+    parameters_.order = std::move(order);
+    parameters_.evictionsPerMinute = evictionsPerMinute;
+    for (auto& [index, worker] : workers_)
+        worker.step = 0;
+}
+
 std::optional<GiveWayAction> GiveWayController::onTailLatency(
     WorkerIndex worker, double ratio, Utils::TimePoint measuredAt, Utils::TimePoint now)
 {
--- a/src/libs/placement/givewaycontroller.h
+++ b/src/libs/placement/givewaycontroller.h
@@ -61,6 +61,13 @@
     /*! \param parameters settings. */
     explicit GiveWayController(const Parameters& parameters);
 
+    /*!
+        Applies the policy.
+        \param order the steps in the order they are taken.
+        \param evictionsPerMinute bound over all workers.
+    */
+    void setPolicy(std::vector<GiveWayStep> order, std::uint32_t evictionsPerMinute);
+
     /*!
         Takes a measured tail latency.
         \param worker where the services run.
--- a/src/libs/placement/interferenceawareplacer.cpp
+++ b/src/libs/placement/interferenceawareplacer.cpp
@@ -4,6 +4,8 @@
 #include "givewaycontroller.h"
 #include "placementengine.h"
 
+#include <policy.pb.h>
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -42,6 +44,13 @@
     return parameters;
 }
 
+static GiveWayStep stepNamed(std::string_view name)
+{
+    if (name == "throttle")
+        return GiveWayStep::Throttle;
+    return name == "checkpoint" ? GiveWayStep::Checkpoint : GiveWayStep::Stop;
+}
+
 static GiveWayController::Parameters controllerParameters(const InterferenceAwarePlacer::Parameters& given)
 {
     GiveWayController::Parameters parameters;
@@ -377,6 +386,20 @@
     private_->end(Internal::keyOf(task.attempt), how, now);
 }
 
+void InterferenceAwarePlacer::setPolicy(const Schema::PolicyDocument& policy)
+{
+    constexpr double percent = 0.01;
+    private_->parameters.ranks.clear();
+    for (const Schema::PriorityClassPolicy& priorityClass : policy.priority_class())
+        private_->parameters.ranks[priorityClass.name()] = priorityClass.rank();
+    const Schema::BatchPolicy& batch = policy.batch();
+    private_->engine.setBatchShares(batch.processors_percent() * percent, batch.memory_percent() * percent);
+    std::vector<GiveWayStep> order;
+    for (const std::string& step : policy.give_way().order())
+        order.push_back(Internal::stepNamed(step));
+    private_->controller.setPolicy(std::move(order), batch.max_evictions_per_minute());
+}
+
 void InterferenceAwarePlacer::onTailLatency(
     const std::string& worker, double ratio, Utils::TimePoint measuredAt)
 {
--- a/src/libs/placement/interferenceawareplacer.h
+++ b/src/libs/placement/interferenceawareplacer.h
@@ -40,6 +40,8 @@
         const std::string& worker, const Schema::UsageSample& sample, Utils::TimePoint now) override;
     void onEnd(const Batch::RunningTask& task, Schema::AttemptState state, Utils::TimePoint now) override;
 
+    void setPolicy(const Schema::PolicyDocument& policy) override;
+
     /*!
         Takes a measured tail latency of the services on a worker; it goes before their slowdown.
         \param worker the worker.
--- a/src/libs/placement/placementengine.cpp
+++ b/src/libs/placement/placementengine.cpp
@@ -19,6 +19,12 @@
 
 PlacementEngine::~PlacementEngine() = default;
 
+void PlacementEngine::setBatchShares(double processorsShare, double memoryShare)
+{
+    private_->parameters.batchProcessorsShare = processorsShare;
+    private_->parameters.batchMemoryShare = memoryShare;
+}
+
 WorkerIndex PlacementEngine::addWorker(const WorkerDescription& description)
 {
     const WorkerIndex worker = private_->ledger.addWorker(description.capacity);
--- a/src/libs/placement/placementengine.h
+++ b/src/libs/placement/placementengine.h
@@ -95,6 +95,13 @@
     explicit PlacementEngine(const Parameters& parameters);
     ~PlacementEngine();
 
+    /*!
+        Sets the room of batch work.
+        \param processorsShare share of a worker's processors, 0 to 1.
+        \param memoryShare share of a worker's memory, 0 to 1.
+    */
+    void setBatchShares(double processorsShare, double memoryShare);
+
     /*!
         Adds a worker.
         \param description the worker.
--- a/src/libs/requests/creditholder.cpp
+++ b/src/libs/requests/creditholder.cpp
@@ -68,6 +68,18 @@
     updateQuorum(now);
 }
 
+std::vector<std::string> CreditHolder::otherMembers() const
+{
+    std::vector<std::string> names;
+    for (const auto* division : { &divisions_.previous(), &divisions_.current() }) {
+        for (const Schema::CreditMember& member : division->members()) {
+            if (!isSelf(member))
+                names.push_back(member.name());
+        }
+    }
+    return names;
+}
+
 void CreditHolder::setSettled(bool withinShares)
 {
     if (withinShares)
--- a/src/libs/requests/creditholder.h
+++ b/src/libs/requests/creditholder.h
@@ -87,6 +87,9 @@
     /*! \return when the credits lapse if nothing confirms them before. */
     Utils::TimePoint expiry() const;
 
+    /*! \return names of the other VMs in the current and the previous division. */
+    std::vector<std::string> otherMembers() const;
+
     /*! \return the epoch of the division in use, 0 if none. */
     std::uint64_t adoptedEpoch() const { return divisions_.current().epoch(); }
 
--- a/src/libs/scheduling/scheduledaemon.cpp
+++ b/src/libs/scheduling/scheduledaemon.cpp
@@ -1,10 +1,10 @@
 #include "scheduledaemon.h"
 
-#include "batch/firstfitplacer.h"
 #include "batch/rowkeys.h"
 #include "daemon/frame.h"
 #include "daemon/periodictask.h"
 #include "node/nodeservices.h"
+#include "placement/interferenceawareplacer.h"
 #include "platform/http/httpworkeragent.h"
 #include "shardset.h"
 #include "utils/identifiers.h"
@@ -52,7 +52,11 @@
         , frame_(settings.listen(), [this] { return shards_.metrics() + node_.metrics(); })
         , node_(Node::sharedSettings(settings, "schedule"), frame_.readiness(), handlers())
         , agent_(options_.lease / callsPerLease)
-        , shards_(options_, [] { return std::make_unique<Batch::FirstFitPlacer>(); },
+        , shards_(options_,
+              [] {
+                  return std::make_unique<Placement::InterferenceAwarePlacer>(
+                      Placement::InterferenceAwarePlacer::Parameters {});
+              },
               { node_.table(), agent_, clock_, tableThreads_, workerThreads_ })
     {
     }
--- a/tests/system/test_batch.py
+++ b/tests/system/test_batch.py
@@ -151,7 +151,7 @@
             wait_until(lambda: fleet.owner() is not None, "the other daemon owns the rack")
             fleet.wait_state("job-1", "DONE")
             tasks = self.check_runs(fleet, "job-1", 24)
-            self.assertTrue(all(len(runs) == 1 for runs in tasks.values()), "a task was disturbed")
+            self.assertTrue(all(len(runs) == 1 for runs in tasks.values()), "a task was disturbed: %s" % tasks)
 
     def test_outage_of_the_table(self):
         with BatchFleet() as fleet:
@@ -168,7 +168,7 @@
             fleet.platform.fault("down", 0)
             fleet.wait_state("job-1", "DONE")
             tasks = self.check_runs(fleet, "job-1", 30)
-            self.assertTrue(all(len(runs) == 1 for runs in tasks.values()), "a task was disturbed")
+            self.assertTrue(all(len(runs) == 1 for runs in tasks.values()), "a task was disturbed: %s" % tasks)
 
     def test_leaving_worker_is_drained_and_checkpoints_are_resumed_once(self):
         with BatchFleet() as fleet:
--- a/tests/system/test_requests.py
+++ b/tests/system/test_requests.py
@@ -227,6 +227,17 @@
             caller.end()
         self.assertLessEqual(run_log(self.backends[0])["most_running"], 8)
 
+    def test_new_entry_vms_get_slots_after_all_old_ones_were_replaced(self):
+        self.start(entries=2)
+        for entry in self.entries:
+            entry.kill()
+        self.fleet.vms = [vm for vm in self.fleet.vms if vm["role"] != "VM_ROLE_ENTRY"]
+        fresh = [self.fleet.start_entry("fresh-%d" % index) for index in range(2)]
+        self.fleet.publish_vms()
+        for entry in fresh:
+            wait_until(entry.is_ready, entry.name + " has slots", 90.0)
+            self.assertEqual(self.send(entry).outcome, "completed")
+
     def test_another_domain_answers_when_the_own_one_has_no_backend_server(self):
         near = self.fleet.start_backend("near", domain="lagos-a")
         entry = self.fleet.start_entry("entry-near", domain="lagos-a")
