Renew the workers' leases before a shard is handed over

Tasks lapsed. Ruled out: the numbering of batches (same without it); the placer itself: with first fit more batches, and so renewals, happened to be sent just before the stop. Conclusion: the owner renews each worker that it hears, for at most half a lease, then releases the row.

--- a/src/libs/batch/rounds.cpp
+++ b/src/libs/batch/rounds.cpp
@@ -201,7 +201,8 @@
         const Utils::Duration age = now - worker.link.lastSentAt();
         if (age < options_.round)
             continue;
-        const bool renewalDue = age >= options_.lease / renewalsPerLease || !worker.link.heard();
+        const bool leaving = releaseFrom_ && worker.link.lastSentAt() < *releaseFrom_;
+        const bool renewalDue = age >= options_.lease / renewalsPerLease || !worker.link.heard() || leaving;
         const bool answersDue = !worker.acknowledgements.empty() || !worker.strayStops.empty();
         const bool commandsDue = worker.commandsDue || answersDue;
         if (!renewalDue && !commandsDue && book_.openAt(TaskPhase::Starting, name).empty())
--- a/src/libs/batch/shardowner.cpp
+++ b/src/libs/batch/shardowner.cpp
@@ -13,6 +13,7 @@
 constexpr auto minAnswerTimeout = std::chrono::seconds(5);
 constexpr auto unhealthyAfter = std::chrono::seconds(1);
 constexpr int renewalsPerLease = 3;
+constexpr int releaseWaitsPerLease = 2;
 constexpr int maxCapacityKinds = 16;
 
 std::uint64_t toMilliseconds(Utils::Duration duration)
@@ -150,6 +151,8 @@
 {
     if (!releaseAsked_)
         askInbox(now, actions);
+    else if (!releaseFrom_)
+        releaseFrom_ = now;
     giveUpLost(now);
     if (now - roundAt_ >= options_.round) {
         roundAt_ = now;
@@ -163,16 +166,27 @@
         sendBatches(now, actions);
 }
 
+// The next owner needs time to take over, so it is given workers whose leases were renewed just before.
+bool ShardOwner::Private::renewedForRelease(Utils::TimePoint now) const
+{
+    if (!releaseFrom_ || now - *releaseFrom_ >= options_.lease / releaseWaitsPerLease)
+        return releaseFrom_.has_value();
+    return std::ranges::all_of(workers_, [this](const auto& entry) {
+        const WorkerLink& link = entry.second.link;
+        return !link.heard() || link.lastSentAt() >= *releaseFrom_;
+    });
+}
+
 void ShardOwner::Private::flush(Utils::TimePoint now)
 {
     if (writer_.state() != FencedWriter::State::Idle)
         return;
     const bool renewalDue = now - writer_.firstSentAt() >= options_.lease / renewalsPerLease;
-    if (!journal_.dirty() && !renewalDue && !releaseAsked_)
+    const bool last = releaseAsked_ && !journal_.dirty() && renewedForRelease(now);
+    if (!journal_.dirty() && !renewalDue && !last)
         return;
     fillCapacity();
     Schema::ShardRow row = row_;
-    const bool last = releaseAsked_ && !journal_.dirty();
     if (last) {
         row.clear_owner();
         role_ = Role::Releasing;
--- a/src/libs/batch/shardownerprivate.h
+++ b/src/libs/batch/shardownerprivate.h
@@ -9,6 +9,7 @@
 #include "workerlink.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -61,6 +62,7 @@
     bool evict(const Schema::AttemptRef& attempt);
 
     bool releaseAsked_ = false;
+    std::optional<Utils::TimePoint> releaseFrom_; // When the owner began to give up the shard.
     Role role_ = Role::Watching;
 
 private:
@@ -69,6 +71,7 @@
     void startTakeover(Utils::TimePoint now);
     void read(Utils::TimePoint now, Actions& actions);
     void own(Utils::TimePoint now, Actions& actions);
+    bool renewedForRelease(Utils::TimePoint now) const;
     void flush(Utils::TimePoint now);
     void startWrite(Schema::CommitRequest request, Utils::TimePoint now);
     void onWritten(Utils::TimePoint now);
