--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -66,7 +66,7 @@
     }
 
     Utils::Status open();
-    void stop(std::function<void()> done);
+    void stop(const std::function<void()>& done);
     std::uint16_t port() const { return port_; }
     std::size_t requestsInProgress() const { return inProgress_; }
 
@@ -273,7 +273,7 @@
         done();
 }
 
-void Server::Private::stop(std::function<void()> done)
+void Server::Private::stop(const std::function<void()>& done)
 {
     bool idle = false;
     {
@@ -324,9 +324,9 @@
     return d_->port();
 }
 
-void Server::stop(std::function<void()> done)
+void Server::stop(const std::function<void()>& done)
 {
-    d_->stop(std::move(done));
+    d_->stop(done);
 }
 
 std::size_t Server::requestsInProgress() const
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -60,7 +60,7 @@
         open connections send within the grace time, then closes.
         \param done called once when the last connection is closed.
     */
-    void stop(std::function<void()> done);
+    void stop(const std::function<void()>& done);
 
     /*! \return number of requests handed to the handler and not yet answered. */
     std::size_t requestsInProgress() const;
