--- a/src/libs/daemon/frame.cpp
+++ b/src/libs/daemon/frame.cpp
@@ -22,22 +22,13 @@
 
 namespace Asio = boost::asio;
 
-Utils::LogLevel levelOf(std::string_view name)
-{
-    if (name == "debug")
-        return Utils::LogLevel::Debug;
-    if (name == "warning")
-        return Utils::LogLevel::Warning;
-    return name == "error" ? Utils::LogLevel::Error : Utils::LogLevel::Info;
-}
-
 Utils::LogLevel levelIn(const google::protobuf::Message& settings)
 {
     const auto* field = settings.GetDescriptor()->FindFieldByName("log");
     if (!field)
         return Utils::LogLevel::Info;
     const auto& log = settings.GetReflection()->GetMessage(settings, field);
-    return levelOf(dynamic_cast<const Schema::LogSettings&>(log).level());
+    return Utils::logLevelOf(dynamic_cast<const Schema::LogSettings&>(log).level());
 }
 
 Http::ServerOptions serverOptions(const Schema::ListenSettings& listen, std::uint32_t port)
@@ -54,20 +45,24 @@
     int argc, char** argv, const char* program, google::protobuf::Message& settings, int& exitCode)
 {
     const auto commandLine = parseCommandLine(argc, argv, program, exitCode);
-    if (!commandLine)
-        return false;
-    const auto faults = Settings::readFile(commandLine->configFile, settings);
+    return commandLine && readSettings(*commandLine, program, settings, exitCode);
+}
+
+bool readSettings(const CommandLine& commandLine, const char* program, google::protobuf::Message& settings,
+    int& exitCode)
+{
+    const auto faults = Settings::readFile(commandLine.configFile, settings);
     if (!faults.empty()) {
         std::cerr << Settings::faultsToString(faults);
         exitCode = ExitUsage;
         return false;
     }
     exitCode = ExitSuccess;
-    if (commandLine->checkOnly)
-        std::cout << commandLine->configFile << ": valid\n";
+    if (commandLine.checkOnly)
+        std::cout << commandLine.configFile << ": valid\n";
     else
         Utils::startLog(program, levelIn(settings));
-    return !commandLine->checkOnly;
+    return !commandLine.checkOnly;
 }
 
 class Frame::Private {
--- a/src/libs/daemon/frame.h
+++ b/src/libs/daemon/frame.h
@@ -33,6 +33,15 @@
 bool loadSettings(
     int argc, char** argv, const char* program, google::protobuf::Message& settings, int& exitCode);
 
+/*!
+    Loads the settings that a command line names and prints every fault; starts the log.
+    \param commandLine the parsed command line.
+    \param program,settings,exitCode as for loadSettings().
+    \return true if the daemon is to run.
+*/
+bool readSettings(const CommandLine& commandLine, const char* program, google::protobuf::Message& settings,
+    int& exitCode);
+
 /*!
     The common parts of a daemon: threads, HTTP servers, administration port and graceful stop.
 */
--- /dev/null
+++ b/src/libs/fleet/inflightbatch.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "shardscheduler.h"
+
+namespace Fleet {
+
+/*! What is to follow once the batch being stored is committed. */
+struct ShardScheduler::Inflight {
+    struct StoredJob {
+        Job* job = nullptr;
+        FleetSchema::JobState state = FleetSchema::JOB_QUEUED;
+        std::vector<std::uint64_t> acceptTickets;
+        std::vector<std::uint64_t> cancelTickets;
+    };
+
+    struct RecordedAttempt {
+        Task* task = nullptr;
+        std::uint32_t attempt = 0;
+    };
+
+    std::vector<StoredJob> jobs;
+    std::vector<RecordedAttempt> starts;
+    std::vector<std::pair<std::string, std::uint64_t>> acknowledgements; //!< Worker and number of its latest end.
+    std::vector<std::string> removals;
+};
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/job.cpp
@@ -0,0 +1,131 @@
+#include "job.h"
+
+#include "worker.h"
+
+#include <algorithm>
+
+namespace Fleet {
+
+namespace {
+
+// Bounds the memory that one job can take; a record of so many tasks fits a row.
+constexpr std::uint32_t maxTasks = 1500;
+
+FleetSchema::TaskState storedState(const Task& task)
+{
+    if (task.phase == TaskPhase::Done)
+        return FleetSchema::TASK_DONE;
+    return task.isOpen() ? FleetSchema::TASK_ASSIGNED : FleetSchema::TASK_WAITING;
+}
+
+} // namespace
+
+Task* Job::find(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index)
+{
+    if (occurrence >= occurrences() || step >= stepOffset.size()
+        || index >= spec.steps(static_cast<int>(step)).count()) {
+        return nullptr;
+    }
+    return &tasks[occurrence * tasksPerOccurrence + stepOffset[step] + index];
+}
+
+bool Job::isReady(std::uint32_t occurrence, std::uint32_t step, std::int64_t nowUnixMs)
+{
+    const std::int64_t due = dueUnixMs(occurrence);
+    if (due > nowUnixMs)
+        return false;
+    const auto& after = spec.steps(static_cast<int>(step)).after();
+    return std::all_of(
+        after.begin(), after.end(), [&](std::uint32_t former) { return left(occurrence, former) == 0; });
+}
+
+std::int64_t Job::dueUnixMs(std::uint32_t occurrence) const
+{
+    return spec.first_start_unix_ms() + static_cast<std::int64_t>(occurrence) * spec.period_ms();
+}
+
+std::int64_t Job::remainingChainMs(std::uint32_t occurrence)
+{
+    std::vector<std::int64_t> ends(stepOffset.size());
+    std::int64_t longest = 0;
+    for (std::uint32_t step = 0; step < stepOffset.size(); ++step) {
+        const FleetSchema::StepSpec& stepSpec = spec.steps(static_cast<int>(step));
+        for (const std::uint32_t former : stepSpec.after())
+            ends[step] = std::max(ends[step], ends[former]);
+        if (left(occurrence, step) > 0)
+            ends[step] += stepSpec.estimate_ms();
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+void initializeJob(FleetSchema::JobSpec spec, Job& job)
+{
+    job.spec = std::move(spec);
+    for (const FleetSchema::StepSpec& step : job.spec.steps()) {
+        job.stepOffset.push_back(job.tasksPerOccurrence);
+        job.tasksPerOccurrence += step.count();
+    }
+    job.tasks.resize(static_cast<std::size_t>(job.tasksPerOccurrence) * job.occurrences());
+    job.tasksLeft = static_cast<std::uint32_t>(job.tasks.size());
+    std::size_t position = 0;
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.stepOffset.size(); ++step) {
+            const std::uint32_t count = job.spec.steps(static_cast<int>(step)).count();
+            job.stepsLeft.push_back(count);
+            for (std::uint32_t index = 0; index < count; ++index) {
+                Task& task = job.tasks[position++];
+                task.job = &job;
+                task.occurrence = occurrence;
+                task.step = step;
+                task.index = index;
+            }
+        }
+    }
+}
+
+FleetSchema::JobRecord toRecord(const Job& job)
+{
+    FleetSchema::JobRecord record;
+    *record.mutable_spec() = job.spec;
+    record.set_state(job.state);
+    record.set_started(job.isStarted);
+    record.set_ended_unix_ms(job.endedUnixMs);
+    for (const Task& task : job.tasks) {
+        FleetSchema::TaskRecord& stored = *record.add_tasks();
+        stored.set_state(storedState(task));
+        stored.set_attempt(task.attempt);
+        stored.set_failures(task.failures);
+        if (task.phase != TaskPhase::Done)
+            stored.set_checkpoint(task.checkpoint);
+        if (task.worker) {
+            stored.set_worker(task.worker->info.id);
+            stored.set_worker_born(task.workerBornMs);
+        }
+    }
+    return record;
+}
+
+std::string checkSpec(const FleetSchema::JobSpec& spec)
+{
+    if (spec.steps_size() == 0)
+        return "a job needs at least one step";
+    std::uint64_t tasks = 0;
+    for (int step = 0; step < spec.steps_size(); ++step) {
+        const FleetSchema::StepSpec& stepSpec = spec.steps(step);
+        if (stepSpec.count() == 0)
+            return "a step needs at least one task";
+        if (stepSpec.milli_processors() < 0 || stepSpec.memory_mb() < 0 || stepSpec.accelerators() < 0)
+            return "a task's size must not be negative";
+        for (const std::uint32_t former : stepSpec.after()) {
+            if (former >= static_cast<std::uint32_t>(step))
+                return "a step can only follow earlier steps";
+        }
+        tasks += stepSpec.count();
+    }
+    if (tasks * std::max<std::uint64_t>(1, spec.occurrences()) > maxTasks)
+        return "a job has at most " + std::to_string(maxTasks) + " tasks";
+    return {};
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/ownershipplan.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Fleet {
+
+/*! A shard as far as its owner is to be chosen. */
+struct ShardPlace {
+    std::string shard;
+    std::string domain; //!< Failure domain of its workers.
+    std::string owner; //!< Live owner; empty if there is none.
+};
+
+/*! A node that can own shards. */
+struct NodePlace {
+    std::string name;
+    std::string domain;
+    std::string region;
+    bool isLeaving = false;
+};
+
+/*! A shard and the node that is to own it. */
+struct ShardMove {
+    std::string shard;
+    std::string node;
+};
+
+/*!
+    Chooses owners for shards without one.
+
+    Every node computes the same plan from the same view; a race between different views is decided by the store.
+    A shard goes to the node with the fewest shards, among equals to one in its own failure domain, then in its region.
+
+    \param shards all shards.
+    \param nodes the live nodes by name.
+    \param regionOf region of each failure domain.
+    \return a node for each shard without an owner; empty if no node can own any.
+*/
+std::vector<ShardMove> planOrphans(const std::vector<ShardPlace>& shards, const std::vector<NodePlace>& nodes,
+    const std::map<std::string, std::string>& regionOf);
+
+/*!
+    Chooses a shard to hand over so that the nodes own about equally many.
+    \param self this node.
+    \param shards all shards.
+    \param nodes the live nodes by name.
+    \param regionOf region of each failure domain.
+    \return at most one of this node's shards and its new owner; all of them if this node is leaving.
+*/
+std::vector<ShardMove> planHandovers(const std::string& self, const std::vector<ShardPlace>& shards,
+    const std::vector<NodePlace>& nodes, const std::map<std::string, std::string>& regionOf);
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/shardorders.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "ports/taskkey.h"
+
+#include <fleet.pb.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Fleet {
+
+/*! A start that the owner of a shard has recorded. */
+struct AttemptStart {
+    std::string worker;
+    Ports::TaskKey task;
+    std::uint32_t attempt = 0;
+    std::string payload;
+    std::string checkpoint;
+    std::int64_t leaseUntilMs = 0; //!< On the worker's clock.
+};
+
+/*! Answer to a submission or cancellation. */
+struct JobAnswer {
+    FleetSchema::PeerOutcome outcome = FleetSchema::PEER_OK;
+    FleetSchema::JobState state = FleetSchema::JOB_QUEUED;
+    std::uint32_t retryAfterMs = 0; //!< With PEER_REFUSED.
+};
+
+/*! What the scheduler of a shard orders; implementations must not call back into it from inside these calls. */
+class ShardOrders {
+public:
+    virtual ~ShardOrders() = default;
+
+    /*! Starts an attempt. \param start the attempt. */
+    virtual void startAttempt(const AttemptStart& start) = 0;
+
+    /*! Stops an attempt. \param worker where. \param task,attempt the attempt. */
+    virtual void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) = 0;
+
+    /*! Limits an attempt's speed. \param worker where. \param task,attempt the attempt. \param percent its share. */
+    virtual void throttleAttempt(
+        const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent)
+        = 0;
+
+    /*! Answers a submission or cancellation. \param ticket given with it. \param answer the answer. */
+    virtual void answer(std::uint64_t ticket, const JobAnswer& answer) = 0;
+};
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -0,0 +1,416 @@
+#include "shardscheduler.h"
+
+#include "inflightbatch.h"
+#include "joborder.h"
+#include "workerchoice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Fleet {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Objective of work without a target of its own, so that the order among such jobs stays by age.
+constexpr milliseconds leastObjective { 100 };
+
+JobUrgency urgencyOf(Job& job, std::uint32_t occurrence, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    JobUrgency urgency;
+    urgency.priority = job.spec.priority();
+    urgency.isLasting = job.spec.steps(0).lasting();
+    const std::int64_t due = job.dueUnixMs(occurrence);
+    urgency.age = due > 0 ? std::max<Utils::Duration>(Utils::Duration::zero(), milliseconds(nowUnixMs - due))
+                          : now - job.acceptedAt;
+    urgency.remaining = milliseconds(job.remainingChainMs(occurrence));
+    std::int64_t chain = 0;
+    for (const FleetSchema::StepSpec& step : job.spec.steps())
+        chain += step.estimate_ms();
+    const double slack = std::max(1.0, job.spec.slack_factor());
+    urgency.objective = std::max<Utils::Duration>(leastObjective,
+        milliseconds(std::llround(slack * static_cast<double>(chain)) + job.spec.target_ms()));
+    return urgency;
+}
+
+} // namespace
+
+Ports::TaskKey keyOf(const Task& task)
+{
+    return { task.job->spec.id(), task.occurrence, task.step, task.index };
+}
+
+ShardScheduler::ShardScheduler(SchedulerOptions options, ShardOrders& orders)
+    : options_(std::move(options))
+    , orders_(orders)
+{
+}
+
+ShardScheduler::~ShardScheduler() = default;
+
+void ShardScheduler::restore(const FleetSchema::JobRecord& record, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    auto job = std::make_unique<Job>();
+    initializeJob(record.spec(), *job);
+    job->state = record.state();
+    job->committedState = record.state();
+    job->isCommitted = true;
+    job->isStarted = record.started();
+    job->endedUnixMs = record.ended_unix_ms();
+    job->acceptedAt = now - milliseconds(std::max<std::int64_t>(0, nowUnixMs - job->spec.accepted_unix_ms()));
+    const int count = std::min(record.tasks_size(), static_cast<int>(job->tasks.size()));
+    for (int position = 0; position < count; ++position) {
+        const FleetSchema::TaskRecord& stored = record.tasks(position);
+        Task& task = job->tasks[static_cast<std::size_t>(position)];
+        task.attempt = stored.attempt();
+        task.failures = stored.failures();
+        task.checkpoint = stored.checkpoint();
+        if (stored.state() == FleetSchema::TASK_DONE) {
+            task.phase = TaskPhase::Done;
+            --job->left(task.occurrence, task.step);
+            --job->tasksLeft;
+        } else if (stored.state() == FleetSchema::TASK_ASSIGNED) {
+            Worker& worker = ensureWorker(stored.worker(), now);
+            task.phase = TaskPhase::Unverified;
+            task.worker = &worker;
+            task.workerBornMs = stored.worker_born();
+            task.knownSince = now;
+            worker.tasks.push_back(&task);
+            worker.used += committedSize(job->step(task));
+        }
+    }
+    jobs_[job->spec.id()] = std::move(job);
+    isScheduleDue_ = true;
+}
+
+void ShardScheduler::setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint now)
+{
+    for (auto& [id, worker] : workers_)
+        worker->isListed = false;
+    for (const Ports::WorkerInfo& info : workers) {
+        Worker& worker = ensureWorker(info.id, now);
+        worker.info = info;
+        worker.isListed = true;
+    }
+    std::erase_if(workers_, [](const auto& entry) {
+        return !entry.second->isListed && entry.second->tasks.empty();
+    });
+    isScheduleDue_ = true;
+}
+
+void ShardScheduler::submit(
+    const FleetSchema::JobSpec& spec, std::uint64_t ticket, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    if (Job* known = findJob(spec.id())) {
+        if (known->isCommitted)
+            orders_.answer(ticket, { FleetSchema::PEER_OK, known->committedState, 0 });
+        else
+            known->acceptTickets.push_back(ticket);
+        return;
+    }
+    auto job = std::make_unique<Job>();
+    initializeJob(spec, *job);
+    job->spec.set_accepted_unix_ms(nowUnixMs);
+    job->acceptedAt = now;
+    job->acceptTickets.push_back(ticket);
+    markDirty(*job);
+    jobs_[spec.id()] = std::move(job);
+    isScheduleDue_ = true;
+}
+
+void ShardScheduler::cancel(std::string_view id, std::uint64_t ticket, std::int64_t nowUnixMs)
+{
+    Job* job = findJob(id);
+    if (!job) {
+        orders_.answer(ticket, { FleetSchema::PEER_UNKNOWN_JOB, FleetSchema::JOB_CANCELLED, 0 });
+        return;
+    }
+    if (job->isActive())
+        endJob(*job, FleetSchema::JOB_CANCELLED, nowUnixMs);
+    if (job->committedState == job->state && job->isCommitted)
+        orders_.answer(ticket, { FleetSchema::PEER_OK, job->state, 0 });
+    else
+        job->cancelTickets.push_back(ticket);
+}
+
+std::optional<FleetSchema::JobState> ShardScheduler::state(std::string_view id) const
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end() || !found->second->isCommitted)
+        return std::nullopt;
+    return found->second->committedState;
+}
+
+void ShardScheduler::schedule(Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    if (!isScheduleDue_)
+        return;
+    isScheduleDue_ = false;
+    struct Candidate {
+        JobRank rank;
+        Job* job;
+        std::uint32_t occurrence;
+    };
+    std::vector<Candidate> candidates;
+    for (const auto& [id, job] : jobs_) {
+        if (!job->isActive() || job->tasksLeft == 0)
+            continue;
+        for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence) {
+            if (job->dueUnixMs(occurrence) <= nowUnixMs)
+                candidates.push_back(
+                    { rankJob(urgencyOf(*job, occurrence, now, nowUnixMs)), job.get(), occurrence });
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(),
+        [](const Candidate& left, const Candidate& right) { return left.rank < right.rank; });
+    for (const Candidate& candidate : candidates) {
+        Job& job = *candidate.job;
+        for (std::uint32_t step = 0; step < job.stepOffset.size(); ++step) {
+            if (job.left(candidate.occurrence, step) == 0 || !job.isReady(candidate.occurrence, step, nowUnixMs))
+                continue;
+            if (job.spec.steps(static_cast<int>(step)).gang())
+                assignGang(job, candidate.occurrence, step, now);
+            else
+                assignStep(job, candidate.occurrence, step, now);
+        }
+    }
+}
+
+void ShardScheduler::assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now)
+{
+    std::vector<Worker*> workers;
+    const std::uint32_t count = job.spec.steps(static_cast<int>(step)).count();
+    for (std::uint32_t index = 0; index < count; ++index) {
+        Task& task = *job.find(occurrence, step, index);
+        if (task.phase != TaskPhase::Waiting)
+            continue;
+        if (task.notBefore > now) {
+            isScheduleDue_ = true;
+            continue;
+        }
+        if (workers.empty()) {
+            for (const auto& [id, worker] : workers_)
+                workers.push_back(worker.get());
+        }
+        Worker* worker = chooseWorker(task, workers, now);
+        if (!worker)
+            return;
+        assign(task, *worker, now);
+    }
+}
+
+// All members or none: a part of a gang would hold room without working.
+void ShardScheduler::assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now)
+{
+    const std::uint32_t count = job.spec.steps(static_cast<int>(step)).count();
+    std::uint32_t attempt = 0;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        const Task& task = *job.find(occurrence, step, index);
+        if (task.phase != TaskPhase::Waiting || task.notBefore > now)
+            return;
+        attempt = std::max(attempt, task.attempt);
+    }
+    std::vector<Worker*> workers;
+    for (const auto& [id, worker] : workers_)
+        workers.push_back(worker.get());
+    std::vector<std::pair<Task*, Worker*>> chosen;
+    const Placement::Resources size = committedSize(job.spec.steps(static_cast<int>(step)));
+    for (std::uint32_t index = 0; index < count; ++index) {
+        Task& task = *job.find(occurrence, step, index);
+        Worker* worker = chooseWorker(task, workers, now);
+        if (!worker)
+            break;
+        worker->used += size;
+        worker->tasks.push_back(&task);
+        chosen.emplace_back(&task, worker);
+    }
+    for (const auto& [task, worker] : chosen) {
+        worker->used -= size;
+        std::erase(worker->tasks, task);
+    }
+    if (chosen.size() != count)
+        return;
+    // One checkpoint is valid for the whole gang.
+    const std::string checkpoint = job.find(occurrence, step, 0)->checkpoint;
+    for (const auto& [task, worker] : chosen) {
+        task->attempt = attempt;
+        task->checkpoint = checkpoint;
+        assign(*task, *worker, now);
+    }
+}
+
+void ShardScheduler::assign(Task& task, Worker& worker, Utils::TimePoint now)
+{
+    Job& job = *task.job;
+    task.phase = TaskPhase::Recorded;
+    ++task.attempt;
+    task.worker = &worker;
+    task.workerBornMs = worker.bornMs;
+    task.sentAt = now;
+    task.percent = 0;
+    task.pace = 100;
+    task.overTargetSince = {};
+    task.isStopAnswered = false;
+    worker.tasks.push_back(&task);
+    worker.used += committedSize(job.step(task));
+    job.isStarted = true;
+    if (job.state == FleetSchema::JOB_QUEUED)
+        job.state = FleetSchema::JOB_RUNNING;
+    markDirty(job);
+}
+
+void ShardScheduler::release(Task& task)
+{
+    if (!task.worker)
+        return;
+    std::erase(task.worker->tasks, &task);
+    task.worker->used -= committedSize(task.job->step(task));
+    task.worker = nullptr;
+    isScheduleDue_ = true;
+}
+
+// The attempt is over and the task is not done.
+void ShardScheduler::settle(Task& task, Utils::TimePoint retryAt)
+{
+    release(task);
+    task.phase = TaskPhase::Waiting;
+    task.notBefore = retryAt;
+    task.percent = 0;
+    markDirty(*task.job);
+}
+
+void ShardScheduler::finishTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    Job& job = *task.job;
+    release(task);
+    task.phase = TaskPhase::Done;
+    --job.left(task.occurrence, task.step);
+    --job.tasksLeft;
+    markDirty(job);
+    if (job.step(task).gang()) {
+        // One end stands for the whole gang.
+        for (std::uint32_t index = 0; index < job.step(task).count(); ++index) {
+            Task& member = *job.find(task.occurrence, task.step, index);
+            if (member.phase == TaskPhase::Done)
+                continue;
+            release(member);
+            member.phase = TaskPhase::Done;
+            --job.left(task.occurrence, task.step);
+            --job.tasksLeft;
+        }
+    }
+    if (job.tasksLeft == 0 && job.isActive())
+        endJob(job, FleetSchema::JOB_COMPLETED, nowUnixMs);
+    (void)now;
+}
+
+void ShardScheduler::failTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    // A failed lasting task is restarted without a limit; the pause keeps one that always fails from using up workers.
+    constexpr milliseconds lastingRetryPause { 200 };
+    Job& job = *task.job;
+    const bool isLasting = job.step(task).lasting();
+    ++task.failures;
+    task.lastFailedOn = task.worker ? task.worker->info.id : std::string();
+    settle(task, isLasting ? now + lastingRetryPause : now);
+    if (!isLasting && job.isActive() && task.failures >= std::max(1U, job.spec.max_failures())) {
+        endJob(job, FleetSchema::JOB_FAILED, nowUnixMs);
+        stopOpenTasks(job, now);
+    }
+}
+
+void ShardScheduler::endJob(Job& job, FleetSchema::JobState state, std::int64_t nowUnixMs)
+{
+    job.state = state;
+    job.endedUnixMs = nowUnixMs;
+    markDirty(job);
+}
+
+void ShardScheduler::stopOpenTasks(Job& job, Utils::TimePoint now)
+{
+    for (Task& task : job.tasks) {
+        if (task.phase == TaskPhase::Sent || task.phase == TaskPhase::Running)
+            requestStop(task, now);
+    }
+}
+
+void ShardScheduler::requestStop(Task& task, Utils::TimePoint now)
+{
+    task.phase = TaskPhase::Stopping;
+    task.stopSentAt = now;
+    task.isStopAnswered = false;
+    orders_.stopAttempt(task.worker->info.id, keyOf(task), task.attempt);
+}
+
+Job* ShardScheduler::findJob(std::string_view id)
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+Worker* ShardScheduler::findWorker(const std::string& id)
+{
+    const auto found = workers_.find(id);
+    return found == workers_.end() ? nullptr : found->second.get();
+}
+
+Worker& ShardScheduler::ensureWorker(const std::string& id, Utils::TimePoint now)
+{
+    std::unique_ptr<Worker>& worker = workers_[id];
+    if (!worker) {
+        worker = std::make_unique<Worker>();
+        worker->info.id = id;
+        // A former owner may have renewed its lease until the grace ended; workers' clocks run up to 2% slow.
+        worker->leaseBound = now + options_.orphanGrace + options_.workerLeaseLimit * 51 / 50;
+    }
+    return *worker;
+}
+
+Task* ShardScheduler::findOpen(const std::string& worker, const Ports::TaskKey& key, std::uint32_t attempt)
+{
+    Job* job = findJob(key.job);
+    Task* task = job ? job->find(key.occurrence, key.step, key.index) : nullptr;
+    const bool isSame = task && task->isOpen() && task->attempt == attempt && task->worker
+        && task->worker->info.id == worker;
+    return isSame ? task : nullptr;
+}
+
+void ShardScheduler::markDirty(Job& job)
+{
+    if (job.isDirty)
+        return;
+    job.isDirty = true;
+    dirtyJobs_.push_back(&job);
+}
+
+FleetSchema::ShardLoad ShardScheduler::load() const
+{
+    FleetSchema::ShardLoad load;
+    load.set_shard(options_.shard);
+    for (const auto& [id, worker] : workers_) {
+        if (worker->isUsable() && worker->asideFor == Utils::Duration::zero()) {
+            load.set_capacity(load.capacity() + worker->info.milliProcessors);
+            load.set_largest_worker(std::max(load.largest_worker(), worker->info.milliProcessors));
+            load.set_service(worker->info.service);
+        }
+        load.set_committed(load.committed() + worker->used.milliProcessors);
+    }
+    for (const auto& [id, job] : jobs_) {
+        if (!job->isActive())
+            continue;
+        if (job->isCommitted && !job->isStarted && job->dueUnixMs(0) == 0)
+            ++(*load.mutable_pending())[job->spec.queue()];
+        for (const Task& task : job->tasks) {
+            const FleetSchema::StepSpec& step = job->step(task);
+            const std::int64_t size = committedSize(step).milliProcessors;
+            if (task.phase == TaskPhase::Waiting)
+                load.set_waiting_work(load.waiting_work() + size * step.estimate_ms());
+            else if (task.isOpen() && !step.lasting())
+                load.set_running_work(load.running_work() + size * step.estimate_ms() * (100 - task.percent) / 100);
+        }
+    }
+    return load;
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/task.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "utils/clock.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Fleet {
+
+struct Job;
+struct Worker;
+
+/*! Where a task stands. */
+enum class TaskPhase {
+    Waiting, //!< No attempt is open.
+    Recorded, //!< An attempt is about to be recorded in the store; nothing was sent.
+    Sent, //!< The start was sent.
+    Running, //!< The worker reported the attempt or answered its start.
+    Unverified, //!< A former owner recorded the attempt; its worker has not been heard yet.
+    Stopping, //!< A stop was ordered; the attempt may still run.
+    Done,
+};
+
+/*! A task with its latest attempt. */
+struct Task {
+    Job* job = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    TaskPhase phase = TaskPhase::Waiting;
+    std::uint32_t attempt = 0; //!< Number of the latest attempt; 0: none.
+    std::uint32_t failures = 0;
+    std::string checkpoint; //!< Latest one known; may be empty.
+    Worker* worker = nullptr; //!< Where the open attempt is; null without one.
+    std::int64_t workerBornMs = 0; //!< Incarnation of the worker that the attempt is for.
+    std::string lastFailedOn; //!< Worker of the latest failure.
+
+    Utils::TimePoint notBefore {}; //!< A retry waits until then.
+    Utils::TimePoint sentAt {};
+    Utils::TimePoint knownSince {}; //!< Polls sent from then on must list the attempt.
+    Utils::TimePoint startedAt {};
+    Utils::TimePoint progressAt {}; //!< When the percentage last rose.
+    Utils::TimePoint stopSentAt {};
+    Utils::TimePoint stopAnsweredAt {};
+    bool isStopAnswered = false;
+    int percent = 0;
+    int pace = 100; //!< Share of its full speed that was ordered.
+    std::int64_t load = 0; //!< As in Ports::RunningAttempt.
+    Utils::TimePoint overTargetSince {}; //!< Since when the tail latency is over its target; 0: it is not.
+
+    /*! \return whether an attempt is open that may run or come to run. */
+    bool isOpen() const { return phase != TaskPhase::Waiting && phase != TaskPhase::Done; }
+};
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/worker.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "placement/resources.h"
+#include "ports/workerinfo.h"
+#include "utils/clock.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Fleet {
+
+struct Task;
+
+/*! A worker of a shard with what is committed to it. */
+struct Worker {
+    Ports::WorkerInfo info;
+    bool isListed = false; //!< The platform lists it.
+    Placement::Resources used; //!< Of all open attempts.
+    std::vector<Task*> tasks; //!< Tasks with an open attempt here.
+
+    std::int64_t bornMs = 0; //!< Incarnation that last reported; 0: not heard yet.
+    std::int64_t clockMs = 0; //!< Its clock at clockSeenAt.
+    Utils::TimePoint clockSeenAt {};
+    bool isAnswering = false; //!< Its latest poll was answered.
+    int failedPolls = 0; //!< In a row.
+    Utils::TimePoint leaseBound {}; //!< Nothing runs on it after that, unless the lease is renewed.
+    std::uint64_t seenEnd = 0; //!< Latest end that was taken in.
+    std::uint64_t acknowledgedEnd = 0; //!< Latest end whose record is committed.
+
+    int failureStreak = 0; //!< Failures in a row, of different jobs.
+    std::string streakJob; //!< Job of the latest failure.
+    Utils::TimePoint asideUntil {}; //!< Gets no work until then, and one task at a time until a success.
+    Utils::Duration asideFor {}; //!< Latest time aside; doubled when a probe fails.
+    double slowness = 1; //!< Mean of run time over expected run time.
+
+    /*! \return what may still be committed. */
+    Placement::Resources available() const { return capacity() - used; }
+
+    /*! \return its size. */
+    Placement::Resources capacity() const
+    {
+        return { info.milliProcessors, info.memoryMb, info.accelerators };
+    }
+
+    /*! \return whether it takes new attempts as far as its state is known. */
+    bool isUsable() const { return isListed && isAnswering && !info.isDraining && clockMs != 0; }
+};
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleetnode/callerservice.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "jobrouter.h"
+#include "nodecontext.h"
+
+#include "fleet/queuetable.h"
+#include "http/server.h"
+
+namespace FleetNode {
+
+class Ownership;
+
+/*! Answers callers: finds the queue, checks the request and hands it to the router. */
+class CallerService {
+public:
+    /*!
+        \param context what the node shares.
+        \param queues the queues in force; must outlive the service, as the others.
+        \param router brings requests to the owners.
+        \param ownership knows the counts of waiting jobs.
+    */
+    CallerService(
+        NodeContext& context, const Fleet::QueueTable& queues, JobRouter& router, const Ownership& ownership);
+
+    /*! Handles one request. \param request the request. \param respond receives the response. */
+    void handle(const Http::Request& request, const Http::Responder& respond);
+
+private:
+    void dispatch(Ports::CallerCall call, JobRouter::AnswerHandler handler);
+
+    NodeContext& context_;
+    const Fleet::QueueTable& queues_;
+    JobRouter& router_;
+    const Ownership& ownership_;
+};
+
+} // namespace FleetNode
--- /dev/null
+++ b/src/libs/fleetnode/jobindex.cpp
@@ -0,0 +1,159 @@
+#include "jobindex.h"
+
+#include "utils/log/log.h"
+
+#include <xxhash.h>
+
+namespace FleetNode {
+
+namespace {
+
+// Bounds the memory of remembered entries to about 1 MB.
+constexpr std::size_t maxKnown = 8192;
+// Spreads entries over the store's partitions, each of which carries out one transaction after the other.
+constexpr unsigned partitionCount = 4;
+// The store takes 100 rows in a transaction.
+constexpr std::size_t maxEntriesInTransaction = 90;
+// An entry whose write gets no answer is tried this often; the caller then asks again.
+constexpr int maxAttempts = 2;
+
+std::string partitionOf(const std::string& job)
+{
+    return "i" + std::to_string(XXH32(job.data(), job.size(), 0) % partitionCount);
+}
+
+} // namespace
+
+JobIndex::JobIndex(NodeContext& context)
+    : context_(context)
+{
+}
+
+void JobIndex::remember(const std::string& job, const std::string& shard)
+{
+    if (!known_.insert_or_assign(job, shard).second)
+        return;
+    if (knownOrder_.size() < maxKnown) {
+        knownOrder_.push_back(job);
+        return;
+    }
+    known_.erase(knownOrder_[nextKnown_]);
+    knownOrder_[nextKnown_] = job;
+    nextKnown_ = (nextKnown_ + 1) % maxKnown;
+}
+
+void JobIndex::assign(const std::string& job, const std::string& shard, ShardHandler handler)
+{
+    const auto known = known_.find(job);
+    if (known != known_.end())
+        return handler(known->second);
+    const std::string name = partitionOf(job);
+    Partition& partition = partitions_[name];
+    const auto underway = partition.inProgress.find(job);
+    Entry& entry = underway == partition.inProgress.end() ? partition.waiting[job] : underway->second;
+    if (entry.shard.empty())
+        entry.shard = shard;
+    entry.handlers.push_back(std::move(handler));
+    write(name);
+}
+
+void JobIndex::write(const std::string& name)
+{
+    Partition& partition = partitions_[name];
+    if (partition.isBusy || partition.waiting.empty())
+        return;
+    partition.isBusy = true;
+    Ports::Transaction transaction;
+    while (!partition.waiting.empty() && partition.inProgress.size() < maxEntriesInTransaction) {
+        auto node = partition.waiting.extract(partition.waiting.begin());
+        const Ports::RowKey row { indexTable, name, node.key() };
+        transaction.conditions.push_back({ row, 0 });
+        transaction.puts.push_back({ row, node.mapped().shard });
+        partition.inProgress.insert(std::move(node));
+    }
+    context_.store.commit(transaction,
+        [this, weak = std::weak_ptr<bool>(alive_), name](const Utils::Result<Ports::TransactionOutcome>& result) {
+            if (weak.lock())
+                onOutcome(name, result);
+        });
+}
+
+void JobIndex::onOutcome(const std::string& name, const Utils::Result<Ports::TransactionOutcome>& result)
+{
+    Partition& partition = partitions_[name];
+    partition.isBusy = false;
+    if (!Utils::isOk(result)) {
+        onFailure(partition, Utils::error(result));
+        return write(name);
+    }
+    const Ports::TransactionOutcome& outcome = Utils::value(result);
+    std::map<std::string, Entry> entries = std::move(partition.inProgress);
+    partition.inProgress.clear();
+    std::vector<std::pair<std::string, std::vector<ShardHandler>>> decided;
+    for (const Ports::Row& row : outcome.current) {
+        const auto found = entries.find(row.name.key);
+        if (found == entries.end() || row.version == 0 || row.isDeleted || row.value.empty())
+            continue;
+        remember(row.name.key, row.value);
+        decided.emplace_back(row.value, std::move(found->second.handlers));
+        entries.erase(found);
+    }
+    for (auto& [job, entry] : entries) {
+        if (outcome.isCommitted) {
+            remember(job, entry.shard);
+            decided.emplace_back(entry.shard, std::move(entry.handlers));
+        } else {
+            partition.waiting[job] = std::move(entry);
+        }
+    }
+    write(name);
+    for (const auto& [shard, handlers] : decided) {
+        for (const ShardHandler& handler : handlers)
+            handler(shard);
+    }
+}
+
+// An entry is idempotent: written twice, the first one stands.
+void JobIndex::onFailure(Partition& partition, const Utils::Error& error)
+{
+    Utils::logError("job-index-write-failed", error);
+    std::map<std::string, Entry> entries = std::move(partition.inProgress);
+    partition.inProgress.clear();
+    for (auto& [job, entry] : entries) {
+        if (++entry.attempts < maxAttempts && error.code != Utils::ErrorCode::Refused) {
+            partition.waiting[job] = std::move(entry);
+            continue;
+        }
+        for (const ShardHandler& handler : entry.handlers)
+            handler(error);
+    }
+}
+
+void JobIndex::find(const std::string& job, ShardHandler handler)
+{
+    const auto known = known_.find(job);
+    if (known != known_.end())
+        return handler(known->second);
+    Ports::RowRange range;
+    range.table = indexTable;
+    range.partition = partitionOf(job);
+    range.from = job;
+    range.limit = 1;
+    context_.store.read(range,
+        [this, weak = std::weak_ptr<bool>(alive_), job, handler = std::move(handler)](
+            const Utils::Result<Ports::RowPage>& result) {
+            if (!weak.lock())
+                return;
+            if (!Utils::isOk(result))
+                return handler(Utils::error(result));
+            const std::vector<Ports::Row>& rows = Utils::value(result).rows;
+            if (rows.empty() || rows.front().name.key != job) {
+                return handler(
+                    Utils::Error { Utils::ErrorCode::NotFound, "index.find", {}, "no such job: " + job });
+            }
+            remember(job, rows.front().value);
+            handler(rows.front().value);
+        });
+}
+
+} // namespace FleetNode
--- /dev/null
+++ b/src/libs/fleetnode/jobrouter.cpp
@@ -0,0 +1,185 @@
+#include "jobrouter.h"
+
+#include "utils/log/log.h"
+
+namespace FleetNode {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A takeover of a shard is heard of within about this time.
+constexpr milliseconds ownerRetryPause { 120 };
+// Limit of one call to an owner; a transaction of a slow store takes up to half a second.
+constexpr milliseconds ownerTimeout { 1200 };
+// Kept back from the caller's time so that the answer still reaches it.
+constexpr milliseconds answerReserve { 150 };
+// When to come back: by then a shard without an owner has been taken over, and a store that is down may be back.
+constexpr std::uint32_t retryAfterMs = 1000;
+
+Ports::CallerAnswer failure(Ports::CallerOutcome outcome, std::string message)
+{
+    Ports::CallerAnswer answer;
+    answer.outcome = outcome;
+    answer.message = std::move(message);
+    if (outcome == Ports::CallerOutcome::Unavailable)
+        answer.retryAfterMs = retryAfterMs;
+    return answer;
+}
+
+} // namespace
+
+JobRouter::JobRouter(NodeContext& context, ShardDirectory& directory)
+    : context_(context)
+    , directory_(directory)
+    , index_(context)
+    , peers_(context)
+{
+}
+
+JobRouter::CallPointer JobRouter::makeCall(Utils::TimePoint until, AnswerHandler handler)
+{
+    auto call = std::make_shared<Call>();
+    call->until = until;
+    call->handler = std::move(handler);
+    call->timer = std::make_unique<Timer>(context_.io);
+    return call;
+}
+
+void JobRouter::submit(const FleetSchema::JobSpec& spec, Utils::TimePoint until, AnswerHandler handler)
+{
+    const std::string shard = directory_.chooseShard(spec);
+    if (shard.empty())
+        return handler(failure(Ports::CallerOutcome::Unavailable, "no shard has workers for this job"));
+    const CallPointer call = makeCall(until, std::move(handler));
+    *call->request.mutable_submit() = spec;
+    index_.assign(spec.id(), shard, [this, call](const Utils::Result<std::string>& result) {
+        // Without an entry the job cannot have been accepted, as owners take it only from a node that saw the entry.
+        if (!Utils::isOk(result))
+            return call->handler(failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString()));
+        call->request.set_shard(Utils::value(result));
+        forward(call);
+    });
+}
+
+void JobRouter::query(const std::string& job, Utils::TimePoint until, AnswerHandler handler)
+{
+    const CallPointer call = makeCall(until, std::move(handler));
+    call->request.set_query(job);
+    locate(call, job);
+}
+
+void JobRouter::cancel(const std::string& job, Utils::TimePoint until, AnswerHandler handler)
+{
+    const CallPointer call = makeCall(until, std::move(handler));
+    call->request.set_cancel(job);
+    locate(call, job);
+}
+
+void JobRouter::locate(const CallPointer& call, const std::string& job)
+{
+    index_.find(job, [this, call](const Utils::Result<std::string>& result) {
+        if (Utils::isOk(result)) {
+            call->request.set_shard(Utils::value(result));
+            return forward(call);
+        }
+        const Utils::Error& error = Utils::error(result);
+        if (error.code == Utils::ErrorCode::NotFound)
+            return call->handler(failure(Ports::CallerOutcome::NoSuchJob, "no such job"));
+        call->handler(failure(Ports::CallerOutcome::Unavailable, error.toString()));
+    });
+}
+
+void JobRouter::forward(const CallPointer& call)
+{
+    if (context_.now() + answerReserve >= call->until)
+        return giveUp(call);
+    const std::string address = directory_.ownerAddress(call->request.shard());
+    if (address.empty()) {
+        return directory_.serve(call->request,
+            [this, call](const FleetSchema::PeerReply& reply) { onReply(call, reply); });
+    }
+    const Utils::Duration timeout
+        = std::min<Utils::Duration>(ownerTimeout, call->until - context_.now() - answerReserve);
+    peers_.call(address, call->request, timeout,
+        [this, call](const Utils::Result<FleetSchema::PeerReply>& result) { onReply(call, result); });
+}
+
+void JobRouter::onReply(const CallPointer& call, const Utils::Result<FleetSchema::PeerReply>& result)
+{
+    if (Utils::isOk(result))
+        return onOwnerReply(call, Utils::value(result));
+    if (Utils::error(result).code != Utils::ErrorCode::Unavailable)
+        call->mayHaveRun = true;
+    if (call->request.has_query())
+        return readStored(call);
+    retryLater(call);
+}
+
+void JobRouter::onOwnerReply(const CallPointer& call, const FleetSchema::PeerReply& reply)
+{
+    Ports::CallerAnswer answer;
+    switch (reply.outcome()) {
+    case FleetSchema::PEER_OK:
+        answer.hasState = !call->request.has_submit();
+        answer.state = reply.state();
+        return call->handler(answer);
+    case FleetSchema::PEER_UNKNOWN_JOB:
+        return call->handler(failure(Ports::CallerOutcome::NoSuchJob, "no such job"));
+    case FleetSchema::PEER_REFUSED:
+        if (call->mayHaveRun)
+            return call->handler(failure(Ports::CallerOutcome::Undecided, "an earlier try got no answer"));
+        answer = failure(Ports::CallerOutcome::Overloaded, "more work than workers");
+        answer.retryAfterMs = reply.retry_after_ms();
+        return call->handler(answer);
+    case FleetSchema::PEER_UNDECIDED:
+        call->mayHaveRun = true;
+        return retryLater(call);
+    default:
+        break;
+    }
+    if (call->request.has_query())
+        return readStored(call);
+    retryLater(call);
+}
+
+void JobRouter::retryLater(const CallPointer& call)
+{
+    if (context_.now() + ownerRetryPause + answerReserve >= call->until)
+        return giveUp(call);
+    call->timer->start(ownerRetryPause, [this, call] { forward(call); });
+}
+
+void JobRouter::giveUp(const CallPointer& call)
+{
+    const auto outcome
+        = call->mayHaveRun ? Ports::CallerOutcome::Undecided : Ports::CallerOutcome::Unavailable;
+    call->handler(failure(outcome, "the owner of shard " + call->request.shard() + " does not answer"));
+}
+
+// What the store holds is what the owner would tell, as it tells only what is stored.
+void JobRouter::readStored(const CallPointer& call)
+{
+    Ports::RowRange range;
+    range.table = jobTable;
+    range.partition = call->request.shard();
+    range.from = call->request.query();
+    range.limit = 1;
+    context_.store.read(range, [call](const Utils::Result<Ports::RowPage>& result) {
+        if (!Utils::isOk(result))
+            return call->handler(
+                failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString()));
+        const std::vector<Ports::Row>& rows = Utils::value(result).rows;
+        FleetSchema::JobRecord record;
+        if (rows.empty() || rows.front().name.key != call->request.query())
+            return call->handler(failure(Ports::CallerOutcome::NoSuchJob, "no such job"));
+        if (!record.ParseFromString(rows.front().value))
+            return call->handler(failure(Ports::CallerOutcome::Unavailable, "the job's record is damaged"));
+        Ports::CallerAnswer answer;
+        answer.hasState = true;
+        answer.state = record.state();
+        call->handler(answer);
+    });
+}
+
+} // namespace FleetNode
--- /dev/null
+++ b/src/libs/fleetnode/jobrouter.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "jobindex.h"
+#include "nodecontext.h"
+#include "peerlinks.h"
+#include "timer.h"
+
+#include "fleet/shardchoice.h"
+
+#include <fleet.pb.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace FleetNode {
+
+/*! What the router needs to know of the shards. */
+class ShardDirectory {
+public:
+    virtual ~ShardDirectory() = default;
+
+    /*! \param shard a shard. \return address of its owner; empty if none is known or this node owns it. */
+    virtual std::string ownerAddress(const std::string& shard) const = 0;
+
+    /*! Serves a call on a shard of this node. \param request the call. \param handler receives the reply, NOT_OWNER
+        if this node does not own the shard. */
+    virtual void serve(
+        const FleetSchema::PeerRequest& request, std::function<void(const FleetSchema::PeerReply&)> handler)
+        = 0;
+
+    /*! Chooses the shard of a new job. \param spec the job. \return the shard; empty if none can take it. */
+    virtual std::string chooseShard(const FleetSchema::JobSpec& spec) = 0;
+};
+
+/*! Brings submissions, queries and cancellations to the owner of the job's shard. */
+class JobRouter {
+public:
+    using AnswerHandler = std::function<void(const Ports::CallerAnswer&)>;
+
+    /*!
+        \param context what the node shares.
+        \param directory knows the shards' owners; must outlive the router.
+    */
+    JobRouter(NodeContext& context, ShardDirectory& directory);
+
+    /*! Submits a job. \param spec the job. \param until when the caller stops waiting. \param handler the answer. */
+    void submit(const FleetSchema::JobSpec& spec, Utils::TimePoint until, AnswerHandler handler);
+
+    /*! Asks for a job's state. \param job its identifier. \param until,handler as for submit(). */
+    void query(const std::string& job, Utils::TimePoint until, AnswerHandler handler);
+
+    /*! Cancels a job. \param job its identifier. \param until,handler as for submit(). */
+    void cancel(const std::string& job, Utils::TimePoint until, AnswerHandler handler);
+
+    /*! Calls a node; see PeerLinks::call(). */
+    PeerLinks& peers() { return peers_; }
+
+private:
+    struct Call {
+        FleetSchema::PeerRequest request;
+        Utils::TimePoint until {};
+        AnswerHandler handler;
+        bool mayHaveRun = false; //!< An earlier try got no answer.
+        std::unique_ptr<Timer> timer;
+    };
+
+    using CallPointer = std::shared_ptr<Call>;
+
+    void locate(const CallPointer& call, const std::string& job);
+    void forward(const CallPointer& call);
+    void onReply(const CallPointer& call, const Utils::Result<FleetSchema::PeerReply>& result);
+    void onOwnerReply(const CallPointer& call, const FleetSchema::PeerReply& reply);
+    void retryLater(const CallPointer& call);
+    void giveUp(const CallPointer& call);
+    void readStored(const CallPointer& call);
+    CallPointer makeCall(Utils::TimePoint until, AnswerHandler handler);
+
+    NodeContext& context_;
+    ShardDirectory& directory_;
+    JobIndex index_;
+    PeerLinks peers_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace FleetNode
--- /dev/null
+++ b/src/libs/fleetnode/node.cpp
@@ -0,0 +1,206 @@
+#include "node.h"
+
+#include "callerservice.h"
+#include "jobrouter.h"
+#include "ownership.h"
+#include "peerlinks.h"
+#include "tablewatcher.h"
+
+#include "fleet/queuetable.h"
+#include "http/clientconnection.h"
+#include "http/headers.h"
+#include "http/server.h"
+#include "utils/log/log.h"
+
+namespace FleetNode {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Callers' bodies are bounded by the configuration as well; messages of peers hold one job.
+constexpr std::uint64_t maxBodyBytes = 1U << 20U;
+// Kept back from the grace for the process's own end.
+constexpr milliseconds stopReserve { 900 };
+
+Http::ServerOptions serverOptions(const std::string& endpoint)
+{
+    Http::ServerOptions options;
+    const auto parsed = Http::parseEndpoint(endpoint);
+    // The settings were checked against the same form.
+    if (Utils::isOk(parsed)) {
+        options.address = Utils::value(parsed).address;
+        options.port = Utils::value(parsed).port;
+    }
+    options.maxBodyBytes = maxBodyBytes;
+    return options;
+}
+
+} // namespace
+
+class Node::Private {
+public:
+    explicit Private(NodeContext& context);
+
+    Utils::Status start();
+    void stop(std::function<void()> done);
+
+private:
+    void onConfiguration(const TableWatcher::Rows& rows);
+    void onWorkers(const TableWatcher::Rows& rows);
+    void onPeer(const Http::Request& request, const Http::Responder& respond);
+    void onReadiness(const Http::Request& request, const Http::Responder& respond);
+    void finishStop();
+
+    NodeContext& context_;
+    Fleet::QueueTable queues_;
+    PeerLinks handoverPeers_;
+    Ownership ownership_;
+    JobRouter router_;
+    CallerService callers_;
+    TableWatcher configurationWatcher_;
+    TableWatcher workerWatcher_;
+    Http::Server callerServer_;
+    Http::Server peerServer_;
+    Http::Server readinessServer_;
+    Timer stopTimer_;
+    std::function<void()> onStopped_;
+    int stopSteps_ = 0; //!< Left of handing over and finishing requests.
+    bool isStopping_ = false;
+    std::map<std::string, std::uint64_t> damagedEntries_; //!< Version of each worker entry that was logged.
+};
+
+Node::Private::Private(NodeContext& context)
+    : context_(context)
+    , handoverPeers_(context)
+    , ownership_(context, handoverPeers_)
+    , router_(context, ownership_)
+    , callers_(context, queues_, router_, ownership_)
+    , configurationWatcher_(
+          context, context.platform.operatorTable, [this](const auto& rows) { onConfiguration(rows); })
+    , workerWatcher_(context, context.platform.workerTable, [this](const auto& rows) { onWorkers(rows); })
+    , callerServer_(context.io, serverOptions(context.settings.endpoints().callers()),
+          [this](const Http::Request& request, const Http::Responder& respond) {
+              callers_.handle(request, respond);
+          })
+    , peerServer_(context.io, serverOptions(context.settings.endpoints().peers()),
+          [this](const Http::Request& request, const Http::Responder& respond) { onPeer(request, respond); })
+    , readinessServer_(context.io, serverOptions(context.settings.endpoints().readiness()),
+          [this](const Http::Request& request, const Http::Responder& respond) {
+              onReadiness(request, respond);
+          })
+    , stopTimer_(context.io)
+{
+}
+
+Utils::Status Node::Private::start()
+{
+    for (Http::Server* server : { &callerServer_, &peerServer_, &readinessServer_ }) {
+        const Utils::Status status = server->start();
+        if (!Utils::isOk(status))
+            return status;
+    }
+    configurationWatcher_.start();
+    workerWatcher_.start();
+    ownership_.start();
+    return Utils::success();
+}
+
+void Node::Private::onConfiguration(const TableWatcher::Rows& rows)
+{
+    const auto row = rows.find(context_.platform.configurationKey);
+    if (row == rows.end())
+        return;
+    auto configuration = context_.platform.decodeConfiguration(row->second.value);
+    if (!Utils::isOk(configuration))
+        return Utils::logError("configuration-refused", Utils::error(configuration));
+    const std::uint64_t revision = Utils::value(configuration).revision;
+    if (!queues_.apply(Utils::value(std::move(configuration))))
+        return;
+    ownership_.setConfigurationRevision(revision);
+    context_.metrics.set("geraniumquay_configuration_revision", {}, static_cast<double>(revision));
+    Utils::log(Utils::LogLevel::Info, "configuration-in-force", { { "revision", std::to_string(revision) } });
+}
+
+void Node::Private::onWorkers(const TableWatcher::Rows& rows)
+{
+    std::vector<Ports::WorkerInfo> workers;
+    for (const auto& [key, row] : rows) {
+        auto worker = context_.platform.decodeWorker(row);
+        if (Utils::isOk(worker)) {
+            workers.push_back(Utils::value(std::move(worker)));
+        } else if (damagedEntries_[key] != row.version) {
+            damagedEntries_[key] = row.version;
+            Utils::logError("worker-entry-ignored", Utils::error(worker));
+        }
+    }
+    ownership_.setWorkers(workers);
+}
+
+void Node::Private::onPeer(const Http::Request& request, const Http::Responder& respond)
+{
+    FleetSchema::PeerRequest call;
+    if (request.target != peerPath || !call.ParseFromString(request.body))
+        return respond(Http::jsonResponse(400, R"({"error":"not a call of a peer"})"));
+    ownership_.serve(call, [respond](const FleetSchema::PeerReply& reply) {
+        Http::Response response;
+        response.headers.push_back({ "Content-Type", "application/x-protobuf" });
+        response.body = reply.SerializeAsString();
+        respond(std::move(response));
+    });
+}
+
+void Node::Private::onReadiness(const Http::Request& request, const Http::Responder& respond)
+{
+    if (request.target == "/metrics") {
+        Http::Response response;
+        response.headers.push_back({ "Content-Type", "text/plain; version=0.0.4" });
+        response.body = context_.metrics.toPrometheus();
+        return respond(std::move(response));
+    }
+    const bool isReady = !isStopping_ && queues_.revision() > 0 && ownership_.isStoreReachable();
+    respond(Http::jsonResponse(isReady ? 200 : 503, isReady ? R"({"ready":true})" : R"({"ready":false})"));
+}
+
+void Node::Private::stop(std::function<void()> done)
+{
+    isStopping_ = true;
+    onStopped_ = std::move(done);
+    stopSteps_ = 2;
+    const milliseconds grace(context_.settings.dispatch().grace_ms());
+    stopTimer_.start(std::max<Utils::Duration>(grace - stopReserve, milliseconds(1)), [this] {
+        Utils::log(Utils::LogLevel::Warning, "stop-incomplete", {});
+        stopSteps_ = 1;
+        finishStop();
+    });
+    ownership_.leave([this] { finishStop(); });
+    callerServer_.stop([this] { boost::asio::post(context_.io, [this] { finishStop(); }); });
+}
+
+void Node::Private::finishStop()
+{
+    if (--stopSteps_ > 0 || !onStopped_)
+        return;
+    const auto onStopped = std::move(onStopped_);
+    onStopped_ = nullptr;
+    onStopped();
+}
+
+Node::Node(NodeContext& context)
+    : d_(std::make_unique<Private>(context))
+{
+}
+
+Node::~Node() = default;
+
+Utils::Status Node::start()
+{
+    return d_->start();
+}
+
+void Node::stop(std::function<void()> done)
+{
+    d_->stop(std::move(done));
+}
+
+} // namespace FleetNode
--- /dev/null
+++ b/src/libs/fleetnode/ownership.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "jobrouter.h"
+#include "nodecontext.h"
+#include "shardhost.h"
+#include "timer.h"
+
+#include "fleet/memberview.h"
+#include "fleet/ownershipplan.h"
+#include "fleet/shardchoice.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace FleetNode {
+
+/*!
+    Which shards this node owns, and who owns the others.
+
+    Nodes tell each other by heartbeat rows in the store that they are alive and what they own; changes of ownership are
+    also told directly.
+*/
+class Ownership final : public ShardDirectory {
+public:
+    /*! \param context what the node shares. \param peers calls other nodes; must outlive this. */
+    Ownership(NodeContext& context, PeerLinks& peers);
+    ~Ownership() override;
+
+    /*! Starts heartbeats. */
+    void start();
+
+    /*! Takes in the list of workers. \param workers all that are listed. */
+    void setWorkers(const std::vector<Ports::WorkerInfo>& workers);
+
+    /*! Gives all shards to other nodes. \param done called once when this node owns none. */
+    void leave(std::function<void()> done);
+
+    /*! Serves a call of another node. \param request the call. \param handler receives the reply. */
+    void serve(const FleetSchema::PeerRequest& request,
+        std::function<void(const FleetSchema::PeerReply&)> handler) override;
+
+    std::string ownerAddress(const std::string& shard) const override;
+    std::string chooseShard(const FleetSchema::JobSpec& spec) override;
+
+    /*! \param queue identity of a queue. \return accepted jobs without a start in all shards. */
+    std::uint64_t pending(const std::string& queue) const;
+
+    /*! \return whether the store was reached lately. */
+    bool isStoreReachable() const;
+
+    /*! Sets the revision told in heartbeats. \param revision of the configuration in force. */
+    void setConfigurationRevision(std::uint64_t revision) { revision_ = revision; }
+
+private:
+    void heartbeat();
+    void readMembers();
+    void onMembers(const Utils::Result<Ports::RowPage>& result);
+    void reclaim();
+    void plan();
+    void claim(const std::string& shard);
+    void onShardRow(const std::string& shard, const Utils::Result<Ports::RowPage>& result);
+    void release(const std::string& shard, const std::string& successor);
+    void onEnded(const std::string& shard);
+    void handTo(const std::string& shard, const std::string& successor);
+    void announce();
+    void noteHolders();
+    void tick();
+    FleetSchema::NodeRecord record() const;
+    std::vector<Fleet::ShardPlace> shardPlaces() const;
+    std::vector<Fleet::NodePlace> nodePlaces() const;
+    void serveOwn(ShardHost& host, const FleetSchema::PeerRequest& request,
+        const std::function<void(const FleetSchema::PeerReply&)>& handler);
+
+    NodeContext& context_;
+    PeerLinks& peers_;
+    Fleet::MemberView members_;
+    Fleet::ShardChooser chooser_;
+    std::map<std::string, std::unique_ptr<ShardHost>> hosts_;
+    std::map<std::string, std::vector<Ports::WorkerInfo>> workersByShard_;
+    std::map<std::string, std::string> domainOfShard_;
+    std::map<std::string, std::string> regionOfDomain_;
+    std::map<std::string, Fleet::ShardHolder> holders_; //!< Latest known owner of each shard, dead ones included.
+    std::set<std::string> claiming_; //!< Shards whose rows are being read.
+    std::map<std::string, int> postponed_; //!< How often a claim found a live owner in the row.
+    std::map<std::string, std::string> successors_; //!< Of shards being released.
+    Utils::TimePoint startedAt_ {};
+    Utils::TimePoint membersReadAt_ {};
+    Utils::TimePoint handoverAllowedAt_ {};
+    std::uint64_t revision_ = 0;
+    bool isReclaimed_ = false;
+    bool isLeaving_ = false;
+    bool isStoreLost_ = false;
+    std::function<void()> onLeft_;
+    Timer heartbeatTimer_;
+    Timer tickTimer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace FleetNode
--- /dev/null
+++ b/src/libs/fleetnode/shardhost.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "nodecontext.h"
+#include "shardwriter.h"
+#include "timer.h"
+#include "workerlink.h"
+
+#include "fleet/shardorders.h"
+#include "fleet/shardscheduler.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace FleetNode {
+
+/*! Receives the answer to a submission, query or cancellation. */
+using JobHandler = std::function<void(const Fleet::JobAnswer&)>;
+
+/*! A shard that this node owns or is taking over: carries out what its scheduler decides. */
+class ShardHost final : private Fleet::ShardOrders, private WorkerLinkOwner {
+public:
+    /*!
+        \param context what the node shares.
+        \param shard the shard.
+        \param onEnded called once, from the event loop, when the shard was lost or given up.
+    */
+    ShardHost(NodeContext& context, std::string shard, std::function<void()> onEnded);
+    ~ShardHost() override;
+
+    /*!
+        Takes the shard over.
+        \param former its row as read.
+        \param version the row's version; 0 if there is none.
+    */
+    void takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version);
+
+    /*! Takes in the shard's workers. \param workers all that are listed. */
+    void setWorkers(std::vector<Ports::WorkerInfo> workers);
+
+    /*! \return whether the shard's jobs are loaded and it takes requests. */
+    bool isServing() const { return isLoaded_ && !isEnding_; }
+
+    /*! Submits a job. \param spec checked specification. \param handler receives the answer. */
+    void submit(const FleetSchema::JobSpec& spec, JobHandler handler);
+
+    /*! Cancels a job. \param job its identifier. \param handler receives the answer. */
+    void cancel(const std::string& job, JobHandler handler);
+
+    /*! \param job its identifier. \return its state, or nothing if the shard does not hold it. */
+    std::optional<FleetSchema::JobState> state(const std::string& job) const { return scheduler_.state(job); }
+
+    /*! Gives the shard up once what is decided is stored; onEnded follows. */
+    void release();
+
+    /*! Carries out what depends on time; to be called every tickInterval. */
+    void tick();
+
+    /*! \return the load for other nodes. */
+    FleetSchema::ShardLoad load() const;
+
+    /*! \return the shard. */
+    const std::string& shard() const { return shard_; }
+
+private:
+    void startAttempt(const Fleet::AttemptStart& start) override;
+    void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
+    void throttleAttempt(
+        const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
+    void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override;
+    Ports::PollOrder planPoll(const std::string& worker) override;
+    void onReport(
+        const std::string& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report) override;
+    void onPollFailed(const std::string& worker, const Utils::Error& error) override;
+
+    void load(const std::string& fromJob);
+    void onPage(const Utils::Result<Ports::RowPage>& result);
+    void wantRound();
+    void round();
+    void onStored();
+    void end(const char* reason);
+    void applyWorkers();
+    void checkReply(const Utils::Result<Ports::OrderReply>& reply);
+    WorkerLink* link(const std::string& worker);
+
+    NodeContext& context_;
+    std::string shard_;
+    std::function<void()> onEnded_;
+    Fleet::ShardScheduler scheduler_;
+    ShardWriter writer_;
+    std::vector<Ports::WorkerInfo> workers_;
+    std::map<std::string, std::unique_ptr<WorkerLink>> links_;
+    std::map<std::uint64_t, JobHandler> handlers_;
+    std::uint64_t nextTicket_ = 1;
+    Utils::TimePoint roundAllowedAt_ {};
+    Utils::TimePoint fencedAt_ {};
+    bool isLoaded_ = false;
+    bool isReleasing_ = false;
+    bool isEnding_ = false;
+    Timer roundTimer_;
+    Timer loadTimer_;
+    Timer endTimer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace FleetNode
--- /dev/null
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -0,0 +1,124 @@
+#include "shardwriter.h"
+
+#include "utils/log/log.h"
+
+#include <algorithm>
+
+namespace FleetNode {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Pauses before a transaction is sent again; the longest one keeps a store outage from costing many calls.
+constexpr milliseconds firstBackoff { 30 };
+constexpr milliseconds longestBackoff { 400 };
+
+} // namespace
+
+ShardWriter::ShardWriter(NodeContext& context, std::string shard, std::function<void()> onLost)
+    : context_(context)
+    , shard_(std::move(shard))
+    , onLost_(std::move(onLost))
+    , retryTimer_(context.io)
+{
+}
+
+Ports::RowKey ShardWriter::ownerRow() const
+{
+    return { shardTable, shard_, shardKey };
+}
+
+void ShardWriter::takeOver(
+    const FleetSchema::ShardRecord& former, std::uint64_t version, std::function<void()> done)
+{
+    record_.set_epoch(former.epoch() + 1);
+    record_.set_sequence(0);
+    version_ = version;
+    write({}, false, std::move(done));
+}
+
+void ShardWriter::write(const Fleet::RecordBatch& batch, bool isRelease, std::function<void()> done)
+{
+    record_.set_owner(isRelease ? std::string() : context_.settings.node().name());
+    record_.set_incarnation(context_.incarnation);
+    record_.set_sequence(record_.sequence() + 1);
+    Ports::Transaction transaction;
+    transaction.puts.push_back({ ownerRow(), record_.SerializeAsString() });
+    for (const auto& [job, value] : batch.puts)
+        transaction.puts.push_back({ { jobTable, shard_, job }, value });
+    for (const std::string& job : batch.removals)
+        transaction.removals.push_back({ jobTable, shard_, job });
+    transaction_ = std::move(transaction);
+    done_ = std::move(done);
+    backoff_ = firstBackoff;
+    send();
+}
+
+void ShardWriter::send()
+{
+    transaction_->conditions = { { ownerRow(), version_ } };
+    sentAt_ = context_.now();
+    context_.store.commit(*transaction_,
+        [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::TransactionOutcome>& result) {
+            if (weak.lock())
+                onOutcome(result);
+        });
+}
+
+void ShardWriter::onOutcome(const Utils::Result<Ports::TransactionOutcome>& result)
+{
+    if (!Utils::isOk(result))
+        return retry(Utils::error(result));
+    const Ports::TransactionOutcome& outcome = Utils::value(result);
+    if (outcome.isCommitted)
+        finish(outcome.version);
+    else
+        onConflict(outcome);
+}
+
+// The row tells whether an earlier copy of this transaction took effect.
+void ShardWriter::onConflict(const Ports::TransactionOutcome& outcome)
+{
+    FleetSchema::ShardRecord stored;
+    std::uint64_t version = 0;
+    for (const Ports::Row& row : outcome.current) {
+        if (row.name.table == shardTable && stored.ParseFromString(row.value))
+            version = row.version;
+    }
+    const bool isOwnEpoch = stored.epoch() == record_.epoch() && stored.incarnation() == record_.incarnation()
+        && stored.owner() == record_.owner();
+    if (isOwnEpoch && stored.sequence() == record_.sequence())
+        return finish(version);
+    if (isOwnEpoch && stored.sequence() + 1 == record_.sequence() && version != version_) {
+        version_ = version;
+        return send();
+    }
+    Utils::log(Utils::LogLevel::Warning, "shard-lost",
+        { { "shard", shard_ }, { "epoch", std::to_string(record_.epoch()) }, { "owner", stored.owner() },
+            { "owner_epoch", std::to_string(stored.epoch()) } });
+    const auto onLost = onLost_;
+    onLost();
+}
+
+void ShardWriter::finish(std::uint64_t version)
+{
+    version_ = version;
+    confirmedAt_ = sentAt_;
+    transaction_.reset();
+    const auto done = std::move(done_);
+    done_ = nullptr;
+    done();
+}
+
+void ShardWriter::retry(const Utils::Error& error)
+{
+    context_.metrics.add("geraniumquay_shard_write_retries_total",
+        Telemetry::label("code", Utils::errorCodeName(error.code)));
+    if (backoff_ == firstBackoff)
+        Utils::logError("shard-write-retried", error);
+    retryTimer_.start(backoff_, [this] { send(); });
+    backoff_ = std::min<Utils::Duration>(2 * backoff_, longestBackoff);
+}
+
+} // namespace FleetNode
--- /dev/null
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -0,0 +1,116 @@
+#include "tablewatcher.h"
+
+#include "utils/log/log.h"
+
+namespace FleetNode {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A configuration has to be in force 2.5 s after it was written; a silent connection costs this wait and a time limit.
+constexpr milliseconds followWait { 1500 };
+constexpr milliseconds retryPause { 200 };
+
+} // namespace
+
+TableWatcher::TableWatcher(NodeContext& context, std::string table, std::function<void(const Rows&)> onChange)
+    : context_(context)
+    , table_(std::move(table))
+    , onChange_(std::move(onChange))
+    , timer_(context.io)
+{
+}
+
+void TableWatcher::start()
+{
+    incoming_.clear();
+    version_ = 0;
+    readAll({});
+}
+
+void TableWatcher::readAll(const std::string& from)
+{
+    Ports::RowRange range;
+    range.table = table_;
+    range.from = from;
+    context_.store.read(
+        range, [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::RowPage>& result) {
+            if (weak.lock())
+                onPage(result);
+        });
+}
+
+void TableWatcher::onPage(const Utils::Result<Ports::RowPage>& result)
+{
+    if (!Utils::isOk(result)) {
+        noteFailure(Utils::error(result));
+        timer_.start(retryPause, [this] { start(); });
+        return;
+    }
+    const Ports::RowPage& page = Utils::value(result);
+    for (const Ports::Row& row : page.rows)
+        incoming_[row.name.key] = row;
+    // Changes are followed from the first page on, so that none between two pages is missed.
+    if (version_ == 0)
+        version_ = page.version;
+    if (page.hasMore && !page.rows.empty())
+        return readAll(page.rows.back().name.key + '\0');
+    rows_ = std::move(incoming_);
+    incoming_.clear();
+    noteSuccess();
+    onChange_(rows_);
+    follow();
+}
+
+void TableWatcher::follow()
+{
+    context_.store.follow(table_, version_, followWait,
+        [this, weak = std::weak_ptr<bool>(alive_), sentAt = context_.now()](
+            const Utils::Result<Ports::RowPage>& result) {
+            if (weak.lock())
+                onChanges(sentAt, result);
+        });
+}
+
+void TableWatcher::onChanges(Utils::TimePoint sentAt, const Utils::Result<Ports::RowPage>& result)
+{
+    (void)sentAt;
+    if (!Utils::isOk(result)) {
+        noteFailure(Utils::error(result));
+        // NotFound: the history was dropped, so everything is read anew.
+        const bool isHistoryLost = Utils::error(result).code == Utils::ErrorCode::NotFound;
+        timer_.start(retryPause, [this, isHistoryLost] { isHistoryLost ? start() : follow(); });
+        return;
+    }
+    noteSuccess();
+    const Ports::RowPage& page = Utils::value(result);
+    version_ = std::max(version_, page.version);
+    for (const Ports::Row& row : page.rows) {
+        if (row.isDeleted)
+            rows_.erase(row.name.key);
+        else
+            rows_[row.name.key] = row;
+    }
+    if (!page.rows.empty())
+        onChange_(rows_);
+    follow();
+}
+
+void TableWatcher::noteFailure(const Utils::Error& error)
+{
+    context_.metrics.add("geraniumquay_table_reads_failed_total", Telemetry::label("table", table_));
+    if (!isFailing_)
+        Utils::logError("table-lost", error);
+    isFailing_ = true;
+}
+
+void TableWatcher::noteSuccess()
+{
+    if (isFailing_)
+        Utils::log(Utils::LogLevel::Info, "table-regained", { { "table", table_ } });
+    isFailing_ = false;
+    currentAt_ = context_.now();
+}
+
+} // namespace FleetNode
--- /dev/null
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "nodecontext.h"
+#include "timer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace FleetNode {
+
+/*! Keeps a copy of a table's rows with an empty partition by reading them once and following the changes. */
+class TableWatcher {
+public:
+    using Rows = std::map<std::string, Ports::Row>; //!< By key.
+
+    /*!
+        \param context what the node shares.
+        \param table the table.
+        \param onChange called with all rows after each change.
+    */
+    TableWatcher(NodeContext& context, std::string table, std::function<void(const Rows&)> onChange);
+
+    /*! Starts to watch. */
+    void start();
+
+    /*! \return when the rows were last known to be current; the epoch of the clock if never. */
+    Utils::TimePoint currentAt() const { return currentAt_; }
+
+private:
+    void readAll(const std::string& from);
+    void follow();
+    void onPage(const Utils::Result<Ports::RowPage>& result);
+    void onChanges(Utils::TimePoint sentAt, const Utils::Result<Ports::RowPage>& result);
+    void noteFailure(const Utils::Error& error);
+    void noteSuccess();
+
+    NodeContext& context_;
+    std::string table_;
+    std::function<void(const Rows&)> onChange_;
+    Rows rows_;
+    Rows incoming_; //!< Pages read so far of a new copy.
+    std::uint64_t version_ = 0;
+    Utils::TimePoint currentAt_ {};
+    bool isFailing_ = false;
+    Timer timer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace FleetNode
--- /dev/null
+++ b/src/libs/http/client.cpp
@@ -0,0 +1,95 @@
+#include "client.h"
+
+#include <deque>
+#include <vector>
+
+namespace Http {
+
+class Client::Private : public std::enable_shared_from_this<Client::Private> {
+public:
+    Private(boost::asio::io_context& context, Endpoint endpoint, std::size_t maxConnections)
+        : context_(context)
+        , endpoint_(std::move(endpoint))
+        , maxConnections_(maxConnections)
+    {
+    }
+
+    void send(Request request, Utils::Duration timeout, ResponseHandler handler)
+    {
+        waiting_.push_back({ std::move(request), timeout, std::move(handler) });
+        startNext();
+    }
+
+    const Endpoint& endpoint() const { return endpoint_; }
+
+    void clear()
+    {
+        waiting_.clear();
+        connections_.clear();
+    }
+
+private:
+    struct Waiting {
+        Request request;
+        Utils::Duration timeout;
+        ResponseHandler handler;
+    };
+
+    std::shared_ptr<ClientConnection> idleConnection()
+    {
+        for (const auto& connection : connections_) {
+            if (!connection->isBusy())
+                return connection;
+        }
+        if (connections_.size() >= maxConnections_)
+            return nullptr;
+        connections_.push_back(std::make_shared<ClientConnection>(context_, endpoint_));
+        return connections_.back();
+    }
+
+    void startNext()
+    {
+        while (!waiting_.empty()) {
+            const auto connection = idleConnection();
+            if (!connection)
+                return;
+            Waiting next = std::move(waiting_.front());
+            waiting_.pop_front();
+            connection->exchange(std::move(next.request), next.timeout,
+                [weak = weak_from_this(), handler = std::move(next.handler)](Utils::Result<Response> result) {
+                    const auto self = weak.lock();
+                    handler(std::move(result));
+                    if (self)
+                        self->startNext();
+                });
+        }
+    }
+
+    boost::asio::io_context& context_;
+    Endpoint endpoint_;
+    std::size_t maxConnections_;
+    std::vector<std::shared_ptr<ClientConnection>> connections_;
+    std::deque<Waiting> waiting_;
+};
+
+Client::Client(boost::asio::io_context& context, Endpoint endpoint, std::size_t maxConnections)
+    : d_(std::make_shared<Private>(context, std::move(endpoint), maxConnections))
+{
+}
+
+Client::~Client()
+{
+    d_->clear();
+}
+
+void Client::send(Request request, Utils::Duration timeout, ResponseHandler handler)
+{
+    d_->send(std::move(request), timeout, std::move(handler));
+}
+
+const Endpoint& Client::endpoint() const
+{
+    return d_->endpoint();
+}
+
+} // namespace Http
--- /dev/null
+++ b/src/libs/ports/platformbinding.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "callercall.h"
+#include "queueconfiguration.h"
+#include "rowstore.h"
+#include "workeragent.h"
+#include "workerinfo.h"
+
+#include "http/message.h"
+#include "utils/result.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Ports {
+
+/*! What a node needs to know of the platform that it runs on. */
+struct PlatformBinding {
+    std::string operatorTable; //!< Table with the operator's rows.
+    std::string configurationKey; //!< Key of the configuration there.
+    std::string workerTable; //!< Table in which workers register themselves.
+
+    std::function<Utils::Result<QueueConfiguration>(std::string_view)> decodeConfiguration;
+    std::function<Utils::Result<WorkerInfo>(const Row&)> decodeWorker;
+    std::function<Utils::Result<CallerCall>(const Http::Request&)> decodeCall;
+    std::function<Http::Response(const CallerAnswer&)> encodeAnswer;
+    std::function<std::unique_ptr<WorkerAgent>(const WorkerInfo&)> makeWorker;
+};
+
+} // namespace Ports
--- /dev/null
+++ b/src/libs/utils/bootclock.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "clock.h"
+
+#include <ctime>
+
+namespace Utils {
+
+/*! Monotonic clock that also counts the time for which the machine was suspended, so that leases lapse meanwhile. */
+class BootClock final : public Clock {
+public:
+    TimePoint now() const override
+    {
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+
+} // namespace Utils
--- a/src/libs/utils/log/log.cpp
+++ b/src/libs/utils/log/log.cpp
@@ -62,6 +62,15 @@
 
 } // namespace
 
+LogLevel logLevelOf(std::string_view name)
+{
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "warning")
+        return LogLevel::Warning;
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
 void startLog(std::string_view process, LogLevel level)
 {
     processName = process;
--- a/src/libs/utils/log/log.h
+++ b/src/libs/utils/log/log.h
@@ -22,6 +22,9 @@
     Error,
 };
 
+/*! \param name name of a level as in settings. \return the level; Info if the name is not known. */
+LogLevel logLevelOf(std::string_view name);
+
 /*!
     Sets up the process's log: JSON lines on standard output, no file.
     \param process name of the process, part of every line.
