--- a/src/libs/fleet/inflightbatch.h
+++ b/src/libs/fleet/inflightbatch.h
@@ -20,7 +20,8 @@
 
     std::vector<StoredJob> jobs;
     std::vector<RecordedAttempt> starts;
-    std::vector<std::pair<std::string, std::uint64_t>> acknowledgements; //!< Worker and number of its latest end.
+    std::vector<std::pair<std::string, std::uint64_t>>
+        acknowledgements; //!< Worker and number of its latest end.
     std::vector<std::string> removals;
 };
 
--- a/src/libs/fleet/joborder.h
+++ b/src/libs/fleet/joborder.h
@@ -19,9 +19,9 @@
 /*!
     Place of a job in the order of waiting work; smaller goes first.
 
-    Answers the load pattern of a burst beyond the workers' room: the earliest latest start goes first, so that jobs
-    with little slack overtake those that can wait, and a job that can no longer meet its objective yields to those that can,
-    which keeps a backlog from making every job late.
+    Answers the load pattern of a burst beyond the workers' room: the earliest latest start goes first, so
+   that jobs with little slack overtake those that can wait, and a job that can no longer meet its objective
+   yields to those that can, which keeps a backlog from making every job late.
 */
 struct JobRank {
     std::int32_t priority = 0;
--- a/src/libs/fleet/memberview.h
+++ b/src/libs/fleet/memberview.h
@@ -27,8 +27,8 @@
 /*!
     Which nodes are alive, as told by their heartbeat rows.
 
-    A node counts as dead when its row has not changed for the timeout, counted only while the rows could be read:
-    a node that cannot read the store knows nothing of the others.
+    A node counts as dead when its row has not changed for the timeout, counted only while the rows could be
+   read: a node that cannot read the store knows nothing of the others.
 */
 class MemberView {
 public:
@@ -45,7 +45,8 @@
     */
     void update(const std::vector<MemberRow>& rows, Utils::TimePoint now);
 
-    /*! Takes in what a node told directly; its heartbeat row stays what shows that it lives. \param record its state. */
+    /*! Takes in what a node told directly; its heartbeat row stays what shows that it lives. \param record
+     * its state. */
     void noteShards(const FleetSchema::NodeRecord& record);
 
     /*! Takes in this node's own present state. \param record the state. */
--- a/src/libs/fleet/ownershipplan.cpp
+++ b/src/libs/fleet/ownershipplan.cpp
@@ -16,7 +16,8 @@
     return found == regionOf.end() ? std::string() : found->second;
 }
 
-int distance(const ShardPlace& shard, const NodePlace& node, const std::map<std::string, std::string>& regionOf)
+int distance(
+    const ShardPlace& shard, const NodePlace& node, const std::map<std::string, std::string>& regionOf)
 {
     if (shard.domain == node.domain)
         return 0;
@@ -75,8 +76,8 @@
     const std::vector<NodePlace>& nodes, const std::map<std::string, std::string>& regionOf)
 {
     Counts counts = countShards(shards);
-    const auto own = std::find_if(
-        nodes.begin(), nodes.end(), [&](const NodePlace& node) { return node.name == self; });
+    const auto own
+        = std::find_if(nodes.begin(), nodes.end(), [&](const NodePlace& node) { return node.name == self; });
     const bool isLeaving = own != nodes.end() && own->isLeaving;
     std::vector<ShardMove> moves;
     for (const ShardPlace& shard : shards) {
--- a/src/libs/fleet/ownershipplan.h
+++ b/src/libs/fleet/ownershipplan.h
@@ -30,8 +30,9 @@
 /*!
     Chooses owners for shards without one.
 
-    Every node computes the same plan from the same view; a race between different views is decided by the store.
-    A shard goes to the node with the fewest shards, among equals to one in its own failure domain, then in its region.
+    Every node computes the same plan from the same view; a race between different views is decided by the
+   store. A shard goes to the node with the fewest shards, among equals to one in its own failure domain, then
+   in its region.
 
     \param shards all shards.
     \param nodes the live nodes by name.
--- /dev/null
+++ b/src/libs/fleet/rackmap.cpp
@@ -0,0 +1,53 @@
+#include "rackmap.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Fleet {
+
+namespace {
+
+// Enough for a step of a dozen tasks that must all run on different workers, with some of them out of use.
+constexpr std::size_t wantedWorkers = 16;
+
+} // namespace
+
+std::string rackKey(const std::string& service, const std::string& rack)
+{
+    return service + "/" + rack;
+}
+
+bool mapRacks(std::vector<RackPlace> racks, FleetSchema::RackMap& map)
+{
+    std::sort(racks.begin(), racks.end(), [](const RackPlace& left, const RackPlace& right) {
+        return rackKey(left.service, left.rack) < rackKey(right.service, right.rack);
+    });
+    std::map<std::string, std::size_t> workersOfShard;
+    for (const auto& [rack, shard] : map.shards())
+        workersOfShard[shard];
+    for (const RackPlace& rack : racks) {
+        const auto known = map.shards().find(rackKey(rack.service, rack.rack));
+        if (known != map.shards().end())
+            workersOfShard[known->second] += rack.workers;
+    }
+    bool isChanged = false;
+    for (const RackPlace& rack : racks) {
+        const std::string key = rackKey(rack.service, rack.rack);
+        if (map.shards().contains(key))
+            continue;
+        const std::string prefix = rack.service + "/" + rack.domain + "/";
+        std::string shard;
+        for (int number = 1; shard.empty(); ++number) {
+            const std::string name = prefix + std::to_string(number);
+            const auto found = workersOfShard.find(name);
+            if (found == workersOfShard.end() || found->second < wantedWorkers)
+                shard = name;
+        }
+        workersOfShard[shard] += rack.workers;
+        (*map.mutable_shards())[key] = shard;
+        isChanged = true;
+    }
+    return isChanged;
+}
+
+} // namespace Fleet
--- a/src/libs/fleet/shardchoice.cpp
+++ b/src/libs/fleet/shardchoice.cpp
@@ -1,6 +1,6 @@
 #include "shardchoice.h"
 
-#include "workerchoice.h"
+#include "workercommitment.h"
 
 #include <algorithm>
 
@@ -18,28 +18,19 @@
     });
 }
 
-bool isNearData(const FleetSchema::JobSpec& spec, const std::string& shard)
+bool isFilling(const FleetSchema::JobSpec& spec)
 {
-    return std::any_of(spec.steps().begin(), spec.steps().end(), [&](const FleetSchema::StepSpec& step) {
-        return !step.data_rack().empty() && shard.ends_with("/" + step.data_rack());
-    });
+    return std::any_of(spec.steps().begin(), spec.steps().end(),
+        [](const FleetSchema::StepSpec& step) { return step.leftover_processors(); });
 }
 
 } // namespace
 
-std::int64_t workOf(const FleetSchema::JobSpec& spec)
-{
-    std::int64_t work = 0;
-    for (const FleetSchema::StepSpec& step : spec.steps())
-        work += committedSize(step).milliProcessors * step.estimate_ms() * step.count();
-    return work;
-}
-
 std::int64_t widthOf(const FleetSchema::JobSpec& spec)
 {
     std::int64_t widest = 0;
     for (const FleetSchema::StepSpec& step : spec.steps())
-        widest = std::max(widest, committedSize(step).milliProcessors * step.count());
+        widest = std::max<std::int64_t>(widest, step.milli_processors() * step.count());
     return widest;
 }
 
@@ -47,39 +38,44 @@
 {
     for (const auto& [shard, holder] : holders) {
         const auto known = holders_.find(shard);
-        if (known == holders_.end() || known->second.load.SerializeAsString() != holder.load.SerializeAsString())
+        if (known == holders_.end()
+            || known->second.load.SerializeAsString() != holder.load.SerializeAsString())
             assigned_.erase(shard);
     }
     holders_ = holders;
 }
 
+double ShardChooser::costOf(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
+    const Assigned& assigned, std::size_t nodes) const
+{
+    const std::int64_t others = static_cast<std::int64_t>(nodes);
+    const double waiting = static_cast<double>(load.waiting_work()) / horizonMs;
+    if (isFilling(spec)) {
+        const double room
+            = static_cast<double>(std::max<std::int64_t>(1, load.capacity() - load.serving_capacity()));
+        return (static_cast<double>(load.filling() + others * assigned.filling) + waiting) / room;
+    }
+    const double committed = static_cast<double>(load.committed() + others * assigned.committed);
+    return (committed + waiting) / static_cast<double>(load.capacity());
+}
+
 std::string ShardChooser::choose(const FleetSchema::JobSpec& spec, std::size_t nodes)
 {
-    // A shard near the data of a step is worth this much of a whole shard's room.
-    constexpr double nearDataBonus = 0.5;
-    const bool isLasting = spec.steps_size() > 0 && spec.steps(0).lasting();
     std::string best;
     double bestCost = 0;
     for (const auto& [shard, holder] : holders_) {
         const FleetSchema::ShardLoad& load = holder.load;
         if (load.service() != spec.service() || load.capacity() <= 0 || !canHold(spec, load))
             continue;
-        const Assigned& own = assigned_[shard];
-        const double others = static_cast<double>(nodes);
-        const double busy = static_cast<double>(load.committed()) + others * static_cast<double>(own.width)
-            + (static_cast<double>(load.waiting_work()) + others * static_cast<double>(own.work)) / horizonMs;
-        double cost = busy / static_cast<double>(load.capacity());
-        if (isNearData(spec, shard))
-            cost -= nearDataBonus;
+        const double cost = costOf(spec, load, assigned_[shard], nodes);
         if (best.empty() || cost < bestCost) {
             best = shard;
             bestCost = cost;
         }
     }
     if (!best.empty()) {
-        assigned_[best].width += widthOf(spec);
-        if (!isLasting)
-            assigned_[best].work += workOf(spec);
+        Assigned& assigned = assigned_[best];
+        (isFilling(spec) ? assigned.filling : assigned.committed) += widthOf(spec);
     }
     return best;
 }
--- a/src/libs/fleet/shardchoice.h
+++ b/src/libs/fleet/shardchoice.h
@@ -9,17 +9,15 @@
 
 namespace Fleet {
 
-/*! Total work of a job's tasks. \param spec the job. \return milli-processor milliseconds. */
-std::int64_t workOf(const FleetSchema::JobSpec& spec);
-
 /*! Processors that a job takes at its widest. \param spec the job. \return milli-processors. */
 std::int64_t widthOf(const FleetSchema::JobSpec& spec);
 
 /*!
-    Chooses the shards of new jobs by the loads that the owners told.
+    Chooses the shards of new jobs by the loads that the owners told. Work for leftover processors is spread
+   by the room on workers without latency targets, other work by committed processors.
 
-    Answers bursts: loads are told about once a second, and jobs that come meanwhile would all go to the shard that was
-    least loaded then. So what this node has assigned since the last report is added to the report.
+    Answers bursts: loads are told about once a second, and jobs that come meanwhile would all go to the shard
+   that was least loaded then. So what this node has assigned since the last report is added to the report.
 */
 class ShardChooser {
 public:
@@ -36,10 +34,13 @@
 
 private:
     struct Assigned {
-        std::int64_t width = 0;
-        std::int64_t work = 0;
+        std::int64_t committed = 0; //!< Milli-processors.
+        std::int64_t filling = 0; //!< Milli-processors.
     };
 
+    double costOf(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
+        const Assigned& assigned, std::size_t nodes) const;
+
     std::map<std::string, ShardHolder> holders_;
     std::map<std::string, Assigned> assigned_; //!< Since the shard's load last changed.
 };
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -32,7 +32,8 @@
         job.isDirty = false;
         batch.puts.emplace_back(job.spec.id(), toRecord(job).SerializeAsString());
         bytes += batch.puts.back().second.size();
-        inflight_->jobs.push_back({ &job, job.state, std::move(job.acceptTickets), std::move(job.cancelTickets) });
+        inflight_->jobs.push_back(
+            { &job, job.state, std::move(job.acceptTickets), std::move(job.cancelTickets) });
         job.acceptTickets.clear();
         job.cancelTickets.clear();
         for (Task& task : job.tasks) {
@@ -118,7 +119,8 @@
         const bool isOver = !job->isActive() && job->isCommitted && !job->isDirty && job->endedUnixMs > 0
             && job->endedUnixMs + retentionMs < nowUnixMs;
         const bool hasOpen = isOver
-            && std::any_of(job->tasks.begin(), job->tasks.end(), [](const Task& task) { return task.isOpen(); });
+            && std::any_of(
+                job->tasks.begin(), job->tasks.end(), [](const Task& task) { return task.isOpen(); });
         if (isOver && !hasOpen && std::find(expired_.begin(), expired_.end(), id) == expired_.end())
             expired_.push_back(id);
     }
--- a/src/libs/fleet/shardorders.h
+++ b/src/libs/fleet/shardorders.h
@@ -26,7 +26,8 @@
     std::uint32_t retryAfterMs = 0; //!< With PEER_REFUSED.
 };
 
-/*! What the scheduler of a shard orders; implementations must not call back into it from inside these calls. */
+/*! What the scheduler of a shard orders; implementations must not call back into it from inside these calls.
+ */
 class ShardOrders {
 public:
     virtual ~ShardOrders() = default;
@@ -35,9 +36,11 @@
     virtual void startAttempt(const AttemptStart& start) = 0;
 
     /*! Stops an attempt. \param worker where. \param task,attempt the attempt. */
-    virtual void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) = 0;
+    virtual void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt)
+        = 0;
 
-    /*! Limits an attempt's speed. \param worker where. \param task,attempt the attempt. \param percent its share. */
+    /*! Limits an attempt's speed. \param worker where. \param task,attempt the attempt. \param percent its
+     * share. */
     virtual void throttleAttempt(
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent)
         = 0;
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -2,8 +2,6 @@
 
 #include "shardscheduler.h"
 
-#include "workerchoice.h"
-
 #include <algorithm>
 
 namespace Fleet {
@@ -46,8 +44,8 @@
     return plan;
 }
 
-void ShardScheduler::onReport(const std::string& id, Utils::TimePoint sentAt, const Ports::WorkerReport& report,
-    Utils::TimePoint now, std::int64_t nowUnixMs)
+void ShardScheduler::onReport(const std::string& id, Utils::TimePoint sentAt,
+    const Ports::WorkerReport& report, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     Worker* worker = findWorker(id);
     if (!worker)
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -3,6 +3,7 @@
 #include "inflightbatch.h"
 #include "joborder.h"
 #include "workerchoice.h"
+#include "workercommitment.h"
 
 #include <algorithm>
 #include <cmath>
@@ -49,7 +50,8 @@
 
 ShardScheduler::~ShardScheduler() = default;
 
-void ShardScheduler::restore(const FleetSchema::JobRecord& record, Utils::TimePoint now, std::int64_t nowUnixMs)
+void ShardScheduler::restore(
+    const FleetSchema::JobRecord& record, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     auto job = std::make_unique<Job>();
     initializeJob(record.spec(), *job);
@@ -76,8 +78,7 @@
             task.worker = &worker;
             task.workerBornMs = stored.worker_born();
             task.knownSince = now;
-            worker.tasks.push_back(&task);
-            worker.used += committedSize(job->step(task));
+            addAttempt(task, worker);
         }
     }
     jobs_[job->spec.id()] = std::move(job);
@@ -93,9 +94,8 @@
         worker.info = info;
         worker.isListed = true;
     }
-    std::erase_if(workers_, [](const auto& entry) {
-        return !entry.second->isListed && entry.second->tasks.empty();
-    });
+    std::erase_if(
+        workers_, [](const auto& entry) { return !entry.second->isListed && entry.second->tasks.empty(); });
     isScheduleDue_ = true;
 }
 
@@ -167,7 +167,8 @@
     for (const Candidate& candidate : candidates) {
         Job& job = *candidate.job;
         for (std::uint32_t step = 0; step < job.stepOffset.size(); ++step) {
-            if (job.left(candidate.occurrence, step) == 0 || !job.isReady(candidate.occurrence, step, nowUnixMs))
+            if (job.left(candidate.occurrence, step) == 0
+                || !job.isReady(candidate.occurrence, step, nowUnixMs))
                 continue;
             if (job.spec.steps(static_cast<int>(step)).gang())
                 assignGang(job, candidate.occurrence, step, now);
@@ -215,19 +216,16 @@
     for (const auto& [id, worker] : workers_)
         workers.push_back(worker.get());
     std::vector<std::pair<Task*, Worker*>> chosen;
-    const Placement::Resources size = committedSize(job.spec.steps(static_cast<int>(step)));
     for (std::uint32_t index = 0; index < count; ++index) {
         Task& task = *job.find(occurrence, step, index);
         Worker* worker = chooseWorker(task, workers, now);
         if (!worker)
             break;
-        worker->used += size;
-        worker->tasks.push_back(&task);
+        addAttempt(task, *worker);
         chosen.emplace_back(&task, worker);
     }
     for (const auto& [task, worker] : chosen) {
-        worker->used -= size;
-        std::erase(worker->tasks, task);
+        removeAttempt(*task, *worker);
     }
     if (chosen.size() != count)
         return;
@@ -252,8 +250,7 @@
     task.pace = 100;
     task.overTargetSince = {};
     task.isStopAnswered = false;
-    worker.tasks.push_back(&task);
-    worker.used += committedSize(job.step(task));
+    addAttempt(task, worker);
     job.isStarted = true;
     if (job.state == FleetSchema::JOB_QUEUED)
         job.state = FleetSchema::JOB_RUNNING;
@@ -264,8 +261,7 @@
 {
     if (!task.worker)
         return;
-    std::erase(task.worker->tasks, &task);
-    task.worker->used -= committedSize(task.job->step(task));
+    removeAttempt(task, *task.worker);
     task.worker = nullptr;
     isScheduleDue_ = true;
 }
@@ -307,7 +303,8 @@
 
 void ShardScheduler::failTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
-    // A failed lasting task is restarted without a limit; the pause keeps one that always fails from using up workers.
+    // A failed lasting task is restarted without a limit; the pause keeps one that always fails from using up
+    // workers.
     constexpr milliseconds lastingRetryPause { 200 };
     Job& job = *task.job;
     const bool isLasting = job.step(task).lasting();
@@ -393,8 +390,11 @@
             load.set_capacity(load.capacity() + worker->info.milliProcessors);
             load.set_largest_worker(std::max(load.largest_worker(), worker->info.milliProcessors));
             load.set_service(worker->info.service);
+            if (worker->servingTasks > 0)
+                load.set_serving_capacity(load.serving_capacity() + worker->info.milliProcessors);
         }
         load.set_committed(load.committed() + worker->used.milliProcessors);
+        load.set_filling(load.filling() + worker->filling);
     }
     for (const auto& [id, job] : jobs_) {
         if (!job->isActive())
@@ -403,11 +403,12 @@
             ++(*load.mutable_pending())[job->spec.queue()];
         for (const Task& task : job->tasks) {
             const FleetSchema::StepSpec& step = job->step(task);
-            const std::int64_t size = committedSize(step).milliProcessors;
+            const std::int64_t size = step.milli_processors();
             if (task.phase == TaskPhase::Waiting)
                 load.set_waiting_work(load.waiting_work() + size * step.estimate_ms());
             else if (task.isOpen() && !step.lasting())
-                load.set_running_work(load.running_work() + size * step.estimate_ms() * (100 - task.percent) / 100);
+                load.set_running_work(
+                    load.running_work() + size * step.estimate_ms() * (100 - task.percent) / 100);
         }
     }
     return load;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -35,12 +35,13 @@
 /*!
     Decides about the jobs and workers of one shard while it is owned; does no I/O.
 
-    An attempt is recorded in the store before it is sent, an end before it is acknowledged, and a job's state before
-    a caller is told, so what a successor loads is never behind what the outside has seen. takeBatch() and
-    onCommitted() bracket each transaction; there is at most one at a time.
+    An attempt is recorded in the store before it is sent, an end before it is acknowledged, and a job's state
+   before a caller is told, so what a successor loads is never behind what the outside has seen. takeBatch()
+   and onCommitted() bracket each transaction; there is at most one at a time.
 
-    A task whose attempt is open is started again only when the attempt is known to have ended: by a reported end,
-    by a report that must list it and does not, by a refusal, or because the worker's lease has surely lapsed.
+    A task whose attempt is open is started again only when the attempt is known to have ended: by a reported
+   end, by a report that must list it and does not, by a refusal, or because the worker's lease has surely
+   lapsed.
 */
 class ShardScheduler {
 public:
@@ -54,7 +55,8 @@
     /*! Loads a job that the store holds. \param record the job. \param now,nowUnixMs the current time. */
     void restore(const FleetSchema::JobRecord& record, Utils::TimePoint now, std::int64_t nowUnixMs);
 
-    /*! Takes in the list of the shard's workers. \param workers all that are listed. \param now the current time. */
+    /*! Takes in the list of the shard's workers. \param workers all that are listed. \param now the current
+     * time. */
     void setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint now);
 
     /*!
@@ -63,7 +65,8 @@
         \param ticket names the submission.
         \param now,nowUnixMs the current time.
     */
-    void submit(const FleetSchema::JobSpec& spec, std::uint64_t ticket, Utils::TimePoint now, std::int64_t nowUnixMs);
+    void submit(
+        const FleetSchema::JobSpec& spec, std::uint64_t ticket, Utils::TimePoint now, std::int64_t nowUnixMs);
 
     /*! Cancels a job; answered once it is stored. \param id the job. \param ticket names the cancellation.
         \param nowUnixMs time of day. */
@@ -78,27 +81,28 @@
     */
     void schedule(Utils::TimePoint now, std::int64_t nowUnixMs);
 
-    /*! \return the changes that are not stored yet, or nothing; onCommitted() must follow before the next call. */
+    /*! \return the changes that are not stored yet, or nothing; onCommitted() must follow before the next
+     * call. */
     std::optional<RecordBatch> takeBatch(std::int64_t nowUnixMs);
 
     /*! Tells that the batch is stored: answers callers, sends starts, allows acknowledgements.
         \param now the current time. */
     void onCommitted(Utils::TimePoint now);
 
-    /*! \param worker a worker. \param now the current time. \param mayRenew whether the owner's right to renew leases
-        holds. \return what to ask of the worker; the lease counts as given from now on. */
+    /*! \param worker a worker. \param now the current time. \param mayRenew whether the owner's right to
+       renew leases holds. \return what to ask of the worker; the lease counts as given from now on. */
     PollPlan planPoll(const std::string& worker, Utils::TimePoint now, bool mayRenew);
 
-    /*! Takes in a report. \param worker who. \param sentAt when the poll was sent. \param report what it said.
-        \param now the current time. */
+    /*! Takes in a report. \param worker who. \param sentAt when the poll was sent. \param report what it
+       said. \param now the current time. */
     void onReport(const std::string& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report,
         Utils::TimePoint now, std::int64_t nowUnixMs);
 
     /*! Takes in that a poll got no answer. \param worker who. */
     void onPollFailed(const std::string& worker);
 
-    /*! Takes in the answer to a start. \param worker who. \param task,attempt what. \param reply the answer or error.
-        \param now the current time. */
+    /*! Takes in the answer to a start. \param worker who. \param task,attempt what. \param reply the answer
+       or error. \param now the current time. */
     void onStartReply(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         const Utils::Result<Ports::OrderReply>& reply, Utils::TimePoint now);
 
@@ -137,9 +141,11 @@
     void endJob(Job& job, FleetSchema::JobState state, std::int64_t nowUnixMs);
     void requestStop(Task& task, Utils::TimePoint now);
     void stopOpenTasks(Job& job, Utils::TimePoint now);
-    void applyEnd(Worker& worker, const Ports::EndedAttempt& end, Utils::TimePoint now, std::int64_t nowUnixMs);
+    void applyEnd(
+        Worker& worker, const Ports::EndedAttempt& end, Utils::TimePoint now, std::int64_t nowUnixMs);
     void applyRunning(Worker& worker, const Ports::RunningAttempt& running, Utils::TimePoint now);
-    void applyMissing(Worker& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report, Utils::TimePoint now);
+    void applyMissing(
+        Worker& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report, Utils::TimePoint now);
     void noteSpeed(Worker& worker, const Task& task, Utils::TimePoint now);
     void noteFailure(Worker& worker, const Task& task, Utils::TimePoint now);
     void noteSuccess(Worker& worker);
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -2,8 +2,6 @@
 
 #include "shardscheduler.h"
 
-#include "workerchoice.h"
-
 #include <algorithm>
 
 namespace Fleet {
@@ -32,9 +30,8 @@
         if (job->isActive() && job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)
             isScheduleDue_ = true;
     }
-    std::erase_if(workers_, [](const auto& entry) {
-        return !entry.second->isListed && entry.second->tasks.empty();
-    });
+    std::erase_if(
+        workers_, [](const auto& entry) { return !entry.second->isListed && entry.second->tasks.empty(); });
 }
 
 void ShardScheduler::tickWorker(Worker& worker, Utils::TimePoint now)
@@ -110,7 +107,7 @@
         return;
     const int pace = !isOver ? 100 : (longest > options_.interferenceLimit / 4 ? lowestPace : firstPace);
     for (Task* task : worker.tasks) {
-        if (task->job->step(*task).tail_target_ms() > 0 || task->phase != TaskPhase::Running)
+        if (!task->job->step(*task).leftover_processors() || task->phase != TaskPhase::Running)
             continue;
         if (isOver ? pace < task->pace : pace > task->pace) {
             setPace(*task, pace);
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -16,6 +16,8 @@
     Ports::WorkerInfo info;
     bool isListed = false; //!< The platform lists it.
     Placement::Resources used; //!< Of all open attempts.
+    std::int64_t filling = 0; //!< Milli-processors asked for by open attempts that use what others leave.
+    int servingTasks = 0; //!< Open attempts with a latency target.
     std::vector<Task*> tasks; //!< Tasks with an open attempt here.
 
     std::int64_t bornMs = 0; //!< Incarnation that last reported; 0: not heard yet.
@@ -33,6 +35,10 @@
     Utils::Duration asideFor {}; //!< Latest time aside; doubled when a probe fails.
     double slowness = 1; //!< Mean of run time over expected run time.
 
+    /*! \return milli-processors that neither committed nor filling attempts ask for; negative if overbooked.
+     */
+    std::int64_t leftover() const { return info.milliProcessors - used.milliProcessors - filling; }
+
     /*! \return what may still be committed. */
     Placement::Resources available() const { return capacity() - used; }
 
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -2,6 +2,7 @@
 
 #include "job.h"
 #include "worker.h"
+#include "workercommitment.h"
 
 #include <algorithm>
 
@@ -9,37 +10,26 @@
 
 namespace {
 
-// Weights of a score in units of a whole worker: an undesirable neighbour outweighs any difference in free room.
-constexpr double interferenceWeight = 1.5;
-constexpr double sameStepWeight = 0.4;
+// Weights of a cost in units of a whole worker. An undesirable neighbour outweighs any difference in free
+// room.
+constexpr double interferenceWeight = 3.0;
+constexpr double wastedRoomWeight = 0.5;
+constexpr double sameStepWeight = 0.05;
 constexpr double slownessWeight = 1.0;
 constexpr double retryOnSameWorkerWeight = 10.0;
 
-struct Neighbours {
-    int serving = 0;
-    int filling = 0;
-    std::uint32_t sameStep = 0;
-};
-
-Neighbours neighboursOf(const Task& task, const Worker& worker)
+bool hasLabel(const Worker& worker, const std::string& label)
 {
-    Neighbours neighbours;
-    for (const Task* other : worker.tasks) {
-        if (other->job->step(*other).tail_target_ms() > 0)
-            ++neighbours.serving;
-        else
-            ++neighbours.filling;
-        if (other->job == task.job && other->step == task.step && other->occurrence == task.occurrence)
-            ++neighbours.sameStep;
-    }
-    return neighbours;
+    return label.empty()
+        || std::find(worker.info.labels.begin(), worker.info.labels.end(), label) != worker.info.labels.end();
 }
 
-bool hasLabel(const Worker& worker, const std::string& label)
+std::uint32_t countSameStep(const Task& task, const Worker& worker)
 {
-    return label.empty()
-        || std::find(worker.info.labels.begin(), worker.info.labels.end(), label)
-        != worker.info.labels.end();
+    return static_cast<std::uint32_t>(
+        std::count_if(worker.tasks.begin(), worker.tasks.end(), [&](const Task* other) {
+            return other->job == task.job && other->step == task.step && other->occurrence == task.occurrence;
+        }));
 }
 
 bool isAllowed(const Task& task, const Worker& worker, Utils::TimePoint now)
@@ -49,35 +39,51 @@
         return false;
     if (!hasLabel(worker, step.required_label()) || !committedSize(step).fitsIn(worker.available()))
         return false;
+    // A task larger than its worker would wait for ever, so an empty one takes it.
+    if (step.leftover_processors() && worker.filling > 0 && step.milli_processors() > worker.leftover())
+        return false;
     if (worker.asideFor == Utils::Duration::zero())
         return true;
     // A worker set aside is probed with one task that has not failed yet.
     return now >= worker.asideUntil && worker.tasks.empty() && task.failures == 0;
 }
 
-double score(const Task& task, const Worker& worker, const Neighbours& neighbours)
+// Tasks with a latency target gather on the fullest worker that still has room and no disturbing work.
+double servingCost(const Worker& worker)
 {
-    const FleetSchema::StepSpec& step = task.job->step(task);
     const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
     const double usedShare = static_cast<double>(worker.used.milliProcessors) / capacity;
-    double cost = usedShare + slownessWeight * std::max(0.0, worker.slowness - 1)
-        + sameStepWeight * neighbours.sameStep;
-    if (worker.info.id == task.lastFailedOn)
-        cost += retryOnSameWorkerWeight;
-    if (step.tail_target_ms() == 0 && neighbours.serving > 0)
-        cost += interferenceWeight;
-    if (step.tail_target_ms() > 0 && neighbours.serving == 0)
-        cost += interferenceWeight * std::min(1, neighbours.filling);
-    return cost;
+    return -usedShare + (worker.filling > 0 ? interferenceWeight : 0)
+        + (worker.servingTasks > 0 ? 0 : wastedRoomWeight);
 }
 
-} // namespace
+double fillingCost(const Worker& worker)
+{
+    const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
+    return 1 - static_cast<double>(worker.leftover()) / capacity
+        + (worker.servingTasks > 0 ? interferenceWeight : 0);
+}
 
-Placement::Resources committedSize(const FleetSchema::StepSpec& step)
+double plainCost(const Worker& worker)
 {
-    return { step.leftover_processors() ? 0 : step.milli_processors(), step.memory_mb(), step.accelerators() };
+    const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
+    return 1 - static_cast<double>(worker.leftover()) / capacity
+        + (worker.servingTasks > 0 ? 0 : wastedRoomWeight);
 }
 
+double costOf(const Task& task, const Worker& worker, std::uint32_t sameStep)
+{
+    const FleetSchema::StepSpec& step = task.job->step(task);
+    double cost = slownessWeight * std::max(0.0, worker.slowness - 1) + sameStepWeight * sameStep;
+    if (worker.info.id == task.lastFailedOn)
+        cost += retryOnSameWorkerWeight;
+    if (step.tail_target_ms() > 0)
+        return cost + servingCost(worker);
+    return cost + (step.leftover_processors() ? fillingCost(worker) : plainCost(worker));
+}
+
+} // namespace
+
 Worker* chooseWorker(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
     const std::uint32_t maxPerWorker = task.job->step(task).max_per_worker();
@@ -86,10 +92,10 @@
     for (Worker* worker : workers) {
         if (!isAllowed(task, *worker, now))
             continue;
-        const Neighbours neighbours = neighboursOf(task, *worker);
-        if (maxPerWorker > 0 && neighbours.sameStep >= maxPerWorker)
+        const std::uint32_t sameStep = countSameStep(task, *worker);
+        if (maxPerWorker > 0 && sameStep >= maxPerWorker)
             continue;
-        const double cost = score(task, *worker, neighbours);
+        const double cost = costOf(task, *worker, sameStep);
         if (!best || cost < bestCost) {
             best = worker;
             bestCost = cost;
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -1,34 +1,25 @@
 #pragma once
 
-#include "placement/resources.h"
 #include "utils/clock.h"
 
-#include <cstdint>
-#include <memory>
 #include <span>
 
-namespace FleetSchema {
-class StepSpec;
-}
-
 namespace Fleet {
 
 struct Task;
 struct Worker;
 
-/*!
-    What a task commits on a worker.
-    \param step its step.
-    \return processors, memory and accelerators.
-*/
-Placement::Resources committedSize(const FleetSchema::StepSpec& step);
-
 /*!
     Chooses the worker of a task among those of a shard.
 
-    Answers two load patterns. Work that fills disturbs tasks that serve users, so that work goes to workers without
-    such tasks first and serving tasks gather on the others, away from the fillers. A worker that fails or is slow
-    attracts work because its room is free, so a worker with failures in a row or slow runs comes last or is left out.
+    Answers these load patterns:
+    - Work that uses leftover processors disturbs tasks with a latency target. Such tasks are packed on few
+   workers and the other work goes to workers without them, so that neither has to be throttled.
+    - Urgent work that disturbs nobody takes the room beside tasks with a latency target, which nothing else
+   can use.
+    - A burst of work for leftover processors beyond what is left would only slow down what runs already, so
+   it waits.
+    - A worker that fails or is slow attracts work because its room is free, so it comes last or is left out.
 
     \param task the task.
     \param workers the shard's workers.
--- /dev/null
+++ b/src/libs/fleet/workercommitment.cpp
@@ -0,0 +1,36 @@
+#include "workercommitment.h"
+
+#include "job.h"
+#include "worker.h"
+
+namespace Fleet {
+
+Placement::Resources committedSize(const FleetSchema::StepSpec& step)
+{
+    return { step.leftover_processors() ? 0 : step.milli_processors(), step.memory_mb(),
+        step.accelerators() };
+}
+
+void addAttempt(Task& task, Worker& worker)
+{
+    const FleetSchema::StepSpec& step = task.job->step(task);
+    worker.tasks.push_back(&task);
+    worker.used += committedSize(step);
+    if (step.leftover_processors())
+        worker.filling += step.milli_processors();
+    if (step.tail_target_ms() > 0)
+        ++worker.servingTasks;
+}
+
+void removeAttempt(Task& task, Worker& worker)
+{
+    const FleetSchema::StepSpec& step = task.job->step(task);
+    std::erase(worker.tasks, &task);
+    worker.used -= committedSize(step);
+    if (step.leftover_processors())
+        worker.filling -= step.milli_processors();
+    if (step.tail_target_ms() > 0)
+        --worker.servingTasks;
+}
+
+} // namespace Fleet
--- a/src/libs/fleetnode/callerservice.cpp
+++ b/src/libs/fleetnode/callerservice.cpp
@@ -63,10 +63,9 @@
 {
     const auto answer = [this, respond, startedAt = context_.now(), method = request.method,
                             target = request.target](const Ports::CallerAnswer& result) {
-        const double tookMs
-            = std::chrono::duration<double, std::milli>(context_.now() - startedAt).count();
-        context_.metrics.add("geraniumquay_caller_requests_total",
-            Telemetry::label("outcome", nameOf(result.outcome)));
+        const double tookMs = std::chrono::duration<double, std::milli>(context_.now() - startedAt).count();
+        context_.metrics.add(
+            "geraniumquay_caller_requests_total", Telemetry::label("outcome", nameOf(result.outcome)));
         context_.metrics.observe("geraniumquay_caller_request_milliseconds", {}, tookMs);
         if (result.outcome != Ports::CallerOutcome::Done) {
             Utils::log(Utils::LogLevel::Info, "request-refused",
@@ -76,8 +75,7 @@
         respond(context_.platform.encodeAnswer(result));
     };
     if (queues_.revision() == 0)
-        return answer(
-            refusal(Ports::CallerOutcome::Unavailable, "no configuration yet", startRetryAfterMs));
+        return answer(refusal(Ports::CallerOutcome::Unavailable, "no configuration yet", startRetryAfterMs));
     const std::uint64_t limit = queues_.configuration().maxBodyBytes;
     if (limit > 0 && request.body.size() > limit)
         return answer(refusal(Ports::CallerOutcome::TooLarge, "the body is too large"));
@@ -92,8 +90,7 @@
     const Fleet::QueueMatch match = queues_.find(call.host, call.path);
     if (!match.queue)
         return handler(refusal(Ports::CallerOutcome::NoSuchQueue, "no such queue"));
-    const milliseconds deadline
-        = call.deadlineMs > 0 ? milliseconds(call.deadlineMs) : defaultDeadline;
+    const milliseconds deadline = call.deadlineMs > 0 ? milliseconds(call.deadlineMs) : defaultDeadline;
     const Utils::TimePoint until = context_.now() + deadline;
     if (match.jobId.empty()) {
         if (call.action != Ports::CallerAction::Query)
--- a/src/libs/fleetnode/jobindex.cpp
+++ b/src/libs/fleetnode/jobindex.cpp
@@ -72,7 +72,8 @@
         partition.inProgress.insert(std::move(node));
     }
     context_.store.commit(transaction,
-        [this, weak = std::weak_ptr<bool>(alive_), name](const Utils::Result<Ports::TransactionOutcome>& result) {
+        [this, weak = std::weak_ptr<bool>(alive_), name](
+            const Utils::Result<Ports::TransactionOutcome>& result) {
             if (weak.lock())
                 onOutcome(name, result);
         });
--- a/src/libs/fleetnode/jobindex.h
+++ b/src/libs/fleetnode/jobindex.h
@@ -16,8 +16,8 @@
 /*!
     Which shard holds which job.
 
-    The first node that writes a job's entry decides; entries are never changed. Entries of one partition that come
-    together share a transaction.
+    The first node that writes a job's entry decides; entries are never changed. Entries of one partition that
+   come together share a transaction.
 */
 class JobIndex {
 public:
@@ -30,7 +30,8 @@
         Assigns a job to a shard unless it is assigned already.
         \param job the job.
         \param shard the shard wanted.
-        \param handler receives the shard that holds it; OutcomeUnknown if the entry may or may not be written.
+        \param handler receives the shard that holds it; OutcomeUnknown if the entry may or may not be
+       written.
     */
     void assign(const std::string& job, const std::string& shard, ShardHandler handler);
 
--- a/src/libs/fleetnode/jobrouter.cpp
+++ b/src/libs/fleetnode/jobrouter.cpp
@@ -14,7 +14,8 @@
 constexpr milliseconds ownerTimeout { 1200 };
 // Kept back from the caller's time so that the answer still reaches it.
 constexpr milliseconds answerReserve { 150 };
-// When to come back: by then a shard without an owner has been taken over, and a store that is down may be back.
+// When to come back: by then a shard without an owner has been taken over, and a store that is down may be
+// back.
 constexpr std::uint32_t retryAfterMs = 1000;
 
 Ports::CallerAnswer failure(Ports::CallerOutcome outcome, std::string message)
@@ -54,7 +55,8 @@
     const CallPointer call = makeCall(until, std::move(handler));
     *call->request.mutable_submit() = spec;
     index_.assign(spec.id(), shard, [this, call](const Utils::Result<std::string>& result) {
-        // Without an entry the job cannot have been accepted, as owners take it only from a node that saw the entry.
+        // Without an entry the job cannot have been accepted, as owners take it only from a node that saw the
+        // entry.
         if (!Utils::isOk(result))
             return call->handler(failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString()));
         call->request.set_shard(Utils::value(result));
@@ -96,8 +98,8 @@
         return giveUp(call);
     const std::string address = directory_.ownerAddress(call->request.shard());
     if (address.empty()) {
-        return directory_.serve(call->request,
-            [this, call](const FleetSchema::PeerReply& reply) { onReply(call, reply); });
+        return directory_.serve(
+            call->request, [this, call](const FleetSchema::PeerReply& reply) { onReply(call, reply); });
     }
     const Utils::Duration timeout
         = std::min<Utils::Duration>(ownerTimeout, call->until - context_.now() - answerReserve);
@@ -167,8 +169,7 @@
     range.limit = 1;
     context_.store.read(range, [call](const Utils::Result<Ports::RowPage>& result) {
         if (!Utils::isOk(result))
-            return call->handler(
-                failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString()));
+            return call->handler(failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString()));
         const std::vector<Ports::Row>& rows = Utils::value(result).rows;
         FleetSchema::JobRecord record;
         if (rows.empty() || rows.front().name.key != call->request.query())
--- a/src/libs/fleetnode/jobrouter.h
+++ b/src/libs/fleetnode/jobrouter.h
@@ -24,8 +24,8 @@
     /*! \param shard a shard. \return address of its owner; empty if none is known or this node owns it. */
     virtual std::string ownerAddress(const std::string& shard) const = 0;
 
-    /*! Serves a call on a shard of this node. \param request the call. \param handler receives the reply, NOT_OWNER
-        if this node does not own the shard. */
+    /*! Serves a call on a shard of this node. \param request the call. \param handler receives the reply,
+       NOT_OWNER if this node does not own the shard. */
     virtual void serve(
         const FleetSchema::PeerRequest& request, std::function<void(const FleetSchema::PeerReply&)> handler)
         = 0;
@@ -45,7 +45,8 @@
     */
     JobRouter(NodeContext& context, ShardDirectory& directory);
 
-    /*! Submits a job. \param spec the job. \param until when the caller stops waiting. \param handler the answer. */
+    /*! Submits a job. \param spec the job. \param until when the caller stops waiting. \param handler the
+     * answer. */
     void submit(const FleetSchema::JobSpec& spec, Utils::TimePoint until, AnswerHandler handler);
 
     /*! Asks for a job's state. \param job its identifier. \param until,handler as for submit(). */
--- a/src/libs/fleetnode/ownership.cpp
+++ b/src/libs/fleetnode/ownership.cpp
@@ -1,5 +1,6 @@
 #include "ownership.h"
 
+#include "fleet/rackmap.h"
 #include "utils/log/log.h"
 
 #include <algorithm>
@@ -60,15 +61,14 @@
 
 void Ownership::heartbeat()
 {
-    heartbeatTimer_.start(
-        milliseconds(context_.settings.dispatch().heartbeat_ms()), [this] { heartbeat(); });
+    heartbeatTimer_.start(milliseconds(context_.settings.dispatch().heartbeat_ms()), [this] { heartbeat(); });
     const FleetSchema::NodeRecord own = record();
     members_.setSelf(own);
     // The row of a former incarnation tells what to reclaim, so it is read before it is replaced.
     if (!isReclaimed_)
         return readMembers();
     Ports::Transaction transaction;
-    transaction.puts.push_back({ { nodeTable, {}, own.name() }, own.SerializeAsString() });
+    transaction.puts.push_back({ { nodeTable, {}, nodeKeyPrefix + own.name() }, own.SerializeAsString() });
     context_.store.commit(transaction,
         [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::TransactionOutcome>& result) {
             if (!weak.lock())
@@ -103,6 +103,10 @@
     isStoreLost_ = false;
     std::vector<Fleet::MemberRow> rows;
     for (const Ports::Row& row : Utils::value(result).rows) {
+        if (row.name.key == rackMapKey) {
+            noteRackMap(row);
+            continue;
+        }
         Fleet::MemberRow member;
         member.version = row.version;
         if (member.record.ParseFromString(row.value))
@@ -170,6 +174,7 @@
     const std::string& self = context_.settings.node().name();
     if (isLeaving_ || context_.now() - startedAt_ < settleTime)
         return;
+    extendRackMap();
     const std::vector<Fleet::ShardPlace> shards = shardPlaces();
     const std::vector<Fleet::NodePlace> nodes = nodePlaces();
     const auto moves = Fleet::planOrphans(shards, nodes, regionOfDomain_);
@@ -194,8 +199,8 @@
     Ports::RowRange range;
     range.table = shardTable;
     range.partition = shard;
-    context_.store.read(
-        range, [this, weak = std::weak_ptr<bool>(alive_), shard](const Utils::Result<Ports::RowPage>& result) {
+    context_.store.read(range,
+        [this, weak = std::weak_ptr<bool>(alive_), shard](const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
                 onShardRow(shard, result);
         });
@@ -229,18 +234,68 @@
 }
 
 void Ownership::setWorkers(const std::vector<Ports::WorkerInfo>& workers)
+{
+    workers_ = workers;
+    groupWorkers();
+}
+
+void Ownership::groupWorkers()
 {
     for (auto& [shard, listed] : workersByShard_)
         listed.clear();
-    for (const Ports::WorkerInfo& worker : workers) {
-        const std::string shard = worker.service + "/" + worker.rack;
-        workersByShard_[shard].push_back(worker);
-        domainOfShard_[shard] = worker.domain;
+    for (const Ports::WorkerInfo& worker : workers_) {
+        const auto shard = rackMap_.shards().find(Fleet::rackKey(worker.service, worker.rack));
+        // A rack that is not mapped yet is added at the next plan.
+        if (shard == rackMap_.shards().end())
+            continue;
+        workersByShard_[shard->second].push_back(worker);
+        domainOfShard_[shard->second] = worker.domain;
     }
     for (const auto& [shard, host] : hosts_)
         host->setWorkers(workersByShard_[shard]);
 }
 
+void Ownership::noteRackMap(const Ports::Row& row)
+{
+    if (row.version == rackMapVersion_)
+        return;
+    rackMapVersion_ = row.version;
+    if (!rackMap_.ParseFromString(row.value))
+        Utils::log(Utils::LogLevel::Error, "rack-map-damaged", {});
+    groupWorkers();
+}
+
+// One node is enough; if two do it, the condition lets the first one win.
+void Ownership::extendRackMap()
+{
+    const auto alive = members_.alive();
+    if (alive.front()->name() != context_.settings.node().name())
+        return;
+    std::map<std::string, Fleet::RackPlace> racks;
+    for (const Ports::WorkerInfo& worker : workers_) {
+        Fleet::RackPlace& rack = racks[Fleet::rackKey(worker.service, worker.rack)];
+        rack.service = worker.service;
+        rack.rack = worker.rack;
+        rack.domain = worker.domain;
+        ++rack.workers;
+    }
+    std::vector<Fleet::RackPlace> places;
+    for (const auto& [key, rack] : racks)
+        places.push_back(rack);
+    FleetSchema::RackMap extended = rackMap_;
+    if (!Fleet::mapRacks(std::move(places), extended))
+        return;
+    const Ports::RowKey name { nodeTable, {}, rackMapKey };
+    Ports::Transaction transaction;
+    transaction.conditions.push_back({ name, rackMapVersion_ });
+    transaction.puts.push_back({ name, extended.SerializeAsString() });
+    context_.store.commit(transaction, [](const Utils::Result<Ports::TransactionOutcome>& result) {
+        // The map is read with the members' rows, whoever wrote it.
+        if (!Utils::isOk(result))
+            Utils::logError("rack-map-write-failed", Utils::error(result));
+    });
+}
+
 void Ownership::release(const std::string& shard, const std::string& successor)
 {
     const auto host = hosts_.find(shard);
@@ -294,7 +349,7 @@
     *request.mutable_heartbeat() = own;
     for (const FleetSchema::NodeRecord* node : members_.alive()) {
         if (node->name() != own.name())
-            peers_.call(node->address(), request, handoverTimeout, [](const auto&) { });
+            peers_.call(node->address(), request, handoverTimeout, [](const auto&) {});
     }
 }
 
--- a/src/libs/fleetnode/ownership.h
+++ b/src/libs/fleetnode/ownership.h
@@ -21,8 +21,8 @@
 /*!
     Which shards this node owns, and who owns the others.
 
-    Nodes tell each other by heartbeat rows in the store that they are alive and what they own; changes of ownership are
-    also told directly.
+    Nodes tell each other by heartbeat rows in the store that they are alive and what they own; changes of
+   ownership are also told directly.
 */
 class Ownership final : public ShardDirectory {
 public:
@@ -60,6 +60,9 @@
     void readMembers();
     void onMembers(const Utils::Result<Ports::RowPage>& result);
     void reclaim();
+    void noteRackMap(const Ports::Row& row);
+    void extendRackMap();
+    void groupWorkers();
     void plan();
     void claim(const std::string& shard);
     void onShardRow(const std::string& shard, const Utils::Result<Ports::RowPage>& result);
@@ -80,10 +83,14 @@
     Fleet::MemberView members_;
     Fleet::ShardChooser chooser_;
     std::map<std::string, std::unique_ptr<ShardHost>> hosts_;
+    std::vector<Ports::WorkerInfo> workers_;
     std::map<std::string, std::vector<Ports::WorkerInfo>> workersByShard_;
+    FleetSchema::RackMap rackMap_;
+    std::uint64_t rackMapVersion_ = 0;
     std::map<std::string, std::string> domainOfShard_;
     std::map<std::string, std::string> regionOfDomain_;
-    std::map<std::string, Fleet::ShardHolder> holders_; //!< Latest known owner of each shard, dead ones included.
+    std::map<std::string, Fleet::ShardHolder>
+        holders_; //!< Latest known owner of each shard, dead ones included.
     std::set<std::string> claiming_; //!< Shards whose rows are being read.
     std::map<std::string, int> postponed_; //!< How often a claim found a live owner in the row.
     std::map<std::string, std::string> successors_; //!< Of shards being released.
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -36,7 +36,8 @@
 
 std::string describe(const Ports::TaskKey& task)
 {
-    return std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." + std::to_string(task.index);
+    return std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
+        + std::to_string(task.index);
 }
 
 } // namespace
@@ -71,8 +72,8 @@
     range.table = jobTable;
     range.partition = shard_;
     range.from = fromJob;
-    context_.store.read(
-        range, [this, weak = std::weak_ptr<bool>(alive_), fromJob](const Utils::Result<Ports::RowPage>& result) {
+    context_.store.read(range,
+        [this, weak = std::weak_ptr<bool>(alive_), fromJob](const Utils::Result<Ports::RowPage>& result) {
             if (!weak.lock())
                 return;
             if (Utils::isOk(result))
@@ -249,7 +250,8 @@
             { "attempt", std::to_string(start.attempt) }, { "worker", start.worker }, { "shard", shard_ } });
     if (!link) {
         boost::asio::post(context_.io, [reply, worker = start.worker] {
-            reply(Utils::Error { Utils::ErrorCode::Unavailable, "worker.start", worker, "no link to the worker" });
+            reply(Utils::Error {
+                Utils::ErrorCode::Unavailable, "worker.start", worker, "no link to the worker" });
         });
         return;
     }
--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -113,8 +113,8 @@
 
 void ShardWriter::retry(const Utils::Error& error)
 {
-    context_.metrics.add("geraniumquay_shard_write_retries_total",
-        Telemetry::label("code", Utils::errorCodeName(error.code)));
+    context_.metrics.add(
+        "geraniumquay_shard_write_retries_total", Telemetry::label("code", Utils::errorCodeName(error.code)));
     if (backoff_ == firstBackoff)
         Utils::logError("shard-write-retried", error);
     retryTimer_.start(backoff_, [this] { send(); });
--- a/src/libs/fleetnode/shardwriter.h
+++ b/src/libs/fleetnode/shardwriter.h
@@ -17,8 +17,9 @@
 /*!
     Writes the rows of a shard under the ownership of this node, one transaction at a time.
 
-    Each transaction replaces the owner's row on the condition of its last version, so it takes effect at most once and
-    never after a later one or after another node's takeover. A transaction without an answer is sent again unchanged.
+    Each transaction replaces the owner's row on the condition of its last version, so it takes effect at most
+   once and never after a later one or after another node's takeover. A transaction without an answer is sent
+   again unchanged.
 */
 class ShardWriter {
 public:
--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -8,15 +8,18 @@
 
 using std::chrono::milliseconds;
 
-// A configuration has to be in force 2.5 s after it was written; a silent connection costs this wait and a time limit.
+// A configuration has to be in force 2.5 s after it was written; a silent connection costs this wait and a
+// time limit.
 constexpr milliseconds followWait { 1500 };
 constexpr milliseconds retryPause { 200 };
 
 } // namespace
 
-TableWatcher::TableWatcher(NodeContext& context, std::string table, std::function<void(const Rows&)> onChange)
+TableWatcher::TableWatcher(NodeContext& context, std::string table, Utils::Duration batchPause,
+    std::function<void(const Rows&)> onChange)
     : context_(context)
     , table_(std::move(table))
+    , batchPause_(batchPause)
     , onChange_(std::move(onChange))
     , timer_(context.io)
 {
@@ -66,16 +69,14 @@
 void TableWatcher::follow()
 {
     context_.store.follow(table_, version_, followWait,
-        [this, weak = std::weak_ptr<bool>(alive_), sentAt = context_.now()](
-            const Utils::Result<Ports::RowPage>& result) {
+        [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
-                onChanges(sentAt, result);
+                onChanges(result);
         });
 }
 
-void TableWatcher::onChanges(Utils::TimePoint sentAt, const Utils::Result<Ports::RowPage>& result)
+void TableWatcher::onChanges(const Utils::Result<Ports::RowPage>& result)
 {
-    (void)sentAt;
     if (!Utils::isOk(result)) {
         noteFailure(Utils::error(result));
         // NotFound: the history was dropped, so everything is read anew.
@@ -92,9 +93,10 @@
         else
             rows_[row.name.key] = row;
     }
-    if (!page.rows.empty())
-        onChange_(rows_);
-    follow();
+    if (page.rows.empty())
+        return follow();
+    onChange_(rows_);
+    timer_.start(batchPause_, [this] { follow(); });
 }
 
 void TableWatcher::noteFailure(const Utils::Error& error)
--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -18,9 +18,11 @@
     /*!
         \param context what the node shares.
         \param table the table.
+        \param batchPause pause after a change, so that changes that come together cost one call.
         \param onChange called with all rows after each change.
     */
-    TableWatcher(NodeContext& context, std::string table, std::function<void(const Rows&)> onChange);
+    TableWatcher(NodeContext& context, std::string table, Utils::Duration batchPause,
+        std::function<void(const Rows&)> onChange);
 
     /*! Starts to watch. */
     void start();
@@ -32,12 +34,13 @@
     void readAll(const std::string& from);
     void follow();
     void onPage(const Utils::Result<Ports::RowPage>& result);
-    void onChanges(Utils::TimePoint sentAt, const Utils::Result<Ports::RowPage>& result);
+    void onChanges(const Utils::Result<Ports::RowPage>& result);
     void noteFailure(const Utils::Error& error);
     void noteSuccess();
 
     NodeContext& context_;
     std::string table_;
+    Utils::Duration batchPause_;
     std::function<void(const Rows&)> onChange_;
     Rows rows_;
     Rows incoming_; //!< Pages read so far of a new copy.
--- a/src/libs/fleetnode/workerlink.h
+++ b/src/libs/fleetnode/workerlink.h
@@ -19,7 +19,8 @@
     /*! \param worker the worker. \return the next poll. */
     virtual Ports::PollOrder planPoll(const std::string& worker) = 0;
 
-    /*! Takes in a report. \param worker who. \param sentAt when the poll was sent. \param report what it said. */
+    /*! Takes in a report. \param worker who. \param sentAt when the poll was sent. \param report what it
+     * said. */
     virtual void onReport(
         const std::string& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report)
         = 0;
--- a/src/libs/ports/rowstore.h
+++ b/src/libs/ports/rowstore.h
@@ -72,8 +72,8 @@
 /*!
     The platform's table of rows; asynchronous, handlers run on the caller's thread and never inside the call.
 
-    Errors: Refused and Unavailable if nothing was done, OutcomeUnknown if a change may have been or may still be
-    carried out, NotFound from follow() if the history asked for was dropped.
+    Errors: Refused and Unavailable if nothing was done, OutcomeUnknown if a change may have been or may still
+   be carried out, NotFound from follow() if the history asked for was dropped.
 */
 class RowStore {
 public:
--- a/src/libs/ports/workeragent.h
+++ b/src/libs/ports/workeragent.h
@@ -52,7 +52,8 @@
 /*!
     One worker; asynchronous, handlers run on the caller's thread and never inside the call.
 
-    Errors: Unavailable if the order was not sent, OutcomeUnknown if it may have been or may still be carried out.
+    Errors: Unavailable if the order was not sent, OutcomeUnknown if it may have been or may still be carried
+   out.
 */
 class WorkerAgent {
 public:
@@ -64,17 +65,19 @@
     /*! Starts an attempt. \param order the attempt. \param handler receives the answer. */
     virtual void start(const StartOrder& order, OrderHandler handler) = 0;
 
-    /*! Stops an attempt and refuses it from then on. \param task,attempt the attempt. \param epoch of the owner.
-        \param handler receives the answer. */
-    virtual void stop(const TaskKey& task, std::uint32_t attempt, std::uint64_t epoch, OrderHandler handler) = 0;
+    /*! Stops an attempt and refuses it from then on. \param task,attempt the attempt. \param epoch of the
+       owner. \param handler receives the answer. */
+    virtual void stop(const TaskKey& task, std::uint32_t attempt, std::uint64_t epoch, OrderHandler handler)
+        = 0;
 
-    /*! Limits the speed of an attempt. \param task,attempt the attempt. \param percent share of its full speed.
-        \param epoch of the owner. \param handler receives the answer. */
+    /*! Limits the speed of an attempt. \param task,attempt the attempt. \param percent share of its full
+       speed. \param epoch of the owner. \param handler receives the answer. */
     virtual void throttle(
         const TaskKey& task, std::uint32_t attempt, int percent, std::uint64_t epoch, OrderHandler handler)
         = 0;
 
-    /*! Renews the lease and asks for the state. \param order lease and wait. \param handler receives the state. */
+    /*! Renews the lease and asks for the state. \param order lease and wait. \param handler receives the
+     * state. */
     virtual void poll(const PollOrder& order, ReportHandler handler) = 0;
 };
 
