Place and pace work for leftover processors by a learned model of tails

Each shard now learns that by recursive least squares, places work where headroom is left and slows down the most disturbing work first.

--- /dev/null
+++ b/src/libs/fleet/interference.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "tailmodel.h"
+
+#include "utils/clock.h"
+
+#include <vector>
+
+namespace FleetSchema {
+class StepSpec;
+}
+
+namespace Fleet {
+
+struct Task;
+struct Worker;
+
+/*! A change of an attempt's speed. */
+struct PaceChange {
+    Task* task = nullptr;
+    int percent = 100;
+};
+
+/*!
+    Takes in the tails that a worker reported: updates each serving task's own utilization and the model.
+    \param worker the worker, its tasks with the reported figures.
+    \param model learns from the figures.
+    \param now the current time.
+*/
+void observeTails(Worker& worker, TailModel& model, Utils::TimePoint now);
+
+/*!
+    Utilization that the most endangered serving task of a worker could still bear if a task were added.
+    \param worker the worker.
+    \param step step of the task to be added.
+    \param model pressures.
+    \return 1 if the worker has no serving task; negative if a target would be missed.
+*/
+double headroomWith(const Worker& worker, const FleetSchema::StepSpec& step, const TailModel& model);
+
+/*!
+    Chooses the speeds of the work for leftover processors beside serving tasks.
+
+    Answers the swing of a serving task's own load, which no placement foresees: of the work beside a task
+   that is over its target, or is about to be, the most disturbing is slowed down first, and only as far as
+   needed; it gets its speed back as soon as the model says that the target is kept with it.
+
+    \param worker the worker.
+    \param model pressures.
+    \param now the current time.
+    \return the changes.
+*/
+std::vector<PaceChange> choosePaces(const Worker& worker, const TailModel& model, Utils::TimePoint now);
+
+} // namespace Fleet
--- a/src/libs/fleet/shardchoice.cpp
+++ b/src/libs/fleet/shardchoice.cpp
@@ -10,6 +10,8 @@
 
 // Time over which waiting work is spread when it is compared with room in use.
 constexpr double horizonMs = 1000;
+// Part of the committed processors that tasks with a target use at the height of their load.
+constexpr double servingUse = 0.55;
 
 bool canHold(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
 {
@@ -51,8 +53,9 @@
     const std::int64_t others = static_cast<std::int64_t>(nodes);
     const double waiting = static_cast<double>(load.waiting_work()) / horizonMs;
     if (isFilling(spec)) {
-        const double room
-            = static_cast<double>(std::max<std::int64_t>(1, load.capacity() - load.serving_capacity()));
+        const double unused = static_cast<double>(load.capacity() - load.committed())
+            + (1 - servingUse) * static_cast<double>(load.serving());
+        const double room = std::max(1.0, unused);
         return (static_cast<double>(load.filling() + others * assigned.filling) + waiting) / room;
     }
     const double committed = static_cast<double>(load.committed() + others * assigned.committed);
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -2,6 +2,8 @@
 
 #include "shardscheduler.h"
 
+#include "interference.h"
+
 #include <algorithm>
 
 namespace Fleet {
@@ -79,7 +81,8 @@
     for (const Ports::RunningAttempt& running : report.running)
         applyRunning(*worker, running, now);
     applyMissing(*worker, sentAt, report, now);
-    relieveServingTasks(*worker, now);
+    observeTails(*worker, tailModel_, now);
+    adjustPaces(*worker, now);
 }
 
 void ShardScheduler::applyEnd(
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -194,7 +194,7 @@
             for (const auto& [id, worker] : workers_)
                 workers.push_back(worker.get());
         }
-        Worker* worker = chooseWorker(task, workers, now);
+        Worker* worker = chooseWorker(task, workers, tailModel_, now);
         if (!worker)
             return;
         assign(task, *worker, now);
@@ -218,7 +218,7 @@
     std::vector<std::pair<Task*, Worker*>> chosen;
     for (std::uint32_t index = 0; index < count; ++index) {
         Task& task = *job.find(occurrence, step, index);
-        Worker* worker = chooseWorker(task, workers, now);
+        Worker* worker = chooseWorker(task, workers, tailModel_, now);
         if (!worker)
             break;
         addAttempt(task, *worker);
@@ -391,7 +391,7 @@
             load.set_largest_worker(std::max(load.largest_worker(), worker->info.milliProcessors));
             load.set_service(worker->info.service);
             if (worker->servingTasks > 0)
-                load.set_serving_capacity(load.serving_capacity() + worker->info.milliProcessors);
+                load.set_serving(load.serving() + worker->servingProcessors);
         }
         load.set_committed(load.committed() + worker->used.milliProcessors);
         load.set_filling(load.filling() + worker->filling);
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -3,6 +3,7 @@
 #include "job.h"
 #include "scheduleroptions.h"
 #include "shardorders.h"
+#include "tailmodel.h"
 #include "worker.h"
 
 #include "ports/workeragent.h"
@@ -153,14 +154,14 @@
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now);
-    void relieveServingTasks(Worker& worker, Utils::TimePoint now);
-    void setPace(Task& task, int percent);
+    void adjustPaces(Worker& worker, Utils::TimePoint now);
     void dropExpired(std::int64_t nowUnixMs);
 
     SchedulerOptions options_;
     ShardOrders& orders_;
     std::map<std::string, std::unique_ptr<Job>, std::less<>> jobs_;
     std::map<std::string, std::unique_ptr<Worker>, std::less<>> workers_;
+    TailModel tailModel_;
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expired_; //!< Jobs to be removed from the store.
     bool isScheduleDue_ = false; //!< Room or work has changed since the last pass.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -1,7 +1,9 @@
-// Part of ShardScheduler: what depends on time, and relief of tasks that serve users.
+// Part of ShardScheduler: what depends on time, and the speed of work beside tasks with a latency target.
 
 #include "shardscheduler.h"
 
+#include "interference.h"
+
 #include <algorithm>
 
 namespace Fleet {
@@ -10,12 +12,6 @@
 
 using std::chrono::milliseconds;
 
-// Shares of full speed to which work beside a serving task over its target is throttled, one after the other.
-constexpr int firstPace = 40;
-constexpr int lowestPace = 0;
-// Fraction of the target below which throttled work gets its speed back.
-constexpr double relievedFraction = 0.6;
-
 // Beyond this multiple of the expected run time, plus the pause, a task without progress stands still.
 constexpr double stalledFactor = 1.5;
 constexpr milliseconds stalledPause { 1500 };
@@ -81,46 +77,14 @@
     }
 }
 
-// Throttles work beside a serving task whose tail latency is over its target, well within the time that the
-// interference may last, and gives the speed back once the tail is low.
-void ShardScheduler::relieveServingTasks(Worker& worker, Utils::TimePoint now)
+void ShardScheduler::adjustPaces(Worker& worker, Utils::TimePoint now)
 {
-    bool isOver = false;
-    bool isRelieved = true;
-    Utils::Duration longest {};
-    for (Task* task : worker.tasks) {
-        const std::uint32_t target = task->job->step(*task).tail_target_ms();
-        if (target == 0 || task->phase != TaskPhase::Running)
-            continue;
-        if (task->load > static_cast<std::int64_t>(target)) {
-            if (task->overTargetSince == Utils::TimePoint {})
-                task->overTargetSince = now;
-            isOver = true;
-            longest = std::max(longest, now - task->overTargetSince);
-        } else {
-            task->overTargetSince = {};
-        }
-        if (static_cast<double>(task->load) > relievedFraction * target)
-            isRelieved = false;
+    for (const PaceChange& change : choosePaces(worker, tailModel_, now)) {
+        change.task->pace = change.percent;
+        // A throttled task makes little progress; that is counted anew from when it may work again.
+        change.task->progressAt = now;
+        orders_.throttleAttempt(worker.info.id, keyOf(*change.task), change.task->attempt, change.percent);
     }
-    if (!isOver && !isRelieved)
-        return;
-    const int pace = !isOver ? 100 : (longest > options_.interferenceLimit / 4 ? lowestPace : firstPace);
-    for (Task* task : worker.tasks) {
-        if (!task->job->step(*task).leftover_processors() || task->phase != TaskPhase::Running)
-            continue;
-        if (isOver ? pace < task->pace : pace > task->pace) {
-            setPace(*task, pace);
-            // A throttled task makes no progress; that is counted anew from when it may work again.
-            task->progressAt = now;
-        }
-    }
-}
-
-void ShardScheduler::setPace(Task& task, int percent)
-{
-    task.pace = percent;
-    orders_.throttleAttempt(task.worker->info.id, keyOf(task), task.attempt, percent);
 }
 
 } // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/tailmodel.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Fleet {
+
+/*! Part of a worker's processors that work of one image uses. */
+struct ImageShare {
+    std::string_view image;
+    double share = 0; //!< 0 to 1.
+};
+
+/*!
+    Learns how much work for leftover processors disturbs tasks with a latency target, by pair of images.
+
+    A serving task is taken for a queue: its tail latency is the tail without load divided by what is left of
+   its utilization. The utilization is the task's own plus, for each image beside it, the share of the
+   processors that the image uses times the pressure of that pair. Pressures are estimated by recursive least
+   squares with forgetting.
+*/
+class TailModel {
+public:
+    /*!
+        Learns from one sample.
+        \param serving image of the task that was measured.
+        \param beside what ran beside it.
+        \param tailMs its tail latency in milliseconds.
+    */
+    void learn(const std::string& serving, std::span<const ImageShare> beside, double tailMs);
+
+    /*! \param serving image of a task. \param tailMs its tail latency. \return its utilization, 0 to below 1.
+     */
+    double utilization(const std::string& serving, double tailMs) const;
+
+    /*! \param serving image of a task. \param targetMs its latency target. \return the utilization at which
+       it is met just so. */
+    double limit(const std::string& serving, double targetMs) const;
+
+    /*! \param serving image of a task. \param beside another image. \return the pressure of the pair, at
+     * least 0. */
+    double pressure(const std::string& serving, std::string_view beside) const;
+
+    /*! \param serving image of a task. \param beside what runs beside it. \return the utilization that it
+     * adds. */
+    double pressureOf(const std::string& serving, std::span<const ImageShare> beside) const;
+
+private:
+    /*! Estimate for one serving image; the first coefficient is the task's own utilization. */
+    struct Estimate {
+        std::map<std::string, std::size_t, std::less<>> indexes; //!< Coefficient of each image beside.
+        std::vector<double> coefficients;
+        std::vector<double> covariance; //!< Square matrix by rows.
+        double leastTailMs = 0; //!< Least tail seen: that without load.
+    };
+
+    static std::size_t indexOf(Estimate& estimate, std::string_view image);
+    static void update(Estimate& estimate, std::span<const double> features, double measured);
+
+    std::map<std::string, Estimate, std::less<>> estimates_;
+};
+
+} // namespace Fleet
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -47,6 +47,7 @@
     int percent = 0;
     int pace = 100; //!< Share of its full speed that was ordered.
     std::int64_t load = 0; //!< As in Ports::RunningAttempt.
+    double ownUtilization = 0.5; //!< Of a serving task, without what work beside it adds.
     Utils::TimePoint overTargetSince {}; //!< Since when the tail latency is over its target; 0: it is not.
 
     /*! \return whether an attempt is open that may run or come to run. */
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -1,5 +1,6 @@
 #include "workerchoice.h"
 
+#include "interference.h"
 #include "job.h"
 #include "worker.h"
 #include "workercommitment.h"
@@ -12,12 +13,15 @@
 
 // Weights of a cost in units of a whole worker. An undesirable neighbour outweighs any difference in free
 // room.
-constexpr double interferenceWeight = 3.0;
-constexpr double wastedRoomWeight = 0.5;
+constexpr double otherImageWeight = 0.5;
+constexpr double headroomWeight = 0.5;
 constexpr double sameStepWeight = 0.05;
 constexpr double slownessWeight = 1.0;
 constexpr double retryOnSameWorkerWeight = 10.0;
 
+// Part of the committed processors that tasks with a target use at the height of their load.
+constexpr double servingUse = 0.55;
+
 bool hasLabel(const Worker& worker, const std::string& label)
 {
     return label.empty()
@@ -32,70 +36,73 @@
         }));
 }
 
-bool isAllowed(const Task& task, const Worker& worker, Utils::TimePoint now)
+// Processors that are not in use, by what tasks are expected to use of what is committed.
+std::int64_t unusedProcessors(const Worker& worker)
+{
+    return worker.leftover()
+        + static_cast<std::int64_t>((1 - servingUse) * static_cast<double>(worker.servingProcessors));
+}
+
+bool isAllowed(const Task& task, const Worker& worker, const TailModel& model, Utils::TimePoint now)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     if (!worker.isUsable() || worker.info.service != task.job->spec.service())
         return false;
     if (!hasLabel(worker, step.required_label()) || !committedSize(step).fitsIn(worker.available()))
         return false;
-    // A task larger than its worker would wait for ever, so an empty one takes it.
-    if (step.leftover_processors() && worker.filling > 0 && step.milli_processors() > worker.leftover())
-        return false;
+    if (step.leftover_processors()) {
+        // A task larger than its worker would wait for ever, so one without other such work takes it.
+        if (worker.filling > 0 && step.milli_processors() > unusedProcessors(worker))
+            return false;
+        if (headroomWith(worker, step, model) < 0)
+            return false;
+    }
     if (worker.asideFor == Utils::Duration::zero())
         return true;
     // A worker set aside is probed with one task that has not failed yet.
     return now >= worker.asideUntil && worker.tasks.empty() && task.failures == 0;
 }
 
-// Tasks with a latency target gather on the fullest worker that still has room and no disturbing work.
-double servingCost(const Worker& worker)
-{
-    const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
-    const double usedShare = static_cast<double>(worker.used.milliProcessors) / capacity;
-    return -usedShare + (worker.filling > 0 ? interferenceWeight : 0)
-        + (worker.servingTasks > 0 ? 0 : wastedRoomWeight);
-}
-
-double fillingCost(const Worker& worker)
-{
-    const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
-    return 1 - static_cast<double>(worker.leftover()) / capacity
-        + (worker.servingTasks > 0 ? interferenceWeight : 0);
-}
-
-double plainCost(const Worker& worker)
+double otherImages(const Task& task, const Worker& worker)
 {
-    const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
-    return 1 - static_cast<double>(worker.leftover()) / capacity
-        + (worker.servingTasks > 0 ? 0 : wastedRoomWeight);
+    const auto differs = [&](const Task* other) {
+        const FleetSchema::StepSpec& step = other->job->step(*other);
+        return step.tail_target_ms() > 0 && step.image() != task.job->step(task).image();
+    };
+    const auto count = std::count_if(worker.tasks.begin(), worker.tasks.end(), differs);
+    return worker.servingTasks == 0 ? 0 : static_cast<double>(count) / worker.servingTasks;
 }
 
-double costOf(const Task& task, const Worker& worker, std::uint32_t sameStep)
+double costOf(const Task& task, const Worker& worker, std::uint32_t sameStep, const TailModel& model)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
-    double cost = slownessWeight * std::max(0.0, worker.slowness - 1) + sameStepWeight * sameStep;
+    const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
+    double cost = slownessWeight * std::max(0.0, worker.slowness - 1) + sameStepWeight * sameStep
+        - static_cast<double>(unusedProcessors(worker)) / capacity;
     if (worker.info.id == task.lastFailedOn)
         cost += retryOnSameWorkerWeight;
     if (step.tail_target_ms() > 0)
-        return cost + servingCost(worker);
-    return cost + (step.leftover_processors() ? fillingCost(worker) : plainCost(worker));
+        return cost + otherImageWeight * otherImages(task, worker);
+    if (step.leftover_processors())
+        return cost - headroomWeight * headroomWith(worker, step, model);
+    return cost;
 }
 
 } // namespace
 
-Worker* chooseWorker(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
+Worker* chooseWorker(
+    const Task& task, std::span<Worker* const> workers, const TailModel& model, Utils::TimePoint now)
 {
     const std::uint32_t maxPerWorker = task.job->step(task).max_per_worker();
     Worker* best = nullptr;
     double bestCost = 0;
     for (Worker* worker : workers) {
-        if (!isAllowed(task, *worker, now))
+        if (!isAllowed(task, *worker, model, now))
             continue;
         const std::uint32_t sameStep = countSameStep(task, *worker);
         if (maxPerWorker > 0 && sameStep >= maxPerWorker)
             continue;
-        const double cost = costOf(task, *worker, sameStep);
+        const double cost = costOf(task, *worker, sameStep, model);
         if (!best || cost < bestCost) {
             best = worker;
             bestCost = cost;
--- a/src/libs/fleet/workercommitment.cpp
+++ b/src/libs/fleet/workercommitment.cpp
@@ -18,8 +18,10 @@
     worker.used += committedSize(step);
     if (step.leftover_processors())
         worker.filling += step.milli_processors();
-    if (step.tail_target_ms() > 0)
+    if (step.tail_target_ms() > 0) {
         ++worker.servingTasks;
+        worker.servingProcessors += committedSize(step).milliProcessors;
+    }
 }
 
 void removeAttempt(Task& task, Worker& worker)
@@ -29,8 +31,10 @@
     worker.used -= committedSize(step);
     if (step.leftover_processors())
         worker.filling -= step.milli_processors();
-    if (step.tail_target_ms() > 0)
+    if (step.tail_target_ms() > 0) {
         --worker.servingTasks;
+        worker.servingProcessors -= committedSize(step).milliProcessors;
+    }
 }
 
 } // namespace Fleet
