--- a/src/libs/fleet/shardchoice.cpp
+++ b/src/libs/fleet/shardchoice.cpp
@@ -51,15 +51,17 @@
     const Assigned& assigned, std::size_t nodes) const
 {
     const std::int64_t others = static_cast<std::int64_t>(nodes);
-    const double waiting = static_cast<double>(load.waiting_work()) / horizonMs;
     if (isFilling(spec)) {
         const double unused = static_cast<double>(load.capacity() - load.committed())
             + (1 - servingUse) * static_cast<double>(load.serving());
         const double room = std::max(1.0, unused);
-        return (static_cast<double>(load.filling() + others * assigned.filling) + waiting) / room;
+        return (static_cast<double>(load.filling() + others * assigned.filling)
+                   + static_cast<double>(load.waiting_filling()) / horizonMs)
+            / room;
     }
     const double committed = static_cast<double>(load.committed() + others * assigned.committed);
-    return (committed + waiting) / static_cast<double>(load.capacity());
+    return (committed + static_cast<double>(load.waiting_work()) / horizonMs)
+        / static_cast<double>(load.capacity());
 }
 
 std::string ShardChooser::choose(const FleetSchema::JobSpec& spec, std::size_t nodes)
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -14,6 +14,8 @@
 
 // Weight of the latest run in the mean of a worker's slowness.
 constexpr double slownessGain = 0.3;
+// Bound on one run's part in that mean.
+constexpr double greatestSlowness = 6;
 
 bool isNotCarriedOut(Ports::OrderOutcome outcome)
 {
@@ -143,6 +145,8 @@
     if (!wasKnown) {
         task->knownSince = now;
         if (task->phase == TaskPhase::Unverified) {
+            // Its start and speed were another owner's, so its run time says nothing.
+            task->wasThrottled = true;
             task->startedAt = now;
             task->progressAt = now;
         }
@@ -233,10 +237,11 @@
 void ShardScheduler::noteSpeed(Worker& worker, const Task& task, Utils::TimePoint now)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
-    if (step.estimate_ms() == 0 || step.lasting() || task.pace < 100)
+    if (step.estimate_ms() == 0 || step.lasting() || task.wasThrottled
+        || task.startedAt == Utils::TimePoint {})
         return;
     const double ran = std::chrono::duration<double, std::milli>(now - task.startedAt).count();
-    const double ratio = ran / step.estimate_ms();
+    const double ratio = std::min(ran / step.estimate_ms(), greatestSlowness);
     worker.slowness += slownessGain * (ratio - worker.slowness);
 }
 
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -152,6 +152,8 @@
         Job* job;
         std::uint32_t occurrence;
     };
+    for (auto& [id, worker] : workers_)
+        worker->reserved = 0;
     std::vector<Candidate> candidates;
     for (const auto& [id, job] : jobs_) {
         if (!job->isActive() || job->tasksLeft == 0)
@@ -195,9 +197,12 @@
                 workers.push_back(worker.get());
         }
         Worker* worker = chooseWorker(task, workers, tailModel_, now);
-        if (!worker)
+        if (!worker && job.step(task).lasting())
+            reserveWorker(task, workers);
+        else if (!worker)
             return;
-        assign(task, *worker, now);
+        else
+            assign(task, *worker, now);
     }
 }
 
@@ -248,6 +253,8 @@
     task.sentAt = now;
     task.percent = 0;
     task.pace = 100;
+    task.wasThrottled = false;
+    task.ownUtilization = Task().ownUtilization;
     task.overTargetSince = {};
     task.isStopAnswered = false;
     addAttempt(task, worker);
@@ -404,11 +411,12 @@
         for (const Task& task : job->tasks) {
             const FleetSchema::StepSpec& step = job->step(task);
             const std::int64_t size = step.milli_processors();
-            if (task.phase == TaskPhase::Waiting)
+            if (task.phase != TaskPhase::Waiting)
+                continue;
+            if (step.leftover_processors())
+                load.set_waiting_filling(load.waiting_filling() + size * step.estimate_ms());
+            else
                 load.set_waiting_work(load.waiting_work() + size * step.estimate_ms());
-            else if (task.isOpen() && !step.lasting())
-                load.set_running_work(
-                    load.running_work() + size * step.estimate_ms() * (100 - task.percent) / 100);
         }
     }
     return load;
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -81,6 +81,7 @@
 {
     for (const PaceChange& change : choosePaces(worker, tailModel_, now)) {
         change.task->pace = change.percent;
+        change.task->wasThrottled = true;
         // A throttled task makes little progress; that is counted anew from when it may work again.
         change.task->progressAt = now;
         orders_.throttleAttempt(worker.info.id, keyOf(*change.task), change.task->attempt, change.percent);
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -46,6 +46,7 @@
     bool isStopAnswered = false;
     int percent = 0;
     int pace = 100; //!< Share of its full speed that was ordered.
+    bool wasThrottled = false; //!< The attempt's run time is not its own.
     std::int64_t load = 0; //!< As in Ports::RunningAttempt.
     double ownUtilization = 0.5; //!< Of a serving task, without what work beside it adds.
     Utils::TimePoint overTargetSince {}; //!< Since when the tail latency is over its target; 0: it is not.
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -18,6 +18,8 @@
     Placement::Resources used; //!< Of all open attempts.
     std::int64_t filling = 0; //!< Milli-processors asked for by open attempts that use what others leave.
     std::int64_t servingProcessors = 0; //!< Milli-processors committed to tasks with a latency target.
+    std::int64_t reserved
+        = 0; //!< Milli-processors kept free for a lasting task that waits; of one scheduling pass.
     int servingTasks = 0; //!< Open attempts with a latency target.
     std::vector<Task*> tasks; //!< Tasks with an open attempt here.
 
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -50,6 +50,10 @@
         return false;
     if (!hasLabel(worker, step.required_label()) || !committedSize(step).fitsIn(worker.available()))
         return false;
+    if (!step.lasting() && !step.leftover_processors()
+        && step.milli_processors() > worker.available().milliProcessors - worker.reserved) {
+        return false;
+    }
     if (step.leftover_processors()) {
         // A task larger than its worker would wait for ever, so one without other such work takes it.
         if (worker.filling > 0 && step.milli_processors() > unusedProcessors(worker))
@@ -111,4 +115,30 @@
     return best;
 }
 
+void reserveWorker(const Task& task, std::span<Worker* const> workers)
+{
+    const FleetSchema::StepSpec& step = task.job->step(task);
+    const std::uint32_t maxPerWorker = step.max_per_worker();
+    Worker* best = nullptr;
+    std::int64_t bestRoom = 0;
+    for (Worker* worker : workers) {
+        const bool isSuitable = worker->isUsable() && worker->info.service == task.job->spec.service()
+            && worker->reserved == 0 && hasLabel(*worker, step.required_label())
+            && (maxPerWorker == 0 || countSameStep(task, *worker) < maxPerWorker);
+        if (!isSuitable)
+            continue;
+        std::int64_t room = worker->available().milliProcessors;
+        for (const Task* other : worker->tasks) {
+            if (!other->job->step(*other).lasting())
+                room += committedSize(other->job->step(*other)).milliProcessors;
+        }
+        if (room >= step.milli_processors() && (!best || room > bestRoom)) {
+            best = worker;
+            bestRoom = room;
+        }
+    }
+    if (best)
+        best->reserved = step.milli_processors();
+}
+
 } // namespace Fleet
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -18,6 +18,8 @@
    than others. It goes where the model leaves most headroom, and waits rather than make a task miss its
    target. Tasks with a target gather by image, so that each image of the other work finds workers where it
    disturbs little.
+    - Short tasks that keep coming take each bit of room that gets free, so a larger lasting task would never
+   find enough; a worker is reserved for it until its short tasks have ended.
     - A burst of work for leftover processors beyond what is left would only slow down what runs already, so
    it waits.
     - A worker that fails or is slow attracts work because its room is free, so it comes last or is left out.
@@ -31,4 +33,10 @@
 Worker* chooseWorker(
     const Task& task, std::span<Worker* const> workers, const TailModel& model, Utils::TimePoint now);
 
+/*!
+    Keeps a worker free of shorter work for a lasting task that found no room: the one whose lasting tasks
+   leave most. \param task the task. \param workers the shard's workers.
+*/
+void reserveWorker(const Task& task, std::span<Worker* const> workers);
+
 } // namespace Fleet
