--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -3,6 +3,7 @@
 #include "worker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Fleet {
 
@@ -59,6 +60,21 @@
     return longest;
 }
 
+std::int64_t objectiveMs(const Job& job)
+{
+    std::vector<std::int64_t> ends(job.stepOffset.size());
+    std::int64_t longest = 0;
+    for (std::size_t step = 0; step < ends.size(); ++step) {
+        const FleetSchema::StepSpec& stepSpec = job.spec.steps(static_cast<int>(step));
+        for (const std::uint32_t former : stepSpec.after())
+            ends[step] = std::max(ends[step], ends[former]);
+        ends[step] += stepSpec.estimate_ms();
+        longest = std::max(longest, ends[step]);
+    }
+    const double slack = std::max(1.0, job.spec.slack_factor());
+    return std::llround(slack * static_cast<double>(longest)) + job.spec.target_ms();
+}
+
 void initializeJob(FleetSchema::JobSpec spec, Job& job)
 {
     job.spec = std::move(spec);
--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -20,6 +20,8 @@
     bool isStarted = false; //!< An attempt was recorded.
     std::int64_t endedUnixMs = 0;
     Utils::TimePoint acceptedAt {};
+    Utils::TimePoint
+        firstStartAt {}; //!< When the first attempt was decided; the epoch of the clock if unknown.
     std::vector<Task> tasks;
     std::vector<std::uint32_t> stepOffset; //!< First task of each step within an occurrence.
     std::vector<std::uint32_t> stepsLeft; //!< Tasks not done, by occurrence and step.
@@ -72,6 +74,9 @@
     std::int64_t remainingChainMs(std::uint32_t occurrence);
 };
 
+/*! \param job a job. \return milliseconds within which it is to be completed. */
+std::int64_t objectiveMs(const Job& job);
+
 /*!
     Prepares the tasks of a job.
     \param spec the specification; must have valid steps.
--- a/src/libs/fleet/shardorders.h
+++ b/src/libs/fleet/shardorders.h
@@ -26,6 +26,18 @@
     std::uint32_t retryAfterMs = 0; //!< With PEER_REFUSED.
 };
 
+/*! How a job went, for the log. */
+struct JobSummary {
+    std::string job;
+    FleetSchema::JobState state = FleetSchema::JOB_COMPLETED;
+    std::int64_t ageMs = 0; //!< From its acceptance to its end.
+    std::int64_t objectiveMs = 0; //!< Time within which it was to end.
+    std::int64_t firstStartMs = -1; //!< From its acceptance to its first start; -1: none.
+    std::uint32_t tasks = 0;
+    std::uint32_t attempts = 0;
+    std::uint32_t failures = 0;
+};
+
 /*! What the scheduler of a shard orders; implementations must not call back into it from inside these calls.
  */
 class ShardOrders {
@@ -45,6 +57,9 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent)
         = 0;
 
+    /*! Tells that a job has ended. \param summary how it went. */
+    virtual void jobEnded(const JobSummary& summary) = 0;
+
     /*! Answers a submission or cancellation. \param ticket given with it. \param answer the answer. */
     virtual void answer(std::uint64_t ticket, const JobAnswer& answer) = 0;
 };
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -2,11 +2,11 @@
 
 #include "inflightbatch.h"
 #include "joborder.h"
+#include "relocation.h"
 #include "workerchoice.h"
 #include "workercommitment.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Fleet {
 
@@ -26,12 +26,7 @@
     urgency.age = due > 0 ? std::max<Utils::Duration>(Utils::Duration::zero(), milliseconds(nowUnixMs - due))
                           : now - job.acceptedAt;
     urgency.remaining = milliseconds(job.remainingChainMs(occurrence));
-    std::int64_t chain = 0;
-    for (const FleetSchema::StepSpec& step : job.spec.steps())
-        chain += step.estimate_ms();
-    const double slack = std::max(1.0, job.spec.slack_factor());
-    urgency.objective = std::max<Utils::Duration>(leastObjective,
-        milliseconds(std::llround(slack * static_cast<double>(chain)) + job.spec.target_ms()));
+    urgency.objective = std::max<Utils::Duration>(leastObjective, milliseconds(objectiveMs(job)));
     return urgency;
 }
 
@@ -197,15 +192,34 @@
                 workers.push_back(worker.get());
         }
         Worker* worker = chooseWorker(task, workers, tailModel_, now);
-        if (!worker && job.step(task).lasting())
+        if (!worker && job.step(task).lasting()) {
             reserveWorker(task, workers);
-        else if (!worker)
+            relocateFor(task, workers, now);
+        } else if (!worker)
             return;
         else
             assign(task, *worker, now);
     }
 }
 
+// Moves at most one task at a time, so that a full shard does not keep shuffling.
+void ShardScheduler::relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now)
+{
+    // Room is often freed by short tasks within this time.
+    constexpr milliseconds patience { 800 };
+    // A moved task is at work again by then.
+    constexpr milliseconds relocationInterval { 1500 };
+    if (task.waitingSince == Utils::TimePoint {})
+        task.waitingSince = now;
+    if (now - task.waitingSince < patience || now < relocationAllowedAt_)
+        return;
+    Task* const moved = chooseRelocation(task, workers, options_.disruptionNotice, now);
+    if (!moved)
+        return;
+    relocationAllowedAt_ = now + relocationInterval;
+    requestStop(*moved, now);
+}
+
 // All members or none: a part of a gang would hold room without working.
 void ShardScheduler::assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now)
 {
@@ -247,6 +261,7 @@
 {
     Job& job = *task.job;
     task.phase = TaskPhase::Recorded;
+    task.waitingSince = {};
     ++task.attempt;
     task.worker = &worker;
     task.workerBornMs = worker.bornMs;
@@ -259,6 +274,8 @@
     task.isStopAnswered = false;
     addAttempt(task, worker);
     job.isStarted = true;
+    if (job.firstStartAt == Utils::TimePoint {})
+        job.firstStartAt = now;
     if (job.state == FleetSchema::JOB_QUEUED)
         job.state = FleetSchema::JOB_RUNNING;
     markDirty(job);
@@ -329,6 +346,20 @@
     job.state = state;
     job.endedUnixMs = nowUnixMs;
     markDirty(job);
+    JobSummary summary;
+    summary.job = job.spec.id();
+    summary.state = state;
+    summary.ageMs = nowUnixMs - job.spec.accepted_unix_ms();
+    summary.objectiveMs = objectiveMs(job);
+    if (job.firstStartAt != Utils::TimePoint {})
+        summary.firstStartMs
+            = std::chrono::duration_cast<milliseconds>(job.firstStartAt - job.acceptedAt).count();
+    summary.tasks = static_cast<std::uint32_t>(job.tasks.size());
+    for (const Task& task : job.tasks) {
+        summary.attempts += task.attempt;
+        summary.failures += task.failures;
+    }
+    orders_.jobEnded(summary);
 }
 
 void ShardScheduler::stopOpenTasks(Job& job, Utils::TimePoint now)
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -135,6 +135,7 @@
     void assign(Task& task, Worker& worker, Utils::TimePoint now);
     void assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
     void assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
+    void relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now);
     void release(Task& task);
     void settle(Task& task, Utils::TimePoint retryAt);
     void finishTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
@@ -164,6 +165,7 @@
     TailModel tailModel_;
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expired_; //!< Jobs to be removed from the store.
+    Utils::TimePoint relocationAllowedAt_ {};
     bool isScheduleDue_ = false; //!< Room or work has changed since the last pass.
 
     struct Inflight; //!< The batch being stored.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -32,6 +32,9 @@
 
 void ShardScheduler::tickWorker(Worker& worker, Utils::TimePoint now)
 {
+    // Lasting tasks that wait are looked at again as time passes, not only as room gets free.
+    if (worker.reserved > 0)
+        isScheduleDue_ = true;
     if (worker.asideFor != Utils::Duration::zero() && now >= worker.asideUntil && worker.tasks.empty())
         isScheduleDue_ = true;
     const std::vector<Task*> tasks = worker.tasks;
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -37,6 +37,8 @@
     std::string lastFailedOn; //!< Worker of the latest failure.
 
     Utils::TimePoint notBefore {}; //!< A retry waits until then.
+    Utils::TimePoint
+        waitingSince {}; //!< Since when no room was found; the epoch of the clock if it was not sought.
     Utils::TimePoint sentAt {};
     Utils::TimePoint knownSince {}; //!< Polls sent from then on must list the attempt.
     Utils::TimePoint startedAt {};
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -18,6 +18,8 @@
     Placement::Resources used; //!< Of all open attempts.
     std::int64_t filling = 0; //!< Milli-processors asked for by open attempts that use what others leave.
     std::int64_t servingProcessors = 0; //!< Milli-processors committed to tasks with a latency target.
+    //! Part of servingProcessors that is in use, as far as other work is slowed down by it.
+    double servingUse = 0.45;
     std::int64_t reserved
         = 0; //!< Milli-processors kept free for a lasting task that waits; of one scheduling pass.
     int servingTasks = 0; //!< Open attempts with a latency target.
@@ -42,6 +44,14 @@
      */
     std::int64_t leftover() const { return info.milliProcessors - used.milliProcessors - filling; }
 
+    /*! \return milli-processors that are not in use, by what serving tasks are taken to use of what is
+     * committed. */
+    std::int64_t unusedProcessors() const
+    {
+        return leftover()
+            + static_cast<std::int64_t>((1 - servingUse) * static_cast<double>(servingProcessors));
+    }
+
     /*! \return what may still be committed. */
     Placement::Resources available() const { return capacity() - used; }
 
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -19,9 +19,6 @@
 constexpr double slownessWeight = 1.0;
 constexpr double retryOnSameWorkerWeight = 10.0;
 
-// Part of the committed processors that tasks with a target use at the height of their load.
-constexpr double servingUse = 0.55;
-
 bool hasLabel(const Worker& worker, const std::string& label)
 {
     return label.empty()
@@ -36,13 +33,6 @@
         }));
 }
 
-// Processors that are not in use, by what tasks are expected to use of what is committed.
-std::int64_t unusedProcessors(const Worker& worker)
-{
-    return worker.leftover()
-        + static_cast<std::int64_t>((1 - servingUse) * static_cast<double>(worker.servingProcessors));
-}
-
 bool isAllowed(const Task& task, const Worker& worker, const TailModel& model, Utils::TimePoint now)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
@@ -56,7 +46,7 @@
     }
     if (step.leftover_processors()) {
         // A task larger than its worker would wait for ever, so one without other such work takes it.
-        if (worker.filling > 0 && step.milli_processors() > unusedProcessors(worker))
+        if (worker.filling > 0 && step.milli_processors() > worker.unusedProcessors())
             return false;
         if (headroomWith(worker, step, model) < 0)
             return false;
@@ -82,7 +72,7 @@
     const FleetSchema::StepSpec& step = task.job->step(task);
     const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
     double cost = slownessWeight * std::max(0.0, worker.slowness - 1) + sameStepWeight * sameStep
-        - static_cast<double>(unusedProcessors(worker)) / capacity;
+        - static_cast<double>(worker.unusedProcessors()) / capacity;
     if (worker.info.id == task.lastFailedOn)
         cost += retryOnSameWorkerWeight;
     if (step.tail_target_ms() > 0)
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -149,6 +149,20 @@
     handler(answer);
 }
 
+void ShardHost::jobEnded(const Fleet::JobSummary& summary)
+{
+    static constexpr const char* names[] = { "queued", "running", "completed", "failed", "cancelled" };
+    const char* const state = names[summary.state];
+    context_.metrics.add("geraniumquay_jobs_ended_total", Telemetry::label("state", state));
+    Utils::log(Utils::LogLevel::Info, "job-ended",
+        { { "job", summary.job }, { "shard", shard_ }, { "state", state },
+            { "age_ms", std::to_string(summary.ageMs) },
+            { "objective_ms", std::to_string(summary.objectiveMs) },
+            { "first_start_ms", std::to_string(summary.firstStartMs) },
+            { "tasks", std::to_string(summary.tasks) }, { "attempts", std::to_string(summary.attempts) },
+            { "failures", std::to_string(summary.failures) } });
+}
+
 void ShardHost::release()
 {
     isReleasing_ = true;
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -70,6 +70,7 @@
     void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
     void throttleAttempt(
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
+    void jobEnded(const Fleet::JobSummary& summary) override;
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override;
     Ports::PollOrder planPoll(const std::string& worker) override;
     void onReport(
