--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -155,6 +155,7 @@
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now);
+    bool shouldMove(const Task& task, Utils::TimePoint now) const;
     void adjustPaces(Worker& worker, Utils::TimePoint now);
     void dropExpired(std::int64_t nowUnixMs);
 
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -3,6 +3,7 @@
 #include "shardscheduler.h"
 
 #include "interference.h"
+#include "workerchoice.h"
 
 #include <algorithm>
 
@@ -12,6 +13,12 @@
 
 using std::chrono::milliseconds;
 
+// A task throttled to at most this share for so long is moved; one without checkpoints only while it has done
+// little.
+constexpr int movePace = 50;
+constexpr milliseconds movePatience { 400 };
+constexpr int greatestLostPercent = 40;
+
 // Beyond this multiple of the expected run time, plus the pause, a task without progress stands still.
 constexpr double stalledFactor = 1.5;
 constexpr milliseconds stalledPause { 1500 };
@@ -72,6 +79,10 @@
             requestStop(task, now);
         return;
     }
+    if (shouldMove(task, now)) {
+        requestStop(task, now);
+        return;
+    }
     const auto allowed
         = milliseconds(static_cast<std::int64_t>(stalledFactor * step.estimate_ms())) + stalledPause;
     if (!step.lasting() && task.pace == 100 && worker.isAnswering && now - task.startedAt > allowed
@@ -80,9 +91,27 @@
     }
 }
 
+// Whether a throttled task is better off elsewhere: little of its work is lost, and another worker bears it.
+bool ShardScheduler::shouldMove(const Task& task, Utils::TimePoint now) const
+{
+    const FleetSchema::StepSpec& step = task.job->step(task);
+    if (task.pace > movePace || now - task.throttledSince < movePatience || step.gang())
+        return false;
+    if (!step.checkpointed() && task.percent > greatestLostPercent)
+        return false;
+    std::vector<Worker*> others;
+    for (const auto& [id, worker] : workers_) {
+        if (worker.get() != task.worker)
+            others.push_back(worker.get());
+    }
+    return chooseWorker(task, others, tailModel_, now) != nullptr;
+}
+
 void ShardScheduler::adjustPaces(Worker& worker, Utils::TimePoint now)
 {
     for (const PaceChange& change : choosePaces(worker, tailModel_, now)) {
+        if (change.task->pace == 100)
+            change.task->throttledSince = now;
         change.task->pace = change.percent;
         change.task->wasThrottled = true;
         // A throttled task makes little progress; that is counted anew from when it may work again.
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -48,6 +48,7 @@
     bool isStopAnswered = false;
     int percent = 0;
     int pace = 100; //!< Share of its full speed that was ordered.
+    Utils::TimePoint throttledSince {}; //!< Since when the pace is below 100.
     bool wasThrottled = false; //!< The attempt's run time is not its own.
     std::int64_t load = 0; //!< As in Ports::RunningAttempt.
     double ownUtilization = 0.5; //!< Of a serving task, without what work beside it adds.
