--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -13,7 +13,7 @@
 
 // Weights of a cost in units of a whole worker. An undesirable neighbour outweighs any difference in free
 // room.
-constexpr double otherImageWeight = 0.5;
+constexpr double otherImageWeight = 2.0;
 constexpr double headroomWeight = 0.5;
 constexpr double sameStepWeight = 0.05;
 constexpr double slownessWeight = 1.0;
