Weigh headroom above free room and leave harmless work at full speed

Cause: reports of tasks over their target showed two faults: work of a disturbing pair was placed where a serving task happened to be at the trough of its load, as free room weighed as much as headroom; and when a task's own load alone reached its limit, all work beside it was stopped, also that which the model knows to add nothing.

--- a/src/libs/fleet/interference.cpp
+++ b/src/libs/fleet/interference.cpp
@@ -20,7 +20,9 @@
 // Speeds are chosen in steps of this size, so that small changes of the load cost no orders.
 constexpr int paceStep = 25;
 // A task over its target for so long is relieved of all that disturbs it, whatever the model says.
-constexpr milliseconds patience { 1200 };
+constexpr milliseconds patience { 2200 };
+// Utilization so small that slowing its cause down brings nothing.
+constexpr double negligible = 0.01;
 
 const std::string& imageOf(const Task& task)
 {
@@ -104,7 +106,6 @@
         const double headroom = limitOf(*task, model) - placementMargin - task->ownUtilization
             - model.pressureOf(imageOf(*task), beside) - added;
         // What adds next to nothing is no reason to leave the room unused.
-        constexpr double negligible = 0.01;
         if (added > negligible)
             least = std::min(least, headroom);
     }
@@ -140,7 +141,7 @@
                 change.percent = 0;
                 continue;
             }
-            while (excess > 0 && change.percent > 0) {
+            while (excess > 0 && change.percent > 0 && contribution(change) > negligible) {
                 change.percent -= paceStep;
                 excess -= contribution(change) * paceStep / 100;
             }
--- a/src/libs/fleet/tailmodel.cpp
+++ b/src/libs/fleet/tailmodel.cpp
@@ -14,8 +14,8 @@
 constexpr double priorLimit = 0.75;
 // Variance of a coefficient before any sample, in units of the variance of a sample.
 constexpr double priorVariance = 10;
-// Weight that a sample keeps with each later one; about a thousand samples are remembered.
-constexpr double forgetting = 0.999;
+// Weight that a sample keeps with each later one; about three thousand samples are remembered.
+constexpr double forgetting = 0.9997;
 // Bound on the variance, so that coefficients without samples stay near what they were.
 constexpr double greatestVariance = 50;
 // Images beside one serving image that are told apart; others have the prior pressure.
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -14,7 +14,7 @@
 // Weights of a cost in units of a whole worker. An undesirable neighbour outweighs any difference in free
 // room.
 constexpr double otherImageWeight = 2.0;
-constexpr double headroomWeight = 0.5;
+constexpr double headroomWeight = 2.0;
 constexpr double sameStepWeight = 0.05;
 constexpr double slownessWeight = 1.0;
 constexpr double retryOnSameWorkerWeight = 10.0;
