Count lasting tasks that wait as load, and refuse lasting jobs without room

Waiting lasting tasks count as committed now, and a lasting job is answered 429 at once when no shard has room for it within 92%.

--- a/src/libs/fleet/shardchoice.cpp
+++ b/src/libs/fleet/shardchoice.cpp
@@ -12,6 +12,9 @@
 constexpr double horizonMs = 1000;
 // Part of the committed processors that tasks with a target use at the height of their load.
 constexpr double servingUse = 0.55;
+// Part of the processors that lasting jobs may take: failed tasks must find room again, and short work goes
+// on.
+constexpr double lastingLimit = 0.92;
 
 bool canHold(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
 {
@@ -64,25 +67,39 @@
         / static_cast<double>(load.capacity());
 }
 
-std::string ShardChooser::choose(const FleetSchema::JobSpec& spec, std::size_t nodes)
+bool ShardChooser::hasRoom(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
+    const Assigned& assigned, std::size_t nodes) const
+{
+    if (spec.steps_size() == 0 || !spec.steps(0).lasting())
+        return true;
+    const std::int64_t committed
+        = load.committed() + static_cast<std::int64_t>(nodes) * assigned.committed + widthOf(spec);
+    return static_cast<double>(committed) <= lastingLimit * static_cast<double>(load.capacity());
+}
+
+ShardChoice ShardChooser::choose(const FleetSchema::JobSpec& spec, std::size_t nodes)
 {
-    std::string best;
+    ShardChoice choice;
     double bestCost = 0;
     for (const auto& [shard, holder] : holders_) {
         const FleetSchema::ShardLoad& load = holder.load;
         if (load.service() != spec.service() || load.capacity() <= 0 || !canHold(spec, load))
             continue;
+        if (!hasRoom(spec, load, assigned_[shard], nodes)) {
+            choice.isOverloaded = choice.shard.empty();
+            continue;
+        }
         const double cost = costOf(spec, load, assigned_[shard], nodes);
-        if (best.empty() || cost < bestCost) {
-            best = shard;
+        if (choice.shard.empty() || cost < bestCost) {
+            choice = { shard, false };
             bestCost = cost;
         }
     }
-    if (!best.empty()) {
-        Assigned& assigned = assigned_[best];
+    if (!choice.shard.empty()) {
+        Assigned& assigned = assigned_[choice.shard];
         (isFilling(spec) ? assigned.filling : assigned.committed) += widthOf(spec);
     }
-    return best;
+    return choice;
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/shardchoice.h
+++ b/src/libs/fleet/shardchoice.h
@@ -12,12 +12,19 @@
 /*! Processors that a job takes at its widest. \param spec the job. \return milli-processors. */
 std::int64_t widthOf(const FleetSchema::JobSpec& spec);
 
+/*! Outcome of the choice of a shard. */
+struct ShardChoice {
+    std::string shard; //!< Empty if none can take the job.
+    bool isOverloaded = false; //!< Shards have workers for the job, but no room.
+};
+
 /*!
     Chooses the shards of new jobs by the loads that the owners told. Work for leftover processors is spread
    by the room on workers without latency targets, other work by committed processors.
 
-    Answers bursts: loads are told about once a second, and jobs that come meanwhile would all go to the shard
-   that was least loaded then. So what this node has assigned since the last report is added to the report.
+    Answers bursts: loads are told about once a second, and jobs that come meanwhile would all go to the shard that was
+    least loaded then. So what this node has assigned since the last report is added to the report. A lasting job holds
+    its room for good, so it is refused at once when no shard has room for all of it and for restarts of others.
 */
 class ShardChooser {
 public:
@@ -28,9 +35,9 @@
         Chooses the shard of a job and counts the job to it.
         \param spec the job.
         \param nodes number of nodes that assign jobs, each seeing only its own share.
-        \return the shard; empty if none can take it.
+        \return the shard, or why there is none.
     */
-    std::string choose(const FleetSchema::JobSpec& spec, std::size_t nodes);
+    ShardChoice choose(const FleetSchema::JobSpec& spec, std::size_t nodes);
 
 private:
     struct Assigned {
@@ -38,6 +45,8 @@
         std::int64_t filling = 0; //!< Milli-processors.
     };
 
+    bool hasRoom(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
+        const Assigned& assigned, std::size_t nodes) const;
     double costOf(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
         const Assigned& assigned, std::size_t nodes) const;
 
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -444,7 +444,9 @@
             const std::int64_t size = step.milli_processors();
             if (task.phase != TaskPhase::Waiting)
                 continue;
-            if (step.leftover_processors())
+            if (step.lasting())
+                load.set_committed(load.committed() + size);
+            else if (step.leftover_processors())
                 load.set_waiting_filling(load.waiting_filling() + size * step.estimate_ms());
             else
                 load.set_waiting_work(load.waiting_work() + size * step.estimate_ms());
--- a/src/libs/fleetnode/jobrouter.cpp
+++ b/src/libs/fleetnode/jobrouter.cpp
@@ -17,6 +17,8 @@
 // When to come back: by then a shard without an owner has been taken over, and a store that is down may be
 // back.
 constexpr std::uint32_t retryAfterMs = 1000;
+// Lasting jobs end seldom, so coming back sooner would be in vain.
+constexpr std::uint32_t overloadRetryAfterMs = 3000;
 
 Ports::CallerAnswer failure(Ports::CallerOutcome outcome, std::string message)
 {
@@ -49,12 +51,18 @@
 
 void JobRouter::submit(const FleetSchema::JobSpec& spec, Utils::TimePoint until, AnswerHandler handler)
 {
-    const std::string shard = directory_.chooseShard(spec);
-    if (shard.empty())
+    const Fleet::ShardChoice choice = directory_.chooseShard(spec);
+    if (choice.isOverloaded) {
+        Ports::CallerAnswer answer
+            = failure(Ports::CallerOutcome::Overloaded, "no shard has room for a lasting job of this size");
+        answer.retryAfterMs = overloadRetryAfterMs;
+        return handler(answer);
+    }
+    if (choice.shard.empty())
         return handler(failure(Ports::CallerOutcome::Unavailable, "no shard has workers for this job"));
     const CallPointer call = makeCall(until, std::move(handler));
     *call->request.mutable_submit() = spec;
-    index_.assign(spec.id(), shard, [this, call](const Utils::Result<std::string>& result) {
+    index_.assign(spec.id(), choice.shard, [this, call](const Utils::Result<std::string>& result) {
         // Without an entry the job cannot have been accepted, as owners take it only from a node that saw the
         // entry.
         if (!Utils::isOk(result))
--- a/src/libs/fleetnode/jobrouter.h
+++ b/src/libs/fleetnode/jobrouter.h
@@ -30,8 +30,8 @@
         const FleetSchema::PeerRequest& request, std::function<void(const FleetSchema::PeerReply&)> handler)
         = 0;
 
-    /*! Chooses the shard of a new job. \param spec the job. \return the shard; empty if none can take it. */
-    virtual std::string chooseShard(const FleetSchema::JobSpec& spec) = 0;
+    /*! Chooses the shard of a new job. \param spec the job. \return the shard, or why there is none. */
+    virtual Fleet::ShardChoice chooseShard(const FleetSchema::JobSpec& spec) = 0;
 };
 
 /*! Brings submissions, queries and cancellations to the owner of the job's shard. */
--- a/src/libs/fleetnode/ownership.cpp
+++ b/src/libs/fleetnode/ownership.cpp
@@ -404,7 +404,7 @@
     return holder->second.address;
 }
 
-std::string Ownership::chooseShard(const FleetSchema::JobSpec& spec)
+Fleet::ShardChoice Ownership::chooseShard(const FleetSchema::JobSpec& spec)
 {
     return chooser_.choose(spec, members_.alive().size());
 }
--- a/src/libs/fleetnode/ownership.h
+++ b/src/libs/fleetnode/ownership.h
@@ -44,7 +44,7 @@
         std::function<void(const FleetSchema::PeerReply&)> handler) override;
 
     std::string ownerAddress(const std::string& shard) const override;
-    std::string chooseShard(const FleetSchema::JobSpec& spec) override;
+    Fleet::ShardChoice chooseShard(const FleetSchema::JobSpec& spec) override;
 
     /*! \param queue identity of a queue. \return accepted jobs without a start in all shards. */
     std::uint64_t pending(const std::string& queue) const;
