--- a/src/libs/fleet/shardchoice.cpp
+++ b/src/libs/fleet/shardchoice.cpp
@@ -14,7 +14,7 @@
 constexpr double servingUse = 0.55;
 // Part of the processors that lasting jobs may take: failed tasks must find room again, and short work goes
 // on.
-constexpr double lastingLimit = 0.92;
+constexpr double lastingLimit = 0.85;
 
 bool canHold(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
 {
