Bound a worker's old lease by its first report, with tests of the fleet library

Cause: a test of a silent worker failed: its tasks were held for 22 s, the bound of a former owner's lease, although the worker had reported to this owner and refuses former ones since. From the first report on the bound is one lease.

--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -62,6 +62,10 @@
             worker->leaseBound = std::max(worker->leaseBound, now + options_.workerLeaseLimit * 51 / 50);
             worker->asideFor = {};
             worker->failureStreak = 0;
+        } else {
+            // From this report on the worker refuses former owners, whose leases were no longer than this
+            // one's.
+            worker->leaseBound = now + options_.workerLease * 51 / 50;
         }
         worker->bornMs = report.bornMs;
         worker->clockMs = 0;
--- /dev/null
+++ b/tests/auto/fleet/fleetfixtures.cpp
@@ -0,0 +1,143 @@
+#include "fleetfixtures.h"
+
+namespace Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+Fleet::SchedulerOptions makeOptions()
+{
+    Fleet::SchedulerOptions options;
+    options.shard = "shard";
+    options.workerLease = 5s;
+    options.workerLeaseLimit = 10s;
+    options.orphanGrace = 12s;
+    options.stopLimit = 200ms;
+    options.retention = 120s;
+    options.interferenceLimit = 4s;
+    options.disruptionNotice = 5500ms;
+    return options;
+}
+
+} // namespace
+
+FleetSchema::StepSpec makeStep(std::uint32_t count, std::int64_t milliProcessors, std::uint32_t estimateMs)
+{
+    FleetSchema::StepSpec step;
+    step.set_count(count);
+    step.set_milli_processors(milliProcessors);
+    step.set_memory_mb(1000);
+    step.set_estimate_ms(estimateMs);
+    return step;
+}
+
+FleetSchema::StepSpec makeServingStep(
+    std::uint32_t count, std::int64_t milliProcessors, const std::string& image)
+{
+    FleetSchema::StepSpec step = makeStep(count, milliProcessors, 0);
+    step.set_lasting(true);
+    step.set_image(image);
+    step.set_tail_target_ms(18);
+    return step;
+}
+
+FleetSchema::StepSpec makeFillingStep(
+    std::uint32_t count, std::int64_t milliProcessors, const std::string& image)
+{
+    FleetSchema::StepSpec step = makeStep(count, milliProcessors, 1000);
+    step.set_leftover_processors(true);
+    step.set_image(image);
+    return step;
+}
+
+FleetSchema::JobSpec makeJob(const std::string& id, const std::vector<FleetSchema::StepSpec>& steps)
+{
+    FleetSchema::JobSpec spec;
+    spec.set_id(id);
+    spec.set_queue("queue");
+    spec.set_service("service");
+    spec.set_occurrences(1);
+    spec.set_max_failures(3);
+    spec.set_slack_factor(2);
+    spec.set_target_ms(500);
+    for (const FleetSchema::StepSpec& step : steps) {
+        *spec.add_steps() = step;
+        if (spec.steps_size() > 1) {
+            spec.mutable_steps(spec.steps_size() - 1)
+                ->add_after(static_cast<std::uint32_t>(spec.steps_size() - 2));
+        }
+    }
+    return spec;
+}
+
+Ports::WorkerInfo makeWorkerInfo(const std::string& id)
+{
+    Ports::WorkerInfo info;
+    info.id = id;
+    info.address = "127.0.0.1:1";
+    info.service = "service";
+    info.rack = "r1";
+    info.labels = { "a", "r1" };
+    info.milliProcessors = 32'000;
+    info.memoryMb = 128'000;
+    info.bornMs = 7;
+    return info;
+}
+
+SchedulerFixture::SchedulerFixture(std::size_t workerCount)
+    : scheduler(makeOptions(), orders)
+{
+    std::vector<Ports::WorkerInfo> infos;
+    for (std::size_t number = 0; number < workerCount; ++number) {
+        workers.push_back("w" + std::to_string(number));
+        infos.push_back(makeWorkerInfo(workers.back()));
+    }
+    scheduler.setWorkers(infos, now);
+    for (const std::string& worker : workers)
+        report(worker, {});
+}
+
+void SchedulerFixture::report(const std::string& worker, const Ports::WorkerReport& content)
+{
+    Ports::WorkerReport complete = content;
+    complete.bornMs = complete.bornMs == 0 ? 7 : complete.bornMs;
+    complete.clockMs = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    scheduler.onReport(worker, now, complete, now, startUnixMs);
+}
+
+bool SchedulerFixture::round()
+{
+    scheduler.schedule(now, startUnixMs);
+    if (!scheduler.takeBatch(startUnixMs))
+        return false;
+    scheduler.onCommitted(now);
+    return true;
+}
+
+void SchedulerFixture::confirmStarts()
+{
+    for (; confirmed < orders.starts.size(); ++confirmed) {
+        const Fleet::AttemptStart& started = orders.starts[confirmed];
+        scheduler.onStartReply(started.worker, started.task, started.attempt, Ports::OrderReply {}, now);
+        running.push_back(started);
+    }
+}
+
+void SchedulerFixture::finish(std::size_t count, Ports::EndKind kind)
+{
+    std::map<std::string, Ports::WorkerReport> reports;
+    for (std::size_t number = 0; number < running.size(); ++number) {
+        const Fleet::AttemptStart& attempt = running[number];
+        Ports::WorkerReport& report = reports[attempt.worker];
+        if (number < count)
+            report.ended.push_back({ ++lastEnd[attempt.worker], attempt.task, attempt.attempt, kind, {} });
+        else
+            report.running.push_back({ attempt.task, attempt.attempt, {}, 50, 1000 });
+    }
+    running.erase(running.begin(), running.begin() + static_cast<std::ptrdiff_t>(count));
+    for (const auto& [worker, content] : reports)
+        report(worker, content);
+}
+
+} // namespace Testing
--- /dev/null
+++ b/tests/auto/fleet/tst_membership.cpp
@@ -0,0 +1,111 @@
+#include <fleet/memberview.h>
+#include <fleet/ownershipplan.h>
+#include <fleet/queuetable.h>
+#include <fleet/rackmap.h>
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const Utils::TimePoint start { 1000s };
+
+Fleet::MemberRow rowOf(const std::string& name, std::uint64_t version)
+{
+    Fleet::MemberRow row;
+    row.record.set_name(name);
+    row.record.set_address(name + ":1");
+    row.version = version;
+    return row;
+}
+
+} // namespace
+
+TEST_CASE("A node without heartbeats is dead after the timeout, not before")
+{
+    Fleet::MemberView view("self", 2500ms);
+    for (int second = 0; second < 4; ++second) {
+        view.update({ rowOf("a", 1), rowOf("b", 10 + second) }, start + second * 1s);
+        CHECK(view.isAlive("a") == (second < 3));
+        CHECK(view.isAlive("b"));
+    }
+}
+
+TEST_CASE("Time in which the store could not be read is not silence of the others")
+{
+    Fleet::MemberView view("self", 2500ms);
+    view.update({ rowOf("a", 1) }, start);
+    view.update({ rowOf("a", 1) }, start + 9s);
+    CHECK(view.isAlive("a"));
+    view.update({ rowOf("a", 1) }, start + 10s);
+    view.update({ rowOf("a", 1) }, start + 11s);
+    view.update({ rowOf("a", 1) }, start + 12s);
+    CHECK_FALSE(view.isAlive("a"));
+}
+
+TEST_CASE("Shards without an owner go to the least loaded nodes of their own failure domain")
+{
+    const std::map<std::string, std::string> regions { { "d1", "r1" }, { "d2", "r1" }, { "d3", "r2" } };
+    const std::vector<Fleet::NodePlace> nodes { { "n1", "d1", "r1", false }, { "n2", "d2", "r1", false },
+        { "n3", "d3", "r2", false } };
+    const std::vector<Fleet::ShardPlace> shards { { "s1", "d1", "" }, { "s2", "d2", "" },
+        { "s3", "d3", "" } };
+    const auto moves = Fleet::planOrphans(shards, nodes, regions);
+    REQUIRE(moves.size() == 3);
+    CHECK(moves[0].node == "n1");
+    CHECK(moves[1].node == "n2");
+    CHECK(moves[2].node == "n3");
+}
+
+TEST_CASE("A leaving node hands over all its shards and gets none")
+{
+    const std::vector<Fleet::NodePlace> nodes { { "n1", "d1", "r1", true }, { "n2", "d1", "r1", false } };
+    const std::vector<Fleet::ShardPlace> shards { { "s1", "d1", "n1" }, { "s2", "d1", "n1" },
+        { "s3", "d1", "" } };
+    const auto moves = Fleet::planHandovers("n1", shards, nodes, {});
+    REQUIRE(moves.size() == 2);
+    CHECK(moves[0].node == "n2");
+    CHECK(Fleet::planOrphans(shards, nodes, {})[0].node == "n2");
+}
+
+TEST_CASE("Balanced nodes hand nothing over")
+{
+    const std::vector<Fleet::NodePlace> nodes { { "n1", "d1", "r1", false }, { "n2", "d1", "r1", false } };
+    CHECK(Fleet::planHandovers("n1", { { "s1", "d1", "n1" }, { "s2", "d1", "n2" } }, nodes, {}).empty());
+    CHECK(Fleet::planHandovers("n1", { { "s1", "d1", "n1" }, { "s2", "d1", "n1" } }, nodes, {}).size() == 1);
+}
+
+TEST_CASE("Racks are put together up to a shard's size and stay where they are")
+{
+    FleetSchema::RackMap map;
+    CHECK(Fleet::mapRacks({ { "s", "r1", "d1", 8 }, { "s", "r2", "d1", 8 }, { "s", "r3", "d2", 8 } }, map));
+    CHECK(map.shards().at("s/r1") == map.shards().at("s/r2"));
+    CHECK(map.shards().at("s/r1") != map.shards().at("s/r3"));
+    const auto before = map.shards().at("s/r1");
+    CHECK(Fleet::mapRacks({ { "s", "r0", "d1", 8 }, { "s", "r1", "d1", 8 }, { "s", "r2", "d1", 8 } }, map));
+    CHECK(map.shards().at("s/r1") == before);
+    CHECK(map.shards().at("s/r0") != before);
+    CHECK_FALSE(Fleet::mapRacks({ { "s", "r1", "d1", 3 } }, map));
+}
+
+TEST_CASE("An older configuration never replaces a newer one, and the longest prefix wins")
+{
+    Fleet::QueueTable table;
+    Ports::QueueConfiguration newer;
+    newer.revision = 7;
+    newer.queues.resize(2);
+    newer.queues[0].host = newer.queues[1].host = "h";
+    newer.queues[0].pathPrefix = "/a/";
+    newer.queues[1].pathPrefix = "/a/b/";
+    CHECK(table.apply(newer));
+    Ports::QueueConfiguration older;
+    older.revision = 6;
+    CHECK_FALSE(table.apply(older));
+    CHECK(table.revision() == 7);
+    const auto match = table.find("h", "/a/b/id");
+    REQUIRE(match.queue);
+    CHECK(match.queue->pathPrefix == "/a/b/");
+    CHECK(match.jobId == "id");
+    CHECK(table.find("other", "/a/b/id").queue == nullptr);
+}
--- /dev/null
+++ b/tests/auto/fleet/tst_shardchoice.cpp
@@ -0,0 +1,76 @@
+#include "fleetfixtures.h"
+
+#include <fleet/shardchoice.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Testing;
+
+namespace {
+
+Fleet::ShardHolder holderOf(const std::string& shard, std::int64_t committed)
+{
+    Fleet::ShardHolder holder;
+    holder.node = "node-" + shard;
+    holder.load.set_shard(shard);
+    holder.load.set_service("service");
+    holder.load.set_capacity(500'000);
+    holder.load.set_committed(committed);
+    holder.load.set_largest_worker(32'000);
+    return holder;
+}
+
+} // namespace
+
+TEST_CASE("Jobs that come between two reports are spread, not all sent to the least loaded shard")
+{
+    Fleet::ShardChooser chooser;
+    chooser.update({ { "a", holderOf("a", 100'000) }, { "b", holderOf("b", 110'000) } });
+    std::map<std::string, int> counts;
+    for (int number = 0; number < 20; ++number)
+        ++counts[chooser.choose(makeJob("j", { makeStep(4, 2000, 800) }), 1).shard];
+    CHECK(counts["a"] >= 8);
+    CHECK(counts["b"] >= 8);
+}
+
+TEST_CASE("A lasting job is refused at once when no shard has room for it and for restarts")
+{
+    Fleet::ShardChooser chooser;
+    chooser.update({ { "a", holderOf("a", 415'000) }, { "b", holderOf("b", 420'000) } });
+    const auto refused = chooser.choose(makeJob("wide", { makeServingStep(6, 6000, "s") }), 1);
+    CHECK(refused.shard.empty());
+    CHECK(refused.isOverloaded);
+    const auto small = chooser.choose(makeJob("small", { makeServingStep(1, 6000, "s") }), 1);
+    CHECK(small.shard == "a");
+}
+
+TEST_CASE("Lasting tasks that wait count as load of their shard")
+{
+    SchedulerFixture fixture(1);
+    fixture.scheduler.submit(
+        makeJob("big", { makeServingStep(5, 10'000, "s") }), 1, fixture.now, startUnixMs);
+    fixture.round();
+    CHECK(fixture.orders.starts.size() == 3);
+    CHECK(fixture.scheduler.load().committed() == 50'000);
+}
+
+TEST_CASE("A job larger than every worker has no shard, and that is not for want of room")
+{
+    Fleet::ShardChooser chooser;
+    chooser.update({ { "a", holderOf("a", 0) } });
+    const auto choice = chooser.choose(makeJob("huge", { makeStep(1, 40'000, 500) }), 1);
+    CHECK(choice.shard.empty());
+    CHECK_FALSE(choice.isOverloaded);
+}
+
+TEST_CASE("Work for leftovers follows what is left, other work what is committed")
+{
+    Fleet::ShardHolder serving = holderOf("serving", 400'000);
+    serving.load.set_serving(400'000);
+    Fleet::ShardHolder filled = holderOf("filled", 100'000);
+    filled.load.set_filling(380'000);
+    Fleet::ShardChooser chooser;
+    chooser.update({ { "filled", filled }, { "serving", serving } });
+    CHECK(chooser.choose(makeJob("fill", { makeFillingStep(4, 2000, "f") }), 1).shard == "serving");
+    CHECK(chooser.choose(makeJob("plain", { makeStep(4, 2000, 800) }), 1).shard == "filled");
+}
