Test and fuzz the adapter's decoders, the shard writer and the job index; check for wire names

The decoders of reports and task names and the endpoint stand in sources of their own, so that the fuzzer builds them without Beast.

--- a/src/libs/fleetnode/node.cpp
+++ b/src/libs/fleetnode/node.cpp
@@ -12,6 +12,8 @@
 #include "http/server.h"
 #include "utils/log/log.h"
 
+#include <boost/asio/post.hpp>
+
 namespace FleetNode {
 
 namespace {
--- a/src/libs/fleetnode/ownership.cpp
+++ b/src/libs/fleetnode/ownership.cpp
@@ -3,6 +3,8 @@
 #include "fleet/rackmap.h"
 #include "utils/log/log.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 
 namespace FleetNode {
--- a/src/libs/fleetnode/peerlinks.cpp
+++ b/src/libs/fleetnode/peerlinks.cpp
@@ -1,5 +1,7 @@
 #include "peerlinks.h"
 
+#include <boost/asio/post.hpp>
+
 namespace FleetNode {
 
 namespace {
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -2,6 +2,8 @@
 
 #include "utils/log/log.h"
 
+#include <boost/asio/post.hpp>
+
 namespace FleetNode {
 
 namespace {
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <charconv>
 #include <optional>
 
 namespace asio = boost::asio;
@@ -26,28 +25,6 @@
 
 } // namespace
 
-std::string Endpoint::toString() const
-{
-    return address + ":" + std::to_string(port);
-}
-
-Utils::Result<Endpoint> parseEndpoint(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    Endpoint endpoint;
-    if (colon != std::string_view::npos && colon > 0) {
-        const std::string_view digits = text.substr(colon + 1);
-        const auto [end, code] = std::from_chars(digits.data(), digits.data() + digits.size(), endpoint.port);
-        boost::system::error_code addressError;
-        endpoint.address = text.substr(0, colon);
-        asio::ip::make_address(endpoint.address, addressError);
-        if (code == std::errc() && end == digits.data() + digits.size() && !addressError)
-            return endpoint;
-    }
-    return Utils::Error { Utils::ErrorCode::InvalidArgument, "endpoint.parse", std::string(text),
-        "not of the form ADDRESS:PORT" };
-}
-
 class ClientConnection::Private : public std::enable_shared_from_this<ClientConnection::Private> {
 public:
     Private(asio::io_context& context, Endpoint endpoint)
--- a/src/libs/http/clientconnection.h
+++ b/src/libs/http/clientconnection.h
@@ -1,14 +1,13 @@
 #pragma once
 
+#include "endpoint.h"
 #include "message.h"
 
 #include "utils/clock.h"
 #include "utils/result.h"
 
-#include <cstdint>
 #include <functional>
 #include <memory>
-#include <string>
 
 namespace boost::asio {
 class io_context;
@@ -16,24 +15,6 @@
 
 namespace Http {
 
-/*! Address of a server. */
-struct Endpoint {
-    std::string address; //!< IP number.
-    std::uint16_t port = 0;
-
-    /*! \return "address:port". */
-    std::string toString() const;
-
-    friend bool operator==(const Endpoint&, const Endpoint&) = default;
-};
-
-/*!
-    Parses "address:port".
-    \param text the text.
-    \return the endpoint, or InvalidArgument.
-*/
-Utils::Result<Endpoint> parseEndpoint(std::string_view text);
-
 /*!
     Receives the response, or the error: Unavailable if no byte of the request was sent, OutcomeUnknown if the
     request may have been carried out.
--- /dev/null
+++ b/tests/auto/fleetnode/scriptedrowstore.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <fleetnode/nodecontext.h>
+#include <utils/bootclock.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+
+namespace Testing {
+
+/*! Rows in memory with the store's conditions, and answers that can be lost. */
+class ScriptedRowStore final : public Ports::RowStore {
+public:
+    /*! What becomes of a transaction's answer. */
+    enum class Fate {
+        Answered,
+        LostAfter, //!< Carried out, but not answered.
+        LostBefore, //!< Neither carried out nor answered.
+        Refused,
+    };
+
+    explicit ScriptedRowStore(boost::asio::io_context& io)
+        : io_(io)
+    {
+    }
+
+    void commit(const Ports::Transaction& transaction, TransactionHandler handler) override
+    {
+        ++calls;
+        Fate fate = Fate::Answered;
+        if (!fates.empty()) {
+            fate = fates.front();
+            fates.pop_front();
+        }
+        Utils::Result<Ports::TransactionOutcome> result
+            = Utils::Error { Utils::ErrorCode::OutcomeUnknown, "commit", "store", "no answer" };
+        if (fate == Fate::Refused)
+            result = Utils::Error { Utils::ErrorCode::Refused, "commit", "store", "busy" };
+        if (fate == Fate::Answered || fate == Fate::LostAfter) {
+            const Ports::TransactionOutcome outcome = apply(transaction);
+            if (fate == Fate::Answered)
+                result = outcome;
+        }
+        boost::asio::post(io_, [handler = std::move(handler), result] { handler(result); });
+    }
+
+    void read(const Ports::RowRange& range, PageHandler handler) override
+    {
+        Ports::RowPage page;
+        page.version = version_;
+        for (const auto& [name, row] : rows) {
+            if (name.table == range.table && name.partition == range.partition && name.key >= range.from)
+                page.rows.push_back(row);
+        }
+        boost::asio::post(io_, [handler = std::move(handler), page] { handler(page); });
+    }
+
+    void follow(const std::string&, std::uint64_t, Utils::Duration, PageHandler) override { }
+
+    std::map<Ports::RowKey, Ports::Row> rows;
+    std::deque<Fate> fates; //!< Of the next transactions.
+    int calls = 0;
+
+private:
+    Ports::TransactionOutcome apply(const Ports::Transaction& transaction)
+    {
+        Ports::TransactionOutcome outcome;
+        outcome.isCommitted = true;
+        for (const Ports::RowCondition& condition : transaction.conditions) {
+            const auto found = rows.find(condition.name);
+            if ((found == rows.end() ? 0 : found->second.version) != condition.version)
+                outcome.isCommitted = false;
+            if (found != rows.end())
+                outcome.current.push_back(found->second);
+        }
+        if (!outcome.isCommitted)
+            return outcome;
+        ++version_;
+        for (const Ports::RowPut& put : transaction.puts)
+            rows[put.name] = { put.name, put.value, version_, false };
+        for (const Ports::RowKey& name : transaction.removals)
+            rows.erase(name);
+        outcome.version = version_;
+        return outcome;
+    }
+
+    boost::asio::io_context& io_;
+    std::uint64_t version_ = 10;
+};
+
+/*! What parts of a node need, with a store in memory. */
+struct NodeFixture {
+    NodeFixture() { settings.mutable_node()->set_name("node-1"); }
+
+    boost::asio::io_context io { 1 };
+    Utils::BootClock clock;
+    ScriptedRowStore store { io };
+    Ports::PlatformBinding platform;
+    Schema::NodeDaemonSettings settings;
+    Telemetry::Metrics metrics;
+    FleetNode::NodeContext context { io, clock, store, platform, settings, metrics, 77 };
+};
+
+} // namespace Testing
--- /dev/null
+++ b/tests/auto/fleetnode/tst_jobindex.cpp
@@ -0,0 +1,75 @@
+#include "scriptedrowstore.h"
+
+#include <fleetnode/jobindex.h>
+
+#include <catch2/catch.hpp>
+
+using Fate = Testing::ScriptedRowStore::Fate;
+
+namespace {
+
+struct IndexFixture : Testing::NodeFixture {
+    Utils::Result<std::string> assign(
+        FleetNode::JobIndex& index, const std::string& job, const std::string& shard)
+    {
+        Utils::Result<std::string> result = Utils::Error {};
+        index.assign(job, shard, [&](const Utils::Result<std::string>& value) { result = value; });
+        io.restart();
+        io.run();
+        return result;
+    }
+
+    Utils::Result<std::string> find(FleetNode::JobIndex& index, const std::string& job)
+    {
+        Utils::Result<std::string> result = Utils::Error {};
+        index.find(job, [&](const Utils::Result<std::string>& value) { result = value; });
+        io.restart();
+        io.run();
+        return result;
+    }
+
+    FleetNode::JobIndex first { context };
+    FleetNode::JobIndex second { context };
+};
+
+} // namespace
+
+TEST_CASE("The first node that assigns a job decides for all")
+{
+    IndexFixture fixture;
+    CHECK(Utils::value(fixture.assign(fixture.first, "job", "a")) == "a");
+    CHECK(Utils::value(fixture.assign(fixture.second, "job", "b")) == "a");
+    CHECK(Utils::value(fixture.find(fixture.second, "job")) == "a");
+}
+
+TEST_CASE("A lost answer is found again, whether the entry was written or not")
+{
+    IndexFixture fixture;
+    fixture.store.fates = { Fate::LostAfter };
+    CHECK(Utils::value(fixture.assign(fixture.first, "one", "a")) == "a");
+    fixture.store.fates = { Fate::LostBefore };
+    CHECK(Utils::value(fixture.assign(fixture.first, "two", "a")) == "a");
+}
+
+TEST_CASE("A store that refuses fails the assignment, and the job is not known")
+{
+    IndexFixture fixture;
+    fixture.store.fates = { Fate::Refused };
+    CHECK_FALSE(Utils::isOk(fixture.assign(fixture.first, "job", "a")));
+    const auto found = fixture.find(fixture.first, "job");
+    REQUIRE_FALSE(Utils::isOk(found));
+    CHECK(Utils::error(found).code == Utils::ErrorCode::NotFound);
+}
+
+TEST_CASE("Jobs that come together share transactions")
+{
+    IndexFixture fixture;
+    int answered = 0;
+    for (int number = 0; number < 40; ++number) {
+        fixture.first.assign("job" + std::to_string(number), "a",
+            [&](const auto& result) { answered += Utils::isOk(result); });
+    }
+    fixture.io.run();
+    CHECK(answered == 40);
+    CHECK(fixture.store.calls <= 8);
+}
--- /dev/null
+++ b/tests/auto/fleetnode/tst_shardwriter.cpp
@@ -0,0 +1,93 @@
+#include "scriptedrowstore.h"
+
+#include <fleetnode/shardwriter.h>
+
+#include <catch2/catch.hpp>
+
+using Fate = Testing::ScriptedRowStore::Fate;
+
+namespace {
+
+struct WriterFixture : Testing::NodeFixture {
+    WriterFixture()
+        : writer(context, "shard", [this] { isLost = true; })
+    {
+        writer.takeOver({}, 0, [] {});
+        run();
+    }
+
+    void run()
+    {
+        io.restart();
+        io.run();
+    }
+
+    bool write(const std::string& job, const std::string& value)
+    {
+        bool isDone = false;
+        Fleet::RecordBatch batch;
+        batch.puts.emplace_back(job, value);
+        writer.write(batch, false, [&] { isDone = true; });
+        run();
+        return isDone;
+    }
+
+    std::string jobRow(const std::string& job)
+    {
+        return store.rows[{ FleetNode::jobTable, "shard", job }].value;
+    }
+
+    bool isLost = false;
+    FleetNode::ShardWriter writer;
+};
+
+} // namespace
+
+TEST_CASE("A takeover raises the epoch, and rows are written under it")
+{
+    WriterFixture fixture;
+    CHECK(fixture.writer.epoch() == 1);
+    CHECK(fixture.write("a", "1"));
+    CHECK(fixture.jobRow("a") == "1");
+    CHECK_FALSE(fixture.isLost);
+}
+
+TEST_CASE("A transaction whose answer was lost takes effect once")
+{
+    WriterFixture fixture;
+    fixture.store.fates = { Fate::LostAfter };
+    CHECK(fixture.write("a", "1"));
+    fixture.store.fates = { Fate::LostBefore, Fate::Refused };
+    CHECK(fixture.write("a", "2"));
+    CHECK(fixture.write("a", "3"));
+    CHECK(fixture.jobRow("a") == "3");
+    CHECK_FALSE(fixture.isLost);
+}
+
+TEST_CASE("A copy that is carried out late does not undo what followed")
+{
+    WriterFixture fixture;
+    const auto before = fixture.store.rows;
+    CHECK(fixture.write("a", "1"));
+    Ports::Transaction late;
+    late.conditions.push_back({ { FleetNode::shardTable, "shard", FleetNode::shardKey },
+        before.at({ FleetNode::shardTable, "shard", FleetNode::shardKey }).version });
+    late.puts.push_back({ { FleetNode::jobTable, "shard", "a" }, "old" });
+    fixture.store.commit(late, [](const auto&) {});
+    fixture.run();
+    CHECK(fixture.jobRow("a") == "1");
+}
+
+TEST_CASE("An owner that was replaced notices with its next transaction and writes nothing")
+{
+    WriterFixture fixture;
+    FleetSchema::ShardRecord taken;
+    taken.set_owner("node-2");
+    taken.set_epoch(2);
+    Ports::Row& row = fixture.store.rows[{ FleetNode::shardTable, "shard", FleetNode::shardKey }];
+    row.value = taken.SerializeAsString();
+    ++row.version;
+    CHECK_FALSE(fixture.write("a", "1"));
+    CHECK(fixture.isLost);
+    CHECK(fixture.jobRow("a").empty());
+}
--- /dev/null
+++ b/tests/auto/usersplatform/tst_tablestore.cpp
@@ -0,0 +1,105 @@
+#include <http/server.h>
+#include <platform/tablestore.h>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// A store that gives one answer to every call, or none.
+struct ScriptedStore {
+    explicit ScriptedStore(std::optional<Http::Response> answer)
+        : server(io, {}, [this, answer](const Http::Request& request, const Http::Responder& respond) {
+            requests.push_back(request);
+            if (answer)
+                respond(*answer);
+            else
+                held.push_back(respond);
+        })
+    {
+        REQUIRE(Utils::isOk(server.start()));
+        store.emplace(io, Http::Endpoint { "127.0.0.1", server.port() }, 200ms);
+    }
+
+    template <typename Result, typename Start> Utils::Result<Result> call(Start&& startCall)
+    {
+        std::optional<Utils::Result<Result>> result;
+        startCall([&](const Utils::Result<Result>& value) {
+            result = value;
+            io.stop();
+        });
+        io.run_for(5s);
+        REQUIRE(result);
+        return *result;
+    }
+
+    boost::asio::io_context io { 1 };
+    std::vector<Http::Request> requests;
+    std::vector<Http::Responder> held;
+    Http::Server server;
+    std::optional<UsersPlatform::TableStore> store;
+};
+
+Ports::Transaction transaction()
+{
+    Ports::Transaction change;
+    change.conditions.push_back({ { "my", "p7", "owner" }, 3 });
+    change.puts.push_back({ { "my", "p7", "owner" }, "node-1" });
+    return change;
+}
+
+} // namespace
+
+TEST_CASE("A transaction is sent with its conditions and its outcome is read")
+{
+    ScriptedStore script(Http::Response { 200, {}, R"({"ver":412,"now_ms":5})" });
+    const auto outcome = script.call<Ports::TransactionOutcome>(
+        [&](auto handler) { script.store->commit(transaction(), handler); });
+    REQUIRE(Utils::isOk(outcome));
+    CHECK(Utils::value(outcome).isCommitted);
+    CHECK(Utils::value(outcome).version == 412);
+    REQUIRE(script.requests.size() == 1);
+    CHECK(script.requests[0].body.find(R"("ver":3)") != std::string::npos);
+    CHECK(script.requests[0].body.find("bm9kZS0x") != std::string::npos);
+}
+
+TEST_CASE("A condition that does not hold comes with the current rows")
+{
+    ScriptedStore script(Http::Response { 412, {},
+        R"({"rows":[{"table":"my","part":"p7","key":"owner","value":"bm9kZS0x","ver":9}],"ver":10})" });
+    const auto outcome = script.call<Ports::TransactionOutcome>(
+        [&](auto handler) { script.store->commit(transaction(), handler); });
+    REQUIRE(Utils::isOk(outcome));
+    CHECK_FALSE(Utils::value(outcome).isCommitted);
+    REQUIRE(Utils::value(outcome).current.size() == 1);
+    CHECK(Utils::value(outcome).current[0].value == "node-1");
+    CHECK(Utils::value(outcome).current[0].version == 9);
+}
+
+TEST_CASE("A refusal is told from an answer that did not come")
+{
+    ScriptedStore busy(Http::Response { 503, {}, "{}" });
+    const auto refused = busy.call<Ports::TransactionOutcome>(
+        [&](auto handler) { busy.store->commit(transaction(), handler); });
+    REQUIRE_FALSE(Utils::isOk(refused));
+    CHECK(Utils::error(refused).code == Utils::ErrorCode::Refused);
+
+    ScriptedStore silent(std::nullopt);
+    const auto lost = silent.call<Ports::TransactionOutcome>(
+        [&](auto handler) { silent.store->commit(transaction(), handler); });
+    REQUIRE_FALSE(Utils::isOk(lost));
+    CHECK(Utils::error(lost).code == Utils::ErrorCode::OutcomeUnknown);
+}
+
+TEST_CASE("A dropped history is told as not found")
+{
+    ScriptedStore script(Http::Response { 410, {}, "{}" });
+    const auto page
+        = script.call<Ports::RowPage>([&](auto handler) { script.store->follow("op", 5, 100ms, handler); });
+    REQUIRE_FALSE(Utils::isOk(page));
+    CHECK(Utils::error(page).code == Utils::ErrorCode::NotFound);
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_platform.cpp
@@ -0,0 +1,32 @@
+// checkfuzz runs=20000 seed=1 max_len=2048
+// Bytes from the users' platform: any of them give a value or an error, never a crash.
+
+#include <platform/base64.h>
+#include <platform/callercodec.h>
+#include <platform/queuecodec.h>
+#include <platform/workercodec.h>
+#include <platform/workerlist.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const std::string_view text(reinterpret_cast<const char*>(data), size);
+    (void)UsersPlatform::decodeTaskName(text);
+    (void)UsersPlatform::decodeReport(text, "peer");
+    (void)UsersPlatform::decodeConfiguration(text);
+    (void)UsersPlatform::decodeBase64(text);
+    Ports::Row row;
+    row.name.key = "worker";
+    row.value = text;
+    (void)UsersPlatform::decodeWorker(row);
+    Http::Request request;
+    request.method = "POST";
+    request.target = text.substr(0, 40);
+    request.body = text;
+    (void)UsersPlatform::decodeCall(request);
+    return 0;
+}
