--- a/src/libs/fleet/shardchoice.h
+++ b/src/libs/fleet/shardchoice.h
@@ -22,9 +22,10 @@
     Chooses the shards of new jobs by the loads that the owners told. Work for leftover processors is spread
    by the room on workers without latency targets, other work by committed processors.
 
-    Answers bursts: loads are told about once a second, and jobs that come meanwhile would all go to the shard that was
-    least loaded then. So what this node has assigned since the last report is added to the report. A lasting job holds
-    its room for good, so it is refused at once when no shard has room for all of it and for restarts of others.
+    Answers bursts: loads are told about once a second, and jobs that come meanwhile would all go to the shard
+   that was least loaded then. So what this node has assigned since the last report is added to the report. A
+   lasting job holds its room for good, so it is refused at once when no shard has room for all of it and for
+   restarts of others.
 */
 class ShardChooser {
 public:
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -217,6 +217,8 @@
     if (!moved)
         return;
     relocationAllowedAt_ = now + relocationInterval;
+    // Else it would take back the room that it was moved for.
+    moved->avoidedWorker = moved->worker->info.id;
     requestStop(*moved, now);
 }
 
@@ -333,7 +335,7 @@
     Job& job = *task.job;
     const bool isLasting = job.step(task).lasting();
     ++task.failures;
-    task.lastFailedOn = task.worker ? task.worker->info.id : std::string();
+    task.avoidedWorker = task.worker ? task.worker->info.id : std::string();
     settle(task, isLasting ? now + lastingRetryPause : now);
     if (!isLasting && job.isActive() && task.failures >= std::max(1U, job.spec.max_failures())) {
         endJob(job, FleetSchema::JOB_FAILED, nowUnixMs);
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -34,7 +34,8 @@
     std::string checkpoint; //!< Latest one known; may be empty.
     Worker* worker = nullptr; //!< Where the open attempt is; null without one.
     std::int64_t workerBornMs = 0; //!< Incarnation of the worker that the attempt is for.
-    std::string lastFailedOn; //!< Worker of the latest failure.
+    std::string
+        avoidedWorker; //!< Worker that it failed on or was moved from; taken only if no other has room.
 
     Utils::TimePoint notBefore {}; //!< A retry waits until then.
     Utils::TimePoint
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -73,7 +73,7 @@
     const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
     double cost = slownessWeight * std::max(0.0, worker.slowness - 1) + sameStepWeight * sameStep
         - static_cast<double>(worker.unusedProcessors()) / capacity;
-    if (worker.info.id == task.lastFailedOn)
+    if (worker.info.id == task.avoidedWorker)
         cost += retryOnSameWorkerWeight;
     if (step.tail_target_ms() > 0)
         return cost + otherImageWeight * otherImages(task, worker);
