Lend lasting tasks to another shard when their own has no room

The owner now stores that a task is lent, then hands it to the owner of a shard with room, which stores it under a transfer number and may not refuse; the call is repeated until answered, also by a successor, and a cancellation follows the task. Ruled out: refusing by the other shard (a late copy of the call could then start a second run) and moving whole jobs (stops the tasks that run).

--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -16,6 +16,10 @@
 {
     if (task.phase == TaskPhase::Done)
         return FleetSchema::TASK_DONE;
+    if (task.phase == TaskPhase::Lent)
+        return FleetSchema::TASK_LENT;
+    if (task.phase == TaskPhase::Foreign)
+        return FleetSchema::TASK_FOREIGN;
     return task.isOpen() ? FleetSchema::TASK_ASSIGNED : FleetSchema::TASK_WAITING;
 }
 
@@ -112,6 +116,8 @@
         stored.set_state(storedState(task));
         stored.set_attempt(task.attempt);
         stored.set_failures(task.failures);
+        stored.set_lent_to(task.lentTo);
+        stored.set_transfer(task.transfer);
         if (task.phase != TaskPhase::Done)
             stored.set_checkpoint(task.checkpoint);
         if (task.worker) {
--- a/src/libs/fleet/shardchoice.cpp
+++ b/src/libs/fleet/shardchoice.cpp
@@ -15,6 +15,8 @@
 // Part of the processors that lasting jobs may take: failed tasks must find room again, and short work goes
 // on.
 constexpr double lastingLimit = 0.85;
+// Part of the processors up to which a shard takes single lasting tasks of others.
+constexpr double lendingLimit = 0.95;
 
 bool canHold(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
 {
@@ -102,4 +104,28 @@
     return choice;
 }
 
+std::string ShardChooser::chooseForTask(
+    const std::string& own, const FleetSchema::JobSpec& spec, std::uint32_t step)
+{
+    const std::int64_t size = spec.steps(static_cast<int>(step)).milli_processors();
+    std::string best;
+    double bestShare = lendingLimit;
+    for (const auto& [shard, holder] : holders_) {
+        const FleetSchema::ShardLoad& load = holder.load;
+        if (shard == own || load.service() != spec.service() || load.capacity() <= 0
+            || size > load.largest_worker()) {
+            continue;
+        }
+        const std::int64_t committed = load.committed() + assigned_[shard].committed + size;
+        const double share = static_cast<double>(committed) / static_cast<double>(load.capacity());
+        if (share < bestShare) {
+            best = shard;
+            bestShare = share;
+        }
+    }
+    if (!best.empty())
+        assigned_[best].committed += size;
+    return best;
+}
+
 } // namespace Fleet
--- a/src/libs/fleet/shardchoice.h
+++ b/src/libs/fleet/shardchoice.h
@@ -40,6 +40,15 @@
     */
     ShardChoice choose(const FleetSchema::JobSpec& spec, std::size_t nodes);
 
+    /*!
+        Chooses another shard for one lasting task and counts the task to it.
+        \param own the shard that has no room.
+        \param spec the job.
+        \param step the task's step.
+        \return the shard with most room; empty if none has enough.
+    */
+    std::string chooseForTask(const std::string& own, const FleetSchema::JobSpec& spec, std::uint32_t step);
+
 private:
     struct Assigned {
         std::int64_t committed = 0; //!< Milli-processors.
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -74,6 +74,15 @@
             orders_.answer(ticket, { FleetSchema::PEER_OK, stored.state, 0 });
         if (!job.isActive())
             stopOpenTasks(job, now);
+        for (Task& task : job.tasks) {
+            if (task.phase != TaskPhase::Lent)
+                continue;
+            // A cancellation is sent to where the task went, whatever was answered before.
+            if (!job.isActive())
+                task.isLendAnswered = false;
+            if (!task.isLendAnswered && !job.isDirty)
+                sendLend(task, now);
+        }
     }
     for (const Inflight::RecordedAttempt& start : batch->starts) {
         Task& task = *start.task;
@@ -118,9 +127,10 @@
     for (const auto& [id, job] : jobs_) {
         const bool isOver = !job->isActive() && job->isCommitted && !job->isDirty && job->endedUnixMs > 0
             && job->endedUnixMs + retentionMs < nowUnixMs;
-        const bool hasOpen = isOver
-            && std::any_of(
-                job->tasks.begin(), job->tasks.end(), [](const Task& task) { return task.isOpen(); });
+        const bool hasOpen
+            = isOver && std::any_of(job->tasks.begin(), job->tasks.end(), [](const Task& task) {
+                  return task.isOpen() || (task.phase == TaskPhase::Lent && !task.isLendAnswered);
+              });
         if (isOver && !hasOpen && std::find(expired_.begin(), expired_.end(), id) == expired_.end())
             expired_.push_back(id);
     }
--- a/src/libs/fleet/shardorders.h
+++ b/src/libs/fleet/shardorders.h
@@ -57,6 +57,18 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent)
         = 0;
 
+    /*! \param spec a job. \param step one of its steps. \return another shard with room for a task of the
+       step; empty if none is known. */
+    virtual std::string findShardWithRoom(const FleetSchema::JobSpec& spec, std::uint32_t step) = 0;
+
+    /*! Hands a task to another shard, whose owner must store it; sent again until it was answered.
+        \param shard the shard. \param transfer the task. */
+    virtual void lendTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer) = 0;
+
+    /*! Cancels what another shard runs of a job; sent again until it was answered. \param shard the shard.
+        \param job the job. */
+    virtual void cancelLent(const std::string& shard, const std::string& job) = 0;
+
     /*! Tells that a job has ended. \param summary how it went. */
     virtual void jobEnded(const JobSummary& summary) = 0;
 
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -96,8 +96,10 @@
 {
     Job* job = findJob(end.task.job);
     Task* task = job ? job->find(end.task.occurrence, end.task.step, end.task.index) : nullptr;
-    if (!task || task->phase == TaskPhase::Done || task->attempt != end.attempt)
+    if (!task || task->phase == TaskPhase::Done || task->phase == TaskPhase::Lent
+        || task->phase == TaskPhase::Foreign || task->attempt != end.attempt) {
         return;
+    }
     // An attempt that was given up for lost may still have been completed before another one was started.
     const bool isGivenUp = !task->isOpen() && end.kind == Ports::EndKind::Done;
     if (!isGivenUp && task->worker != &worker)
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -63,7 +63,13 @@
         task.attempt = stored.attempt();
         task.failures = stored.failures();
         task.checkpoint = stored.checkpoint();
-        if (stored.state() == FleetSchema::TASK_DONE) {
+        task.lentTo = stored.lent_to();
+        task.transfer = stored.transfer();
+        if (stored.state() == FleetSchema::TASK_LENT)
+            task.phase = TaskPhase::Lent;
+        else if (stored.state() == FleetSchema::TASK_FOREIGN)
+            task.phase = TaskPhase::Foreign;
+        else if (stored.state() == FleetSchema::TASK_DONE) {
             task.phase = TaskPhase::Done;
             --job->left(task.occurrence, task.step);
             --job->tasksLeft;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -73,6 +73,14 @@
         \param nowUnixMs time of day. */
     void cancel(std::string_view id, std::uint64_t ticket, std::int64_t nowUnixMs);
 
+    /*! Takes over a task that another shard lends; answered once it is stored.
+        \param transfer the task. \param ticket names the call. \param now the current time. */
+    void adopt(const FleetSchema::TaskTransfer& transfer, std::uint64_t ticket, Utils::TimePoint now);
+
+    /*! Takes in that another shard has stored a lent task, or the cancellation of its part of the job.
+        \param job,transfer as given to ShardOrders::lendTask(); any transfer for a cancellation. */
+    void onLendAnswered(const std::string& job, std::uint32_t transfer, const std::string& shard);
+
     /*! \param id a job. \return its stored state, or nothing if the shard does not hold it. */
     std::optional<FleetSchema::JobState> state(std::string_view id) const;
 
@@ -154,6 +162,8 @@
     std::int64_t leaseUntil(Worker& worker, Utils::TimePoint now);
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
+    void tickLending(Job& job, Utils::TimePoint now);
+    void sendLend(Task& task, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now);
     bool shouldMove(const Task& task, Utils::TimePoint now) const;
     void adjustPaces(Worker& worker, Utils::TimePoint now);
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -30,6 +30,7 @@
     for (auto& [id, worker] : workers_)
         tickWorker(*worker, now);
     for (const auto& [id, job] : jobs_) {
+        tickLending(*job, now);
         if (job->isActive() && job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)
             isScheduleDue_ = true;
     }
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -19,6 +19,8 @@
     Unverified, //!< A former owner recorded the attempt; its worker has not been heard yet.
     Stopping, //!< A stop was ordered; the attempt may still run.
     Done,
+    Lent, //!< Another shard runs it.
+    Foreign, //!< The shard that lent other tasks of the job runs it.
 };
 
 /*! A task with its latest attempt. */
@@ -34,8 +36,11 @@
     std::string checkpoint; //!< Latest one known; may be empty.
     Worker* worker = nullptr; //!< Where the open attempt is; null without one.
     std::int64_t workerBornMs = 0; //!< Incarnation of the worker that the attempt is for.
-    std::string
-        avoidedWorker; //!< Worker that it failed on or was moved from; taken only if no other has room.
+    std::string lentTo; //!< Shard that runs a lent task.
+    std::uint32_t transfer = 0; //!< Number of its latest move between shards.
+    bool isLendAnswered = false; //!< That shard has stored it.
+    Utils::TimePoint lendSentAt {};
+    std::string avoidedWorker; //!< It failed there or was moved from there; taken if no other has room.
 
     Utils::TimePoint notBefore {}; //!< A retry waits until then.
     Utils::TimePoint
@@ -56,7 +61,11 @@
     Utils::TimePoint overTargetSince {}; //!< Since when the tail latency is over its target; 0: it is not.
 
     /*! \return whether an attempt is open that may run or come to run. */
-    bool isOpen() const { return phase != TaskPhase::Waiting && phase != TaskPhase::Done; }
+    bool isOpen() const
+    {
+        return phase != TaskPhase::Waiting && phase != TaskPhase::Done && phase != TaskPhase::Lent
+            && phase != TaskPhase::Foreign;
+    }
 };
 
 } // namespace Fleet
--- a/src/libs/fleetnode/ownership.cpp
+++ b/src/libs/fleetnode/ownership.cpp
@@ -229,7 +229,8 @@
     if (isLeaving_ || hosts_.contains(shard) || (hasLiveOwner && ++postponed_[shard] < mostPostponements))
         return;
     postponed_.erase(shard);
-    auto host = std::make_unique<ShardHost>(context_, shard, [this, shard] { onEnded(shard); });
+    auto host = std::make_unique<ShardHost>(
+        context_, shard, static_cast<ShardNeighbours&>(*this), [this, shard] { onEnded(shard); });
     host->setWorkers(workersByShard_[shard]);
     host->takeOver(former, version);
     hosts_[shard] = std::move(host);
@@ -411,6 +412,24 @@
     return chooser_.choose(spec, members_.alive().size());
 }
 
+std::string Ownership::findShardWithRoom(
+    const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step)
+{
+    return chooser_.chooseForTask(shard, spec, step);
+}
+
+void Ownership::callOwner(const FleetSchema::PeerRequest& request,
+    std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler)
+{
+    const std::string address = ownerAddress(request.shard());
+    if (!address.empty())
+        return peers_.call(address, request, handoverTimeout, std::move(handler));
+    // Not from inside the call: the asking shard may be in the middle of a decision.
+    boost::asio::post(context_.io, [this, request, handler = std::move(handler)] {
+        serve(request, [handler](const FleetSchema::PeerReply& reply) { handler(reply); });
+    });
+}
+
 std::uint64_t Ownership::pending(const std::string& queue) const
 {
     std::uint64_t sum = 0;
@@ -462,6 +481,13 @@
     };
     if (request.has_submit())
         return host.submit(request.submit(), onAnswer);
+    if (request.has_adopt()) {
+        const std::string fault = Fleet::checkSpec(request.adopt().job());
+        if (fault.empty())
+            return host.adopt(request.adopt(), onAnswer);
+        Utils::log(Utils::LogLevel::Error, "lent-task-damaged", { { "fault", fault } });
+        return onAnswer({ FleetSchema::PEER_UNDECIDED, FleetSchema::JOB_QUEUED, 0 });
+    }
     if (request.has_cancel())
         return host.cancel(request.cancel(), onAnswer);
     FleetSchema::PeerReply reply;
--- a/src/libs/fleetnode/ownership.h
+++ b/src/libs/fleetnode/ownership.h
@@ -24,7 +24,7 @@
     Nodes tell each other by heartbeat rows in the store that they are alive and what they own; changes of
    ownership are also told directly.
 */
-class Ownership final : public ShardDirectory {
+class Ownership final : public ShardDirectory, private ShardNeighbours {
 public:
     /*! \param context what the node shares. \param peers calls other nodes; must outlive this. */
     Ownership(NodeContext& context, PeerLinks& peers);
@@ -56,6 +56,10 @@
     void setConfigurationRevision(std::uint64_t revision) { revision_ = revision; }
 
 private:
+    std::string findShardWithRoom(
+        const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step) override;
+    void callOwner(const FleetSchema::PeerRequest& request,
+        std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler) override;
     void heartbeat();
     void readMembers();
     void onMembers(const Utils::Result<Ports::RowPage>& result);
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -44,9 +44,11 @@
 
 } // namespace
 
-ShardHost::ShardHost(NodeContext& context, std::string shard, std::function<void()> onEnded)
+ShardHost::ShardHost(
+    NodeContext& context, std::string shard, ShardNeighbours& neighbours, std::function<void()> onEnded)
     : context_(context)
     , shard_(std::move(shard))
+    , neighbours_(neighbours)
     , onEnded_(std::move(onEnded))
     , scheduler_(schedulerOptions(context, shard_), *this)
     , writer_(context, shard_, [this] { end("taken-over"); })
@@ -133,6 +135,55 @@
     wantRound();
 }
 
+void ShardHost::adopt(const FleetSchema::TaskTransfer& transfer, JobHandler handler)
+{
+    const std::uint64_t ticket = nextTicket_++;
+    handlers_[ticket] = std::move(handler);
+    scheduler_.adopt(transfer, ticket, context_.now());
+    wantRound();
+}
+
+std::string ShardHost::findShardWithRoom(const FleetSchema::JobSpec& spec, std::uint32_t step)
+{
+    return neighbours_.findShardWithRoom(shard_, spec, step);
+}
+
+void ShardHost::lendTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer)
+{
+    Utils::log(Utils::LogLevel::Info, "task-lent",
+        { { "job", transfer.job().id() }, { "task", std::to_string(transfer.index()) }, { "from", shard_ },
+            { "to", shard }, { "transfer", std::to_string(transfer.transfer()) } });
+    FleetSchema::PeerRequest request;
+    request.set_shard(shard);
+    *request.mutable_adopt() = transfer;
+    sendToNeighbour(request, transfer.job().id(), transfer.transfer());
+}
+
+void ShardHost::cancelLent(const std::string& shard, const std::string& job)
+{
+    FleetSchema::PeerRequest request;
+    request.set_shard(shard);
+    request.set_cancel(job);
+    sendToNeighbour(request, job, 0);
+}
+
+void ShardHost::sendToNeighbour(
+    const FleetSchema::PeerRequest& request, const std::string& job, std::uint32_t transfer)
+{
+    neighbours_.callOwner(request,
+        [this, weak = std::weak_ptr<bool>(alive_), job, transfer, shard = request.shard()](
+            const Utils::Result<FleetSchema::PeerReply>& result) {
+            if (!weak.lock() || isEnding_)
+                return;
+            if (!Utils::isOk(result))
+                return Utils::logError("neighbour-unanswered", Utils::error(result));
+            const FleetSchema::PeerOutcome outcome = Utils::value(result).outcome();
+            // A job that the other shard does not know needs no cancellation there.
+            if (outcome == FleetSchema::PEER_OK || outcome == FleetSchema::PEER_UNKNOWN_JOB)
+                scheduler_.onLendAnswered(job, transfer, shard);
+        });
+}
+
 void ShardHost::cancel(const std::string& job, JobHandler handler)
 {
     const std::uint64_t ticket = nextTicket_++;
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -20,15 +20,34 @@
 /*! Receives the answer to a submission, query or cancellation. */
 using JobHandler = std::function<void(const Fleet::JobAnswer&)>;
 
+/*! What a shard's host needs to know of the other shards. */
+class ShardNeighbours {
+public:
+    virtual ~ShardNeighbours() = default;
+
+    /*! \param shard the asking shard. \param spec a job. \param step one of its steps. \return another shard
+       with room for a task of the step; empty if none is known. */
+    virtual std::string findShardWithRoom(
+        const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step)
+        = 0;
+
+    /*! Calls the owner of a shard. \param request the call. \param handler receives the reply or error. */
+    virtual void callOwner(const FleetSchema::PeerRequest& request,
+        std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler)
+        = 0;
+};
+
 /*! A shard that this node owns or is taking over: carries out what its scheduler decides. */
 class ShardHost final : private Fleet::ShardOrders, private WorkerLinkOwner {
 public:
     /*!
         \param context what the node shares.
         \param shard the shard.
+        \param neighbours the other shards; must outlive the host.
         \param onEnded called once, from the event loop, when the shard was lost or given up.
     */
-    ShardHost(NodeContext& context, std::string shard, std::function<void()> onEnded);
+    ShardHost(
+        NodeContext& context, std::string shard, ShardNeighbours& neighbours, std::function<void()> onEnded);
     ~ShardHost() override;
 
     /*!
@@ -47,6 +66,10 @@
     /*! Submits a job. \param spec checked specification. \param handler receives the answer. */
     void submit(const FleetSchema::JobSpec& spec, JobHandler handler);
 
+    /*! Takes over a task that another shard lends. \param transfer the task. \param handler receives the
+     * answer. */
+    void adopt(const FleetSchema::TaskTransfer& transfer, JobHandler handler);
+
     /*! Cancels a job. \param job its identifier. \param handler receives the answer. */
     void cancel(const std::string& job, JobHandler handler);
 
@@ -70,6 +93,9 @@
     void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
     void throttleAttempt(
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
+    std::string findShardWithRoom(const FleetSchema::JobSpec& spec, std::uint32_t step) override;
+    void lendTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer) override;
+    void cancelLent(const std::string& shard, const std::string& job) override;
     void jobEnded(const Fleet::JobSummary& summary) override;
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override;
     Ports::PollOrder planPoll(const std::string& worker) override;
@@ -77,6 +103,8 @@
         const std::string& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report) override;
     void onPollFailed(const std::string& worker, const Utils::Error& error) override;
 
+    void sendToNeighbour(
+        const FleetSchema::PeerRequest& request, const std::string& job, std::uint32_t transfer);
     void load(const std::string& fromJob);
     void onPage(const Utils::Result<Ports::RowPage>& result);
     void wantRound();
@@ -89,6 +117,7 @@
 
     NodeContext& context_;
     std::string shard_;
+    ShardNeighbours& neighbours_;
     std::function<void()> onEnded_;
     Fleet::ShardScheduler scheduler_;
     ShardWriter writer_;
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -34,6 +34,9 @@
     void startAttempt(const Fleet::AttemptStart& start) override;
     void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
     void throttleAttempt(const std::string&, const Ports::TaskKey&, std::uint32_t, int) override { }
+    std::string findShardWithRoom(const FleetSchema::JobSpec&, std::uint32_t) override { return {}; }
+    void lendTask(const std::string&, const FleetSchema::TaskTransfer&) override { }
+    void cancelLent(const std::string&, const std::string&) override { }
     void jobEnded(const Fleet::JobSummary&) override { }
     void answer(std::uint64_t, const Fleet::JobAnswer&) override { }
 
--- a/src/tools/gqemulate/simulatedworker.h
+++ b/src/tools/gqemulate/simulatedworker.h
@@ -59,7 +59,8 @@
     const std::map<Ports::TaskKey, Run>& running() const { return running_; }
 
     std::vector<Ports::EndedAttempt> newEnds; //!< Ends since the caller last cleared it.
-    //! Ends acknowledged since the caller last cleared it; an end does not count once the lease has lapsed after it.
+    //! Ends acknowledged since the caller last cleared it; an end does not count once the lease has lapsed
+    //! after it.
     std::vector<Ports::EndedAttempt> acknowledged;
 
     bool isUp = true; //!< False while it is crashed.
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -45,6 +45,15 @@
     {
         throttles.push_back({ worker, task, static_cast<std::uint32_t>(percent) });
     }
+    std::string findShardWithRoom(const FleetSchema::JobSpec&, std::uint32_t) override { return neighbour; }
+    void lendTask(const std::string&, const FleetSchema::TaskTransfer& transfer) override
+    {
+        lends.push_back(transfer);
+    }
+    void cancelLent(const std::string& shard, const std::string& job) override
+    {
+        lentCancels.emplace_back(shard, job);
+    }
     void jobEnded(const Fleet::JobSummary& summary) override { ended.push_back(summary); }
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override
     {
@@ -57,6 +66,9 @@
         std::uint32_t number = 0; //!< Attempt or percentage.
     };
 
+    std::string neighbour; //!< Shard with room; empty: none.
+    std::vector<FleetSchema::TaskTransfer> lends;
+    std::vector<std::pair<std::string, std::string>> lentCancels;
     std::vector<Fleet::AttemptStart> starts;
     std::vector<Order> stops;
     std::vector<Order> throttles;
--- a/tests/auto/fleet/tst_shardscheduler.cpp
+++ b/tests/auto/fleet/tst_shardscheduler.cpp
@@ -289,3 +289,97 @@
     CHECK(atWork == 3);
     CHECK(fixture.running.size() == 6);
 }
+
+namespace {
+
+// A lasting task that finds no room in its shard while another shard has some.
+struct LendingFixture : SchedulerFixture {
+    LendingFixture()
+        : SchedulerFixture(1)
+    {
+        scheduler.submit(makeJob("big", { makeServingStep(4, 10'000, "s") }), 1, now, startUnixMs);
+        round();
+        confirmStarts();
+        orders.neighbour = "other";
+        for (int step = 0; step < 25 && orders.lends.empty(); ++step) {
+            now += 100ms;
+            finish(0, Ports::EndKind::Done);
+            scheduler.onTick(now, startUnixMs);
+            scheduler.schedule(now, startUnixMs);
+            if (const auto batch = scheduler.takeBatch(startUnixMs)) {
+                CHECK(orders.lends.empty()); // Stored before it is sent.
+                stored = batch->puts.back().second;
+                scheduler.onCommitted(now);
+            }
+        }
+    }
+
+    std::string stored;
+};
+
+} // namespace
+
+TEST_CASE("A shard without room lends a lasting task once that is stored, and never starts it itself")
+{
+    LendingFixture fixture;
+    REQUIRE(fixture.orders.lends.size() == 1);
+    CHECK(fixture.running.size() == 3);
+    fixture.scheduler.onLendAnswered("big", fixture.orders.lends[0].transfer(), "other");
+    fixture.now += 5s;
+    fixture.scheduler.onTick(fixture.now, startUnixMs);
+    fixture.finish(1, Ports::EndKind::Failed);
+    fixture.now += 1s;
+    fixture.round();
+    CHECK(fixture.orders.lends.size() == 1);
+    const std::uint32_t lent = fixture.orders.lends[0].index();
+    CHECK(std::count_if(fixture.orders.starts.begin(), fixture.orders.starts.end(),
+              [lent](const Fleet::AttemptStart& started) { return started.task.index == lent; })
+        == 0);
+}
+
+TEST_CASE("A lent task is sent again until it is answered, also by a successor")
+{
+    LendingFixture fixture;
+    fixture.now += 700ms;
+    fixture.scheduler.onTick(fixture.now, startUnixMs);
+    CHECK(fixture.orders.lends.size() == 2);
+    FleetSchema::JobRecord record;
+    REQUIRE(record.ParseFromString(fixture.stored));
+    SchedulerFixture successor(1);
+    successor.scheduler.restore(record, successor.now, startUnixMs);
+    successor.scheduler.onTick(successor.now, startUnixMs);
+    REQUIRE(successor.orders.lends.size() == 1);
+    CHECK(successor.orders.lends[0].transfer() == fixture.orders.lends[0].transfer());
+}
+
+TEST_CASE("The other shard runs a lent task once, however often it is told")
+{
+    LendingFixture lender;
+    SchedulerFixture other(2);
+    for (std::uint64_t ticket = 1; ticket <= 3; ++ticket) {
+        other.scheduler.adopt(lender.orders.lends[0], ticket, other.now);
+        other.round();
+    }
+    CHECK(other.orders.answers.size() == 3);
+    REQUIRE(other.orders.starts.size() == 1);
+    CHECK(other.orders.starts[0].attempt > lender.orders.lends[0].attempt());
+    CHECK(other.scheduler.load().pending().empty());
+}
+
+TEST_CASE("A cancellation reaches the shard that a task was lent to")
+{
+    LendingFixture fixture;
+    fixture.scheduler.onLendAnswered("big", fixture.orders.lends[0].transfer(), "other");
+    fixture.scheduler.cancel("big", 9, startUnixMs);
+    CHECK(fixture.orders.lentCancels.empty());
+    fixture.round();
+    REQUIRE(fixture.orders.lentCancels.size() == 1);
+    CHECK(fixture.orders.lentCancels[0].first == "other");
+    fixture.now += 700ms;
+    fixture.scheduler.onTick(fixture.now, startUnixMs);
+    CHECK(fixture.orders.lentCancels.size() == 2);
+    fixture.scheduler.onLendAnswered("big", 0, "other");
+    fixture.now += 700ms;
+    fixture.scheduler.onTick(fixture.now, startUnixMs);
+    CHECK(fixture.orders.lentCancels.size() == 2);
+}
