Start work that nothing else lets run, slowed down to what serving tasks bear

A job of which nothing runs is now started after 5 s at a quarter of its speed, or after 1.2 s at whatever is borne when less than half of the fleet is asked for.

--- a/src/libs/fleet/interference.cpp
+++ b/src/libs/fleet/interference.cpp
@@ -92,12 +92,13 @@
     }
 }
 
-double headroomWith(const Worker& worker, const FleetSchema::StepSpec& step, const TailModel& model)
+double headroomWith(
+    const Worker& worker, const FleetSchema::StepSpec& step, const TailModel& model, double pace)
 {
     if (worker.servingTasks == 0)
         return 1;
     const std::vector<ImageShare> beside = orderedShares(worker);
-    const double share = shareOf(step, worker);
+    const double share = shareOf(step, worker) * pace;
     double least = 1;
     for (const Task* task : worker.tasks) {
         if (!isServing(*task))
--- a/src/libs/fleet/interference.h
+++ b/src/libs/fleet/interference.h
@@ -34,9 +34,11 @@
     \param worker the worker.
     \param step step of the task to be added.
     \param model pressures.
+    \param pace share of its full speed at which the task would run, 0 to 1.
     \return 1 if the worker has no serving task; negative if a target would be missed.
 */
-double headroomWith(const Worker& worker, const FleetSchema::StepSpec& step, const TailModel& model);
+double headroomWith(
+    const Worker& worker, const FleetSchema::StepSpec& step, const TailModel& model, double pace = 1);
 
 /*!
     Chooses the speeds of the work for leftover processors beside serving tasks.
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -148,6 +148,8 @@
     if (!isScheduleDue_)
         return;
     isScheduleDue_ = false;
+    hasWaiting_ = false;
+    scheduledAt_ = now;
     struct Candidate {
         JobRank rank;
         Job* job;
@@ -184,6 +186,7 @@
 void ShardScheduler::assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now)
 {
     std::vector<Worker*> workers;
+    bool isFull = false;
     const std::uint32_t count = job.spec.steps(static_cast<int>(step)).count();
     for (std::uint32_t index = 0; index < count; ++index) {
         Task& task = *job.find(occurrence, step, index);
@@ -193,21 +196,36 @@
             isScheduleDue_ = true;
             continue;
         }
+        if (isFull) {
+            noteWaiting(task, now);
+            continue;
+        }
         if (workers.empty()) {
             for (const auto& [id, worker] : workers_)
                 workers.push_back(worker.get());
         }
         Worker* worker = chooseWorker(task, workers, tailModel_, now);
-        if (!worker && job.step(task).lasting()) {
+        if (worker) {
+            assign(task, *worker, now);
+            continue;
+        }
+        noteWaiting(task, now);
+        if (job.step(task).lasting()) {
             reserveWorker(task, workers);
             relocateFor(task, workers, now);
-        } else if (!worker)
-            return;
-        else
-            assign(task, *worker, now);
+        } else {
+            isFull = true;
+        }
     }
 }
 
+void ShardScheduler::noteWaiting(Task& task, Utils::TimePoint now)
+{
+    hasWaiting_ = true;
+    if (task.waitingSince == Utils::TimePoint {})
+        task.waitingSince = now;
+}
+
 // Moves at most one task at a time, so that a full shard does not keep shuffling.
 void ShardScheduler::relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now)
 {
@@ -215,8 +233,6 @@
     constexpr milliseconds patience { 800 };
     // A moved task is at work again by then.
     constexpr milliseconds relocationInterval { 1500 };
-    if (task.waitingSince == Utils::TimePoint {})
-        task.waitingSince = now;
     if (now - task.waitingSince < patience || now < relocationAllowedAt_)
         return;
     Task* const moved = chooseRelocation(task, workers, options_.disruptionNotice, now);
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -143,6 +143,7 @@
     void assign(Task& task, Worker& worker, Utils::TimePoint now);
     void assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
     void assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
+    void noteWaiting(Task& task, Utils::TimePoint now);
     void relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now);
     void release(Task& task);
     void settle(Task& task, Utils::TimePoint retryAt);
@@ -177,6 +178,8 @@
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expired_; //!< Jobs to be removed from the store.
     Utils::TimePoint relocationAllowedAt_ {};
+    Utils::TimePoint scheduledAt_ {};
+    bool hasWaiting_ = false; //!< The last pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Room or work has changed since the last pass.
 
     struct Inflight; //!< The batch being stored.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -13,6 +13,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr milliseconds waitingInterval { 300 };
+
 // A task throttled to at most this share for so long is moved; one without checkpoints only while it has done
 // little.
 constexpr int movePace = 50;
@@ -29,6 +31,9 @@
 {
     for (auto& [id, worker] : workers_)
         tickWorker(*worker, now);
+    // Tasks that wait are looked at again as time passes, not only as room gets free.
+    if (hasWaiting_ && now - scheduledAt_ > waitingInterval)
+        isScheduleDue_ = true;
     for (const auto& [id, job] : jobs_) {
         tickLending(*job, now);
         if (job->isActive() && job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)
@@ -40,9 +45,6 @@
 
 void ShardScheduler::tickWorker(Worker& worker, Utils::TimePoint now)
 {
-    // Lasting tasks that wait are looked at again as time passes, not only as room gets free.
-    if (worker.reserved > 0)
-        isScheduleDue_ = true;
     if (worker.asideFor != Utils::Duration::zero() && now >= worker.asideUntil && worker.tasks.empty())
         isScheduleDue_ = true;
     const std::vector<Task*> tasks = worker.tasks;
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -19,6 +19,39 @@
 constexpr double slownessWeight = 1.0;
 constexpr double retryOnSameWorkerWeight = 10.0;
 
+// Work that disturbs every serving task in reach waits for a worker where it may run at full speed; after
+// this time, if nothing of its job runs, a task is started to run slowed down, at the speed that the serving
+// tasks bear.
+constexpr std::chrono::milliseconds fullSpeedPatience { 5000 };
+constexpr double starvedPace = 0.25;
+// With so small a part of the processors asked for, there is no reason to wait that long.
+constexpr double idleShare = 0.5;
+constexpr std::chrono::milliseconds idlePatience { 1200 };
+
+bool isMostlyIdle(std::span<Worker* const> workers)
+{
+    std::int64_t capacity = 0;
+    std::int64_t asked = 0;
+    for (const Worker* worker : workers) {
+        capacity += worker->info.milliProcessors;
+        asked += worker->used.milliProcessors + worker->filling;
+    }
+    return static_cast<double>(asked) < idleShare * static_cast<double>(capacity);
+}
+
+// Share of its full speed at which a task may be started.
+double startPace(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
+{
+    if (task.waitingSince == Utils::TimePoint {} || now - task.waitingSince < idlePatience)
+        return 1;
+    const std::vector<Task>& tasks = task.job->tasks;
+    if (std::any_of(tasks.begin(), tasks.end(), [](const Task& other) { return other.isOpen(); }))
+        return 1;
+    if (isMostlyIdle(workers))
+        return 0;
+    return now - task.waitingSince < fullSpeedPatience ? 1 : starvedPace;
+}
+
 bool hasLabel(const Worker& worker, const std::string& label)
 {
     return label.empty()
@@ -33,7 +66,8 @@
         }));
 }
 
-bool isAllowed(const Task& task, const Worker& worker, const TailModel& model, Utils::TimePoint now)
+bool isAllowed(
+    const Task& task, const Worker& worker, const TailModel& model, double pace, Utils::TimePoint now)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     if (!worker.isUsable() || worker.info.service != task.job->spec.service())
@@ -48,7 +82,7 @@
         // A task larger than its worker would wait for ever, so one without other such work takes it.
         if (worker.filling > 0 && step.milli_processors() > worker.unusedProcessors())
             return false;
-        if (headroomWith(worker, step, model) < 0)
+        if (headroomWith(worker, step, model, pace) < 0)
             return false;
     }
     if (worker.asideFor == Utils::Duration::zero())
@@ -88,10 +122,11 @@
     const Task& task, std::span<Worker* const> workers, const TailModel& model, Utils::TimePoint now)
 {
     const std::uint32_t maxPerWorker = task.job->step(task).max_per_worker();
+    const double pace = startPace(task, workers, now);
     Worker* best = nullptr;
     double bestCost = 0;
     for (Worker* worker : workers) {
-        if (!isAllowed(task, *worker, model, now))
+        if (!isAllowed(task, *worker, model, pace, now))
             continue;
         const std::uint32_t sameStep = countSameStep(task, *worker);
         if (maxPerWorker > 0 && sameStep >= maxPerWorker)
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -18,6 +18,8 @@
    than others. It goes where the model leaves most headroom, and waits rather than make a task miss its
    target. Tasks with a target gather by image, so that each image of the other work finds workers where it
    disturbs little.
+    - Work that disturbs every serving task in reach would wait for ever, so after a while it may run slowed
+   down.
     - Short tasks that keep coming take each bit of room that gets free, so a larger lasting task would never
    find enough; a worker is reserved for it until its short tasks have ended.
     - A burst of work for leftover processors beyond what is left would only slow down what runs already, so
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -166,3 +166,20 @@
     task.failures = 1;
     CHECK(Fleet::chooseWorker(task, fleet.pointers, model, testStart + 2s) == nullptr);
 }
+
+TEST_CASE(
+    "Work that disturbs every serving task in reach runs slowed down after a while, sooner in an idle fleet")
+{
+    const Fleet::TailModel model = trainedModel(17);
+    Fleetlet fleet(1);
+    Fleet::Worker& worker = *fleet.workers[0];
+    fleet.add(makeServingStep(1, 6000, "serving"), worker).ownUtilization = 0.55;
+    Fleet::Task& hot = fleet.make(makeFillingStep(1, 4000, "hot"));
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart) == nullptr);
+    hot.waitingSince = testStart;
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 1s) == nullptr);
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 2s) == &worker);
+    fleet.add(makeStep(1, 14'000, 1000), worker);
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 4s) == nullptr);
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 6s) == &worker);
+}
