Log each decision about a job, serve metrics, and refuse at once what only waits for the store

An owner whose transaction has been tried in vain for 0.7 s, and an entry that has not read the store for 2.5 s, refuse new jobs at once, truly not run.

--- a/src/libs/fleet/shardorders.h
+++ b/src/libs/fleet/shardorders.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace Fleet {
 
@@ -69,6 +70,12 @@
         \param job the job. */
     virtual void cancelLent(const std::string& shard, const std::string& job) = 0;
 
+    /*! Tells that an attempt is over. \param worker where. \param task,attempt the attempt. \param how why it
+     * is over. */
+    virtual void attemptEnded(
+        const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view how)
+        = 0;
+
     /*! Tells that a job has ended. \param summary how it went. */
     virtual void jobEnded(const JobSummary& summary) = 0;
 
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -17,6 +17,13 @@
 // Bound on one run's part in that mean.
 constexpr double greatestSlowness = 6;
 
+std::string_view nameOf(Ports::EndKind kind)
+{
+    static constexpr std::string_view names[]
+        = { "done", "failed", "stopped", "lease-lapsed", "gang-broken", "gang-incomplete" };
+    return names[static_cast<std::size_t>(kind)];
+}
+
 bool isNotCarriedOut(Ports::OrderOutcome outcome)
 {
     return outcome != Ports::OrderOutcome::Done;
@@ -104,6 +111,7 @@
     const bool isGivenUp = !task->isOpen() && end.kind == Ports::EndKind::Done;
     if (!isGivenUp && task->worker != &worker)
         return;
+    orders_.attemptEnded(worker.info.id, end.task, end.attempt, nameOf(end.kind));
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
     switch (end.kind) {
@@ -185,8 +193,10 @@
         else if (task->phase == TaskPhase::Sent && task->workerBornMs != worker.bornMs)
             requestStop(*task, now);
     }
-    for (Task* task : missing)
+    for (Task* task : missing) {
+        orders_.attemptEnded(worker.info.id, keyOf(*task), task->attempt, "missing-from-report");
         settle(*task, now);
+    }
 }
 
 void ShardScheduler::onPollFailed(const std::string& id)
@@ -214,6 +224,7 @@
         return;
     }
     if (isNotCarriedOut(Utils::value(reply).outcome)) {
+        orders_.attemptEnded(id, key, attempt, "start-refused");
         settle(*task, now + refusalPause);
         return;
     }
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -128,6 +128,9 @@
     /*! \return whether something waits to be stored. */
     bool hasChanges() const { return !dirtyJobs_.empty() || !expired_.empty(); }
 
+    /*! \param id a job. \return whether the shard holds it, stored or not. */
+    bool knowsJob(std::string_view id) const { return jobs_.contains(id); }
+
     /*! \return whether schedule() has something to look at. */
     bool isScheduleDue() const { return isScheduleDue_; }
 
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -50,8 +50,10 @@
     const std::vector<Task*> tasks = worker.tasks;
     if (!worker.isAnswering && now > worker.leaseBound) {
         for (Task* task : tasks) {
-            if (task->phase != TaskPhase::Recorded)
-                settle(*task, now);
+            if (task->phase == TaskPhase::Recorded)
+                continue;
+            orders_.attemptEnded(worker.info.id, keyOf(*task), task->attempt, "worker-silent-beyond-lease");
+            settle(*task, now);
         }
         return;
     }
--- a/src/libs/fleetnode/jobrouter.cpp
+++ b/src/libs/fleetnode/jobrouter.cpp
@@ -51,6 +51,9 @@
 
 void JobRouter::submit(const FleetSchema::JobSpec& spec, Utils::TimePoint until, AnswerHandler handler)
 {
+    // Waiting for the store until the deadline would only keep the caller from coming back in time.
+    if (!directory_.isStoreReachable())
+        return handler(failure(Ports::CallerOutcome::Unavailable, "the store is out of reach"));
     const Fleet::ShardChoice choice = directory_.chooseShard(spec);
     if (choice.isOverloaded) {
         Ports::CallerAnswer answer
@@ -142,6 +145,10 @@
         answer = failure(Ports::CallerOutcome::Overloaded, "more work than workers");
         answer.retryAfterMs = reply.retry_after_ms();
         return call->handler(answer);
+    case FleetSchema::PEER_UNAVAILABLE:
+        return call->handler(
+            failure(call->mayHaveRun ? Ports::CallerOutcome::Undecided : Ports::CallerOutcome::Unavailable,
+                "the owner of shard " + call->request.shard() + " cannot reach the store"));
     case FleetSchema::PEER_UNDECIDED:
         call->mayHaveRun = true;
         return retryLater(call);
--- a/src/libs/fleetnode/jobrouter.h
+++ b/src/libs/fleetnode/jobrouter.h
@@ -30,6 +30,9 @@
         const FleetSchema::PeerRequest& request, std::function<void(const FleetSchema::PeerReply&)> handler)
         = 0;
 
+    /*! \return whether the store was reached lately. */
+    virtual bool isStoreReachable() const = 0;
+
     /*! Chooses the shard of a new job. \param spec the job. \return the shard, or why there is none. */
     virtual Fleet::ShardChoice chooseShard(const FleetSchema::JobSpec& spec) = 0;
 };
--- a/src/libs/fleetnode/node.cpp
+++ b/src/libs/fleetnode/node.cpp
@@ -69,6 +69,7 @@
     Http::Server callerServer_;
     Http::Server peerServer_;
     Http::Server readinessServer_;
+    std::unique_ptr<Http::Server> metricsServer_; //!< Null if the settings name no address for metrics.
     Timer stopTimer_;
     std::function<void()> onStopped_;
     int stopSteps_ = 0; //!< Left of handing over and finishing requests.
@@ -98,12 +99,24 @@
           })
     , stopTimer_(context.io)
 {
+    if (!context.settings.endpoints().metrics().empty()) {
+        metricsServer_ = std::make_unique<Http::Server>(context.io,
+            serverOptions(context.settings.endpoints().metrics()),
+            [this](const Http::Request& request, const Http::Responder& respond) {
+                onReadiness(request, respond);
+            });
+    }
 }
 
 Utils::Status Node::Private::start()
 {
     for (Http::Server* server : { &callerServer_, &peerServer_, &readinessServer_ }) {
-        const Utils::Status status = server->start();
+        Utils::Status status = server->start();
+        if (!Utils::isOk(status))
+            return status;
+    }
+    if (metricsServer_) {
+        Utils::Status status = metricsServer_->start();
         if (!Utils::isOk(status))
             return status;
     }
--- a/src/libs/fleetnode/ownership.cpp
+++ b/src/libs/fleetnode/ownership.cpp
@@ -283,6 +283,7 @@
         ++rack.workers;
     }
     std::vector<Fleet::RackPlace> places;
+    places.reserve(racks.size());
     for (const auto& [key, rack] : racks)
         places.push_back(rack);
     FleetSchema::RackMap extended = rackMap_;
--- a/src/libs/fleetnode/ownership.h
+++ b/src/libs/fleetnode/ownership.h
@@ -50,7 +50,7 @@
     std::uint64_t pending(const std::string& queue) const;
 
     /*! \return whether the store was reached lately. */
-    bool isStoreReachable() const;
+    bool isStoreReachable() const override;
 
     /*! Sets the revision told in heartbeats. \param revision of the configuration in force. */
     void setConfigurationRevision(std::uint64_t revision) { revision_ = revision; }
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -129,8 +129,19 @@
 
 void ShardHost::submit(const FleetSchema::JobSpec& spec, JobHandler handler)
 {
+    // What would only wait for the store is refused at once; the job was not taken in, so that is true.
+    if (writer_.isStalled() && !scheduler_.knowsJob(spec.id()))
+        return handler({ FleetSchema::PEER_UNAVAILABLE, FleetSchema::JOB_QUEUED, 0 });
     const std::uint64_t ticket = nextTicket_++;
-    handlers_[ticket] = std::move(handler);
+    handlers_[ticket] = [this, id = spec.id(), startedAt = context_.now(), handler = std::move(handler)](
+                            const Fleet::JobAnswer& answer) {
+        const auto took = std::chrono::duration_cast<milliseconds>(context_.now() - startedAt).count();
+        Utils::log(Utils::LogLevel::Info, "job-stored",
+            { { "job", id }, { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) },
+                { "outcome", FleetSchema::PeerOutcome_Name(answer.outcome) },
+                { "ms", std::to_string(took) } });
+        handler(answer);
+    };
     scheduler_.submit(spec, ticket, context_.now(), NodeContext::nowUnixMs());
     wantRound();
 }
@@ -202,6 +213,15 @@
     handler(answer);
 }
 
+void ShardHost::attemptEnded(
+    const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view how)
+{
+    context_.metrics.add("geraniumquay_attempts_ended_total", Telemetry::label("how", how));
+    Utils::log(Utils::LogLevel::Info, "attempt-ended",
+        { { "job", task.job }, { "task", describe(task) }, { "attempt", std::to_string(attempt) },
+            { "worker", worker }, { "how", std::string(how) } });
+}
+
 void ShardHost::jobEnded(const Fleet::JobSummary& summary)
 {
     static constexpr const char* names[] = { "queued", "running", "completed", "failed", "cancelled" };
@@ -312,7 +332,7 @@
         wantRound();
     };
     context_.metrics.add("geraniumquay_attempt_starts_total");
-    Utils::log(Utils::LogLevel::Debug, "attempt-started",
+    Utils::log(Utils::LogLevel::Info, "attempt-started",
         { { "job", start.task.job }, { "task", describe(start.task) },
             { "attempt", std::to_string(start.attempt) }, { "worker", start.worker }, { "shard", shard_ } });
     if (!link) {
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -96,6 +96,8 @@
     std::string findShardWithRoom(const FleetSchema::JobSpec& spec, std::uint32_t step) override;
     void lendTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer) override;
     void cancelLent(const std::string& shard, const std::string& job) override;
+    void attemptEnded(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
+        std::string_view how) override;
     void jobEnded(const Fleet::JobSummary& summary) override;
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override;
     Ports::PollOrder planPoll(const std::string& worker) override;
--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -13,6 +13,8 @@
 // Pauses before a transaction is sent again; the longest one keeps a store outage from costing many calls.
 constexpr milliseconds firstBackoff { 30 };
 constexpr milliseconds longestBackoff { 400 };
+// Beyond the slowest transaction of a store that still answers.
+constexpr milliseconds stallTime { 700 };
 
 } // namespace
 
@@ -52,9 +54,15 @@
     transaction_ = std::move(transaction);
     done_ = std::move(done);
     backoff_ = firstBackoff;
+    startedAt_ = context_.now();
     send();
 }
 
+bool ShardWriter::isStalled() const
+{
+    return transaction_ && context_.now() - startedAt_ > stallTime;
+}
+
 void ShardWriter::send()
 {
     transaction_->conditions = { { ownerRow(), version_ } };
--- a/src/libs/fleetnode/shardwriter.h
+++ b/src/libs/fleetnode/shardwriter.h
@@ -49,6 +49,9 @@
     /*! \return whether a transaction is in progress. */
     bool isBusy() const { return transaction_.has_value(); }
 
+    /*! \return whether the transaction in progress has been tried in vain for a while. */
+    bool isStalled() const;
+
     /*! \return when the transaction was sent that last proved the ownership. */
     Utils::TimePoint confirmedAt() const { return confirmedAt_; }
 
@@ -70,6 +73,7 @@
     std::uint64_t version_ = 0; //!< Of the owner's row.
     std::optional<Ports::Transaction> transaction_;
     std::function<void()> done_;
+    Utils::TimePoint startedAt_ {}; //!< When the transaction in progress was first sent.
     Utils::TimePoint sentAt_ {};
     Utils::TimePoint confirmedAt_ {};
     Utils::Duration backoff_ {};
--- a/src/libs/ports/rowstore.h
+++ b/src/libs/ports/rowstore.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Ports {
@@ -16,7 +17,12 @@
     std::string partition; //!< May be empty.
     std::string key;
 
-    friend auto operator<=>(const RowKey&, const RowKey&) = default;
+    friend bool operator==(const RowKey&, const RowKey&) = default;
+    friend bool operator<(const RowKey& left, const RowKey& right)
+    {
+        return std::tie(left.table, left.partition, left.key)
+            < std::tie(right.table, right.partition, right.key);
+    }
 };
 
 /*! A row as the store holds it. */
--- a/src/libs/ports/taskkey.h
+++ b/src/libs/ports/taskkey.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace Ports {
 
@@ -13,7 +13,12 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+    friend bool operator==(const TaskKey&, const TaskKey&) = default;
+    friend bool operator<(const TaskKey& left, const TaskKey& right)
+    {
+        return std::tie(left.job, left.occurrence, left.step, left.index)
+            < std::tie(right.job, right.occurrence, right.step, right.index);
+    }
 };
 
 } // namespace Ports
--- a/src/libs/utils/log/log.cpp
+++ b/src/libs/utils/log/log.cpp
@@ -1,10 +1,13 @@
 #include "log.h"
 
+#include "loglimiter.h"
+
 #include <boost/json.hpp>
 #include <easylogging++.h>
 
 #include <chrono>
 #include <ctime>
+#include <mutex>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -12,6 +15,11 @@
 
 namespace {
 
+// Some times what a node decides in a second under load; beyond that a line says how many were left out.
+constexpr std::uint32_t maxLinesPerSecond = 200;
+
+std::mutex limiterMutex;
+LogLimiter limiter(maxLinesPerSecond);
 std::string processName;
 LogLevel leastLevel = LogLevel::Info;
 
@@ -87,6 +95,20 @@
 {
     if (level < leastLevel)
         return;
+    const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
+        std::chrono::steady_clock::now().time_since_epoch())
+                                    .count();
+    std::uint64_t leftOut = 0;
+    bool isAdmitted = false;
+    {
+        const std::lock_guard<std::mutex> guard(limiterMutex);
+        isAdmitted = limiter.admit(event, second, leftOut);
+    }
+    if (leftOut > 0)
+        log(LogLevel::Warning, "lines-left-out",
+            { { "of", std::string(event) }, { "count", std::to_string(leftOut) } });
+    if (!isAdmitted)
+        return;
     boost::json::object line;
     line["time"] = timestamp();
     line["level"] = levelName(level);
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -37,6 +37,11 @@
     std::string findShardWithRoom(const FleetSchema::JobSpec&, std::uint32_t) override { return {}; }
     void lendTask(const std::string&, const FleetSchema::TaskTransfer&) override { }
     void cancelLent(const std::string&, const std::string&) override { }
+    void attemptEnded(
+        const std::string&, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view how) override
+    {
+        trace(task.job, "attempt " + std::to_string(attempt) + " over: " + std::string(how));
+    }
     void jobEnded(const Fleet::JobSummary&) override { }
     void answer(std::uint64_t, const Fleet::JobAnswer&) override { }
 
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -54,6 +54,7 @@
     {
         lentCancels.emplace_back(shard, job);
     }
+    void attemptEnded(const std::string&, const Ports::TaskKey&, std::uint32_t, std::string_view) override { }
     void jobEnded(const Fleet::JobSummary& summary) override { ended.push_back(summary); }
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override
     {
--- a/tests/auto/usersplatform/tst_tablestore.cpp
+++ b/tests/auto/usersplatform/tst_tablestore.cpp
@@ -12,7 +12,7 @@
 
 // A store that gives one answer to every call, or none.
 struct ScriptedStore {
-    explicit ScriptedStore(std::optional<Http::Response> answer)
+    explicit ScriptedStore(const std::optional<Http::Response>& answer)
         : server(io, {}, [this, answer](const Http::Request& request, const Http::Responder& respond) {
             requests.push_back(request);
             if (answer)
