--- a/src/libs/fleet/inflightbatch.h
+++ b/src/libs/fleet/inflightbatch.h
@@ -4,15 +4,16 @@
 
 namespace Fleet {
 
+/*! A job with the state that is being stored, and whom to answer then. */
+struct ShardScheduler::StoredJob {
+    Job* job = nullptr;
+    FleetSchema::JobState state = FleetSchema::JOB_QUEUED;
+    std::vector<std::uint64_t> acceptTickets;
+    std::vector<std::uint64_t> cancelTickets;
+};
+
 /*! What is to follow once the batch being stored is committed. */
 struct ShardScheduler::Inflight {
-    struct StoredJob {
-        Job* job = nullptr;
-        FleetSchema::JobState state = FleetSchema::JOB_QUEUED;
-        std::vector<std::uint64_t> acceptTickets;
-        std::vector<std::uint64_t> cancelTickets;
-    };
-
     struct RecordedAttempt {
         Task* task = nullptr;
         std::uint32_t attempt = 0;
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -64,26 +64,8 @@
             worker->acknowledgedEnd = std::min(number, worker->seenEnd);
         }
     }
-    for (const Inflight::StoredJob& stored : batch->jobs) {
-        Job& job = *stored.job;
-        job.isCommitted = true;
-        job.committedState = stored.state;
-        for (const std::uint64_t ticket : stored.acceptTickets)
-            orders_.answer(ticket, { FleetSchema::PEER_OK, stored.state, 0 });
-        for (const std::uint64_t ticket : stored.cancelTickets)
-            orders_.answer(ticket, { FleetSchema::PEER_OK, stored.state, 0 });
-        if (!job.isActive())
-            stopOpenTasks(job, now);
-        for (Task& task : job.tasks) {
-            if (task.phase != TaskPhase::Lent)
-                continue;
-            // A cancellation is sent to where the task went, whatever was answered before.
-            if (!job.isActive())
-                task.isLendAnswered = false;
-            if (!task.isLendAnswered && !job.isDirty)
-                sendLend(task, now);
-        }
-    }
+    for (const StoredJob& stored : batch->jobs)
+        onJobStored(stored, now);
     for (const Inflight::RecordedAttempt& start : batch->starts) {
         Task& task = *start.task;
         if (task.phase != TaskPhase::Recorded || task.attempt != start.attempt)
@@ -97,6 +79,28 @@
         jobs_.erase(id);
 }
 
+void ShardScheduler::onJobStored(const StoredJob& stored, Utils::TimePoint now)
+{
+    Job& job = *stored.job;
+    job.isCommitted = true;
+    job.committedState = stored.state;
+    for (const std::uint64_t ticket : stored.acceptTickets)
+        orders_.answer(ticket, { FleetSchema::PEER_OK, stored.state, 0 });
+    for (const std::uint64_t ticket : stored.cancelTickets)
+        orders_.answer(ticket, { FleetSchema::PEER_OK, stored.state, 0 });
+    if (!job.isActive())
+        stopOpenTasks(job, now);
+    for (Task& task : job.tasks) {
+        if (task.phase != TaskPhase::Lent)
+            continue;
+        // A cancellation is sent to where the task went, whatever was answered before.
+        if (!job.isActive())
+            task.isLendAnswered = false;
+        if (!task.isLendAnswered && !job.isDirty)
+            sendLend(task, now);
+    }
+}
+
 void ShardScheduler::sendStart(Task& task, Utils::TimePoint now)
 {
     Worker& worker = *task.worker;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -138,6 +138,9 @@
     bool knowsWorker(const std::string& worker) const { return workers_.contains(worker); }
 
 private:
+    struct Inflight; //!< The batch being stored.
+    struct StoredJob; //!< A job of that batch.
+
     Job* findJob(std::string_view id);
     Worker* findWorker(const std::string& id);
     Worker& ensureWorker(const std::string& id, Utils::TimePoint now);
@@ -164,6 +167,7 @@
     void noteFailure(Worker& worker, const Task& task, Utils::TimePoint now);
     void noteSuccess(Worker& worker);
     std::int64_t leaseUntil(Worker& worker, Utils::TimePoint now);
+    void onJobStored(const StoredJob& stored, Utils::TimePoint now);
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
     void tickLending(Job& job, Utils::TimePoint now);
@@ -185,7 +189,6 @@
     bool hasWaiting_ = false; //!< The last pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Room or work has changed since the last pass.
 
-    struct Inflight; //!< The batch being stored.
     std::unique_ptr<Inflight> inflight_;
 };
 
--- a/src/libs/fleetnode/peerlinks.cpp
+++ b/src/libs/fleetnode/peerlinks.cpp
@@ -1,5 +1,6 @@
 #include "peerlinks.h"
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
 namespace FleetNode {
