--- a/src/libs/daemon/frame.cpp
+++ b/src/libs/daemon/frame.cpp
@@ -48,8 +48,8 @@
     return commandLine && readSettings(*commandLine, program, settings, exitCode);
 }
 
-bool readSettings(const CommandLine& commandLine, const char* program, google::protobuf::Message& settings,
-    int& exitCode)
+bool readSettings(
+    const CommandLine& commandLine, const char* program, google::protobuf::Message& settings, int& exitCode)
 {
     const auto faults = Settings::readFile(commandLine.configFile, settings);
     if (!faults.empty()) {
--- a/src/libs/daemon/frame.h
+++ b/src/libs/daemon/frame.h
@@ -39,8 +39,8 @@
     \param program,settings,exitCode as for loadSettings().
     \return true if the daemon is to run.
 */
-bool readSettings(const CommandLine& commandLine, const char* program, google::protobuf::Message& settings,
-    int& exitCode);
+bool readSettings(
+    const CommandLine& commandLine, const char* program, google::protobuf::Message& settings, int& exitCode);
 
 /*!
     The common parts of a daemon: threads, HTTP servers, administration port and graceful stop.
--- a/src/libs/utils/bootclock.h
+++ b/src/libs/utils/bootclock.h
@@ -6,7 +6,8 @@
 
 namespace Utils {
 
-/*! Monotonic clock that also counts the time for which the machine was suspended, so that leases lapse meanwhile. */
+/*! Monotonic clock that also counts the time for which the machine was suspended, so that leases lapse
+ * meanwhile. */
 class BootClock final : public Clock {
 public:
     TimePoint now() const override
