--- a/src/libs/fleetnode/node.cpp
+++ b/src/libs/fleetnode/node.cpp
@@ -52,6 +52,12 @@
     void stop(std::function<void()> done);
 
 private:
+    /*! A worker's entry as it was decoded. */
+    struct DecodedEntry {
+        std::uint64_t version = 0;
+        Utils::Result<Ports::WorkerInfo> worker;
+    };
+
     void onConfiguration(const TableWatcher::Rows& rows);
     void onWorkers(const TableWatcher::Rows& rows);
     void onPeer(const Http::Request& request, const Http::Responder& respond);
@@ -74,7 +80,7 @@
     std::function<void()> onStopped_;
     int stopSteps_ = 0; //!< Left of handing over and finishing requests.
     bool isStopping_ = false;
-    std::map<std::string, std::uint64_t> damagedEntries_; //!< Version of each worker entry that was logged.
+    std::map<std::string, DecodedEntry> workerEntries_; //!< So that a change costs no more than its own rows.
 };
 
 Node::Private::Private(NodeContext& context)
@@ -144,16 +150,23 @@
 
 void Node::Private::onWorkers(const TableWatcher::Rows& rows)
 {
+    std::map<std::string, DecodedEntry> decoded;
     std::vector<Ports::WorkerInfo> workers;
     for (const auto& [key, row] : rows) {
-        auto worker = context_.platform.decodeWorker(row);
-        if (Utils::isOk(worker)) {
-            workers.push_back(Utils::value(std::move(worker)));
-        } else if (damagedEntries_[key] != row.version) {
-            damagedEntries_[key] = row.version;
-            Utils::logError("worker-entry-ignored", Utils::error(worker));
+        auto known = workerEntries_.extract(key);
+        if (known.empty() || known.mapped().version != row.version) {
+            DecodedEntry entry { row.version, context_.platform.decodeWorker(row) };
+            if (!Utils::isOk(entry.worker))
+                Utils::logError("worker-entry-ignored", Utils::error(entry.worker));
+            decoded.emplace(key, std::move(entry));
+        } else {
+            decoded.insert(std::move(known));
         }
+        const DecodedEntry& entry = decoded.at(key);
+        if (Utils::isOk(entry.worker))
+            workers.push_back(Utils::value(entry.worker));
     }
+    workerEntries_ = std::move(decoded);
     ownership_.setWorkers(workers);
 }
 
--- a/src/libs/fleetnode/ownership.cpp
+++ b/src/libs/fleetnode/ownership.cpp
@@ -1,6 +1,5 @@
 #include "ownership.h"
 
-#include "fleet/rackmap.h"
 #include "utils/log/log.h"
 
 #include <boost/asio/post.hpp>
@@ -29,6 +28,7 @@
 Ownership::Ownership(NodeContext& context, PeerLinks& peers)
     : context_(context)
     , peers_(peers)
+    , racks_(context)
     , members_(context.settings.node().name(), milliseconds(context.settings.dispatch().node_timeout_ms()))
     , startedAt_(context.now())
     , heartbeatTimer_(context.io)
@@ -106,7 +106,8 @@
     std::vector<Fleet::MemberRow> rows;
     for (const Ports::Row& row : Utils::value(result).rows) {
         if (row.name.key == rackMapKey) {
-            noteRackMap(row);
+            if (racks_.setRow(row))
+                passWorkers();
             continue;
         }
         Fleet::MemberRow member;
@@ -145,7 +146,7 @@
 std::vector<Fleet::ShardPlace> Ownership::shardPlaces() const
 {
     std::map<std::string, std::string> owners;
-    for (const auto& [shard, workers] : workersByShard_)
+    for (const auto& [shard, workers] : racks_.workersByShard())
         owners[shard];
     for (const auto& [shard, holder] : holders_)
         owners[shard];
@@ -154,10 +155,9 @@
     for (const auto& [shard, host] : hosts_)
         owners[shard] = context_.settings.node().name();
     std::vector<Fleet::ShardPlace> places;
-    for (const auto& [shard, owner] : owners) {
-        const auto domain = domainOfShard_.find(shard);
-        places.push_back({ shard, domain == domainOfShard_.end() ? std::string() : domain->second, owner });
-    }
+    places.reserve(owners.size());
+    for (const auto& [shard, owner] : owners)
+        places.push_back({ shard, racks_.domainOf(shard), owner });
     return places;
 }
 
@@ -176,7 +176,9 @@
     const std::string& self = context_.settings.node().name();
     if (isLeaving_ || context_.now() - startedAt_ < settleTime)
         return;
-    extendRackMap();
+    // One node is enough.
+    if (members_.alive().front()->name() == self)
+        racks_.extend();
     const std::vector<Fleet::ShardPlace> shards = shardPlaces();
     const std::vector<Fleet::NodePlace> nodes = nodePlaces();
     const auto moves = Fleet::planOrphans(shards, nodes, regionOfDomain_);
@@ -231,73 +233,21 @@
     postponed_.erase(shard);
     auto host = std::make_unique<ShardHost>(
         context_, shard, static_cast<ShardNeighbours&>(*this), [this, shard] { onEnded(shard); });
-    host->setWorkers(workersByShard_[shard]);
+    host->setWorkers(racks_.workersOf(shard));
     host->takeOver(former, version);
     hosts_[shard] = std::move(host);
 }
 
 void Ownership::setWorkers(const std::vector<Ports::WorkerInfo>& workers)
 {
-    workers_ = workers;
-    groupWorkers();
+    racks_.setWorkers(workers);
+    passWorkers();
 }
 
-void Ownership::groupWorkers()
+void Ownership::passWorkers()
 {
-    for (auto& [shard, listed] : workersByShard_)
-        listed.clear();
-    for (const Ports::WorkerInfo& worker : workers_) {
-        const auto shard = rackMap_.shards().find(Fleet::rackKey(worker.service, worker.rack));
-        // A rack that is not mapped yet is added at the next plan.
-        if (shard == rackMap_.shards().end())
-            continue;
-        workersByShard_[shard->second].push_back(worker);
-        domainOfShard_[shard->second] = worker.domain;
-    }
     for (const auto& [shard, host] : hosts_)
-        host->setWorkers(workersByShard_[shard]);
-}
-
-void Ownership::noteRackMap(const Ports::Row& row)
-{
-    if (row.version == rackMapVersion_)
-        return;
-    rackMapVersion_ = row.version;
-    if (!rackMap_.ParseFromString(row.value))
-        Utils::log(Utils::LogLevel::Error, "rack-map-damaged", {});
-    groupWorkers();
-}
-
-// One node is enough; if two do it, the condition lets the first one win.
-void Ownership::extendRackMap()
-{
-    const auto alive = members_.alive();
-    if (alive.front()->name() != context_.settings.node().name())
-        return;
-    std::map<std::string, Fleet::RackPlace> racks;
-    for (const Ports::WorkerInfo& worker : workers_) {
-        Fleet::RackPlace& rack = racks[Fleet::rackKey(worker.service, worker.rack)];
-        rack.service = worker.service;
-        rack.rack = worker.rack;
-        rack.domain = worker.domain;
-        ++rack.workers;
-    }
-    std::vector<Fleet::RackPlace> places;
-    places.reserve(racks.size());
-    for (const auto& [key, rack] : racks)
-        places.push_back(rack);
-    FleetSchema::RackMap extended = rackMap_;
-    if (!Fleet::mapRacks(std::move(places), extended))
-        return;
-    const Ports::RowKey name { nodeTable, {}, rackMapKey };
-    Ports::Transaction transaction;
-    transaction.conditions.push_back({ name, rackMapVersion_ });
-    transaction.puts.push_back({ name, extended.SerializeAsString() });
-    context_.store.commit(transaction, [](const Utils::Result<Ports::TransactionOutcome>& result) {
-        // The map is read with the members' rows, whoever wrote it.
-        if (!Utils::isOk(result))
-            Utils::logError("rack-map-write-failed", Utils::error(result));
-    });
+        host->setWorkers(racks_.workersOf(shard));
 }
 
 void Ownership::release(const std::string& shard, const std::string& successor)
--- a/src/libs/fleetnode/ownership.h
+++ b/src/libs/fleetnode/ownership.h
@@ -2,6 +2,7 @@
 
 #include "jobrouter.h"
 #include "nodecontext.h"
+#include "rackdirectory.h"
 #include "shardhost.h"
 #include "timer.h"
 
@@ -64,9 +65,7 @@
     void readMembers();
     void onMembers(const Utils::Result<Ports::RowPage>& result);
     void reclaim();
-    void noteRackMap(const Ports::Row& row);
-    void extendRackMap();
-    void groupWorkers();
+    void passWorkers();
     void plan();
     void claim(const std::string& shard);
     void onShardRow(const std::string& shard, const Utils::Result<Ports::RowPage>& result);
@@ -84,14 +83,10 @@
 
     NodeContext& context_;
     PeerLinks& peers_;
+    RackDirectory racks_;
     Fleet::MemberView members_;
     Fleet::ShardChooser chooser_;
     std::map<std::string, std::unique_ptr<ShardHost>> hosts_;
-    std::vector<Ports::WorkerInfo> workers_;
-    std::map<std::string, std::vector<Ports::WorkerInfo>> workersByShard_;
-    FleetSchema::RackMap rackMap_;
-    std::uint64_t rackMapVersion_ = 0;
-    std::map<std::string, std::string> domainOfShard_;
     std::map<std::string, std::string> regionOfDomain_;
     std::map<std::string, Fleet::ShardHolder>
         holders_; //!< Latest known owner of each shard, dead ones included.
--- /dev/null
+++ b/src/libs/fleetnode/rackdirectory.cpp
@@ -0,0 +1,84 @@
+#include "rackdirectory.h"
+
+#include "fleet/rackmap.h"
+#include "utils/log/log.h"
+
+namespace FleetNode {
+
+RackDirectory::RackDirectory(NodeContext& context)
+    : context_(context)
+{
+}
+
+void RackDirectory::setWorkers(const std::vector<Ports::WorkerInfo>& workers)
+{
+    workers_ = workers;
+    group();
+}
+
+bool RackDirectory::setRow(const Ports::Row& row)
+{
+    if (row.version == version_)
+        return false;
+    version_ = row.version;
+    if (!map_.ParseFromString(row.value))
+        Utils::log(Utils::LogLevel::Error, "rack-map-damaged", {});
+    group();
+    return true;
+}
+
+void RackDirectory::group()
+{
+    for (auto& [shard, listed] : workersByShard_)
+        listed.clear();
+    for (const Ports::WorkerInfo& worker : workers_) {
+        const auto shard = map_.shards().find(Fleet::rackKey(worker.service, worker.rack));
+        // A rack that is not mapped yet is added at the next plan.
+        if (shard == map_.shards().end())
+            continue;
+        workersByShard_[shard->second].push_back(worker);
+        domains_[shard->second] = worker.domain;
+    }
+}
+
+void RackDirectory::extend()
+{
+    std::map<std::string, Fleet::RackPlace> racks;
+    for (const Ports::WorkerInfo& worker : workers_) {
+        Fleet::RackPlace& rack = racks[Fleet::rackKey(worker.service, worker.rack)];
+        rack.service = worker.service;
+        rack.rack = worker.rack;
+        rack.domain = worker.domain;
+        ++rack.workers;
+    }
+    std::vector<Fleet::RackPlace> places;
+    places.reserve(racks.size());
+    for (const auto& [key, rack] : racks)
+        places.push_back(rack);
+    FleetSchema::RackMap extended = map_;
+    if (!Fleet::mapRacks(std::move(places), extended))
+        return;
+    const Ports::RowKey name { nodeTable, {}, rackMapKey };
+    Ports::Transaction transaction;
+    transaction.conditions.push_back({ name, version_ });
+    transaction.puts.push_back({ name, extended.SerializeAsString() });
+    context_.store.commit(transaction, [](const Utils::Result<Ports::TransactionOutcome>& result) {
+        // The map is read with the members' rows, whoever wrote it.
+        if (!Utils::isOk(result))
+            Utils::logError("rack-map-write-failed", Utils::error(result));
+    });
+}
+
+std::vector<Ports::WorkerInfo> RackDirectory::workersOf(const std::string& shard) const
+{
+    const auto found = workersByShard_.find(shard);
+    return found == workersByShard_.end() ? std::vector<Ports::WorkerInfo>() : found->second;
+}
+
+std::string RackDirectory::domainOf(const std::string& shard) const
+{
+    const auto found = domains_.find(shard);
+    return found == domains_.end() ? std::string() : found->second;
+}
+
+} // namespace FleetNode
--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -103,7 +103,8 @@
 {
     context_.metrics.add("geraniumquay_table_reads_failed_total", Telemetry::label("table", table_));
     if (!isFailing_)
-        Utils::logError("table-lost", error);
+        Utils::log(
+            Utils::LogLevel::Warning, "table-lost", { { "table", table_ }, { "error", error.toString() } });
     isFailing_ = true;
 }
 
