--- a/src/libs/fleet/ownershipplan.cpp
+++ b/src/libs/fleet/ownershipplan.cpp
@@ -34,17 +34,24 @@
     return counts;
 }
 
+// Shards a node would own per processor with one more.
+double loadWithOneMore(const NodePlace& node, Counts& counts)
+{
+    constexpr double leastProcessors = 0.001;
+    return (counts[node.name] + 1) / std::max(leastProcessors, node.processors);
+}
+
 const NodePlace* bestNode(const ShardPlace& shard, const std::vector<NodePlace>& nodes, Counts& counts,
     const std::map<std::string, std::string>& regionOf)
 {
     const NodePlace* best = nullptr;
-    std::tuple<int, int, std::size_t> bestKey;
+    std::tuple<double, int, std::size_t> bestKey;
     for (const NodePlace& node : nodes) {
         if (node.isLeaving)
             continue;
         // Spreads equal choices over the nodes.
         const std::size_t order = std::hash<std::string> {}(shard.shard + "/" + node.name);
-        const std::tuple key(counts[node.name], distance(shard, node, regionOf), order);
+        const std::tuple key(loadWithOneMore(node, counts), distance(shard, node, regionOf), order);
         if (!best || key < bestKey) {
             best = &node;
             bestKey = key;
@@ -76,9 +83,11 @@
     const std::vector<NodePlace>& nodes, const std::map<std::string, std::string>& regionOf)
 {
     Counts counts = countShards(shards);
-    const auto own
+    const auto ownPlace
         = std::find_if(nodes.begin(), nodes.end(), [&](const NodePlace& node) { return node.name == self; });
-    const bool isLeaving = own != nodes.end() && own->isLeaving;
+    if (ownPlace == nodes.end())
+        return {};
+    const bool isLeaving = ownPlace->isLeaving;
     std::vector<ShardMove> moves;
     for (const ShardPlace& shard : shards) {
         if (shard.owner != self)
@@ -86,7 +95,13 @@
         const NodePlace* node = bestNode(shard, nodes, counts, regionOf);
         if (!node || node->name == self)
             continue;
-        if (!isLeaving && counts[self] - counts[node->name] < 2)
+        // A handover costs a pause, so it must gain more than the difference of one shard between equal
+        // nodes.
+        constexpr double leastGain = 1.5;
+        --counts[self];
+        const double own = loadWithOneMore(*ownPlace, counts);
+        ++counts[self];
+        if (!isLeaving && own < leastGain * loadWithOneMore(*node, counts))
             continue;
         moves.push_back({ shard.shard, node->name });
         ++counts[node->name];
--- a/src/libs/fleet/ownershipplan.h
+++ b/src/libs/fleet/ownershipplan.h
@@ -19,6 +19,7 @@
     std::string domain;
     std::string region;
     bool isLeaving = false;
+    double processors = 1; //!< What it may use.
 };
 
 /*! A shard and the node that is to own it. */
@@ -31,8 +32,8 @@
     Chooses owners for shards without one.
 
     Every node computes the same plan from the same view; a race between different views is decided by the
-   store. A shard goes to the node with the fewest shards, among equals to one in its own failure domain, then
-   in its region.
+   store. A shard goes to the node that has the most processors a shard then, among equals to one in its own
+   failure domain, then in its region.
 
     \param shards all shards.
     \param nodes the live nodes by name.
--- a/src/libs/fleetnode/node.cpp
+++ b/src/libs/fleetnode/node.cpp
@@ -22,9 +22,8 @@
 
 // Callers' bodies are bounded by the configuration as well; messages of peers hold one job.
 constexpr std::uint64_t maxBodyBytes = 1U << 20U;
-// Workers write at their own times, so that one of many changes almost always; a worker that leaves must be
-// heard of within 2.5 s.
-constexpr milliseconds workerBatchPause { 600 };
+// A worker that leaves must be heard of within 2.5 s, also when one read fails.
+constexpr milliseconds workerPollInterval { 800 };
 constexpr milliseconds configurationBatchPause { 100 };
 // Kept back from the grace for the process's own end.
 constexpr milliseconds stopReserve { 900 };
@@ -89,9 +88,9 @@
     , ownership_(context, handoverPeers_)
     , router_(context, ownership_)
     , callers_(context, queues_, router_, ownership_)
-    , configurationWatcher_(context, context.platform.operatorTable, configurationBatchPause,
-          [this](const auto& rows) { onConfiguration(rows); })
-    , workerWatcher_(context, context.platform.workerTable, workerBatchPause,
+    , configurationWatcher_(context, context.platform.operatorTable, TableWatcher::Mode::Follow,
+          configurationBatchPause, [this](const auto& rows) { onConfiguration(rows); })
+    , workerWatcher_(context, context.platform.workerTable, TableWatcher::Mode::Poll, workerPollInterval,
           [this](const auto& rows) { onWorkers(rows); })
     , callerServer_(context.io, serverOptions(context.settings.endpoints().callers()),
           [this](const Http::Request& request, const Http::Responder& respond) {
--- a/src/libs/fleetnode/ownership.cpp
+++ b/src/libs/fleetnode/ownership.cpp
@@ -54,6 +54,8 @@
     record.set_incarnation(context_.incarnation);
     record.set_leaving(isLeaving_);
     record.set_configuration(revision_);
+    record.set_processors(
+        context_.settings.dispatch().processor_share() * context_.settings.dispatch().processors());
     for (const auto& [shard, host] : hosts_) {
         if (host->isServing())
             *record.add_shards() = host->load();
@@ -165,7 +167,8 @@
 {
     std::vector<Fleet::NodePlace> places;
     for (const FleetSchema::NodeRecord* node : members_.alive())
-        places.push_back({ node->name(), node->domain(), node->region(), node->leaving() });
+        places.push_back(
+            { node->name(), node->domain(), node->region(), node->leaving(), node->processors() });
     return places;
 }
 
--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -15,11 +15,12 @@
 
 } // namespace
 
-TableWatcher::TableWatcher(NodeContext& context, std::string table, Utils::Duration batchPause,
+TableWatcher::TableWatcher(NodeContext& context, std::string table, Mode mode, Utils::Duration pause,
     std::function<void(const Rows&)> onChange)
     : context_(context)
     , table_(std::move(table))
-    , batchPause_(batchPause)
+    , mode_(mode)
+    , pause_(pause)
     , onChange_(std::move(onChange))
     , timer_(context.io)
 {
@@ -63,7 +64,10 @@
     incoming_.clear();
     noteSuccess();
     onChange_(rows_);
-    follow();
+    if (mode_ == Mode::Poll)
+        timer_.start(pause_, [this] { start(); });
+    else
+        follow();
 }
 
 void TableWatcher::follow()
@@ -96,7 +100,7 @@
     if (page.rows.empty())
         return follow();
     onChange_(rows_);
-    timer_.start(batchPause_, [this] { follow(); });
+    timer_.start(pause_, [this] { follow(); });
 }
 
 void TableWatcher::noteFailure(const Utils::Error& error)
--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -10,18 +10,31 @@
 
 namespace FleetNode {
 
-/*! Keeps a copy of a table's rows with an empty partition by reading them once and following the changes. */
+/*!
+    Keeps a copy of a table's rows with an empty partition.
+
+    A table that changes seldom is read once and its changes are followed. A table whose rows change all the
+   time is read again and again: its changes may come faster than they can be followed, and the copy would
+   fall behind.
+*/
 class TableWatcher {
 public:
+    /*! How the copy is kept current. */
+    enum class Mode {
+        Follow,
+        Poll,
+    };
+
     using Rows = std::map<std::string, Ports::Row>; //!< By key.
 
     /*!
         \param context what the node shares.
         \param table the table.
-        \param batchPause pause after a change, so that changes that come together cost one call.
+        \param mode how the copy is kept current.
+        \param pause after a change, so that changes that come together cost one call, or between two reads.
         \param onChange called with all rows after each change.
     */
-    TableWatcher(NodeContext& context, std::string table, Utils::Duration batchPause,
+    TableWatcher(NodeContext& context, std::string table, Mode mode, Utils::Duration pause,
         std::function<void(const Rows&)> onChange);
 
     /*! Starts to watch. */
@@ -40,7 +53,8 @@
 
     NodeContext& context_;
     std::string table_;
-    Utils::Duration batchPause_;
+    Mode mode_;
+    Utils::Duration pause_;
     std::function<void(const Rows&)> onChange_;
     Rows rows_;
     Rows incoming_; //!< Pages read so far of a new copy.
--- a/tests/auto/fleet/tst_membership.cpp
+++ b/tests/auto/fleet/tst_membership.cpp
@@ -109,3 +109,16 @@
     CHECK(match.jobId == "id");
     CHECK(table.find("other", "/a/b/id").queue == nullptr);
 }
+
+TEST_CASE("Shards go to the nodes with the most processors")
+{
+    const std::vector<Fleet::NodePlace> nodes { { "small", "d1", "r1", false, 0.07 },
+        { "large", "d2", "r1", false, 0.5 } };
+    const auto moves = Fleet::planOrphans({ { "s1", "d1", "" }, { "s2", "d1", "" } }, nodes, {});
+    REQUIRE(moves.size() == 2);
+    CHECK(moves[0].node == "large");
+    CHECK(moves[1].node == "large");
+    CHECK(Fleet::planHandovers("small", { { "s1", "d1", "small" } }, nodes, {}).size() == 1);
+    CHECK(Fleet::planHandovers("large", { { "s1", "d1", "large" }, { "s2", "d1", "large" } }, nodes, {})
+              .empty());
+}
--- a/tests/auto/usersplatform/tst_tablestore.cpp
+++ b/tests/auto/usersplatform/tst_tablestore.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
 
 using namespace std::chrono_literals;
@@ -103,3 +104,16 @@
     REQUIRE_FALSE(Utils::isOk(page));
     CHECK(Utils::error(page).code == Utils::ErrorCode::NotFound);
 }
+
+TEST_CASE("A list is read while reads of single rows wait for their answers")
+{
+    ScriptedStore script(std::nullopt);
+    for (int number = 0; number < 50; ++number)
+        script.store->read({ "job-index", "i0", "job", "", 1 }, [](const auto&) {});
+    script.store->read({ "servers", "", "", "", 0 }, [](const auto&) {});
+    script.io.run_for(100ms);
+    const auto isList = [](const Http::Request& request) {
+        return request.target.find("table=servers") != std::string::npos;
+    };
+    CHECK(std::any_of(script.requests.begin(), script.requests.end(), isList));
+}
