--- a/src/libs/fleet/shardchoice.cpp
+++ b/src/libs/fleet/shardchoice.cpp
@@ -46,8 +46,10 @@
     for (const auto& [shard, holder] : holders) {
         const auto known = holders_.find(shard);
         if (known == holders_.end()
-            || known->second.load.SerializeAsString() != holder.load.SerializeAsString())
+            || known->second.load.SerializeAsString() != holder.load.SerializeAsString()) {
             assigned_.erase(shard);
+            lent_.erase(shard);
+        }
     }
     holders_ = holders;
 }
@@ -116,15 +118,16 @@
             || size > load.largest_worker()) {
             continue;
         }
-        const std::int64_t committed = load.committed() + assigned_[shard].committed + size;
-        const double share = static_cast<double>(committed) / static_cast<double>(load.capacity());
+        // Short tasks are left out: the other shard keeps a worker free of them for the task.
+        const std::int64_t lasting = load.lasting() + lent_[shard] + size;
+        const double share = static_cast<double>(lasting) / static_cast<double>(load.capacity());
         if (share < bestShare) {
             best = shard;
             bestShare = share;
         }
     }
     if (!best.empty())
-        assigned_[best].committed += size;
+        lent_[best] += size;
     return best;
 }
 
--- a/src/libs/fleet/shardchoice.h
+++ b/src/libs/fleet/shardchoice.h
@@ -61,6 +61,8 @@
         const Assigned& assigned, std::size_t nodes) const;
 
     std::map<std::string, ShardHolder> holders_;
+    std::map<std::string, std::int64_t>
+        lent_; //!< Milli-processors of tasks lent since the shard's load last changed.
     std::map<std::string, Assigned> assigned_; //!< Since the shard's load last changed.
 };
 
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -466,6 +466,8 @@
         for (const Task& task : job->tasks) {
             const FleetSchema::StepSpec& step = job->step(task);
             const std::int64_t size = step.milli_processors();
+            if (step.lasting() && (task.isOpen() || task.phase == TaskPhase::Waiting))
+                load.set_lasting(load.lasting() + size);
             if (task.phase != TaskPhase::Waiting)
                 continue;
             if (step.lasting())
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -31,10 +31,10 @@
 bool isMostlyIdle(std::span<Worker* const> workers)
 {
     std::int64_t capacity = 0;
-    std::int64_t asked = 0;
+    std::int64_t asked = 0; // Serving tasks count by what they are taken to use, not by what is committed.
     for (const Worker* worker : workers) {
         capacity += worker->info.milliProcessors;
-        asked += worker->used.milliProcessors + worker->filling;
+        asked += worker->info.milliProcessors - worker->unusedProcessors();
     }
     return static_cast<double>(asked) < idleShare * static_cast<double>(capacity);
 }
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -179,6 +179,9 @@
     hot.waitingSince = testStart;
     CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 1s) == nullptr);
     CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 2s) == &worker);
+    // A committed serving task uses about half of its processors; short tasks use theirs.
+    fleet.add(makeServingStep(1, 8000, "other"), worker).ownUtilization = 0;
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 2s) == &worker);
     fleet.add(makeStep(1, 14'000, 1000), worker);
     CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 4s) == nullptr);
     CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 6s) == &worker);
--- a/tests/auto/fleet/tst_shardchoice.cpp
+++ b/tests/auto/fleet/tst_shardchoice.cpp
@@ -74,3 +74,15 @@
     CHECK(chooser.choose(makeJob("fill", { makeFillingStep(4, 2000, "f") }), 1).shard == "serving");
     CHECK(chooser.choose(makeJob("plain", { makeStep(4, 2000, 800) }), 1).shard == "filled");
 }
+
+TEST_CASE("A task is lent to a shard that short tasks fill, but not to one full of lasting tasks")
+{
+    Fleet::ShardHolder busy = holderOf("busy", 498'000);
+    busy.load.set_lasting(400'000);
+    Fleet::ShardHolder full = holderOf("full", 490'000);
+    full.load.set_lasting(485'000);
+    Fleet::ShardChooser chooser;
+    chooser.update({ { "busy", busy }, { "full", full }, { "own", holderOf("own", 0) } });
+    CHECK(chooser.chooseForTask("own", makeJob("j", { makeServingStep(1, 8000, "s") }), 0) == "busy");
+    CHECK(chooser.chooseForTask("busy", makeJob("j", { makeServingStep(1, 8000, "s") }), 0) == "own");
+}
