Share what is learnt of interference, gather serving tasks by what disturbs them, and begin jobs with time to spare

Pressure falls into pairs: each image of the work disturbs one or two of five serving images and hardly touches the others (1.2 to 1.8 against 0 to 0.2). Most serving tasks come in one flood before anything is known, and workers that hold unlike ones admit hardly any work. What was learnt was lost with each takeover.

--- /dev/null
+++ b/src/libs/fleet/imagedemand.cpp
@@ -0,0 +1,27 @@
+#include "imagedemand.h"
+
+namespace Fleet {
+
+void ImageDemand::clear()
+{
+    milliProcessors_.clear();
+    shares_.clear();
+}
+
+void ImageDemand::add(const std::string& image, std::int64_t milliProcessors)
+{
+    milliProcessors_[image] += milliProcessors;
+}
+
+void ImageDemand::finish()
+{
+    std::int64_t sum = 0;
+    for (const auto& [image, size] : milliProcessors_)
+        sum += size;
+    for (const auto& [image, size] : milliProcessors_) {
+        if (size > 0)
+            shares_.push_back({ image, static_cast<double>(size) / static_cast<double>(sum) });
+    }
+}
+
+} // namespace Fleet
--- a/src/libs/fleet/interference.cpp
+++ b/src/libs/fleet/interference.cpp
@@ -12,11 +12,11 @@
 using std::chrono::milliseconds;
 
 // Weight of the latest sample in a task's own utilization: its load swings within some ten seconds.
-constexpr double ownGain = 0.5;
+constexpr double ownGain = 0.4;
 // Utilization kept free when work is placed, as the own load may rise while the work runs.
 constexpr double placementMargin = 0.08;
 // Utilization kept free when speeds are chosen.
-constexpr double paceMargin = 0.03;
+constexpr double paceMargin = 0.05;
 // Speeds are chosen in steps of this size, so that small changes of the load cost no orders.
 constexpr int paceStep = 25;
 // A task over its target for so long is relieved of all that disturbs it, whatever the model says.
--- a/src/libs/fleet/joborder.cpp
+++ b/src/libs/fleet/joborder.cpp
@@ -7,6 +7,10 @@
 // A job that ends later than three times its objective is worth nothing to its caller any more.
 constexpr int worthlessFactor = 3;
 
+// Percent of its objective that a job must have to spare to be begun before others: work is held up by
+// failures and by work before it, so a job begun with less mostly ends late, and others with it.
+constexpr int startMargin = 15;
+
 } // namespace
 
 JobRank rankJob(const JobUrgency& urgency)
@@ -18,7 +22,8 @@
         return rank;
     if (urgency.age + urgency.remaining > worthlessFactor * urgency.objective)
         rank.lateness = 2;
-    else if (rank.slack < Utils::Duration::zero())
+    else if (rank.slack
+        < (urgency.isStarted ? Utils::Duration::zero() : urgency.objective * startMargin / 100))
         rank.lateness = 1;
     return rank;
 }
--- a/src/libs/fleet/joborder.h
+++ b/src/libs/fleet/joborder.h
@@ -11,6 +11,7 @@
 struct JobUrgency {
     std::int32_t priority = 0; //!< 0 is the most urgent.
     bool isLasting = false;
+    bool isStarted = false; //!< Some of its work was begun.
     Utils::Duration age {}; //!< Since the job was accepted or its occurrence was due.
     Utils::Duration objective {}; //!< Time within which the job is to be completed, from the same moment.
     Utils::Duration remaining {}; //!< Longest chain of work that is left.
--- a/src/libs/fleet/relocation.h
+++ b/src/libs/fleet/relocation.h
@@ -14,7 +14,8 @@
 
     Answers a fleet that is full of lasting tasks: the room left is spread over many workers, too little on
    each, or only on workers where the step must not have another task. The smallest task is moved whose room,
-   with what is free and what short tasks will free, suffices, and that fits on another worker at once.
+   with what is free and what short tasks will free, suffices, and that fits on another worker at once; if
+   there is none, the first of up to three that suffice together.
 
     \param waiting the task without room.
     \param workers the shard's workers.
@@ -26,6 +27,10 @@
 Task* chooseRelocation(
     const Task& waiting, std::span<Worker* const> workers, Utils::Duration notice, Utils::TimePoint now);
 
+/*! \param task a task. \param worker another worker than the task's. \return whether the task may be moved
+ * there and fits at once. */
+bool isRelocationTarget(const Task& task, const Worker& worker);
+
 /*!
     Whether the system may stop a task of a lasting step without exceeding the step's disruption budget.
     \param task the task.
--- /dev/null
+++ b/src/libs/fleet/servinglayout.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "utils/clock.h"
+
+#include <span>
+#include <string>
+
+namespace Fleet {
+
+struct InterferenceView;
+struct Task;
+struct Worker;
+
+/*! A serving task that is better placed on another worker. */
+struct Regrouping {
+    Task* task = nullptr; //!< Null if no move is worth its interruption.
+    Worker* target = nullptr;
+};
+
+/*!
+    How much the sensitivity of two images differs, by the work that there is.
+
+    \param first,second images of serving tasks.
+    \param view pressures and demand.
+    \return 0 for images that the same work disturbs; a default for images that are not known well enough.
+*/
+double sensitivityDistance(const std::string& first, const std::string& second, const InterferenceView& view);
+
+/*!
+    Mean distance of a task to the serving tasks of a worker.
+    \param task a serving task. \param worker the worker. \param view as above.
+    \return 0 if there are none.
+*/
+double distanceTo(const Task& task, const Worker& worker, const InterferenceView& view);
+
+/*!
+    Chooses the move of one serving task that brings tasks of like sensitivity together.
+
+    Answers a fleet that was filled before anything was known of its images: where tasks of unlike sensitivity
+   share a worker, hardly any work may run beside them, and its processors stay unused while work waits.
+
+    \param source the worker to relieve.
+    \param workers the shard's workers.
+    \param view as above.
+    \param notice for which a lasting task must have been at work to be available.
+    \param now the current time.
+    \return the move.
+*/
+Regrouping chooseRegrouping(const Worker& source, std::span<Worker* const> workers,
+    const InterferenceView& view, Utils::Duration notice, Utils::TimePoint now);
+
+} // namespace Fleet
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -3,6 +3,7 @@
 #include "shardscheduler.h"
 
 #include "interference.h"
+#include "tailmodel.h"
 
 #include <algorithm>
 
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -1,8 +1,10 @@
 #include "shardscheduler.h"
 
 #include "inflightbatch.h"
+#include "interferenceview.h"
 #include "joborder.h"
 #include "relocation.h"
+#include "tailmodel.h"
 #include "workerchoice.h"
 #include "workercommitment.h"
 
@@ -22,6 +24,7 @@
     JobUrgency urgency;
     urgency.priority = job.spec.priority();
     urgency.isLasting = job.spec.steps(0).lasting();
+    urgency.isStarted = job.isStarted;
     const std::int64_t due = job.dueUnixMs(occurrence);
     urgency.age = due > 0 ? std::max<Utils::Duration>(Utils::Duration::zero(), milliseconds(nowUnixMs - due))
                           : now - job.acceptedAt;
@@ -37,9 +40,10 @@
     return { task.job->spec.id(), task.occurrence, task.step, task.index };
 }
 
-ShardScheduler::ShardScheduler(SchedulerOptions options, ShardOrders& orders)
+ShardScheduler::ShardScheduler(SchedulerOptions options, ShardOrders& orders, TailModel& tailModel)
     : options_(std::move(options))
     , orders_(orders)
+    , tailModel_(tailModel)
 {
 }
 
@@ -157,16 +161,23 @@
     };
     for (auto& [id, worker] : workers_)
         worker->reserved = 0;
+    demand_.clear();
     std::vector<Candidate> candidates;
     for (const auto& [id, job] : jobs_) {
         if (!job->isActive() || job->tasksLeft == 0)
             continue;
+        for (const Task& task : job->tasks) {
+            const FleetSchema::StepSpec& step = job->step(task);
+            if (step.leftover_processors() && (task.isOpen() || task.phase == TaskPhase::Waiting))
+                demand_.add(step.image(), step.milli_processors());
+        }
         for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence) {
             if (job->dueUnixMs(occurrence) <= nowUnixMs)
                 candidates.push_back(
                     { rankJob(urgencyOf(*job, occurrence, now, nowUnixMs)), job.get(), occurrence });
         }
     }
+    demand_.finish();
     std::sort(candidates.begin(), candidates.end(),
         [](const Candidate& left, const Candidate& right) { return left.rank < right.rank; });
     for (const Candidate& candidate : candidates) {
@@ -204,7 +215,7 @@
             for (const auto& [id, worker] : workers_)
                 workers.push_back(worker.get());
         }
-        Worker* worker = chooseWorker(task, workers, tailModel_, now);
+        Worker* worker = chooseWorker(task, workers, view(), now);
         if (worker) {
             assign(task, *worker, now);
             continue;
@@ -261,7 +272,7 @@
     std::vector<std::pair<Task*, Worker*>> chosen;
     for (std::uint32_t index = 0; index < count; ++index) {
         Task& task = *job.find(occurrence, step, index);
-        Worker* worker = chooseWorker(task, workers, tailModel_, now);
+        Worker* worker = chooseWorker(task, workers, view(), now);
         if (!worker)
             break;
         addAttempt(task, *worker);
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "imagedemand.h"
 #include "job.h"
 #include "scheduleroptions.h"
 #include "shardorders.h"
-#include "tailmodel.h"
 #include "worker.h"
 
 #include "ports/workeragent.h"
@@ -19,6 +19,9 @@
 
 namespace Fleet {
 
+struct InterferenceView;
+class TailModel;
+
 /*! Rows that one transaction of a shard's owner changes. */
 struct RecordBatch {
     std::vector<std::pair<std::string, std::string>> puts; //!< Job identifier and serialized JobRecord.
@@ -49,8 +52,9 @@
     /*!
         \param options time limits.
         \param orders receives the orders; must outlive the scheduler.
+        \param tailModel what is known of interference; must outlive the scheduler.
     */
-    ShardScheduler(SchedulerOptions options, ShardOrders& orders);
+    ShardScheduler(SchedulerOptions options, ShardOrders& orders, TailModel& tailModel);
     ~ShardScheduler();
 
     /*! Loads a job that the store holds. \param record the job. \param now,nowUnixMs the current time. */
@@ -150,6 +154,8 @@
     void assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
     void assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
     void noteWaiting(Task& task, Utils::TimePoint now);
+    void regroup(Utils::TimePoint now);
+    InterferenceView view() const;
     void relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now);
     void release(Task& task);
     void settle(Task& task, Utils::TimePoint retryAt);
@@ -181,10 +187,13 @@
     ShardOrders& orders_;
     std::map<std::string, std::unique_ptr<Job>, std::less<>> jobs_;
     std::map<std::string, std::unique_ptr<Worker>, std::less<>> workers_;
-    TailModel tailModel_;
+    TailModel& tailModel_;
+    ImageDemand demand_;
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expired_; //!< Jobs to be removed from the store.
     Utils::TimePoint relocationAllowedAt_ {};
+    Utils::TimePoint regroupAllowedAt_ {};
+    std::string regroupedWorker_; //!< Where the last move of a serving task was looked for.
     Utils::TimePoint scheduledAt_ {};
     bool hasWaiting_ = false; //!< The last pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Room or work has changed since the last pass.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -3,6 +3,9 @@
 #include "shardscheduler.h"
 
 #include "interference.h"
+#include "interferenceview.h"
+#include "servinglayout.h"
+#include "tailmodel.h"
 #include "workerchoice.h"
 
 #include <algorithm>
@@ -15,6 +18,9 @@
 
 constexpr milliseconds waitingInterval { 300 };
 
+// Moves of serving tasks for like sensitivity; a moved task is at work again by then.
+constexpr milliseconds regroupInterval { 250 };
+
 // A task throttled to at most this share for so long is moved; one without checkpoints only while it has done
 // little.
 constexpr int movePace = 50;
@@ -31,6 +37,7 @@
 {
     for (auto& [id, worker] : workers_)
         tickWorker(*worker, now);
+    regroup(now);
     // Tasks that wait are looked at again as time passes, not only as room gets free.
     if (hasWaiting_ && now - scheduledAt_ > waitingInterval)
         isScheduleDue_ = true;
@@ -43,6 +50,32 @@
         workers_, [](const auto& entry) { return !entry.second->isListed && entry.second->tasks.empty(); });
 }
 
+InterferenceView ShardScheduler::view() const
+{
+    return { tailModel_, demand_.shares() };
+}
+
+// One worker a tick and one move at a time, so that neither the processor nor the shard is kept busy with it.
+void ShardScheduler::regroup(Utils::TimePoint now)
+{
+    if (now < regroupAllowedAt_ || workers_.empty())
+        return;
+    auto source = workers_.upper_bound(regroupedWorker_);
+    if (source == workers_.end())
+        source = workers_.begin();
+    regroupedWorker_ = source->first;
+    std::vector<Worker*> workers;
+    for (const auto& [id, worker] : workers_)
+        workers.push_back(worker.get());
+    const Regrouping move
+        = chooseRegrouping(*source->second, workers, view(), options_.disruptionNotice, now);
+    if (!move.task)
+        return;
+    regroupAllowedAt_ = now + regroupInterval;
+    move.task->avoidedWorker = move.task->worker->info.id;
+    requestStop(*move.task, now);
+}
+
 void ShardScheduler::tickWorker(Worker& worker, Utils::TimePoint now)
 {
     if (worker.asideFor != Utils::Duration::zero() && now >= worker.asideUntil && worker.tasks.empty())
@@ -109,7 +142,7 @@
         if (worker.get() != task.worker)
             others.push_back(worker.get());
     }
-    return chooseWorker(task, others, tailModel_, now) != nullptr;
+    return chooseWorker(task, others, view(), now) != nullptr;
 }
 
 void ShardScheduler::adjustPaces(Worker& worker, Utils::TimePoint now)
--- a/src/libs/fleet/tailmodel.cpp
+++ b/src/libs/fleet/tailmodel.cpp
@@ -1,5 +1,7 @@
 #include "tailmodel.h"
 
+#include <fleet.pb.h>
+
 #include <algorithm>
 
 namespace Fleet {
@@ -18,6 +20,10 @@
 constexpr double forgetting = 0.9997;
 // Bound on the variance, so that coefficients without samples stay near what they were.
 constexpr double greatestVariance = 50;
+// A hundred samples of a tenth of the processors.
+constexpr double knownWeight = 1;
+// Bounds the weight of one node's estimate.
+constexpr double leastVariance = 1e-4;
 // Images beside one serving image that are told apart; others have the prior pressure.
 constexpr std::size_t maxImages = 24;
 
@@ -90,28 +96,58 @@
     }
 }
 
+std::optional<double> TailModel::leastTail(const std::string& serving) const
+{
+    const auto own = estimates_.find(serving);
+    const auto others = others_.find(serving);
+    if (own == estimates_.end() && others == others_.end())
+        return std::nullopt;
+    if (own == estimates_.end())
+        return others->second.leastTailMs;
+    if (others == others_.end())
+        return own->second.leastTailMs;
+    return std::min(own->second.leastTailMs, others->second.leastTailMs);
+}
+
 double TailModel::utilization(const std::string& serving, double tailMs) const
 {
-    const auto found = estimates_.find(serving);
-    if (found == estimates_.end() || tailMs <= 0)
+    const std::optional<double> least = leastTail(serving);
+    if (!least || tailMs <= 0)
         return priorOwn;
-    return std::clamp(1 - found->second.leastTailMs / tailMs, 0.0, 1.0);
+    return std::clamp(1 - *least / tailMs, 0.0, 1.0);
 }
 
 double TailModel::limit(const std::string& serving, double targetMs) const
 {
-    return estimates_.contains(serving) ? utilization(serving, targetMs) : priorLimit;
+    return leastTail(serving) ? utilization(serving, targetMs) : priorLimit;
+}
+
+TailModel::PairSum TailModel::sumOf(const std::string& serving, std::string_view beside) const
+{
+    PairSum sum;
+    if (const auto others = others_.find(serving); others != others_.end()) {
+        if (const auto pair = others->second.pairs.find(beside); pair != others->second.pairs.end())
+            sum = pair->second;
+    }
+    if (const auto own = estimates_.find(serving); own != estimates_.end()) {
+        if (const auto index = own->second.indexes.find(beside); index != own->second.indexes.end()) {
+            const double weight = weightOf(own->second, index->second);
+            sum.weighted += weight * own->second.coefficients[index->second];
+            sum.weight += weight;
+        }
+    }
+    return sum;
 }
 
 double TailModel::pressure(const std::string& serving, std::string_view beside) const
 {
-    const auto found = estimates_.find(serving);
-    if (found == estimates_.end())
-        return priorPressure;
-    const auto index = found->second.indexes.find(beside);
-    if (index == found->second.indexes.end())
-        return priorPressure;
-    return std::max(0.0, found->second.coefficients[index->second]);
+    const PairSum sum = sumOf(serving, beside);
+    return sum.weight > 0 ? std::max(0.0, sum.weighted / sum.weight) : priorPressure;
+}
+
+bool TailModel::isKnown(const std::string& serving, std::string_view beside) const
+{
+    return sumOf(serving, beside).weight >= knownWeight;
 }
 
 double TailModel::pressureOf(const std::string& serving, std::span<const ImageShare> beside) const
@@ -122,4 +158,65 @@
     return sum;
 }
 
+double TailModel::weightOf(const Estimate& estimate, std::size_t index)
+{
+    return 1 / std::max(leastVariance, estimate.covariance[index * estimate.coefficients.size() + index]);
+}
+
+FleetSchema::TailKnowledge TailModel::knowledge() const
+{
+    FleetSchema::TailKnowledge knowledge;
+    for (const auto& [serving, estimate] : estimates_) {
+        FleetSchema::TailEstimate& written = *knowledge.add_estimates();
+        written.set_image(serving);
+        written.set_least_tail_ms(estimate.leastTailMs);
+        for (const auto& [image, index] : estimate.indexes) {
+            FleetSchema::TailEstimate::Pressure& pair = *written.add_pressures();
+            pair.set_image(image);
+            pair.set_pressure(estimate.coefficients[index]);
+            pair.set_weight(weightOf(estimate, index));
+        }
+    }
+    return knowledge;
+}
+
+void TailModel::resume(const FleetSchema::TailKnowledge& former)
+{
+    estimates_.clear();
+    for (const FleetSchema::TailEstimate& known : former.estimates()) {
+        Estimate& estimate = estimates_[known.image()];
+        estimate.coefficients = { priorOwn };
+        estimate.covariance = { priorVariance };
+        estimate.leastTailMs = known.least_tail_ms();
+        for (const FleetSchema::TailEstimate::Pressure& pair : known.pressures()) {
+            const std::size_t index = indexOf(estimate, pair.image());
+            if (index == 0 || pair.weight() <= 0)
+                continue;
+            estimate.coefficients[index] = pair.pressure();
+            estimate.covariance[index * estimate.coefficients.size() + index]
+                = std::min(priorVariance, 1 / pair.weight());
+        }
+    }
+}
+
+void TailModel::setOthers(std::span<const FleetSchema::TailKnowledge> others)
+{
+    others_.clear();
+    for (const FleetSchema::TailKnowledge& knowledge : others) {
+        for (const FleetSchema::TailEstimate& known : knowledge.estimates()) {
+            if (known.least_tail_ms() <= 0)
+                continue;
+            OthersEstimate& estimate = others_[known.image()];
+            estimate.leastTailMs = estimate.leastTailMs > 0
+                ? std::min(estimate.leastTailMs, known.least_tail_ms())
+                : known.least_tail_ms();
+            for (const FleetSchema::TailEstimate::Pressure& pair : known.pressures()) {
+                PairSum& sum = estimate.pairs[pair.image()];
+                sum.weighted += pair.weight() * pair.pressure();
+                sum.weight += pair.weight();
+            }
+        }
+    }
+}
+
 } // namespace Fleet
--- a/src/libs/fleet/tailmodel.h
+++ b/src/libs/fleet/tailmodel.h
@@ -1,11 +1,16 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
+namespace FleetSchema {
+class TailKnowledge;
+}
+
 namespace Fleet {
 
 /*! Part of a worker's processors that work of one image uses. */
@@ -21,6 +26,9 @@
    its utilization. The utilization is the task's own plus, for each image beside it, the share of the
    processors that the image uses times the pressure of that pair. Pressures are estimated by recursive least
    squares with forgetting.
+
+    Answers takeovers, restarts and rare pairs: what other nodes have learnt counts by the inverse of its
+   variance, so that a node that has seen little of a pair goes by those that have seen more.
 */
 class TailModel {
 public:
@@ -44,11 +52,36 @@
      * least 0. */
     double pressure(const std::string& serving, std::string_view beside) const;
 
+    /*! \return whether enough was seen of the pair to tell its pressure from that of others. */
+    bool isKnown(const std::string& serving, std::string_view beside) const;
+
     /*! \param serving image of a task. \param beside what runs beside it. \return the utilization that it
      * adds. */
     double pressureOf(const std::string& serving, std::span<const ImageShare> beside) const;
 
+    /*! \return what was learnt here, for other nodes and for a later incarnation of this one. */
+    FleetSchema::TailKnowledge knowledge() const;
+
+    /*! Goes on from what a former incarnation had learnt; what was learnt since is dropped. \param former its
+     * knowledge. */
+    void resume(const FleetSchema::TailKnowledge& former);
+
+    /*! Replaces what other nodes have learnt. \param others their knowledge. */
+    void setOthers(std::span<const FleetSchema::TailKnowledge> others);
+
 private:
+    /*! Estimates of a pair by other nodes. */
+    struct PairSum {
+        double weighted = 0; //!< Sum of pressure times weight.
+        double weight = 0; //!< Sum of weights.
+    };
+
+    /*! What other nodes know of one serving image. */
+    struct OthersEstimate {
+        std::map<std::string, PairSum, std::less<>> pairs;
+        double leastTailMs = 0;
+    };
+
     /*! Estimate for one serving image; the first coefficient is the task's own utilization. */
     struct Estimate {
         std::map<std::string, std::size_t, std::less<>> indexes; //!< Coefficient of each image beside.
@@ -57,10 +90,14 @@
         double leastTailMs = 0; //!< Least tail seen: that without load.
     };
 
+    PairSum sumOf(const std::string& serving, std::string_view beside) const;
+    std::optional<double> leastTail(const std::string& serving) const;
     static std::size_t indexOf(Estimate& estimate, std::string_view image);
+    static double weightOf(const Estimate& estimate, std::size_t index);
     static void update(Estimate& estimate, std::span<const double> features, double measured);
 
     std::map<std::string, Estimate, std::less<>> estimates_;
+    std::map<std::string, OthersEstimate, std::less<>> others_;
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -1,7 +1,9 @@
 #include "workerchoice.h"
 
 #include "interference.h"
+#include "interferenceview.h"
 #include "job.h"
+#include "servinglayout.h"
 #include "worker.h"
 #include "workercommitment.h"
 
@@ -13,7 +15,7 @@
 
 // Weights of a cost in units of a whole worker. An undesirable neighbour outweighs any difference in free
 // room.
-constexpr double otherImageWeight = 2.0;
+constexpr double distanceWeight = 6.0;
 constexpr double headroomWeight = 2.0;
 constexpr double sameStepWeight = 0.05;
 constexpr double slownessWeight = 1.0;
@@ -67,7 +69,7 @@
 }
 
 bool isAllowed(
-    const Task& task, const Worker& worker, const TailModel& model, double pace, Utils::TimePoint now)
+    const Task& task, const Worker& worker, const InterferenceView& view, double pace, Utils::TimePoint now)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     if (!worker.isUsable() || worker.info.service != task.job->spec.service())
@@ -82,7 +84,7 @@
         // A task larger than its worker would wait for ever, so one without other such work takes it.
         if (worker.filling > 0 && step.milli_processors() > worker.unusedProcessors())
             return false;
-        if (headroomWith(worker, step, model, pace) < 0)
+        if (headroomWith(worker, step, view.model, pace) < 0)
             return false;
     }
     if (worker.asideFor == Utils::Duration::zero())
@@ -91,17 +93,7 @@
     return now >= worker.asideUntil && worker.tasks.empty() && task.failures == 0;
 }
 
-double otherImages(const Task& task, const Worker& worker)
-{
-    const auto differs = [&](const Task* other) {
-        const FleetSchema::StepSpec& step = other->job->step(*other);
-        return step.tail_target_ms() > 0 && step.image() != task.job->step(task).image();
-    };
-    const auto count = std::count_if(worker.tasks.begin(), worker.tasks.end(), differs);
-    return worker.servingTasks == 0 ? 0 : static_cast<double>(count) / worker.servingTasks;
-}
-
-double costOf(const Task& task, const Worker& worker, std::uint32_t sameStep, const TailModel& model)
+double costOf(const Task& task, const Worker& worker, std::uint32_t sameStep, const InterferenceView& view)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
@@ -109,29 +101,31 @@
         - static_cast<double>(worker.unusedProcessors()) / capacity;
     if (worker.info.id == task.avoidedWorker)
         cost += retryOnSameWorkerWeight;
-    if (step.tail_target_ms() > 0)
-        return cost + otherImageWeight * otherImages(task, worker);
+    if (step.tail_target_ms() > 0) {
+        const double unused = static_cast<double>(worker.unusedProcessors()) / capacity;
+        return cost + 2 * unused + distanceWeight * distanceTo(task, worker, view);
+    }
     if (step.leftover_processors())
-        return cost - headroomWeight * headroomWith(worker, step, model);
+        return cost - headroomWeight * headroomWith(worker, step, view.model);
     return cost;
 }
 
 } // namespace
 
 Worker* chooseWorker(
-    const Task& task, std::span<Worker* const> workers, const TailModel& model, Utils::TimePoint now)
+    const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now)
 {
     const std::uint32_t maxPerWorker = task.job->step(task).max_per_worker();
     const double pace = startPace(task, workers, now);
     Worker* best = nullptr;
     double bestCost = 0;
     for (Worker* worker : workers) {
-        if (!isAllowed(task, *worker, model, pace, now))
+        if (!isAllowed(task, *worker, view, pace, now))
             continue;
         const std::uint32_t sameStep = countSameStep(task, *worker);
         if (maxPerWorker > 0 && sameStep >= maxPerWorker)
             continue;
-        const double cost = costOf(task, *worker, sameStep, model);
+        const double cost = costOf(task, *worker, sameStep, view);
         if (!best || cost < bestCost) {
             best = worker;
             bestCost = cost;
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -6,9 +6,9 @@
 
 namespace Fleet {
 
+struct InterferenceView;
 struct Task;
 struct Worker;
-class TailModel;
 
 /*!
     Chooses the worker of a task among those of a shard.
@@ -16,8 +16,8 @@
     Answers these load patterns:
     - Work that uses leftover processors disturbs tasks with a latency target, some pairs of images much more
    than others. It goes where the model leaves most headroom, and waits rather than make a task miss its
-   target. Tasks with a target gather by image, so that each image of the other work finds workers where it
-   disturbs little.
+   target. Tasks with a target gather by what disturbs them, on as few workers as hold them, so that each
+   image of the other work finds workers where it disturbs little.
     - Work that disturbs every serving task in reach would wait for ever, so after a while it may run slowed
    down.
     - Short tasks that keep coming take each bit of room that gets free, so a larger lasting task would never
@@ -28,12 +28,12 @@
 
     \param task the task.
     \param workers the shard's workers.
-    \param model pressures between images.
+    \param view what is known of interference.
     \param now the current time.
     \return the worker, or nullptr if none has room.
 */
 Worker* chooseWorker(
-    const Task& task, std::span<Worker* const> workers, const TailModel& model, Utils::TimePoint now);
+    const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now);
 
 /*!
     Keeps a worker free of shorter work for a lasting task that found no room: the one whose lasting tasks
--- a/src/libs/fleetnode/node.cpp
+++ b/src/libs/fleetnode/node.cpp
@@ -5,6 +5,7 @@
 #include "ownership.h"
 #include "peerlinks.h"
 #include "tablewatcher.h"
+#include "tailexchange.h"
 
 #include "fleet/queuetable.h"
 #include "http/clientconnection.h"
@@ -66,6 +67,7 @@
     NodeContext& context_;
     Fleet::QueueTable queues_;
     PeerLinks handoverPeers_;
+    TailExchange tailExchange_;
     Ownership ownership_;
     JobRouter router_;
     CallerService callers_;
@@ -85,7 +87,8 @@
 Node::Private::Private(NodeContext& context)
     : context_(context)
     , handoverPeers_(context)
-    , ownership_(context, handoverPeers_)
+    , tailExchange_(context)
+    , ownership_(context, handoverPeers_, tailExchange_.model())
     , router_(context, ownership_)
     , callers_(context, queues_, router_, ownership_)
     , configurationWatcher_(context, context.platform.operatorTable, TableWatcher::Mode::Follow,
@@ -127,6 +130,7 @@
     }
     configurationWatcher_.start();
     workerWatcher_.start();
+    tailExchange_.start();
     ownership_.start();
     return Utils::success();
 }
--- a/src/libs/fleetnode/ownership.cpp
+++ b/src/libs/fleetnode/ownership.cpp
@@ -25,9 +25,10 @@
 
 } // namespace
 
-Ownership::Ownership(NodeContext& context, PeerLinks& peers)
+Ownership::Ownership(NodeContext& context, PeerLinks& peers, Fleet::TailModel& tailModel)
     : context_(context)
     , peers_(peers)
+    , tailModel_(tailModel)
     , racks_(context)
     , members_(context.settings.node().name(), milliseconds(context.settings.dispatch().node_timeout_ms()))
     , startedAt_(context.now())
@@ -235,7 +236,7 @@
         return;
     postponed_.erase(shard);
     auto host = std::make_unique<ShardHost>(
-        context_, shard, static_cast<ShardNeighbours&>(*this), [this, shard] { onEnded(shard); });
+        context_, shard, static_cast<ShardNeighbours&>(*this), tailModel_, [this, shard] { onEnded(shard); });
     host->setWorkers(racks_.workersOf(shard));
     host->takeOver(former, version);
     hosts_[shard] = std::move(host);
--- a/src/libs/fleetnode/ownership.h
+++ b/src/libs/fleetnode/ownership.h
@@ -28,7 +28,7 @@
 class Ownership final : public ShardDirectory, private ShardNeighbours {
 public:
     /*! \param context what the node shares. \param peers calls other nodes; must outlive this. */
-    Ownership(NodeContext& context, PeerLinks& peers);
+    Ownership(NodeContext& context, PeerLinks& peers, Fleet::TailModel& tailModel);
     ~Ownership() override;
 
     /*! Starts heartbeats. */
@@ -83,6 +83,7 @@
 
     NodeContext& context_;
     PeerLinks& peers_;
+    Fleet::TailModel& tailModel_;
     RackDirectory racks_;
     Fleet::MemberView members_;
     Fleet::ShardChooser chooser_;
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -17,7 +17,7 @@
 // Pause before jobs are read again after a failure.
 constexpr milliseconds loadRetryPause { 200 };
 // A worker with tasks is polled so often that interference is seen within a second.
-constexpr milliseconds busyPollWait { 700 };
+constexpr milliseconds busyPollWait { 400 };
 constexpr milliseconds idlePollWait { 2000 };
 
 Fleet::SchedulerOptions schedulerOptions(const NodeContext& context, const std::string& shard)
@@ -44,13 +44,13 @@
 
 } // namespace
 
-ShardHost::ShardHost(
-    NodeContext& context, std::string shard, ShardNeighbours& neighbours, std::function<void()> onEnded)
+ShardHost::ShardHost(NodeContext& context, std::string shard, ShardNeighbours& neighbours,
+    Fleet::TailModel& tailModel, std::function<void()> onEnded)
     : context_(context)
     , shard_(std::move(shard))
     , neighbours_(neighbours)
     , onEnded_(std::move(onEnded))
-    , scheduler_(schedulerOptions(context, shard_), *this)
+    , scheduler_(schedulerOptions(context, shard_), *this, tailModel)
     , writer_(context, shard_, [this] { end("taken-over"); })
     , roundTimer_(context.io)
     , loadTimer_(context.io)
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -44,10 +44,11 @@
         \param context what the node shares.
         \param shard the shard.
         \param neighbours the other shards; must outlive the host.
+        \param tailModel what the node knows of interference; must outlive the host.
         \param onEnded called once, from the event loop, when the shard was lost or given up.
     */
-    ShardHost(
-        NodeContext& context, std::string shard, ShardNeighbours& neighbours, std::function<void()> onEnded);
+    ShardHost(NodeContext& context, std::string shard, ShardNeighbours& neighbours,
+        Fleet::TailModel& tailModel, std::function<void()> onEnded);
     ~ShardHost() override;
 
     /*!
--- a/src/tools/gqemulate/emulatedshard.cpp
+++ b/src/tools/gqemulate/emulatedshard.cpp
@@ -157,7 +157,7 @@
         return;
     ++epoch_;
     owner_ = std::make_unique<Fleet::ShardScheduler>(
-        optionsFor(plan_.variant), static_cast<Fleet::ShardOrders&>(*this));
+        optionsFor(plan_.variant), static_cast<Fleet::ShardOrders&>(*this), tailModel_);
     for (const auto& [id, record] : rows_)
         owner_->restore(record, now(), nowMs_);
 }
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -6,6 +6,7 @@
 
 #include "fleet/shardorders.h"
 #include "fleet/shardscheduler.h"
+#include "fleet/tailmodel.h"
 
 #include <functional>
 #include <map>
@@ -73,6 +74,7 @@
     std::map<std::string, FleetSchema::JobRecord> rows_; //!< The store's.
     std::map<std::string, FleetSchema::JobSpec> specs_;
     Judge judge_;
+    Fleet::TailModel tailModel_;
     std::unique_ptr<Fleet::ShardScheduler> owner_; //!< Null while the owner is down.
     std::uint64_t epoch_ = 0;
     bool isStoreDown_ = false;
--- a/tests/auto/fleet/fleetfixtures.cpp
+++ b/tests/auto/fleet/fleetfixtures.cpp
@@ -86,7 +86,7 @@
 }
 
 SchedulerFixture::SchedulerFixture(std::size_t workerCount)
-    : scheduler(makeOptions(), orders)
+    : scheduler(makeOptions(), orders, tailModel)
 {
     std::vector<Ports::WorkerInfo> infos;
     for (std::size_t number = 0; number < workerCount; ++number) {
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -2,6 +2,7 @@
 
 #include <fleet/job.h>
 #include <fleet/shardscheduler.h>
+#include <fleet/tailmodel.h>
 #include <fleet/worker.h>
 
 #include <deque>
@@ -98,6 +99,7 @@
     void finishAll(Ports::EndKind kind) { finish(running.size(), kind); }
 
     RecordedOrders orders;
+    Fleet::TailModel tailModel;
     Fleet::ShardScheduler scheduler;
     Utils::TimePoint now = testStart;
     std::vector<std::string> workers;
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -1,6 +1,7 @@
 #include "fleetfixtures.h"
 
 #include <fleet/interference.h>
+#include <fleet/interferenceview.h>
 #include <fleet/tailmodel.h>
 #include <fleet/workerchoice.h>
 #include <fleet/workercommitment.h>
--- /dev/null
+++ b/tests/auto/fleet/tst_joborder.cpp
@@ -0,0 +1,69 @@
+#include <fleet/joborder.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <vector>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+Fleet::JobUrgency urgency(Utils::Duration age, bool isStarted)
+{
+    Fleet::JobUrgency urgency;
+    urgency.age = age;
+    urgency.objective = 5000ms;
+    urgency.remaining = 2000ms;
+    urgency.isStarted = isStarted;
+    return urgency;
+}
+
+// Plays a backlog of jobs of like size on one place; each takes a fifth longer than expected.
+int countInTime(int jobs)
+{
+    struct Waiting {
+        Utils::Duration arrival;
+        bool isDone = false;
+    };
+    constexpr Utils::Duration runTime = 2400ms;
+    std::vector<Waiting> backlog;
+    backlog.reserve(static_cast<std::size_t>(jobs));
+    for (int number = 0; number < jobs; ++number)
+        backlog.push_back({ number * 700ms });
+    int inTime = 0;
+    for (Utils::Duration now = 0ms; now < jobs * 700ms; now += runTime) {
+        Waiting* first = nullptr;
+        for (Waiting& job : backlog) {
+            if (job.isDone || job.arrival > now)
+                continue;
+            if (!first
+                || Fleet::rankJob(urgency(now - job.arrival, false))
+                    < Fleet::rankJob(urgency(now - first->arrival, false))) {
+                first = &job;
+            }
+        }
+        if (!first)
+            continue;
+        first->isDone = true;
+        inTime += now + runTime - first->arrival <= 5000ms ? 1 : 0;
+    }
+    return inTime;
+}
+
+} // namespace
+
+TEST_CASE("A job with less to spare than the usual hold-up yields unless it was begun")
+{
+    const Fleet::JobRank tight = Fleet::rankJob(urgency(2600ms, false));
+    const Fleet::JobRank begun = Fleet::rankJob(urgency(2600ms, true));
+    const Fleet::JobRank ample = Fleet::rankJob(urgency(1000ms, false));
+    CHECK(ample < tight);
+    CHECK(begun < ample);
+}
+
+TEST_CASE("In a burst beyond the room, jobs are chosen that can still end in time")
+{
+    // The place holds a job each 2.4 s: sixteen in the burst's 42 s, all but the first few of a backlog.
+    CHECK(countInTime(60) >= 16);
+}
