Remember a cancellation that overtakes the call that lends a task

The other shard now stores the cancellation of a job that it does not know, and a later call starts nothing. Ruled out by reading: a takeover that loads an older row (the epoch is raised first), a late copy of a transaction (its condition fails), a cancellation answered before it is stored.

--- a/src/libs/fleet/shardlending.cpp
+++ b/src/libs/fleet/shardlending.cpp
@@ -50,7 +50,7 @@
 {
     task.lendSentAt = now;
     if (!task.job->isActive()) {
-        orders_.cancelLent(task.lentTo, task.job->spec.id());
+        orders_.cancelLent(task.lentTo, task.job->spec);
         return;
     }
     FleetSchema::TaskTransfer transfer;
@@ -63,21 +63,33 @@
     orders_.lendTask(task.lentTo, transfer);
 }
 
+Job& ShardScheduler::ensurePart(const FleetSchema::JobSpec& spec, Utils::TimePoint now)
+{
+    if (Job* known = findJob(spec.id()))
+        return *known;
+    auto part = std::make_unique<Job>();
+    initializeJob(spec, *part);
+    part->acceptedAt = now;
+    part->isStarted = true; // The lender counts it among the jobs that wait, if at all.
+    part->state = FleetSchema::JOB_RUNNING;
+    for (Task& task : part->tasks)
+        task.phase = TaskPhase::Foreign;
+    Job& job = *part;
+    jobs_[spec.id()] = std::move(part);
+    return job;
+}
+
+void ShardScheduler::cancelPart(
+    const FleetSchema::JobSpec& spec, std::uint64_t ticket, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    ensurePart(spec, now);
+    cancel(spec.id(), ticket, nowUnixMs);
+}
+
 void ShardScheduler::adopt(
     const FleetSchema::TaskTransfer& transfer, std::uint64_t ticket, Utils::TimePoint now)
 {
-    Job* job = findJob(transfer.job().id());
-    if (!job) {
-        auto part = std::make_unique<Job>();
-        initializeJob(transfer.job(), *part);
-        part->acceptedAt = now;
-        part->isStarted = true; // The lender counts it among the jobs that wait, if at all.
-        part->state = FleetSchema::JOB_RUNNING;
-        for (Task& task : part->tasks)
-            task.phase = TaskPhase::Foreign;
-        job = part.get();
-        jobs_[transfer.job().id()] = std::move(part);
-    }
+    Job* const job = &ensurePart(transfer.job(), now);
     Task* task = job->find(0, transfer.step(), transfer.index());
     if (task && transfer.transfer() > task->transfer && !task->isOpen()) {
         task->phase = TaskPhase::Waiting;
--- a/src/libs/fleet/shardorders.h
+++ b/src/libs/fleet/shardorders.h
@@ -68,7 +68,7 @@
 
     /*! Cancels what another shard runs of a job; sent again until it was answered. \param shard the shard.
         \param job the job. */
-    virtual void cancelLent(const std::string& shard, const std::string& job) = 0;
+    virtual void cancelLent(const std::string& shard, const FleetSchema::JobSpec& job) = 0;
 
     /*! Tells that an attempt is over. \param worker where. \param task,attempt the attempt. \param how why it
      * is over. */
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -81,6 +81,12 @@
         \param transfer the task. \param ticket names the call. \param now the current time. */
     void adopt(const FleetSchema::TaskTransfer& transfer, std::uint64_t ticket, Utils::TimePoint now);
 
+    /*! Cancels what this shard was lent of a job, or is lent yet: a call that lends may arrive after the one
+       that cancels. Answered once it is stored. \param spec the job. \param ticket names the call. \param
+       now,nowUnixMs the current time. */
+    void cancelPart(
+        const FleetSchema::JobSpec& spec, std::uint64_t ticket, Utils::TimePoint now, std::int64_t nowUnixMs);
+
     /*! Takes in that another shard has stored a lent task, or the cancellation of its part of the job.
         \param job,transfer as given to ShardOrders::lendTask(); any transfer for a cancellation. */
     void onLendAnswered(const std::string& job, std::uint32_t transfer, const std::string& shard);
@@ -146,6 +152,7 @@
     struct StoredJob; //!< A job of that batch.
 
     Job* findJob(std::string_view id);
+    Job& ensurePart(const FleetSchema::JobSpec& spec, Utils::TimePoint now);
     Worker* findWorker(const std::string& id);
     Worker& ensureWorker(const std::string& id, Utils::TimePoint now);
     Task* findOpen(const std::string& worker, const Ports::TaskKey& key, std::uint32_t attempt);
--- a/src/libs/fleetnode/ownership.cpp
+++ b/src/libs/fleetnode/ownership.cpp
@@ -436,10 +436,13 @@
     };
     if (request.has_submit())
         return host.submit(request.submit(), onAnswer);
-    if (request.has_adopt()) {
-        const std::string fault = Fleet::checkSpec(request.adopt().job());
-        if (fault.empty())
+    if (request.has_adopt() || request.has_cancel_part()) {
+        const std::string fault
+            = Fleet::checkSpec(request.has_adopt() ? request.adopt().job() : request.cancel_part());
+        if (fault.empty() && request.has_adopt())
             return host.adopt(request.adopt(), onAnswer);
+        if (fault.empty())
+            return host.cancelPart(request.cancel_part(), onAnswer);
         Utils::log(Utils::LogLevel::Error, "lent-task-damaged", { { "fault", fault } });
         return onAnswer({ FleetSchema::PEER_UNDECIDED, FleetSchema::JOB_QUEUED, 0 });
     }
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -170,12 +170,12 @@
     sendToNeighbour(request, transfer.job().id(), transfer.transfer());
 }
 
-void ShardHost::cancelLent(const std::string& shard, const std::string& job)
+void ShardHost::cancelLent(const std::string& shard, const FleetSchema::JobSpec& job)
 {
     FleetSchema::PeerRequest request;
     request.set_shard(shard);
-    request.set_cancel(job);
-    sendToNeighbour(request, job, 0);
+    *request.mutable_cancel_part() = job;
+    sendToNeighbour(request, job.id(), 0);
 }
 
 void ShardHost::sendToNeighbour(
@@ -188,13 +188,19 @@
                 return;
             if (!Utils::isOk(result))
                 return Utils::logError("neighbour-unanswered", Utils::error(result));
-            const FleetSchema::PeerOutcome outcome = Utils::value(result).outcome();
-            // A job that the other shard does not know needs no cancellation there.
-            if (outcome == FleetSchema::PEER_OK || outcome == FleetSchema::PEER_UNKNOWN_JOB)
+            if (Utils::value(result).outcome() == FleetSchema::PEER_OK)
                 scheduler_.onLendAnswered(job, transfer, shard);
         });
 }
 
+void ShardHost::cancelPart(const FleetSchema::JobSpec& job, JobHandler handler)
+{
+    const std::uint64_t ticket = nextTicket_++;
+    handlers_[ticket] = std::move(handler);
+    scheduler_.cancelPart(job, ticket, context_.now(), NodeContext::nowUnixMs());
+    wantRound();
+}
+
 void ShardHost::cancel(const std::string& job, JobHandler handler)
 {
     const std::uint64_t ticket = nextTicket_++;
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -71,6 +71,10 @@
      * answer. */
     void adopt(const FleetSchema::TaskTransfer& transfer, JobHandler handler);
 
+    /*! Cancels what the shard was or is yet to be lent of a job. \param job the job. \param handler receives
+     * the answer. */
+    void cancelPart(const FleetSchema::JobSpec& job, JobHandler handler);
+
     /*! Cancels a job. \param job its identifier. \param handler receives the answer. */
     void cancel(const std::string& job, JobHandler handler);
 
@@ -96,7 +100,7 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
     std::string findShardWithRoom(const FleetSchema::JobSpec& spec, std::uint32_t step) override;
     void lendTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer) override;
-    void cancelLent(const std::string& shard, const std::string& job) override;
+    void cancelLent(const std::string& shard, const FleetSchema::JobSpec& job) override;
     void attemptEnded(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         std::string_view how) override;
     void jobEnded(const Fleet::JobSummary& summary) override;
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -37,7 +37,7 @@
     void throttleAttempt(const std::string&, const Ports::TaskKey&, std::uint32_t, int) override { }
     std::string findShardWithRoom(const FleetSchema::JobSpec&, std::uint32_t) override { return {}; }
     void lendTask(const std::string&, const FleetSchema::TaskTransfer&) override { }
-    void cancelLent(const std::string&, const std::string&) override { }
+    void cancelLent(const std::string&, const FleetSchema::JobSpec&) override { }
     void attemptEnded(
         const std::string&, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view how) override
     {
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -51,9 +51,9 @@
     {
         lends.push_back(transfer);
     }
-    void cancelLent(const std::string& shard, const std::string& job) override
+    void cancelLent(const std::string& shard, const FleetSchema::JobSpec& job) override
     {
-        lentCancels.emplace_back(shard, job);
+        lentCancels.emplace_back(shard, job.id());
     }
     void attemptEnded(const std::string&, const Ports::TaskKey&, std::uint32_t, std::string_view) override { }
     void jobEnded(const Fleet::JobSummary& summary) override { ended.push_back(summary); }
--- a/tests/auto/fleet/tst_shardscheduler.cpp
+++ b/tests/auto/fleet/tst_shardscheduler.cpp
@@ -366,6 +366,21 @@
     CHECK(other.scheduler.load().pending().empty());
 }
 
+TEST_CASE("A task that is lent by a call which arrives after the job's cancellation is never started")
+{
+    LendingFixture lender;
+    SchedulerFixture other(2);
+    other.scheduler.cancelPart(lender.orders.lends[0].job(), 7, other.now, startUnixMs);
+    other.round();
+    REQUIRE(other.orders.answers.size() == 1);
+    CHECK(other.orders.answers[0].second.outcome == FleetSchema::PEER_OK);
+    other.scheduler.adopt(lender.orders.lends[0], 8, other.now);
+    other.round();
+    other.round();
+    CHECK(other.orders.answers.size() == 2);
+    CHECK(other.orders.starts.empty());
+}
+
 TEST_CASE("A cancellation reaches the shard that a task was lent to")
 {
     LendingFixture fixture;
