Draw shards by their room so that nodes do not begin a flood with the same few

Jobs of the first shards waited 0.6 to 3.4 s while the last ones had room. Now the less loaded of two shards is taken, drawn in proportion to room by a hash of the job. Test: 37 choosers with the same loads spread a flood within a factor of two of each shard's room; without the change 9 of its checks fail.

--- a/src/libs/fleet/shardchoice.cpp
+++ b/src/libs/fleet/shardchoice.cpp
@@ -2,7 +2,11 @@
 
 #include "workercommitment.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cmath>
+#include <vector>
 
 namespace Fleet {
 
@@ -15,6 +19,8 @@
 // Part of the processors that lasting jobs may take: failed tasks must find room again, and short work goes
 // on.
 constexpr double lastingLimit = 0.85;
+// Part of its processors that a full shard counts as having free when shards are drawn.
+constexpr double leastRoom = 0.02;
 // Part of the processors up to which a shard takes single lasting tasks of others.
 constexpr double lendingLimit = 0.95;
 
@@ -25,6 +31,22 @@
     });
 }
 
+/*! A shard that may take a job. */
+struct Drawn {
+    std::string shard;
+    double draw = 0; //!< The smaller the earlier it is drawn.
+    double cost = 0;
+};
+
+// Exponentially distributed, so that the least of such draws divided by weights falls on each shard in
+// proportion to its weight.
+double drawOf(const std::string& job, const std::string& shard)
+{
+    const std::uint64_t hash = XXH64(job.data(), job.size(), XXH64(shard.data(), shard.size(), 0));
+    constexpr double range = 18446744073709551616.0;
+    return -std::log((static_cast<double>(hash) + 1) / (range + 1));
+}
+
 bool isFilling(const FleetSchema::JobSpec& spec)
 {
     return std::any_of(spec.steps().begin(), spec.steps().end(),
@@ -81,25 +103,40 @@
     return static_cast<double>(committed) <= lastingLimit * static_cast<double>(load.capacity());
 }
 
+// Milli-processors that are not committed; a full shard is still drawn now and then.
+double ShardChooser::roomOf(const FleetSchema::ShardLoad& load, const Assigned& assigned, std::size_t nodes)
+{
+    const auto committed = load.committed() + static_cast<std::int64_t>(nodes) * assigned.committed;
+    return std::max(
+        leastRoom * static_cast<double>(load.capacity()), static_cast<double>(load.capacity() - committed));
+}
+
 ShardChoice ShardChooser::choose(const FleetSchema::JobSpec& spec, std::size_t nodes)
 {
     ShardChoice choice;
-    double bestCost = 0;
+    std::vector<Drawn> drawn;
     for (const auto& [shard, holder] : holders_) {
         const FleetSchema::ShardLoad& load = holder.load;
         if (load.service() != spec.service() || load.capacity() <= 0 || !canHold(spec, load))
             continue;
         if (!hasRoom(spec, load, assigned_[shard], nodes)) {
-            choice.isOverloaded = choice.shard.empty();
+            choice.isOverloaded = true;
             continue;
         }
-        const double cost = costOf(spec, load, assigned_[shard], nodes);
-        if (choice.shard.empty() || cost < bestCost) {
-            choice = { shard, false };
-            bestCost = cost;
-        }
+        drawn.push_back({ shard, drawOf(spec.id(), shard) / roomOf(load, assigned_[shard], nodes),
+            costOf(spec, load, assigned_[shard], nodes) });
     }
-    if (!choice.shard.empty()) {
+    if (!drawn.empty()) {
+        const auto first = std::min_element(drawn.begin(), drawn.end(),
+            [](const Drawn& left, const Drawn& right) { return left.draw < right.draw; });
+        std::iter_swap(drawn.begin(), first);
+        if (drawn.size() > 1) {
+            const auto second = std::min_element(drawn.begin() + 1, drawn.end(),
+                [](const Drawn& left, const Drawn& right) { return left.draw < right.draw; });
+            if (second->cost < drawn.front().cost)
+                std::iter_swap(drawn.begin(), second);
+        }
+        choice = { drawn.front().shard, false };
         Assigned& assigned = assigned_[choice.shard];
         (isFilling(spec) ? assigned.filling : assigned.committed) += widthOf(spec);
     }
--- a/src/libs/fleet/shardchoice.h
+++ b/src/libs/fleet/shardchoice.h
@@ -23,9 +23,11 @@
    by the room on workers without latency targets, other work by committed processors.
 
     Answers bursts: loads are told about once a second, and jobs that come meanwhile would all go to the shard
-   that was least loaded then. So what this node has assigned since the last report is added to the report. A
-   lasting job holds its room for good, so it is refused at once when no shard has room for all of it and for
-   restarts of others.
+   that was least loaded then. So what this node has assigned since the last report is added to the report,
+   and the less loaded of two shards is taken that are drawn by their room: nodes that see the same loads
+   would otherwise all begin a flood of jobs with the same few shards. The draw follows from the job's
+   identifier. A lasting job holds its room for good, so it is refused at once when no shard has room for all
+   of it and for restarts of others.
 */
 class ShardChooser {
 public:
@@ -57,6 +59,7 @@
 
     bool hasRoom(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
         const Assigned& assigned, std::size_t nodes) const;
+    static double roomOf(const FleetSchema::ShardLoad& load, const Assigned& assigned, std::size_t nodes);
     double costOf(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
         const Assigned& assigned, std::size_t nodes) const;
 
--- a/tests/auto/fleet/tst_shardchoice.cpp
+++ b/tests/auto/fleet/tst_shardchoice.cpp
@@ -33,6 +33,34 @@
     CHECK(counts["b"] >= 8);
 }
 
+TEST_CASE("Nodes that see the same loads spread a flood of jobs over all shards by their room")
+{
+    constexpr int nodes = 37;
+    constexpr int jobsPerNode = 6;
+    std::map<std::string, Fleet::ShardHolder> holders;
+    for (int number = 0; number < 6; ++number) {
+        const std::string name = "zone" + std::to_string(number);
+        holders[name + "/1"] = holderOf(name + "/1", 0);
+        holders[name + "/2"] = holderOf(name + "/2", 0);
+        holders[name + "/2"].load.set_capacity(250'000);
+    }
+    std::map<std::string, int> counts;
+    for (int node = 0; node < nodes; ++node) {
+        Fleet::ShardChooser chooser;
+        chooser.update(holders);
+        for (int job = 0; job < jobsPerNode; ++job) {
+            const std::string id = std::to_string(node) + "-" + std::to_string(job);
+            ++counts[chooser.choose(makeJob(id, { makeServingStep(6, 4000, "s") }), nodes).shard];
+        }
+    }
+    // In proportion to the room the larger shards get 25 each and the smaller ones 12.
+    for (const auto& [shard, holder] : holders) {
+        const double share = nodes * jobsPerNode * static_cast<double>(holder.load.capacity()) / 4'500'000;
+        CHECK(counts[shard] > share / 2);
+        CHECK(counts[shard] < share * 2);
+    }
+}
+
 TEST_CASE("A lasting job is refused at once when no shard has room for it and for restarts")
 {
     Fleet::ShardChooser chooser;
