Take a lent task's answer for that task only, and a cancellation's for the cancellation

Answers now name the task, and those to cancellations are taken apart. Two tests, either fails with the former match.

--- a/src/libs/fleet/shardlending.cpp
+++ b/src/libs/fleet/shardlending.cpp
@@ -109,15 +109,24 @@
     }
 }
 
-void ShardScheduler::onLendAnswered(const std::string& id, std::uint32_t transfer, const std::string& shard)
+// Tasks of one job may be lent to one shard under the same number, so the task itself is looked at too.
+void ShardScheduler::onLendAnswered(const FleetSchema::TaskTransfer& transfer, const std::string& shard)
 {
-    Job* job = findJob(id);
-    if (!job)
+    Job* const job = findJob(transfer.job().id());
+    Task* const task = job ? job->find(0, transfer.step(), transfer.index()) : nullptr;
+    if (task && job->isActive() && task->phase == TaskPhase::Lent && task->lentTo == shard
+        && task->transfer == transfer.transfer()) {
+        task->isLendAnswered = true;
+    }
+}
+
+void ShardScheduler::onPartCancelled(const std::string& id, const std::string& shard)
+{
+    Job* const job = findJob(id);
+    if (!job || job->isActive())
         return;
     for (Task& task : job->tasks) {
-        if (task.phase != TaskPhase::Lent || task.lentTo != shard)
-            continue;
-        if (task.transfer == transfer || !job->isActive())
+        if (task.phase == TaskPhase::Lent && task.lentTo == shard)
             task.isLendAnswered = true;
     }
 }
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -87,9 +87,13 @@
     void cancelPart(
         const FleetSchema::JobSpec& spec, std::uint64_t ticket, Utils::TimePoint now, std::int64_t nowUnixMs);
 
-    /*! Takes in that another shard has stored a lent task, or the cancellation of its part of the job.
-        \param job,transfer as given to ShardOrders::lendTask(); any transfer for a cancellation. */
-    void onLendAnswered(const std::string& job, std::uint32_t transfer, const std::string& shard);
+    /*! Takes in that another shard has stored a lent task. \param transfer as given to
+       ShardOrders::lendTask(). \param shard the other shard. */
+    void onLendAnswered(const FleetSchema::TaskTransfer& transfer, const std::string& shard);
+
+    /*! Takes in that another shard has stored the cancellation of its part of a job. \param job the job.
+        \param shard the other shard. */
+    void onPartCancelled(const std::string& job, const std::string& shard);
 
     /*! \param id a job. \return its stored state, or nothing if the shard does not hold it. */
     std::optional<FleetSchema::JobState> state(std::string_view id) const;
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -167,7 +167,7 @@
     FleetSchema::PeerRequest request;
     request.set_shard(shard);
     *request.mutable_adopt() = transfer;
-    sendToNeighbour(request, transfer.job().id(), transfer.transfer());
+    sendToNeighbour(request, [this, transfer, shard] { scheduler_.onLendAnswered(transfer, shard); });
 }
 
 void ShardHost::cancelLent(const std::string& shard, const FleetSchema::JobSpec& job)
@@ -175,21 +175,21 @@
     FleetSchema::PeerRequest request;
     request.set_shard(shard);
     *request.mutable_cancel_part() = job;
-    sendToNeighbour(request, job.id(), 0);
+    sendToNeighbour(request, [this, id = job.id(), shard] { scheduler_.onPartCancelled(id, shard); });
 }
 
-void ShardHost::sendToNeighbour(
-    const FleetSchema::PeerRequest& request, const std::string& job, std::uint32_t transfer)
+// A call without an answer is repeated by the scheduler.
+void ShardHost::sendToNeighbour(const FleetSchema::PeerRequest& request, std::function<void()> onStored)
 {
     neighbours_.callOwner(request,
-        [this, weak = std::weak_ptr<bool>(alive_), job, transfer, shard = request.shard()](
+        [this, weak = std::weak_ptr<bool>(alive_), onStored = std::move(onStored)](
             const Utils::Result<FleetSchema::PeerReply>& result) {
             if (!weak.lock() || isEnding_)
                 return;
             if (!Utils::isOk(result))
                 return Utils::logError("neighbour-unanswered", Utils::error(result));
             if (Utils::value(result).outcome() == FleetSchema::PEER_OK)
-                scheduler_.onLendAnswered(job, transfer, shard);
+                onStored();
         });
 }
 
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -110,8 +110,7 @@
         const std::string& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report) override;
     void onPollFailed(const std::string& worker, const Utils::Error& error) override;
 
-    void sendToNeighbour(
-        const FleetSchema::PeerRequest& request, const std::string& job, std::uint32_t transfer);
+    void sendToNeighbour(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
     void load(const std::string& fromJob);
     void onPage(const Utils::Result<Ports::RowPage>& result);
     void wantRound();
--- a/tests/auto/fleet/tst_shardscheduler.cpp
+++ b/tests/auto/fleet/tst_shardscheduler.cpp
@@ -324,7 +324,7 @@
     LendingFixture fixture;
     REQUIRE(fixture.orders.lends.size() == 1);
     CHECK(fixture.running.size() == 3);
-    fixture.scheduler.onLendAnswered("big", fixture.orders.lends[0].transfer(), "other");
+    fixture.scheduler.onLendAnswered(fixture.orders.lends[0], "other");
     fixture.now += 5s;
     fixture.scheduler.onTick(fixture.now, startUnixMs);
     fixture.finish(1, Ports::EndKind::Failed);
@@ -366,6 +366,30 @@
     CHECK(other.scheduler.load().pending().empty());
 }
 
+TEST_CASE("An answer for one lent task does not stand for another one of its job under the same number")
+{
+    LendingFixture fixture;
+    FleetSchema::TaskTransfer other = fixture.orders.lends[0];
+    other.set_index(other.index() + 1);
+    fixture.scheduler.onLendAnswered(other, "other");
+    const std::size_t sent = fixture.orders.lends.size();
+    fixture.now += 700ms;
+    fixture.scheduler.onTick(fixture.now, startUnixMs);
+    CHECK(fixture.orders.lends.size() > sent);
+}
+
+TEST_CASE("The late answer to lending a task does not stand for the answer to its cancellation")
+{
+    LendingFixture fixture;
+    fixture.scheduler.cancel("big", 9, startUnixMs);
+    fixture.round();
+    REQUIRE(fixture.orders.lentCancels.size() == 1);
+    fixture.scheduler.onLendAnswered(fixture.orders.lends[0], "other");
+    fixture.now += 700ms;
+    fixture.scheduler.onTick(fixture.now, startUnixMs);
+    CHECK(fixture.orders.lentCancels.size() == 2);
+}
+
 TEST_CASE("A task that is lent by a call which arrives after the job's cancellation is never started")
 {
     LendingFixture lender;
@@ -384,7 +408,7 @@
 TEST_CASE("A cancellation reaches the shard that a task was lent to")
 {
     LendingFixture fixture;
-    fixture.scheduler.onLendAnswered("big", fixture.orders.lends[0].transfer(), "other");
+    fixture.scheduler.onLendAnswered(fixture.orders.lends[0], "other");
     fixture.scheduler.cancel("big", 9, startUnixMs);
     CHECK(fixture.orders.lentCancels.empty());
     fixture.round();
@@ -393,7 +417,7 @@
     fixture.now += 700ms;
     fixture.scheduler.onTick(fixture.now, startUnixMs);
     CHECK(fixture.orders.lentCancels.size() == 2);
-    fixture.scheduler.onLendAnswered("big", 0, "other");
+    fixture.scheduler.onPartCancelled("big", "other");
     fixture.now += 700ms;
     fixture.scheduler.onTick(fixture.now, startUnixMs);
     CHECK(fixture.orders.lentCancels.size() == 2);
