Answer a submission that nobody takes while its caller can still come back, and pass over silent owners

The caller now gets its answer after 45% of its time: not run, with the time to come back, if nothing was sent to an owner; undecided otherwise. New jobs go to other shards while an owner does not answer or cannot store, as a job stays bound to its shard. Queries and cancellations wait as before. Test: a silent shard gets no job until it answers, or some heartbeats came, or all are silent.

--- a/src/libs/fleet/shardchoice.cpp
+++ b/src/libs/fleet/shardchoice.cpp
@@ -19,6 +19,8 @@
 // Part of the processors that lasting jobs may take: failed tasks must find room again, and short work goes
 // on.
 constexpr double lastingLimit = 0.85;
+// Updates come with each heartbeat, so this is about the time until a silent owner answers or is replaced.
+constexpr int silentUpdates = 3;
 // Part of its processors that a full shard counts as having free when shards are drawn.
 constexpr double leastRoom = 0.02;
 // Part of the processors up to which a shard takes single lasting tasks of others.
@@ -36,6 +38,7 @@
     std::string shard;
     double draw = 0; //!< The smaller the earlier it is drawn.
     double cost = 0;
+    bool isSilent = false; //!< Its owner did not answer lately.
 };
 
 // Exponentially distributed, so that the least of such draws divided by weights falls on each shard in
@@ -63,8 +66,19 @@
     return widest;
 }
 
+void ShardChooser::noteOwner(const std::string& shard, bool hasAnswered)
+{
+    if (hasAnswered)
+        silent_.erase(shard);
+    else
+        silent_[shard] = silentUpdates;
+}
+
 void ShardChooser::update(const std::map<std::string, ShardHolder>& holders)
 {
+    for (auto& [shard, updates] : silent_)
+        --updates;
+    std::erase_if(silent_, [](const auto& entry) { return entry.second <= 0; });
     for (const auto& [shard, holder] : holders) {
         const auto known = holders_.find(shard);
         if (known == holders_.end()
@@ -124,8 +138,11 @@
             continue;
         }
         drawn.push_back({ shard, drawOf(spec.id(), shard) / roomOf(load, assigned_[shard], nodes),
-            costOf(spec, load, assigned_[shard], nodes) });
+            costOf(spec, load, assigned_[shard], nodes), silent_.contains(shard) });
     }
+    const auto isSilent = [](const Drawn& entry) { return entry.isSilent; };
+    if (!std::all_of(drawn.begin(), drawn.end(), isSilent))
+        std::erase_if(drawn, isSilent);
     if (!drawn.empty()) {
         const auto first = std::min_element(drawn.begin(), drawn.end(),
             [](const Drawn& left, const Drawn& right) { return left.draw < right.draw; });
--- a/src/libs/fleet/shardchoice.h
+++ b/src/libs/fleet/shardchoice.h
@@ -34,6 +34,10 @@
     /*! Takes in the owners' loads. \param holders owners by shard. */
     void update(const std::map<std::string, ShardHolder>& holders);
 
+    /*! Takes in whether a shard's owner answered. A silent one gets no new jobs for some updates, unless all
+       are silent: its successor is not known yet, and the job would be bound to the shard. */
+    void noteOwner(const std::string& shard, bool hasAnswered);
+
     /*!
         Chooses the shard of a job and counts the job to it.
         \param spec the job.
@@ -66,6 +70,7 @@
     std::map<std::string, ShardHolder> holders_;
     std::map<std::string, std::int64_t>
         lent_; //!< Milli-processors of tasks lent since the shard's load last changed.
+    std::map<std::string, int> silent_; //!< Updates for which the shard is still left out.
     std::map<std::string, Assigned> assigned_; //!< Since the shard's load last changed.
 };
 
--- a/src/libs/fleetnode/jobrouter.cpp
+++ b/src/libs/fleetnode/jobrouter.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds ownerTimeout { 1200 };
 // Kept back from the caller's time so that the answer still reaches it.
 constexpr milliseconds answerReserve { 150 };
+// Part of a caller's time for which a submission waits for a shard's owner: what is left lets the caller come
+// back, at another node, once the shard was taken over.
+constexpr int holdPercent = 45;
 // When to come back: by then a shard without an owner has been taken over, and a store that is down may be
 // back.
 constexpr std::uint32_t retryAfterMs = 1000;
@@ -65,16 +68,29 @@
         return handler(failure(Ports::CallerOutcome::Unavailable, "no shard has workers for this job"));
     const CallPointer call = makeCall(until, std::move(handler));
     *call->request.mutable_submit() = spec;
+    call->holdTimer = std::make_unique<Timer>(context_.io);
+    call->holdTimer->start((until - context_.now()) * holdPercent / 100, [this, call] { giveUp(call); });
     index_.assign(spec.id(), choice.shard, [this, call](const Utils::Result<std::string>& result) {
         // Without an entry the job cannot have been accepted, as owners take it only from a node that saw the
         // entry.
         if (!Utils::isOk(result))
-            return call->handler(failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString()));
+            return answer(call, failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString()));
         call->request.set_shard(Utils::value(result));
         forward(call);
     });
 }
 
+void JobRouter::answer(const CallPointer& call, const Ports::CallerAnswer& answer)
+{
+    if (call->isAnswered)
+        return;
+    call->isAnswered = true;
+    call->timer->stop();
+    if (call->holdTimer)
+        call->holdTimer->stop();
+    call->handler(answer);
+}
+
 void JobRouter::query(const std::string& job, Utils::TimePoint until, AnswerHandler handler)
 {
     const CallPointer call = makeCall(until, std::move(handler));
@@ -98,15 +114,19 @@
         }
         const Utils::Error& error = Utils::error(result);
         if (error.code == Utils::ErrorCode::NotFound)
-            return call->handler(failure(Ports::CallerOutcome::NoSuchJob, "no such job"));
-        call->handler(failure(Ports::CallerOutcome::Unavailable, error.toString()));
+            return answer(call, failure(Ports::CallerOutcome::NoSuchJob, "no such job"));
+        answer(call, failure(Ports::CallerOutcome::Unavailable, error.toString()));
     });
 }
 
 void JobRouter::forward(const CallPointer& call)
 {
+    // A job whose caller was told that it has not run must not reach an owner any more.
+    if (call->isAnswered)
+        return;
     if (context_.now() + answerReserve >= call->until)
         return giveUp(call);
+    call->isUnderWay = true;
     const std::string address = directory_.ownerAddress(call->request.shard());
     if (address.empty()) {
         return directory_.serve(
@@ -120,6 +140,10 @@
 
 void JobRouter::onReply(const CallPointer& call, const Utils::Result<FleetSchema::PeerReply>& result)
 {
+    call->isUnderWay = false;
+    const bool isServed = Utils::isOk(result) && Utils::value(result).outcome() != FleetSchema::PEER_NOT_OWNER
+        && Utils::value(result).outcome() != FleetSchema::PEER_UNAVAILABLE;
+    directory_.noteOwner(call->request.shard(), isServed);
     if (Utils::isOk(result))
         return onOwnerReply(call, Utils::value(result));
     if (Utils::error(result).code != Utils::ErrorCode::Unavailable)
@@ -131,22 +155,22 @@
 
 void JobRouter::onOwnerReply(const CallPointer& call, const FleetSchema::PeerReply& reply)
 {
-    Ports::CallerAnswer answer;
+    Ports::CallerAnswer result;
     switch (reply.outcome()) {
     case FleetSchema::PEER_OK:
-        answer.hasState = !call->request.has_submit();
-        answer.state = reply.state();
-        return call->handler(answer);
+        result.hasState = !call->request.has_submit();
+        result.state = reply.state();
+        return answer(call, result);
     case FleetSchema::PEER_UNKNOWN_JOB:
-        return call->handler(failure(Ports::CallerOutcome::NoSuchJob, "no such job"));
+        return answer(call, failure(Ports::CallerOutcome::NoSuchJob, "no such job"));
     case FleetSchema::PEER_REFUSED:
         if (call->mayHaveRun)
-            return call->handler(failure(Ports::CallerOutcome::Undecided, "an earlier try got no answer"));
-        answer = failure(Ports::CallerOutcome::Overloaded, "more work than workers");
-        answer.retryAfterMs = reply.retry_after_ms();
-        return call->handler(answer);
+            return answer(call, failure(Ports::CallerOutcome::Undecided, "an earlier try got no answer"));
+        result = failure(Ports::CallerOutcome::Overloaded, "more work than workers");
+        result.retryAfterMs = reply.retry_after_ms();
+        return answer(call, result);
     case FleetSchema::PEER_UNAVAILABLE:
-        return call->handler(
+        return answer(call,
             failure(call->mayHaveRun ? Ports::CallerOutcome::Undecided : Ports::CallerOutcome::Unavailable,
                 "the owner of shard " + call->request.shard() + " cannot reach the store"));
     case FleetSchema::PEER_UNDECIDED:
@@ -169,9 +193,9 @@
 
 void JobRouter::giveUp(const CallPointer& call)
 {
-    const auto outcome
-        = call->mayHaveRun ? Ports::CallerOutcome::Undecided : Ports::CallerOutcome::Unavailable;
-    call->handler(failure(outcome, "the owner of shard " + call->request.shard() + " does not answer"));
+    const auto outcome = call->mayHaveRun || call->isUnderWay ? Ports::CallerOutcome::Undecided
+                                                              : Ports::CallerOutcome::Unavailable;
+    answer(call, failure(outcome, "the owner of shard " + call->request.shard() + " does not answer"));
 }
 
 // What the store holds is what the owner would tell, as it tells only what is stored.
@@ -182,19 +206,19 @@
     range.partition = call->request.shard();
     range.from = call->request.query();
     range.limit = 1;
-    context_.store.read(range, [call](const Utils::Result<Ports::RowPage>& result) {
+    context_.store.read(range, [this, call](const Utils::Result<Ports::RowPage>& result) {
         if (!Utils::isOk(result))
-            return call->handler(failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString()));
+            return answer(call, failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString()));
         const std::vector<Ports::Row>& rows = Utils::value(result).rows;
         FleetSchema::JobRecord record;
         if (rows.empty() || rows.front().name.key != call->request.query())
-            return call->handler(failure(Ports::CallerOutcome::NoSuchJob, "no such job"));
+            return answer(call, failure(Ports::CallerOutcome::NoSuchJob, "no such job"));
         if (!record.ParseFromString(rows.front().value))
-            return call->handler(failure(Ports::CallerOutcome::Unavailable, "the job's record is damaged"));
-        Ports::CallerAnswer answer;
-        answer.hasState = true;
-        answer.state = record.state();
-        call->handler(answer);
+            return answer(call, failure(Ports::CallerOutcome::Unavailable, "the job's record is damaged"));
+        Ports::CallerAnswer stored;
+        stored.hasState = true;
+        stored.state = record.state();
+        answer(call, stored);
     });
 }
 
--- a/src/libs/fleetnode/jobrouter.h
+++ b/src/libs/fleetnode/jobrouter.h
@@ -35,6 +35,9 @@
 
     /*! Chooses the shard of a new job. \param spec the job. \return the shard, or why there is none. */
     virtual Fleet::ShardChoice chooseShard(const FleetSchema::JobSpec& spec) = 0;
+
+    /*! Takes in whether the owner of a shard answered. \param shard the shard. */
+    virtual void noteOwner(const std::string& shard, bool hasAnswered) = 0;
 };
 
 /*! Brings submissions, queries and cancellations to the owner of the job's shard. */
@@ -67,7 +70,10 @@
         Utils::TimePoint until {};
         AnswerHandler handler;
         bool mayHaveRun = false; //!< An earlier try got no answer.
+        bool isUnderWay = false; //!< The owner was called and has not answered.
+        bool isAnswered = false; //!< The caller has its answer.
         std::unique_ptr<Timer> timer;
+        std::unique_ptr<Timer> holdTimer; //!< Ends the wait of a submission.
     };
 
     using CallPointer = std::shared_ptr<Call>;
@@ -79,6 +85,7 @@
     void retryLater(const CallPointer& call);
     void giveUp(const CallPointer& call);
     void readStored(const CallPointer& call);
+    void answer(const CallPointer& call, const Ports::CallerAnswer& answer);
     CallPointer makeCall(Utils::TimePoint until, AnswerHandler handler);
 
     NodeContext& context_;
--- a/src/libs/fleetnode/ownership.h
+++ b/src/libs/fleetnode/ownership.h
@@ -46,6 +46,10 @@
 
     std::string ownerAddress(const std::string& shard) const override;
     Fleet::ShardChoice chooseShard(const FleetSchema::JobSpec& spec) override;
+    void noteOwner(const std::string& shard, bool hasAnswered) override
+    {
+        chooser_.noteOwner(shard, hasAnswered);
+    }
 
     /*! \param queue identity of a queue. \return accepted jobs without a start in all shards. */
     std::uint64_t pending(const std::string& queue) const;
--- a/tests/auto/fleet/tst_shardchoice.cpp
+++ b/tests/auto/fleet/tst_shardchoice.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace Testing;
 
 namespace {
@@ -61,6 +63,32 @@
     }
 }
 
+TEST_CASE("A shard whose owner is silent gets no new jobs until it answers or some updates have come")
+{
+    const std::map<std::string, Fleet::ShardHolder> holders { { "a", holderOf("a", 0) },
+        { "b", holderOf("b", 400'000) } };
+    const auto chosenOf = [&](Fleet::ShardChooser& chooser) {
+        std::set<std::string> chosen;
+        for (int job = 0; job < 20; ++job)
+            chosen.insert(
+                chooser.choose(makeJob("j" + std::to_string(job), { makeStep(1, 100, 800) }), 1).shard);
+        return chosen;
+    };
+    Fleet::ShardChooser chooser;
+    chooser.update(holders);
+    chooser.noteOwner("a", false);
+    CHECK(chosenOf(chooser) == std::set<std::string> { "b" });
+    chooser.noteOwner("a", true);
+    CHECK(chosenOf(chooser).contains("a"));
+    chooser.noteOwner("a", false);
+    for (int update = 0; update < 3; ++update)
+        chooser.update(holders);
+    CHECK(chosenOf(chooser).contains("a"));
+    chooser.noteOwner("a", false);
+    chooser.noteOwner("b", false);
+    CHECK_FALSE(chosenOf(chooser).contains(""));
+}
+
 TEST_CASE("A lasting job is refused at once when no shard has room for it and for restarts")
 {
     Fleet::ShardChooser chooser;
