Wait for a slow store that works, and do not end a submission undecided while its owner may answer

The limit now follows the transactions that got through, up to 2 s; after the hold only what no owner has seen is refused.

--- /dev/null
+++ b/src/libs/fleet/shardload.cpp
@@ -0,0 +1,62 @@
+// Part of ShardScheduler: what the shard tells and goes by of its load.
+
+#include "shardscheduler.h"
+
+#include <algorithm>
+
+namespace Fleet {
+
+void ShardScheduler::countDemand()
+{
+    demand_.clear();
+    for (const auto& [id, job] : jobs_) {
+        if (!job->isActive())
+            continue;
+        for (const Task& task : job->tasks) {
+            const FleetSchema::StepSpec& step = job->step(task);
+            if (step.leftover_processors() && (task.isOpen() || task.phase == TaskPhase::Waiting))
+                demand_.add(step.image(), step.milli_processors());
+        }
+    }
+    demand_.finish();
+}
+
+FleetSchema::ShardLoad ShardScheduler::load() const
+{
+    FleetSchema::ShardLoad load;
+    load.set_shard(options_.shard);
+    for (const auto& [id, worker] : workers_) {
+        if (worker->isUsable() && worker->asideFor == Utils::Duration::zero()) {
+            load.set_capacity(load.capacity() + worker->info.milliProcessors);
+            load.set_largest_worker(std::max(load.largest_worker(), worker->info.milliProcessors));
+            load.set_service(worker->info.service);
+            if (worker->servingTasks > 0)
+                load.set_serving(load.serving() + worker->servingProcessors);
+        }
+        load.set_committed(load.committed() + worker->used.milliProcessors);
+        load.set_filling(load.filling() + worker->filling);
+    }
+    for (const auto& [id, job] : jobs_) {
+        if (!job->isActive())
+            continue;
+        if (job->isCommitted && !job->isStarted && job->dueUnixMs(0) == 0)
+            ++(*load.mutable_pending())[job->spec.queue()];
+        for (const Task& task : job->tasks) {
+            const FleetSchema::StepSpec& step = job->step(task);
+            const std::int64_t size = step.milli_processors();
+            if (step.lasting() && (task.isOpen() || task.phase == TaskPhase::Waiting))
+                load.set_lasting(load.lasting() + size);
+            if (task.phase != TaskPhase::Waiting)
+                continue;
+            if (step.lasting())
+                load.set_committed(load.committed() + size);
+            else if (step.leftover_processors())
+                load.set_waiting_filling(load.waiting_filling() + size * step.estimate_ms());
+            else
+                load.set_waiting_work(load.waiting_work() + size * step.estimate_ms());
+        }
+    }
+    return load;
+}
+
+} // namespace Fleet
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -161,23 +161,17 @@
     };
     for (auto& [id, worker] : workers_)
         worker->reserved = 0;
-    demand_.clear();
+    countDemand();
     std::vector<Candidate> candidates;
     for (const auto& [id, job] : jobs_) {
         if (!job->isActive() || job->tasksLeft == 0)
             continue;
-        for (const Task& task : job->tasks) {
-            const FleetSchema::StepSpec& step = job->step(task);
-            if (step.leftover_processors() && (task.isOpen() || task.phase == TaskPhase::Waiting))
-                demand_.add(step.image(), step.milli_processors());
-        }
         for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence) {
             if (job->dueUnixMs(occurrence) <= nowUnixMs)
                 candidates.push_back(
                     { rankJob(urgencyOf(*job, occurrence, now, nowUnixMs)), job.get(), occurrence });
         }
     }
-    demand_.finish();
     std::sort(candidates.begin(), candidates.end(),
         [](const Candidate& left, const Candidate& right) { return left.rank < right.rank; });
     for (const Candidate& candidate : candidates) {
@@ -454,42 +448,4 @@
     dirtyJobs_.push_back(&job);
 }
 
-FleetSchema::ShardLoad ShardScheduler::load() const
-{
-    FleetSchema::ShardLoad load;
-    load.set_shard(options_.shard);
-    for (const auto& [id, worker] : workers_) {
-        if (worker->isUsable() && worker->asideFor == Utils::Duration::zero()) {
-            load.set_capacity(load.capacity() + worker->info.milliProcessors);
-            load.set_largest_worker(std::max(load.largest_worker(), worker->info.milliProcessors));
-            load.set_service(worker->info.service);
-            if (worker->servingTasks > 0)
-                load.set_serving(load.serving() + worker->servingProcessors);
-        }
-        load.set_committed(load.committed() + worker->used.milliProcessors);
-        load.set_filling(load.filling() + worker->filling);
-    }
-    for (const auto& [id, job] : jobs_) {
-        if (!job->isActive())
-            continue;
-        if (job->isCommitted && !job->isStarted && job->dueUnixMs(0) == 0)
-            ++(*load.mutable_pending())[job->spec.queue()];
-        for (const Task& task : job->tasks) {
-            const FleetSchema::StepSpec& step = job->step(task);
-            const std::int64_t size = step.milli_processors();
-            if (step.lasting() && (task.isOpen() || task.phase == TaskPhase::Waiting))
-                load.set_lasting(load.lasting() + size);
-            if (task.phase != TaskPhase::Waiting)
-                continue;
-            if (step.lasting())
-                load.set_committed(load.committed() + size);
-            else if (step.leftover_processors())
-                load.set_waiting_filling(load.waiting_filling() + size * step.estimate_ms());
-            else
-                load.set_waiting_work(load.waiting_work() + size * step.estimate_ms());
-        }
-    }
-    return load;
-}
-
 } // namespace Fleet
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -165,6 +165,7 @@
     void assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
     void assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
     void noteWaiting(Task& task, Utils::TimePoint now);
+    void countDemand();
     void regroup(Utils::TimePoint now);
     InterferenceView view() const;
     void relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now);
--- a/src/libs/fleetnode/jobrouter.cpp
+++ b/src/libs/fleetnode/jobrouter.cpp
@@ -14,8 +14,9 @@
 constexpr milliseconds ownerTimeout { 1200 };
 // Kept back from the caller's time so that the answer still reaches it.
 constexpr milliseconds answerReserve { 150 };
-// Part of a caller's time for which a submission waits for a shard's owner: what is left lets the caller come
-// back, at another node, once the shard was taken over.
+// Part of a caller's time for which a submission that no owner has seen waits for one: what is left lets the
+// caller come back, at another node, once the shard was taken over. One that an owner may have seen waits on,
+// as only the owner can tell its outcome.
 constexpr int holdPercent = 45;
 // When to come back: by then a shard without an owner has been taken over, and a store that is down may be
 // back.
@@ -69,7 +70,11 @@
     const CallPointer call = makeCall(until, std::move(handler));
     *call->request.mutable_submit() = spec;
     call->holdTimer = std::make_unique<Timer>(context_.io);
-    call->holdTimer->start((until - context_.now()) * holdPercent / 100, [this, call] { giveUp(call); });
+    call->holdTimer->start((until - context_.now()) * holdPercent / 100, [this, call] {
+        call->isHoldOver = true;
+        if (!call->mayHaveRun && !call->isUnderWay)
+            giveUp(call);
+    });
     index_.assign(spec.id(), choice.shard, [this, call](const Utils::Result<std::string>& result) {
         // Without an entry the job cannot have been accepted, as owners take it only from a node that saw the
         // entry.
@@ -186,6 +191,8 @@
 
 void JobRouter::retryLater(const CallPointer& call)
 {
+    if (call->isHoldOver && !call->mayHaveRun)
+        return giveUp(call);
     if (context_.now() + ownerRetryPause + answerReserve >= call->until)
         return giveUp(call);
     call->timer->start(ownerRetryPause, [this, call] { forward(call); });
--- a/src/libs/fleetnode/jobrouter.h
+++ b/src/libs/fleetnode/jobrouter.h
@@ -71,6 +71,7 @@
         AnswerHandler handler;
         bool mayHaveRun = false; //!< An earlier try got no answer.
         bool isUnderWay = false; //!< The owner was called and has not answered.
+        bool isHoldOver = false; //!< It waits on only if an owner may have seen it.
         bool isAnswered = false; //!< The caller has its answer.
         std::unique_ptr<Timer> timer;
         std::unique_ptr<Timer> holdTimer; //!< Ends the wait of a submission.
--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -13,8 +13,6 @@
 // Pauses before a transaction is sent again; the longest one keeps a store outage from costing many calls.
 constexpr milliseconds firstBackoff { 30 };
 constexpr milliseconds longestBackoff { 400 };
-// Beyond the slowest transaction of a store that still answers.
-constexpr milliseconds stallTime { 700 };
 
 } // namespace
 
@@ -60,7 +58,7 @@
 
 bool ShardWriter::isStalled() const
 {
-    return transaction_ && context_.now() - startedAt_ > stallTime;
+    return transaction_ && context_.now() - startedAt_ > stallLimit_.value();
 }
 
 void ShardWriter::send()
@@ -113,6 +111,7 @@
 {
     version_ = version;
     confirmedAt_ = sentAt_;
+    stallLimit_.note(context_.now() - startedAt_);
     transaction_.reset();
     const auto done = std::move(done_);
     done_ = nullptr;
--- a/src/libs/fleetnode/shardwriter.h
+++ b/src/libs/fleetnode/shardwriter.h
@@ -4,6 +4,7 @@
 #include "timer.h"
 
 #include "fleet/shardscheduler.h"
+#include "fleet/stalllimit.h"
 
 #include <fleet.pb.h>
 
@@ -76,6 +77,7 @@
     Utils::TimePoint startedAt_ {}; //!< When the transaction in progress was first sent.
     Utils::TimePoint sentAt_ {};
     Utils::TimePoint confirmedAt_ {};
+    Fleet::StallLimit stallLimit_;
     Utils::Duration backoff_ {};
     Timer retryTimer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -86,7 +86,7 @@
     fleet.add(makeServingStep(1, 6000, "serving"), *fleet.workers[0]).ownUtilization = 0.6;
     fleet.add(makeServingStep(1, 12'000, "serving"), *fleet.workers[1]).ownUtilization = 0.2;
     Fleet::Task& hot = fleet.make(makeFillingStep(1, 4000, "hot"));
-    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart) == fleet.workers[1].get());
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, { model }, testStart) == fleet.workers[1].get());
 }
 
 TEST_CASE("Work waits rather than make a serving task miss its target, harmless work does not")
@@ -94,11 +94,12 @@
     const Fleet::TailModel model = trainedModel(13);
     Fleetlet fleet(1);
     fleet.add(makeServingStep(1, 6000, "serving"), *fleet.workers[0]).ownUtilization = 0.65;
-    CHECK(Fleet::chooseWorker(fleet.make(makeFillingStep(1, 4000, "hot")), fleet.pointers, model, testStart)
+    CHECK(
+        Fleet::chooseWorker(fleet.make(makeFillingStep(1, 4000, "hot")), fleet.pointers, { model }, testStart)
         == nullptr);
     fleet.workers[0]->tasks[0]->ownUtilization = 0.4;
-    CHECK(
-        Fleet::chooseWorker(fleet.make(makeFillingStep(1, 1000, "mild")), fleet.pointers, model, testStart));
+    CHECK(Fleet::chooseWorker(
+        fleet.make(makeFillingStep(1, 1000, "mild")), fleet.pointers, { model }, testStart));
 }
 
 TEST_CASE(
@@ -150,7 +151,8 @@
     Fleetlet fleet(1);
     for (int number = 0; number < 8; ++number)
         fleet.add(makeFillingStep(1, 4000, "mild"), *fleet.workers[0]);
-    CHECK(Fleet::chooseWorker(fleet.make(makeFillingStep(1, 4000, "mild")), fleet.pointers, model, testStart)
+    CHECK(Fleet::chooseWorker(
+              fleet.make(makeFillingStep(1, 4000, "mild")), fleet.pointers, { model }, testStart)
         == nullptr);
 }
 
@@ -162,10 +164,10 @@
     worker.asideFor = 1s;
     worker.asideUntil = testStart + 1s;
     Fleet::Task& task = fleet.make(makeStep(1, 1000, 500));
-    CHECK(Fleet::chooseWorker(task, fleet.pointers, model, testStart) == nullptr);
-    CHECK(Fleet::chooseWorker(task, fleet.pointers, model, testStart + 2s) == &worker);
+    CHECK(Fleet::chooseWorker(task, fleet.pointers, { model }, testStart) == nullptr);
+    CHECK(Fleet::chooseWorker(task, fleet.pointers, { model }, testStart + 2s) == &worker);
     task.failures = 1;
-    CHECK(Fleet::chooseWorker(task, fleet.pointers, model, testStart + 2s) == nullptr);
+    CHECK(Fleet::chooseWorker(task, fleet.pointers, { model }, testStart + 2s) == nullptr);
 }
 
 TEST_CASE(
@@ -176,14 +178,14 @@
     Fleet::Worker& worker = *fleet.workers[0];
     fleet.add(makeServingStep(1, 6000, "serving"), worker).ownUtilization = 0.55;
     Fleet::Task& hot = fleet.make(makeFillingStep(1, 4000, "hot"));
-    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart) == nullptr);
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, { model }, testStart) == nullptr);
     hot.waitingSince = testStart;
-    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 1s) == nullptr);
-    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 2s) == &worker);
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, { model }, testStart + 1s) == nullptr);
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, { model }, testStart + 2s) == &worker);
     // A committed serving task uses about half of its processors; short tasks use theirs.
     fleet.add(makeServingStep(1, 8000, "other"), worker).ownUtilization = 0;
-    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 2s) == &worker);
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, { model }, testStart + 2s) == &worker);
     fleet.add(makeStep(1, 14'000, 1000), worker);
-    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 4s) == nullptr);
-    CHECK(Fleet::chooseWorker(hot, fleet.pointers, model, testStart + 6s) == &worker);
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, { model }, testStart + 4s) == nullptr);
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, { model }, testStart + 6s) == &worker);
 }
