Test the router's answers to submissions that wait

Four cases over a store and a directory in memory: an index row that is held up, an owner that holds its reply, a shard without an owner, an open outcome.

--- a/tests/auto/fleetnode/scriptedrowstore.h
+++ b/tests/auto/fleetnode/scriptedrowstore.h
@@ -9,6 +9,8 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <utility>
+#include <vector>
 
 namespace Testing {
 
@@ -21,6 +23,7 @@
         LostAfter, //!< Carried out, but not answered.
         LostBefore, //!< Neither carried out nor answered.
         Refused,
+        Held, //!< Carried out and answered with releaseHeld().
     };
 
     explicit ScriptedRowStore(boost::asio::io_context& io)
@@ -36,6 +39,10 @@
             fate = fates.front();
             fates.pop_front();
         }
+        if (fate == Fate::Held) {
+            held_.emplace_back(transaction, std::move(handler));
+            return;
+        }
         Utils::Result<Ports::TransactionOutcome> result
             = Utils::Error { Utils::ErrorCode::OutcomeUnknown, "commit", "store", "no answer" };
         if (fate == Fate::Refused)
@@ -48,6 +55,14 @@
         boost::asio::post(io_, [handler = std::move(handler), result] { handler(result); });
     }
 
+    /*! Carries out and answers what was held. */
+    void releaseHeld()
+    {
+        for (auto& [transaction, handler] : std::exchange(held_, {}))
+            boost::asio::post(
+                io_, [handler = std::move(handler), outcome = apply(transaction)] { handler(outcome); });
+    }
+
     void read(const Ports::RowRange& range, PageHandler handler) override
     {
         Ports::RowPage page;
@@ -66,6 +81,8 @@
     int calls = 0;
 
 private:
+    std::vector<std::pair<Ports::Transaction, TransactionHandler>> held_;
+
     Ports::TransactionOutcome apply(const Ports::Transaction& transaction)
     {
         Ports::TransactionOutcome outcome;
--- /dev/null
+++ b/tests/auto/fleetnode/tst_jobrouter.cpp
@@ -0,0 +1,117 @@
+#include "scriptedrowstore.h"
+
+#include <fleetnode/jobrouter.h>
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using Fate = Testing::ScriptedRowStore::Fate;
+
+namespace {
+
+/*! One shard that this node owns, whose replies the test gives. */
+class ScriptedDirectory final : public FleetNode::ShardDirectory {
+public:
+    using ReplyHandler = std::function<void(const FleetSchema::PeerReply&)>;
+
+    std::string ownerAddress(const std::string&) const override { return {}; }
+
+    void serve(const FleetSchema::PeerRequest&, ReplyHandler handler) override
+    {
+        ++calls;
+        if (isHolding)
+            held = std::move(handler);
+        else
+            handler(reply);
+    }
+
+    bool isStoreReachable() const override { return true; }
+    Fleet::ShardChoice chooseShard(const FleetSchema::JobSpec&) override { return { "shard", false }; }
+    void noteOwner(const std::string&, bool hasAnswered) override { lastAnswered = hasAnswered; }
+
+    FleetSchema::PeerReply reply;
+    bool isHolding = false;
+    ReplyHandler held;
+    int calls = 0;
+    bool lastAnswered = true;
+};
+
+struct RouterFixture : Testing::NodeFixture {
+    RouterFixture()
+        : router(context, directory)
+    {
+    }
+
+    void submit(Utils::Duration deadline)
+    {
+        FleetSchema::JobSpec spec;
+        spec.set_id("5c0e7a21d94b36f8");
+        router.submit(spec, context.now() + deadline,
+            [this](const Ports::CallerAnswer& answer) { answers.push_back(answer); });
+    }
+
+    void run()
+    {
+        io.restart();
+        io.run();
+    }
+
+    ScriptedDirectory directory;
+    FleetNode::JobRouter router;
+    std::vector<Ports::CallerAnswer> answers;
+};
+
+} // namespace
+
+TEST_CASE("A submission that waits for the index is refused as not run, and does not reach an owner later")
+{
+    RouterFixture fixture;
+    fixture.store.fates = { Fate::Held };
+    fixture.submit(1s);
+    fixture.run();
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers[0].outcome == Ports::CallerOutcome::Unavailable);
+    CHECK(fixture.answers[0].retryAfterMs > 0);
+    fixture.store.releaseHeld();
+    fixture.run();
+    CHECK(fixture.directory.calls == 0);
+    CHECK(fixture.answers.size() == 1);
+}
+
+TEST_CASE("A submission that its owner may store is answered by the owner, also after the hold")
+{
+    RouterFixture fixture;
+    fixture.directory.isHolding = true;
+    fixture.submit(1s);
+    fixture.run();
+    CHECK(fixture.answers.empty());
+    REQUIRE(fixture.directory.held);
+    fixture.directory.held({});
+    fixture.run();
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers[0].outcome == Ports::CallerOutcome::Done);
+    CHECK(fixture.directory.lastAnswered);
+}
+
+TEST_CASE("A submission for a shard without an owner is refused as not run, and the shard is noted as silent")
+{
+    RouterFixture fixture;
+    fixture.directory.reply.set_outcome(FleetSchema::PEER_NOT_OWNER);
+    fixture.submit(1s);
+    fixture.run();
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers[0].outcome == Ports::CallerOutcome::Unavailable);
+    CHECK(fixture.answers[0].retryAfterMs > 0);
+    CHECK(fixture.directory.calls > 1);
+    CHECK_FALSE(fixture.directory.lastAnswered);
+}
+
+TEST_CASE("A submission whose outcome is open is never called not run")
+{
+    RouterFixture fixture;
+    fixture.directory.reply.set_outcome(FleetSchema::PEER_UNDECIDED);
+    fixture.submit(1s);
+    fixture.run();
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers[0].outcome == Ports::CallerOutcome::Undecided);
+}
