Soak geraniumquayd: real processes, faults from outside, promises judged from callers and workers

Judged: no second run, no start after an acknowledged end or a cancellation, no start of a refused job, capacity, nothing completed without its tasks, all accepted jobs end, a planned stop ends with 0 in time. Ruled out: two faults that were the soak's own (a kill and a planned stop of one process at once).

--- /dev/null
+++ b/tests/auto/usersplatform/soak/standinplatform.py
@@ -0,0 +1,260 @@
+"""Stand-in of the users' platform for the soak: a store of rows and workers, in one event loop, over HTTP/1.1."""
+
+import asyncio
+import base64
+import json
+import time
+import urllib.parse
+
+STORE_ROWS_LIMIT = 500
+MAX_LEASE_MS = 10000
+STOP_SECONDS = 0.05
+
+
+def unix_ms():
+    return int(time.time() * 1000)
+
+
+async def read_request(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    length = int(headers.get("content-length", 0))
+    body = await reader.readexactly(length) if length else b""
+    return method, target, headers, body
+
+
+class HttpServer:
+    """Serves requests one after the other on each connection; handle() may return None to give no answer."""
+
+    def __init__(self):
+        self.server = None
+        self.port = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                method, target, headers, body = await read_request(reader)
+                answer = await self.handle(method, target, headers, body)
+                if answer is None:
+                    await asyncio.sleep(60)
+                    break
+                status, fields = answer
+                text = json.dumps(fields).encode()
+                writer.write(b"HTTP/1.1 %d x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+                             % (status, len(text)) + text)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def handle(self, method, target, headers, body):
+        raise NotImplementedError
+
+
+class Store(HttpServer):
+    """Rows with versions and conditional transactions. Fault modes: 'busy', 'slow', 'lost' (done, not answered)."""
+
+    def __init__(self, random):
+        super().__init__()
+        self.random = random
+        self.rows = {}
+        self.changes = []
+        self.version = 1
+        self.mode = None
+        self.changed = asyncio.Event()
+
+    def put(self, table, part, key, value):
+        self.version += 1
+        self.apply_put((table, part, key), base64.b64encode(value).decode())
+
+    def apply_put(self, name, value):
+        self.rows[name] = (value, self.version)
+        self.note(name, {"value": value})
+
+    def note(self, name, fields):
+        self.changes.append((self.version, name, fields))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    @staticmethod
+    def describe(name, value, version):
+        return {"table": name[0], "part": name[1], "key": name[2], "value": value, "ver": version}
+
+    async def handle(self, method, target, headers, body):
+        if self.mode == "busy":
+            return 503, {}
+        await asyncio.sleep(0.6 if self.mode == "slow" else 0.004)
+        url = urllib.parse.urlsplit(target)
+        query = {key: values[0] for key, values in urllib.parse.parse_qs(url.query, True).items()}
+        if url.path == "/rows-tx":
+            answer = self.transact(json.loads(body))
+            return None if self.mode == "lost" and self.random.random() < 0.3 else answer
+        if url.path == "/rows-get":
+            return self.get(query)
+        if url.path == "/rows-feed":
+            return await self.feed(query)
+        return 404, {}
+
+    def transact(self, call):
+        def name_of(entry):
+            return entry["table"], entry.get("part", ""), entry["key"]
+
+        current = [(name_of(entry), entry["ver"]) for entry in call.get("expected_rev", [])]
+        if any(self.rows.get(name, ("", 0))[1] != version for name, version in current):
+            rows = [self.describe(name, *self.rows.get(name, ("", 0))) for name, _ in current]
+            return 412, {"rows": rows, "ver": self.version}
+        self.version += 1
+        for entry in call.get("puts", []):
+            self.apply_put(name_of(entry), entry["value"])
+        for entry in call.get("remove", []):
+            if self.rows.pop(name_of(entry), None):
+                self.note(name_of(entry), {"deleted": True})
+        return 200, {"ver": self.version, "now_ms": unix_ms()}
+
+    def get(self, query):
+        names = sorted(name for name in self.rows
+                       if name[:2] == (query["table"], query.get("part", "")) and name[2] >= query.get("from", "")
+                       and ("target" not in query or name[2] < query["target"]))
+        limit = int(query.get("limit", STORE_ROWS_LIMIT))
+        rows = [self.describe(name, *self.rows[name]) for name in names[:limit]]
+        return 200, {"rows": rows, "has_more": len(names) > limit, "ver": self.version, "now_ms": unix_ms()}
+
+    async def feed(self, query):
+        after = int(query["after"])
+        until = time.monotonic() + min(int(query.get("wait_ms", 0)), 30000) / 1000
+        while True:
+            found = [change for change in self.changes if change[0] > after and change[1][0] == query["table"]]
+            left = until - time.monotonic()
+            if found or left <= 0:
+                rows = [dict(self.describe(name, "", version), **fields) for version, name, fields in found]
+                return 200, {"rows": rows, "ver": self.version, "now_ms": unix_ms()}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class Worker(HttpServer):
+    """Runs tasks under a lease; tells the judge of each start and end."""
+
+    def __init__(self, identity, zone, judge, random):
+        super().__init__()
+        self.identity = identity
+        self.zone = zone
+        self.judge = judge
+        self.random = random
+        self.capacity = 8000
+        self.reset()
+
+    def reset(self):
+        """A new life: nothing runs and nothing is known of before."""
+        for task, run in getattr(self, "runs", {}).items():
+            self.judge.ended(self, task, run["attempt"], "crashed")
+        self.born = unix_ms()
+        self.fence = 0
+        self.runs = {}
+        self.ends = []
+        self.number = 0
+        self.refused = {}
+        self.lease_until = 0.0
+        self.woken = asyncio.Event()
+
+    def clock(self):
+        return unix_ms() - self.born
+
+    def entry(self):
+        return json.dumps({"service": "service", "addr": "127.0.0.1:%d" % self.listed_port, "zone": self.zone,
+                           "version": "1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1,
+                           "born": self.born, "labels": ["a", self.zone + "-r1"],
+                           "capacity": {"cpu": self.capacity, "mem_mb": 64000, "gpu": 0}}).encode()
+
+    def end(self, task, how):
+        run = self.runs.pop(task)
+        self.number += 1
+        self.ends.append([self.number, task, run["attempt"], how, ""])
+        self.refused[task] = max(self.refused.get(task, 0), run["attempt"])
+        self.judge.ended(self, task, run["attempt"], how)
+        self.woken.set()
+        self.woken = asyncio.Event()
+
+    def tick(self):
+        now = time.monotonic()
+        for task, run in list(self.runs.items()):
+            if now > self.lease_until:
+                self.end(task, "lapsed")
+            elif run["stop_at"] and now > run["stop_at"]:
+                self.end(task, "stopped")
+            elif run["done_at"] and now > run["done_at"]:
+                self.end(task, "failed" if self.random.random() < 0.02 else "done")
+
+    def extend(self, until_ms):
+        until = time.monotonic() + min(until_ms - self.clock(), MAX_LEASE_MS) / 1000
+        self.lease_until = max(self.lease_until, until)
+
+    async def handle(self, method, target, headers, body):
+        call = json.loads(body) if body else {}
+        if headers.get("x-expect-instance", self.identity) != self.identity:
+            return 421, {"wall_clock_ms": self.clock(), "born": self.born}
+        if call.get("fencing_token", 0) < self.fence:
+            return 409, {"wall_clock_ms": self.clock(), "born": self.born, "reason": "fence"}
+        self.fence = max(self.fence, call.get("fencing_token", 0))
+        if target == "/run-start":
+            return self.start_run(call)
+        if target == "/run-stop":
+            run = self.runs.get(call["task"])
+            self.refused[call["task"]] = max(self.refused.get(call["task"], 0), call["attempt"])
+            if run and run["attempt"] <= call["attempt"] and not run["stop_at"]:
+                run["stop_at"] = time.monotonic() + STOP_SECONDS
+        if target == "/hold":
+            return await self.hold(call)
+        return 200, {"wall_clock_ms": self.clock(), "born": self.born}
+
+    def start_run(self, call):
+        task, attempt = call["task"], call["attempt"]
+        known = self.runs.get(task)
+        self.extend(call["until_ms"])
+        fields = {"wall_clock_ms": self.clock(), "born": self.born}
+        if known and known["attempt"] == attempt:
+            return 200, fields
+        if known or attempt <= self.refused.get(task, 0):
+            return 409, dict(fields, reason="old")
+        if time.monotonic() > self.lease_until:
+            return 409, dict(fields, reason="late")
+        shape = json.loads(call["spec"])
+        lasts = shape.get("lasts", False)
+        self.runs[task] = {"attempt": attempt, "stop_at": None, "started": time.monotonic(), "cpu": shape["cpu"],
+                           "ms": shape["ms"],
+                           "done_at": None if lasts else time.monotonic() + shape["ms"] / 1000}
+        self.judge.started(self, task, attempt)
+        return 200, fields
+
+    async def hold(self, call):
+        if call.get("until_ms"):
+            self.extend(call["until_ms"])
+        acknowledged = call.get("ack_cursor", 0)
+        for end in self.ends:
+            if end[0] <= acknowledged:
+                self.judge.acknowledged(end[1], end[3])
+        self.ends = [end for end in self.ends if end[0] > acknowledged]
+        if not self.ends and call.get("wait_ms"):
+            try:
+                await asyncio.wait_for(self.woken.wait(), min(call["wait_ms"], 2000) / 1000)
+            except asyncio.TimeoutError:
+                pass
+        running = []
+        for task, run in self.runs.items():
+            percent = 100 if not run["done_at"] else int(
+                min(99, 100 * (time.monotonic() - run["started"]) * 1000 / max(1, run["ms"])))
+            running.append([task, run["attempt"], "", percent, 5 if not run["done_at"] else run["cpu"]])
+        return 200, {"wall_clock_ms": self.clock(), "born": self.born, "running": running, "finished": self.ends[:500]}
