Name the comparison of two drawn shards, and complete doc texts

Cause: read as a newcomer, ShardChooser::choose() mixed the draw with the comparison. The choice is the same; knowledge without a tail latency is skipped on resuming, as a damaged row would otherwise count as a tail of zero. Tests of the fleet library pass.

--- a/src/libs/fleet/servinglayout.h
+++ b/src/libs/fleet/servinglayout.h
@@ -14,7 +14,7 @@
 /*! A serving task that is better placed on another worker. */
 struct Regrouping {
     Task* task = nullptr; //!< Null if no move is worth its interruption.
-    Worker* target = nullptr;
+    Worker* target = nullptr; //!< Where it has room and like neighbours.
 };
 
 /*!
--- a/src/libs/fleet/shardchoice.cpp
+++ b/src/libs/fleet/shardchoice.cpp
@@ -50,6 +50,16 @@
     return -std::log((static_cast<double>(hash) + 1) / (range + 1));
 }
 
+// The two that are drawn first are compared. \p drawn must not be empty; its order changes.
+const Drawn& lessLoadedOfTwo(std::vector<Drawn>& drawn)
+{
+    const auto end = drawn.begin() + std::min<std::ptrdiff_t>(2, static_cast<std::ptrdiff_t>(drawn.size()));
+    std::partial_sort(drawn.begin(), end, drawn.end(),
+        [](const Drawn& left, const Drawn& right) { return left.draw < right.draw; });
+    return *std::min_element(
+        drawn.begin(), end, [](const Drawn& left, const Drawn& right) { return left.cost < right.cost; });
+}
+
 bool isFilling(const FleetSchema::JobSpec& spec)
 {
     return std::any_of(spec.steps().begin(), spec.steps().end(),
@@ -144,16 +154,7 @@
     if (!std::all_of(drawn.begin(), drawn.end(), isSilent))
         std::erase_if(drawn, isSilent);
     if (!drawn.empty()) {
-        const auto first = std::min_element(drawn.begin(), drawn.end(),
-            [](const Drawn& left, const Drawn& right) { return left.draw < right.draw; });
-        std::iter_swap(drawn.begin(), first);
-        if (drawn.size() > 1) {
-            const auto second = std::min_element(drawn.begin() + 1, drawn.end(),
-                [](const Drawn& left, const Drawn& right) { return left.draw < right.draw; });
-            if (second->cost < drawn.front().cost)
-                std::iter_swap(drawn.begin(), second);
-        }
-        choice = { drawn.front().shard, false };
+        choice = { lessLoadedOfTwo(drawn).shard, false };
         Assigned& assigned = assigned_[choice.shard];
         (isFilling(spec) ? assigned.filling : assigned.committed) += widthOf(spec);
     }
--- a/src/libs/fleet/shardchoice.h
+++ b/src/libs/fleet/shardchoice.h
@@ -35,7 +35,8 @@
     void update(const std::map<std::string, ShardHolder>& holders);
 
     /*! Takes in whether a shard's owner answered. A silent one gets no new jobs for some updates, unless all
-       are silent: its successor is not known yet, and the job would be bound to the shard. */
+       are silent: its successor is not known yet, and the job would be bound to the shard.
+        \param shard the shard. \param hasAnswered whether its owner served a call. */
     void noteOwner(const std::string& shard, bool hasAnswered);
 
     /*!
--- a/src/libs/fleet/stalllimit.h
+++ b/src/libs/fleet/stalllimit.h
@@ -31,7 +31,8 @@
     //! Callers wait for about three seconds, and the job index takes its part of it.
     static constexpr std::chrono::milliseconds greatest { 2000 };
 
-    Utils::Duration usual_ {}; //!< Duration of late, decaying to that of the latest transaction.
+    Utils::Duration
+        usual_ {}; //!< Greatest recent duration, which decays towards that of the latest transaction.
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/tailmodel.cpp
+++ b/src/libs/fleet/tailmodel.cpp
@@ -184,6 +184,8 @@
 {
     estimates_.clear();
     for (const FleetSchema::TailEstimate& known : former.estimates()) {
+        if (known.least_tail_ms() <= 0)
+            continue;
         Estimate& estimate = estimates_[known.image()];
         estimate.coefficients = { priorOwn };
         estimate.covariance = { priorVariance };
--- a/src/libs/fleetnode/jobrouter.h
+++ b/src/libs/fleetnode/jobrouter.h
@@ -36,7 +36,8 @@
     /*! Chooses the shard of a new job. \param spec the job. \return the shard, or why there is none. */
     virtual Fleet::ShardChoice chooseShard(const FleetSchema::JobSpec& spec) = 0;
 
-    /*! Takes in whether the owner of a shard answered. \param shard the shard. */
+    /*! Takes in whether the owner of a shard served a call. \param shard the shard. \param hasAnswered
+     * whether it did. */
     virtual void noteOwner(const std::string& shard, bool hasAnswered) = 0;
 };
 
