Call the borrowing shard only once the record of a lent task is stored

The repeat of an unanswered call took 'the job has no change that is not in a transaction' for 'the record is stored', so while the store took longer than 0.6 s over the transaction the other shard was called before; the owner then lost its shard, and its successor found the task waiting. The cancellation of a lent task had the same gap. A lent task is now marked with the commit of the transaction that holds it, and the borrower is called only then.

--- a/src/libs/fleet/inflightbatch.h
+++ b/src/libs/fleet/inflightbatch.h
@@ -19,8 +19,14 @@
         std::uint32_t attempt = 0;
     };
 
+    struct RecordedLend {
+        Task* task = nullptr;
+        std::uint32_t transfer = 0;
+    };
+
     std::vector<StoredJob> jobs;
     std::vector<RecordedAttempt> starts;
+    std::vector<RecordedLend> lends;
     std::vector<std::pair<std::string, std::uint64_t>>
         acknowledgements; //!< Worker and number of its latest end.
     std::vector<std::string> removals;
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -39,6 +39,8 @@
         for (Task& task : job.tasks) {
             if (task.phase == TaskPhase::Recorded)
                 inflight_->starts.push_back({ &task, task.attempt });
+            else if (task.phase == TaskPhase::Lent)
+                inflight_->lends.push_back({ &task, task.transfer });
         }
     }
     dirtyJobs_.erase(dirtyJobs_.begin(), dirtyJobs_.begin() + static_cast<std::ptrdiff_t>(taken));
@@ -64,6 +66,8 @@
             worker->acknowledgedEnd = std::min(number, worker->seenEnd);
         }
     }
+    for (const Inflight::RecordedLend& lend : batch->lends)
+        lend.task->isLendStored = lend.task->phase == TaskPhase::Lent && lend.task->transfer == lend.transfer;
     for (const StoredJob& stored : batch->jobs)
         onJobStored(stored, now);
     for (const Inflight::RecordedAttempt& start : batch->starts) {
@@ -96,7 +100,7 @@
         // A cancellation is sent to where the task went, whatever was answered before.
         if (!job.isActive())
             task.isLendAnswered = false;
-        if (!task.isLendAnswered && !job.isDirty)
+        if (mayCallBorrower(task))
             sendLend(task, now);
     }
 }
--- a/src/libs/fleet/shardlending.cpp
+++ b/src/libs/fleet/shardlending.cpp
@@ -25,8 +25,7 @@
         return;
     for (Task& task : job.tasks) {
         if (task.phase == TaskPhase::Lent) {
-            const bool isDue = !task.isLendAnswered && !job.isDirty && now - task.lendSentAt > lendRepeat;
-            if (isDue)
+            if (mayCallBorrower(task) && now - task.lendSentAt > lendRepeat)
                 sendLend(task, now);
             continue;
         }
@@ -40,12 +39,21 @@
         task.phase = TaskPhase::Lent;
         task.lentTo = shard;
         ++task.transfer;
+        task.isLendStored = false;
         task.isLendAnswered = false;
-        task.lendSentAt = now; // Sent once it is stored.
         markDirty(job);
     }
 }
 
+// A call before its record is stored would stand even if a successor, which does not know of it, decides
+// otherwise.
+bool ShardScheduler::mayCallBorrower(const Task& task)
+{
+    const Job& job = *task.job;
+    const bool isRecorded = job.isActive() ? task.isLendStored : job.committedState == job.state;
+    return task.phase == TaskPhase::Lent && isRecorded && !task.isLendAnswered;
+}
+
 void ShardScheduler::sendLend(Task& task, Utils::TimePoint now)
 {
     task.lendSentAt = now;
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -69,9 +69,10 @@
         task.checkpoint = stored.checkpoint();
         task.lentTo = stored.lent_to();
         task.transfer = stored.transfer();
-        if (stored.state() == FleetSchema::TASK_LENT)
+        if (stored.state() == FleetSchema::TASK_LENT) {
             task.phase = TaskPhase::Lent;
-        else if (stored.state() == FleetSchema::TASK_FOREIGN)
+            task.isLendStored = true;
+        } else if (stored.state() == FleetSchema::TASK_FOREIGN)
             task.phase = TaskPhase::Foreign;
         else if (stored.state() == FleetSchema::TASK_DONE) {
             task.phase = TaskPhase::Done;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -189,6 +189,7 @@
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
     void tickLending(Job& job, Utils::TimePoint now);
+    static bool mayCallBorrower(const Task& task);
     void sendLend(Task& task, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now);
     bool shouldMove(const Task& task, Utils::TimePoint now) const;
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -38,6 +38,7 @@
     std::int64_t workerBornMs = 0; //!< Incarnation of the worker that the attempt is for.
     std::string lentTo; //!< Shard that runs a lent task.
     std::uint32_t transfer = 0; //!< Number of its latest move between shards.
+    bool isLendStored = false; //!< The store holds that it is lent under this number.
     bool isLendAnswered = false; //!< That shard has stored it.
     Utils::TimePoint lendSentAt {};
     std::string avoidedWorker; //!< It failed there or was moved from there; taken if no other has room.
--- a/tests/auto/fleet/tst_shardscheduler.cpp
+++ b/tests/auto/fleet/tst_shardscheduler.cpp
@@ -366,6 +366,48 @@
     CHECK(other.scheduler.load().pending().empty());
 }
 
+TEST_CASE("While the store is slow to take the record of a lent task, the other shard is not called")
+{
+    LendingFixture fixture;
+    // The lent task comes back and finds no room again, and the store holds the transaction up.
+    FleetSchema::TaskTransfer back = fixture.orders.lends[0];
+    back.set_transfer(back.transfer() + 1);
+    fixture.scheduler.adopt(back, 5, fixture.now);
+    fixture.round();
+    const std::size_t before = fixture.orders.lends.size();
+    for (int step = 0; step < 25; ++step) {
+        fixture.now += 100ms;
+        fixture.finish(0, Ports::EndKind::Done);
+        fixture.scheduler.onTick(fixture.now, startUnixMs);
+        fixture.scheduler.schedule(fixture.now, startUnixMs);
+        if (fixture.scheduler.hasChanges())
+            break;
+    }
+    REQUIRE(fixture.scheduler.takeBatch(startUnixMs));
+    for (int step = 0; step < 20; ++step) {
+        fixture.now += 100ms;
+        fixture.scheduler.onTick(fixture.now, startUnixMs);
+    }
+    CHECK(fixture.orders.lends.size() == before);
+    fixture.scheduler.onCommitted(fixture.now);
+    CHECK(fixture.orders.lends.size() == before + 1);
+}
+
+TEST_CASE("While the store is slow to take a cancellation, the shard that was lent a task is not told")
+{
+    LendingFixture fixture;
+    fixture.scheduler.onLendAnswered(fixture.orders.lends[0], "other");
+    fixture.scheduler.cancel("big", 9, startUnixMs);
+    REQUIRE(fixture.scheduler.takeBatch(startUnixMs));
+    for (int step = 0; step < 20; ++step) {
+        fixture.now += 100ms;
+        fixture.scheduler.onTick(fixture.now, startUnixMs);
+    }
+    CHECK(fixture.orders.lentCancels.empty());
+    fixture.scheduler.onCommitted(fixture.now);
+    CHECK(fixture.orders.lentCancels.size() == 1);
+}
+
 TEST_CASE("An answer for one lent task does not stand for another one of its job under the same number")
 {
     LendingFixture fixture;
