Give the soak's nodes ports that no outgoing connection takes

Its log has start-failed, 'Address already in use', so it had not started again after a fault: three soaks ran at once, and while the node was down its port, from the range that the system gives to outgoing connections, was taken by one. Ports are now chosen below that range. No code of the product is changed.

--- a/tests/auto/usersplatform/soak/soak.py
+++ b/tests/auto/usersplatform/soak/soak.py
@@ -12,6 +12,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -54,14 +55,22 @@
 """
 
 
+# Below the ports that the system gives to outgoing connections, so that none of these takes a node's port while the node
+# is down.
+PORTS = range(18000, 32000)
+
+
 def free_ports(count):
-    import socket
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    ports = []
+    for port in random.Random(os.getpid() * 1000003 + time.monotonic_ns()).sample(PORTS, len(PORTS)):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            break
     return ports
 
 
