Read the list of workers as often as leaving workers need, and seldom without shards

Now the list is read three times in drain_ms, by nodes without shards each 4 s; before such a node owns a shard it reads the list anew, and the shard gets no older one. Tests: tst_tablewatcher, tst_ownership; both need calls that did not exist before.

--- a/src/libs/fleetnode/node.cpp
+++ b/src/libs/fleetnode/node.cpp
@@ -23,12 +23,19 @@
 
 // Callers' bodies are bounded by the configuration as well; messages of peers hold one job.
 constexpr std::uint64_t maxBodyBytes = 1U << 20U;
-// A worker that leaves must be heard of within 2.5 s, also when one read fails.
-constexpr milliseconds workerPollInterval { 800 };
+// A worker that leaves must be heard of while it still serves, also when one read fails.
+constexpr int pollsPerDrain = 3;
+// A node without shards reads the list only to know the racks; it reads it anew before it owns one.
+constexpr milliseconds idleWorkerPoll { 4000 };
 constexpr milliseconds configurationBatchPause { 100 };
 // Kept back from the grace for the process's own end.
 constexpr milliseconds stopReserve { 900 };
 
+Utils::Duration workerPollInterval(const NodeContext& context)
+{
+    return milliseconds(context.settings.dispatch().drain_ms()) / pollsPerDrain;
+}
+
 Http::ServerOptions serverOptions(const std::string& endpoint)
 {
     Http::ServerOptions options;
@@ -93,8 +100,8 @@
     , callers_(context, queues_, router_, ownership_)
     , configurationWatcher_(context, context.platform.operatorTable, TableWatcher::Mode::Follow,
           configurationBatchPause, [this](const auto& rows) { onConfiguration(rows); })
-    , workerWatcher_(context, context.platform.workerTable, TableWatcher::Mode::Poll, workerPollInterval,
-          [this](const auto& rows) { onWorkers(rows); })
+    , workerWatcher_(context, context.platform.workerTable, TableWatcher::Mode::Poll,
+          workerPollInterval(context), [this](const auto& rows) { onWorkers(rows); })
     , callerServer_(context.io, serverOptions(context.settings.endpoints().callers()),
           [this](const Http::Request& request, const Http::Responder& respond) {
               callers_.handle(request, respond);
@@ -128,6 +135,7 @@
         if (!Utils::isOk(status))
             return status;
     }
+    ownership_.setWorkersWanted([this] { workerWatcher_.endPause(); });
     configurationWatcher_.start();
     workerWatcher_.start();
     tailExchange_.start();
@@ -171,6 +179,7 @@
     }
     workerEntries_ = std::move(decoded);
     ownership_.setWorkers(workers);
+    workerWatcher_.setPause(ownership_.needsWorkers() ? workerPollInterval(context_) : idleWorkerPoll);
 }
 
 void Node::Private::onPeer(const Http::Request& request, const Http::Responder& respond)
--- a/src/libs/fleetnode/ownership.cpp
+++ b/src/libs/fleetnode/ownership.cpp
@@ -180,8 +180,7 @@
     const std::string& self = context_.settings.node().name();
     if (isLeaving_ || context_.now() - startedAt_ < settleTime)
         return;
-    // One node is enough.
-    if (members_.alive().front()->name() == self)
+    if (isRackPlanner())
         racks_.extend();
     const std::vector<Fleet::ShardPlace> shards = shardPlaces();
     const std::vector<Fleet::NodePlace> nodes = nodePlaces();
@@ -202,8 +201,13 @@
 
 void Ownership::claim(const std::string& shard)
 {
-    if (hosts_.contains(shard) || !claiming_.insert(shard).second)
+    if (hosts_.contains(shard) || claiming_.contains(shard))
         return;
+    if (!needsWorkers()) {
+        areWorkersCurrent_ = false;
+        askForWorkers_();
+    }
+    claiming_.insert(shard);
     Ports::RowRange range;
     range.table = shardTable;
     range.partition = shard;
@@ -237,7 +241,9 @@
     postponed_.erase(shard);
     auto host = std::make_unique<ShardHost>(
         context_, shard, static_cast<ShardNeighbours&>(*this), tailModel_, [this, shard] { onEnded(shard); });
-    host->setWorkers(racks_.workersOf(shard));
+    // By an old list a task may be started on a worker that has left.
+    if (areWorkersCurrent_)
+        host->setWorkers(racks_.workersOf(shard));
     host->takeOver(former, version);
     hosts_[shard] = std::move(host);
 }
@@ -245,11 +251,26 @@
 void Ownership::setWorkers(const std::vector<Ports::WorkerInfo>& workers)
 {
     racks_.setWorkers(workers);
+    areWorkersCurrent_ = true;
     passWorkers();
 }
 
+bool Ownership::needsWorkers() const
+{
+    return !hosts_.empty() || !claiming_.empty() || isRackPlanner();
+}
+
+// One node is enough to extend the map of racks.
+bool Ownership::isRackPlanner() const
+{
+    const std::vector<const FleetSchema::NodeRecord*> alive = members_.alive();
+    return alive.empty() || alive.front()->name() == context_.settings.node().name();
+}
+
 void Ownership::passWorkers()
 {
+    if (!areWorkersCurrent_)
+        return;
     for (const auto& [shard, host] : hosts_)
         host->setWorkers(racks_.workersOf(shard));
 }
--- a/src/libs/fleetnode/ownership.h
+++ b/src/libs/fleetnode/ownership.h
@@ -37,6 +37,13 @@
     /*! Takes in the list of workers. \param workers all that are listed. */
     void setWorkers(const std::vector<Ports::WorkerInfo>& workers);
 
+    /*! \return whether this node decides by the list of workers, so that it must be current. */
+    bool needsWorkers() const;
+
+    /*! Sets what asks for a current list of workers. \param ask called when a shard is claimed without one.
+     */
+    void setWorkersWanted(std::function<void()> ask) { askForWorkers_ = std::move(ask); }
+
     /*! Gives all shards to other nodes. \param done called once when this node owns none. */
     void leave(std::function<void()> done);
 
@@ -70,6 +77,7 @@
     void onMembers(const Utils::Result<Ports::RowPage>& result);
     void reclaim();
     void passWorkers();
+    bool isRackPlanner() const;
     void plan();
     void claim(const std::string& shard);
     void onShardRow(const std::string& shard, const Utils::Result<Ports::RowPage>& result);
@@ -105,6 +113,8 @@
     bool isReclaimed_ = false;
     bool isLeaving_ = false;
     bool isStoreLost_ = false;
+    bool areWorkersCurrent_ = false; //!< The list was read since this node last began to need it.
+    std::function<void()> askForWorkers_;
     std::function<void()> onLeft_;
     Timer heartbeatTimer_;
     Timer tickTimer_;
--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -28,11 +28,19 @@
 
 void TableWatcher::start()
 {
+    timer_.stop();
     incoming_.clear();
     version_ = 0;
     readAll({});
 }
 
+// The timer runs only between reads, or before a failed one is repeated.
+void TableWatcher::endPause()
+{
+    if (mode_ == Mode::Poll && timer_.isSet())
+        start();
+}
+
 void TableWatcher::readAll(const std::string& from)
 {
     Ports::RowRange range;
--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -40,6 +40,12 @@
     /*! Starts to watch. */
     void start();
 
+    /*! \param pause between two reads from the next one on. */
+    void setPause(Utils::Duration pause) { pause_ = pause; }
+
+    /*! Ends the pause between two reads of a polled table. */
+    void endPause();
+
     /*! \return when the rows were last known to be current; the epoch of the clock if never. */
     Utils::TimePoint currentAt() const { return currentAt_; }
 
--- /dev/null
+++ b/tests/auto/fleetnode/tst_ownership.cpp
@@ -0,0 +1,70 @@
+#include "scriptedrowstore.h"
+
+#include <fleetnode/ownership.h>
+#include <fleetnode/peerlinks.h>
+
+#include <fleet/tailmodel.h>
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+/*! A node whose heartbeats and time limits end no test. */
+struct QuietNodeFixture : Testing::NodeFixture {
+    QuietNodeFixture()
+    {
+        settings.mutable_dispatch()->set_heartbeat_ms(3'600'000);
+        settings.mutable_dispatch()->set_node_timeout_ms(3'600'000);
+        settings.mutable_dispatch()->set_orphan_grace_ms(3'600'000);
+    }
+};
+
+/*! Node "node-1" beside "node-0", which comes first by name and so keeps the map of racks. */
+struct OwnershipFixture : QuietNodeFixture {
+    OwnershipFixture()
+    {
+        FleetSchema::NodeRecord other;
+        other.set_name("node-0");
+        other.set_address("127.0.0.1:1");
+        const Ports::RowKey name { FleetNode::nodeTable, {},
+            std::string(FleetNode::nodeKeyPrefix) + "node-0" };
+        store.rows[name] = { name, other.SerializeAsString(), 1, false };
+        ownership.setWorkersWanted([this] { ++asked; });
+        ownership.start();
+        runReady();
+    }
+
+    void runReady()
+    {
+        io.restart();
+        io.poll();
+    }
+
+    void takeOver(const std::string& shard)
+    {
+        FleetSchema::PeerRequest request;
+        request.set_shard(shard);
+        request.mutable_take_over();
+        ownership.serve(request, [](const FleetSchema::PeerReply&) {});
+    }
+
+    Fleet::TailModel model;
+    FleetNode::PeerLinks peers { context };
+    FleetNode::Ownership ownership { context, peers, model };
+    int asked = 0;
+};
+
+} // namespace
+
+TEST_CASE("A node without shards asks for a current list of workers when it claims its first one")
+{
+    OwnershipFixture fixture;
+    REQUIRE_FALSE(fixture.ownership.needsWorkers());
+    fixture.takeOver("shard-1");
+    CHECK(fixture.ownership.needsWorkers());
+    CHECK(fixture.asked == 1);
+    fixture.runReady();
+    CHECK(fixture.ownership.needsWorkers());
+    fixture.takeOver("shard-2");
+    CHECK(fixture.asked == 1);
+}
--- /dev/null
+++ b/tests/auto/fleetnode/tst_tablewatcher.cpp
@@ -0,0 +1,71 @@
+#include "scriptedrowstore.h"
+
+#include <fleetnode/tablewatcher.h>
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using FleetNode::TableWatcher;
+
+namespace {
+
+struct WatcherFixture : Testing::NodeFixture {
+    explicit WatcherFixture(Utils::Duration pause)
+        : watcher(context, "workers", TableWatcher::Mode::Poll, pause,
+            [this](const TableWatcher::Rows& rows) { sizes.push_back(rows.size()); })
+    {
+    }
+
+    void add(const std::string& key)
+    {
+        const Ports::RowKey name { "workers", {}, key };
+        store.rows[name] = { name, "entry", 1, false };
+    }
+
+    /*! Runs what is ready, but no pause. */
+    void runReady()
+    {
+        io.restart();
+        io.poll();
+    }
+
+    TableWatcher watcher;
+    std::vector<std::size_t> sizes; //!< Of the table as it was told.
+};
+
+} // namespace
+
+TEST_CASE("A polled table is read at once when the pause is ended")
+{
+    WatcherFixture fixture(1h);
+    fixture.add("first");
+    fixture.watcher.start();
+    fixture.runReady();
+    REQUIRE(fixture.sizes == std::vector<std::size_t> { 1 });
+    fixture.add("second");
+    fixture.runReady();
+    REQUIRE(fixture.sizes.size() == 1);
+    fixture.watcher.endPause();
+    fixture.runReady();
+    CHECK(fixture.sizes == std::vector<std::size_t> { 1, 2 });
+}
+
+TEST_CASE("Ending the pause while a read is under way adds none")
+{
+    WatcherFixture fixture(1h);
+    fixture.watcher.start();
+    fixture.watcher.endPause();
+    fixture.runReady();
+    CHECK(fixture.sizes.size() == 1);
+}
+
+TEST_CASE("A new pause holds from the next read on")
+{
+    WatcherFixture fixture(1h);
+    fixture.watcher.setPause(1ms);
+    fixture.watcher.start();
+    fixture.io.restart();
+    while (fixture.sizes.size() < 3)
+        fixture.io.run_one();
+    CHECK(fixture.sizes.size() == 3);
+}
