Gather serving tasks so that workers are left for work that disturbs them, and keep more room for swings

Besides, the own load of a serving task swings by 0.2 within 14 s, so work placed with 0.08 to spare is in the way 2 s on. Now the worker whose serving tasks take least is emptied one task at a time while work waits; serving tasks and undisturbing work leave free workers free; 0.15 is kept when work is placed (0.05 where it starts slowed down). Tests: tst_servinglayout (three cases), tst_interference (one case).

--- a/src/libs/fleet/interference.cpp
+++ b/src/libs/fleet/interference.cpp
@@ -14,7 +14,7 @@
 // Weight of the latest sample in a task's own utilization: its load swings within some ten seconds.
 constexpr double ownGain = 0.4;
 // Utilization kept free when work is placed, as the own load may rise while the work runs.
-constexpr double placementMargin = 0.08;
+constexpr double placementMargin = 0.15;
 // Utilization kept free when speeds are chosen.
 constexpr double paceMargin = 0.05;
 // Speeds are chosen in steps of this size, so that small changes of the load cost no orders.
@@ -99,12 +99,14 @@
         return 1;
     const std::vector<ImageShare> beside = orderedShares(worker);
     const double share = shareOf(step, worker) * pace;
+    // A task that is started slowed down follows the load from the start.
+    const double margin = pace < 1 ? paceMargin : placementMargin;
     double least = 1;
     for (const Task* task : worker.tasks) {
         if (!isServing(*task))
             continue;
         const double added = share * model.pressure(imageOf(*task), step.image());
-        const double headroom = limitOf(*task, model) - placementMargin - task->ownUtilization
+        const double headroom = limitOf(*task, model) - margin - task->ownUtilization
             - model.pressureOf(imageOf(*task), beside) - added;
         // What adds next to nothing is no reason to leave the room unused.
         if (added > negligible)
@@ -113,6 +115,16 @@
     return least;
 }
 
+double addedBy(const Worker& worker, const FleetSchema::StepSpec& step, const TailModel& model)
+{
+    double most = 0;
+    for (const Task* task : worker.tasks) {
+        if (isServing(*task))
+            most = std::max(most, model.pressure(imageOf(*task), step.image()));
+    }
+    return most * shareOf(step, worker);
+}
+
 std::vector<PaceChange> choosePaces(const Worker& worker, const TailModel& model, Utils::TimePoint now)
 {
     std::vector<PaceChange> wanted;
--- a/src/libs/fleet/interference.h
+++ b/src/libs/fleet/interference.h
@@ -40,6 +40,13 @@
 double headroomWith(
     const Worker& worker, const FleetSchema::StepSpec& step, const TailModel& model, double pace = 1);
 
+/*!
+    Utilization that a task would add to the serving task of a worker that minds it most.
+    \param worker the worker. \param step step of the task. \param model pressures.
+    \return 0 if the worker has no serving task.
+*/
+double addedBy(const Worker& worker, const FleetSchema::StepSpec& step, const TailModel& model);
+
 /*!
     Chooses the speeds of the work for leftover processors beside serving tasks.
 
--- a/src/libs/fleet/servinglayout.cpp
+++ b/src/libs/fleet/servinglayout.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string_view>
 
 namespace Fleet {
 
@@ -18,6 +20,10 @@
 constexpr double unknownDistance = 0.3;
 // A move interrupts a task for about a second; what it brings must be more than the error of the estimates.
 constexpr double leastGain = 0.4;
+// Room that the other workers must have for what a worker's serving tasks take, as it is in pieces.
+constexpr double spareRoom = 1.5;
+// With so much of the work undisturbing, an empty worker is worth no moves.
+constexpr double greatestOpenness = 0.9;
 
 bool isServing(const Task& task)
 {
@@ -35,6 +41,37 @@
     return sum;
 }
 
+bool isMovable(const Task& task)
+{
+    const FleetSchema::StepSpec& step = task.job->step(task);
+    return isServing(task) && step.lasting() && !step.gang() && task.phase == TaskPhase::Running
+        && task.percent >= 100;
+}
+
+double servingShare(const Worker& worker)
+{
+    return static_cast<double>(worker.servingProcessors)
+        / static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
+}
+
+// The worker whose serving tasks take least of it, if the others have room for them.
+const Worker* sparsestWorker(std::span<Worker* const> workers)
+{
+    const Worker* sparsest = nullptr;
+    std::int64_t room = 0;
+    for (const Worker* worker : workers) {
+        if (!worker->isUsable() || worker->servingTasks == 0)
+            continue;
+        room += std::max<std::int64_t>(0, worker->available().milliProcessors);
+        if (!sparsest || servingShare(*worker) < servingShare(*sparsest))
+            sparsest = worker;
+    }
+    if (!sparsest)
+        return nullptr;
+    room -= std::max<std::int64_t>(0, sparsest->available().milliProcessors);
+    return room > spareRoom * static_cast<double>(sparsest->servingProcessors) ? sparsest : nullptr;
+}
+
 } // namespace
 
 double sensitivityDistance(const std::string& first, const std::string& second, const InterferenceView& view)
@@ -58,15 +95,32 @@
     return worker.servingTasks == 0 ? 0 : distanceSum(task, worker, view) / worker.servingTasks;
 }
 
+double opennessOf(const Worker& worker, const InterferenceView& view)
+{
+    if (worker.servingTasks == 0)
+        return 1;
+    std::set<std::string_view> images;
+    for (const Task* task : worker.tasks) {
+        if (isServing(*task))
+            images.insert(task->job->step(*task).image());
+    }
+    double open = 0;
+    for (const ImageShare& part : view.demand) {
+        double pressure = 0;
+        for (const std::string_view image : images)
+            pressure = std::max(pressure, view.model.pressure(std::string(image), part.image));
+        open += part.share * std::max(0.0, 1 - pressure);
+    }
+    return open;
+}
+
 Regrouping chooseRegrouping(const Worker& source, std::span<Worker* const> workers,
     const InterferenceView& view, Utils::Duration notice, Utils::TimePoint now)
 {
     Regrouping best;
     double bestGain = leastGain;
     for (Task* task : source.tasks) {
-        const bool isMovable = isServing(*task) && task->job->step(*task).lasting()
-            && !task->job->step(*task).gang() && task->phase == TaskPhase::Running && task->percent >= 100;
-        if (!isMovable)
+        if (!isMovable(*task))
             continue;
         const double present = distanceSum(*task, source, view);
         if (present <= bestGain || !mayDisrupt(*task, notice, now))
@@ -84,4 +138,30 @@
     return best;
 }
 
+Regrouping chooseConsolidation(std::span<Worker* const> workers, const InterferenceView& view,
+    Utils::Duration notice, Utils::TimePoint now)
+{
+    Regrouping best;
+    const Worker* const source = sparsestWorker(workers);
+    if (!source || view.demand.empty() || opennessOf(*source, view) > greatestOpenness)
+        return best;
+    double bestDistance = 0;
+    for (Task* task : source->tasks) {
+        if (!isMovable(*task) || !mayDisrupt(*task, notice, now))
+            continue;
+        for (Worker* worker : workers) {
+            if (worker == source || worker->servingTasks == 0 || worker->reserved > 0
+                || servingShare(*worker) <= servingShare(*source) || !isRelocationTarget(*task, *worker))
+                continue;
+            const double distance = distanceSum(*task, *worker, view);
+            // Else it would be moved again for like sensitivity.
+            if (distance < leastGain && (!best.task || distance < bestDistance)) {
+                best = { task, worker };
+                bestDistance = distance;
+            }
+        }
+    }
+    return best;
+}
+
 } // namespace Fleet
--- a/src/libs/fleet/servinglayout.h
+++ b/src/libs/fleet/servinglayout.h
@@ -49,4 +49,26 @@
 Regrouping chooseRegrouping(const Worker& source, std::span<Worker* const> workers,
     const InterferenceView& view, Utils::Duration notice, Utils::TimePoint now);
 
+/*!
+    Share of the work for leftover processors that a worker's serving tasks do not mind.
+    \param worker the worker. \param view what is known of interference.
+    \return 0 to 1; 1 without serving tasks.
+*/
+double opennessOf(const Worker& worker, const InterferenceView& view);
+
+/*!
+    Chooses the move of one serving task that helps to free a worker of serving tasks.
+
+    Answers work that disturbs most serving tasks and waits while serving tasks come and go: what they leave
+   free is spread over all workers, and none is left where such work may run.
+
+    \param workers the shard's workers.
+    \param view as above.
+    \param notice for which a lasting task must have been at work to be available.
+    \param now the current time.
+    \return the move.
+*/
+Regrouping chooseConsolidation(std::span<Worker* const> workers, const InterferenceView& view,
+    Utils::Duration notice, Utils::TimePoint now);
+
 } // namespace Fleet
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -8,6 +8,8 @@
 #include "workerchoice.h"
 #include "workercommitment.h"
 
+#include "servinglayout.h"
+
 #include <algorithm>
 
 namespace Fleet {
@@ -163,6 +165,8 @@
     for (auto& [id, worker] : workers_)
         worker->reserved = 0;
     countDemand();
+    for (auto& [id, worker] : workers_)
+        worker->openness = opennessOf(*worker, view());
     std::vector<Candidate> candidates;
     for (const auto& [id, job] : jobs_) {
         if (!job->isActive() || job->tasksLeft == 0)
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -18,8 +18,8 @@
 
 constexpr milliseconds waitingInterval { 300 };
 
-// Moves of serving tasks for like sensitivity; a moved task is at work again by then.
-constexpr milliseconds regroupInterval { 250 };
+// Least time between moves of serving tasks of a shard; bounds how many of them are away at a time.
+constexpr milliseconds regroupInterval { 200 };
 
 // A task throttled to at most this share for so long is moved; one without checkpoints only while it has done
 // little.
@@ -67,8 +67,9 @@
     std::vector<Worker*> workers;
     for (const auto& [id, worker] : workers_)
         workers.push_back(worker.get());
-    const Regrouping move
-        = chooseRegrouping(*source->second, workers, view(), options_.disruptionNotice, now);
+    Regrouping move = chooseRegrouping(*source->second, workers, view(), options_.disruptionNotice, now);
+    if (!move.task && hasWaiting_)
+        move = chooseConsolidation(workers, view(), options_.disruptionNotice, now);
     if (!move.task)
         return;
     regroupAllowedAt_ = now + regroupInterval;
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -22,6 +22,8 @@
     double servingUse = 0.45;
     std::int64_t reserved
         = 0; //!< Milli-processors kept free for a lasting task that waits; of one scheduling pass.
+    //! Share of the work for leftover processors that disturbs no task here, 0 to 1; of one scheduling pass.
+    double openness = 1;
     int servingTasks = 0; //!< Open attempts with a latency target.
     std::vector<Task*> tasks; //!< Tasks with an open attempt here.
 
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -17,6 +17,12 @@
 // room.
 constexpr double distanceWeight = 6.0;
 constexpr double headroomWeight = 2.0;
+// Work goes where little else may run, as far as it may, and serving tasks leave free workers free while
+// there is work that may need them; less than what an unknown neighbour costs.
+constexpr double opennessWeight = 1.0;
+constexpr double emptyWeight = 1.5;
+// A task that adds so much utilization to a serving task takes what headroom it has left.
+constexpr double greatAddition = 0.1;
 constexpr double sameStepWeight = 0.05;
 constexpr double slownessWeight = 1.0;
 constexpr double retryOnSameWorkerWeight = 10.0;
@@ -103,11 +109,16 @@
         cost += retryOnSameWorkerWeight;
     if (step.tail_target_ms() > 0) {
         const double unused = static_cast<double>(worker.unusedProcessors()) / capacity;
-        return cost + 2 * unused + distanceWeight * distanceTo(task, worker, view);
+        const double empty = worker.servingTasks == 0 && !view.demand.empty() ? emptyWeight : 0;
+        return cost + 2 * unused + empty + distanceWeight * distanceTo(task, worker, view);
     }
-    if (step.leftover_processors())
-        return cost - headroomWeight * headroomWith(worker, step, view.model);
-    return cost;
+    if (step.lasting())
+        return cost;
+    cost += opennessWeight * worker.openness;
+    if (!step.leftover_processors())
+        return cost;
+    const double addition = std::min(1.0, addedBy(worker, step, view.model) / greatAddition);
+    return cost + headroomWeight * addition * (1 - headroomWith(worker, step, view.model));
 }
 
 } // namespace
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -102,6 +102,21 @@
         fleet.make(makeFillingStep(1, 1000, "mild")), fleet.pointers, { model }, testStart));
 }
 
+TEST_CASE("Disturbing work is not placed where the usual rise of a load within its run uses the headroom up")
+{
+    const Fleet::TailModel model = trainedModel(18);
+    Fleetlet fleet(1);
+    Fleet::Task& hot = fleet.make(makeFillingStep(1, 4000, "hot"));
+    const double added = 0.125 * model.pressure("serving", "hot");
+    // A load that swings by 0.2 within 14 s rises by some 0.15 in two seconds.
+    const double rise = 0.13;
+    fleet.add(makeServingStep(1, 6000, "serving"), *fleet.workers[0]).ownUtilization
+        = model.limit("serving", 18) - added - rise;
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, { model }, testStart) == nullptr);
+    fleet.workers[0]->tasks[0]->ownUtilization -= 0.1;
+    CHECK(Fleet::chooseWorker(hot, fleet.pointers, { model }, testStart) == fleet.workers[0].get());
+}
+
 TEST_CASE(
     "When the own load rises, the most disturbing work is slowed down first and harmless work not at all")
 {
--- a/tests/auto/fleet/tst_servinglayout.cpp
+++ b/tests/auto/fleet/tst_servinglayout.cpp
@@ -83,6 +83,40 @@
         return Fleet::chooseRegrouping(*workers[source], pointers, view(), 5s, testStart);
     }
 
+    Fleet::Regrouping consolidate() const
+    {
+        return Fleet::chooseConsolidation(pointers, view(), 5s, testStart);
+    }
+
+    /*! Moves a serving task as if it had been stopped and started again. */
+    void carryOut(const Fleet::Regrouping& move)
+    {
+        Fleet::removeAttempt(*move.task, *move.task->worker);
+        Fleet::addAttempt(*move.task, *move.target);
+        move.task->worker = move.target;
+    }
+
+    /*! Places work for leftover processors until no worker takes more. */
+    std::size_t place(const std::string& image)
+    {
+        std::size_t placed = 0;
+        while (true) {
+            jobs.push_back(std::make_unique<Fleet::Job>());
+            Fleet::initializeJob(
+                makeJob("f" + std::to_string(jobs.size()), { makeFillingStep(1, 4000, image) }),
+                *jobs.back());
+            Fleet::Task& task = jobs.back()->tasks[0];
+            for (Fleet::Worker* worker : pointers)
+                worker->openness = Fleet::opennessOf(*worker, view());
+            Fleet::Worker* const worker = Fleet::chooseWorker(task, pointers, view(), testStart);
+            if (!worker)
+                return placed;
+            Fleet::addAttempt(task, *worker);
+            task.worker = worker;
+            ++placed;
+        }
+    }
+
     Fleet::TailModel model;
     Fleet::ImageDemand demand;
     std::vector<std::unique_ptr<Fleet::Worker>> workers;
@@ -191,3 +225,70 @@
     model.setOthers(others);
     CHECK(model.pressure("one", "red") == Approx(experienced.pressure("one", "red")).margin(0.15));
 }
+
+TEST_CASE("Work that disturbs finds a free worker after serving tasks that are thinly spread were gathered")
+{
+    const auto spread = [](Layout& layout) {
+        train(layout.model, 30, 600);
+        for (std::size_t worker = 0; worker < 3; ++worker) {
+            for (std::size_t count = 0; count <= worker; ++count)
+                layout.run("one", worker).ownUtilization = 0.7;
+        }
+    };
+    Layout unchanged;
+    spread(unchanged);
+    CHECK(unchanged.place("red") == 0);
+
+    Layout gathered;
+    spread(gathered);
+    const Fleet::Regrouping move = gathered.consolidate();
+    REQUIRE(move.task);
+    CHECK(move.task->worker == gathered.workers[0].get());
+    gathered.carryOut(move);
+    CHECK(gathered.workers[0]->servingTasks == 0);
+    CHECK(gathered.place("red") >= 4);
+    for (const Fleet::Task* task : gathered.workers[0]->tasks)
+        CHECK(task->job->spec.steps(0).image() == "red");
+}
+
+TEST_CASE("Serving tasks are not gathered where the others have no room for them, or within the budget")
+{
+    Layout full;
+    train(full.model, 31, 600);
+    full.run("one", 0);
+    full.run("one", 1);
+    full.run("one", 1);
+    for (std::size_t worker = 1; worker < 3; ++worker)
+        full.workers[worker]->used.milliProcessors = full.workers[worker]->info.milliProcessors;
+    CHECK(full.consolidate().task == nullptr);
+
+    Layout bound;
+    train(bound.model, 32, 600);
+    bound.run("one", 0);
+    bound.run("one", 1);
+    bound.run("one", 1);
+    REQUIRE(bound.consolidate().task != nullptr);
+    for (const auto& job : bound.jobs) {
+        job->spec.mutable_steps(0)->set_has_disruption_budget(true);
+        job->spec.mutable_steps(0)->set_disruption_budget(0);
+    }
+    CHECK(bound.consolidate().task == nullptr);
+}
+
+TEST_CASE("Work that does not disturb leaves free workers to work that does")
+{
+    Layout layout;
+    train(layout.model, 33, 600);
+    layout.run("one", 0);
+    layout.run("one", 1);
+    CHECK(Fleet::opennessOf(*layout.workers[0], layout.view()) < 0.7);
+    CHECK(Fleet::opennessOf(*layout.workers[2], layout.view()) == 1);
+    Fleet::Job job;
+    Fleet::initializeJob(makeJob("blue", { makeFillingStep(1, 4000, "blue") }), job);
+    for (Fleet::Worker* worker : layout.pointers)
+        worker->openness = Fleet::opennessOf(*worker, layout.view());
+    const Fleet::Worker* const worker
+        = Fleet::chooseWorker(job.tasks[0], layout.pointers, layout.view(), testStart);
+    REQUIRE(worker);
+    CHECK(worker->servingTasks > 0);
+}
