Place nothing beside a task that has been over its target for long

Ruled out: a missing order for the work that ran (each task ended or was stopped as the next ones began). Test: tst_interference, one case that fails without the change.

--- a/src/libs/fleet/interference.cpp
+++ b/src/libs/fleet/interference.cpp
@@ -115,6 +115,11 @@
     return least;
 }
 
+bool isOverTargetForLong(const Task& task, Utils::TimePoint now)
+{
+    return task.overTargetSince != Utils::TimePoint {} && now - task.overTargetSince > patience;
+}
+
 double addedBy(const Worker& worker, const FleetSchema::StepSpec& step, const TailModel& model)
 {
     double most = 0;
@@ -144,8 +149,7 @@
         std::sort(wanted.begin(), wanted.end(), [&](const PaceChange& left, const PaceChange& right) {
             return contribution(left) > contribution(right);
         });
-        const bool isLost
-            = serving->overTargetSince != Utils::TimePoint {} && now - serving->overTargetSince > patience;
+        const bool isLost = isOverTargetForLong(*serving, now);
         double excess = serving->ownUtilization - limitOf(*serving, model) + paceMargin;
         for (const PaceChange& change : wanted)
             excess += contribution(change) * change.percent / 100;
--- a/src/libs/fleet/interference.h
+++ b/src/libs/fleet/interference.h
@@ -40,6 +40,13 @@
 double headroomWith(
     const Worker& worker, const FleetSchema::StepSpec& step, const TailModel& model, double pace = 1);
 
+/*!
+    Whether a serving task is to be relieved of all work beside it, whatever the model says.
+    \param task a task. \param now the current time.
+    \return true if it has been over its target for too long.
+*/
+bool isOverTargetForLong(const Task& task, Utils::TimePoint now);
+
 /*!
     Utilization that a task would add to the serving task of a worker that minds it most.
     \param worker the worker. \param step step of the task. \param model pressures.
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -92,6 +92,11 @@
             return false;
         if (headroomWith(worker, step, view.model, pace) < 0)
             return false;
+        // Started there, it would work on until the next report, and the next one after it as well.
+        if (std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                [now](const Task* other) { return isOverTargetForLong(*other, now); })) {
+            return false;
+        }
     }
     if (worker.asideFor == Utils::Duration::zero())
         return true;
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -117,6 +117,24 @@
     CHECK(Fleet::chooseWorker(hot, fleet.pointers, { model }, testStart) == fleet.workers[0].get());
 }
 
+TEST_CASE(
+    "Nothing is placed beside a task that has been over its target for long, however little it disturbs")
+{
+    const Fleet::TailModel model = trainedModel(19);
+    Fleetlet fleet(1);
+    Fleet::Task& serving = fleet.add(makeServingStep(1, 6000, "serving"), *fleet.workers[0]);
+    serving.ownUtilization = 0.2;
+    serving.overTargetSince = testStart;
+    Fleet::Task& mild = fleet.make(makeFillingStep(1, 500, "mild"));
+    const auto choose = [&](Utils::Duration later) {
+        return Fleet::chooseWorker(mild, fleet.pointers, { model }, testStart + later);
+    };
+    CHECK(choose(1s) == fleet.workers[0].get());
+    CHECK(choose(3s) == nullptr);
+    serving.overTargetSince = {};
+    CHECK(choose(3s) == fleet.workers[0].get());
+}
+
 TEST_CASE(
     "When the own load rises, the most disturbing work is slowed down first and harmless work not at all")
 {
