Visit a policy's sections in one place

Now both use forEachSection(). Ruled out: taking the difference from the written text (it would have to be parsed again).

--- a/src/libs/configuration/policydifference.cpp
+++ b/src/libs/configuration/policydifference.cpp
@@ -39,21 +39,9 @@
 KeyValues collect(const Schema::PolicyDocument& policy)
 {
     KeyValues values;
-    const Proto::Descriptor& descriptor = *policy.GetDescriptor();
-    const Proto::Reflection& reflection = *policy.GetReflection();
-    for (int i = 0; i < descriptor.field_count(); ++i) {
-        const Proto::FieldDescriptor& field = *descriptor.field(i);
-        if (!field.is_repeated()) {
-            if (reflection.HasField(policy, &field))
-                collectSection(reflection.GetMessage(policy, &field), field.name(), values);
-            continue;
-        }
-        for (int j = 0; j < reflection.FieldSize(policy, &field); ++j) {
-            const Proto::Message& section = reflection.GetRepeatedMessage(policy, &field, j);
-            const Proto::FieldDescriptor* name = section.GetDescriptor()->FindFieldByName("name");
-            collectSection(section, field.name() + " " + fieldText(section, *name), values);
-        }
-    }
+    forEachSection(policy, [&values](const Proto::Message& section, const std::string& header) {
+        collectSection(section, header, values);
+    });
     return values;
 }
 
--- a/src/libs/configuration/policytext.cpp
+++ b/src/libs/configuration/policytext.cpp
@@ -62,24 +62,31 @@
     }
 }
 
-std::string policyToText(const Schema::PolicyDocument& policy)
+void forEachSection(const Schema::PolicyDocument& policy, const SectionVisitor& visit)
 {
-    std::string text;
     const Proto::Descriptor& descriptor = *policy.GetDescriptor();
     const Proto::Reflection& reflection = *policy.GetReflection();
     for (int i = 0; i < descriptor.field_count(); ++i) {
         const Proto::FieldDescriptor& field = *descriptor.field(i);
         if (!field.is_repeated()) {
             if (reflection.HasField(policy, &field))
-                appendSection(reflection.GetMessage(policy, &field), field.name(), text);
+                visit(reflection.GetMessage(policy, &field), field.name());
             continue;
         }
         for (int j = 0; j < reflection.FieldSize(policy, &field); ++j) {
             const Proto::Message& section = reflection.GetRepeatedMessage(policy, &field, j);
             const Proto::FieldDescriptor* name = section.GetDescriptor()->FindFieldByName("name");
-            appendSection(section, field.name() + " " + fieldText(section, *name), text);
+            visit(section, field.name() + " " + fieldText(section, *name));
         }
     }
+}
+
+std::string policyToText(const Schema::PolicyDocument& policy)
+{
+    std::string text;
+    forEachSection(policy, [&text](const Proto::Message& section, const std::string& header) {
+        appendSection(section, header, text);
+    });
     return text;
 }
 
--- a/src/libs/configuration/policytext.h
+++ b/src/libs/configuration/policytext.h
@@ -2,6 +2,7 @@
 
 #include <policy.pb.h>
 
+#include <functional>
 #include <string>
 
 namespace google::protobuf {
@@ -20,6 +21,16 @@
 std::string fieldText(
     const google::protobuf::Message& message, const google::protobuf::FieldDescriptor& field);
 
+/*! Receives a section and its header without brackets. */
+using SectionVisitor = std::function<void(const google::protobuf::Message&, const std::string&)>;
+
+/*!
+    Visits the sections of a policy document that are set, in the order of the schema.
+    \param policy the document.
+    \param visit called for each section.
+*/
+void forEachSection(const Schema::PolicyDocument& policy, const SectionVisitor& visit);
+
 /*!
     Writes a policy document as INI text; parsePolicy() reads it back to an equal document.
     \param policy the document.
