Log why a task whose turn has come does not run

Change: task-waiting names, every 2.5 s, the phase, the obstacle at each worker, the worker with the rest of its lease, the delegation, and the age of each input. shard-workers and shard-loaded tell what a shard has left and what a successor takes over. Attempts that are dropped before they are sent end as not-sent. chooseWorker() and the report share one function for the obstacles.

--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "waitreport.h"
+
 #include "ports/taskkey.h"
 
 #include <fleet.pb.h>
@@ -79,6 +81,9 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
         = 0;
 
+    /*! Reports that a task does not run although its turn has come; repeated while it waits. */
+    virtual void taskWaiting(const WaitReport& report) = 0;
+
     virtual void jobEnded(const JobSummary& summary) = 0;
 
     /*! Answers the call that was made with \p ticket. */
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -118,6 +118,7 @@
     Worker& worker = *task.worker;
     if (!worker.isUsable() || worker.bornMs != task.workerBornMs) {
         // Nothing was sent, so the attempt cannot run.
+        output_.attemptEnded(worker.info.id, keyOf(task), task.attempt, "not-sent");
         requeue(task, now);
         return;
     }
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -171,6 +171,7 @@
             task->progressAt = now;
         }
         task->phase = TaskPhase::Running;
+        task->idleSince = {};
     }
     if (!task->job->isActive())
         requestStop(*task, now);
@@ -224,10 +225,12 @@
     // Pause before the next attempt after a start was rejected or could not be sent.
     constexpr milliseconds rejectionPause { 100 };
     if (!Utils::isOk(reply)) {
-        if (Utils::error(reply).code == Utils::ErrorCode::Unavailable)
+        if (Utils::error(reply).code == Utils::ErrorCode::Unavailable) {
+            output_.attemptEnded(id, key, attempt, "not-sent");
             requeue(*task, now + rejectionPause);
-        else if (task->phase == TaskPhase::Sent)
+        } else if (task->phase == TaskPhase::Sent) {
             requestStop(*task, now);
+        }
         return;
     }
     if (isRejected(Utils::value(reply).outcome)) {
@@ -237,6 +240,7 @@
     }
     if (task->phase == TaskPhase::Sent) {
         task->phase = TaskPhase::Running;
+        task->idleSince = {};
         task->reportableSince = now;
         task->startedAt = now;
         task->progressAt = now;
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -103,6 +103,7 @@
         worker.info = info;
         worker.isListed = true;
     }
+    workersSetAt_ = now;
     std::erase_if(
         workers_, [](const auto& entry) { return !entry.second->isListed && entry.second->tasks.empty(); });
     isScheduleDue_ = true;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -165,6 +165,12 @@
     /*! \return whether work or free capacity may have changed since the last schedule(). */
     bool isScheduleDue() const { return isScheduleDue_; }
 
+    /*! \return the number of attempts that a former owner recorded and no worker has reported yet. */
+    std::size_t countUnconfirmedAttempts() const;
+
+    /*! \return the number of open attempts on workers that the platform does not list. */
+    std::size_t countAttemptsOnUnlistedWorkers() const;
+
     /*! \return whether the worker is listed or has open attempts. */
     bool knowsWorker(const std::string& worker) const { return workers_.contains(worker); }
 
@@ -212,6 +218,10 @@
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
     void adjustSpeeds(Worker& worker, Utils::TimePoint now);
     void collectExpiredJobs(std::int64_t nowUnixMs);
+    void reviewWaits(Utils::TimePoint now, std::int64_t nowUnixMs);
+    void reviewStepWaits(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now,
+        std::size_t& reportLimit);
+    void reportWait(const Task& task, std::uint32_t similarTaskCount, Utils::TimePoint now);
 
     SchedulerOptions options_;
     SchedulerOutput& output_;
@@ -225,6 +235,8 @@
     Utils::TimePoint groupingAllowedAt_ {};
     std::string lastGroupingSource_; //!< Worker last examined for a move of a latency-critical task.
     Utils::TimePoint lastScheduledAt_ {};
+    Utils::TimePoint workersSetAt_ {}; //!< Time of the latest list of workers.
+    Utils::TimePoint waitsReviewedAt_ {};
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
 
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -49,6 +49,7 @@
         if (job->isActive() && job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)
             isScheduleDue_ = true;
     }
+    reviewWaits(now, nowUnixMs);
     std::erase_if(
         workers_, [](const auto& entry) { return !entry.second->isListed && entry.second->tasks.empty(); });
 }
--- /dev/null
+++ b/src/libs/fleet/shardwaits.cpp
@@ -0,0 +1,155 @@
+// Reports of ShardScheduler on tasks that do not run although their turn has come.
+
+#include "shardscheduler.h"
+
+#include "interferenceview.h"
+#include "taillatencymodel.h"
+#include "workerchoice.h"
+
+#include <algorithm>
+
+namespace Fleet {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds reviewInterval { 500 };
+// A shorter wait is ordinary for a shard under load.
+constexpr milliseconds reportDelay { 2500 };
+constexpr milliseconds reportInterval { 2500 };
+// Bounds the processor time and the log lines of one review.
+constexpr std::size_t maxReportsPerReview = 12;
+
+std::string_view nameOf(TaskPhase phase)
+{
+    static constexpr std::string_view names[]
+        = { "waiting", "recorded", "sent", "running", "unverified", "stopping", "done", "lent", "at-origin" };
+    return names[static_cast<std::size_t>(phase)];
+}
+
+std::int64_t toMs(Utils::Duration duration)
+{
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+bool canWait(const Task& task)
+{
+    return task.phase != TaskPhase::Running && task.phase != TaskPhase::Done
+        && task.phase != TaskPhase::AtOrigin
+        && !(task.phase == TaskPhase::Delegated && task.isDelegationAcknowledged);
+}
+
+} // namespace
+
+std::size_t ShardScheduler::countUnconfirmedAttempts() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, worker] : workers_) {
+        count += static_cast<std::size_t>(std::count_if(worker->tasks.begin(), worker->tasks.end(),
+            [](const Task* task) { return task->phase == TaskPhase::Unverified; }));
+    }
+    return count;
+}
+
+std::size_t ShardScheduler::countAttemptsOnUnlistedWorkers() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, worker] : workers_)
+        count += worker->isListed ? 0 : worker->tasks.size();
+    return count;
+}
+
+void ShardScheduler::reviewWaits(Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    if (now - waitsReviewedAt_ < reviewInterval)
+        return;
+    waitsReviewedAt_ = now;
+    std::size_t reportLimit = maxReportsPerReview;
+    for (const auto& [id, job] : jobs_) {
+        if (!job->isActive())
+            continue;
+        for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence) {
+            for (std::uint32_t step = 0; step < job->stepOffsets.size(); ++step) {
+                if (job->remainingTasks(occurrence, step) > 0
+                    && job->isStepReady(occurrence, step, nowUnixMs))
+                    reviewStepWaits(*job, occurrence, step, now, reportLimit);
+            }
+        }
+    }
+}
+
+// Tasks that wait for a worker are reported together, the others one by one: each waits for an event of its
+// own.
+void ShardScheduler::reviewStepWaits(
+    Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now, std::size_t& reportLimit)
+{
+    Task* longest = nullptr;
+    std::uint32_t waitingCount = 0;
+    for (std::uint32_t index = 0; index < job.spec.steps(static_cast<int>(step)).count(); ++index) {
+        Task& task = *job.findTask(occurrence, step, index);
+        if (!canWait(task)) {
+            task.idleSince = {};
+            continue;
+        }
+        if (task.idleSince == Utils::TimePoint {})
+            task.idleSince = now;
+        if (now - task.idleSince < reportDelay)
+            continue;
+        if (task.phase == TaskPhase::Waiting) {
+            ++waitingCount;
+            if (!longest || task.idleSince < longest->idleSince)
+                longest = &task;
+        } else if (reportLimit > 0 && now - task.waitReportedAt >= reportInterval) {
+            --reportLimit;
+            task.waitReportedAt = now;
+            reportWait(task, 1, now);
+        }
+    }
+    if (longest && reportLimit > 0 && now - longest->waitReportedAt >= reportInterval) {
+        --reportLimit;
+        longest->waitReportedAt = now;
+        reportWait(*longest, waitingCount, now);
+    }
+}
+
+void ShardScheduler::reportWait(const Task& task, std::uint32_t similarTaskCount, Utils::TimePoint now)
+{
+    WaitReport report;
+    report.task = keyOf(task);
+    report.attempt = task.attempt;
+    report.phase = nameOf(task.phase);
+    report.waitedMs = toMs(now - task.idleSince);
+    report.similarTaskCount = similarTaskCount;
+    report.workerListAgeMs = workersSetAt_ == Utils::TimePoint {} ? -1 : toMs(now - workersSetAt_);
+    std::vector<Worker*> workers;
+    for (const auto& [id, worker] : workers_) {
+        workers.push_back(worker.get());
+        report.listedWorkers += worker->isListed ? 1 : 0;
+        report.usableWorkers += worker->isUsable() ? 1 : 0;
+    }
+    if (task.phase == TaskPhase::Waiting) {
+        const auto counts = countObstacles(task, workers, interferenceView(), now);
+        for (std::size_t obstacle = 0; obstacle < counts.size(); ++obstacle) {
+            if (counts[obstacle] > 0) {
+                report.obstacles += std::string(report.obstacles.empty() ? "" : ", ")
+                    + std::to_string(counts[obstacle]) + " "
+                    + std::string(Fleet::nameOf(static_cast<PlacementObstacle>(obstacle)));
+            }
+        }
+    } else if (task.phase == TaskPhase::Delegated) {
+        report.hostShard = task.hostShard;
+        report.isDelegationStored = task.isDelegationStored;
+    }
+    if (const Worker* worker = task.worker) {
+        report.worker = worker->info.id;
+        report.isWorkerListed = worker->isListed;
+        report.isWorkerResponsive = worker->isResponsive;
+        report.reportAgeMs
+            = worker->clockSeenAt == Utils::TimePoint {} ? -1 : toMs(now - worker->clockSeenAt);
+        report.leaseRemainingMs = toMs(worker->leaseUpperBound - now);
+    }
+    output_.taskWaiting(report);
+}
+
+} // namespace Fleet
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -45,6 +45,9 @@
     //! Worker where the task failed or from which it was moved; used only if no other fits.
     std::string avoidedWorker;
 
+    //! Since when the task is not known to run although its turn has come; the clock's epoch if it runs.
+    Utils::TimePoint idleSince {};
+    Utils::TimePoint waitReportedAt {}; //!< Time of the latest report on the wait.
     Utils::TimePoint notBefore {}; //!< Earliest time of a retry.
     //! Time of the first unsuccessful search for a worker; the clock's epoch if there was none.
     Utils::TimePoint waitingSince {};
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -75,36 +75,50 @@
         }));
 }
 
-bool canRun(
+// Best-effort tasks commit no processors, so whether one fits depends on what the others use.
+PlacementObstacle obstacleToBestEffort(const FleetSchema::StepSpec& step, const Worker& worker,
+    const InterferenceView& view, double speed, Utils::TimePoint now)
+{
+    // A task larger than its worker would wait forever, so a worker without best-effort tasks accepts it.
+    if (worker.bestEffortMilliProcessors > 0 && step.milli_processors() > worker.unusedMilliProcessors())
+        return PlacementObstacle::Full;
+    if (headroomAfterAdding(worker, step, view.model, speed) < 0)
+        return PlacementObstacle::Interference;
+    // A task started on such a worker would interfere at least until the worker's next report, and so would
+    // each task started after it.
+    const bool hasTaskOverTarget = std::any_of(worker.tasks.begin(), worker.tasks.end(),
+        [now](const Task* other) { return isPersistentlyOverTarget(*other, now); });
+    return hasTaskOverTarget ? PlacementObstacle::Interference : PlacementObstacle::None;
+}
+
+PlacementObstacle findObstacle(
     const Task& task, const Worker& worker, const InterferenceView& view, double speed, Utils::TimePoint now)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
-    if (!worker.isUsable() || worker.info.service != task.job->spec.service())
-        return false;
-    if (!hasLabel(worker, step.required_label()) || !committedSize(step).fitsIn(worker.available()))
-        return false;
+    if (!worker.isUsable())
+        return PlacementObstacle::Unusable;
+    if (worker.info.service != task.job->spec.service() || !hasLabel(worker, step.required_label()))
+        return PlacementObstacle::Ineligible;
+    if (!committedSize(step).fitsIn(worker.available())) {
+        return committedSize(step).fitsIn(worker.capacity()) ? PlacementObstacle::Full
+                                                             : PlacementObstacle::TooSmall;
+    }
     if (!step.lasting() && !step.leftover_processors()
         && step.milli_processors() > worker.available().milliProcessors - worker.reservedMilliProcessors) {
-        return false;
+        return PlacementObstacle::Reserved;
     }
     if (step.leftover_processors()) {
-        // A task larger than its worker would wait forever, so a worker without best-effort tasks accepts
-        // it.
-        if (worker.bestEffortMilliProcessors > 0 && step.milli_processors() > worker.unusedMilliProcessors())
-            return false;
-        if (headroomAfterAdding(worker, step, view.model, speed) < 0)
-            return false;
-        // A task started on such a worker would interfere at least until the worker's next report, and so
-        // would each task started after it.
-        if (std::any_of(worker.tasks.begin(), worker.tasks.end(),
-                [now](const Task* other) { return isPersistentlyOverTarget(*other, now); })) {
-            return false;
-        }
+        const PlacementObstacle obstacle = obstacleToBestEffort(step, worker, view, speed, now);
+        if (obstacle != PlacementObstacle::None)
+            return obstacle;
     }
-    if (worker.quarantineTime == Utils::Duration::zero())
-        return true;
     // A quarantined worker is probed with one task that has not failed yet.
-    return now >= worker.quarantinedUntil && worker.tasks.empty() && task.failures == 0;
+    const bool isProbe = now >= worker.quarantinedUntil && worker.tasks.empty() && task.failures == 0;
+    if (worker.quarantineTime != Utils::Duration::zero() && !isProbe)
+        return PlacementObstacle::Quarantined;
+    if (step.max_per_worker() > 0 && countTasksOfStep(task, worker) >= step.max_per_worker())
+        return PlacementObstacle::SpreadLimit;
+    return PlacementObstacle::None;
 }
 
 double costOf(
@@ -138,17 +152,13 @@
 Worker* chooseWorker(
     const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now)
 {
-    const std::uint32_t maxPerWorker = task.job->step(task).max_per_worker();
     const double speed = startSpeed(task, workers, now);
     Worker* best = nullptr;
     double bestCost = 0;
     for (Worker* worker : workers) {
-        if (!canRun(task, *worker, view, speed, now))
-            continue;
-        const std::uint32_t sameStepCount = countTasksOfStep(task, *worker);
-        if (maxPerWorker > 0 && sameStepCount >= maxPerWorker)
+        if (findObstacle(task, *worker, view, speed, now) != PlacementObstacle::None)
             continue;
-        const double cost = costOf(task, *worker, sameStepCount, view);
+        const double cost = costOf(task, *worker, countTasksOfStep(task, *worker), view);
         if (!best || cost < bestCost) {
             best = worker;
             bestCost = cost;
@@ -157,6 +167,23 @@
     return best;
 }
 
+std::array<std::size_t, placementObstacleCount> countObstacles(
+    const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now)
+{
+    std::array<std::size_t, placementObstacleCount> counts {};
+    const double speed = startSpeed(task, workers, now);
+    for (const Worker* worker : workers)
+        ++counts[static_cast<std::size_t>(findObstacle(task, *worker, view, speed, now))];
+    return counts;
+}
+
+std::string_view nameOf(PlacementObstacle obstacle)
+{
+    static constexpr std::string_view names[placementObstacleCount] = { "none", "unusable", "ineligible",
+        "too-small", "full", "reserved", "interference", "quarantined", "spread-limit" };
+    return names[static_cast<std::size_t>(obstacle)];
+}
+
 void reserveWorker(const Task& task, std::span<Worker* const> workers)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -2,7 +2,10 @@
 
 #include "utils/clock.h"
 
+#include <array>
+#include <cstddef>
 #include <span>
+#include <string_view>
 
 namespace Fleet {
 
@@ -10,6 +13,25 @@
 struct Task;
 struct Worker;
 
+/*! Why a worker cannot run a task at present. */
+enum class PlacementObstacle {
+    None,
+    Unusable, //!< Not listed, unresponsive, draining or without a report.
+    Ineligible, //!< Another service, or the required label is missing.
+    TooSmall, //!< The task exceeds the worker's capacity.
+    Full, //!< Open attempts commit the capacity.
+    Reserved, //!< The capacity is reserved for a long-running task.
+    Interference, //!< A latency-critical task would miss its target.
+    Quarantined,
+    SpreadLimit, //!< The worker runs as many tasks of the step as it may.
+};
+
+/*! Number of values of PlacementObstacle. */
+inline constexpr std::size_t placementObstacleCount = 9;
+
+/*! \return the name of an obstacle for logs. */
+std::string_view nameOf(PlacementObstacle obstacle);
+
 /*!
     Chooses the worker of a task among those of a shard.
 
@@ -32,6 +54,10 @@
 Worker* chooseWorker(
     const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now);
 
+/*! \return the number of workers by obstacle to running the task, indexed by PlacementObstacle. */
+std::array<std::size_t, placementObstacleCount> countObstacles(
+    const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now);
+
 /*!
     Reserves a worker for a long-running task that does not fit anywhere, so that it gets no more short
     tasks. Chooses the worker whose long-running tasks leave the most processors free.
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <set>
+
 namespace FleetNode {
 
 namespace {
@@ -106,6 +108,11 @@
     }
     isLoaded_ = true;
     applyWorkers();
+    const std::size_t unconfirmed = scheduler_.countUnconfirmedAttempts();
+    Utils::log(Utils::LogLevel::Info, "shard-loaded",
+        { { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) },
+            { "unconfirmed_attempts", std::to_string(unconfirmed) },
+            { "at_unlisted_workers", std::to_string(scheduler_.countAttemptsOnUnlistedWorkers()) } });
     requestRound();
 }
 
@@ -116,9 +123,32 @@
         applyWorkers();
 }
 
+// Logs how many workers the shard has; a shard whose racks lose their workers cannot run its jobs.
+void ShardHost::logWorkerCount()
+{
+    std::set<std::string> racks;
+    WorkerCount count;
+    for (const Ports::WorkerInfo& info : workers_) {
+        ++count.listed;
+        count.draining += info.isDraining ? 1 : 0;
+        racks.insert(info.rack);
+    }
+    count.racks = racks.size();
+    if (count == workerCount_)
+        return;
+    workerCount_ = count;
+    context_.metrics.set("geraniumquay_shard_workers", Telemetry::label("shard", shard_),
+        static_cast<double>(count.listed - count.draining));
+    Utils::log(count.listed > count.draining ? Utils::LogLevel::Info : Utils::LogLevel::Warning,
+        "shard-workers",
+        { { "shard", shard_ }, { "listed", std::to_string(count.listed) },
+            { "draining", std::to_string(count.draining) }, { "racks", std::to_string(count.racks) } });
+}
+
 void ShardHost::applyWorkers()
 {
     scheduler_.setWorkers(workers_, context_.now());
+    logWorkerCount();
     for (const Ports::WorkerInfo& info : workers_) {
         std::unique_ptr<WorkerConnection>& connection = connections_[info.id];
         if (!connection || connection->address() != info.address)
@@ -231,6 +261,27 @@
             { "worker", worker }, { "how", std::string(how) } });
 }
 
+void ShardHost::taskWaiting(const Fleet::WaitReport& report)
+{
+    const auto sinceConfirmed
+        = std::chrono::duration_cast<milliseconds>(context_.now() - writer_.confirmedAt()).count();
+    context_.metrics.add("geraniumquay_task_waits_total", Telemetry::label("phase", report.phase));
+    Utils::log(Utils::LogLevel::Warning, "task-waiting",
+        { { "job", report.task.job }, { "task", describe(report.task) }, { "shard", shard_ },
+            { "epoch", std::to_string(writer_.epoch()) }, { "phase", std::string(report.phase) },
+            { "waited_ms", std::to_string(report.waitedMs) },
+            { "similar", std::to_string(report.similarTaskCount) },
+            { "attempt", std::to_string(report.attempt) }, { "obstacles", report.obstacles },
+            { "workers", std::to_string(report.usableWorkers) + "/" + std::to_string(report.listedWorkers) },
+            { "list_age_ms", std::to_string(report.workerListAgeMs) }, { "worker", report.worker },
+            { "worker_listed", report.isWorkerListed ? "true" : "false" },
+            { "worker_responsive", report.isWorkerResponsive ? "true" : "false" },
+            { "report_age_ms", std::to_string(report.reportAgeMs) },
+            { "lease_ms", std::to_string(report.leaseRemainingMs) }, { "lent_to", report.hostShard },
+            { "lent_stored", report.isDelegationStored ? "true" : "false" },
+            { "commit_age_ms", std::to_string(sinceConfirmed) } });
+}
+
 void ShardHost::jobEnded(const Fleet::JobSummary& summary)
 {
     static constexpr const char* names[] = { "queued", "running", "completed", "failed", "cancelled" };
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -108,6 +108,7 @@
     void cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job) override;
     void attemptEnded(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         std::string_view how) override;
+    void taskWaiting(const Fleet::WaitReport& report) override;
     void jobEnded(const Fleet::JobSummary& summary) override;
     void answer(std::uint64_t requestId, const Fleet::JobAnswer& answer) override;
     Ports::PollRequest planPoll(const std::string& worker) override;
@@ -115,6 +116,15 @@
         const std::string& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report) override;
     void onPollFailed(const std::string& worker, const Utils::Error& error) override;
 
+    /*! Workers that the platform lists for the shard, as last logged. */
+    struct WorkerCount {
+        std::size_t listed = 0;
+        std::size_t draining = 0;
+        std::size_t racks = 0;
+
+        bool operator==(const WorkerCount&) const = default;
+    };
+
     void callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
     void loadJobs(const std::string& fromJob);
     void onJobPage(const Utils::Result<Ports::RowPage>& result);
@@ -123,6 +133,7 @@
     void onBatchStored();
     void close(const char* reason);
     void applyWorkers();
+    void logWorkerCount();
     void checkFencing(const Utils::Result<Ports::CommandReply>& reply);
     WorkerConnection* findConnection(const std::string& worker);
 
@@ -133,6 +144,7 @@
     Fleet::ShardScheduler scheduler_;
     ShardWriter writer_;
     std::vector<Ports::WorkerInfo> workers_;
+    WorkerCount workerCount_;
     std::map<std::string, std::unique_ptr<WorkerConnection>> connections_;
     std::map<std::uint64_t, JobAnswerHandler> answerHandlers_;
     std::uint64_t nextRequestId_ = 1;
