Name the kind of a waiting task in its log line

Cause: a wait of a best-effort task means something else than one of a long-running task, and the line did not tell them apart.

Result: tst_shardwaits passes.

--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -118,6 +118,8 @@
     WaitReport report;
     report.task = keyOf(task);
     report.attempt = task.attempt;
+    const FleetSchema::StepSpec& step = task.job->step(task);
+    report.kind = step.lasting() ? "long-running" : step.leftover_processors() ? "best-effort" : "short";
     report.phase = nameOf(task.phase);
     report.waitedMs = toMs(now - task.idleSince);
     report.similarTaskCount = similarTaskCount;
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -268,8 +268,8 @@
     context_.metrics.add("geraniumquay_task_waits_total", Telemetry::label("phase", report.phase));
     Utils::log(Utils::LogLevel::Warning, "task-waiting",
         { { "job", report.task.job }, { "task", describe(report.task) }, { "shard", shard_ },
-            { "epoch", std::to_string(writer_.epoch()) }, { "phase", std::string(report.phase) },
-            { "waited_ms", std::to_string(report.waitedMs) },
+            { "epoch", std::to_string(writer_.epoch()) }, { "kind", std::string(report.kind) },
+            { "phase", std::string(report.phase) }, { "waited_ms", std::to_string(report.waitedMs) },
             { "similar", std::to_string(report.similarTaskCount) },
             { "attempt", std::to_string(report.attempt) }, { "obstacles", report.obstacles },
             { "workers", std::to_string(report.usableWorkers) + "/" + std::to_string(report.listedWorkers) },
--- a/tests/auto/fleet/tst_shardwaits.cpp
+++ b/tests/auto/fleet/tst_shardwaits.cpp
@@ -31,6 +31,7 @@
     tick(fixture, 2s);
     REQUIRE(fixture.output.waits.size() == 1);
     const Fleet::WaitReport& report = fixture.output.waits[0];
+    CHECK(report.kind == "short");
     CHECK(report.phase == "waiting");
     CHECK(report.obstacles == "2 too-small");
     CHECK(report.similarTaskCount == 2);
