Let tasks that end leave a shard that cannot run them

Cause: a job is bound to the shard that accepted it, and only long-running tasks could leave it. Whatever keeps a shard from running a task (its workers left, are full, or serve tasks that it would disturb), the task waited there without a bound.

Change: a starved task that ends is delegated as long-running tasks are. The host shard stores the result, then calls the origin shard until it is stored there; attempts and failures count across shards, a gang moves as a whole, a host shard without a worker returns the task. Tasks are not delegated to owners that do not answer. Why this works: a task is in exactly one shard by the stored transfer number, as before, and an end is acknowledged to its worker only after the host shard has stored it.

--- a/src/libs/fleet/inflightbatch.h
+++ b/src/libs/fleet/inflightbatch.h
@@ -27,6 +27,7 @@
     std::vector<BatchedJob> jobs;
     std::vector<RecordedAttempt> starts;
     std::vector<RecordedDelegation> delegations;
+    std::vector<RecordedDelegation> results; //!< Results for origin shards.
     //! Worker and number of its latest processed end.
     std::vector<std::pair<std::string, std::uint64_t>> acknowledgements;
     std::vector<std::string> removals;
--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -21,6 +21,8 @@
         return FleetSchema::TASK_LENT;
     if (task.phase == TaskPhase::AtOrigin)
         return FleetSchema::TASK_FOREIGN;
+    if (task.phase == TaskPhase::Resolved)
+        return FleetSchema::TASK_RESOLVED;
     return task.isOpen() ? FleetSchema::TASK_ASSIGNED : FleetSchema::TASK_WAITING;
 }
 
@@ -35,6 +37,21 @@
     return &tasks[occurrence * tasksPerOccurrence + stepOffsets[step] + index];
 }
 
+bool Job::isHandedBack() const
+{
+    return isHosted() && std::all_of(tasks.begin(), tasks.end(), [](const Task& task) {
+        return task.phase == TaskPhase::AtOrigin;
+    });
+}
+
+void Job::markPredecessorsDone(std::uint32_t occurrence, std::uint32_t step)
+{
+    for (const std::uint32_t predecessor : spec.steps(static_cast<int>(step)).after()) {
+        remainingTasks(occurrence, predecessor) = 0;
+        markPredecessorsDone(occurrence, predecessor);
+    }
+}
+
 bool Job::isStepReady(std::uint32_t occurrence, std::uint32_t step, std::int64_t nowUnixMs)
 {
     const std::int64_t due = dueUnixMs(occurrence);
@@ -112,6 +129,7 @@
     record.set_state(job.state);
     record.set_started(job.isStarted);
     record.set_ended_unix_ms(job.endedUnixMs);
+    record.set_origin_shard(job.originShard);
     for (const Task& task : job.tasks) {
         FleetSchema::TaskRecord& stored = *record.add_tasks();
         stored.set_state(storedState(task));
@@ -119,6 +137,7 @@
         stored.set_failures(task.failures);
         stored.set_lent_to(task.hostShard);
         stored.set_transfer(task.transferNumber);
+        stored.set_result(task.result);
         if (task.phase != TaskPhase::Done)
             stored.set_checkpoint(task.checkpoint);
         if (task.worker) {
--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -19,7 +19,10 @@
     bool isCommitted = false;
     bool isDirty = false; //!< The latest state is not stored yet.
     bool isStarted = false; //!< An attempt has been recorded.
+    //! End of the job, or time at which this host shard last had a task of it; 0 if it still has one.
     std::int64_t endedUnixMs = 0;
+    std::string originShard; //!< Shard that delegated tasks of the job to this one; empty if it is this one.
+    bool hasTransfers = false; //!< Tasks of the job were delegated to or by this shard.
     Utils::TimePoint acceptedAt {};
     //! Time of the first decision to start an attempt; the clock's epoch if unknown.
     Utils::TimePoint firstStartAt {};
@@ -42,6 +45,18 @@
         return spec.steps(static_cast<int>(task.step));
     }
 
+    /*! \return whether another shard accepted the job and delegated tasks of it to this one. */
+    bool isHosted() const { return !originShard.empty(); }
+
+    /*! \return whether this host shard has no task of the job any more. */
+    bool isHandedBack() const;
+
+    /*!
+        Marks the steps that \p step follows as done. A host shard does not see their tasks, but gets only
+        tasks whose turn has come.
+    */
+    void markPredecessorsDone(std::uint32_t occurrence, std::uint32_t step);
+
     /*! \return the task at this position, or nullptr if there is none. */
     Task* findTask(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index);
 
--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -3,6 +3,7 @@
 #include "waitreport.h"
 
 #include "ports/taskkey.h"
+#include "utils/clock.h"
 
 #include <fleet.pb.h>
 
@@ -61,8 +62,13 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent)
         = 0;
 
-    /*! \return another shard with free capacity for a task of \p step; empty if none is known. */
-    virtual std::string findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step) = 0;
+    /*!
+        \param waited how long the task has waited in this shard.
+        \return another shard with free capacity for a task of \p step; empty if none is known.
+    */
+    virtual std::string findShardWithCapacity(
+        const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited)
+        = 0;
 
     /*!
         Delegates a task to another shard, whose owner has to store it. The scheduler repeats the
@@ -76,6 +82,12 @@
     */
     virtual void cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job) = 0;
 
+    /*!
+        Sends the result of a delegated task to the shard that delegated it, whose owner has to store it.
+        The scheduler repeats the call until onTaskResultStored() is called.
+    */
+    virtual void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) = 0;
+
     /*! Reports that an attempt has ended, or is known not to run, for \p reason. */
     virtual void attemptEnded(
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -27,6 +27,12 @@
 // A shard is not chosen for a delegated task if long-running tasks would then hold at least this share of its
 // processors.
 constexpr double maxDelegationShare = 0.95;
+// A task that ends is delegated to a shard whose cost is lower than this, and than this share of the cost of
+// its own shard. A task that has waited for overdueWait is also delegated if its own shard seems less loaded,
+// because it finds no worker there for another reason.
+constexpr double maxDelegationCost = 0.9;
+constexpr double maxRelativeDelegationCost = 0.8;
+constexpr std::chrono::milliseconds overdueWait { 4000 };
 
 bool fitsLargestWorker(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
 {
@@ -168,29 +174,51 @@
     return choice;
 }
 
-std::string ShardChooser::chooseForTask(
-    const std::string& originShard, const FleetSchema::JobSpec& spec, std::uint32_t step)
+double ShardChooser::delegationCostLimit(
+    const std::string& originShard, const FleetSchema::JobSpec& spec, Utils::Duration waited) const
 {
-    const std::int64_t size = spec.steps(static_cast<int>(step)).milli_processors();
+    const auto origin = owners_.find(originShard);
+    if (waited >= overdueWait || origin == owners_.end() || origin->second.load.capacity() <= 0)
+        return maxDelegationCost;
+    return std::min(maxDelegationCost, maxRelativeDelegationCost * costOf(spec, origin->second.load, {}, 1));
+}
+
+bool ShardChooser::mayHost(
+    const std::string& shard, const FleetSchema::ShardLoad& load, const FleetSchema::StepSpec& step) const
+{
+    return load.capacity() > 0 && step.milli_processors() <= load.largest_worker()
+        && !unresponsiveUpdates_.contains(shard) && (step.lasting() || load.reports_results());
+}
+
+std::string ShardChooser::chooseForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
+    std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes)
+{
+    const FleetSchema::StepSpec& stepSpec = spec.steps(static_cast<int>(step));
+    const std::int64_t size = stepSpec.milli_processors();
     std::string best;
-    double bestShare = maxDelegationShare;
+    double bestCost
+        = stepSpec.lasting() ? maxDelegationShare : delegationCostLimit(originShard, spec, waited);
     for (const auto& [shard, owner] : owners_) {
         const FleetSchema::ShardLoad& load = owner.load;
-        if (shard == originShard || load.service() != spec.service() || load.capacity() <= 0
-            || size > load.largest_worker()) {
+        if (shard == originShard || load.service() != spec.service() || !mayHost(shard, load, stepSpec))
             continue;
-        }
-        // Short tasks do not count, because the other shard reserves a worker for the task until they have
-        // ended there.
-        const std::int64_t longRunning = load.lasting() + delegated_[shard] + size;
-        const double share = static_cast<double>(longRunning) / static_cast<double>(load.capacity());
-        if (share < bestShare) {
+        // For a long-running task, short tasks do not count, because the other shard reserves a worker until
+        // they have ended there.
+        const double cost = stepSpec.lasting()
+            ? static_cast<double>(load.lasting() + delegated_[shard] + size)
+                / static_cast<double>(load.capacity())
+            : costOf(spec, load, assigned_[shard], assigningNodes);
+        if (cost < bestCost) {
             best = shard;
-            bestShare = share;
+            bestCost = cost;
         }
     }
-    if (!best.empty())
+    if (best.empty())
+        return best;
+    if (stepSpec.lasting())
         delegated_[best] += size;
+    else
+        (isBestEffort(spec) ? assigned_[best].bestEffort : assigned_[best].committed) += size;
     return best;
 }
 
--- a/src/libs/fleet/shardchooser.h
+++ b/src/libs/fleet/shardchooser.h
@@ -50,14 +50,16 @@
     ShardChoice choose(const FleetSchema::JobSpec& spec, std::size_t assigningNodes);
 
     /*!
-        Chooses another shard for one long-running task and counts the task as delegated to it.
+        Chooses another shard for one task and counts the task as delegated to it.
 
-        \param originShard shard without free capacity for the task.
-        \return the shard with the smallest share of long-running tasks; empty if none has enough free
-            capacity.
+        \param originShard shard without a worker for the task.
+        \param waited how long the task has waited in that shard.
+        \param assigningNodes as for choose().
+        \return the shard with the smallest share of long-running tasks or, for a task that ends, with the
+            least load; empty if none has enough free capacity.
     */
-    std::string chooseForTask(
-        const std::string& originShard, const FleetSchema::JobSpec& spec, std::uint32_t step);
+    std::string chooseForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
+        std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes);
 
 private:
     struct AssignedWork {
@@ -72,6 +74,11 @@
     double costOf(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
         const AssignedWork& assigned, std::size_t assigningNodes) const;
 
+    double delegationCostLimit(
+        const std::string& originShard, const FleetSchema::JobSpec& spec, Utils::Duration waited) const;
+    bool mayHost(const std::string& shard, const FleetSchema::ShardLoad& load,
+        const FleetSchema::StepSpec& step) const;
+
     std::map<std::string, ShardOwnerInfo> owners_;
     //! Milli-processors of tasks delegated since the shard's load last changed.
     std::map<std::string, std::int64_t> delegated_;
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -43,6 +43,8 @@
                 inflightBatch_->starts.push_back({ &task, task.attempt });
             else if (task.phase == TaskPhase::Delegated)
                 inflightBatch_->delegations.push_back({ &task, task.transferNumber });
+            else if (task.phase == TaskPhase::Resolved)
+                inflightBatch_->results.push_back({ &task, task.transferNumber });
         }
     }
     dirtyJobs_.erase(dirtyJobs_.begin(), dirtyJobs_.begin() + static_cast<std::ptrdiff_t>(batchedCount));
@@ -75,6 +77,9 @@
     for (const InflightBatch::RecordedDelegation& delegation : batch->delegations)
         delegation.task->isDelegationStored = delegation.task->phase == TaskPhase::Delegated
             && delegation.task->transferNumber == delegation.transferNumber;
+    for (const InflightBatch::RecordedDelegation& result : batch->results)
+        result.task->isResultStored = result.task->phase == TaskPhase::Resolved
+            && result.task->transferNumber == result.transferNumber;
     for (const BatchedJob& stored : batch->jobs)
         onJobCommitted(stored, now);
     for (const InflightBatch::RecordedAttempt& start : batch->starts) {
@@ -102,6 +107,8 @@
     if (!job.isActive())
         stopOpenTasks(job, now);
     for (Task& task : job.tasks) {
+        if (task.phase == TaskPhase::Resolved && task.isResultStored && job.isActive())
+            sendResult(task, now);
         if (task.phase != TaskPhase::Delegated)
             continue;
         // The host shard must store the cancellation too, so its acknowledgment of the delegation no longer
@@ -142,7 +149,8 @@
     const std::int64_t retentionMs
         = std::chrono::duration_cast<std::chrono::milliseconds>(options_.retention).count();
     for (const auto& [id, job] : jobs_) {
-        const bool hasExpired = !job->isActive() && job->isCommitted && !job->isDirty && job->endedUnixMs > 0
+        const bool isOver = !job->isActive() || job->isHandedBack();
+        const bool hasExpired = isOver && job->isCommitted && !job->isDirty && job->endedUnixMs > 0
             && job->endedUnixMs + retentionMs < nowUnixMs;
         const bool hasOpenTasks
             = hasExpired && std::any_of(job->tasks.begin(), job->tasks.end(), [](const Task& task) {
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -1,10 +1,13 @@
-// Delegation of ShardScheduler: long-running tasks that run on another shard when this one has no capacity.
+// Delegation of ShardScheduler: tasks that run on another shard when this one has no worker for them.
 // The origin shard stores the delegation before it calls the host shard and never starts the task again
-// unless it is delegated back. The host shard must not reject a task, so the origin shard only has to repeat
-// the call until it is answered.
+// unless it is returned. The host shard must not reject a task, so the origin shard only has to repeat the
+// call until it is answered. A task that ends is over in the host shard once its result is stored there; the
+// host shard repeats the result until the origin shard has stored it too.
 
 #include "shardscheduler.h"
 
+#include <algorithm>
+
 namespace Fleet {
 
 namespace {
@@ -14,34 +17,79 @@
 // Time for which a task waits on its own shard before it is delegated. It lets short tasks end or a
 // relocation free capacity, and is well below the time for which a caller may find a task missing.
 constexpr milliseconds delegationDelay { 1800 };
-constexpr milliseconds delegationRetryInterval { 600 };
+// Time for which a task that ends waits in its host shard before it is returned.
+constexpr milliseconds returnDelay { 3000 };
+constexpr milliseconds transferRetryInterval { 600 };
+// Time after an unsuccessful search for a shard for a task that ends. Loads change with each heartbeat.
+constexpr milliseconds searchInterval { 500 };
 
 } // namespace
 
-void ShardScheduler::tickDelegations(Job& job, Utils::TimePoint now)
+void ShardScheduler::tickTransfers(Job& job, Utils::TimePoint now)
 {
-    if (!job.isCommitted || !job.spec.steps(0).lasting())
+    if (!job.isCommitted)
         return;
     for (Task& task : job.tasks) {
         if (task.phase == TaskPhase::Delegated) {
-            if (mayCallHostShard(task) && now - task.delegationSentAt > delegationRetryInterval)
+            if (mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval)
                 sendDelegation(task, now);
-            continue;
+        } else if (task.phase == TaskPhase::Resolved) {
+            if (task.isResultStored && job.isActive() && now - task.resultSentAt > transferRetryInterval)
+                sendResult(task, now);
+        } else if (isStarved(task, now)) {
+            delegateStarvedTask(task, now);
+        }
+    }
+}
+
+bool ShardScheduler::isStarved(const Task& task, Utils::TimePoint now) const
+{
+    const Job& job = *task.job;
+    if (task.phase != TaskPhase::Waiting || task.waitingSince == Utils::TimePoint {} || !job.isActive())
+        return false;
+    return now - task.waitingSince
+        > (job.isHosted() && !job.step(task).lasting() ? returnDelay : delegationDelay);
+}
+
+void ShardScheduler::delegateStarvedTask(Task& task, Utils::TimePoint now)
+{
+    Job& job = *task.job;
+    if (job.isHosted() && !job.step(task).lasting())
+        return resolveTask(task, FleetSchema::TASK_RETURNED);
+    std::vector<Task*> tasks { &task };
+    if (job.step(task).gang()) {
+        // The members of a gang run together, so all of them move to the same shard.
+        tasks.clear();
+        for (std::uint32_t index = 0; index < job.step(task).count(); ++index) {
+            tasks.push_back(job.findTask(task.occurrence, task.step, index));
+            if (!isStarved(*tasks.back(), now))
+                return;
         }
-        const bool isStarved = task.phase == TaskPhase::Waiting && job.isActive()
-            && task.waitingSince != Utils::TimePoint {} && now - task.waitingSince > delegationDelay;
-        if (!isStarved)
-            continue;
-        const std::string shard = output_.findShardWithCapacity(job.spec, task.step);
-        if (shard.empty())
-            continue;
-        task.phase = TaskPhase::Delegated;
-        task.hostShard = shard;
-        ++task.transferNumber;
-        task.isDelegationStored = false;
-        task.isDelegationAcknowledged = false;
-        markDirty(job);
     }
+    // Under overload, many tasks wait and no shard has capacity.
+    if (!job.step(task).lasting() && now < searchAllowedAt_)
+        return;
+    const std::string shard = output_.findShardWithCapacity(job.spec, task.step, now - task.waitingSince);
+    if (shard.empty()) {
+        if (!job.step(task).lasting())
+            searchAllowedAt_ = now + searchInterval;
+        return;
+    }
+    for (Task* delegated : tasks)
+        delegate(*delegated, shard);
+}
+
+void ShardScheduler::delegate(Task& task, const std::string& shard)
+{
+    task.phase = TaskPhase::Delegated;
+    task.hostShard = shard;
+    ++task.transferNumber;
+    task.isDelegationStored = false;
+    task.isDelegationAcknowledged = false;
+    task.job->hasTransfers = true;
+    if (task.job->state == FleetSchema::JOB_QUEUED)
+        task.job->state = FleetSchema::JOB_RUNNING;
+    markDirty(*task.job);
 }
 
 // The record must be stored before the call. Otherwise a successor would not know of the delegation and could
@@ -67,15 +115,21 @@
     transfer.set_attempt(task.attempt);
     transfer.set_transfer(task.transferNumber);
     transfer.set_checkpoint(task.checkpoint);
+    transfer.set_occurrence(task.occurrence);
+    transfer.set_failures(task.failures);
+    transfer.set_origin_shard(task.job->isHosted() ? task.job->originShard : options_.shard);
     output_.delegateTask(task.hostShard, transfer);
 }
 
-Job& ShardScheduler::ensureHostedJob(const FleetSchema::JobSpec& spec, Utils::TimePoint now)
+Job& ShardScheduler::ensureHostedJob(
+    const FleetSchema::JobSpec& spec, const std::string& originShard, Utils::TimePoint now)
 {
     if (Job* known = findJob(spec.id()))
         return *known;
     auto hosted = std::make_unique<Job>();
     initializeJob(spec, *hosted);
+    hosted->originShard = originShard;
+    hosted->hasTransfers = true;
     hosted->acceptedAt = now;
     hosted->isStarted = true; // Only the origin shard may count the job as pending.
     hosted->state = FleetSchema::JOB_RUNNING;
@@ -89,31 +143,119 @@
 void ShardScheduler::cancelHostedTasks(
     const FleetSchema::JobSpec& spec, std::uint64_t ticket, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
-    ensureHostedJob(spec, now);
+    ensureHostedJob(spec, {}, now);
     cancel(spec.id(), ticket, nowUnixMs);
 }
 
 void ShardScheduler::acceptDelegatedTask(
     const FleetSchema::TaskTransfer& transfer, std::uint64_t ticket, Utils::TimePoint now)
 {
-    Job* const job = &ensureHostedJob(transfer.job(), now);
-    Task* task = job->findTask(0, transfer.step(), transfer.index());
+    Job& job = ensureHostedJob(transfer.job(), transfer.origin_shard(), now);
+    Task* task = job.findTask(transfer.occurrence(), transfer.step(), transfer.index());
     if (task && transfer.transfer() > task->transferNumber && !task->isOpen()) {
         task->phase = TaskPhase::Waiting;
         task->transferNumber = transfer.transfer();
         task->attempt = std::max(task->attempt, transfer.attempt());
+        task->failures = std::max(task->failures, transfer.failures());
         task->checkpoint = transfer.checkpoint();
         task->hostShard.clear();
         task->waitingSince = {};
-        markDirty(*job);
+        task->notBefore = {};
+        job.hasTransfers = true;
+        if (job.isHosted()) {
+            job.markPredecessorsDone(task->occurrence, task->step);
+            if (job.isActive())
+                job.endedUnixMs = 0;
+        }
+        markDirty(job);
         isScheduleDue_ = true;
     }
-    if (job->isCommitted && !job->isDirty && !inflightBatch_)
-        output_.answer(ticket, { FleetSchema::PEER_OK, job->committedState, 0 });
-    else {
-        markDirty(*job);
-        job->acceptTickets.push_back(ticket);
+    answerOnceStored(job, ticket);
+}
+
+void ShardScheduler::answerOnceStored(Job& job, std::uint64_t ticket)
+{
+    if (job.isCommitted && !job.isDirty && !inflightBatch_)
+        return output_.answer(ticket, { FleetSchema::PEER_OK, job.committedState, 0 });
+    markDirty(job);
+    job.acceptTickets.push_back(ticket);
+}
+
+// A task that ends is over in this host shard; its job goes on in the origin shard.
+void ShardScheduler::resolveTask(Task& task, FleetSchema::TaskResultKind result)
+{
+    Job& job = *task.job;
+    const auto resolve = [&](Task& resolved) {
+        releaseWorker(resolved);
+        resolved.phase = TaskPhase::Resolved;
+        resolved.result = result;
+        resolved.isResultStored = false;
+    };
+    resolve(task);
+    if (job.step(task).gang() && result != FleetSchema::TASK_FAILED) {
+        // When one member completes, the whole gang counts as complete, and a member alone cannot run.
+        for (std::uint32_t index = 0; index < job.step(task).count(); ++index) {
+            Task& member = *job.findTask(task.occurrence, task.step, index);
+            const bool isComplete = result == FleetSchema::TASK_COMPLETED && member.isOpen();
+            if (isComplete || member.phase == TaskPhase::Waiting)
+                resolve(member);
+        }
+    }
+    markDirty(job);
+}
+
+void ShardScheduler::sendResult(Task& task, Utils::TimePoint now)
+{
+    task.resultSentAt = now;
+    FleetSchema::TaskResult result;
+    result.set_job(task.job->spec.id());
+    result.set_occurrence(task.occurrence);
+    result.set_step(task.step);
+    result.set_index(task.index);
+    result.set_transfer(task.transferNumber);
+    result.set_kind(task.result);
+    result.set_attempt(task.attempt);
+    result.set_failures(task.failures);
+    result.set_checkpoint(task.checkpoint);
+    output_.sendTaskResult(task.job->originShard, result);
+}
+
+void ShardScheduler::onTaskResultStored(const FleetSchema::TaskResult& result, std::int64_t nowUnixMs)
+{
+    Job* const job = findJob(result.job());
+    Task* const task = job ? job->findTask(result.occurrence(), result.step(), result.index()) : nullptr;
+    if (!task || task->phase != TaskPhase::Resolved || task->transferNumber != result.transfer())
+        return;
+    task->phase = TaskPhase::AtOrigin;
+    if (job->isActive() && job->isHandedBack())
+        job->endedUnixMs = nowUnixMs;
+    markDirty(*job);
+}
+
+void ShardScheduler::acceptTaskResult(
+    const FleetSchema::TaskResult& result, std::uint64_t ticket, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    Job* const job = findJob(result.job());
+    if (!job)
+        return output_.answer(ticket, { FleetSchema::PEER_OK, FleetSchema::JOB_COMPLETED, 0 });
+    Task* const task = job->findTask(result.occurrence(), result.step(), result.index());
+    if (task && job->isActive() && task->phase == TaskPhase::Delegated
+        && task->transferNumber == result.transfer()) {
+        task->attempt = std::max(task->attempt, result.attempt());
+        task->failures = std::max(task->failures, result.failures());
+        task->checkpoint = result.checkpoint();
+        job->isStarted = job->isStarted || task->attempt > 0;
+        if (result.kind() == FleetSchema::TASK_COMPLETED) {
+            finishTask(*task, now, nowUnixMs);
+        } else {
+            task->waitingSince = {};
+            requeue(*task, now);
+            if (result.kind() == FleetSchema::TASK_FAILED)
+                failJobIfExhausted(*task, now, nowUnixMs);
+        }
+        isScheduleDue_ = true;
     }
+    answerOnceStored(*job, ticket);
 }
 
 // Several tasks of one job may be delegated to one shard under the same transfer number, so the step and the
@@ -121,7 +263,8 @@
 void ShardScheduler::onDelegationStored(const FleetSchema::TaskTransfer& transfer, const std::string& shard)
 {
     Job* const job = findJob(transfer.job().id());
-    Task* const task = job ? job->findTask(0, transfer.step(), transfer.index()) : nullptr;
+    Task* const task
+        = job ? job->findTask(transfer.occurrence(), transfer.step(), transfer.index()) : nullptr;
     if (task && job->isActive() && task->phase == TaskPhase::Delegated && task->hostShard == shard
         && task->transferNumber == transfer.transfer()) {
         task->isDelegationAcknowledged = true;
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -107,7 +107,8 @@
     Job* job = findJob(end.task.job);
     Task* task = job ? job->findTask(end.task.occurrence, end.task.step, end.task.index) : nullptr;
     if (!task || task->phase == TaskPhase::Done || task->phase == TaskPhase::Delegated
-        || task->phase == TaskPhase::AtOrigin || task->attempt != end.attempt) {
+        || task->phase == TaskPhase::AtOrigin || task->phase == TaskPhase::Resolved
+        || task->attempt != end.attempt) {
         return;
     }
     // An attempt that was presumed lost may have completed nevertheless; its result counts unless another
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -62,6 +62,7 @@
     job->isCommitted = true;
     job->isStarted = record.started();
     job->endedUnixMs = record.ended_unix_ms();
+    job->originShard = record.origin_shard();
     job->acceptedAt = now - milliseconds(std::max<std::int64_t>(0, nowUnixMs - job->spec.accepted_unix_ms()));
     const int count = std::min(record.tasks_size(), static_cast<int>(job->tasks.size()));
     for (int position = 0; position < count; ++position) {
@@ -75,9 +76,13 @@
         if (stored.state() == FleetSchema::TASK_LENT) {
             task.phase = TaskPhase::Delegated;
             task.isDelegationStored = true;
-        } else if (stored.state() == FleetSchema::TASK_FOREIGN)
+        } else if (stored.state() == FleetSchema::TASK_FOREIGN) {
             task.phase = TaskPhase::AtOrigin;
-        else if (stored.state() == FleetSchema::TASK_DONE) {
+        } else if (stored.state() == FleetSchema::TASK_RESOLVED) {
+            task.phase = TaskPhase::Resolved;
+            task.result = stored.result();
+            task.isResultStored = true;
+        } else if (stored.state() == FleetSchema::TASK_DONE) {
             task.phase = TaskPhase::Done;
             --job->remainingTasks(task.occurrence, task.step);
             --job->remainingTaskCount;
@@ -89,6 +94,9 @@
             task.reportableSince = now;
             addAttempt(task, worker);
         }
+        job->hasTransfers = job->hasTransfers || task.transferNumber > 0;
+        if (job->isHosted() && task.phase != TaskPhase::AtOrigin)
+            job->markPredecessorsDone(task.occurrence, task.step);
     }
     jobs_[job->spec.id()] = std::move(job);
     isScheduleDue_ = true;
@@ -282,8 +290,11 @@
     for (const auto& [task, worker] : chosen) {
         removeAttempt(*task, *worker);
     }
-    if (chosen.size() != count)
+    if (chosen.size() != count) {
+        for (std::uint32_t index = 0; index < count; ++index)
+            markWaiting(*job.findTask(occurrence, step, index), now);
         return;
+    }
     // All members of the gang continue from the same checkpoint.
     const std::string checkpoint = job.findTask(occurrence, step, 0)->checkpoint;
     for (const auto& [task, worker] : chosen) {
@@ -340,6 +351,8 @@
 void ShardScheduler::finishTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     Job& job = *task.job;
+    if (job.isHosted())
+        return resolveTask(task, FleetSchema::TASK_COMPLETED);
     releaseWorker(task);
     task.phase = TaskPhase::Done;
     --job.remainingTasks(task.occurrence, task.step);
@@ -372,10 +385,20 @@
     ++task.failures;
     task.avoidedWorker = task.worker ? task.worker->info.id : std::string();
     requeue(task, isLongRunning ? now + longRunningRetryPause : now);
-    if (!isLongRunning && job.isActive() && task.failures >= std::max(1U, job.spec.max_failures())) {
-        endJob(job, FleetSchema::JOB_FAILED, nowUnixMs);
-        stopOpenTasks(job, now);
-    }
+    if (!isLongRunning && job.isActive())
+        failJobIfExhausted(task, now, nowUnixMs);
+}
+
+// Fails the job if the task has failed as often as the job allows. In a host shard, only the task is over.
+void ShardScheduler::failJobIfExhausted(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    Job& job = *task.job;
+    if (task.failures < std::max(1U, job.spec.max_failures()))
+        return;
+    if (job.isHosted())
+        return resolveTask(task, FleetSchema::TASK_FAILED);
+    endJob(job, FleetSchema::JOB_FAILED, nowUnixMs);
+    stopOpenTasks(job, now);
 }
 
 void ShardScheduler::endJob(Job& job, FleetSchema::JobState state, std::int64_t nowUnixMs)
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -104,6 +104,20 @@
     */
     void onDelegatedTasksCancelled(const std::string& job, const std::string& shard);
 
+    /*!
+        Accepts the result of a task that this shard delegated; the call is answered once the result is
+        stored. Repeated calls and results of earlier transfers have no effect.
+    */
+    void acceptTaskResult(const FleetSchema::TaskResult& result, std::uint64_t ticket, Utils::TimePoint now,
+        std::int64_t nowUnixMs);
+
+    /*!
+        Notifies the scheduler that the origin shard has stored the result of a delegated task.
+
+        \param result as passed to SchedulerOutput::sendTaskResult().
+    */
+    void onTaskResultStored(const FleetSchema::TaskResult& result, std::int64_t nowUnixMs);
+
     /*! \return the stored state of a job, or nothing if the shard has not stored it. */
     std::optional<FleetSchema::JobState> state(std::string_view id) const;
 
@@ -179,7 +193,8 @@
     struct BatchedJob;
 
     Job* findJob(std::string_view id);
-    Job& ensureHostedJob(const FleetSchema::JobSpec& spec, Utils::TimePoint now);
+    Job& ensureHostedJob(
+        const FleetSchema::JobSpec& spec, const std::string& originShard, Utils::TimePoint now);
     Worker* findWorker(const std::string& id);
     Worker& ensureWorker(const std::string& id, Utils::TimePoint now);
     Task* findOpenTask(const std::string& worker, const Ports::TaskKey& key, std::uint32_t attempt);
@@ -196,6 +211,8 @@
     void requeue(Task& task, Utils::TimePoint retryAt);
     void finishTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
     void failTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
+    void failJobIfExhausted(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
+    void resolveTask(Task& task, FleetSchema::TaskResultKind result);
     void endJob(Job& job, FleetSchema::JobState state, std::int64_t nowUnixMs);
     void requestStop(Task& task, Utils::TimePoint now);
     void stopOpenTasks(Job& job, Utils::TimePoint now);
@@ -211,9 +228,14 @@
     void onJobCommitted(const BatchedJob& stored, Utils::TimePoint now);
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
-    void tickDelegations(Job& job, Utils::TimePoint now);
+    void tickTransfers(Job& job, Utils::TimePoint now);
+    void answerOnceStored(Job& job, std::uint64_t ticket);
+    bool isStarved(const Task& task, Utils::TimePoint now) const;
+    void delegateStarvedTask(Task& task, Utils::TimePoint now);
+    void delegate(Task& task, const std::string& shard);
     static bool mayCallHostShard(const Task& task);
     void sendDelegation(Task& task, Utils::TimePoint now);
+    void sendResult(Task& task, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now);
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
     void adjustSpeeds(Worker& worker, Utils::TimePoint now);
@@ -235,6 +257,7 @@
     Utils::TimePoint groupingAllowedAt_ {};
     std::string lastGroupingSource_; //!< Worker last examined for a move of a latency-critical task.
     Utils::TimePoint lastScheduledAt_ {};
+    Utils::TimePoint searchAllowedAt_ {}; //!< Earliest search for a shard for a task that ends.
     Utils::TimePoint workersSetAt_ {}; //!< Time of the latest list of workers.
     Utils::TimePoint waitsReviewedAt_ {};
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -45,7 +45,8 @@
     if (hasWaitingTasks_ && now - lastScheduledAt_ > waitingRetryInterval)
         isScheduleDue_ = true;
     for (const auto& [id, job] : jobs_) {
-        tickDelegations(*job, now);
+        if (hasWaitingTasks_ || job->hasTransfers)
+            tickTransfers(*job, now);
         if (job->isActive() && job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)
             isScheduleDue_ = true;
     }
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -2,6 +2,8 @@
 
 #include "utils/clock.h"
 
+#include <fleet.pb.h>
+
 #include <cstdint>
 #include <string>
 
@@ -21,6 +23,7 @@
     Done,
     Delegated, //!< Another shard runs the task.
     AtOrigin, //!< The origin shard, which delegated other tasks of the job, runs the task.
+    Resolved, //!< The task is over in this host shard; the origin shard has not stored the result yet.
 };
 
 /*! A task with its latest attempt. */
@@ -42,6 +45,9 @@
     //! The host shard has stored the task or, after the end of the job, its cancellation.
     bool isDelegationAcknowledged = false;
     Utils::TimePoint delegationSentAt {};
+    FleetSchema::TaskResultKind result = FleetSchema::TASK_RETURNED; //!< Valid in the phase Resolved.
+    bool isResultStored = false; //!< The result under this transfer number is stored.
+    Utils::TimePoint resultSentAt {};
     //! Worker where the task failed or from which it was moved; used only if no other fits.
     std::string avoidedWorker;
 
@@ -72,7 +78,7 @@
     bool isOpen() const
     {
         return phase != TaskPhase::Waiting && phase != TaskPhase::Done && phase != TaskPhase::Delegated
-            && phase != TaskPhase::AtOrigin;
+            && phase != TaskPhase::AtOrigin && phase != TaskPhase::Resolved;
     }
 };
 
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -27,10 +27,11 @@
 
     /*!
         \param shard the requesting shard, which is never returned.
+        \param waited how long the task has waited there.
         \return a shard with free capacity for a task of the job's step; empty if none is known.
     */
-    virtual std::string findShardWithCapacity(
-        const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step)
+    virtual std::string findShardWithCapacity(const std::string& shard, const FleetSchema::JobSpec& spec,
+        std::uint32_t step, Utils::Duration waited)
         = 0;
 
     /*! Calls the owner of the shard that the request names. */
@@ -74,6 +75,9 @@
     /*! Accepts a task that another shard delegates. \param handler called once the task is stored. */
     void acceptDelegatedTask(const FleetSchema::TaskTransfer& transfer, JobAnswerHandler handler);
 
+    /*! Accepts the result of a task that this shard delegated. \param handler called once it is stored. */
+    void acceptTaskResult(const FleetSchema::TaskResult& result, JobAnswerHandler handler);
+
     /*!
         Cancels the tasks of a job that were delegated to this shard, including those whose delegation arrives
         only later.
@@ -103,9 +107,11 @@
     void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
     void throttleAttempt(
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
-    std::string findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step) override;
+    std::string findShardWithCapacity(
+        const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited) override;
     void delegateTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer) override;
     void cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job) override;
+    void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) override;
     void attemptEnded(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         std::string_view how) override;
     void taskWaiting(const Fleet::WaitReport& report) override;
--- /dev/null
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -0,0 +1,194 @@
+// Commands, calls and log lines that the scheduler of a ShardHost requests.
+
+#include "shardhost.h"
+
+#include "utils/log/log.h"
+
+#include <boost/asio/post.hpp>
+
+namespace FleetNode {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string describe(const Ports::TaskKey& task)
+{
+    return std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
+        + std::to_string(task.index);
+}
+
+} // namespace
+
+void ShardHost::startAttempt(const Fleet::AttemptStart& start)
+{
+    WorkerConnection* const connection = this->findConnection(start.worker);
+    const auto onReply = [this, weak = std::weak_ptr<bool>(alive_), worker = start.worker, task = start.task,
+                             attempt = start.attempt](const Utils::Result<Ports::CommandReply>& result) {
+        if (!weak.lock() || isClosed_)
+            return;
+        if (!Utils::isOk(result))
+            Utils::logError("start-unanswered", Utils::error(result));
+        scheduler_.onStartReply(worker, task, attempt, result, context_.now());
+        checkFencing(result);
+        requestRound();
+    };
+    context_.metrics.add("geraniumquay_attempt_starts_total");
+    Utils::log(Utils::LogLevel::Info, "attempt-started",
+        { { "job", start.task.job }, { "task", describe(start.task) },
+            { "attempt", std::to_string(start.attempt) }, { "worker", start.worker }, { "shard", shard_ } });
+    if (!connection) {
+        boost::asio::post(context_.io, [onReply, worker = start.worker] {
+            onReply(Utils::Error {
+                Utils::ErrorCode::Unavailable, "worker.start", worker, "no connection to the worker" });
+        });
+        return;
+    }
+    Ports::StartCommand command;
+    command.task = start.task;
+    command.attempt = start.attempt;
+    command.payload = start.payload;
+    command.checkpoint = start.checkpoint;
+    command.leaseUntilMs = start.leaseUntilMs;
+    command.epoch = writer_.epoch();
+    connection->agent().start(command, onReply);
+}
+
+void ShardHost::stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt)
+{
+    context_.metrics.add("geraniumquay_attempt_stops_total");
+    Utils::log(Utils::LogLevel::Info, "attempt-stopped",
+        { { "job", task.job }, { "task", describe(task) }, { "attempt", std::to_string(attempt) },
+            { "worker", worker }, { "shard", shard_ } });
+    WorkerConnection* const connection = this->findConnection(worker);
+    if (!connection)
+        return; // The scheduler repeats the command while the attempt is open.
+    connection->agent().stop(task, attempt, writer_.epoch(),
+        [this, weak = std::weak_ptr<bool>(alive_), worker, task, attempt](
+            const Utils::Result<Ports::CommandReply>& result) {
+            if (!weak.lock() || isClosed_)
+                return;
+            scheduler_.onStopReply(worker, task, attempt, result, context_.now());
+            checkFencing(result);
+            requestRound();
+        });
+}
+
+void ShardHost::throttleAttempt(
+    const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent)
+{
+    context_.metrics.add("geraniumquay_attempt_throttles_total");
+    if (WorkerConnection* const connection = this->findConnection(worker)) {
+        connection->agent().throttle(task, attempt, percent, writer_.epoch(),
+            [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::CommandReply>& result) {
+                if (weak.lock() && !isClosed_)
+                    checkFencing(result);
+            });
+    }
+}
+
+// A worker that has seen a higher epoch reveals that another node owns the shard.
+void ShardHost::checkFencing(const Utils::Result<Ports::CommandReply>& reply)
+{
+    if (Utils::isOk(reply) && Utils::value(reply).outcome == Ports::CommandOutcome::Fenced)
+        close("fenced-by-worker");
+}
+
+void ShardHost::attemptEnded(
+    const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view how)
+{
+    context_.metrics.add("geraniumquay_attempts_ended_total", Telemetry::label("how", how));
+    Utils::log(Utils::LogLevel::Info, "attempt-ended",
+        { { "job", task.job }, { "task", describe(task) }, { "attempt", std::to_string(attempt) },
+            { "worker", worker }, { "how", std::string(how) } });
+}
+
+void ShardHost::taskWaiting(const Fleet::WaitReport& report)
+{
+    const auto sinceConfirmed
+        = std::chrono::duration_cast<milliseconds>(context_.now() - writer_.confirmedAt()).count();
+    context_.metrics.add("geraniumquay_task_waits_total", Telemetry::label("phase", report.phase));
+    Utils::log(Utils::LogLevel::Warning, "task-waiting",
+        { { "job", report.task.job }, { "task", describe(report.task) }, { "shard", shard_ },
+            { "epoch", std::to_string(writer_.epoch()) }, { "kind", std::string(report.kind) },
+            { "phase", std::string(report.phase) }, { "waited_ms", std::to_string(report.waitedMs) },
+            { "similar", std::to_string(report.similarTaskCount) },
+            { "attempt", std::to_string(report.attempt) }, { "obstacles", report.obstacles },
+            { "workers", std::to_string(report.usableWorkers) + "/" + std::to_string(report.listedWorkers) },
+            { "list_age_ms", std::to_string(report.workerListAgeMs) }, { "worker", report.worker },
+            { "worker_listed", report.isWorkerListed ? "true" : "false" },
+            { "worker_responsive", report.isWorkerResponsive ? "true" : "false" },
+            { "report_age_ms", std::to_string(report.reportAgeMs) },
+            { "lease_ms", std::to_string(report.leaseRemainingMs) }, { "lent_to", report.hostShard },
+            { "lent_stored", report.isDelegationStored ? "true" : "false" },
+            { "commit_age_ms", std::to_string(sinceConfirmed) } });
+}
+
+void ShardHost::jobEnded(const Fleet::JobSummary& summary)
+{
+    static constexpr const char* names[] = { "queued", "running", "completed", "failed", "cancelled" };
+    const char* const state = names[summary.state];
+    context_.metrics.add("geraniumquay_jobs_ended_total", Telemetry::label("state", state));
+    Utils::log(Utils::LogLevel::Info, "job-ended",
+        { { "job", summary.job }, { "shard", shard_ }, { "state", state },
+            { "age_ms", std::to_string(summary.ageMs) },
+            { "objective_ms", std::to_string(summary.objectiveMs) },
+            { "first_start_ms", std::to_string(summary.firstStartMs) },
+            { "tasks", std::to_string(summary.taskCount) },
+            { "attempts", std::to_string(summary.attemptCount) },
+            { "failures", std::to_string(summary.failureCount) } });
+}
+
+void ShardHost::delegateTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer)
+{
+    Utils::log(Utils::LogLevel::Info, "task-lent",
+        { { "job", transfer.job().id() },
+            { "task", describe({ {}, transfer.occurrence(), transfer.step(), transfer.index() }) },
+            { "from", shard_ }, { "to", shard }, { "transfer", std::to_string(transfer.transfer()) } });
+    FleetSchema::PeerRequest request;
+    request.set_shard(shard);
+    *request.mutable_adopt() = transfer;
+    callOtherShard(request, [this, transfer, shard] { scheduler_.onDelegationStored(transfer, shard); });
+}
+
+void ShardHost::sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result)
+{
+    Utils::log(Utils::LogLevel::Info, "task-handed-back",
+        { { "job", result.job() },
+            { "task", describe({ {}, result.occurrence(), result.step(), result.index() }) },
+            { "from", shard_ }, { "to", originShard }, { "transfer", std::to_string(result.transfer()) },
+            { "result", FleetSchema::TaskResultKind_Name(result.kind()) } });
+    FleetSchema::PeerRequest request;
+    request.set_shard(originShard);
+    *request.mutable_result() = result;
+    callOtherShard(request, [this, result] {
+        scheduler_.onTaskResultStored(result, NodeContext::nowUnixMs());
+        requestRound();
+    });
+}
+
+void ShardHost::cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job)
+{
+    FleetSchema::PeerRequest request;
+    request.set_shard(shard);
+    *request.mutable_cancel_part() = job;
+    callOtherShard(
+        request, [this, id = job.id(), shard] { scheduler_.onDelegatedTasksCancelled(id, shard); });
+}
+
+// Does not retry, because the scheduler repeats a call that gets no reply.
+void ShardHost::callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored)
+{
+    otherShards_.callOwner(request,
+        [this, weak = std::weak_ptr<bool>(alive_), onStored = std::move(onStored)](
+            const Utils::Result<FleetSchema::PeerReply>& result) {
+            if (!weak.lock() || isClosed_)
+                return;
+            if (!Utils::isOk(result))
+                return Utils::logError("neighbour-unanswered", Utils::error(result));
+            if (Utils::value(result).outcome() == FleetSchema::PEER_OK)
+                onStored();
+        });
+}
+
+} // namespace FleetNode
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -394,17 +394,27 @@
 }
 
 std::string ShardOwnership::findShardWithCapacity(
-    const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step)
+    const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited)
 {
-    return chooser_.chooseForTask(shard, spec, step);
+    return chooser_.chooseForTask(shard, spec, step, waited, members_.aliveNodes().size());
 }
 
 void ShardOwnership::callOwner(const FleetSchema::PeerRequest& request,
     std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler)
 {
     const std::string address = ownerAddress(request.shard());
-    if (!address.empty())
-        return peerClient_.call(address, request, peerCallTimeout, std::move(handler));
+    if (!address.empty()) {
+        return peerClient_.call(address, request, peerCallTimeout,
+            [this, weak = std::weak_ptr<bool>(alive_), shard = request.shard(), handler = std::move(handler)](
+                const Utils::Result<FleetSchema::PeerReply>& result) {
+                if (!weak.lock())
+                    return;
+                const bool isServed
+                    = Utils::isOk(result) && Utils::value(result).outcome() != FleetSchema::PEER_NOT_OWNER;
+                chooser_.setOwnerResponsive(shard, isServed);
+                handler(result);
+            });
+    }
     // Deferred, because the requesting shard may be in the middle of a scheduling pass.
     boost::asio::post(context_.io, [this, request, handler = std::move(handler)] {
         serve(request, [handler](const FleetSchema::PeerReply& reply) { handler(reply); });
@@ -472,6 +482,8 @@
         Utils::log(Utils::LogLevel::Error, "lent-task-damaged", { { "fault", fault } });
         return onAnswer({ FleetSchema::PEER_UNDECIDED, FleetSchema::JOB_QUEUED, 0 });
     }
+    if (request.has_result())
+        return host.acceptTaskResult(request.result(), onAnswer);
     if (request.has_cancel())
         return host.cancel(request.cancel(), onAnswer);
     FleetSchema::PeerReply reply;
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -70,8 +70,8 @@
     void setConfigurationRevision(std::uint64_t revision) { configurationRevision_ = revision; }
 
 private:
-    std::string findShardWithCapacity(
-        const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step) override;
+    std::string findShardWithCapacity(const std::string& shard, const FleetSchema::JobSpec& spec,
+        std::uint32_t step, Utils::Duration waited) override;
     void callOwner(const FleetSchema::PeerRequest& request,
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler) override;
     void heartbeat();
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -37,9 +37,13 @@
     void startAttempt(const Fleet::AttemptStart& start) override;
     void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
     void throttleAttempt(const std::string&, const Ports::TaskKey&, std::uint32_t, int) override { }
-    std::string findShardWithCapacity(const FleetSchema::JobSpec&, std::uint32_t) override { return {}; }
+    std::string findShardWithCapacity(const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration) override
+    {
+        return {};
+    }
     void delegateTask(const std::string&, const FleetSchema::TaskTransfer&) override { }
     void cancelDelegatedTasks(const std::string&, const FleetSchema::JobSpec&) override { }
+    void sendTaskResult(const std::string&, const FleetSchema::TaskResult&) override { }
     void attemptEnded(const std::string&, const Ports::TaskKey& task, std::uint32_t attempt,
         std::string_view reason) override
     {
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -46,7 +46,7 @@
     {
         throttles.push_back({ worker, task, static_cast<std::uint32_t>(percent) });
     }
-    std::string findShardWithCapacity(const FleetSchema::JobSpec&, std::uint32_t) override
+    std::string findShardWithCapacity(const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration) override
     {
         return shardWithCapacity;
     }
@@ -58,6 +58,10 @@
     {
         delegationCancels.emplace_back(shard, job.id());
     }
+    void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) override
+    {
+        results.emplace_back(originShard, result);
+    }
     void attemptEnded(const std::string&, const Ports::TaskKey&, std::uint32_t, std::string_view) override { }
     void taskWaiting(const Fleet::WaitReport& report) override { waits.push_back(report); }
     void jobEnded(const Fleet::JobSummary& summary) override { ended.push_back(summary); }
@@ -75,6 +79,7 @@
     std::string shardWithCapacity; //!< Result of findShardWithCapacity().
     std::vector<FleetSchema::TaskTransfer> delegations;
     std::vector<std::pair<std::string, std::string>> delegationCancels;
+    std::vector<std::pair<std::string, FleetSchema::TaskResult>> results;
     std::vector<Fleet::AttemptStart> starts;
     std::vector<Command> stops;
     std::vector<Command> throttles;
--- a/tests/auto/fleet/tst_shardchooser.cpp
+++ b/tests/auto/fleet/tst_shardchooser.cpp
@@ -139,6 +139,50 @@
     full.load.set_lasting(485'000);
     Fleet::ShardChooser chooser;
     chooser.update({ { "busy", busy }, { "full", full }, { "own", ownerInfo("own", 0) } });
-    CHECK(chooser.chooseForTask("own", makeJob("j", { makeLatencyCriticalStep(1, 8000, "s") }), 0) == "busy");
-    CHECK(chooser.chooseForTask("busy", makeJob("j", { makeLatencyCriticalStep(1, 8000, "s") }), 0) == "own");
+    CHECK(chooser.chooseForTask("own", makeJob("j", { makeLatencyCriticalStep(1, 8000, "s") }), 0, {}, 1)
+        == "busy");
+    CHECK(chooser.chooseForTask("busy", makeJob("j", { makeLatencyCriticalStep(1, 8000, "s") }), 0, {}, 1)
+        == "own");
+}
+
+TEST_CASE("A task that ends is delegated only where it is unlikely to wait again")
+{
+    const FleetSchema::JobSpec job = makeJob("j", { makeStep(4, 8000, 1000) });
+    Fleet::ShardOwnerInfo own = ownerInfo("own", 400'000);
+    Fleet::ShardOwnerInfo other = ownerInfo("other", 380'000);
+    other.load.set_reports_results(true);
+    const auto choose = [&](Utils::Duration waited) {
+        Fleet::ShardChooser chooser;
+        chooser.update({ { "own", own }, { "other", other } });
+        return chooser.chooseForTask("own", job, 0, waited, 1);
+    };
+    CHECK(choose({}).empty());
+    // After a while, the task may go to a shard that is hardly less loaded, but not to a full one.
+    CHECK(choose(std::chrono::seconds(4)) == "other");
+    other.load.set_committed(460'000);
+    CHECK(choose(std::chrono::seconds(4)).empty());
+    other.load.set_committed(100'000);
+    CHECK(choose({}) == "other");
+    // A shard without workers runs nothing, however little is committed there.
+    own = ownerInfo("own", 0);
+    own.load.set_capacity(0);
+    other.load.set_committed(440'000);
+    CHECK(choose({}) == "other");
+}
+
+TEST_CASE("A task is not delegated to a shard whose owner does not answer or cannot report its result")
+{
+    const FleetSchema::JobSpec job = makeJob("j", { makeStep(4, 8000, 1000) });
+    Fleet::ShardOwnerInfo own = ownerInfo("own", 0);
+    own.load.set_capacity(0);
+    Fleet::ShardOwnerInfo other = ownerInfo("other", 0);
+    Fleet::ShardChooser chooser;
+    chooser.update({ { "own", own }, { "other", other } });
+    CHECK(chooser.chooseForTask("own", job, 0, {}, 1).empty());
+    other.load.set_reports_results(true);
+    chooser.update({ { "own", own }, { "other", other } });
+    chooser.setOwnerResponsive("other", false);
+    CHECK(chooser.chooseForTask("own", job, 0, {}, 1).empty());
+    chooser.setOwnerResponsive("other", true);
+    CHECK(chooser.chooseForTask("own", job, 0, {}, 1) == "other");
 }
