Bound the wait of best-effort tasks for tasks over their target

Cause: a worker whose latency-critical task stays over its target accepted no best-effort task, however long it had waited, also when its job had nothing running. A shard whose workers all have such a task starts none at all.

Change: after 8 s without any running task of its job, a task may start there throttled to zero; it gains speed as soon as there is headroom.

Result: the new case of tst_interference failed before and passes.

--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -32,6 +32,9 @@
 // latency-critical tasks tolerate.
 constexpr std::chrono::milliseconds fullSpeedWaitLimit { 5000 };
 constexpr double starvedSpeed = 0.25;
+// After this time, such a task may also start on a worker whose latency-critical tasks are over their target.
+// It is throttled to zero there until they are not.
+constexpr std::chrono::milliseconds throttledWaitLimit { 8000 };
 // If less than this share of the processors is requested, there is no reason to wait that long, and the task
 // waits only for idleFleetWaitLimit.
 constexpr double idleDemandShare = 0.5;
@@ -48,6 +51,11 @@
     return static_cast<double>(requested) < idleDemandShare * static_cast<double>(capacity);
 }
 
+bool isBeyondThrottledWait(const Task& task, Utils::TimePoint now)
+{
+    return task.waitingSince != Utils::TimePoint {} && now - task.waitingSince >= throttledWaitLimit;
+}
+
 // Speed, as a share of full speed, for which a worker must have headroom to start the task.
 double startSpeed(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
@@ -56,7 +64,7 @@
     const std::vector<Task>& tasks = task.job->tasks;
     if (std::any_of(tasks.begin(), tasks.end(), [](const Task& other) { return other.isOpen(); }))
         return 1;
-    if (isMostlyIdle(workers))
+    if (isMostlyIdle(workers) || isBeyondThrottledWait(task, now))
         return 0;
     return now - task.waitingSince < fullSpeedWaitLimit ? 1 : starvedSpeed;
 }
@@ -76,14 +84,17 @@
 }
 
 // Best-effort tasks commit no processors, so whether one fits depends on what the others use.
-PlacementObstacle obstacleToBestEffort(const FleetSchema::StepSpec& step, const Worker& worker,
-    const InterferenceView& view, double speed, Utils::TimePoint now)
+PlacementObstacle obstacleToBestEffort(
+    const Task& task, const Worker& worker, const InterferenceView& view, double speed, Utils::TimePoint now)
 {
+    const FleetSchema::StepSpec& step = task.job->step(task);
     // A task larger than its worker would wait forever, so a worker without best-effort tasks accepts it.
     if (worker.bestEffortMilliProcessors > 0 && step.milli_processors() > worker.unusedMilliProcessors())
         return PlacementObstacle::Full;
     if (headroomAfterAdding(worker, step, view.model, speed) < 0)
         return PlacementObstacle::Interference;
+    if (speed == 0 && isBeyondThrottledWait(task, now))
+        return PlacementObstacle::None;
     // A task started on such a worker would interfere at least until the worker's next report, and so would
     // each task started after it.
     const bool hasTaskOverTarget = std::any_of(worker.tasks.begin(), worker.tasks.end(),
@@ -108,7 +119,7 @@
         return PlacementObstacle::Reserved;
     }
     if (step.leftover_processors()) {
-        const PlacementObstacle obstacle = obstacleToBestEffort(step, worker, view, speed, now);
+        const PlacementObstacle obstacle = obstacleToBestEffort(task, worker, view, speed, now);
         if (obstacle != PlacementObstacle::None)
             return obstacle;
     }
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -222,3 +222,22 @@
     CHECK(Fleet::chooseWorker(hot, fleet.workerPointers, { model }, testStart + 4s) == nullptr);
     CHECK(Fleet::chooseWorker(hot, fleet.workerPointers, { model }, testStart + 6s) == &worker);
 }
+
+TEST_CASE(
+    "A task that waits long enough may start beside a task that stays over its target, throttled to zero")
+{
+    const Fleet::TailLatencyModel model = trainedModel(18);
+    WorkerPool fleet(1);
+    Fleet::Worker& worker = *fleet.workers[0];
+    Fleet::Task& critical = fleet.runTask(makeLatencyCriticalStep(1, 6000, "serving"), worker);
+    critical.ownUtilization = 0.9;
+    critical.overTargetSince = testStart;
+    Fleet::Task& mild = fleet.makeTask(makeBestEffortStep(1, 1000, "mild"));
+    mild.waitingSince = testStart;
+    CHECK(Fleet::chooseWorker(mild, fleet.workerPointers, { model }, testStart + 6s) == nullptr);
+    CHECK(Fleet::chooseWorker(mild, fleet.workerPointers, { model }, testStart + 8s) == &worker);
+    fleet.runTask(makeBestEffortStep(1, 1000, "mild"), worker);
+    const auto changes = Fleet::chooseSpeeds(worker, model, testStart + 8s);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].speedPercent == 0);
+}
