Probe quarantined workers on which long-running tasks are at work

Cause: a quarantined worker was probed only without any open attempt. As long as long-running tasks were at work there, which is for minutes, it got no probe and stayed out of use after it had recovered.

Change: long-running tasks at work do not stand in the way of a probe, and one that completes its startup on a worker whose quarantine has passed counts as a successful probe.

Result: the new case of tst_interference failed before and passes.

--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -154,6 +154,11 @@
     }
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
+    const bool hasCompletedStartup
+        = task->job->step(*task).lasting() && task->progressPercent < 100 && running.progressPercent >= 100;
+    if (hasCompletedStartup && worker.quarantineTime != Utils::Duration::zero()
+        && now >= worker.quarantinedUntil)
+        recordSuccess(worker);
     if (running.progressPercent > task->progressPercent || task->reportableSince == Utils::TimePoint {})
         task->progressAt = now;
     task->progressPercent = running.progressPercent;
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -102,6 +102,14 @@
     return hasTaskOverTarget ? PlacementObstacle::Interference : PlacementObstacle::None;
 }
 
+bool isBeingProbed(const Worker& worker)
+{
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const Task* task) {
+        return !task->job->step(*task).lasting() || task->phase != TaskPhase::Running
+            || task->progressPercent < 100;
+    });
+}
+
 PlacementObstacle findObstacle(
     const Task& task, const Worker& worker, const InterferenceView& view, double speed, Utils::TimePoint now)
 {
@@ -123,8 +131,9 @@
         if (obstacle != PlacementObstacle::None)
             return obstacle;
     }
-    // A quarantined worker is probed with one task that has not failed yet.
-    const bool isProbe = now >= worker.quarantinedUntil && worker.tasks.empty() && task.failures == 0;
+    // A quarantined worker is probed with one task that has not failed yet. Long-running tasks that are at
+    // work there show nothing about new ones.
+    const bool isProbe = now >= worker.quarantinedUntil && !isBeingProbed(worker) && task.failures == 0;
     if (worker.quarantineTime != Utils::Duration::zero() && !isProbe)
         return PlacementObstacle::Quarantined;
     if (step.max_per_worker() > 0 && countTasksOfStep(task, worker) >= step.max_per_worker())
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -204,6 +204,23 @@
     CHECK(Fleet::chooseWorker(task, fleet.workerPointers, { model }, testStart + 2s) == nullptr);
 }
 
+TEST_CASE("A quarantined worker is probed although long-running tasks are at work there")
+{
+    const Fleet::TailLatencyModel model;
+    WorkerPool fleet(1);
+    Fleet::Worker& worker = *fleet.workers[0];
+    Fleet::Task& lasting = fleet.runTask(makeLatencyCriticalStep(1, 6000, "serving"), worker);
+    worker.quarantineTime = 1s;
+    worker.quarantinedUntil = testStart + 1s;
+    Fleet::Task& task = fleet.makeTask(makeStep(1, 1000, 500));
+    lasting.progressPercent = 50;
+    CHECK(Fleet::chooseWorker(task, fleet.workerPointers, { model }, testStart + 2s) == nullptr);
+    lasting.progressPercent = 100;
+    CHECK(Fleet::chooseWorker(task, fleet.workerPointers, { model }, testStart + 2s) == &worker);
+    fleet.runTask(makeStep(1, 1000, 500), worker);
+    CHECK(Fleet::chooseWorker(task, fleet.workerPointers, { model }, testStart + 2s) == nullptr);
+}
+
 TEST_CASE("A task that interferes everywhere starts throttled after a while, sooner in an idle fleet")
 {
     const Fleet::TailLatencyModel model = trainedModel(17);
