Let a task leave a worker that dies before its start is answered

Cause: a worker without tasks held a lease of 5 s all the time, a start extended it, and polls went on extending it until two of them had failed. A start that was lost on a worker that had just become unreachable cost up to 6.2 s before the task could be started elsewhere, and until the second failed poll, up to 5.6 s on an idle worker, that worker was chosen again for other tasks.

Change: a worker without tasks gets no lease, a start asks for 3 s, which the next poll renews, nothing is renewed after a failed poll, and a worker that does not answer a start gets no other task until it reports. Why this works: a start that arrives later is rejected by the worker, so the bound holds, and it is 3 s.

--- a/src/libs/fleet/scheduleroptions.h
+++ b/src/libs/fleet/scheduleroptions.h
@@ -10,6 +10,9 @@
 struct SchedulerOptions {
     std::string shard;
     Utils::Duration workerLease {}; //!< Lease requested with each poll.
+    //! Lease requested with a start. Lasts until the next poll renews it; a start that the worker receives
+    //! later is rejected.
+    Utils::Duration startLease = std::chrono::milliseconds(3000);
     Utils::Duration workerLeaseLimit {}; //!< Longest lease that a worker grants.
     //! Time for which an owner that cannot write to the store still renews leases.
     Utils::Duration orphanGrace {};
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -140,7 +140,7 @@
     start.attempt = task.attempt;
     start.payload = task.job->spec.payload();
     start.checkpoint = task.checkpoint;
-    start.leaseUntilMs = extendLease(worker, now);
+    start.leaseUntilMs = extendLease(worker, std::min(options_.startLease, options_.workerLease), now);
     output_.startAttempt(start);
 }
 
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -32,10 +32,10 @@
 
 } // namespace
 
-std::int64_t ShardScheduler::extendLease(Worker& worker, Utils::TimePoint now)
+std::int64_t ShardScheduler::extendLease(Worker& worker, Utils::Duration lease, Utils::TimePoint now)
 {
     const auto elapsed = now - worker.clockSeenAt;
-    const Utils::Duration fromSeen = elapsed + options_.workerLease;
+    const Utils::Duration fromSeen = elapsed + lease;
     // The worker's clock may run up to 2% slow.
     worker.leaseUpperBound = std::max(worker.leaseUpperBound, worker.clockSeenAt + fromSeen * 51 / 50);
     return worker.clockMs + std::chrono::duration_cast<milliseconds>(fromSeen).count();
@@ -50,9 +50,10 @@
     plan.acknowledged = worker->lastAcknowledgedEnd;
     plan.isWorkerResponsive = worker->bornMs != 0 && worker->isResponsive;
     plan.hasTasks = !worker->tasks.empty();
-    // An unresponsive worker is polled without renewal, so that its lease expires.
-    if (mayRenew && worker->clockMs != 0 && worker->isResponsive)
-        plan.leaseUntilMs = extendLease(*worker, now);
+    // A worker that does not answer is polled without renewal, so that its lease expires. One without tasks
+    // needs no lease, and if a start is lost there, the task can soon be started elsewhere.
+    if (mayRenew && worker->clockMs != 0 && worker->failedPolls == 0 && plan.hasTasks)
+        plan.leaseUntilMs = extendLease(*worker, options_.workerLease, now);
     return plan;
 }
 
@@ -212,6 +213,12 @@
     }
 }
 
+// Gives the worker no more tasks until its next report.
+void ShardScheduler::suspectWorker(Worker& worker)
+{
+    worker.isResponsive = false;
+}
+
 void ShardScheduler::onPollFailed(const std::string& id)
 {
     // A single failure may be caused by the connection; if a poll on a new connection fails as well, the
@@ -235,6 +242,7 @@
             output_.attemptEnded(id, key, attempt, "not-sent");
             requeue(*task, now + rejectionPause);
         } else if (task->phase == TaskPhase::Sent) {
+            suspectWorker(*task->worker);
             requestStop(*task, now);
         }
         return;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -224,7 +224,8 @@
     void recordRunTime(Worker& worker, const Task& task, Utils::TimePoint now);
     void recordFailure(Worker& worker, const Task& task, Utils::TimePoint now);
     void recordSuccess(Worker& worker);
-    std::int64_t extendLease(Worker& worker, Utils::TimePoint now);
+    std::int64_t extendLease(Worker& worker, Utils::Duration lease, Utils::TimePoint now);
+    static void suspectWorker(Worker& worker);
     void onJobCommitted(const BatchedJob& stored, Utils::TimePoint now);
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -108,6 +108,7 @@
     const Worker& worker = *task.worker;
     const FleetSchema::StepSpec& step = task.job->step(task);
     if (task.phase == TaskPhase::Sent && now - task.sentAt > options_.startTimeout) {
+        suspectWorker(*task.worker);
         requestStop(task, now);
         return;
     }
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -20,7 +20,8 @@
 constexpr milliseconds loadRetryPause { 200 };
 // How long a worker with tasks may delay its report; short enough to detect interference within a second.
 constexpr milliseconds busyPollWait { 400 };
-constexpr milliseconds idlePollWait { 2000 };
+// Also bounds the time until a poll renews the lease of a first start.
+constexpr milliseconds idlePollWait { 1500 };
 
 Fleet::SchedulerOptions schedulerOptions(const NodeContext& context, const std::string& shard)
 {
--- /dev/null
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -0,0 +1,90 @@
+#include "fleetfixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using namespace Testing;
+
+namespace {
+
+/*! A worker that was idle for a while when a task was started there, and another one. */
+struct LeaseFixture : SchedulerFixture {
+    LeaseFixture()
+        : SchedulerFixture(2)
+    {
+        now += 60s;
+        for (const std::string& worker : workers)
+            report(worker, {});
+        scheduler.submit(makeJob("job", { makeStep(1, 1000, 9000) }), 1, now, testStartUnixMs);
+        scheduleAndCommit();
+    }
+
+    /*! Lets time pass while the worker of the first start answers nothing. */
+    void advance(Utils::Duration duration)
+    {
+        const Utils::TimePoint end = now + duration;
+        while (now < end) {
+            now += 100ms;
+            scheduler.onTick(now, testStartUnixMs);
+            scheduleAndCommit();
+        }
+    }
+
+    const std::string& firstWorker() const { return output.starts[0].worker; }
+
+    void loseReply()
+    {
+        const Utils::Error unknown { Utils::ErrorCode::OutcomeUnknown, "start", firstWorker(), "no answer" };
+        scheduler.onStartReply(firstWorker(), output.starts[0].task, output.starts[0].attempt, unknown, now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("A task whose start is lost on a worker without tasks is soon started elsewhere")
+{
+    LeaseFixture fixture;
+    REQUIRE(fixture.output.starts.size() == 1);
+    fixture.advance(700ms);
+    fixture.loseReply();
+    fixture.scheduler.planPoll(fixture.firstWorker(), fixture.now, true);
+    fixture.scheduler.onPollFailed(fixture.firstWorker());
+    // The failed poll may have renewed the lease; later ones must not.
+    for (int poll = 0; poll < 4; ++poll) {
+        CHECK(fixture.scheduler.planPoll(fixture.firstWorker(), fixture.now, true).leaseUntilMs == 0);
+        fixture.scheduler.onPollFailed(fixture.firstWorker());
+        fixture.advance(1s);
+    }
+    CHECK(fixture.output.starts.size() == 1);
+    fixture.advance(1200ms);
+    REQUIRE(fixture.output.starts.size() == 2);
+    CHECK(fixture.output.starts[1].worker != fixture.firstWorker());
+}
+
+TEST_CASE("A worker without tasks gets no lease, and a start only a short one")
+{
+    LeaseFixture fixture;
+    const std::int64_t clockMs
+        = std::chrono::duration_cast<std::chrono::milliseconds>(fixture.now.time_since_epoch()).count();
+    CHECK(fixture.output.starts[0].leaseUntilMs == clockMs + 3000);
+    const std::string idle = fixture.firstWorker() == "w0" ? "w1" : "w0";
+    CHECK(fixture.scheduler.planPoll(idle, fixture.now, true).leaseUntilMs == 0);
+    CHECK(
+        fixture.scheduler.planPoll(fixture.firstWorker(), fixture.now, true).leaseUntilMs == clockMs + 5000);
+    CHECK(fixture.scheduler.planPoll(fixture.firstWorker(), fixture.now, false).leaseUntilMs == 0);
+}
+
+TEST_CASE("A worker that does not answer a start gets no other task until it has reported")
+{
+    LeaseFixture fixture;
+    fixture.loseReply();
+    fixture.scheduler.submit(makeJob("wide", { makeStep(40, 1000, 500) }), 2, fixture.now, testStartUnixMs);
+    fixture.scheduleAndCommit();
+    REQUIRE(fixture.output.starts.size() > 1);
+    for (std::size_t number = 1; number < fixture.output.starts.size(); ++number)
+        CHECK(fixture.output.starts[number].worker != fixture.firstWorker());
+    const std::size_t startCount = fixture.output.starts.size();
+    fixture.report(fixture.firstWorker(), {});
+    fixture.scheduleAndCommit();
+    CHECK(fixture.output.starts.size() > startCount);
+}
