Delegate long-running tasks where one worker has room for them

Cause: the host shard was chosen by its share of long-running tasks alone. A shard with the smallest share may have no worker that can hold the task; it waits there for a relocation or is delegated again.

Result: the new case of tst_shardchooser fails without the change (it chose the shard with the smaller share) and passes.

--- a/src/libs/fleet/relocation.cpp
+++ b/src/libs/fleet/relocation.cpp
@@ -33,17 +33,6 @@
         && worker.info.service == task.job->spec.service();
 }
 
-Placement::Resources capacityWithoutShortTasks(const Worker& worker)
-{
-    Placement::Resources freeCapacity = worker.available();
-    for (const Task* other : worker.tasks) {
-        const FleetSchema::StepSpec& step = other->job->step(*other);
-        if (!step.lasting())
-            freeCapacity += committedSize(step);
-    }
-    return freeCapacity;
-}
-
 /*! Moves that make enough free capacity on one worker. */
 struct RelocationPlan {
     Task* firstTask = nullptr; //!< Null if there is no such plan.
@@ -118,7 +107,7 @@
     Utils::Duration availabilityDelay, Utils::TimePoint now)
 {
     const Placement::Resources required = committedSize(waiting.job->step(waiting));
-    Placement::Resources freeCapacity = capacityWithoutShortTasks(worker);
+    Placement::Resources freeCapacity = capacityBesideLongRunningTasks(worker);
     std::vector<Task*> movable = movableTasks(worker, availabilityDelay, now);
     for (Task* task : movable) {
         const Placement::Resources size = committedSize(task->job->step(*task));
--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -196,8 +196,10 @@
     const FleetSchema::StepSpec& stepSpec = spec.steps(static_cast<int>(step));
     const std::int64_t size = stepSpec.milli_processors();
     std::string best;
-    double bestCost
+    bool hasBestRoom = false;
+    const double limit
         = stepSpec.lasting() ? maxDelegationShare : delegationCostLimit(originShard, spec, waited);
+    double bestCost = limit;
     for (const auto& [shard, owner] : owners_) {
         const FleetSchema::ShardLoad& load = owner.load;
         if (shard == originShard || load.service() != spec.service() || !mayHost(shard, load, stepSpec))
@@ -208,10 +210,14 @@
             ? static_cast<double>(load.lasting() + delegated_[shard] + size)
                 / static_cast<double>(load.capacity())
             : costOf(spec, load, assigned_[shard], assigningNodes);
-        if (cost < bestCost) {
-            best = shard;
-            bestCost = cost;
-        }
+        // A shard in which one worker has room needs no relocation. Further tasks delegated to it before its
+        // next report may take that room.
+        const bool hasRoom = stepSpec.lasting() && size + delegated_[shard] <= load.lasting_room();
+        if (cost >= limit || hasRoom < hasBestRoom || (hasRoom == hasBestRoom && cost >= bestCost))
+            continue;
+        best = shard;
+        bestCost = cost;
+        hasBestRoom = hasRoom;
     }
     if (best.empty())
         return best;
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -216,11 +216,7 @@
             && (maxPerWorker == 0 || countTasksOfStep(task, *worker) < maxPerWorker);
         if (!isSuitable)
             continue;
-        std::int64_t freeCapacity = worker->available().milliProcessors;
-        for (const Task* other : worker->tasks) {
-            if (!other->job->step(*other).lasting())
-                freeCapacity += committedSize(other->job->step(*other)).milliProcessors;
-        }
+        const std::int64_t freeCapacity = capacityBesideLongRunningTasks(*worker).milliProcessors;
         if (freeCapacity >= step.milli_processors() && (!best || freeCapacity > bestCapacity)) {
             best = worker;
             bestCapacity = freeCapacity;
--- a/src/libs/fleet/workercommitment.cpp
+++ b/src/libs/fleet/workercommitment.cpp
@@ -37,4 +37,15 @@
     }
 }
 
+Placement::Resources capacityBesideLongRunningTasks(const Worker& worker)
+{
+    Placement::Resources free = worker.available();
+    for (const Task* task : worker.tasks) {
+        const FleetSchema::StepSpec& step = task->job->step(*task);
+        if (!step.lasting())
+            free += committedSize(step);
+    }
+    return free;
+}
+
 } // namespace Fleet
--- a/src/libs/fleet/workercommitment.h
+++ b/src/libs/fleet/workercommitment.h
@@ -23,4 +23,7 @@
 /*! Removes a task from a worker, and what it requests from the worker's totals. */
 void removeAttempt(Task& task, Worker& worker);
 
+/*! \return the capacity of a worker that its long-running tasks leave, whatever short tasks run there. */
+Placement::Resources capacityBesideLongRunningTasks(const Worker& worker);
+
 } // namespace Fleet
--- a/tests/auto/fleet/tst_shardchooser.cpp
+++ b/tests/auto/fleet/tst_shardchooser.cpp
@@ -186,3 +186,20 @@
     chooser.setOwnerResponsive("other", true);
     CHECK(chooser.chooseForTask("own", job, 0, {}, 1) == "other");
 }
+
+TEST_CASE("A long-running task is delegated to a shard where one worker has room for it")
+{
+    const FleetSchema::JobSpec job = makeJob("j", { makeLatencyCriticalStep(1, 8000, "s") });
+    Fleet::ShardOwnerInfo own = ownerInfo("own", 0);
+    Fleet::ShardOwnerInfo fragmented = ownerInfo("fragmented", 0);
+    fragmented.load.set_lasting(300'000);
+    fragmented.load.set_lasting_room(7000);
+    Fleet::ShardOwnerInfo roomy = ownerInfo("roomy", 0);
+    roomy.load.set_lasting(400'000);
+    roomy.load.set_lasting_room(9000);
+    Fleet::ShardChooser chooser;
+    chooser.update({ { "own", own }, { "fragmented", fragmented }, { "roomy", roomy } });
+    CHECK(chooser.chooseForTask("own", job, 0, {}, 1) == "roomy");
+    // The room may be taken by the first task, so the load decides about the next one.
+    CHECK(chooser.chooseForTask("own", job, 0, {}, 1) == "fragmented");
+}
