Let a successor call workers that the platform does not list

Cause: a successor knew only the listed workers. The entry of a worker that the store turns away lapses although the worker lives and serves; the record of an attempt named the worker, but not its address.

Change: the record holds the address (left out in jobs of more than 600 tasks, so that the record fits into a row), and a successor polls workers with recorded attempts there. Their report settles the attempts; a worker that is gone is waited for as before.

--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -12,6 +12,8 @@
 // A job with more tasks is rejected. The limit bounds the memory that one job can take, and a record of this
 // many tasks fits into a row.
 constexpr std::uint32_t maxTasks = 1500;
+// The records of larger jobs leave out the addresses of workers, so that they fit into a row.
+constexpr std::size_t maxTasksWithAddress = 600;
 
 FleetSchema::TaskState storedState(const Task& task)
 {
@@ -143,6 +145,8 @@
         if (task.worker) {
             stored.set_worker(task.worker->info.id);
             stored.set_worker_born(task.workerBornMs);
+            if (job.tasks.size() <= maxTasksWithAddress)
+                stored.set_worker_address(task.worker->info.address);
         }
     }
     return record;
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -88,6 +88,8 @@
             --job->remainingTaskCount;
         } else if (stored.state() == FleetSchema::TASK_ASSIGNED) {
             Worker& worker = ensureWorker(stored.worker(), now);
+            if (worker.info.address.empty())
+                worker.info.address = stored.worker_address();
             task.phase = TaskPhase::Unverified;
             task.worker = &worker;
             task.workerBornMs = stored.worker_born();
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -185,6 +185,10 @@
     /*! \return whether work or free capacity may have changed since the last schedule(). */
     bool isScheduleDue() const { return isScheduleDue_; }
 
+    /*! \return the workers with open attempts that the platform does not list, with their last known
+     * addresses. */
+    std::vector<Ports::WorkerInfo> unlistedWorkers() const;
+
     /*! \return the number of attempts that a former owner recorded and no worker has reported yet. */
     std::size_t countUnconfirmedAttempts() const;
 
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -52,6 +52,16 @@
     return count;
 }
 
+std::vector<Ports::WorkerInfo> ShardScheduler::unlistedWorkers() const
+{
+    std::vector<Ports::WorkerInfo> unlisted;
+    for (const auto& [id, worker] : workers_) {
+        if (!worker->isListed && !worker->tasks.empty() && !worker->info.address.empty())
+            unlisted.push_back(worker->info);
+    }
+    return unlisted;
+}
+
 std::size_t ShardScheduler::countAttemptsOnUnlistedWorkers() const
 {
     std::size_t count = 0;
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -146,15 +146,23 @@
 {
     scheduler_.setWorkers(workers_, context_.now());
     logWorkerCount();
-    for (const Ports::WorkerInfo& info : workers_) {
-        std::unique_ptr<WorkerConnection>& connection = connections_[info.id];
-        if (!connection || connection->address() != info.address)
-            connection = std::make_unique<WorkerConnection>(
-                context_, info, static_cast<WorkerConnectionHandler&>(*this));
-    }
+    for (const Ports::WorkerInfo& info : workers_)
+        connect(info);
+    // The entry of a worker may be missing although the worker lives, and only the worker or the end of its
+    // lease can tell what became of its attempts.
+    for (const Ports::WorkerInfo& info : scheduler_.unlistedWorkers())
+        connect(info);
     requestRound();
 }
 
+void ShardHost::connect(const Ports::WorkerInfo& info)
+{
+    std::unique_ptr<WorkerConnection>& connection = connections_[info.id];
+    if (!connection || connection->address() != info.address)
+        connection = std::make_unique<WorkerConnection>(
+            context_, info, static_cast<WorkerConnectionHandler&>(*this));
+}
+
 void ShardHost::submit(const FleetSchema::JobSpec& spec, JobAnswerHandler handler)
 {
     // A new job is rejected at once instead of waiting for a stalled store. This is safe, because the shard
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -140,6 +140,7 @@
     void close(const char* reason);
     void applyWorkers();
     void logWorkerCount();
+    void connect(const Ports::WorkerInfo& info);
     void checkFencing(const Utils::Result<Ports::CommandReply>& reply);
     WorkerConnection* findConnection(const std::string& worker);
 
--- a/tests/auto/fleet/tst_workerlease.cpp
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -118,3 +118,20 @@
         CHECK(successor.output.starts.size() == 1);
     }
 }
+
+TEST_CASE("A successor knows the address of a worker that the platform does not list")
+{
+    SchedulerFixture owner(1);
+    owner.scheduler.submit(makeJob("job", { makeStep(1, 1000, 9000) }), 1, owner.now, testStartUnixMs);
+    owner.scheduler.schedule(owner.now, testStartUnixMs);
+    const auto batch = owner.scheduler.beginCommit(testStartUnixMs);
+    REQUIRE(batch);
+    FleetSchema::JobRecord record;
+    REQUIRE(record.ParseFromString(batch->puts[0].second));
+    SchedulerFixture successor(0);
+    successor.scheduler.restore(record, successor.now, testStartUnixMs);
+    const auto unlisted = successor.scheduler.unlistedWorkers();
+    REQUIRE(unlisted.size() == 1);
+    CHECK(unlisted[0].id == "w0");
+    CHECK(unlisted[0].address == "127.0.0.1:1");
+}
