Delegate tasks only to owners that can store them now

Cause: a delegation is final, nobody else can run the task until the host shard's owner has stored it, and the host shard was chosen by a load of up to a second ago. An owner that the store has just turned away counts as the least loaded one as before, until its shard is taken over; takeovers wait for 2.5 s without a heartbeat and take longer while the store loses answers.

Change: before a delegation the owner is asked whether it can store tasks; it answers by its latest transaction and its latest read. An owner that can't, or does not answer, is passed over for some time. Why this works: the owner notices at its next transaction, within 0.1 s on a busy shard, that the store turns it away. What remains: an owner that is lost between its answer and the call.

Result: tst_delegationtargets passes; before, any shard with capacity was returned at once.

--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -190,7 +190,7 @@
         && !unresponsiveUpdates_.contains(shard) && (step.lasting() || load.reports_results());
 }
 
-std::string ShardChooser::chooseForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
+std::string ShardChooser::findForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
     std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes)
 {
     const FleetSchema::StepSpec& stepSpec = spec.steps(static_cast<int>(step));
@@ -219,13 +219,27 @@
         bestCost = cost;
         hasBestRoom = hasRoom;
     }
-    if (best.empty())
-        return best;
+    return best;
+}
+
+void ShardChooser::countDelegation(
+    const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step)
+{
+    const FleetSchema::StepSpec& stepSpec = spec.steps(static_cast<int>(step));
+    const std::int64_t size = stepSpec.milli_processors();
     if (stepSpec.lasting())
-        delegated_[best] += size;
+        delegated_[shard] += size;
     else
-        (isBestEffort(spec) ? assigned_[best].bestEffort : assigned_[best].committed) += size;
-    return best;
+        (isBestEffort(spec) ? assigned_[shard].bestEffort : assigned_[shard].committed) += size;
+}
+
+std::string ShardChooser::chooseForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
+    std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes)
+{
+    const std::string shard = findForTask(originShard, spec, step, waited, assigningNodes);
+    if (!shard.empty())
+        countDelegation(shard, spec, step);
+    return shard;
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/shardchooser.h
+++ b/src/libs/fleet/shardchooser.h
@@ -50,7 +50,7 @@
     ShardChoice choose(const FleetSchema::JobSpec& spec, std::size_t assigningNodes);
 
     /*!
-        Chooses another shard for one task and counts the task as delegated to it.
+        Finds another shard for one task.
 
         \param originShard shard without a worker for the task.
         \param waited how long the task has waited in that shard.
@@ -58,6 +58,13 @@
         \return the shard with the smallest share of long-running tasks or, for a task that ends, with the
             least load; empty if none has enough free capacity.
     */
+    std::string findForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
+        std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes);
+
+    /*! Counts a task as delegated to \p shard. */
+    void countDelegation(const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step);
+
+    /*! Finds another shard for one task as findForTask() does, and counts the task as delegated to it. */
     std::string chooseForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
         std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes);
 
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds returnDelay { 3000 };
 constexpr milliseconds transferRetryInterval { 600 };
 // Time after an unsuccessful search for a shard for a task that ends. Loads change with each heartbeat.
-constexpr milliseconds searchInterval { 500 };
+constexpr milliseconds searchInterval { 200 };
 
 } // namespace
 
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -65,6 +65,9 @@
     /*! \return whether the shard's jobs are loaded and it accepts requests. */
     bool isServing() const { return isLoaded_ && !isClosed_; }
 
+    /*! \return whether the shard could store a delegated task now, as far as this node knows. */
+    bool canHostTasks() const { return isServing() && !isReleasing_ && writer_.isStoreAnswering(); }
+
     /*!
         Submits a job.
         \param spec a validated specification.
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -34,6 +34,8 @@
     , peerClient_(peerClient)
     , tailLatencyModel_(tailLatencyModel)
     , rackDirectory_(context)
+    , delegationTargets_(context, chooser_,
+          [this](const auto& request, auto handler) { callOwner(request, std::move(handler)); })
     , members_(context.settings.node().name(), milliseconds(context.settings.dispatch().node_timeout_ms()))
     , startedAt_(context.now())
     , heartbeatTimer_(context.io)
@@ -396,25 +398,15 @@
 std::string ShardOwnership::findShardWithCapacity(
     const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited)
 {
-    return chooser_.chooseForTask(shard, spec, step, waited, members_.aliveNodes().size());
+    return delegationTargets_.find(shard, spec, step, waited, members_.aliveNodes().size());
 }
 
 void ShardOwnership::callOwner(const FleetSchema::PeerRequest& request,
     std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler)
 {
     const std::string address = ownerAddress(request.shard());
-    if (!address.empty()) {
-        return peerClient_.call(address, request, peerCallTimeout,
-            [this, weak = std::weak_ptr<bool>(alive_), shard = request.shard(), handler = std::move(handler)](
-                const Utils::Result<FleetSchema::PeerReply>& result) {
-                if (!weak.lock())
-                    return;
-                const bool isServed
-                    = Utils::isOk(result) && Utils::value(result).outcome() != FleetSchema::PEER_NOT_OWNER;
-                chooser_.setOwnerResponsive(shard, isServed);
-                handler(result);
-            });
-    }
+    if (!address.empty())
+        return peerClient_.call(address, request, peerCallTimeout, std::move(handler));
     // Deferred, because the requesting shard may be in the middle of a scheduling pass.
     boost::asio::post(context_.io, [this, request, handler = std::move(handler)] {
         serve(request, [handler](const FleetSchema::PeerReply& reply) { handler(reply); });
@@ -452,11 +444,17 @@
         return handler({});
     }
     const auto host = hosts_.find(request.shard());
+    FleetSchema::PeerReply reply;
     if (host == hosts_.end() || !host->second->isServing()) {
-        FleetSchema::PeerReply reply;
         reply.set_outcome(FleetSchema::PEER_NOT_OWNER);
         return handler(reply);
     }
+    if (request.has_host_check()) {
+        const bool canHost
+            = host->second->canHostTasks() && isStoreReachable() && !isStoreLost_ && !isLeaving_;
+        reply.set_outcome(canHost ? FleetSchema::PEER_OK : FleetSchema::PEER_UNAVAILABLE);
+        return handler(reply);
+    }
     dispatchToHost(*host->second, request, handler);
 }
 
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "delegationtargets.h"
 #include "jobrouter.h"
 #include "nodecontext.h"
 #include "rackdirectory.h"
@@ -99,8 +100,9 @@
     PeerClient& peerClient_;
     Fleet::TailLatencyModel& tailLatencyModel_;
     RackDirectory rackDirectory_;
-    Fleet::MemberView members_;
     Fleet::ShardChooser chooser_;
+    DelegationTargets delegationTargets_;
+    Fleet::MemberView members_;
     std::map<std::string, std::unique_ptr<ShardHost>> hosts_;
     std::map<std::string, std::string> regionOfDomain_;
     std::map<std::string, Fleet::ShardOwnerInfo>
--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -111,6 +111,7 @@
 {
     version_ = version;
     confirmedAt_ = lastSentAt_;
+    hasFailedTry_ = false;
     stallLimit_.addDuration(context_.now() - firstSentAt_);
     transaction_.reset();
     const auto done = std::move(done_);
@@ -120,6 +121,7 @@
 
 void ShardWriter::scheduleRetry(const Utils::Error& error)
 {
+    hasFailedTry_ = true;
     context_.metrics.add(
         "geraniumquay_shard_write_retries_total", Telemetry::label("code", Utils::errorCodeName(error.code)));
     if (backoff_ == initialBackoff)
--- a/src/libs/fleetnode/shardwriter.h
+++ b/src/libs/fleetnode/shardwriter.h
@@ -50,6 +50,9 @@
     /*! \return whether the transaction in progress takes so long that the store counts as stalled. */
     bool isStalled() const;
 
+    /*! \return whether the store answers: no transaction has failed or takes long since the last success. */
+    bool isStoreAnswering() const { return !hasFailedTry_ && !isStalled(); }
+
     /*! \return send time of the last successful transaction, at which this node still owned the shard. */
     Utils::TimePoint confirmedAt() const { return confirmedAt_; }
 
@@ -76,6 +79,7 @@
     Utils::TimePoint confirmedAt_ {};
     Fleet::StallLimit stallLimit_;
     Utils::Duration backoff_ {};
+    bool hasFailedTry_ = false; //!< The latest try of a transaction failed.
     Timer retryTimer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
