End the attempts of a worker when another one answers in its place

Cause: a worker that crashes and starts again under another identifier answers polls for the former one with 421. That was taken for an overload: the worker counted as unresponsive and its attempts as possibly running until the bound of its lease, which is 22.2 s for a shard that has just changed owner. But the answer says that another incarnation has its place, so nothing runs on the former one.

--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -229,6 +229,27 @@
         worker->isResponsive = false;
 }
 
+void ShardScheduler::onWorkerReplaced(const std::string& id, Utils::TimePoint now)
+{
+    Worker* const worker = findWorker(id);
+    if (!worker)
+        return;
+    worker->isResponsive = false;
+    requeueAttempts(*worker, "worker-replaced", now);
+}
+
+// Attempts that are only recorded stay; once the record is stored, they are not sent to an unusable worker.
+void ShardScheduler::requeueAttempts(Worker& worker, std::string_view reason, Utils::TimePoint now)
+{
+    const std::vector<Task*> tasks = worker.tasks;
+    for (Task* task : tasks) {
+        if (task->phase == TaskPhase::Recorded)
+            continue;
+        output_.attemptEnded(worker.info.id, keyOf(*task), task->attempt, reason);
+        requeue(*task, now);
+    }
+}
+
 void ShardScheduler::onStartReply(const std::string& id, const Ports::TaskKey& key, std::uint32_t attempt,
     const Utils::Result<Ports::CommandReply>& reply, Utils::TimePoint now)
 {
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -162,6 +162,12 @@
     /*! Notifies the scheduler that a poll was not answered. */
     void onPollFailed(const std::string& worker);
 
+    /*!
+        Notifies the scheduler that another worker has taken the place of this one. All attempts on it have
+        ended, whatever its lease.
+    */
+    void onWorkerReplaced(const std::string& worker, Utils::TimePoint now);
+
     /*! Processes the answer to a start. */
     void onStartReply(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         const Utils::Result<Ports::CommandReply>& reply, Utils::TimePoint now);
@@ -248,6 +254,7 @@
     void sendDelegation(Task& task, Utils::TimePoint now);
     void sendResult(Task& task, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now);
+    void requeueAttempts(Worker& worker, std::string_view reason, Utils::TimePoint now);
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
     void adjustSpeeds(Worker& worker, Utils::TimePoint now);
     void collectExpiredJobs(std::int64_t nowUnixMs);
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -91,12 +91,7 @@
         isScheduleDue_ = true;
     const std::vector<Task*> tasks = worker.tasks;
     if (!worker.isResponsive && now > worker.leaseUpperBound) {
-        for (Task* task : tasks) {
-            if (task->phase == TaskPhase::Recorded)
-                continue;
-            output_.attemptEnded(worker.info.id, keyOf(*task), task->attempt, "worker-silent-beyond-lease");
-            requeue(*task, now);
-        }
+        requeueAttempts(worker, "worker-silent-beyond-lease", now);
         return;
     }
     for (Task* task : tasks)
--- a/src/libs/ports/workeragent.h
+++ b/src/libs/ports/workeragent.h
@@ -85,7 +85,8 @@
 
     /*!
         Renews the worker's lease and requests a report.
-        \param handler receives the report; Conflict if the worker has seen a higher epoch.
+        \param handler receives the report; Conflict if the worker has seen a higher epoch, NotFound if
+       another worker has taken the place of this one, so that nothing runs on this one any more.
     */
     virtual void poll(const PollRequest& request, ReportHandler handler) = 0;
 };
--- a/tests/auto/fleet/tst_workerlease.cpp
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -135,3 +135,25 @@
     CHECK(unlisted[0].id == "w0");
     CHECK(unlisted[0].address == "127.0.0.1:1");
 }
+
+TEST_CASE("Attempts end with their worker when another one answers in its place, whatever its lease")
+{
+    SchedulerFixture owner(1);
+    owner.scheduler.submit(makeJob("job", { makeStep(1, 1000, 9000) }), 1, owner.now, testStartUnixMs);
+    owner.scheduler.schedule(owner.now, testStartUnixMs);
+    const auto batch = owner.scheduler.beginCommit(testStartUnixMs);
+    REQUIRE(batch);
+    FleetSchema::JobRecord record;
+    REQUIRE(record.ParseFromString(batch->puts[0].second));
+    SchedulerFixture successor(0);
+    successor.scheduler.restore(record, successor.now, testStartUnixMs);
+    successor.scheduler.setWorkers({ makeWorkerInfo("other") }, successor.now);
+    successor.report("other", {});
+    successor.scheduleAndCommit();
+    CHECK(successor.output.starts.empty());
+    successor.scheduler.onWorkerReplaced("w0", successor.now);
+    successor.scheduleAndCommit();
+    REQUIRE(successor.output.starts.size() == 1);
+    CHECK(successor.output.starts[0].worker == "other");
+    CHECK(successor.output.starts[0].attempt == 2);
+}
