--- a/src/libs/http/endpoint.h
+++ b/src/libs/http/endpoint.h
@@ -19,7 +19,7 @@
     friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
 
-/*! Parses "address:port"; fails with ErrorCode::InvalidArgument. */
+/*! Parses "address:port" without a scope of the address; fails with ErrorCode::InvalidArgument. */
 Utils::Result<Endpoint> parseEndpoint(std::string_view text);
 
 } // namespace Http
