--- /dev/null
+++ b/tests/auto/usersplatform/tst_workerentry.cpp
@@ -0,0 +1,69 @@
+#include <platform/workerentrycodec.h>
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+using namespace UsersPlatform;
+
+namespace {
+
+boost::json::object makeFields()
+{
+    return { { "service", "s" }, { "addr", "10.128.0.9:8080" }, { "zone", "z" }, { "state", "ready" },
+        { "born", 5 }, { "capacity", { { "cpu", 16000 }, { "mem_mb", 32768 }, { "gpu", 1 } } },
+        { "labels", { "a", "r1-3" } } };
+}
+
+Ports::Row makeRow(const std::string& value, const std::string& key = "i-1")
+{
+    Ports::Row row;
+    row.name = { "servers", "", key };
+    row.value = value;
+    return row;
+}
+
+/*! \return whether an entry with \p value in field \p name is accepted. */
+bool isAccepted(const char* name, const boost::json::value& value)
+{
+    boost::json::object fields = makeFields();
+    fields[name] = value;
+    return Utils::isOk(decodeWorker(makeRow(boost::json::serialize(fields))));
+}
+
+} // namespace
+
+TEST_CASE("A complete entry is accepted")
+{
+    const auto worker = decodeWorker(makeRow(boost::json::serialize(makeFields())));
+    REQUIRE(Utils::isOk(worker));
+    CHECK(Utils::value(worker).milliProcessors == 16000);
+    CHECK(Utils::value(worker).accelerators == 1);
+    CHECK(isAccepted("capacity", { { "cpu", 16000 }, { "mem_mb", 32768 } }));
+    CHECK(isAccepted("labels", { "a", "r1-3", "b" }));
+    CHECK(isAccepted("addr", "::1:8080"));
+}
+
+TEST_CASE("An entry with a port that no worker can listen on is rejected")
+{
+    for (const char* address : { "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999999999", "10.0.0.1:-1",
+             "10.0.0.1:", "10.0.0.1:+80", "host:80", "" }) {
+        INFO(address);
+        CHECK_FALSE(isAccepted("addr", address));
+    }
+}
+
+TEST_CASE("An entry that is nested deeply or is not JSON is rejected")
+{
+    const std::string text = boost::json::serialize(makeFields());
+    const std::string start = text.substr(0, text.size() - 1) + ",\"x\":";
+    for (const std::size_t levels : { 40U, 30'000U, 500'000U }) {
+        INFO(levels);
+        CHECK_FALSE(Utils::isOk(
+            decodeWorker(makeRow(start + std::string(levels, '[') + std::string(levels, ']') + "}"))));
+        CHECK_FALSE(Utils::isOk(decodeWorker(makeRow(start + std::string(levels, '[')))));
+    }
+    CHECK_FALSE(Utils::isOk(decodeWorker(makeRow(start + "\"\xff\"}"))));
+    CHECK_FALSE(Utils::isOk(decodeWorker(makeRow(text + text))));
+    CHECK_FALSE(Utils::isOk(decodeWorker(makeRow(std::string(1000, '\0')))));
+    CHECK(Utils::isOk(decodeWorker(makeRow(start + "1e400}"))));
+}
