--- a/tests/auto/usersplatform/tst_workerentry.cpp
+++ b/tests/auto/usersplatform/tst_workerentry.cpp
@@ -30,6 +30,15 @@
     return Utils::isOk(decodeWorker(makeRow(boost::json::serialize(fields))));
 }
 
+/*! \return whether an entry with \p number as \p name of its capacity is accepted. */
+bool isCapacityAccepted(const std::string& name, const std::string& number)
+{
+    std::string capacity = R"({"cpu":16000,"mem_mb":32768,"gpu":1,")" + name + "\":" + number + "}";
+    std::string text = boost::json::serialize(makeFields());
+    text.pop_back();
+    return Utils::isOk(decodeWorker(makeRow(text + ",\"capacity\":" + capacity + "}")));
+}
+
 } // namespace
 
 TEST_CASE("A complete entry is accepted")
@@ -52,6 +61,27 @@
     }
 }
 
+TEST_CASE("An entry with a capacity that no worker has is rejected")
+{
+    for (const std::string name : { "cpu", "mem_mb", "gpu" }) {
+        for (const std::string number :
+            { "-1", "-1e400", "1e400", "1e30", "9e18", "9223372036854775807", "18446744073709551615", "0e999",
+                "1000000001", "123456789012345678901234567890", "\"16000\"", "null", "true", "[1]", "{}" }) {
+            INFO(name << " " << number);
+            CHECK_FALSE(isCapacityAccepted(name, number));
+        }
+    }
+    CHECK_FALSE(isCapacityAccepted("cpu", "0"));
+    CHECK_FALSE(isCapacityAccepted("mem_mb", "0"));
+    CHECK(isCapacityAccepted("gpu", "0"));
+    CHECK(isCapacityAccepted("cpu", "1000000"));
+    CHECK(isCapacityAccepted("mem_mb", "64000000"));
+    CHECK(isCapacityAccepted("cpu", "16e3"));
+    for (const boost::json::value& capacity : { boost::json::value(nullptr), boost::json::value(7),
+             boost::json::value(boost::json::array { 1, 2 }), boost::json::value { { "cpu", 16000 } } })
+        CHECK_FALSE(isAccepted("capacity", capacity));
+}
+
 TEST_CASE("An entry that is nested deeply or is not JSON is rejected")
 {
     const std::string text = boost::json::serialize(makeFields());
