--- a/tests/auto/usersplatform/tst_workerentry.cpp
+++ b/tests/auto/usersplatform/tst_workerentry.cpp
@@ -82,6 +82,23 @@
         CHECK_FALSE(isAccepted("capacity", capacity));
 }
 
+TEST_CASE("An entry with a drain time that no worker has is rejected")
+{
+    for (const boost::json::value& time :
+        { boost::json::value(-1e300), boost::json::value(9e18), boost::json::value(1e300),
+            boost::json::value(86'400'001), boost::json::value("1200"), boost::json::value(nullptr) }) {
+        INFO(boost::json::serialize(time));
+        CHECK_FALSE(isAccepted("drain_remaining_ms", time));
+    }
+    CHECK(isAccepted("drain_remaining_ms", 0));
+    CHECK(isAccepted("drain_remaining_ms", 1200.5));
+    boost::json::object late = makeFields();
+    late["drain_remaining_ms"] = -1500;
+    const auto worker = decodeWorker(makeRow(boost::json::serialize(late)));
+    REQUIRE(Utils::isOk(worker));
+    CHECK(Utils::value(worker).drainRemainingMs == 0);
+}
+
 TEST_CASE("An entry that is nested deeply or is not JSON is rejected")
 {
     const std::string text = boost::json::serialize(makeFields());
