--- a/tests/auto/usersplatform/tst_workerentry.cpp
+++ b/tests/auto/usersplatform/tst_workerentry.cpp
@@ -99,6 +99,37 @@
     CHECK(Utils::value(worker).drainRemainingMs == 0);
 }
 
+TEST_CASE("An entry whose names could not be part of a row key is rejected")
+{
+    const std::string longest(64, 'n');
+    const std::string tooLong(65, 'n');
+    for (const char* name : { "service", "zone" }) {
+        INFO(name);
+        CHECK(isAccepted(name, longest.c_str()));
+        CHECK_FALSE(isAccepted(name, tooLong.c_str()));
+        CHECK_FALSE(isAccepted(name, std::string(65'000, 'n').c_str()));
+        CHECK_FALSE(isAccepted(name, ""));
+        CHECK_FALSE(isAccepted(name, 7));
+        CHECK_FALSE(isAccepted(name, nullptr));
+    }
+    CHECK(isAccepted("labels", { "a", longest }));
+    CHECK_FALSE(isAccepted("labels", { "a", tooLong }));
+    CHECK_FALSE(isAccepted("labels", { "a", std::string(65'000, 'r') }));
+    CHECK_FALSE(isAccepted("labels", { "a", "" }));
+}
+
+TEST_CASE("An entry with labels of another type or with too many of them is rejected")
+{
+    CHECK_FALSE(isAccepted("labels", "a,r1-3"));
+    CHECK_FALSE(isAccepted("labels", { 7, "a", "r1-3" }));
+    CHECK_FALSE(isAccepted("labels", { "a", "r1-3", nullptr }));
+    CHECK_FALSE(isAccepted("labels", { "a", "r1-3", std::string(65'000, 'b') }));
+    boost::json::array labels(100'000, "b");
+    CHECK_FALSE(isAccepted("labels", labels));
+    labels.resize(32);
+    CHECK(isAccepted("labels", labels));
+}
+
 TEST_CASE("An entry that is nested deeply or is not JSON is rejected")
 {
     const std::string text = boost::json::serialize(makeFields());
