--- a/tests/auto/usersplatform/tst_workerentry.cpp
+++ b/tests/auto/usersplatform/tst_workerentry.cpp
@@ -130,6 +130,16 @@
     CHECK(isAccepted("labels", labels));
 }
 
+TEST_CASE("An entry whose key cannot identify a worker in a request is rejected")
+{
+    const std::string value = boost::json::serialize(makeFields());
+    for (const std::string key : { "", "i\r\nname: value", "i\n", "i 1", "i\x7f", "i\x01", "i-\xc3\xa9" }) {
+        INFO(key);
+        CHECK_FALSE(Utils::isOk(decodeWorker(makeRow(value, key))));
+    }
+    CHECK(Utils::isOk(decodeWorker(makeRow(value, std::string(200, 'i')))));
+}
+
 TEST_CASE("An entry that is nested deeply or is not JSON is rejected")
 {
     const std::string text = boost::json::serialize(makeFields());
