Fail a read whose pages do not lead on

What callers saw: nothing. If the store said that more rows follow, with a last key before the start of the page, the node read the same page again without a pause; every read is priced. If the page was empty, the rows read so far were taken for the whole list, so the workers of later pages counted as gone.

Cause: TableWatcher took the last key of a page without comparing it with the start, and an empty page for the end.

Change: such a page is a failed read: it is logged once, the rows of the last complete read stay valid, and the table is read again after the usual pause.

No entry of another writer can cause this, because the store makes the pages.

--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -47,26 +47,27 @@
     range.table = table_;
     range.from = from;
     context_.store.read(
-        range, [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::RowPage>& result) {
+        range, [this, weak = std::weak_ptr<bool>(alive_), from](const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
-                onPage(result);
+                onPage(from, result);
         });
 }
 
-void TableWatcher::onPage(const Utils::Result<Ports::RowPage>& result)
+void TableWatcher::onPage(const std::string& from, const Utils::Result<Ports::RowPage>& result)
 {
-    if (!Utils::isOk(result)) {
-        onReadFailed(Utils::error(result));
-        timer_.start(retryPause, [this] { start(); });
-        return;
-    }
+    if (!Utils::isOk(result))
+        return restart(Utils::error(result));
     const Ports::RowPage& page = Utils::value(result);
+    if (page.hasMore && (page.rows.empty() || page.rows.back().name.key < from)) {
+        return restart({ Utils::ErrorCode::InvalidArgument, "table.read", {},
+            "the page does not lead to the next one" });
+    }
     for (const Ports::Row& row : page.rows)
         partialCopy_[row.name.key] = row;
     // Following starts at the version of the first page, so that no change between two pages is missed.
     if (version_ == 0)
         version_ = page.version;
-    if (page.hasMore && !page.rows.empty())
+    if (page.hasMore)
         return readAll(page.rows.back().name.key + '\0');
     rows_ = std::move(partialCopy_);
     partialCopy_.clear();
@@ -78,6 +79,12 @@
         follow();
 }
 
+void TableWatcher::restart(const Utils::Error& error)
+{
+    onReadFailed(error);
+    timer_.start(retryPause, [this] { start(); });
+}
+
 void TableWatcher::follow()
 {
     context_.store.follow(table_, version_, longPollWait,
--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -50,7 +50,8 @@
 private:
     void readAll(const std::string& from);
     void follow();
-    void onPage(const Utils::Result<Ports::RowPage>& result);
+    void onPage(const std::string& from, const Utils::Result<Ports::RowPage>& result);
+    void restart(const Utils::Error& error);
     void onChanges(const Utils::Result<Ports::RowPage>& result);
     void onReadFailed(const Utils::Error& error);
     void onReadSucceeded();
--- a/tests/auto/fleetnode/scriptedrowstore.h
+++ b/tests/auto/fleetnode/scriptedrowstore.h
@@ -65,8 +65,16 @@
 
     void read(const Ports::RowRange& range, PageHandler handler) override
     {
+        ++readCount;
         Ports::RowPage page;
         page.version = version_;
+        if (!pages.empty()) {
+            page = pages.front();
+            if (pages.size() > 1)
+                pages.pop_front();
+            boost::asio::post(io_, [handler = std::move(handler), page] { handler(page); });
+            return;
+        }
         for (const auto& [name, row] : rows) {
             if (name.table == range.table && name.partition == range.partition && name.key >= range.from)
                 page.rows.push_back(row);
@@ -74,11 +82,20 @@
         boost::asio::post(io_, [handler = std::move(handler), page] { handler(page); });
     }
 
-    void follow(const std::string&, std::uint64_t, Utils::Duration, PageHandler) override { }
+    void follow(const std::string&, std::uint64_t, Utils::Duration, PageHandler handler) override
+    {
+        if (changes.empty())
+            return;
+        boost::asio::post(io_, [handler = std::move(handler), page = changes.front()] { handler(page); });
+        changes.pop_front();
+    }
 
     std::map<Ports::RowKey, Ports::Row> rows;
     std::deque<CommitBehavior> commitBehaviors; //!< For the next transactions; Answer once they are used up.
+    std::deque<Ports::RowPage> pages; //!< If any, read() returns them in turn and then the last one again.
+    std::deque<Ports::RowPage> changes; //!< For the next calls of follow(), which then no longer answers.
     int commitCount = 0;
+    int readCount = 0;
 
 private:
     std::vector<std::pair<Ports::Transaction, TransactionHandler>> heldCommits_;
--- a/tests/auto/fleetnode/tst_tablewatcher.cpp
+++ b/tests/auto/fleetnode/tst_tablewatcher.cpp
@@ -9,9 +9,14 @@
 
 namespace {
 
+Ports::Row makeRow(const std::string& key, const std::string& partition = {})
+{
+    return { { "workers", partition, key }, "entry", 1, false };
+}
+
 struct WatcherFixture : Testing::NodeFixture {
-    explicit WatcherFixture(Utils::Duration pause)
-        : watcher(context, "workers", TableWatcher::Mode::Poll, pause,
+    explicit WatcherFixture(Utils::Duration pause, TableWatcher::Mode mode = TableWatcher::Mode::Poll)
+        : watcher(context, "workers", mode, pause,
             [this](const TableWatcher::Rows& rows) { reportedSizes.push_back(rows.size()); })
     {
     }
@@ -69,3 +74,28 @@
         fixture.io.run_one();
     CHECK(fixture.reportedSizes.size() == 3);
 }
+
+TEST_CASE("A table is read page by page")
+{
+    WatcherFixture fixture(1h);
+    fixture.store.pages = { { { makeRow(""), makeRow("a") }, true, 5 }, { { makeRow("b") }, false, 6 } };
+    fixture.watcher.start();
+    fixture.runReady();
+    CHECK(fixture.reportedSizes == std::vector<std::size_t> { 3 });
+    CHECK(fixture.store.readCount == 2);
+}
+
+TEST_CASE("A page that does not lead on fails the read, and the former rows stay valid")
+{
+    const std::vector<Ports::RowPage> invalidPages { { {}, true, 5 }, { { makeRow("a") }, true, 5 },
+        { { makeRow("b") }, true, 5 }, { { makeRow("b"), makeRow("a") }, true, 5 } };
+    for (const Ports::RowPage& invalidPage : invalidPages) {
+        WatcherFixture fixture(1h);
+        fixture.store.pages = { { { makeRow("a"), makeRow("b") }, true, 5 }, invalidPage };
+        fixture.watcher.start();
+        fixture.io.restart();
+        fixture.io.run_for(50ms);
+        CHECK(fixture.reportedSizes.empty());
+        CHECK(fixture.store.readCount == 2);
+    }
+}
