Ignore changes of rows in other partitions

What callers saw: nothing. The operator's table is followed; a row with the key of the configuration in another partition of that table would have been taken for the configuration, and its removal would have removed the copy.

Cause: the store reports the changes of all partitions of a table, but TableWatcher holds the rows of the unnamed one by their keys alone.

Evidence: the case about partitions in tst_tablewatcher failed before: the rows were reported again after changes in another partition.

Change: rows of other partitions are skipped. The list of workers is polled, and the store selects its partition, so entries of workers are not affected.

Result: tst_tablewatcher and tst_shardownership pass.

--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -106,7 +106,12 @@
     onReadSucceeded();
     const Ports::RowPage& page = Utils::value(result);
     version_ = std::max(version_, page.version);
+    bool isChanged = false;
     for (const Ports::Row& row : page.rows) {
+        // The store reports the changes of all partitions.
+        if (!row.name.partition.empty())
+            continue;
+        isChanged = true;
         if (row.isDeleted)
             rows_.erase(row.name.key);
         else
@@ -114,7 +119,8 @@
     }
     if (page.rows.empty())
         return follow();
-    onChange_(rows_);
+    if (isChanged)
+        onChange_(rows_);
     timer_.start(pause_, [this] { follow(); });
 }
 
--- a/tests/auto/fleetnode/tst_tablewatcher.cpp
+++ b/tests/auto/fleetnode/tst_tablewatcher.cpp
@@ -99,3 +99,17 @@
         CHECK(fixture.store.readCount == 2);
     }
 }
+
+TEST_CASE("Changes of rows in other partitions are not taken for changes of the watched rows")
+{
+    WatcherFixture fixture(1ms, TableWatcher::Mode::Follow);
+    fixture.add("a");
+    Ports::Row foreignRemoval = makeRow("a", "other");
+    foreignRemoval.isDeleted = true;
+    fixture.store.changes
+        = { { { makeRow("b", "other"), foreignRemoval }, false, 11 }, { { makeRow("c") }, false, 12 } };
+    fixture.watcher.start();
+    fixture.io.restart();
+    fixture.io.run_for(50ms);
+    CHECK(fixture.reportedSizes == std::vector<std::size_t> { 1, 2 });
+}
