Do not count unusable workers as idle

A best-effort task that would disturb a task with a target starts throttled after 1.2 s instead of 5 s if its shard seems idle, and it seems so if workers that do not answer, drain or have left hold half of the processors; one odd entry of the list with a large capacity suffices.

Cause: isMostlyIdle() counted the capacity of all known workers.

Evidence: the new case of tst_interference failed before: with one usable worker that is in use and one that does not answer, the task started after 2 s.

Change: only usable workers count. Why this works: no task can start on the others, so their processors are not idle ones.

Result: tst_interference, tst_shardscheduler, tst_shardwaits, tst_shardtransfer and tst_taskgrouping pass.

--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -45,6 +45,8 @@
     std::int64_t capacity = 0;
     std::int64_t requested = 0; // Latency-critical tasks count by their assumed use, others by their request.
     for (const Worker* worker : workers) {
+        if (!worker->isUsable())
+            continue;
         capacity += worker->info.milliProcessors;
         requested += worker->info.milliProcessors - worker->unusedMilliProcessors();
     }
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -241,3 +241,18 @@
     REQUIRE(changes.size() == 1);
     CHECK(changes[0].speedPercent == 0);
 }
+
+TEST_CASE("Workers that cannot be used do not make a fleet seem idle")
+{
+    const Fleet::TailLatencyModel model = trainedModel(17);
+    WorkerPool fleet(2);
+    Fleet::Worker& worker = *fleet.workers[0];
+    fleet.workers[1]->isResponsive = false;
+    fleet.workers[1]->info.milliProcessors = 10'000'000;
+    fleet.runTask(makeLatencyCriticalStep(1, 6000, "serving"), worker).ownUtilization = 0.55;
+    fleet.runTask(makeStep(1, 20'000, 1000), worker);
+    Fleet::Task& hot = fleet.makeTask(makeBestEffortStep(1, 4000, "hot"));
+    hot.waitingSince = testStart;
+    CHECK(Fleet::chooseWorker(hot, fleet.workerPointers, { model }, testStart + 2s) == nullptr);
+    CHECK(Fleet::chooseWorker(hot, fleet.workerPointers, { model }, testStart + 6s) == &worker);
+}
