Test pages with odd rows, too deep pages and too large ones

None of these could harm before: rows of a page that are no objects are skipped, fields of another type count as empty, and a page with 500,000 levels or more than 16 MB is an error.

--- a/tests/auto/usersplatform/tst_tablestore.cpp
+++ b/tests/auto/usersplatform/tst_tablestore.cpp
@@ -117,3 +117,43 @@
     };
     CHECK(std::any_of(fixture.requests.begin(), fixture.requests.end(), isListRequest));
 }
+
+TEST_CASE("Odd rows of a page do not affect its other rows")
+{
+    const std::string large(200'000, 'A');
+    const std::string rows
+        = R"([7,null,[],{},{"table":"servers","part":"","key":"a","value":"%%%%","ver":4},)"
+          R"({"table":"servers","part":"","key":"b","value":7,"ver":"5"},)"
+          R"({"table":"servers","part":"","key":"c","value":")"
+        + large + R"(","ver":6},{"table":"servers","part":"","key":"","value":"=","ver":1e400},)"
+        + R"({"table":"servers","part":"","key":"d","value":"bm9kZS0x","ver":9}])";
+    ScriptedService fixture(
+        Http::Response { 200, {}, R"({"ver":412,"has_more":false,"rows":)" + rows + "}" });
+    const auto result = fixture.call<Ports::RowPage>([&](auto handler) {
+        fixture.store->read({ "servers", "", "", "", 0 }, handler);
+    });
+    REQUIRE(Utils::isOk(result));
+    const Ports::RowPage& page = Utils::value(result);
+    REQUIRE(page.rows.size() == 6);
+    CHECK(page.version == 412);
+    CHECK(page.rows[1].value.empty());
+    CHECK(page.rows[2].version == 0);
+    CHECK(page.rows[3].value.size() == 150'000);
+    CHECK(page.rows[4].version == 0);
+    CHECK(page.rows[5].name.key == "d");
+    CHECK(page.rows[5].value == "node-1");
+    CHECK(page.rows[5].version == 9);
+}
+
+TEST_CASE("A page that is nested too deeply or too large is an error")
+{
+    const std::string nested = "{\"rows\":" + std::string(500'000, '[') + std::string(500'000, ']') + "}";
+    const std::string large = R"({"rows":[],"x":")" + std::string(17U << 20U, 'x') + "\"}";
+    for (const std::string& body : { nested, large, std::string("\xff"), std::string("[]"), std::string() }) {
+        ScriptedService fixture(Http::Response { 200, {}, body });
+        const auto page = fixture.call<Ports::RowPage>([&](auto handler) {
+            fixture.store->read({ "servers", "", "", "", 0 }, handler);
+        });
+        CHECK_FALSE(Utils::isOk(page));
+    }
+}
