--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -4,12 +4,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <optional>
+#include <utility>
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -23,82 +23,83 @@
 // A larger response fails the exchange; the platform splits such responses into pages.
 constexpr std::uint64_t maxResponseBytes = 16U << 20U;
 
-} // namespace
+using EndHandler = std::function<void(Utils::Result<Response>, std::optional<tcp::socket>)>;
 
-class ClientConnection::Private : public std::enable_shared_from_this<ClientConnection::Private> {
+bhttp::request<bhttp::string_body> toMessage(Request&& request, const Endpoint& endpoint)
+{
+    bhttp::request<bhttp::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    message.set(bhttp::field::host, endpoint.toString());
+    for (const Header& header : request.headers)
+        message.set(header.name, header.value);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+// One exchange with everything that its operations refer to. Their handlers own it, so it lives until the
+// last of them has completed, also if it ended earlier. It owns its socket and gives it back after a complete
+// response only, so an operation that completes late can reach neither the socket nor the memory of another
+// exchange.
+class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
-    Private(asio::io_context& context, Endpoint endpoint)
-        : context_(context)
-        , endpoint_(std::move(endpoint))
+    Exchange(asio::io_context& context, Endpoint endpoint, Request&& request, EndHandler handler)
+        : endpoint_(std::move(endpoint))
         , timer_(context)
+        , socket_(context)
+        , message_(toMessage(std::move(request), endpoint_))
+        , handler_(std::move(handler))
     {
+        parser_.body_limit(maxResponseBytes);
     }
 
-    void exchange(Request request, Utils::Duration timeout, ResponseHandler handler)
+    void start(std::optional<tcp::socket> socket, Utils::Duration timeout)
     {
-        handler_ = std::move(handler);
-        isSent_ = false;
-        prepareMessage(std::move(request));
         timer_.expires_after(timeout);
-        timer_.async_wait(
-            [self = shared_from_this(), exchangeId = exchangeId_](boost::system::error_code code) {
-                if (!code && exchangeId == self->exchangeId_)
-                    self->fail("no response within the time limit");
-            });
-        if (socket_)
-            write();
-        else
-            connect();
+        timer_.async_wait([self = shared_from_this()](boost::system::error_code errorCode) {
+            if (!errorCode && !self->hasEnded())
+                self->fail("no response within the time limit");
+        });
+        if (!socket)
+            return connect();
+        socket_ = std::move(*socket);
+        write();
     }
 
-    void close()
+    // Ends the exchange without calling its handler.
+    void cancel()
     {
         handler_ = nullptr;
-        ++exchangeId_;
         timer_.cancel();
         closeSocket();
     }
 
-    bool isBusy() const { return static_cast<bool>(handler_); }
-
 private:
-    void prepareMessage(Request request)
-    {
-        message_ = {};
-        message_.method_string(request.method);
-        message_.target(request.target);
-        message_.version(11);
-        message_.set(bhttp::field::host, endpoint_.toString());
-        for (const Header& header : request.headers)
-            message_.set(header.name, header.value);
-        message_.body() = std::move(request.body);
-        message_.prepare_payload();
-    }
+    bool hasEnded() const { return !handler_; }
 
     void connect()
     {
-        socket_ = std::make_shared<tcp::socket>(context_);
         boost::system::error_code code;
         const tcp::endpoint peer(asio::ip::make_address(endpoint_.address, code), endpoint_.port);
-        socket_->async_connect(
-            peer, [self = shared_from_this(), exchangeId = exchangeId_](boost::system::error_code errorCode) {
-                if (exchangeId != self->exchangeId_)
-                    return;
-                if (errorCode)
-                    return self->fail(errorCode.message());
-                boost::system::error_code ignored;
-                self->socket_->set_option(tcp::no_delay(true), ignored);
-                self->write();
-            });
+        socket_.async_connect(peer, [self = shared_from_this()](boost::system::error_code errorCode) {
+            if (self->hasEnded())
+                return;
+            if (errorCode)
+                return self->fail(errorCode.message());
+            boost::system::error_code ignored;
+            self->socket_.set_option(tcp::no_delay(true), ignored);
+            self->write();
+        });
     }
 
     void write()
     {
         isSent_ = true;
-        bhttp::async_write(*socket_, message_,
-            [self = shared_from_this(), exchangeId = exchangeId_, socket = socket_](
-                boost::system::error_code errorCode, std::size_t) {
-                if (exchangeId != self->exchangeId_)
+        bhttp::async_write(
+            socket_, message_, [self = shared_from_this()](boost::system::error_code errorCode, std::size_t) {
+                if (self->hasEnded())
                     return;
                 if (errorCode)
                     return self->fail(errorCode.message());
@@ -108,12 +109,9 @@
 
     void read()
     {
-        parser_.emplace();
-        parser_->body_limit(maxResponseBytes);
-        bhttp::async_read(*socket_, buffer_, *parser_,
-            [self = shared_from_this(), exchangeId = exchangeId_, socket = socket_](
-                boost::system::error_code errorCode, std::size_t) {
-                if (exchangeId != self->exchangeId_)
+        bhttp::async_read(socket_, buffer_, parser_,
+            [self = shared_from_this()](boost::system::error_code errorCode, std::size_t) {
+                if (self->hasEnded())
                     return;
                 if (errorCode)
                     return self->fail(errorCode.message());
@@ -123,56 +121,87 @@
 
     void succeed()
     {
-        auto message = parser_->release();
-        if (!message.keep_alive())
-            closeSocket();
+        auto message = parser_.release();
+        std::optional<tcp::socket> socket;
+        if (message.keep_alive())
+            socket = std::move(socket_);
         Response response;
         response.status = message.result_int();
         for (const auto& field : message)
             response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
         response.body = std::move(message.body());
-        finish(std::move(response));
+        finish(std::move(response), std::move(socket));
     }
 
     void fail(const std::string& reason)
     {
-        closeSocket();
         const auto code = isSent_ ? Utils::ErrorCode::OutcomeUnknown : Utils::ErrorCode::Unavailable;
-        finish(Utils::Error { code, "http.exchange", endpoint_.toString(), reason });
+        finish(Utils::Error { code, "http.exchange", endpoint_.toString(), reason }, std::nullopt);
     }
 
-    void finish(Utils::Result<Response> result)
+    void finish(Utils::Result<Response> result, std::optional<tcp::socket> socket)
     {
-        ++exchangeId_;
-        timer_.cancel();
-        const ResponseHandler handler = std::move(handler_);
-        handler_ = nullptr;
-        handler(std::move(result));
+        const EndHandler handler = std::move(handler_);
+        cancel();
+        handler(std::move(result), std::move(socket));
     }
 
     void closeSocket()
     {
-        if (socket_) {
-            boost::system::error_code ignored;
-            socket_->close(ignored);
-            socket_.reset();
-        }
-        buffer_.consume(buffer_.size());
+        boost::system::error_code ignored;
+        socket_.close(ignored);
     }
 
-    asio::io_context& context_;
     Endpoint endpoint_;
     asio::steady_timer timer_;
-    std::shared_ptr<tcp::socket> socket_;
-    beast::flat_buffer buffer_;
+    tcp::socket socket_;
     bhttp::request<bhttp::string_body> message_;
-    std::optional<bhttp::response_parser<bhttp::string_body>> parser_;
-    ResponseHandler handler_;
-    std::uint64_t exchangeId_
-        = 0; //!< Incremented when an exchange ends, so that its pending operations are ignored.
+    beast::flat_buffer buffer_;
+    bhttp::response_parser<bhttp::string_body> parser_;
+    EndHandler handler_; //!< Empty once the exchange has ended.
     bool isSent_ = false;
 };
 
+} // namespace
+
+class ClientConnection::Private : public std::enable_shared_from_this<ClientConnection::Private> {
+public:
+    Private(asio::io_context& context, Endpoint endpoint)
+        : context_(context)
+        , endpoint_(std::move(endpoint))
+    {
+    }
+
+    void exchange(Request request, Utils::Duration timeout, ResponseHandler handler)
+    {
+        const auto exchange = std::make_shared<Exchange>(context_, endpoint_, std::move(request),
+            [self = shared_from_this(), handler = std::move(handler)](
+                Utils::Result<Response> result, std::optional<tcp::socket> socket) {
+                self->exchange_ = nullptr;
+                self->idleSocket_ = std::move(socket);
+                handler(std::move(result));
+            });
+        exchange_ = exchange;
+        exchange->start(std::exchange(idleSocket_, std::nullopt), timeout);
+    }
+
+    void close()
+    {
+        if (exchange_)
+            exchange_->cancel();
+        exchange_ = nullptr;
+        idleSocket_.reset();
+    }
+
+    bool isBusy() const { return exchange_ != nullptr; }
+
+private:
+    asio::io_context& context_;
+    Endpoint endpoint_;
+    std::optional<tcp::socket> idleSocket_; //!< Open connection between two exchanges.
+    std::shared_ptr<Exchange> exchange_; //!< Null unless an exchange is in progress.
+};
+
 ClientConnection::ClientConnection(asio::io_context& context, Endpoint endpoint)
     : d_(std::make_shared<Private>(context, std::move(endpoint)))
 {
