Let a request's time limit include its wait for a connection

What callers saw: requests queued behind exchanges without an answer waited one time limit after the other and were then sent, long after their callers had been told or had given up: a stale start or stop to a worker, a stale call to a peer.

Cause: Http::Client counted the time limit from the moment a request got one of its connections. The queue had no limit at all.

Evidence: tst_clientqueue. Before, 3 of 4 cases failed, among them CHECK( ended == { "/a", "/b", "/occupying" } ) with { "/occupying", "/a", "/b" } CHECK( readTarget(next) == "/in-time" ) with "/a" == "/in-time" CHECK( readTarget(*connection) == "/next" ) with "/stale" == "/next" All pass now.

Change: the limit counts from send(). A request that gets no connection in time ends with Unavailable, as nothing was sent; one whose limit passed while the event loop was held is not sent either; one that gets a connection has the rest of its limit. Why this works: the timer of a queued request ends it at its limit, and only requests with time left are started.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -1,13 +1,38 @@
 #include "client.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
 #include <deque>
 #include <vector>
 
 namespace Http {
 
+namespace {
+
+namespace Asio = boost::asio;
+
+// A request without a connection; the handler of its timer owns it as well.
+struct QueuedRequest {
+    QueuedRequest(
+        Asio::io_context& context, Request&& queued, Utils::Duration limit, ResponseHandler&& receiver)
+        : request(std::move(queued))
+        , handler(std::move(receiver))
+        , timer(context, limit)
+    {
+    }
+
+    Request request;
+    ResponseHandler handler;
+    Asio::steady_timer timer; //!< Expires at the time limit.
+};
+
+} // namespace
+
 class Client::Private : public std::enable_shared_from_this<Client::Private> {
 public:
-    Private(boost::asio::io_context& context, Endpoint endpoint, std::size_t maxConnections)
+    Private(Asio::io_context& context, Endpoint endpoint, std::size_t maxConnections)
         : context_(context)
         , endpoint_(std::move(endpoint))
         , maxConnections_(maxConnections)
@@ -16,7 +41,17 @@
 
     void send(Request request, Utils::Duration timeout, ResponseHandler handler)
     {
-        queue_.push_back({ std::move(request), timeout, std::move(handler) });
+        const auto connection = queue_.empty() ? idleConnection() : nullptr;
+        if (connection)
+            return start(*connection, std::move(request), timeout, std::move(handler));
+        const auto queued
+            = std::make_shared<QueuedRequest>(context_, std::move(request), timeout, std::move(handler));
+        queue_.push_back(queued);
+        queued->timer.async_wait([weak = weak_from_this(), queued](boost::system::error_code errorCode) {
+            const auto self = weak.lock();
+            if (!errorCode && self)
+                self->refuse(queued);
+        });
         startQueuedRequests();
     }
 
@@ -24,17 +59,13 @@
 
     void clear()
     {
+        for (const auto& queued : queue_)
+            queued->timer.cancel();
         queue_.clear();
         connections_.clear();
     }
 
 private:
-    struct QueuedRequest {
-        Request request;
-        Utils::Duration timeout;
-        ResponseHandler handler;
-    };
-
     std::shared_ptr<ClientConnection> idleConnection()
     {
         for (const auto& connection : connections_) {
@@ -47,30 +78,55 @@
         return connections_.back();
     }
 
+    void start(
+        ClientConnection& connection, Request&& request, Utils::Duration timeout, ResponseHandler&& handler)
+    {
+        connection.exchange(std::move(request), timeout,
+            [weak = weak_from_this(), handler = std::move(handler)](Utils::Result<Response> result) {
+                const auto self = weak.lock();
+                handler(std::move(result));
+                if (self)
+                    self->startQueuedRequests();
+            });
+    }
+
+    // Starts the first requests that still have time left; the timers of the others are about to refuse them.
     void startQueuedRequests()
     {
-        while (!queue_.empty()) {
+        const auto now = Asio::steady_timer::clock_type::now();
+        const auto isInTime
+            = [now](const std::shared_ptr<QueuedRequest>& queued) { return queued->timer.expiry() > now; };
+        for (;;) {
+            const auto found = std::find_if(queue_.begin(), queue_.end(), isInTime);
+            if (found == queue_.end())
+                return;
             const auto connection = idleConnection();
             if (!connection)
                 return;
-            QueuedRequest queuedRequest = std::move(queue_.front());
-            queue_.pop_front();
-            connection->exchange(std::move(queuedRequest.request), queuedRequest.timeout,
-                [weak = weak_from_this(), handler = std::move(queuedRequest.handler)](
-                    Utils::Result<Response> result) {
-                    const auto self = weak.lock();
-                    handler(std::move(result));
-                    if (self)
-                        self->startQueuedRequests();
-                });
+            const auto queued = *found;
+            queue_.erase(found);
+            queued->timer.cancel();
+            start(*connection, std::move(queued->request), queued->timer.expiry() - now,
+                std::move(queued->handler));
         }
     }
 
-    boost::asio::io_context& context_;
+    // Ends a request that got no connection within its time limit, unless it has left the queue.
+    void refuse(const std::shared_ptr<QueuedRequest>& queued)
+    {
+        const auto found = std::find(queue_.begin(), queue_.end(), queued);
+        if (found == queue_.end())
+            return;
+        queue_.erase(found);
+        queued->handler(Utils::Error { Utils::ErrorCode::Unavailable, "http.queue", endpoint_.toString(),
+            "no connection available within the time limit" });
+    }
+
+    Asio::io_context& context_;
     Endpoint endpoint_;
     std::size_t maxConnections_;
     std::vector<std::shared_ptr<ClientConnection>> connections_;
-    std::deque<QueuedRequest> queue_;
+    std::deque<std::shared_ptr<QueuedRequest>> queue_;
 };
 
 Client::Client(boost::asio::io_context& context, Endpoint endpoint, std::size_t maxConnections)
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -7,7 +7,8 @@
 /*!
     An asynchronous HTTP/1.1 client for one server with a limited number of persistent connections.
 
-    Requests wait in FIFO order until a connection is available. Must be used on the thread of the io_context.
+    Requests wait in FIFO order until a connection is available or their time limit has passed. Must be used
+   on the thread of the io_context.
 */
 class Client {
 public:
@@ -22,7 +23,8 @@
 
     /*!
         Sends a request.
-        \param timeout limit of the exchange, excluding the wait for an available connection.
+        \param timeout limit of the exchange, including the wait for an available connection. A request that
+        gets none within the limit is not sent and ends with ErrorCode::Unavailable.
         \param handler called once, unless the client is destroyed first.
     */
     void send(Request request, Utils::Duration timeout, ResponseHandler handler);
