Do not take bytes that nobody asked for as the next response

What callers saw: if a server sent more than one response to a request, the rest was returned as the response to the next request on that connection.

Cause: Http::ClientConnection and BlockingClient reused a connection without a look at what had arrived on it. The gateway's connections did look.

Evidence: tst_unaskedbytes. Before, both clients failed: CHECK( body == expected ) with "unasked" == "second" (with the extra bytes in the same read, ClientConnection got no answer instead.) All cases pass now.

Change: a connection is reused only if nothing is left in its buffer and nothing waits to be read; the gateway's check moved to the Http library for all three. A connection that the server closed while it was idle is now also replaced instead of failing the next exchange with OutcomeUnknown. Why this works: HTTP/1.1 without pipelining has no bytes between a response and the next request.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -2,13 +2,12 @@
 
 #include "http/beastmessage.h"
 #include "http/headers.h"
+#include "http/idlesocket.h"
 
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
 
-#include <sys/socket.h>
-
 namespace Gateway::Internal {
 
 namespace {
@@ -114,9 +113,7 @@
 {
     if (!reusable_ || std::chrono::steady_clock::now() - lastReceived_ > maxIdle)
         return false;
-    char byte = 0;
-    const ssize_t count = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return Http::Internal::isIdle(stream_.socket());
 }
 
 } // namespace Gateway::Internal
--- a/src/libs/http/blockingclient.cpp
+++ b/src/libs/http/blockingclient.cpp
@@ -1,6 +1,7 @@
 #include "blockingclient.h"
 
 #include "beastmessage.h"
+#include "idlesocket.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -57,7 +58,8 @@
     }
 
     Internal::BeastResponse releaseResponse() { return parser_->release(); }
-    bool isReusable() const { return parser_->keep_alive(); }
+    bool isReusable() const { return parser_->keep_alive() && buffer_.size() == 0; }
+    bool isIdle() { return Internal::isIdle(stream_.socket()); }
     void markUsed() { lastUseTime_ = std::chrono::steady_clock::now(); }
     bool isWithinIdleLimit() const { return std::chrono::steady_clock::now() - lastUseTime_ < maxIdleTime; }
 
@@ -120,7 +122,7 @@
         while (!idle_.empty()) {
             auto connection = std::move(idle_.back());
             idle_.pop_back();
-            if (connection->isWithinIdleLimit())
+            if (connection->isWithinIdleLimit() && connection->isIdle())
                 return connection;
         }
         return nullptr;
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -1,6 +1,7 @@
 #include "clientconnection.h"
 
 #include "headers.h"
+#include "idlesocket.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -62,7 +63,7 @@
             if (!errorCode && !self->hasEnded())
                 self->fail("no response within the time limit");
         });
-        if (!socket)
+        if (!socket || !Internal::isIdle(*socket))
             return connect();
         socket_ = std::move(*socket);
         write();
@@ -123,7 +124,7 @@
     {
         auto message = parser_.release();
         std::optional<tcp::socket> socket;
-        if (message.keep_alive())
+        if (message.keep_alive() && buffer_.size() == 0)
             socket = std::move(socket_);
         Response response;
         response.status = message.result_int();
--- a/src/libs/http/clientconnection.h
+++ b/src/libs/http/clientconnection.h
@@ -24,8 +24,8 @@
 /*!
     A persistent HTTP/1.1 connection to a server that carries one exchange at a time.
 
-    A failed or timed out exchange closes the connection; the next exchange reconnects. Must be used on the
-    thread of the io_context.
+    A failed or timed out exchange closes the connection, and so do bytes that follow a response; the next
+    exchange reconnects. Must be used on the thread of the io_context.
 */
 class ClientConnection {
 public:
