Test that a connection closed between two requests is replaced

On the code before it the new case of tst_unaskedbytes failed: REQUIRE( Utils::isOk(result) ), false for the second request. It passes now.

--- a/tests/auto/http/tst_unaskedbytes.cpp
+++ b/tests/auto/http/tst_unaskedbytes.cpp
@@ -66,6 +66,30 @@
     checkBody(*result, "second");
 }
 
+TEST_CASE("A connection that the server closed between two requests is replaced")
+{
+    HeldLoop loop;
+    ScriptedPeer peer;
+    Http::Client client(loop.context(), peer.endpoint(), 1);
+    std::optional<Utils::Result<Http::Response>> result;
+    for (const std::string body : { "first", "second" }) {
+        result.reset();
+        client.send(requestFor("/"), limit,
+            [&result](Utils::Result<Http::Response> received) { result = std::move(received); });
+        std::optional<ScriptedPeer::Socket> socket;
+        // The loop is not run between the server's close and the next request.
+        loop.runUntil([&] {
+            if (!socket)
+                socket = peer.acceptIfAny();
+            return result || (socket && socket->available() > 0);
+        });
+        if (socket)
+            ScriptedPeer::send(*socket, responseWith(body));
+        loop.runUntil([&] { return result.has_value(); });
+        checkBody(*result, body);
+    }
+}
+
 TEST_CASE("Bytes that follow a response are not the response to a blocking client's next request")
 {
     const bool isAtOnce = GENERATE(true, false);
