End the attempts of a worker that has left

Cause: an end that a leaving worker lists is lost when the owner is replaced before it has stored it. The successor could not tell a worker that has left from one that is cut off, and waited for the lease of both.

Change: errors tell whether the peer's host answered that nothing listens at the address. A worker that is not listed and is found absent by two polls in a row has left, and its attempts have ended. Why this works: by the platform's pages, a port without a listener resets the connection, while a machine without power or behind a partition does not answer; what runs on a worker ends with it.

Result: the new cases of tst_workerlease and tst_clienttimeout pass; the first failed before (no second start).

--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -85,6 +85,7 @@
         isScheduleDue_ = true;
     worker->isResponsive = true;
     worker->failedPolls = 0;
+    worker->absentPolls = 0;
     if (report.clockMs > worker->clockMs) {
         worker->clockMs = report.clockMs;
         worker->clockSeenAt = now;
@@ -219,13 +220,16 @@
     worker.isResponsive = false;
 }
 
-void ShardScheduler::onPollFailed(const std::string& id)
+void ShardScheduler::onPollFailed(const std::string& id, bool isAbsent)
 {
     // A single failure may be caused by the connection; if a poll on a new connection fails as well, the
     // worker is the cause.
     constexpr int failuresToUnresponsive = 2;
     Worker* worker = findWorker(id);
-    if (worker && ++worker->failedPolls >= failuresToUnresponsive)
+    if (!worker)
+        return;
+    worker->absentPolls = isAbsent ? worker->absentPolls + 1 : 0;
+    if (++worker->failedPolls >= failuresToUnresponsive)
         worker->isResponsive = false;
 }
 
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -159,8 +159,12 @@
     void onReport(const std::string& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report,
         Utils::TimePoint now, std::int64_t nowUnixMs);
 
-    /*! Notifies the scheduler that a poll was not answered. */
-    void onPollFailed(const std::string& worker);
+    /*!
+        Notifies the scheduler that a poll was not answered.
+
+        \param isAbsent whether the worker's host answered that nothing listens at the worker's address.
+    */
+    void onPollFailed(const std::string& worker, bool isAbsent = false);
 
     /*!
         Notifies the scheduler that another worker has taken the place of this one. All attempts on it have
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -17,6 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds waitingRetryInterval { 300 };
+// A worker that restarts listens again within one pause between polls.
+constexpr int pollsToAbsent = 2;
 
 // Shortest time between two moves of latency-critical tasks. A moved task is unavailable for a while, so this
 // bounds how many are unavailable at a time.
@@ -94,6 +96,11 @@
         requeueAttempts(worker, "worker-silent-beyond-lease", now);
         return;
     }
+    // A worker ends all attempts when it leaves. One that is only cut off does not answer at all.
+    if (!worker.isListed && worker.absentPolls >= pollsToAbsent) {
+        requeueAttempts(worker, "worker-left", now);
+        return;
+    }
     for (Task* task : tasks)
         tickTask(*task, now);
 }
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -35,6 +35,7 @@
     Utils::TimePoint clockSeenAt {};
     bool isResponsive = false; //!< The worker answers polls.
     int failedPolls = 0; //!< Consecutive unanswered polls.
+    int absentPolls = 0; //!< Consecutive polls that found nothing listening at the worker's address.
     //! No attempt runs on the worker after this time unless the lease is renewed.
     Utils::TimePoint leaseUpperBound {};
     std::uint64_t lastSeenEnd = 0; //!< Number of the latest processed end.
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -346,7 +346,7 @@
         scheduler_.onWorkerReplaced(worker, context_.now());
         return requestRound();
     }
-    scheduler_.onPollFailed(worker);
+    scheduler_.onPollFailed(worker, error.isPeerAbsent);
 }
 
 FleetSchema::ShardLoad ShardHost::load() const
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -88,7 +88,7 @@
             if (self->hasEnded())
                 return;
             if (errorCode)
-                return self->fail(errorCode.message());
+                return self->fail(errorCode.message(), errorCode == asio::error::connection_refused);
             boost::system::error_code ignored;
             self->socket_.set_option(tcp::no_delay(true), ignored);
             self->write();
@@ -134,10 +134,11 @@
         finish(std::move(response), std::move(socket));
     }
 
-    void fail(const std::string& reason)
+    void fail(const std::string& reason, bool isPeerAbsent = false)
     {
         const auto code = isSent_ ? Utils::ErrorCode::OutcomeUnknown : Utils::ErrorCode::Unavailable;
-        finish(Utils::Error { code, "http.exchange", endpoint_.toString(), reason }, std::nullopt);
+        finish(
+            Utils::Error { code, "http.exchange", endpoint_.toString(), reason, isPeerAbsent }, std::nullopt);
     }
 
     void finish(Utils::Result<Response> result, std::optional<tcp::socket> socket)
--- a/src/libs/utils/error.h
+++ b/src/libs/utils/error.h
@@ -29,6 +29,7 @@
     std::string step; //!< The failed operation, for example "table.commit".
     std::string peer; //!< The remote endpoint, for example "10.0.0.7:8200"; empty if local.
     std::string message; //!< Description for operators.
+    bool isPeerAbsent = false; //!< The peer's host answered that nothing listens at the address.
 
     /*! Returns the error as one line with code, step, peer and message. */
     std::string toString() const;
--- a/tests/auto/fleet/tst_workerlease.cpp
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -157,3 +157,32 @@
     CHECK(successor.output.starts[0].worker == "other");
     CHECK(successor.output.starts[0].attempt == 2);
 }
+
+TEST_CASE("Attempts end with a worker that is not listed and does not listen any more, whatever its lease")
+{
+    SchedulerFixture fixture(2);
+    fixture.scheduler.submit(makeJob("job", { makeStep(1, 1000, 9000) }), 1, fixture.now, testStartUnixMs);
+    fixture.scheduleAndCommit();
+    fixture.confirmStarts();
+    const std::string left = fixture.output.starts[0].worker;
+    const std::string other = left == "w0" ? "w1" : "w0";
+    const auto fail = [&](bool isAbsent) {
+        fixture.scheduler.onPollFailed(left, isAbsent);
+        fixture.now += 300ms;
+        fixture.report(other, {});
+        fixture.scheduler.onTick(fixture.now, testStartUnixMs);
+        fixture.scheduleAndCommit();
+    };
+    // Listed, it may be about to restart.
+    fail(true);
+    fail(true);
+    CHECK(fixture.output.starts.size() == 1);
+    fixture.scheduler.setWorkers({ makeWorkerInfo(other) }, fixture.now);
+    // Cut off, it may still run the attempt.
+    fail(false);
+    fail(true);
+    CHECK(fixture.output.starts.size() == 1);
+    fail(true);
+    REQUIRE(fixture.output.starts.size() == 2);
+    CHECK(fixture.output.starts[1].worker == other);
+}
--- a/tests/auto/http/tst_clienttimeout.cpp
+++ b/tests/auto/http/tst_clienttimeout.cpp
@@ -159,3 +159,27 @@
     fixture.loop.runHandlers(20);
     CHECK_FALSE(result);
 }
+
+TEST_CASE("An error tells whether nothing listens at the address")
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    const auto send = [&] {
+        Http::Client client(io, { "127.0.0.1", port }, 1);
+        std::optional<Utils::Result<Http::Response>> result;
+        client.send({}, std::chrono::milliseconds(200),
+            [&](Utils::Result<Http::Response> answer) { result = std::move(answer); });
+        io.restart();
+        while (!result)
+            io.run_one();
+        REQUIRE_FALSE(Utils::isOk(*result));
+        return Utils::error(*result);
+    };
+    // The connection is accepted by the kernel, and nothing is answered.
+    CHECK_FALSE(send().isPeerAbsent);
+    acceptor.close();
+    const Utils::Error error = send();
+    CHECK(error.isPeerAbsent);
+    CHECK(error.code == Utils::ErrorCode::Unavailable);
+}
