Carry the time for which earlier owners may renew leases

What callers could see: a task that runs twice (TWICE).

Cause: since a successor did not wait for an owner that had released the shard.

Change: each transaction of an owner stores how long owners before it may still renew; a successor waits for that.

Result: the new case of tst_shardhost failed before (the task was released 0.1 s after the second takeover, 3 s of renewal outstanding) and passes.

--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -460,7 +460,7 @@
         worker->info.id = id;
         // A former owner may have renewed the lease until its grace time ended; workers' clocks run up to
         // 2% slow.
-        const Utils::Duration grace = isFormerOwnerGone_ ? Utils::Duration::zero() : options_.orphanGrace;
+        const Utils::Duration grace = formerRenewal_.value_or(options_.orphanGrace);
         worker->leaseUpperBound = now + grace + options_.workerLeaseLimit * 51 / 50;
     }
     return *worker;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -57,11 +57,9 @@
     ShardScheduler(SchedulerOptions options, SchedulerOutput& output, TailLatencyModel& tailLatencyModel);
     ~ShardScheduler();
 
-    /*!
-        Sets whether the former owner has certainly stopped renewing leases, because it has released the
-        shard or was an earlier process of this node. Must be called before restore().
-    */
-    void setFormerOwnerGone(bool isGone) { isFormerOwnerGone_ = isGone; }
+    /*! Sets the time for which former owners may still renew leases of workers. Must be called before
+     * restore(). */
+    void setFormerRenewal(Utils::Duration time) { formerRenewal_ = time; }
 
     /*! Loads a job from its stored record. */
     void restore(const FleetSchema::JobRecord& record, Utils::TimePoint now, std::int64_t nowUnixMs);
@@ -282,7 +280,7 @@
     Utils::TimePoint searchAllowedAt_ {}; //!< Earliest search for a shard for a task that ends.
     Utils::TimePoint workersSetAt_ {}; //!< Time of the latest list of workers.
     Utils::TimePoint waitsReviewedAt_ {};
-    bool isFormerOwnerGone_ = false;
+    std::optional<Utils::Duration> formerRenewal_; //!< Empty: SchedulerOptions::orphanGrace.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
 
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -59,16 +59,27 @@
 
 void ShardHost::takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version)
 {
-    writer_.takeOver(former, version, [this, former] {
+    const Utils::Duration formerRenewal = formerRenewalTime(former);
+    writer_.takeOver(former, version, formerRenewal, [this, former, formerRenewal] {
         Utils::log(Utils::LogLevel::Info, "shard-owned",
             { { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) },
                 { "former_owner", former.owner() } });
-        const bool isReleased = former.epoch() > 0 && former.owner().empty();
-        scheduler_.setFormerOwnerGone(isReleased || former.owner() == context_.settings.node().name());
+        scheduler_.setFormerRenewal(formerRenewal);
         loadJobs({});
     });
 }
 
+// An owner that has released the shard, or was an earlier process of this node, renews no leases any more,
+// but the owner before it may still do so.
+Utils::Duration ShardHost::formerRenewalTime(const FleetSchema::ShardRecord& former) const
+{
+    const bool isReleased = former.epoch() > 0 && former.owner().empty();
+    const bool isGone = isReleased || former.owner() == context_.settings.node().name();
+    if (isGone && former.has_earlier_renewal_ms())
+        return milliseconds(former.earlier_renewal_ms());
+    return milliseconds(context_.settings.dispatch().orphan_grace_ms());
+}
+
 void ShardHost::loadJobs(const std::string& fromJob)
 {
     Ports::RowRange range;
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -135,6 +135,7 @@
     };
 
     void callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
+    Utils::Duration formerRenewalTime(const FleetSchema::ShardRecord& former) const;
     void loadJobs(const std::string& fromJob);
     void onJobPage(const Utils::Result<Ports::RowPage>& result);
     void requestRound();
--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -29,9 +29,10 @@
     return { shardTable, shard_, shardOwnerKey };
 }
 
-void ShardWriter::takeOver(
-    const FleetSchema::ShardRecord& former, std::uint64_t version, std::function<void()> done)
+void ShardWriter::takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version,
+    Utils::Duration earlierRenewal, std::function<void()> done)
 {
+    earlierRenewalEnd_ = context_.now() + earlierRenewal;
     record_.set_epoch(former.epoch() + 1);
     record_.set_sequence(0);
     version_ = version;
@@ -42,6 +43,9 @@
 {
     record_.set_owner(isRelease ? std::string() : context_.settings.node().name());
     record_.set_incarnation(context_.incarnation);
+    const auto earlierRenewal = std::chrono::duration_cast<milliseconds>(earlierRenewalEnd_ - context_.now());
+    record_.set_earlier_renewal_ms(
+        static_cast<std::uint32_t>(std::max<std::int64_t>(0, earlierRenewal.count())));
     record_.set_sequence(record_.sequence() + 1);
     Ports::Transaction transaction;
     transaction.puts.push_back({ ownerRowKey(), record_.SerializeAsString() });
--- a/src/libs/fleetnode/shardwriter.h
+++ b/src/libs/fleetnode/shardwriter.h
@@ -33,9 +33,11 @@
         Takes over the shard with the next epoch.
         \param former the shard's current owner row; empty if there is none.
         \param version the row's version; 0 if there is no row.
+        \param earlierRenewal time for which former owners may still renew leases of workers.
         \param done called when this node owns the shard.
     */
-    void takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version, std::function<void()> done);
+    void takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version,
+        Utils::Duration earlierRenewal, std::function<void()> done);
 
     /*!
         Writes a batch of rows; no other write may be in progress.
@@ -74,6 +76,7 @@
     std::uint64_t version_ = 0; //!< Last known version of the owner row.
     std::optional<Ports::Transaction> transaction_;
     std::function<void()> done_;
+    Utils::TimePoint earlierRenewalEnd_ {}; //!< Until when former owners may renew leases of workers.
     Utils::TimePoint firstSentAt_ {}; //!< When the transaction in progress was first sent.
     Utils::TimePoint lastSentAt_ {};
     Utils::TimePoint confirmedAt_ {};
--- a/tests/auto/fleet/tst_workerlease.cpp
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -100,7 +100,8 @@
     REQUIRE(record.ParseFromString(batch->puts[0].second));
     for (const bool isFormerOwnerGone : { false, true }) {
         SchedulerFixture successor(0);
-        successor.scheduler.setFormerOwnerGone(isFormerOwnerGone);
+        if (isFormerOwnerGone)
+            successor.scheduler.setFormerRenewal({});
         successor.scheduler.restore(record, successor.now, testStartUnixMs);
         Ports::WorkerInfo other = makeWorkerInfo("other");
         successor.scheduler.setWorkers({ other }, successor.now);
--- a/tests/auto/fleetnode/tst_shardhost.cpp
+++ b/tests/auto/fleetnode/tst_shardhost.cpp
@@ -144,3 +144,65 @@
     fixture.takeOver();
     CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
 }
+
+TEST_CASE("A successor of an owner that released soon after a takeover waits for the owner before that")
+{
+    Testing::NodeFixture node;
+    node.settings.mutable_dispatch()->set_worker_lease_ms(100);
+    node.settings.mutable_dispatch()->set_worker_lease_limit_ms(100);
+    node.settings.mutable_dispatch()->set_orphan_grace_ms(3000);
+    WorkerCalls calls;
+    node.platform.makeWorkerAgent = [&](const Ports::WorkerInfo& info) {
+        return std::make_unique<ScriptedWorker>(node.io, info, calls);
+    };
+    FleetSchema::JobRecord record;
+    record.mutable_spec()->set_id("job");
+    record.mutable_spec()->set_service("service");
+    FleetSchema::StepSpec& step = *record.mutable_spec()->add_steps();
+    step.set_count(1);
+    step.set_estimate_ms(60'000);
+    record.set_state(FleetSchema::JOB_RUNNING);
+    FleetSchema::TaskRecord& task = *record.add_tasks();
+    task.set_state(FleetSchema::TASK_ASSIGNED);
+    task.set_attempt(1);
+    task.set_worker("unlisted");
+    task.set_worker_address("127.0.0.1:9");
+    const Ports::RowKey name { FleetNode::jobTable, "shard", "job" };
+    const Ports::RowKey ownerName { FleetNode::shardTable, "shard", FleetNode::shardOwnerKey };
+    node.store.rows[name] = { name, record.SerializeAsString(), 1, false };
+    // Owner "x" is cut off from the store, but not from the worker, and renews its leases for 3 s.
+    FleetSchema::ShardRecord former;
+    former.set_owner("x");
+    former.set_epoch(1);
+    node.store.rows[ownerName] = { ownerName, former.SerializeAsString(), 2, false };
+
+    NoOtherShards others;
+    Fleet::TailLatencyModel model;
+    const auto run = [&](FleetNode::ShardHost& host, std::chrono::milliseconds duration) {
+        const auto end = node.context.now() + duration;
+        while (node.context.now() < end) {
+            node.io.restart();
+            node.io.run_for(std::chrono::milliseconds(20));
+            host.tick();
+        }
+    };
+    bool isClosed = false;
+    FleetNode::ShardHost second(node.context, "shard", others, model, [&] { isClosed = true; });
+    second.setWorkers({});
+    second.takeOver(former, 2);
+    run(second, std::chrono::milliseconds(100));
+    REQUIRE(second.isServing());
+    second.release();
+    run(second, std::chrono::milliseconds(200));
+    REQUIRE(isClosed);
+
+    FleetSchema::ShardRecord released;
+    REQUIRE(released.ParseFromString(node.store.rows[ownerName].value));
+    FleetNode::ShardHost third(node.context, "shard", others, model, [] {});
+    third.setWorkers({});
+    third.takeOver(released, node.store.rows[ownerName].version);
+    run(third, std::chrono::milliseconds(1000));
+    REQUIRE(third.isServing());
+    REQUIRE(record.ParseFromString(node.store.rows[name].value));
+    CHECK(record.tasks(0).state() == FleetSchema::TASK_ASSIGNED);
+}
--- a/tests/auto/fleetnode/tst_shardwriter.cpp
+++ b/tests/auto/fleetnode/tst_shardwriter.cpp
@@ -12,7 +12,7 @@
     WriterFixture()
         : writer(context, "shard", [this] { isLost = true; })
     {
-        writer.takeOver({}, 0, [] {});
+        writer.takeOver({}, 0, {}, [] {});
         run();
     }
 
