Keep the record of the largest job within a row

Cause: a record of 1500 tasks with open attempts takes 74,570 bytes, and 100,070 with the names of host shards, which were kept after a return; a row holds 65,536. The shard's writer repeats a transaction that the store rejects for ever, so one such job would stop its shard. Found by review.

Change: the host shard is stored for delegated tasks only, and a job has at most 1000 tasks.

--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// A job with more tasks is rejected. The limit bounds the memory that one job can take, and a record of this
-// many tasks fits into a row.
-constexpr std::uint32_t maxTasks = 1500;
 // The records of larger jobs leave out the addresses of workers, so that they fit into a row.
 constexpr std::size_t maxTasksWithAddress = 600;
 
@@ -137,7 +134,8 @@
         stored.set_state(storedState(task));
         stored.set_attempt(task.attempt);
         stored.set_failures(task.failures);
-        stored.set_lent_to(task.hostShard);
+        if (task.phase == TaskPhase::Delegated)
+            stored.set_lent_to(task.hostShard);
         stored.set_transfer(task.transferNumber);
         stored.set_result(task.result);
         if (task.phase != TaskPhase::Done)
@@ -169,8 +167,8 @@
         }
         taskCount += stepSpec.count();
     }
-    if (taskCount * std::max<std::uint64_t>(1, spec.occurrences()) > maxTasks)
-        return "a job has at most " + std::to_string(maxTasks) + " tasks";
+    if (taskCount * std::max<std::uint64_t>(1, spec.occurrences()) > maxTasksPerJob)
+        return "a job has at most " + std::to_string(maxTasksPerJob) + " tasks";
     return {};
 }
 
--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -10,6 +10,12 @@
 
 namespace Fleet {
 
+/*!
+    A job with more tasks is rejected. The limit bounds the memory that one job can take, and a record of this
+   many tasks with open attempts fits into a row of the store.
+*/
+inline constexpr std::uint32_t maxTasksPerJob = 1000;
+
 /*! A job with its tasks, ordered by occurrence, step and index. */
 struct Job {
     FleetSchema::JobSpec spec;
