Do not remove jobs that changed while their removal was stored

Cause: expired jobs were erased after the transaction without another look. A task delegated to a host shard meanwhile was lost, a repeated result was never answered, and a list of changed jobs kept a pointer to the erased one. Each stored change of a job also repeated all its unanswered calls to other shards at once. Found by review.

--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -91,8 +91,12 @@
         else
             requeue(task, now);
     }
-    for (const std::string& id : batch->removals)
-        jobs_.erase(id);
+    for (const std::string& id : batch->removals) {
+        // A job that changed during the transaction is stored again with the next one.
+        const Job* const job = findJob(id);
+        if (job && !job->isDirty)
+            jobs_.erase(id);
+    }
 }
 
 void ShardScheduler::onJobCommitted(const BatchedJob& stored, Utils::TimePoint now)
@@ -106,16 +110,14 @@
         output_.answer(ticket, { FleetSchema::PEER_OK, stored.state, 0 });
     if (!job.isActive())
         stopOpenTasks(job, now);
+    if (!job.isActive())
+        return cancelAtHostShards(job, now);
+    // Calls that were made before are repeated in their interval.
     for (Task& task : job.tasks) {
-        if (task.phase == TaskPhase::Resolved && task.isResultStored && job.isActive())
+        if (task.phase == TaskPhase::Resolved && task.isResultStored
+            && task.resultSentAt == Utils::TimePoint {})
             sendResult(task, now);
-        if (task.phase != TaskPhase::Delegated)
-            continue;
-        // The host shard must store the cancellation too, so its acknowledgment of the delegation no longer
-        // counts.
-        if (!job.isActive())
-            task.isDelegationAcknowledged = false;
-        if (mayCallHostShard(task))
+        else if (mayCallHostShard(task) && task.delegationSentAt == Utils::TimePoint {})
             sendDelegation(task, now);
     }
 }
@@ -148,6 +150,7 @@
 {
     const std::int64_t retentionMs
         = std::chrono::duration_cast<std::chrono::milliseconds>(options_.retention).count();
+    expiredJobs_.clear();
     for (const auto& [id, job] : jobs_) {
         const bool isOver = !job->isActive() || job->isHandedBack();
         const bool hasExpired = isOver && job->isCommitted && !job->isDirty && job->endedUnixMs > 0
@@ -157,8 +160,7 @@
                   return task.isOpen()
                       || (task.phase == TaskPhase::Delegated && !task.isDelegationAcknowledged);
               });
-        if (hasExpired && !hasOpenTasks
-            && std::find(expiredJobs_.begin(), expiredJobs_.end(), id) == expiredJobs_.end())
+        if (hasExpired && !hasOpenTasks)
             expiredJobs_.push_back(id);
     }
 }
