Count a task's wait across refused starts and moves between shards

What callers could see: a best-effort task that was delegated, returned and delegated again started after 15.5 s instead of 5.3 s, or never; a task whose start one worker refuses was started there again and again (100 times in 10 s). Found by review.

Cause: each move and each attempt restarted the clock that bounds the wait, a refused start did not make the scheduler avoid the worker, and a returned task was delegated again after the same delay.

Change: the wait ends when an attempt runs; it is carried in transfers and results. A worker that refuses a start is avoided, and a returned task waits longer before the next delegation. Tasks that may start beside a task over its target do so one after the other. A lost poll no longer costs the lease of a worker that has answered a start: only workers that answer neither polls nor starts are polled without renewal.

--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -7,6 +7,7 @@
 #include "shardscheduler.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Fleet {
 
@@ -23,12 +24,23 @@
 // Time after an unsuccessful search for a shard for a task that ends. Loads change with each heartbeat.
 constexpr milliseconds searchInterval { 200 };
 
+std::uint32_t idleMs(const Task& task, Utils::TimePoint now)
+{
+    if (task.idleSince == Utils::TimePoint {})
+        return 0;
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(now - task.idleSince).count());
+}
+
 } // namespace
 
 void ShardScheduler::tickTransfers(Job& job, Utils::TimePoint now)
 {
     if (!job.isCommitted)
         return;
+    if (!job.isActive() && std::any_of(job.tasks.begin(), job.tasks.end(), [now](const Task& task) {
+            return mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval;
+        }))
+        return cancelUnacknowledged(job, now);
     for (Task& task : job.tasks) {
         if (task.phase == TaskPhase::Delegated) {
             if (mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval)
@@ -47,8 +59,9 @@
     const Job& job = *task.job;
     if (task.phase != TaskPhase::Waiting || task.waitingSince == Utils::TimePoint {} || !job.isActive())
         return false;
-    return now - task.waitingSince
-        > (job.isHosted() && !job.step(task).lasting() ? returnDelay : delegationDelay);
+    if (job.isHosted() && !job.step(task).lasting())
+        return now - task.waitingSince > returnDelay;
+    return now - task.waitingSince > (1 + task.returnCount) * delegationDelay;
 }
 
 void ShardScheduler::delegateStarvedTask(Task& task, Utils::TimePoint now)
@@ -86,6 +99,7 @@
     ++task.transferNumber;
     task.isDelegationStored = false;
     task.isDelegationAcknowledged = false;
+    task.delegationSentAt = {};
     task.job->hasTransfers = true;
     if (task.job->state == FleetSchema::JOB_QUEUED)
         task.job->state = FleetSchema::JOB_RUNNING;
@@ -104,10 +118,6 @@
 void ShardScheduler::sendDelegation(Task& task, Utils::TimePoint now)
 {
     task.delegationSentAt = now;
-    if (!task.job->isActive()) {
-        output_.cancelDelegatedTasks(task.hostShard, task.job->spec);
-        return;
-    }
     FleetSchema::TaskTransfer transfer;
     *transfer.mutable_job() = task.job->spec;
     transfer.set_step(task.step);
@@ -117,10 +127,32 @@
     transfer.set_checkpoint(task.checkpoint);
     transfer.set_occurrence(task.occurrence);
     transfer.set_failures(task.failures);
+    transfer.set_waited_ms(idleMs(task, now));
     transfer.set_origin_shard(task.job->isHosted() ? task.job->originShard : options_.shard);
     output_.delegateTask(task.hostShard, transfer);
 }
 
+// The host shards must store the end of the job too, so their acknowledgments of delegations no longer count.
+// One call a shard covers all tasks there.
+void ShardScheduler::cancelAtHostShards(Job& job, Utils::TimePoint now)
+{
+    for (Task& task : job.tasks)
+        task.isDelegationAcknowledged = false;
+    cancelUnacknowledged(job, now);
+}
+
+void ShardScheduler::cancelUnacknowledged(Job& job, Utils::TimePoint now)
+{
+    std::set<std::string> calledShards;
+    for (Task& task : job.tasks) {
+        if (!mayCallHostShard(task))
+            continue;
+        task.delegationSentAt = now;
+        if (calledShards.insert(task.hostShard).second)
+            output_.cancelDelegatedTasks(task.hostShard, job.spec);
+    }
+}
+
 Job& ShardScheduler::ensureHostedJob(
     const FleetSchema::JobSpec& spec, const std::string& originShard, Utils::TimePoint now)
 {
@@ -160,6 +192,7 @@
         task->checkpoint = transfer.checkpoint();
         task->hostShard.clear();
         task->waitingSince = {};
+        task->idleSince = now - milliseconds(transfer.waited_ms());
         task->notBefore = {};
         job.hasTransfers = true;
         if (job.isHosted()) {
@@ -190,6 +223,7 @@
         resolved.phase = TaskPhase::Resolved;
         resolved.result = result;
         resolved.isResultStored = false;
+        resolved.resultSentAt = {};
     };
     resolve(task);
     if (job.step(task).gang() && result != FleetSchema::TASK_FAILED) {
@@ -216,6 +250,7 @@
     result.set_kind(task.result);
     result.set_attempt(task.attempt);
     result.set_failures(task.failures);
+    result.set_waited_ms(idleMs(task, now));
     result.set_checkpoint(task.checkpoint);
     output_.sendTaskResult(task.job->originShard, result);
 }
@@ -249,6 +284,8 @@
             finishTask(*task, now, nowUnixMs);
         } else {
             task->waitingSince = {};
+            task->idleSince = now - milliseconds(result.waited_ms());
+            ++task->returnCount;
             requeue(*task, now);
             if (result.kind() == FleetSchema::TASK_FAILED)
                 failJobIfExhausted(*task, now, nowUnixMs);
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -52,7 +52,7 @@
     plan.hasTasks = !worker->tasks.empty();
     // A worker that does not answer is polled without renewal, so that its lease expires. One without tasks
     // needs no lease, and if a start is lost there, the task can soon be started elsewhere.
-    if (mayRenew && worker->clockMs != 0 && worker->failedPolls == 0 && plan.hasTasks)
+    if (mayRenew && worker->clockMs != 0 && worker->isResponsive && plan.hasTasks)
         plan.leaseUntilMs = extendLease(*worker, options_.workerLease, now);
     return plan;
 }
@@ -180,6 +180,7 @@
         }
         task->phase = TaskPhase::Running;
         task->idleSince = {};
+        task->waitingSince = {};
     }
     if (!task->job->isActive())
         requestStop(*task, now);
@@ -265,6 +266,7 @@
     if (!Utils::isOk(reply)) {
         if (Utils::error(reply).code == Utils::ErrorCode::Unavailable) {
             output_.attemptEnded(id, key, attempt, "not-sent");
+            task->avoidedWorker = id;
             requeue(*task, now + rejectionPause);
         } else if (task->phase == TaskPhase::Sent) {
             suspectWorker(*task->worker);
@@ -274,12 +276,14 @@
     }
     if (isRejected(Utils::value(reply).outcome)) {
         output_.attemptEnded(id, key, attempt, "start-refused");
+        task->avoidedWorker = id;
         requeue(*task, now + rejectionPause);
         return;
     }
     if (task->phase == TaskPhase::Sent) {
         task->phase = TaskPhase::Running;
         task->idleSince = {};
+        task->waitingSince = {};
         task->reportableSince = now;
         task->startedAt = now;
         task->progressAt = now;
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -246,6 +246,8 @@
     hasWaitingTasks_ = true;
     if (task.waitingSince == Utils::TimePoint {})
         task.waitingSince = now;
+    if (task.idleSince == Utils::TimePoint {})
+        task.idleSince = now;
 }
 
 // Relocates at most one task at a time, so that a full shard does not keep moving tasks around.
@@ -310,7 +312,6 @@
 {
     Job& job = *task.job;
     task.phase = TaskPhase::Recorded;
-    task.waitingSince = {};
     ++task.attempt;
     task.worker = &worker;
     task.workerBornMs = worker.bornMs;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -255,6 +255,8 @@
     static bool mayCallHostShard(const Task& task);
     void sendDelegation(Task& task, Utils::TimePoint now);
     void sendResult(Task& task, Utils::TimePoint now);
+    void cancelAtHostShards(Job& job, Utils::TimePoint now);
+    void cancelUnacknowledged(Job& job, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now);
     void requeueAttempts(Worker& worker, std::string_view reason, Utils::TimePoint now);
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -45,6 +45,7 @@
     //! The host shard has stored the task or, after the end of the job, its cancellation.
     bool isDelegationAcknowledged = false;
     Utils::TimePoint delegationSentAt {};
+    std::uint32_t returnCount = 0; //!< Number of times that a host shard has returned the task.
     FleetSchema::TaskResultKind result = FleetSchema::TASK_RETURNED; //!< Valid in the phase Resolved.
     bool isResultStored = false; //!< The result under this transfer number is stored.
     Utils::TimePoint resultSentAt {};
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -53,22 +53,31 @@
     return static_cast<double>(requested) < idleDemandShare * static_cast<double>(capacity);
 }
 
+// Returns how long a task that found no worker has been without a run, also in other shards.
+Utils::Duration waitOf(const Task& task, Utils::TimePoint now)
+{
+    if (task.waitingSince == Utils::TimePoint {})
+        return {};
+    const bool isIdleLonger = task.idleSince != Utils::TimePoint {} && task.idleSince < task.waitingSince;
+    return now - (isIdleLonger ? task.idleSince : task.waitingSince);
+}
+
 bool isBeyondThrottledWait(const Task& task, Utils::TimePoint now)
 {
-    return task.waitingSince != Utils::TimePoint {} && now - task.waitingSince >= throttledWaitLimit;
+    return waitOf(task, now) >= throttledWaitLimit;
 }
 
 // Speed, as a share of full speed, for which a worker must have headroom to start the task.
 double startSpeed(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
-    if (task.waitingSince == Utils::TimePoint {} || now - task.waitingSince < idleFleetWaitLimit)
+    if (waitOf(task, now) < idleFleetWaitLimit)
         return 1;
     const std::vector<Task>& tasks = task.job->tasks;
     if (std::any_of(tasks.begin(), tasks.end(), [](const Task& other) { return other.isOpen(); }))
         return 1;
     if (isMostlyIdle(workers) || isBeyondThrottledWait(task, now))
         return 0;
-    return now - task.waitingSince < fullSpeedWaitLimit ? 1 : starvedSpeed;
+    return waitOf(task, now) < fullSpeedWaitLimit ? 1 : starvedSpeed;
 }
 
 bool hasLabel(const Worker& worker, const std::string& label)
@@ -95,13 +104,17 @@
         return PlacementObstacle::Full;
     if (headroomAfterAdding(worker, step, view.model, speed) < 0)
         return PlacementObstacle::Interference;
-    if (speed == 0 && isBeyondThrottledWait(task, now))
-        return PlacementObstacle::None;
-    // A task started on such a worker would interfere at least until the worker's next report, and so would
-    // each task started after it.
     const bool hasTaskOverTarget = std::any_of(worker.tasks.begin(), worker.tasks.end(),
         [now](const Task* other) { return isPersistentlyOverTarget(*other, now); });
-    return hasTaskOverTarget ? PlacementObstacle::Interference : PlacementObstacle::None;
+    if (!hasTaskOverTarget)
+        return PlacementObstacle::None;
+    // A task started on such a worker would interfere at least until the worker's next report, and so would
+    // each task started after it. One that has waited for long may start once the others there are throttled.
+    const bool isThrottled = std::all_of(worker.tasks.begin(), worker.tasks.end(), [](const Task* other) {
+        return !other->job->step(*other).leftover_processors() || other->speedPercent == 0;
+    });
+    return speed == 0 && isThrottled && isBeyondThrottledWait(task, now) ? PlacementObstacle::None
+                                                                         : PlacementObstacle::Interference;
 }
 
 bool isBeingProbed(const Worker& worker)
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -273,3 +273,21 @@
     CHECK(Fleet::chooseWorker(hot, fleet.workerPointers, { model }, testStart + 2s) == nullptr);
     CHECK(Fleet::chooseWorker(hot, fleet.workerPointers, { model }, testStart + 6s) == &worker);
 }
+
+TEST_CASE("On a worker over its target, tasks that waited for long start one after the other")
+{
+    const Fleet::TailLatencyModel model = trainedModel(31);
+    WorkerPool fleet(1);
+    Fleet::Task& serving = fleet.runTask(makeLatencyCriticalStep(1, 20'000, "serving"), *fleet.workers[0]);
+    serving.overTargetSince = testStart - 10s;
+    Fleet::Task& first = fleet.makeTask(makeBestEffortStep(1, 1000, "hot"));
+    Fleet::Task& second = fleet.makeTask(makeBestEffortStep(1, 1000, "hot"));
+    first.waitingSince = testStart - 9s;
+    second.waitingSince = testStart - 9s;
+    REQUIRE(Fleet::chooseWorker(first, fleet.workerPointers, { model }, testStart));
+    // A start runs at full speed until its worker's next report has led to a throttle.
+    Fleet::addAttempt(first, *fleet.workers[0]);
+    first.worker = fleet.workers[0].get();
+    first.phase = Fleet::TaskPhase::Sent;
+    CHECK(Fleet::chooseWorker(second, fleet.workerPointers, { model }, testStart) == nullptr);
+}
--- a/tests/auto/fleet/tst_workerlease.cpp
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -47,16 +47,15 @@
     REQUIRE(fixture.output.starts.size() == 1);
     fixture.advance(700ms);
     fixture.loseReply();
-    fixture.scheduler.planPoll(fixture.firstWorker(), fixture.now, true);
-    fixture.scheduler.onPollFailed(fixture.firstWorker());
-    // The failed poll may have renewed the lease; later ones must not.
+    // The lease of the start, 3 s on a clock that may be 2% slow, is not renewed.
     for (int poll = 0; poll < 4; ++poll) {
         CHECK(fixture.scheduler.planPoll(fixture.firstWorker(), fixture.now, true).leaseUntilMs == 0);
         fixture.scheduler.onPollFailed(fixture.firstWorker());
-        fixture.advance(1s);
+        fixture.advance(500ms);
     }
+    fixture.advance(300ms);
     CHECK(fixture.output.starts.size() == 1);
-    fixture.advance(1200ms);
+    fixture.advance(200ms);
     REQUIRE(fixture.output.starts.size() == 2);
     CHECK(fixture.output.starts[1].worker != fixture.firstWorker());
 }
@@ -187,3 +186,18 @@
     REQUIRE(fixture.output.starts.size() == 2);
     CHECK(fixture.output.starts[1].worker == other);
 }
+
+TEST_CASE("One lost poll does not cost a worker that has answered a start its lease")
+{
+    LeaseFixture fixture;
+    // The poll that was in flight when the start was sent carries no lease and is lost: it times out
+    // after 1.5 s + 0.7 s, and the connection pauses for 0.25 s.
+    fixture.now += 50ms;
+    fixture.confirmStarts();
+    fixture.now += 2150ms;
+    fixture.scheduler.onPollFailed(fixture.firstWorker());
+    fixture.now += 250ms;
+    // This poll is answered after 0.4 s and the round trip; a lease requested only with the next one
+    // comes 2.85 s and 1.5 round trips after the start, whose lease is 3 s.
+    CHECK(fixture.scheduler.planPoll(fixture.firstWorker(), fixture.now, true).leaseUntilMs > 0);
+}
