--- a/tests/auto/http/tst_clienttimeout.cpp
+++ b/tests/auto/http/tst_clienttimeout.cpp
@@ -60,19 +60,29 @@
     {
         std::this_thread::sleep_for(shortLimit);
         loop.runUntil([&] { return timedOut.has_value(); });
-        REQUIRE_FALSE(Utils::isOk(*timedOut));
-        CHECK(Utils::error(*timedOut).code == Utils::ErrorCode::OutcomeUnknown);
-        CHECK(Utils::error(*timedOut).message == "no response within the time limit");
+        checkTimedOut(*timedOut);
         socket.reset();
         connect();
         CHECK(ScriptedPeer::readTarget(*socket) == "/next");
         ScriptedPeer::send(*socket, responseWith("next"));
         loop.runUntil([&] { return next.has_value(); });
-        INFO((Utils::isOk(*next) ? std::string() : Utils::error(*next).message));
-        REQUIRE(Utils::isOk(*next));
-        CHECK(Utils::value(*next).status == 200);
-        CHECK(Utils::value(*next).body == "next");
-        CHECK_FALSE(Http::findHeader(Utils::value(*next).headers, "X-Late"));
+        checkNext(*next);
+    }
+
+    static void checkTimedOut(const Utils::Result<Http::Response>& result)
+    {
+        REQUIRE_FALSE(Utils::isOk(result));
+        CHECK(Utils::error(result).code == Utils::ErrorCode::OutcomeUnknown);
+        CHECK(Utils::error(result).message == "no response within the time limit");
+    }
+
+    static void checkNext(const Utils::Result<Http::Response>& result)
+    {
+        INFO((Utils::isOk(result) ? std::string() : Utils::error(result).message));
+        REQUIRE(Utils::isOk(result));
+        CHECK(Utils::value(result).status == 200);
+        CHECK(Utils::value(result).body == "next");
+        CHECK_FALSE(Http::findHeader(Utils::value(result).headers, "X-Late"));
     }
 
     HeldLoop loop;
