--- a/src/tools/gqemulate/invariantchecker.h
+++ b/src/tools/gqemulate/invariantchecker.h
@@ -40,6 +40,7 @@
 
     /*! Checks that no task runs twice and no worker is over its capacity. */
     void checkWorkers(const std::vector<SimulatedWorker>& workers, std::int64_t nowMs);
+    void checkWorkers(const std::vector<const SimulatedWorker*>& workers, std::int64_t nowMs);
 
     /*! Checks a stored job record. */
     void onRecordStored(const FleetSchema::JobRecord& record);
--- a/src/tools/gqemulate/simulatedworker.cpp
+++ b/src/tools/gqemulate/simulatedworker.cpp
@@ -1,6 +1,7 @@
 #include "simulatedworker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Emulate {
 
@@ -32,7 +33,7 @@
         return { Ports::CommandOutcome::Superseded, clockMs(nowMs) };
     highestAttempt_[command.task] = command.attempt;
     leaseUntilMs_ = std::max(leaseUntilMs_, std::min(command.leaseUntilMs, clockMs(nowMs) + maxLeaseMs));
-    running_[command.task] = { command.attempt, behavior, nowMs };
+    running_[command.task] = { command.attempt, behavior, nowMs, 100, 0 };
     return { Ports::CommandOutcome::Done, clockMs(nowMs) };
 }
 
@@ -72,9 +73,9 @@
         const std::int64_t totalRunTimeMs = attempt.behavior.runTimeMs * slowness;
         const int percent = totalRunTimeMs == 0
             ? completePercent
-            : static_cast<int>(
-                std::min<std::int64_t>(99, (nowMs - attempt.startedMs) * completePercent / totalRunTimeMs));
-        report.running.push_back({ task, attempt.number, {}, percent, attempt.behavior.milliProcessors });
+            : static_cast<int>(std::min<std::int64_t>(
+                99, (nowMs - attempt.startedMs - attempt.lostMs) * completePercent / totalRunTimeMs));
+        report.running.push_back({ task, attempt.number, {}, percent, reportedLoad(attempt, nowMs) });
     }
     return report;
 }
@@ -84,13 +85,16 @@
     const bool isLeaseLapsed = leaseUntilMs_ <= clockMs(nowMs);
     if (isLeaseLapsed)
         lastEndBeforeLapse_ = nextEndNumber_ - 1;
+    const std::int64_t elapsedMs = nowMs - advancedMs_;
+    advancedMs_ = nowMs;
     std::vector<std::pair<Ports::TaskKey, Ports::AttemptOutcome>> ends;
-    for (const auto& [task, attempt] : running_) {
-        const bool isDue = attempt.behavior.runTimeMs > 0
-            && nowMs - attempt.startedMs >= attempt.behavior.runTimeMs * slowness;
+    for (auto& [task, attempt] : running_) {
+        attempt.lostMs += elapsedMs * (completePercent - attempt.speedPercent) / completePercent;
+        const std::int64_t ranMs = nowMs - attempt.startedMs - attempt.lostMs;
+        const bool isDue = attempt.behavior.runTimeMs > 0 && ranMs >= attempt.behavior.runTimeMs * slowness;
         // A failing task fails halfway through its run time.
-        const bool isFailing = (failsAllTasks || attempt.behavior.alwaysFails)
-            && nowMs - attempt.startedMs >= attempt.behavior.runTimeMs / 2;
+        const bool isFailing
+            = (failsAllTasks || attempt.behavior.alwaysFails) && ranMs >= attempt.behavior.runTimeMs / 2;
         if (isLeaseLapsed)
             ends.emplace_back(task, Ports::AttemptOutcome::LeaseLapsed);
         else if (isFailing)
@@ -102,6 +106,37 @@
         endAttempt(task, kind);
 }
 
+void SimulatedWorker::throttle(
+    const Ports::TaskKey& task, std::uint32_t attempt, int speedPercent, std::uint64_t epoch)
+{
+    if (honorsEpochs_ && epoch < epoch_)
+        return;
+    epoch_ = std::max(epoch_, epoch);
+    const auto existing = running_.find(task);
+    if (existing != running_.end() && existing->second.number == attempt)
+        existing->second.speedPercent = speedPercent;
+}
+
+// A latency-critical task is a queue whose utilization depends on its own load, which changes with time, and
+// on the best-effort tasks beside it.
+std::int64_t SimulatedWorker::reportedLoad(const Attempt& attempt, std::int64_t nowMs) const
+{
+    if (attempt.behavior.tailTargetMs == 0)
+        return attempt.behavior.milliProcessors * attempt.speedPercent / completePercent;
+    constexpr double tailWithoutLoadMs = 8;
+    constexpr double periodMs = 20'000;
+    constexpr double amplitude = 0.25;
+    constexpr double fullTurn = 6.283185307179586;
+    double utilization = attempt.behavior.meanUtilization
+        + amplitude * std::sin(static_cast<double>(nowMs) * fullTurn / periodMs);
+    for (const auto& [task, other] : running_) {
+        if (other.behavior.isBestEffort)
+            utilization += other.behavior.pressure * static_cast<double>(other.behavior.milliProcessors)
+                / static_cast<double>(info_.milliProcessors) * other.speedPercent / completePercent;
+    }
+    return static_cast<std::int64_t>(tailWithoutLoadMs / (1 - std::min(0.98, utilization)));
+}
+
 void SimulatedWorker::endAttempt(const Ports::TaskKey& task, Ports::AttemptOutcome kind)
 {
     const auto attempt = running_.find(task);
--- a/src/tools/gqemulate/simulatedworker.h
+++ b/src/tools/gqemulate/simulatedworker.h
@@ -17,6 +17,11 @@
     std::int64_t memoryMb = 0;
     std::int64_t runTimeMs = 0; //!< Run time on a healthy worker; 0: long-running.
     bool alwaysFails = false;
+    bool isBestEffort = false; //!< Commits no processors.
+    std::uint32_t tailTargetMs = 0; //!< As in FleetSchema::StepSpec; 0: not latency-critical.
+    double pressure = 0; //!< Utilization that a best-effort task on the whole worker adds to other tasks.
+    double meanUtilization = 0; //!< Mean utilization of a latency-critical task by its own load.
+    std::uint32_t gangSize = 0; //!< Number of tasks that run together; 0: the task runs alone.
 };
 
 /*! Simulates, in virtual time, a worker of the users' platform that follows the published protocol. */
@@ -57,8 +62,19 @@
         std::uint32_t number = 0;
         TaskBehavior behavior;
         std::int64_t startedMs = 0;
+        int speedPercent = 100;
+        std::int64_t lostMs = 0; //!< Run time lost by limits on the speed.
     };
 
+    /*! Limits the speed of an attempt. */
+    void throttle(const Ports::TaskKey& task, std::uint32_t attempt, int speedPercent, std::uint64_t epoch);
+
+    /*! Ends a running attempt. */
+    void endAttempt(const Ports::TaskKey& task, Ports::AttemptOutcome kind);
+
+    /*! \return whether a command with this epoch would be rejected as one of a former owner. */
+    bool rejectsEpoch(std::uint64_t epoch) const { return honorsEpochs_ && epoch < epoch_; }
+
     /*! \return the running attempts by task. */
     const std::map<Ports::TaskKey, Attempt>& running() const { return running_; }
 
@@ -73,7 +89,7 @@
     int slowness = 1; //!< Factor on run times.
 
 private:
-    void endAttempt(const Ports::TaskKey& task, Ports::AttemptOutcome kind);
+    std::int64_t reportedLoad(const Attempt& attempt, std::int64_t nowMs) const;
     std::int64_t clockMs(std::int64_t nowMs) const { return nowMs - info_.startedUnixMs + clockOffsetMs; }
 
     // Makes the worker's clock differ from virtual time, as workers' clocks are unrelated to the owner's.
@@ -88,6 +104,7 @@
     std::uint64_t lastEndBeforeLapse_ = 0; //!< Number of the latest end before the lease last expired.
     std::uint64_t epoch_ = 0;
     std::int64_t leaseUntilMs_ = 0; //!< In the worker's clock.
+    std::int64_t advancedMs_ = 0; //!< Time of the latest advance().
 };
 
 } // namespace Emulate
