--- /dev/null
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -0,0 +1,462 @@
+#include "emulatedfleet.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace Emulate {
+
+namespace {
+
+constexpr std::size_t shardCount = 3;
+constexpr std::size_t nodeCount = 5;
+constexpr std::size_t workersPerShard = 8;
+constexpr std::int64_t tickMs = 10;
+constexpr std::int64_t submissionEndMs = 66'000;
+constexpr std::int64_t heartbeatIntervalMs = 700;
+constexpr std::int64_t nodeTimeoutMs = 2500;
+constexpr std::int64_t planningIntervalMs = 100;
+constexpr std::int64_t checkIntervalMs = 100;
+constexpr std::int64_t callTimeoutMs = 1000;
+constexpr std::int64_t callerRetryMs = 300;
+constexpr int callerAttempts = 60;
+constexpr int callLossPercent = 1;
+constexpr int faultyCallLossPercent = 40;
+
+// Replacements are part of normal operation: tasks must not wait beyond their bound because of them.
+bool isReplacement(FleetFaultKind kind)
+{
+    return kind == FleetFaultKind::Replacement || kind == FleetFaultKind::ShardLoss
+        || kind == FleetFaultKind::EntryLapse;
+}
+
+} // namespace
+
+EmulatedFleet::EmulatedFleet(const FleetScenario& scenario)
+    : scenario_(scenario)
+    , time_(scenario.seed * 7919 + 13)
+    , platform_(time_, shardCount, workersPerShard, scenario.variant != FleetVariant::NoEpochFencing)
+    , workload_(time_)
+    , waitChecker_(platform_)
+    , nodes_(nodeCount)
+    , shards_(shardCount)
+{
+    for (std::size_t shard = 0; shard < shardCount; ++shard)
+        claim(shard, shard);
+}
+
+EmulatedFleet::~EmulatedFleet() = default;
+
+std::size_t EmulatedFleet::countAliveNodes() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(nodes_.begin(), nodes_.end(), [this](const EmulatedNode& node) {
+            return node.isUp && nowMs() - node.heartbeatMs < nodeTimeoutMs;
+        }));
+}
+
+bool EmulatedFleet::canAct(std::size_t node) const
+{
+    return nodes_[node].isUp && nodes_[node].isStoreReachable && nodes_[node].frozenUntilMs <= nowMs();
+}
+
+void EmulatedFleet::advance(std::int64_t nowMs)
+{
+    time_.advance(nowMs);
+    applyFaults();
+    platform_.advance();
+    std::vector<const SimulatedWorker*> workers;
+    for (const auto& [id, worker] : platform_.workers()) {
+        checker_.onEnded(worker->simulated.newlyEnded);
+        worker->simulated.newlyEnded.clear();
+        checker_.onAcknowledged(worker->simulated.newlyAcknowledged);
+        worker->simulated.newlyAcknowledged.clear();
+        workers.push_back(&worker->simulated);
+    }
+    submitJobs();
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        if ((nowMs + static_cast<std::int64_t>(node) * 130) % heartbeatIntervalMs == 0)
+            heartbeat(node);
+    }
+    if (nowMs % planningIntervalMs == 0)
+        planOwnership();
+    const std::vector<std::shared_ptr<EmulatedOwner>> owners = owners_;
+    for (const auto& owner : owners)
+        owner->advance();
+    std::erase_if(owners_, [](const auto& owner) { return owner->isClosed(); });
+    checker_.checkWorkers(workers, nowMs);
+    if (nowMs % checkIntervalMs == 0)
+        checkWaits();
+}
+
+void EmulatedFleet::applyFaults()
+{
+    for (const FleetFault& fault : scenario_.faults) {
+        if (nowMs() - tickMs < fault.startMs && fault.startMs <= nowMs())
+            setFaultActive(fault, true);
+        const std::int64_t endMs = fault.startMs + fault.durationMs;
+        if (nowMs() - tickMs < endMs && endMs <= nowMs())
+            setFaultActive(fault, false);
+    }
+    if (activeFaults_ > 0)
+        lastFaultMs_ = nowMs();
+}
+
+void EmulatedFleet::setFaultActive(const FleetFault& fault, bool isActive)
+{
+    if (!isReplacement(fault.kind)) {
+        activeFaults_ += isActive ? 1 : -1;
+        lastFaultMs_ = nowMs();
+    }
+    const std::size_t shard = fault.target % shardCount;
+    const std::shared_ptr<EmulatedOwner> owner = shards_[shard].owner;
+    switch (fault.kind) {
+    case FleetFaultKind::NodeKill: {
+        const std::size_t node = fault.target % nodeCount;
+        return isActive ? killNode(node) : restartNode(node);
+    }
+    case FleetFaultKind::NodeFreeze:
+        if (isActive && owner)
+            nodes_[owner->node()].frozenUntilMs = nowMs() + fault.durationMs;
+        return;
+    case FleetFaultKind::ShardRelease:
+        if (isActive && owner && owner->isServing())
+            owner->release();
+        return;
+    case FleetFaultKind::StoreOutage:
+        nodes_[fault.target % nodeCount].isStoreReachable = !isActive;
+        return;
+    case FleetFaultKind::CallLoss:
+        activeCallLosses_ += isActive ? 1 : -1;
+        return;
+    default:
+        platform_.setFaultActive(fault, isActive);
+        return;
+    }
+}
+
+void EmulatedFleet::killNode(std::size_t node)
+{
+    nodes_[node].isUp = false;
+    for (const auto& owner : owners_) {
+        if (owner->node() == node)
+            owner->close();
+    }
+}
+
+void EmulatedFleet::restartNode(std::size_t node)
+{
+    EmulatedNode restarted;
+    restarted.heartbeat = nodes_[node].heartbeat;
+    restarted.heartbeatMs = nodes_[node].heartbeatMs;
+    restarted.isStoreReachable = nodes_[node].isStoreReachable;
+    nodes_[node] = std::move(restarted);
+    for (std::size_t shard = 0; shard < shardCount; ++shard) {
+        const auto& owner = shards_[shard].owner;
+        if (owner && owner->isClosed() && owner->node() == node)
+            claim(shard, node);
+    }
+}
+
+// Writes the node's row and reads those of the others.
+void EmulatedFleet::heartbeat(std::size_t number)
+{
+    if (!canAct(number))
+        return;
+    EmulatedNode& node = nodes_[number];
+    node.heartbeatMs = nowMs();
+    node.heartbeat.clear();
+    for (const auto& owner : owners_) {
+        if (owner->node() == number && owner->isServing())
+            node.heartbeat.push_back(owner->currentLoad());
+    }
+    std::map<std::string, Fleet::ShardOwnerInfo> owners;
+    for (std::size_t other = 0; other < nodeCount; ++other) {
+        if (nowMs() - nodes_[other].heartbeatMs >= nodeTimeoutMs)
+            continue;
+        for (const FleetSchema::ShardLoad& load : nodes_[other].heartbeat) {
+            Fleet::ShardOwnerInfo& owner = owners[load.shard()];
+            if (owner.node.empty() || owner.load.epoch() < load.epoch())
+                owner = { std::to_string(other), std::to_string(other), load };
+        }
+    }
+    for (const auto& [shard, owner] : owners)
+        node.owners[shard] = owner;
+    node.chooser.update(node.owners);
+}
+
+void EmulatedFleet::announce(const EmulatedOwner& owner)
+{
+    const std::string name = std::to_string(owner.node());
+    for (std::size_t number = 0; number < nodeCount; ++number) {
+        EmulatedNode& node = nodes_[number];
+        if (!node.isUp || node.frozenUntilMs > nowMs())
+            continue;
+        node.owners[shardName(owner.shard())] = { name, name, owner.currentLoad() };
+        node.chooser.update(node.owners);
+    }
+    heartbeat(owner.node());
+}
+
+// Passes shards whose owner does not send heartbeats to another node.
+void EmulatedFleet::planOwnership()
+{
+    for (std::size_t shard = 0; shard < shardCount; ++shard) {
+        const auto& owner = shards_[shard].owner;
+        const bool isAlive = owner && nowMs() - nodes_[owner->node()].heartbeatMs < nodeTimeoutMs;
+        const bool isClaimed
+            = owner && !owner->isClosed() && nowMs() - shards_[shard].takenOverMs < nodeTimeoutMs;
+        const bool isServed = isAlive && (!owner->isClosed() || !nodes_[owner->node()].isUp);
+        if (isClaimed || isServed)
+            continue;
+        const std::size_t first = static_cast<std::size_t>(time_.random(nodeCount));
+        for (std::size_t offset = 0; offset < nodeCount; ++offset) {
+            const std::size_t node = (first + offset) % nodeCount;
+            if (canAct(node) && (!owner || owner->node() != node || owner->isClosed())) {
+                claim(shard, node);
+                break;
+            }
+        }
+    }
+}
+
+void EmulatedFleet::claim(std::size_t shard, std::size_t node)
+{
+    StoredShard& stored = shards_[shard];
+    ++stored.epoch;
+    stored.takenOverMs = nowMs();
+    stored.owner = std::make_shared<EmulatedOwner>(*this, node, shard, stored.epoch);
+    owners_.push_back(stored.owner);
+    stored.owner->load();
+}
+
+void EmulatedFleet::onReleased(std::size_t shard, std::size_t formerNode)
+{
+    for (std::size_t offset = 1; offset < nodeCount; ++offset) {
+        const std::size_t node = (formerNode + offset) % nodeCount;
+        if (!canAct(node))
+            continue;
+        time_.schedule(time_.latencyMs(), [this, shard, node, epoch = shards_[shard].epoch] {
+            if (shards_[shard].epoch == epoch && canAct(node))
+                claim(shard, node);
+        });
+        return;
+    }
+}
+
+bool EmulatedFleet::store(const EmulatedOwner& owner, const Fleet::RecordBatch& batch)
+{
+    StoredShard& shard = shards_[owner.shard()];
+    if (shard.epoch != owner.epoch())
+        return false;
+    for (const auto& [id, value] : batch.puts) {
+        FleetSchema::JobRecord record;
+        record.ParseFromString(value);
+        if (record.origin_shard().empty() && record.state() != FleetSchema::JOB_CANCELLED)
+            checker_.onRecordStored(record);
+        if (record.state() == FleetSchema::JOB_CANCELLED)
+            checker_.onCancellationStored(id, nowMs());
+        shard.rows[id] = std::move(record);
+    }
+    for (const std::string& id : batch.removals)
+        shard.rows.erase(id);
+    return true;
+}
+
+std::shared_ptr<EmulatedOwner> EmulatedFleet::ownerKnownTo(std::size_t node, const std::string& shard) const
+{
+    const std::size_t number = shardNumber(shard);
+    for (const auto& owner : owners_) {
+        if (owner->node() == node && owner->shard() == number && owner->isServing())
+            return owner;
+    }
+    const auto known = nodes_[node].owners.find(shard);
+    if (known == nodes_[node].owners.end())
+        return nullptr;
+    for (const auto& owner : owners_) {
+        if (std::to_string(owner->node()) == known->second.node && owner->shard() == number
+            && owner->isServing() && nodes_[owner->node()].frozenUntilMs <= nowMs())
+            return owner;
+    }
+    return nullptr;
+}
+
+bool EmulatedFleet::isCallLost()
+{
+    return time_.happens(activeCallLosses_ > 0 ? faultyCallLossPercent : callLossPercent);
+}
+
+void EmulatedFleet::callShard(std::size_t node, const std::string& shard,
+    std::function<void(EmulatedOwner&, AnswerHandler)> deliver, AnswerHandler onAnswer)
+{
+    const auto isAnswered = std::make_shared<bool>(false);
+    time_.schedule(callTimeoutMs, [this, node, shard, isAnswered] {
+        if (!*isAnswered)
+            nodes_[node].chooser.setOwnerResponsive(shard, false);
+    });
+    if (isCallLost())
+        return;
+    time_.schedule(time_.latencyMs(),
+        [this, node, shard, isAnswered, deliver = std::move(deliver), onAnswer = std::move(onAnswer)] {
+            const std::shared_ptr<EmulatedOwner> owner = ownerKnownTo(node, shard);
+            if (!owner)
+                return;
+            deliver(*owner, [this, node, shard, isAnswered, onAnswer](const Fleet::JobAnswer& answer) {
+                if (isCallLost())
+                    return;
+                time_.schedule(time_.latencyMs(), [this, node, shard, isAnswered, onAnswer, answer] {
+                    if (*isAnswered)
+                        return;
+                    *isAnswered = true;
+                    nodes_[node].chooser.setOwnerResponsive(shard, true);
+                    onAnswer(answer);
+                });
+            });
+        });
+}
+
+void EmulatedFleet::onStartOrdered(const Ports::TaskKey& task, const std::string& worker, std::size_t shard)
+{
+    ++startCount_;
+    waitChecker_.onStartOrdered(task, worker, shard);
+}
+
+std::optional<Ports::CommandReply> EmulatedFleet::startOnWorker(
+    const std::string& id, const Ports::StartCommand& command, std::size_t shard)
+{
+    FleetWorker* const worker = platform_.findWorker(id);
+    if (!worker || !worker->answers())
+        return std::nullopt;
+    const bool wasRunning = worker->simulated.running().contains(command.task);
+    const Ports::CommandReply reply
+        = worker->simulated.start(command, workload_.behavior(command.task), nowMs());
+    // Calls that cancel a job in a host shard take longer while there are faults.
+    const bool isHosted = !shards_[shard].rows.contains(command.task.job)
+        || !shards_[shard].rows.at(command.task.job).origin_shard().empty();
+    const bool isLate = command.epoch != shards_[shard].epoch || (isHosted && nowMs() - lastFaultMs_ < 7000);
+    if (reply.outcome == Ports::CommandOutcome::Done && !wasRunning)
+        checker_.onStarted(id, command, isLate, nowMs());
+    return reply;
+}
+
+void EmulatedFleet::submitJobs()
+{
+    constexpr std::int64_t ticksPerJob = 30;
+    constexpr std::int64_t jobsPerCancel = 10;
+    if (nowMs() < 1500 || nowMs() > submissionEndMs || time_.random(ticksPerJob) != 0)
+        return;
+    const FleetSchema::JobSpec spec = workload_.makeJob();
+    const std::size_t node = static_cast<std::size_t>(time_.random(nodeCount));
+    if (!canAct(node))
+        return;
+    const Fleet::ShardChoice choice = nodes_[node].chooser.choose(spec, countAliveNodes());
+    if (choice.shard.empty())
+        return;
+    checker_.onSubmitted(spec);
+    forwardSubmission(spec, choice.shard, callerAttempts);
+    const bool isLongRunning = spec.steps(0).lasting();
+    if (isLongRunning && time_.happens(60))
+        cancelLater(spec.id(), choice.shard, 5000 + time_.random(40'000));
+    else if (time_.random(jobsPerCancel) == 0)
+        cancelLater(spec.id(), choice.shard, time_.random(3000));
+}
+
+void EmulatedFleet::forwardSubmission(
+    const FleetSchema::JobSpec& spec, const std::string& shard, int attempts)
+{
+    const std::size_t node = static_cast<std::size_t>(time_.random(nodeCount));
+    if (nodes_[node].isUp) {
+        callShard(
+            node, shard,
+            [spec](EmulatedOwner& owner, AnswerHandler handler) { owner.submit(spec, std::move(handler)); },
+            [this, id = spec.id()](const Fleet::JobAnswer& answer) {
+                if (answer.outcome == FleetSchema::PEER_OK)
+                    accepted_.insert(id);
+            });
+    }
+    time_.schedule(callerRetryMs, [this, spec, shard, attempts] {
+        if (!accepted_.contains(spec.id()) && !cancelled_.contains(spec.id()) && attempts > 0)
+            forwardSubmission(spec, shard, attempts - 1);
+    });
+}
+
+void EmulatedFleet::cancelLater(const std::string& job, const std::string& shard, std::int64_t delayMs)
+{
+    time_.schedule(delayMs, [this, job, shard] {
+        if (!accepted_.contains(job))
+            return;
+        cancelled_.insert(job);
+        callShard(
+            static_cast<std::size_t>(time_.random(nodeCount)), shard,
+            [job](EmulatedOwner& owner, AnswerHandler handler) { owner.cancel(job, std::move(handler)); },
+            [this, job](const Fleet::JobAnswer&) { cancelled_.insert(job); });
+        const FleetSchema::JobRecord& record = shards_[shardNumber(shard)].rows[job];
+        const bool isActive
+            = record.state() == FleetSchema::JOB_QUEUED || record.state() == FleetSchema::JOB_RUNNING;
+        if (isActive)
+            cancelLater(job, shard, 600);
+    });
+}
+
+void EmulatedFleet::updateShardStates()
+{
+    for (StoredShard& shard : shards_) {
+        const bool isAble = shard.owner && shard.owner->isServing() && canAct(shard.owner->node());
+        if (!isAble)
+            shard.ableSinceMs = -1;
+        else if (shard.ableSinceMs < shard.takenOverMs)
+            shard.ableSinceMs = nowMs();
+    }
+}
+
+void EmulatedFleet::checkWaits()
+{
+    updateShardStates();
+    std::vector<WaitChecker::ShardState> states;
+    std::vector<WaitChecker::JobView> jobs;
+    for (std::size_t number = 0; number < shardCount; ++number) {
+        states.push_back(
+            { shards_[number].ableSinceMs >= 0, shards_[number].takenOverMs, &shards_[number].rows });
+        for (const auto& [id, record] : shards_[number].rows) {
+            const bool isActive
+                = record.state() == FleetSchema::JOB_QUEUED || record.state() == FleetSchema::JOB_RUNNING;
+            if (record.origin_shard().empty() && isActive && !cancelled_.contains(id))
+                jobs.push_back({ &record, number });
+        }
+    }
+    waitChecker_.check(jobs, states, lastFaultMs_, activeCallLosses_ > 0, nowMs());
+}
+
+void EmulatedFleet::checkEnd()
+{
+    for (std::size_t number = 0; number < shardCount; ++number) {
+        for (const auto& [id, record] : shards_[number].rows) {
+            const bool isActive
+                = record.state() == FleetSchema::JOB_QUEUED || record.state() == FleetSchema::JOB_RUNNING;
+            if (record.origin_shard().empty() && isActive && record.spec().steps_size() > 0
+                && !record.spec().steps(0).lasting())
+                waitChecker_.addUnfinished(id, nowMs());
+        }
+    }
+}
+
+FleetResult EmulatedFleet::result() const
+{
+    FleetResult result;
+    result.violations = checker_.violations();
+    const auto& waits = waitChecker_.violations();
+    result.violations.insert(result.violations.end(), waits.begin(), waits.end());
+    result.excusedWaits = waitChecker_.excusedCount();
+    result.longestExcusedMs = waitChecker_.longestExcusedMs();
+    result.unfinished = waitChecker_.unfinishedCount();
+    result.starts = startCount_;
+    result.delegations = delegationCount_;
+    result.jobs = accepted_.size();
+    for (const StoredShard& shard : shards_) {
+        for (const auto& [id, record] : shard.rows)
+            result.completed
+                += record.origin_shard().empty() && record.state() == FleetSchema::JOB_COMPLETED ? 1 : 0;
+    }
+    return result;
+}
+
+} // namespace Emulate
--- /dev/null
+++ b/src/tools/gqemulate/emulatedfleet.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "emulatednode.h"
+#include "emulatedowner.h"
+#include "emulatedplatform.h"
+#include "fleetscenario.h"
+#include "fleetworkload.h"
+#include "invariantchecker.h"
+#include "virtualtime.h"
+#include "waitchecker.h"
+
+#include "fleet/scheduleroutput.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Emulate {
+
+/*!
+    Emulates a fleet of several shards in virtual time: nodes that own shards with the real schedulers, calls
+    between them, the workers, the rows of the store and the callers.
+*/
+class EmulatedFleet {
+public:
+    using AnswerHandler = EmulatedOwner::AnswerHandler;
+
+    explicit EmulatedFleet(const FleetScenario& scenario);
+    ~EmulatedFleet();
+
+    /*! Advances the emulation by one tick to \p nowMs. */
+    void advance(std::int64_t nowMs);
+
+    /*! Checks that all jobs that end have ended. */
+    void checkEnd();
+
+    FleetResult result() const;
+
+    const FleetScenario& scenario() const { return scenario_; }
+    VirtualTime& time() { return time_; }
+    std::int64_t nowMs() const { return time_.nowMs(); }
+    EmulatedPlatform& platform() { return platform_; }
+    EmulatedNode& node(std::size_t number) { return nodes_[number]; }
+    std::size_t countAliveNodes() const;
+    bool isStoreReachable(std::size_t node) const { return nodes_[node].isStoreReachable; }
+
+    /*! \return the job records of a shard in the store. */
+    const std::map<std::string, FleetSchema::JobRecord>& rows(std::size_t shard) const
+    {
+        return shards_[shard].rows;
+    }
+
+    /*! \return false if another node has taken the shard over, so that nothing was stored. */
+    bool store(const EmulatedOwner& owner, const Fleet::RecordBatch& batch);
+
+    /*! Tells the other nodes of a new owner. */
+    void announce(const EmulatedOwner& owner);
+
+    /*! Passes a released shard to another node. */
+    void onReleased(std::size_t shard, std::size_t formerNode);
+
+    /*!
+        Calls the owner of a shard as \p node knows it.
+
+        \param deliver passes the call to the owner.
+        \param onAnswer receives the answer; not called if the call or its answer is lost.
+    */
+    void callShard(std::size_t node, const std::string& shard,
+        std::function<void(EmulatedOwner&, AnswerHandler)> deliver, AnswerHandler onAnswer);
+
+    /*! Records that a start was ordered. */
+    void onStartOrdered(const Ports::TaskKey& task, const std::string& worker, std::size_t shard);
+
+    /*! \return the worker's reply, or nothing if it does not answer. */
+    std::optional<Ports::CommandReply> startOnWorker(
+        const std::string& worker, const Ports::StartCommand& command, std::size_t shard);
+
+    void countDelegation() { ++delegationCount_; }
+
+    static std::string shardName(std::size_t shard) { return "shard" + std::to_string(shard); }
+    static std::size_t shardNumber(const std::string& name) { return std::stoul(name.substr(5)); }
+
+private:
+    struct StoredShard {
+        std::map<std::string, FleetSchema::JobRecord> rows;
+        std::uint64_t epoch = 0;
+        std::shared_ptr<EmulatedOwner> owner; //!< Latest owner, which may be down.
+        std::int64_t takenOverMs = 0;
+        std::int64_t ableSinceMs = -1; //!< Since when the owner can act; -1 if it cannot.
+    };
+
+    void applyFaults();
+    void setFaultActive(const FleetFault& fault, bool isActive);
+    void killNode(std::size_t node);
+    void restartNode(std::size_t node);
+    void heartbeat(std::size_t node);
+    void planOwnership();
+    void claim(std::size_t shard, std::size_t node);
+    bool canAct(std::size_t node) const;
+    std::shared_ptr<EmulatedOwner> ownerKnownTo(std::size_t node, const std::string& shard) const;
+    void submitJobs();
+    void forwardSubmission(const FleetSchema::JobSpec& spec, const std::string& shard, int attempts);
+    void cancelLater(const std::string& job, const std::string& shard, std::int64_t delayMs);
+    void checkWaits();
+    void updateShardStates();
+    bool isCallLost();
+
+    FleetScenario scenario_;
+    VirtualTime time_;
+    EmulatedPlatform platform_;
+    FleetWorkload workload_;
+    InvariantChecker checker_;
+    WaitChecker waitChecker_;
+    std::vector<EmulatedNode> nodes_;
+    std::vector<StoredShard> shards_;
+    std::vector<std::shared_ptr<EmulatedOwner>> owners_; //!< All owners that have not closed.
+    std::set<std::string> accepted_; //!< Jobs whose acceptance was answered.
+    std::set<std::string> cancelled_; //!< Jobs whose cancellation was requested.
+    std::int64_t lastFaultMs_ = -100'000; //!< Latest time at which a fault was active.
+    int activeFaults_ = 0;
+    int activeCallLosses_ = 0;
+    std::size_t startCount_ = 0;
+    std::size_t delegationCount_ = 0;
+};
+
+} // namespace Emulate
--- /dev/null
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -0,0 +1,394 @@
+#include "emulatedowner.h"
+
+#include "emulatedfleet.h"
+
+#include <iostream>
+
+namespace Emulate {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t pollIntervalMs = 250;
+constexpr std::int64_t pollRetryDelayMs = 300;
+constexpr std::int64_t workerTimeoutMs = 700;
+constexpr std::int64_t housekeepingIntervalMs = 100;
+constexpr std::int64_t minCommitIntervalMs = 40;
+constexpr std::int64_t ownershipRenewalMs = 2000;
+constexpr std::int64_t storeRetryMs = 200;
+constexpr std::int64_t orphanGraceMs = 12'000;
+
+Fleet::SchedulerOptions optionsFor(FleetVariant variant, std::size_t shard)
+{
+    Fleet::SchedulerOptions options;
+    options.shard = EmulatedFleet::shardName(shard);
+    options.workerLease = milliseconds(5000);
+    options.workerLeaseLimit = milliseconds(10'000);
+    options.orphanGrace = milliseconds(orphanGraceMs);
+    options.stopLimit = milliseconds(200);
+    options.retention = std::chrono::seconds(120);
+    options.interferenceLimit = milliseconds(4000);
+    options.availabilityDelay = milliseconds(5500);
+    if (variant == FleetVariant::NoLeaseWait) {
+        options.orphanGrace = {};
+        options.workerLeaseLimit = {};
+    }
+    return options;
+}
+
+} // namespace
+
+EmulatedOwner::EmulatedOwner(EmulatedFleet& fleet, std::size_t node, std::size_t shard, std::uint64_t epoch)
+    : fleet_(fleet)
+    , node_(node)
+    , shard_(shard)
+    , epoch_(epoch)
+    , scheduler_(std::make_unique<Fleet::ShardScheduler>(optionsFor(fleet.scenario().variant, shard),
+          static_cast<Fleet::SchedulerOutput&>(*this), fleet.node(node).tailLatencyModel))
+{
+}
+
+EmulatedOwner::~EmulatedOwner() = default;
+
+// Runs the function unless the ownership has ended; a frozen node runs it when it thaws.
+void EmulatedOwner::runLater(std::int64_t delayMs, std::function<void()> function)
+{
+    fleet_.time().schedule(delayMs, [weak = weak_from_this(), function = std::move(function)] {
+        const auto self = weak.lock();
+        if (!self || self->isClosed_)
+            return;
+        const std::int64_t frozenMs = self->fleet_.node(self->node_).frozenUntilMs - self->fleet_.nowMs();
+        if (frozenMs > 0)
+            return self->runLater(frozenMs, function);
+        function();
+    });
+}
+
+void EmulatedOwner::load()
+{
+    runLater(20 + fleet_.time().latencyMs(), [this] { restoreJobs(); });
+}
+
+void EmulatedOwner::restoreJobs()
+{
+    if (!fleet_.isStoreReachable(node_))
+        return runLater(storeRetryMs, [this] { restoreJobs(); });
+    for (const auto& [id, stored] : fleet_.rows(shard_)) {
+        FleetSchema::JobRecord record = stored;
+        if (fleet_.scenario().variant == FleetVariant::RestartOfDelegatedTasks) {
+            for (FleetSchema::TaskRecord& task : *record.mutable_tasks()) {
+                if (task.state() == FleetSchema::TASK_LENT)
+                    task.set_state(FleetSchema::TASK_WAITING);
+            }
+        }
+        scheduler_->restore(record, fleet_.time().now(), fleet_.nowMs());
+    }
+    isLoaded_ = true;
+    loadedMs_ = fleet_.nowMs();
+    confirmedMs_ = fleet_.nowMs();
+    fleet_.announce(*this);
+}
+
+FleetSchema::ShardLoad EmulatedOwner::currentLoad() const
+{
+    FleetSchema::ShardLoad load = scheduler_->load();
+    load.set_epoch(epoch_);
+    return load;
+}
+
+void EmulatedOwner::advance()
+{
+    const std::int64_t nowMs = fleet_.nowMs();
+    if (!isServing() || fleet_.node(node_).frozenUntilMs > nowMs)
+        return;
+    if (nowMs % housekeepingIntervalMs == 0) {
+        if (fleet_.isStoreReachable(node_)) {
+            const std::vector<Ports::WorkerInfo> listed = fleet_.platform().listWorkers(shard_);
+            scheduler_->setWorkers(listed, fleet_.time().now());
+            for (const Ports::WorkerInfo& info : listed)
+                nextPollMs_.try_emplace(info.id, nowMs);
+        }
+        scheduler_->onTick(fleet_.time().now(), nowMs);
+        std::erase_if(
+            nextPollMs_, [this](const auto& entry) { return !scheduler_->knowsWorker(entry.first); });
+    }
+    pollWorkers();
+    if (!isCommitting_ && nowMs >= nextRoundMs_)
+        commit();
+}
+
+void EmulatedOwner::commit()
+{
+    const std::int64_t nowMs = fleet_.nowMs();
+    if (!isReleasing_)
+        scheduler_->schedule(fleet_.time().now(), nowMs);
+    std::optional<Fleet::RecordBatch> batch = scheduler_->beginCommit(nowMs);
+    const bool isLast = isReleasing_ && !scheduler_->hasChanges();
+    if (!batch && !isLast && nowMs - confirmedMs_ < ownershipRenewalMs)
+        return;
+    isCommitting_ = true;
+    nextRoundMs_ = nowMs + minCommitIntervalMs;
+    auto shared = std::make_shared<Fleet::RecordBatch>(batch.value_or(Fleet::RecordBatch()));
+    runLater(4 + fleet_.time().random(10), [this, shared, isLast] { storeBatch(shared, isLast); });
+}
+
+// A transaction that cannot reach the store is repeated until its outcome is known.
+void EmulatedOwner::storeBatch(std::shared_ptr<Fleet::RecordBatch> batch, bool isLast)
+{
+    if (!fleet_.isStoreReachable(node_))
+        return runLater(storeRetryMs, [this, batch, isLast] { storeBatch(batch, isLast); });
+    if (!fleet_.store(*this, *batch))
+        return close();
+    runLater(2 + fleet_.time().random(10), [this, isLast, sentMs = fleet_.nowMs()] {
+        isCommitting_ = false;
+        confirmedMs_ = sentMs;
+        scheduler_->onCommitted(fleet_.time().now());
+        if (isLast) {
+            close();
+            fleet_.onReleased(shard_, node_);
+        }
+    });
+}
+
+void EmulatedOwner::pollWorkers()
+{
+    for (auto& [id, nextMs] : nextPollMs_) {
+        if (fleet_.nowMs() < nextMs)
+            continue;
+        nextMs = fleet_.nowMs() + pollIntervalMs;
+        poll(id);
+    }
+}
+
+void EmulatedOwner::poll(const std::string& id)
+{
+    const bool mayRenew = fleet_.nowMs() - confirmedMs_ < orphanGraceMs;
+    const Fleet::PollPlan plan = scheduler_->planPoll(id, fleet_.time().now(), mayRenew);
+    Ports::PollRequest request;
+    request.leaseUntilMs = plan.leaseUntilMs;
+    request.acknowledgedUpTo = plan.acknowledged;
+    request.epoch = epoch_;
+    fleet_.time().schedule(fleet_.time().latencyMs(),
+        [weak = weak_from_this(), &fleet = fleet_, id, request, sentAt = fleet_.time().now()] {
+            FleetWorker* const worker = fleet.platform().findWorker(id);
+            const bool isAnswered = worker && worker->answers();
+            const bool isFenced = isAnswered && worker->simulated.rejectsEpoch(request.epoch);
+            const auto report = isAnswered ? worker->simulated.poll(request, fleet.nowMs()) : std::nullopt;
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->runLater(0, [owner = self.get(), id, sentAt, report, isFenced] {
+                if (isFenced)
+                    return owner->close();
+                if (report)
+                    return owner->scheduler_->onReport(
+                        id, sentAt, *report, owner->fleet_.time().now(), owner->fleet_.nowMs());
+                const auto next = owner->nextPollMs_.find(id);
+                if (next != owner->nextPollMs_.end())
+                    next->second = owner->fleet_.nowMs() + pollRetryDelayMs;
+                owner->scheduler_->onPollFailed(id);
+            });
+        });
+}
+
+void EmulatedOwner::trace(const Ports::TaskKey& task, const std::string& event) const
+{
+    if (task.job != fleet_.scenario().traceJob)
+        return;
+    std::cout << fleet_.nowMs() << " ms " << task.job << "." << task.occurrence << "." << task.step << "."
+              << task.index << " shard " << shard_ << " epoch " << epoch_ << " node " << node_ << ": "
+              << event << "\n";
+}
+
+void EmulatedOwner::startAttempt(const Fleet::AttemptStart& start)
+{
+    trace(start.task, "start of attempt " + std::to_string(start.attempt) + " ordered at " + start.worker);
+    Ports::StartCommand command;
+    command.task = start.task;
+    command.attempt = start.attempt;
+    command.leaseUntilMs = start.leaseUntilMs;
+    command.epoch = epoch_;
+    fleet_.onStartOrdered(start.task, start.worker, shard_);
+    const auto onReply = [weak = weak_from_this(), worker = start.worker, command](
+                             const Utils::Result<Ports::CommandReply>& reply) {
+        if (const auto self = weak.lock())
+            self->runLater(0, [owner = self.get(), worker, command, reply] {
+                owner->scheduler_->onStartReply(
+                    worker, command.task, command.attempt, reply, owner->fleet_.time().now());
+            });
+    };
+    if (!nextPollMs_.contains(start.worker)) {
+        return runLater(0, [onReply, worker = start.worker] {
+            onReply(Utils::Error { Utils::ErrorCode::Unavailable, "start", worker, "no connection" });
+        });
+    }
+    fleet_.time().schedule(fleet_.time().latencyMs(),
+        [&fleet = fleet_, worker = start.worker, command, onReply, shard = shard_] {
+            const auto reply = fleet.startOnWorker(worker, command, shard);
+            if (reply)
+                return onReply(*reply);
+            fleet.time().schedule(workerTimeoutMs, [onReply, worker] {
+                onReply(Utils::Error { Utils::ErrorCode::OutcomeUnknown, "start", worker, "no answer" });
+            });
+        });
+}
+
+void EmulatedOwner::stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt)
+{
+    trace(task, "stop of attempt " + std::to_string(attempt) + " ordered at " + worker);
+    if (!nextPollMs_.contains(worker))
+        return;
+    fleet_.time().schedule(fleet_.time().latencyMs(),
+        [weak = weak_from_this(), &fleet = fleet_, worker, task, attempt, epoch = epoch_] {
+            FleetWorker* const target = fleet.platform().findWorker(worker);
+            if (!target || !target->answers())
+                return;
+            const Ports::CommandReply reply = target->simulated.stop(task, attempt, epoch, fleet.nowMs());
+            if (const auto self = weak.lock())
+                self->runLater(0, [owner = self.get(), worker, task, attempt, reply] {
+                    owner->scheduler_->onStopReply(worker, task, attempt, reply, owner->fleet_.time().now());
+                });
+        });
+}
+
+void EmulatedOwner::throttleAttempt(
+    const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent)
+{
+    trace(task, "speed " + std::to_string(percent) + " ordered at " + worker);
+    fleet_.time().schedule(
+        fleet_.time().latencyMs(), [&fleet = fleet_, worker, task, attempt, percent, epoch = epoch_] {
+            FleetWorker* const target = fleet.platform().findWorker(worker);
+            if (target && target->answers())
+                target->simulated.throttle(task, attempt, percent, epoch);
+        });
+}
+
+std::string EmulatedOwner::findShardWithCapacity(
+    const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited)
+{
+    if (fleet_.scenario().variant == FleetVariant::NoDelegationOfEndingTasks
+        && !spec.steps(static_cast<int>(step)).lasting())
+        return {};
+    const std::string chosen = fleet_.node(node_).chooser.chooseForTask(
+        EmulatedFleet::shardName(shard_), spec, step, waited, fleet_.countAliveNodes());
+    trace({ spec.id(), 0, step, 0 },
+        "looks for another shard: " + (chosen.empty() ? std::string("none") : chosen));
+    return chosen;
+}
+
+void EmulatedOwner::delegateTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer)
+{
+    trace({ transfer.job().id(), transfer.occurrence(), transfer.step(), transfer.index() },
+        "delegated to " + shard + ", transfer " + std::to_string(transfer.transfer()));
+    fleet_.countDelegation();
+    fleet_.callShard(
+        node_, shard,
+        [transfer](EmulatedOwner& owner, AnswerHandler handler) {
+            owner.acceptDelegatedTask(transfer, std::move(handler));
+        },
+        [weak = weak_from_this(), transfer, shard](const Fleet::JobAnswer& answer) {
+            if (const auto self = weak.lock(); self && answer.outcome == FleetSchema::PEER_OK)
+                self->runLater(0, [owner = self.get(), transfer, shard] {
+                    owner->scheduler_->onDelegationStored(transfer, shard);
+                });
+        });
+}
+
+void EmulatedOwner::cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job)
+{
+    trace({ job.id(), 0, 0, 0 }, "cancellation sent to " + shard);
+    fleet_.callShard(
+        node_, shard,
+        [job](EmulatedOwner& owner, AnswerHandler handler) {
+            owner.cancelHostedTasks(job, std::move(handler));
+        },
+        [weak = weak_from_this(), id = job.id(), shard](const Fleet::JobAnswer& answer) {
+            if (const auto self = weak.lock(); self && answer.outcome == FleetSchema::PEER_OK)
+                self->runLater(0, [owner = self.get(), id, shard] {
+                    owner->scheduler_->onDelegatedTasksCancelled(id, shard);
+                });
+        });
+}
+
+void EmulatedOwner::sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result)
+{
+    trace({ result.job(), result.occurrence(), result.step(), result.index() },
+        "result " + std::to_string(result.kind()) + " sent to " + originShard + ", transfer "
+            + std::to_string(result.transfer()));
+    fleet_.callShard(
+        node_, originShard,
+        [result](EmulatedOwner& owner, AnswerHandler handler) {
+            owner.acceptTaskResult(result, std::move(handler));
+        },
+        [weak = weak_from_this(), result](const Fleet::JobAnswer& answer) {
+            if (const auto self = weak.lock(); self && answer.outcome == FleetSchema::PEER_OK)
+                self->runLater(0, [owner = self.get(), result] {
+                    owner->scheduler_->onTaskResultStored(result, owner->fleet_.nowMs());
+                });
+        });
+}
+
+void EmulatedOwner::attemptEnded(
+    const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
+{
+    trace(task, "attempt " + std::to_string(attempt) + " at " + worker + " over: " + std::string(reason));
+}
+
+void EmulatedOwner::taskWaiting(const Fleet::WaitReport& report)
+{
+    trace(report.task,
+        "waits " + std::to_string(report.waitedMs) + " ms, " + std::string(report.phase) + ", obstacles "
+            + report.obstacles + ", workers " + std::to_string(report.usableWorkers) + "/"
+            + std::to_string(report.listedWorkers) + ", worker " + report.worker + " lease "
+            + std::to_string(report.leaseRemainingMs) + " ms, host " + report.hostShard);
+}
+
+void EmulatedOwner::jobEnded(const Fleet::JobSummary& summary)
+{
+    trace({ summary.job, 0, 0, 0 }, "job ended with state " + std::to_string(summary.state));
+}
+
+std::uint64_t EmulatedOwner::addHandler(AnswerHandler handler)
+{
+    answerHandlers_[nextTicket_] = std::move(handler);
+    return nextTicket_++;
+}
+
+void EmulatedOwner::answer(std::uint64_t ticket, const Fleet::JobAnswer& answer)
+{
+    const auto found = answerHandlers_.find(ticket);
+    if (found == answerHandlers_.end())
+        return;
+    const AnswerHandler handler = std::move(found->second);
+    answerHandlers_.erase(found);
+    handler(answer);
+}
+
+void EmulatedOwner::submit(const FleetSchema::JobSpec& spec, AnswerHandler handler)
+{
+    scheduler_->submit(spec, addHandler(std::move(handler)), fleet_.time().now(), fleet_.nowMs());
+}
+
+void EmulatedOwner::cancel(const std::string& job, AnswerHandler handler)
+{
+    trace({ job, 0, 0, 0 }, "cancelled");
+    scheduler_->cancel(job, addHandler(std::move(handler)), fleet_.nowMs());
+}
+
+void EmulatedOwner::acceptDelegatedTask(const FleetSchema::TaskTransfer& transfer, AnswerHandler handler)
+{
+    scheduler_->acceptDelegatedTask(transfer, addHandler(std::move(handler)), fleet_.time().now());
+}
+
+void EmulatedOwner::acceptTaskResult(const FleetSchema::TaskResult& result, AnswerHandler handler)
+{
+    scheduler_->acceptTaskResult(result, addHandler(std::move(handler)), fleet_.time().now(), fleet_.nowMs());
+}
+
+void EmulatedOwner::cancelHostedTasks(const FleetSchema::JobSpec& spec, AnswerHandler handler)
+{
+    scheduler_->cancelHostedTasks(spec, addHandler(std::move(handler)), fleet_.time().now(), fleet_.nowMs());
+}
+
+} // namespace Emulate
--- /dev/null
+++ b/src/tools/gqemulate/emulatedplatform.cpp
@@ -0,0 +1,200 @@
+#include "emulatedplatform.h"
+
+#include <algorithm>
+
+namespace Emulate {
+
+namespace {
+
+// Time after which the started members of a gang end if the others have not started or have ended.
+constexpr std::int64_t gangTimeoutMs = 1500;
+
+Ports::TaskKey gangOf(Ports::TaskKey task)
+{
+    task.index = 0;
+    return task;
+}
+
+} // namespace
+
+EmulatedPlatform::EmulatedPlatform(
+    VirtualTime& time, std::size_t shardCount, std::size_t workersPerShard, bool honorsEpochs)
+    : time_(time)
+    , shardCount_(shardCount)
+    , honorsEpochs_(honorsEpochs)
+{
+    for (std::size_t shard = 0; shard < shardCount; ++shard) {
+        for (std::size_t number = 0; number < workersPerShard; ++number)
+            addWorker(shard);
+    }
+}
+
+void EmulatedPlatform::addWorker(std::size_t shard)
+{
+    Ports::WorkerInfo info;
+    info.id = "w" + std::to_string(nextNumber_++);
+    info.service = "service";
+    info.rack = "rack" + std::to_string(shard);
+    info.labels = { info.rack };
+    info.milliProcessors = 16'000;
+    info.memoryMb = 64'000;
+    info.startedUnixMs = time_.nowMs() + 1;
+    workers_[info.id]
+        = std::make_unique<FleetWorker>(FleetWorker { SimulatedWorker(info, honorsEpochs_), shard });
+}
+
+FleetWorker* EmulatedPlatform::findWorker(const std::string& id)
+{
+    const auto found = workers_.find(id);
+    return found == workers_.end() ? nullptr : found->second.get();
+}
+
+std::vector<FleetWorker*> EmulatedPlatform::stableWorkers(std::size_t shard)
+{
+    std::vector<FleetWorker*> stable;
+    for (const auto& [id, worker] : workers_) {
+        if (worker->shard == shard && worker->drainMs < 0)
+            stable.push_back(worker.get());
+    }
+    return stable;
+}
+
+FleetWorker* EmulatedPlatform::anyStableWorker(std::size_t number)
+{
+    std::vector<FleetWorker*> stable;
+    for (std::size_t shard = 0; shard < shardCount_; ++shard) {
+        const std::vector<FleetWorker*> ofShard = stableWorkers(shard);
+        stable.insert(stable.end(), ofShard.begin(), ofShard.end());
+    }
+    return stable.empty() ? nullptr : stable[number % stable.size()];
+}
+
+// The list shows most drains at once, some late and some not before the worker has left.
+void EmulatedPlatform::drain(FleetWorker& worker)
+{
+    const std::int64_t nowMs = time_.nowMs();
+    worker.drainMs = nowMs;
+    const std::int64_t kind = time_.random(10);
+    worker.drainListedMs = nowMs + (kind < 6 ? 10 : kind < 8 ? 700 : 3000 + time_.random(9000));
+    worker.leaveMs = nowMs + 2000 + time_.random(6000);
+    worker.unlistedFromMs = worker.leaveMs + (time_.happens(50) ? time_.random(200) : time_.random(3000));
+    worker.unlistedUntilMs = -1;
+}
+
+void EmulatedPlatform::setFaultActive(const FleetFault& fault, bool isActive)
+{
+    const std::size_t shard = fault.target % shardCount_;
+    if (fault.kind == FleetFaultKind::Replacement || fault.kind == FleetFaultKind::ShardLoss) {
+        const bool isLoss = fault.kind == FleetFaultKind::ShardLoss;
+        std::vector<FleetWorker*> stable = stableWorkers(shard);
+        const std::size_t count = isLoss ? stable.size() : std::min(fault.count, stable.size());
+        if (isActive) {
+            for (std::size_t number = 0; number < count; ++number)
+                drain(*stable[number]);
+        }
+        if (isActive == isLoss)
+            return;
+        for (std::size_t number = 0; number < fault.count; ++number) {
+            const std::size_t target
+                = isLoss || time_.happens(60) ? shard : static_cast<std::size_t>(time_.random(3));
+            time_.schedule(time_.random(3000), [this, target] { addWorker(target % shardCount_); });
+        }
+        return;
+    }
+    if (isActive) {
+        if (const FleetWorker* worker = anyStableWorker(fault.target))
+            faultTargets_[&fault] = worker->simulated.info().id;
+    }
+    const auto target = faultTargets_.find(&fault);
+    if (target == faultTargets_.end())
+        return;
+    FleetWorker& worker = *findWorker(target->second);
+    const bool hasLeft = worker.leaveMs >= 0 && worker.leaveMs <= time_.nowMs();
+    if (hasLeft)
+        return;
+    if (fault.kind == FleetFaultKind::EntryLapse) {
+        if (worker.leaveMs < 0) {
+            worker.unlistedFromMs = isActive ? time_.nowMs() : -1;
+            worker.unlistedUntilMs = -1;
+        }
+    } else if (fault.kind == FleetFaultKind::WorkerCrash) {
+        worker.simulated.isUp = !isActive;
+        if (!isActive)
+            worker.simulated.restart(time_.nowMs());
+    } else if (fault.kind == FleetFaultKind::WorkerUnreachable) {
+        worker.simulated.isReachable = !isActive;
+    } else if (fault.kind == FleetFaultKind::WorkerFailing) {
+        worker.simulated.failsAllTasks = isActive;
+    }
+}
+
+void EmulatedPlatform::advance()
+{
+    const std::int64_t nowMs = time_.nowMs();
+    for (const auto& [id, worker] : workers_) {
+        if (worker->leaveMs >= 0 && worker->leaveMs <= nowMs && worker->simulated.isUp) {
+            worker->simulated.restart(nowMs);
+            worker->simulated.isUp = false;
+        }
+        if (worker->answers())
+            worker->unansweredSinceMs = -1;
+        else if (worker->unansweredSinceMs < 0)
+            worker->unansweredSinceMs = nowMs;
+        if (worker->simulated.isUp)
+            worker->simulated.advance(nowMs);
+    }
+    breakGangs();
+}
+
+// Ends the other members of a gang when one has ended, and members that are not joined by the others.
+void EmulatedPlatform::breakGangs()
+{
+    using Gang = std::pair<Ports::TaskKey, std::uint32_t>;
+    std::map<Gang, Ports::AttemptOutcome> ended;
+    std::map<Gang, std::vector<std::pair<FleetWorker*, Ports::TaskKey>>> running;
+    std::map<Gang, std::uint32_t> sizes;
+    for (const auto& [id, worker] : workers_) {
+        for (const Ports::EndedAttempt& end : worker->simulated.newlyEnded)
+            ended[{ gangOf(end.task), end.attempt }] = end.outcome;
+        if (!worker->simulated.isUp)
+            continue;
+        for (const auto& [task, attempt] : worker->simulated.running()) {
+            if (attempt.behavior.gangSize == 0)
+                continue;
+            running[{ gangOf(task), attempt.number }].emplace_back(worker.get(), task);
+            sizes[{ gangOf(task), attempt.number }] = attempt.behavior.gangSize;
+        }
+    }
+    for (const auto& [gang, members] : running) {
+        const auto end = ended.find(gang);
+        if (end == ended.end() && members.size() == sizes[gang]) {
+            incompleteGangs_.erase(gang);
+            continue;
+        }
+        const std::int64_t since = incompleteGangs_.try_emplace(gang, time_.nowMs()).first->second;
+        if (end == ended.end() && time_.nowMs() - since < gangTimeoutMs)
+            continue;
+        const bool isDone = end != ended.end() && end->second == Ports::AttemptOutcome::Done;
+        for (const auto& [worker, task] : members)
+            worker->simulated.endAttempt(
+                task, isDone ? Ports::AttemptOutcome::Done : Ports::AttemptOutcome::GangBroken);
+        incompleteGangs_.erase(gang);
+    }
+}
+
+std::vector<Ports::WorkerInfo> EmulatedPlatform::listWorkers(std::size_t shard) const
+{
+    std::vector<Ports::WorkerInfo> listed;
+    const std::int64_t nowMs = time_.nowMs();
+    for (const auto& [id, worker] : workers_) {
+        if (worker->shard != shard || !worker->isListed(nowMs))
+            continue;
+        Ports::WorkerInfo info = worker->simulated.info();
+        info.isDraining = worker->drainMs >= 0 && nowMs >= worker->drainListedMs;
+        info.drainRemainingMs = info.isDraining ? std::max<std::int64_t>(0, worker->leaveMs - nowMs) : 0;
+        listed.push_back(std::move(info));
+    }
+    return listed;
+}
+
+} // namespace Emulate
--- /dev/null
+++ b/src/tools/gqemulate/emulatedplatform.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "fleetscenario.h"
+#include "simulatedworker.h"
+#include "virtualtime.h"
+
+#include "ports/workerinfo.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Emulate {
+
+/*! A worker of the emulated fleet with its entry in the list of workers. */
+struct FleetWorker {
+    SimulatedWorker simulated;
+    std::size_t shard = 0;
+    std::int64_t drainMs = -1; //!< Start of the drain; -1 if the worker does not drain.
+    std::int64_t drainListedMs = -1; //!< Time from which the list shows the drain.
+    std::int64_t leaveMs = -1;
+    std::int64_t unlistedFromMs = -1; //!< Start of the absence from the list; -1 if there is none.
+    std::int64_t unlistedUntilMs = -1; //!< End of the absence; -1: for good.
+    std::int64_t unansweredSinceMs = -1; //!< Since when the worker does not answer; -1 if it does.
+
+    /*! \return whether the worker carries out commands. */
+    bool answers() const { return simulated.isUp && simulated.isReachable; }
+
+    /*! \return whether new attempts may be expected to run on the worker. */
+    bool isUsable(std::int64_t nowMs) const
+    {
+        return answers() && drainMs < 0 && !simulated.failsAllTasks && isListed(nowMs);
+    }
+
+    bool isListed(std::int64_t nowMs) const
+    {
+        const bool isAbsent = unlistedFromMs >= 0 && nowMs >= unlistedFromMs
+            && (unlistedUntilMs < 0 || nowMs < unlistedUntilMs);
+        return !isAbsent;
+    }
+};
+
+/*! The workers of a fleet: their starts, drains, departures and failures, and the list of them. */
+class EmulatedPlatform {
+public:
+    EmulatedPlatform(
+        VirtualTime& time, std::size_t shardCount, std::size_t workersPerShard, bool honorsEpochs);
+
+    /*! Applies a fault of a worker or of a shard's workers. */
+    void setFaultActive(const FleetFault& fault, bool isActive);
+
+    /*! Advances all workers to the present time. */
+    void advance();
+
+    /*! \return the list of the shard's workers. */
+    std::vector<Ports::WorkerInfo> listWorkers(std::size_t shard) const;
+
+    /*! \return the worker, which may have left, or nullptr if there was none of this name. */
+    FleetWorker* findWorker(const std::string& id);
+
+    const std::map<std::string, std::unique_ptr<FleetWorker>>& workers() const { return workers_; }
+
+private:
+    void addWorker(std::size_t shard);
+    void drain(FleetWorker& worker);
+    std::vector<FleetWorker*> stableWorkers(std::size_t shard);
+    FleetWorker* anyStableWorker(std::size_t number);
+    void breakGangs();
+
+    VirtualTime& time_;
+    std::size_t shardCount_;
+    bool honorsEpochs_;
+    std::size_t nextNumber_ = 0;
+    std::map<std::string, std::unique_ptr<FleetWorker>> workers_;
+    std::map<const void*, std::string> faultTargets_; //!< Worker that an active fault affects.
+    std::map<std::pair<Ports::TaskKey, std::uint32_t>, std::int64_t> incompleteGangs_;
+};
+
+} // namespace Emulate
--- /dev/null
+++ b/src/tools/gqemulate/fleetscenario.cpp
@@ -0,0 +1,107 @@
+#include "fleetscenario.h"
+
+#include "emulatedfleet.h"
+
+#include <array>
+#include <random>
+
+namespace Emulate {
+
+namespace {
+
+constexpr std::int64_t dayMs = 100'000;
+constexpr std::int64_t faultEndMs = 68'000;
+constexpr std::int64_t tickMs = 10;
+
+/*! How often a kind of fault occurs, and for how long. */
+struct FaultProfile {
+    FleetFaultKind kind;
+    int weight;
+    std::int64_t minMs;
+    std::int64_t maxMs;
+};
+
+constexpr std::array<FaultProfile, 11> profiles { {
+    { FleetFaultKind::NodeKill, 3, 500, 6000 },
+    { FleetFaultKind::NodeFreeze, 2, 500, 8000 },
+    { FleetFaultKind::ShardRelease, 2, 100, 200 },
+    { FleetFaultKind::StoreOutage, 2, 500, 9000 },
+    { FleetFaultKind::CallLoss, 2, 500, 6000 },
+    { FleetFaultKind::Replacement, 8, 100, 200 },
+    { FleetFaultKind::ShardLoss, 2, 9000, 22'000 },
+    { FleetFaultKind::EntryLapse, 3, 500, 9000 },
+    { FleetFaultKind::WorkerCrash, 2, 300, 6000 },
+    { FleetFaultKind::WorkerUnreachable, 2, 300, 7000 },
+    { FleetFaultKind::WorkerFailing, 1, 300, 6000 },
+} };
+
+FleetFault randomFault(std::mt19937_64& random)
+{
+    int total = 0;
+    for (const FaultProfile& profile : profiles)
+        total += profile.weight;
+    int draw = static_cast<int>(random() % static_cast<std::uint64_t>(total));
+    const FaultProfile* chosen = profiles.data();
+    while (draw >= chosen->weight)
+        draw -= (chosen++)->weight;
+    FleetFault fault;
+    fault.kind = chosen->kind;
+    fault.durationMs = chosen->minMs
+        + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(chosen->maxMs - chosen->minMs));
+    fault.startMs = static_cast<std::int64_t>(
+        2500 + random() % static_cast<std::uint64_t>(faultEndMs - 2500 - fault.durationMs));
+    fault.target = random() % 60;
+    fault.count = fault.kind == FleetFaultKind::ShardLoss ? 8 : 1 + random() % 5;
+    return fault;
+}
+
+} // namespace
+
+FleetScenario randomFleetScenario(std::uint64_t seed, bool withoutFaults)
+{
+    FleetScenario scenario;
+    scenario.seed = seed;
+    if (withoutFaults)
+        return scenario;
+    std::mt19937_64 random(seed * 104'729 + 5);
+    const std::size_t count = 4 + random() % 9;
+    for (std::size_t number = 0; number < count; ++number)
+        scenario.faults.push_back(randomFault(random));
+    return scenario;
+}
+
+FleetResult runFleetScenario(const FleetScenario& scenario)
+{
+    EmulatedFleet fleet(scenario);
+    for (std::int64_t nowMs = tickMs; nowMs < dayMs; nowMs += tickMs)
+        fleet.advance(nowMs);
+    fleet.checkEnd();
+    return fleet.result();
+}
+
+FleetScenario minimizeFleetScenario(FleetScenario scenario)
+{
+    scenario.traceJob.clear();
+    for (std::size_t position = 0; position < scenario.faults.size();) {
+        FleetScenario reduced = scenario;
+        reduced.faults.erase(reduced.faults.begin() + static_cast<std::ptrdiff_t>(position));
+        if (runFleetScenario(reduced).violations.empty())
+            ++position;
+        else
+            scenario = reduced;
+    }
+    return scenario;
+}
+
+std::string describe(const FleetFault& fault)
+{
+    static constexpr const char* names[]
+        = { "node killed", "owner's node frozen", "shard released", "node cut off from the store",
+              "calls between nodes lost", "workers replaced", "shard without workers",
+              "worker's entry absent", "worker crashes", "worker cut off", "worker fails everything" };
+    return std::string(names[static_cast<std::size_t>(fault.kind)]) + " at " + std::to_string(fault.startMs)
+        + " ms for " + std::to_string(fault.durationMs) + " ms (target " + std::to_string(fault.target)
+        + ", count " + std::to_string(fault.count) + ")";
+}
+
+} // namespace Emulate
--- /dev/null
+++ b/src/tools/gqemulate/fleetscenario.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "scenario.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Emulate {
+
+enum class FleetFaultKind {
+    NodeKill,
+    NodeFreeze,
+    ShardRelease, //!< The owner releases the shard to another node.
+    StoreOutage, //!< One node cannot reach the store.
+    CallLoss, //!< Many calls between nodes, or their answers, are lost.
+    Replacement, //!< Several workers of a shard drain and leave; new ones start.
+    ShardLoss, //!< All workers of a shard drain and leave; new ones start there at the end of the fault.
+    EntryLapse, //!< A worker's entry is missing from the list although the worker runs.
+    WorkerCrash,
+    WorkerUnreachable,
+    WorkerFailing,
+};
+
+/*! A fault injected into a fleet scenario. */
+struct FleetFault {
+    FleetFaultKind kind = FleetFaultKind::NodeKill;
+    std::int64_t startMs = 0;
+    std::int64_t durationMs = 0;
+    std::size_t target = 0; //!< Node, shard or worker, modulo their number.
+    std::size_t count = 1; //!< Number of workers to replace.
+};
+
+/*! Protocol variants of a fleet that lack a protection, to show that the checkers detect the lack. */
+enum class FleetVariant {
+    Complete,
+    NoEpochFencing, //!< Workers obey former owners.
+    NoLeaseWait, //!< A successor treats tasks of unresponsive workers as ended at once.
+    NoDelegationOfEndingTasks, //!< Only long-running tasks are delegated.
+    RestartOfDelegatedTasks, //!< A successor starts the tasks that its predecessor delegated.
+};
+
+/*! Input of the emulation of a fleet of several shards. */
+struct FleetScenario {
+    std::uint64_t seed = 1;
+    FleetVariant variant = FleetVariant::Complete;
+    std::vector<FleetFault> faults;
+    std::string traceJob; //!< Job whose events are printed; empty: none.
+};
+
+/*! Result of a fleet scenario. */
+struct FleetResult {
+    std::vector<std::string> violations;
+    std::size_t jobs = 0; //!< Accepted jobs.
+    std::size_t completed = 0;
+    std::size_t starts = 0;
+    std::size_t delegations = 0; //!< Calls that delegate a task, with repeated ones.
+    std::size_t unfinished = 0;
+    std::size_t excusedWaits = 0; //!< Waits beyond the bound that the rules allow.
+    std::int64_t longestExcusedMs = 0; //!< Longest of these waits.
+};
+
+/*! Creates a scenario whose random faults depend only on the seed. */
+FleetScenario randomFleetScenario(std::uint64_t seed, bool withoutFaults);
+
+/*! Runs a scenario in virtual time with the real schedulers. */
+FleetResult runFleetScenario(const FleetScenario& scenario);
+
+/*! \return as for minimizeScenario(). */
+FleetScenario minimizeFleetScenario(FleetScenario scenario);
+
+/*! \return a description of the fault for the output. */
+std::string describe(const FleetFault& fault);
+
+} // namespace Emulate
--- a/src/tools/gqemulate/main.cpp
+++ b/src/tools/gqemulate/main.cpp
@@ -1,10 +1,14 @@
+#include "fleetscenario.h"
 #include "scenario.h"
 
 #include <getopt.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
+#include <string_view>
+#include <utility>
 
 namespace {
 
@@ -12,14 +16,38 @@
     std::uint64_t seed = 1;
     std::uint64_t scenarioCount = 1;
     bool withoutFaults = false;
+    bool isFleet = false;
+    Emulate::FleetVariant variant = Emulate::FleetVariant::Complete;
     std::string traceJob;
 };
 
+constexpr std::pair<const char*, Emulate::FleetVariant> fleetVariants[] = {
+    { "complete", Emulate::FleetVariant::Complete },
+    { "no-fencing", Emulate::FleetVariant::NoEpochFencing },
+    { "no-lease-wait", Emulate::FleetVariant::NoLeaseWait },
+    { "no-delegation", Emulate::FleetVariant::NoDelegationOfEndingTasks },
+    { "restart-delegated", Emulate::FleetVariant::RestartOfDelegatedTasks },
+};
+
+/*! Sums over several days. */
+struct Totals {
+    std::size_t jobs = 0;
+    std::size_t starts = 0;
+    std::size_t unfinished = 0;
+    std::size_t delegations = 0;
+    std::size_t excusedWaits = 0;
+    std::int64_t longestExcusedMs = 0;
+    std::size_t violatedScenarios = 0;
+};
+
 void printUsage(std::ostream& stream)
 {
     stream
-        << "Usage: gqemulate [--seed N] [--days N] [--calm] [--trace JOB]\n"
+        << "Usage: gqemulate [--fleet] [--variant NAME] [--seed N] [--days N] [--calm] [--trace JOB]\n"
         << "Plays days of a shard in virtual time with the real scheduler and judges what its workers did.\n"
+        << "  --fleet      days of several shards with worker replacement, instead of one shard\n"
+        << "  --variant V  fleet that lacks a protection: no-fencing, no-lease-wait, no-delegation,\n"
+        << "               restart-delegated\n"
         << "  --seed N     seed of the first day (1)\n"
         << "  --days N     number of days with seeds from there on (1)\n"
         << "  --calm       days without faults\n"
@@ -27,11 +55,23 @@
         << "Exit codes: 0 no promise was broken, 1 one was, 2 wrong command line.\n";
 }
 
+bool parseVariant(std::string_view name, Emulate::FleetVariant& variant)
+{
+    for (const auto& [known, value] : fleetVariants) {
+        if (name == known) {
+            variant = value;
+            return true;
+        }
+    }
+    return false;
+}
+
 bool parseOptions(int argc, char** argv, Options& options)
 {
     static const option flags[] = { { "seed", required_argument, nullptr, 's' },
         { "days", required_argument, nullptr, 'd' }, { "calm", no_argument, nullptr, 'c' },
-        { "trace", required_argument, nullptr, 't' }, { nullptr, 0, nullptr, 0 } };
+        { "trace", required_argument, nullptr, 't' }, { "fleet", no_argument, nullptr, 'f' },
+        { "variant", required_argument, nullptr, 'v' }, { nullptr, 0, nullptr, 0 } };
     for (int flag = 0; (flag = getopt_long(argc, argv, "", flags, nullptr)) != -1;) {
         switch (flag) {
         case 's':
@@ -46,6 +86,13 @@
         case 't':
             options.traceJob = optarg;
             break;
+        case 'f':
+            options.isFleet = true;
+            break;
+        case 'v':
+            if (!parseVariant(optarg, options.variant))
+                return false;
+            break;
         default:
             return false;
         }
@@ -53,14 +100,54 @@
     return optind == argc;
 }
 
-void printViolations(const Emulate::Scenario& scenario, const Emulate::ScenarioResult& result)
+template <typename Scenario, typename Result>
+void printViolations(const Scenario& minimized, const Result& result)
 {
-    std::cout << "seed " << scenario.seed << " broke " << result.violations.size()
+    std::cout << "seed " << minimized.seed << " broke " << result.violations.size()
               << " promises, the first: " << result.violations.front() << "\n";
-    for (const Emulate::Fault& fault : Emulate::minimizeScenario(scenario).faults)
+    for (const auto& fault : minimized.faults)
         std::cout << "  needed: " << Emulate::describe(fault) << "\n";
 }
 
+void playShard(const Options& options, std::uint64_t seed, Totals& totals)
+{
+    Emulate::Scenario scenario = Emulate::randomScenario(seed, options.withoutFaults);
+    scenario.traceJob = options.traceJob;
+    const Emulate::ScenarioResult result = Emulate::runScenario(scenario);
+    totals.jobs += result.jobs;
+    totals.starts += result.starts;
+    totals.unfinished += result.unfinished;
+    if (result.violations.empty())
+        return;
+    ++totals.violatedScenarios;
+    printViolations(Emulate::minimizeScenario(scenario), result);
+}
+
+void playFleet(const Options& options, std::uint64_t seed, Totals& totals)
+{
+    Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, options.withoutFaults);
+    scenario.variant = options.variant;
+    scenario.traceJob = options.traceJob;
+    if (!scenario.traceJob.empty()) {
+        for (const Emulate::FleetFault& fault : scenario.faults)
+            std::cout << "fault: " << Emulate::describe(fault) << "\n";
+    }
+    const Emulate::FleetResult result = Emulate::runFleetScenario(scenario);
+    totals.jobs += result.jobs;
+    totals.starts += result.starts;
+    totals.unfinished += result.unfinished;
+    totals.delegations += result.delegations;
+    totals.excusedWaits += result.excusedWaits;
+    totals.longestExcusedMs = std::max(totals.longestExcusedMs, result.longestExcusedMs);
+    if (result.violations.empty())
+        return;
+    ++totals.violatedScenarios;
+    for (const std::string& violation : result.violations)
+        std::cout << "seed " << seed << ": " << violation << "\n";
+    if (options.traceJob.empty() && options.scenarioCount == 1)
+        printViolations(Emulate::minimizeFleetScenario(scenario), result);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -71,26 +158,21 @@
         return 2;
     }
     const auto startedAt = std::chrono::steady_clock::now();
-    std::size_t jobs = 0;
-    std::size_t starts = 0;
-    std::size_t violatedScenarios = 0;
-    std::size_t unfinished = 0;
+    Totals totals;
     for (std::uint64_t number = 0; number < options.scenarioCount; ++number) {
-        Emulate::Scenario scenario = Emulate::randomScenario(options.seed + number, options.withoutFaults);
-        scenario.traceJob = options.traceJob;
-        const Emulate::ScenarioResult result = Emulate::runScenario(scenario);
-        jobs += result.jobs;
-        starts += result.starts;
-        unfinished += result.unfinished;
-        if (result.violations.empty())
-            continue;
-        ++violatedScenarios;
-        printViolations(scenario, result);
+        if (options.isFleet)
+            playFleet(options, options.seed + number, totals);
+        else
+            playShard(options, options.seed + number, totals);
     }
     const double seconds
         = std::chrono::duration<double>(std::chrono::steady_clock::now() - startedAt).count();
-    std::cout << options.scenarioCount << " days, " << jobs << " jobs, " << starts << " starts, "
-              << unfinished << " jobs unfinished, " << violatedScenarios << " days with a broken promise, "
-              << seconds << " s\n";
-    return violatedScenarios == 0 ? 0 : 1;
+    std::cout << options.scenarioCount << " days, " << totals.jobs << " jobs, " << totals.starts
+              << " starts, ";
+    if (options.isFleet)
+        std::cout << totals.delegations << " delegations, " << totals.excusedWaits
+                  << " excused waits (longest " << totals.longestExcusedMs << " ms), ";
+    std::cout << totals.unfinished << " jobs unfinished, " << totals.violatedScenarios
+              << " days with a broken promise, " << seconds << " s\n";
+    return totals.violatedScenarios == 0 ? 0 : 1;
 }
--- /dev/null
+++ b/src/tools/gqemulate/waitchecker.cpp
@@ -0,0 +1,206 @@
+#include "waitchecker.h"
+
+#include <algorithm>
+
+namespace Emulate {
+
+namespace {
+
+// Time for which a long-running task may be without a run before capacity counts.
+constexpr std::int64_t longRunningToleranceMs = 9000;
+// Time for which a task that could run may wait.
+constexpr std::int64_t boundMs = 3000;
+constexpr std::int64_t calmMs = 7000;
+constexpr double maxUseShare = 0.5;
+constexpr std::int64_t spareFactor = 2;
+// Longest leases, with the drift of workers' clocks: of the present owner, and of former ones.
+constexpr std::int64_t leaseMs = 5100 + 1500;
+constexpr std::int64_t formerLeaseMs = 22'200 + 500;
+
+std::string nameOf(const Ports::TaskKey& task)
+{
+    return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
+        + std::to_string(task.index);
+}
+
+} // namespace
+
+void WaitChecker::onStartOrdered(const Ports::TaskKey& task, const std::string& worker, std::size_t shard)
+{
+    latestStarts_[task] = { worker, shard };
+}
+
+void WaitChecker::updateFleet(std::int64_t nowMs)
+{
+    running_.clear();
+    runningJobs_.clear();
+    freeWorkers_.clear();
+    std::int64_t capacity = 0;
+    std::int64_t used = 0;
+    for (const auto& [id, worker] : platform_.workers()) {
+        if (!worker->simulated.isUp)
+            continue;
+        FreeWorker entry { worker.get(), worker->simulated.info().milliProcessors,
+            worker->simulated.info().memoryMb };
+        for (const auto& [task, attempt] : worker->simulated.running()) {
+            running_[task] = worker.get();
+            runningJobs_.insert(task.job);
+            entry.milliProcessors -= attempt.behavior.milliProcessors;
+            entry.memoryMb -= attempt.behavior.memoryMb;
+        }
+        if (!worker->isUsable(nowMs))
+            continue;
+        capacity += worker->simulated.info().milliProcessors;
+        used += worker->simulated.info().milliProcessors - entry.milliProcessors;
+        freeWorkers_.push_back(entry);
+    }
+    useShare_ = capacity == 0 ? 1 : static_cast<double>(used) / static_cast<double>(capacity);
+}
+
+// Returns the number of further tasks of a step that the usable workers have capacity for.
+std::int64_t WaitChecker::countSlots(const Ports::TaskKey& task, const FleetSchema::StepSpec& step) const
+{
+    std::int64_t slots = 0;
+    for (const FreeWorker& entry : freeWorkers_) {
+        std::int64_t fitting = std::max<std::int64_t>(0, entry.milliProcessors / step.milli_processors());
+        fitting = std::min(fitting, std::max<std::int64_t>(0, entry.memoryMb / step.memory_mb()));
+        if (step.max_per_worker() > 0) {
+            const auto& attempts = entry.worker->simulated.running();
+            const std::int64_t ofStep
+                = std::count_if(attempts.begin(), attempts.end(), [&](const auto& other) {
+                      return other.first.job == task.job && other.first.step == task.step;
+                  });
+            fitting = std::min(fitting, std::max<std::int64_t>(0, step.max_per_worker() - ofStep));
+        }
+        slots += fitting;
+    }
+    return slots;
+}
+
+bool WaitChecker::canShardsAct(const JobView& job) const
+{
+    const auto& tasks = job.record->tasks();
+    return shards_[job.shard].canAct
+        && std::all_of(tasks.begin(), tasks.end(), [this](const FleetSchema::TaskRecord& task) {
+               return task.state() != FleetSchema::TASK_LENT
+                   || shards_[std::stoul(task.lent_to().substr(5))].canAct;
+           });
+}
+
+// Returns whether an attempt that its shard has recorded as open may run on a worker that does not answer.
+bool WaitChecker::mayStillRun(const Ports::TaskKey& key, std::int64_t nowMs) const
+{
+    const auto start = latestStarts_.find(key);
+    if (start == latestStarts_.end())
+        return false;
+    const ShardState& shard = shards_[start->second.shard];
+    const auto row = shard.rows->find(key.job);
+    if (row == shard.rows->end())
+        return false;
+    const bool isAssigned = std::any_of(
+        row->second.tasks().begin(), row->second.tasks().end(), [&](const FleetSchema::TaskRecord& task) {
+            return task.state() == FleetSchema::TASK_ASSIGNED && task.worker() == start->second.worker;
+        });
+    const auto worker = platform_.workers().find(start->second.worker);
+    if (!isAssigned || worker == platform_.workers().end() || worker->second->answers())
+        return false;
+    const std::int64_t sinceMs = worker->second->unansweredSinceMs;
+    const bool hasChangedOwner = shard.takenOverMs > sinceMs - boundMs;
+    return nowMs < (hasChangedOwner ? shard.takenOverMs + formerLeaseMs : sinceMs + leaseMs);
+}
+
+void WaitChecker::updateWait(Wait& wait, const Ports::TaskKey& key, bool mayRun, bool isExcused,
+    std::int64_t toleranceMs, const std::string& rule, std::int64_t nowMs)
+{
+    if (wait.idleSinceMs < 0)
+        wait.idleSinceMs = nowMs;
+    const std::int64_t idleMs = nowMs - wait.idleSinceMs;
+    if (mayRun && isExcused && idleMs >= std::max(toleranceMs, boundMs)) {
+        excused_.insert(key);
+        longestExcusedMs_ = std::max(longestExcusedMs_, idleMs);
+    }
+    if (!mayRun || isExcused) {
+        wait.unexcusedSinceMs = -1;
+        return;
+    }
+    if (wait.unexcusedSinceMs < 0)
+        wait.unexcusedSinceMs = nowMs;
+    if (idleMs < toleranceMs || nowMs - wait.unexcusedSinceMs < boundMs)
+        return;
+    if (reported_.insert(rule + nameOf(key)).second)
+        violations_.push_back(rule + " at " + std::to_string(nowMs) + " ms, idle for "
+            + std::to_string(idleMs) + " ms: " + nameOf(key));
+}
+
+void WaitChecker::checkLongRunning(const JobView& job, bool isCalm, std::int64_t nowMs)
+{
+    const FleetSchema::StepSpec& step = job.record->spec().steps(0);
+    for (std::uint32_t index = 0; index < step.count(); ++index) {
+        const Ports::TaskKey key { job.record->spec().id(), 0, 0, index };
+        Wait& wait = waits_[key];
+        if (running_.contains(key)) {
+            wait = {};
+            continue;
+        }
+        ++missingLongRunning_;
+        const bool mayRun = isCalm && canShardsAct(job) && countSlots(key, step) >= missingLongRunning_;
+        updateWait(wait, key, mayRun, mayStillRun(key, nowMs), longRunningToleranceMs,
+            "long-running task without a run although there is capacity", nowMs);
+    }
+}
+
+void WaitChecker::checkOther(const JobView& job, bool areCallsLost, std::int64_t nowMs)
+{
+    const FleetSchema::JobSpec& spec = job.record->spec();
+    const Ports::TaskKey jobKey { spec.id(), 0, 0, 0 };
+    Wait& wait = waits_[jobKey];
+    if (runningJobs_.contains(spec.id())) {
+        wait = {};
+        return;
+    }
+    int position = 0;
+    for (int step = 0; step < spec.steps_size(); ++step) {
+        const std::uint32_t count = spec.steps(step).count();
+        std::int64_t waiting = 0;
+        std::int64_t unresolved = 0;
+        Ports::TaskKey key { spec.id(), 0, static_cast<std::uint32_t>(step), 0 };
+        for (std::uint32_t index = 0; index < count; ++index) {
+            if (job.record->tasks(position++).state() == FleetSchema::TASK_DONE)
+                continue;
+            key.index = index;
+            ++waiting;
+            unresolved += mayStillRun(key, nowMs) ? 1 : 0;
+        }
+        if (waiting == 0)
+            continue;
+        // The steps follow one another, so that the first unfinished one is the one whose turn has come.
+        const bool isExcused = spec.steps(step).gang() ? unresolved > 0 : unresolved == waiting;
+        const bool mayRun = useShare_ < maxUseShare && !areCallsLost && canShardsAct(job)
+            && countSlots(key, spec.steps(step)) >= spareFactor * waiting;
+        const std::string kind = spec.steps(step).leftover_processors() ? "best-effort job" : "job";
+        return updateWait(
+            wait, jobKey, mayRun, isExcused, boundMs, kind + " with nothing running in an idle fleet", nowMs);
+    }
+}
+
+void WaitChecker::check(const std::vector<JobView>& jobs, const std::vector<ShardState>& shards,
+    std::int64_t lastFaultMs, bool areCallsLost, std::int64_t nowMs)
+{
+    shards_ = shards;
+    updateFleet(nowMs);
+    missingLongRunning_ = 0;
+    for (const JobView& job : jobs) {
+        if (job.record->spec().steps(0).lasting())
+            checkLongRunning(job, nowMs - lastFaultMs >= calmMs, nowMs);
+        else
+            checkOther(job, areCallsLost, nowMs);
+    }
+}
+
+void WaitChecker::addUnfinished(const std::string& job, std::int64_t nowMs)
+{
+    ++unfinishedCount_;
+    violations_.push_back("job has not ended at " + std::to_string(nowMs) + " ms: " + job);
+}
+
+} // namespace Emulate
--- /dev/null
+++ b/src/tools/gqemulate/waitchecker.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "emulatedplatform.h"
+
+#include "ports/taskkey.h"
+
+#include <fleet.pb.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Emulate {
+
+/*!
+    Checks at all times that no task whose turn has come waits beyond the users' bounds.
+
+    A long-running task may be without a run for a tolerance, and after that while there is no capacity for it
+    or shortly after a fault. Of other jobs, one task at least must run if the fleet has capacity for twice
+   the waiting tasks and less than half of it is in use. A wait is excused while no owner of a shard of the
+   job can act, and while an attempt may still run on a worker that does not answer, because its lease has not
+    certainly expired.
+
+    Judges by what runs on the workers and what the store holds, not by the state of the schedulers.
+*/
+class WaitChecker {
+public:
+    /*! An active job in the shard that accepted it. */
+    struct JobView {
+        const FleetSchema::JobRecord* record = nullptr;
+        std::size_t shard = 0;
+    };
+
+    struct ShardState {
+        bool canAct = false; //!< Its owner serves and reaches the store.
+        std::int64_t takenOverMs = 0; //!< Time of the latest change of owner.
+        const std::map<std::string, FleetSchema::JobRecord>* rows = nullptr;
+    };
+
+    explicit WaitChecker(const EmulatedPlatform& platform)
+        : platform_(platform)
+    {
+    }
+
+    /*! Records that a start was ordered by the owner of a shard. */
+    void onStartOrdered(const Ports::TaskKey& task, const std::string& worker, std::size_t shard);
+
+    /*!
+        Checks the waits of all active jobs; to be called in regular short intervals.
+
+        \param lastFaultMs latest time at which a fault was active.
+        \param areCallsLost whether calls between shards are being lost.
+    */
+    void check(const std::vector<JobView>& jobs, const std::vector<ShardState>& shards,
+        std::int64_t lastFaultMs, bool areCallsLost, std::int64_t nowMs);
+
+    /*! Records a job that should have ended. */
+    void addUnfinished(const std::string& job, std::int64_t nowMs);
+
+    const std::vector<std::string>& violations() const { return violations_; }
+    std::size_t excusedCount() const { return excused_.size(); }
+    std::int64_t longestExcusedMs() const { return longestExcusedMs_; }
+    std::size_t unfinishedCount() const { return unfinishedCount_; }
+
+private:
+    /*! How long a task or job has been waiting. */
+    struct Wait {
+        std::int64_t idleSinceMs = -1; //!< -1: it runs.
+        std::int64_t unexcusedSinceMs = -1; //!< Since when it could run and there is no excuse.
+    };
+
+    /*! Free resources of a usable worker. */
+    struct FreeWorker {
+        const FleetWorker* worker = nullptr;
+        std::int64_t milliProcessors = 0;
+        std::int64_t memoryMb = 0;
+    };
+
+    struct LatestStart {
+        std::string worker;
+        std::size_t shard = 0;
+    };
+
+    void updateFleet(std::int64_t nowMs);
+    void checkLongRunning(const JobView& job, bool isCalm, std::int64_t nowMs);
+    void checkOther(const JobView& job, bool areCallsLost, std::int64_t nowMs);
+    void updateWait(Wait& wait, const Ports::TaskKey& key, bool mayRun, bool isExcused,
+        std::int64_t toleranceMs, const std::string& rule, std::int64_t nowMs);
+    bool canShardsAct(const JobView& job) const;
+    bool mayStillRun(const Ports::TaskKey& key, std::int64_t nowMs) const;
+    std::int64_t countSlots(const Ports::TaskKey& task, const FleetSchema::StepSpec& step) const;
+
+    const EmulatedPlatform& platform_;
+    std::map<Ports::TaskKey, LatestStart> latestStarts_;
+    std::map<Ports::TaskKey, Wait> waits_;
+    std::map<Ports::TaskKey, const FleetWorker*> running_;
+    std::set<std::string> runningJobs_;
+    std::vector<FreeWorker> freeWorkers_;
+    std::vector<ShardState> shards_;
+    double useShare_ = 0; //!< Share of the usable workers' processors that running tasks request.
+    std::int64_t missingLongRunning_ = 0; //!< Long-running tasks that waited at the last check.
+    std::set<std::string> reported_;
+    std::set<Ports::TaskKey> excused_; //!< Tasks that waited beyond the tolerance with an excuse.
+    std::int64_t longestExcusedMs_ = 0;
+    std::vector<std::string> violations_;
+    std::size_t unfinishedCount_ = 0;
+};
+
+} // namespace Emulate
--- /dev/null
+++ b/tests/auto/fleet/tst_emulatedfleet.cpp
@@ -0,0 +1,83 @@
+#include <fleetscenario.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using Emulate::FleetVariant;
+
+namespace {
+
+// Returns the number of scenarios in which a rule whose name starts with \p rule is violated.
+std::size_t countViolations(
+    FleetVariant variant, std::uint64_t firstSeed, std::uint64_t lastSeed, const std::string& rule)
+{
+    std::size_t violated = 0;
+    for (std::uint64_t seed = firstSeed; seed <= lastSeed; ++seed) {
+        Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, false);
+        scenario.variant = variant;
+        const Emulate::FleetResult result = Emulate::runFleetScenario(scenario);
+        violated += std::any_of(result.violations.begin(), result.violations.end(),
+                        [&](const std::string& violation) { return violation.starts_with(rule); })
+            ? 1
+            : 0;
+    }
+    return violated;
+}
+
+} // namespace
+
+TEST_CASE("Fleets whose workers are replaced and whose shards change owners violate no invariant")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const Emulate::FleetResult result
+            = Emulate::runFleetScenario(Emulate::randomFleetScenario(seed, false));
+        INFO("seed " << seed << (result.violations.empty() ? "" : ": " + result.violations.front()));
+        CHECK(result.violations.empty());
+        CHECK(result.unfinished == 0);
+    }
+}
+
+TEST_CASE("Without faults, no task of a fleet waits beyond its bound and none needs an excuse")
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        const Emulate::FleetResult result
+            = Emulate::runFleetScenario(Emulate::randomFleetScenario(seed, true));
+        INFO("seed " << seed << (result.violations.empty() ? "" : ": " + result.violations.front()));
+        CHECK(result.violations.empty());
+        CHECK(result.excusedWaits == 0);
+        CHECK(result.jobs > 100);
+    }
+}
+
+TEST_CASE("A fleet scenario is deterministic")
+{
+    const auto first = Emulate::runFleetScenario(Emulate::randomFleetScenario(42, false));
+    const auto second = Emulate::runFleetScenario(Emulate::randomFleetScenario(42, false));
+    CHECK(first.starts == second.starts);
+    CHECK(first.completed == second.completed);
+    CHECK(first.delegations == second.delegations);
+}
+
+TEST_CASE("The wait check detects that tasks that end are not delegated")
+{
+    CHECK(
+        countViolations(FleetVariant::NoDelegationOfEndingTasks, 29, 29, "best-effort job with nothing") > 0);
+    CHECK(countViolations(FleetVariant::NoDelegationOfEndingTasks, 32, 32, "job with nothing running") > 0);
+}
+
+TEST_CASE("The invariant checker detects a successor that starts delegated tasks again")
+{
+    CHECK(countViolations(FleetVariant::RestartOfDelegatedTasks, 30, 32, "runs twice") > 0);
+}
+
+TEST_CASE("The invariant checker detects a successor in a fleet that does not wait for leases")
+{
+    CHECK(countViolations(FleetVariant::NoLeaseWait, 31, 31, "runs twice") > 0);
+}
+
+TEST_CASE("The invariant checker detects workers of a fleet that obey former owners")
+{
+    CHECK(countViolations(FleetVariant::NoEpochFencing, 123, 123, "started after its end") > 0);
+}
