Name the longest excused wait of emulated fleets

Cause: the sum told how long the longest excused wait was, but not where to look for it, and which job of a shard uses up its searches could not be traced.

--- a/src/tools/gqemulate/emulatedfleet.cpp
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -446,7 +446,7 @@
     const auto& waits = waitChecker_.violations();
     result.violations.insert(result.violations.end(), waits.begin(), waits.end());
     result.excusedWaits = waitChecker_.excusedCount();
-    result.longestExcusedMs = waitChecker_.longestExcusedMs();
+    result.longestExcused = waitChecker_.longestExcused();
     result.unfinished = waitChecker_.unfinishedCount();
     result.starts = startCount_;
     result.delegations = delegationCount_;
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -194,7 +194,8 @@
 
 void EmulatedOwner::trace(const Ports::TaskKey& task, const std::string& event) const
 {
-    if (task.job != fleet_.scenario().traceJob)
+    const std::string& traced = fleet_.scenario().traceJob;
+    if (task.job != traced && traced != "all")
         return;
     std::cout << fleet_.nowMs() << " ms " << task.job << "." << task.occurrence << "." << task.step << "."
               << task.index << " shard " << shard_ << " epoch " << epoch_ << " node " << node_ << ": "
--- a/src/tools/gqemulate/fleetscenario.h
+++ b/src/tools/gqemulate/fleetscenario.h
@@ -48,6 +48,13 @@
     std::string traceJob; //!< Job whose events are printed; empty: none.
 };
 
+/*! A wait beyond the bound that the rules allow. */
+struct ExcusedWait {
+    std::string job; //!< Empty if there is no such wait.
+    std::int64_t endMs = 0; //!< Time until which it lasted at least.
+    std::int64_t idleMs = 0;
+};
+
 /*! Result of a fleet scenario. */
 struct FleetResult {
     std::vector<std::string> violations;
@@ -57,7 +64,7 @@
     std::size_t delegations = 0; //!< Calls that delegate a task, with repeated ones.
     std::size_t unfinished = 0;
     std::size_t excusedWaits = 0; //!< Waits beyond the bound that the rules allow.
-    std::int64_t longestExcusedMs = 0; //!< Longest of these waits.
+    ExcusedWait longestExcused;
 };
 
 /*! Creates a scenario whose random faults depend only on the seed. */
--- a/src/tools/gqemulate/main.cpp
+++ b/src/tools/gqemulate/main.cpp
@@ -36,7 +36,8 @@
     std::size_t unfinished = 0;
     std::size_t delegations = 0;
     std::size_t excusedWaits = 0;
-    std::int64_t longestExcusedMs = 0;
+    Emulate::ExcusedWait longestExcused;
+    std::uint64_t longestExcusedSeed = 0;
     std::size_t violatedScenarios = 0;
 };
 
@@ -51,7 +52,7 @@
         << "  --seed N     seed of the first day (1)\n"
         << "  --days N     number of days with seeds from there on (1)\n"
         << "  --calm       days without faults\n"
-        << "  --trace JOB  print the orders for one job\n"
+        << "  --trace JOB  print the orders for one job; in a fleet, all: for every job\n"
         << "Exit codes: 0 no promise was broken, 1 one was, 2 wrong command line.\n";
 }
 
@@ -138,7 +139,10 @@
     totals.unfinished += result.unfinished;
     totals.delegations += result.delegations;
     totals.excusedWaits += result.excusedWaits;
-    totals.longestExcusedMs = std::max(totals.longestExcusedMs, result.longestExcusedMs);
+    if (result.longestExcused.idleMs > totals.longestExcused.idleMs) {
+        totals.longestExcused = result.longestExcused;
+        totals.longestExcusedSeed = seed;
+    }
     if (result.violations.empty())
         return;
     ++totals.violatedScenarios;
@@ -171,7 +175,8 @@
               << " starts, ";
     if (options.isFleet)
         std::cout << totals.delegations << " delegations, " << totals.excusedWaits
-                  << " excused waits (longest " << totals.longestExcusedMs << " ms), ";
+                  << " excused waits (longest " << totals.longestExcused.idleMs << " ms, seed "
+                  << totals.longestExcusedSeed << ", job " << totals.longestExcused.job << "), ";
     std::cout << totals.unfinished << " jobs unfinished, " << totals.violatedScenarios
               << " days with a broken promise, " << seconds << " s\n";
     return totals.violatedScenarios == 0 ? 0 : 1;
--- a/src/tools/gqemulate/waitchecker.cpp
+++ b/src/tools/gqemulate/waitchecker.cpp
@@ -117,7 +117,8 @@
     const std::int64_t idleMs = nowMs - wait.idleSinceMs;
     if (mayRun && isExcused && idleMs >= std::max(toleranceMs, boundMs)) {
         excused_.insert(key);
-        longestExcusedMs_ = std::max(longestExcusedMs_, idleMs);
+        if (idleMs > longestExcused_.idleMs)
+            longestExcused_ = { key.job, nowMs, idleMs };
     }
     if (!mayRun || isExcused) {
         wait.unexcusedSinceMs = -1;
--- a/src/tools/gqemulate/waitchecker.h
+++ b/src/tools/gqemulate/waitchecker.h
@@ -61,7 +61,8 @@
 
     const std::vector<std::string>& violations() const { return violations_; }
     std::size_t excusedCount() const { return excused_.size(); }
-    std::int64_t longestExcusedMs() const { return longestExcusedMs_; }
+    /*! \return the longest excused wait; the job is empty if there was none. */
+    const ExcusedWait& longestExcused() const { return longestExcused_; }
     std::size_t unfinishedCount() const { return unfinishedCount_; }
 
 private:
@@ -103,7 +104,7 @@
     std::int64_t missingLongRunning_ = 0; //!< Long-running tasks that waited at the last check.
     std::set<std::string> reported_;
     std::set<Ports::TaskKey> excused_; //!< Tasks that waited beyond the tolerance with an excuse.
-    std::int64_t longestExcusedMs_ = 0;
+    ExcusedWait longestExcused_;
     std::vector<std::string> violations_;
     std::size_t unfinishedCount_ = 0;
 };
