--- a/src/tools/gqemulate/fleetscenario.cpp
+++ b/src/tools/gqemulate/fleetscenario.cpp
@@ -35,7 +35,10 @@
     { FleetFaultKind::WorkerFailing, 1, 300, 6000 },
 } };
 
-FleetFault randomFault(std::mt19937_64& random)
+constexpr FaultProfile replacement = profiles[5];
+constexpr FaultProfile shardLoss = profiles[6];
+
+const FaultProfile& randomProfile(std::mt19937_64& random)
 {
     int total = 0;
     for (const FaultProfile& profile : profiles)
@@ -44,10 +47,15 @@
     const FaultProfile* chosen = profiles.data();
     while (draw >= chosen->weight)
         draw -= (chosen++)->weight;
+    return *chosen;
+}
+
+FleetFault randomFault(const FaultProfile& profile, std::mt19937_64& random)
+{
     FleetFault fault;
-    fault.kind = chosen->kind;
-    fault.durationMs = chosen->minMs
-        + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(chosen->maxMs - chosen->minMs));
+    fault.kind = profile.kind;
+    fault.durationMs = profile.minMs
+        + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(profile.maxMs - profile.minMs));
     fault.startMs = static_cast<std::int64_t>(
         2500 + random() % static_cast<std::uint64_t>(faultEndMs - 2500 - fault.durationMs));
     fault.target = random() % 60;
@@ -57,16 +65,22 @@
 
 } // namespace
 
-FleetScenario randomFleetScenario(std::uint64_t seed, bool withoutFaults)
+FleetScenario randomFleetScenario(std::uint64_t seed, FaultMix mix)
 {
     FleetScenario scenario;
     scenario.seed = seed;
-    if (withoutFaults)
+    if (mix == FaultMix::None)
         return scenario;
     std::mt19937_64 random(seed * 104'729 + 5);
+    if (mix == FaultMix::Waves) {
+        const std::size_t waves = 8 + random() % 8;
+        for (std::size_t number = 0; number < waves; ++number)
+            scenario.faults.push_back(randomFault(number % 4 == 0 ? shardLoss : replacement, random));
+        return scenario;
+    }
     const std::size_t count = 4 + random() % 9;
     for (std::size_t number = 0; number < count; ++number)
-        scenario.faults.push_back(randomFault(random));
+        scenario.faults.push_back(randomFault(randomProfile(random), random));
     return scenario;
 }
 
--- a/src/tools/gqemulate/fleetscenario.h
+++ b/src/tools/gqemulate/fleetscenario.h
@@ -67,8 +67,14 @@
     ExcusedWait longestExcused;
 };
 
+enum class FaultMix {
+    None,
+    All,
+    Waves, //!< Many workers are replaced and shards lose their workers; there are no other faults.
+};
+
 /*! Creates a scenario whose random faults depend only on the seed. */
-FleetScenario randomFleetScenario(std::uint64_t seed, bool withoutFaults);
+FleetScenario randomFleetScenario(std::uint64_t seed, FaultMix mix);
 
 /*! Runs a scenario in virtual time with the real schedulers. */
 FleetResult runFleetScenario(const FleetScenario& scenario);
--- a/src/tools/gqemulate/main.cpp
+++ b/src/tools/gqemulate/main.cpp
@@ -16,6 +16,7 @@
     std::uint64_t seed = 1;
     std::uint64_t scenarioCount = 1;
     bool withoutFaults = false;
+    bool hasWaves = false;
     bool isFleet = false;
     Emulate::FleetVariant variant = Emulate::FleetVariant::Complete;
     std::string traceJob;
@@ -44,9 +45,11 @@
 void printUsage(std::ostream& stream)
 {
     stream
-        << "Usage: gqemulate [--fleet] [--variant NAME] [--seed N] [--days N] [--calm] [--trace JOB]\n"
+        << "Usage: gqemulate [--fleet] [--waves] [--variant NAME] [--seed N] [--days N] [--calm] [--trace "
+           "JOB]\n"
         << "Plays days of a shard in virtual time with the real scheduler and judges what its workers did.\n"
         << "  --fleet      days of several shards with worker replacement, instead of one shard\n"
+        << "  --waves      fleet days with no faults but many replaced workers\n"
         << "  --variant V  fleet that lacks a protection: no-fencing, no-lease-wait, no-delegation,\n"
         << "               restart-delegated\n"
         << "  --seed N     seed of the first day (1)\n"
@@ -69,10 +72,11 @@
 
 bool parseOptions(int argc, char** argv, Options& options)
 {
-    static const option flags[] = { { "seed", required_argument, nullptr, 's' },
-        { "days", required_argument, nullptr, 'd' }, { "calm", no_argument, nullptr, 'c' },
-        { "trace", required_argument, nullptr, 't' }, { "fleet", no_argument, nullptr, 'f' },
-        { "variant", required_argument, nullptr, 'v' }, { nullptr, 0, nullptr, 0 } };
+    static const option flags[]
+        = { { "seed", required_argument, nullptr, 's' }, { "days", required_argument, nullptr, 'd' },
+              { "calm", no_argument, nullptr, 'c' }, { "trace", required_argument, nullptr, 't' },
+              { "fleet", no_argument, nullptr, 'f' }, { "waves", no_argument, nullptr, 'w' },
+              { "variant", required_argument, nullptr, 'v' }, { nullptr, 0, nullptr, 0 } };
     for (int flag = 0; (flag = getopt_long(argc, argv, "", flags, nullptr)) != -1;) {
         switch (flag) {
         case 's':
@@ -87,6 +91,9 @@
         case 't':
             options.traceJob = optarg;
             break;
+        case 'w':
+            options.hasWaves = true;
+            break;
         case 'f':
             options.isFleet = true;
             break;
@@ -124,9 +131,16 @@
     printViolations(Emulate::minimizeScenario(scenario), result);
 }
 
+Emulate::FaultMix faultMix(const Options& options)
+{
+    if (options.withoutFaults)
+        return Emulate::FaultMix::None;
+    return options.hasWaves ? Emulate::FaultMix::Waves : Emulate::FaultMix::All;
+}
+
 void playFleet(const Options& options, std::uint64_t seed, Totals& totals)
 {
-    Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, options.withoutFaults);
+    Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, faultMix(options));
     scenario.variant = options.variant;
     scenario.traceJob = options.traceJob;
     if (!scenario.traceJob.empty()) {
--- a/tests/auto/fleet/tst_emulatedfleet.cpp
+++ b/tests/auto/fleet/tst_emulatedfleet.cpp
@@ -15,7 +15,7 @@
 {
     std::size_t violated = 0;
     for (std::uint64_t seed = firstSeed; seed <= lastSeed; ++seed) {
-        Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, false);
+        Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, Emulate::FaultMix::All);
         scenario.variant = variant;
         const Emulate::FleetResult result = Emulate::runFleetScenario(scenario);
         violated += std::any_of(result.violations.begin(), result.violations.end(),
@@ -32,7 +32,7 @@
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         const Emulate::FleetResult result
-            = Emulate::runFleetScenario(Emulate::randomFleetScenario(seed, false));
+            = Emulate::runFleetScenario(Emulate::randomFleetScenario(seed, Emulate::FaultMix::All));
         INFO("seed " << seed << (result.violations.empty() ? "" : ": " + result.violations.front()));
         CHECK(result.violations.empty());
         CHECK(result.unfinished == 0);
@@ -43,7 +43,7 @@
 {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
         const Emulate::FleetResult result
-            = Emulate::runFleetScenario(Emulate::randomFleetScenario(seed, true));
+            = Emulate::runFleetScenario(Emulate::randomFleetScenario(seed, Emulate::FaultMix::None));
         INFO("seed " << seed << (result.violations.empty() ? "" : ": " + result.violations.front()));
         CHECK(result.violations.empty());
         CHECK(result.excusedWaits == 0);
@@ -53,8 +53,8 @@
 
 TEST_CASE("A fleet scenario is deterministic")
 {
-    const auto first = Emulate::runFleetScenario(Emulate::randomFleetScenario(42, false));
-    const auto second = Emulate::runFleetScenario(Emulate::randomFleetScenario(42, false));
+    const auto first = Emulate::runFleetScenario(Emulate::randomFleetScenario(42, Emulate::FaultMix::All));
+    const auto second = Emulate::runFleetScenario(Emulate::randomFleetScenario(42, Emulate::FaultMix::All));
     CHECK(first.starts == second.starts);
     CHECK(first.completed == second.completed);
     CHECK(first.delegations == second.delegations);
