Excuse waits only for leases that can still be renewed

Cause: the wait check excused a wait for 22.7 s after every change of owner. But a former owner that stored its release renews no lease afterwards, and one that took over after the worker fell silent never renewed its lease.

Change: the first change of owner after the worker fell silent counts, and after a release only the lease that the owner requests.

--- a/src/tools/gqemulate/emulatedfleet.cpp
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -222,6 +222,9 @@
 void EmulatedFleet::claim(std::size_t shard, std::size_t node)
 {
     StoredShard& stored = shards_[shard];
+    if (stored.owner)
+        stored.changes.push_back({ nowMs(), stored.isReleased });
+    stored.isReleased = false;
     ++stored.epoch;
     stored.takenOverMs = nowMs();
     stored.owner = std::make_shared<EmulatedOwner>(*this, node, shard, stored.epoch);
@@ -231,6 +234,7 @@
 
 void EmulatedFleet::onReleased(std::size_t shard, std::size_t formerNode)
 {
+    shards_[shard].isReleased = true;
     for (std::size_t offset = 1; offset < nodeCount; ++offset) {
         const std::size_t node = (formerNode + offset) % nodeCount;
         if (!canAct(node))
@@ -415,7 +419,7 @@
     std::vector<WaitChecker::JobView> jobs;
     for (std::size_t number = 0; number < shardCount; ++number) {
         states.push_back(
-            { shards_[number].ableSinceMs >= 0, shards_[number].takenOverMs, &shards_[number].rows });
+            { shards_[number].ableSinceMs >= 0, &shards_[number].changes, &shards_[number].rows });
         for (const auto& [id, record] : shards_[number].rows) {
             const bool isActive
                 = record.state() == FleetSchema::JOB_QUEUED || record.state() == FleetSchema::JOB_RUNNING;
--- a/src/tools/gqemulate/waitchecker.cpp
+++ b/src/tools/gqemulate/waitchecker.cpp
@@ -105,8 +105,14 @@
     if (!isAssigned || worker == platform_.workers().end() || worker->second->answers())
         return false;
     const std::int64_t sinceMs = worker->second->unansweredSinceMs;
-    const bool hasChangedOwner = shard.takenOverMs > sinceMs - boundMs;
-    return nowMs < (hasChangedOwner ? shard.takenOverMs + formerLeaseMs : sinceMs + leaseMs);
+    // Only owners from before the worker fell silent can have renewed its lease, so later changes of owner do
+    // not prolong the wait.
+    const auto change = std::find_if(shard.changes->begin(), shard.changes->end(),
+        [sinceMs](const OwnerChange& other) { return other.timeMs > sinceMs - boundMs; });
+    if (change == shard.changes->end())
+        return nowMs < sinceMs + leaseMs;
+    return nowMs
+        < std::max(sinceMs + leaseMs, change->timeMs + (change->isRelease ? leaseMs : formerLeaseMs));
 }
 
 void WaitChecker::updateWait(Wait& wait, const Ports::TaskKey& key, bool mayRun, bool isExcused,
--- a/src/tools/gqemulate/waitchecker.h
+++ b/src/tools/gqemulate/waitchecker.h
@@ -27,6 +27,12 @@
 */
 class WaitChecker {
 public:
+    /*! A change of a shard's owner. */
+    struct OwnerChange {
+        std::int64_t timeMs = 0;
+        bool isRelease = false; //!< The former owner stored its release and renewed no leases afterwards.
+    };
+
     /*! An active job in the shard that accepted it. */
     struct JobView {
         const FleetSchema::JobRecord* record = nullptr;
@@ -35,7 +41,7 @@
 
     struct ShardState {
         bool canAct = false; //!< Its owner serves and reaches the store.
-        std::int64_t takenOverMs = 0; //!< Time of the latest change of owner.
+        const std::vector<OwnerChange>* changes = nullptr; //!< Changes of owner, in their order.
         const std::map<std::string, FleetSchema::JobRecord>* rows = nullptr;
     };
 
