Let the soak replace workers and check what waits

Its workers never left, its long-running jobs were cancelled after 5 s, its clients used a connection once, and what waits was looked at only at the end.

Change: workers drain (reported at once, late or never), leave, and are replaced one by one, in waves, by rack and by zone; entries lapse. Storms of faults and series on several nodes alternate with calm times. Clients send many requests on one connection, also idle ones, and check that each answer is complete and of the kind of its request. Jobs of up to 30 KB are submitted while nodes are paused. A node process that ends by itself is a violation. The log lines of what waits are shown, and the logs of failed seeds are kept.

--- /dev/null
+++ b/tests/auto/usersplatform/soak/faultinjector.py
@@ -0,0 +1,125 @@
+"""Injects random faults and replacements of workers into a soak."""
+
+import asyncio
+import signal
+import time
+
+FAULT_MODES = ("delay", "one_way", "silent", "reset")
+
+
+class FaultInjector:
+    """Alternates between storms of faults and calm times. Workers are replaced, settings read again and configurations
+    changed in both."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        self.random = soak.random
+        self.log_event = soak.log_event
+
+    def free_nodes(self):
+        return [node for node in self.soak.nodes if not node.is_busy]
+
+    async def inject_store_fault(self):
+        store = self.soak.store
+        if store.mode:
+            return
+        store.mode = self.random.choice(("busy", "slow", "lost"))
+        self.log_event("store " + store.mode)
+        with self.soak.unplanned:
+            await asyncio.sleep(self.random.uniform(0.5, 4))
+            store.mode = None
+
+    async def inject_link_fault(self):
+        if self.random.random() < 0.5:
+            node = self.random.choice(self.soak.nodes)
+            proxy, name = node.proxy, "from %s to the store" % node.name
+        else:
+            worker = self.random.choice(self.soak.pool.workers)
+            proxy, name = worker.proxy, "to " + worker.identity
+        mode = self.random.choice(FAULT_MODES)
+        self.log_event("link %s %s" % (name, mode))
+        with self.soak.unplanned:
+            if mode == "reset":
+                return proxy.reset()
+            proxy.set_mode(mode)
+            await asyncio.sleep(self.random.uniform(0.5, 4))
+            proxy.set_mode(None)
+
+    async def disturb_node(self, node, kind):
+        if node.is_busy:
+            return
+        self.log_event("%s %s" % (node.name, kind))
+        if kind == "reload":
+            node.signal(signal.SIGHUP)
+        elif kind == "kill":
+            await node.restart_killed(self.random.uniform(0.1, 3))
+        elif kind == "pause":
+            big_jobs = [asyncio.create_task(self.soak.submit_job(is_big=True, pause=self.random.uniform(0, 0.3)))
+                        for _ in range(self.random.randint(0, 2))]
+            await asyncio.sleep(self.random.uniform(0, 0.1))
+            if not node.is_busy:
+                await node.pause(self.random.uniform(1, 5))
+            await asyncio.gather(*big_jobs)
+        else:
+            await node.restart_stopped(self.random.choice((0, 0, 1, 3)))
+
+    async def inject_node_fault(self):
+        if self.free_nodes():
+            await self.disturb_node(self.random.choice(self.free_nodes()),
+                                    self.random.choice(("kill", "pause", "stop", "reload")))
+
+    async def inject_series(self):
+        """Disturbs several nodes in turn or at once while a wave of replacements and a store fault run."""
+        nodes = self.free_nodes()
+        nodes = self.random.sample(nodes, self.random.randint(1, len(nodes))) if nodes else []
+        is_at_once = self.random.random() < 0.4
+        self.log_event("series: %d nodes %s" % (len(nodes), "at once" if is_at_once else "in turn"))
+        others = [asyncio.create_task(action()) for action in
+                  (self.soak.pool.run_wave, self.inject_store_fault, self.inject_configuration_change)
+                  if self.random.random() < 0.6]
+        disturbed = []
+        for node in nodes:
+            disturbed.append(asyncio.create_task(
+                self.disturb_node(node, self.random.choice(("kill", "pause", "stop")))))
+            if not is_at_once:
+                await disturbed[-1]
+        await asyncio.gather(*disturbed)
+        self.soak.keep(others)
+
+    async def inject_worker_fault(self):
+        worker = self.random.choice(self.soak.pool.workers)
+        self.log_event("%s restarts" % worker.identity)
+        with self.soak.unplanned:
+            self.soak.pool.restart(worker)
+
+    async def inject_configuration_change(self):
+        self.soak.configuration_version += self.random.randint(1, 9)
+        self.log_event("configuration %d" % self.soak.configuration_version)
+        self.soak.publish_configuration()
+
+    async def reload_settings(self):
+        await self.disturb_node(self.random.choice(self.soak.nodes), "reload")
+
+    async def replace_worker(self):
+        workers = self.soak.pool.replaceable()
+        if workers:
+            await self.soak.pool.replace(self.random.choice(workers))
+
+    async def run(self, deadline):
+        pool = self.soak.pool
+        planned = (self.replace_worker, pool.run_wave, pool.empty_group, self.reload_settings,
+                   self.inject_configuration_change)
+        faults = (self.inject_store_fault, self.inject_link_fault, self.inject_link_fault, self.inject_node_fault,
+                  self.inject_node_fault, self.inject_series, self.inject_worker_fault, pool.lapse)
+        is_calm_seed = self.random.random() < 0.2
+        while time.monotonic() < deadline:
+            if not is_calm_seed:
+                self.log_event("storm")
+                await self.inject(faults + planned, min(deadline, time.monotonic() + self.random.uniform(4, 12)), 1.5)
+            self.log_event("calm")
+            await self.inject(planned, min(deadline, time.monotonic() + self.random.uniform(12, 25)), 4)
+
+    async def inject(self, kinds, until, longest_pause):
+        while time.monotonic() < until:
+            self.soak.keep([asyncio.create_task(self.random.choice(kinds)())])
+            await asyncio.sleep(self.random.uniform(0.2, longest_pause))
--- a/tests/auto/usersplatform/soak/faultproxy.py
+++ b/tests/auto/usersplatform/soak/faultproxy.py
@@ -13,13 +13,19 @@
         self.target_port = target_port
         self.mode = None
         self.port = 0
+        self.server = None
         self.writers = set()
         self.unblocked = asyncio.Event()
         self.unblocked.set()
 
     async def start(self):
-        server = await asyncio.start_server(self.forward_connection, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.forward_connection, "127.0.0.1", 0, backlog=1024)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def close(self):
+        self.server.close()
+        self.set_mode(None)
+        self.reset()
 
     def set_mode(self, mode):
         self.mode = mode
--- a/tests/auto/usersplatform/soak/invariantchecker.py
+++ b/tests/auto/usersplatform/soak/invariantchecker.py
@@ -2,11 +2,18 @@
 
 import time
 
+# The users' bounds: a task starts no later than this after the store has accepted that its worker drains, if the 4 s
+# before are calm.
+DRAIN_SECONDS = 2.5
+DRAIN_CALM_SECONDS = 4.0
+
 
 class InvariantChecker:
     """Collects a description of each violated invariant in `violations`."""
 
-    def __init__(self):
+    def __init__(self, faults, log_event):
+        self.faults = faults
+        self.log_event = log_event
         self.violations = []
         self.running_attempts = {}  # task -> set of (worker, attempt)
         self.acknowledged_tasks = {}  # task -> time at which its end was acknowledged
@@ -18,10 +25,11 @@
         self.start_count = 0
 
     def report_violation(self, text):
-        self.violations.append("%.1f %s" % (time.monotonic(), text))
+        self.violations.append(self.log_event("VIOLATION " + text))
 
     def on_attempt_started(self, worker, task, attempt):
         self.start_count += 1
+        self.log_event("%s starts attempt %d on %s" % (task, attempt, worker.identity), is_short=False)
         job = task.split(".")[0]
         runs = self.running_attempts.setdefault(task, set())
         if runs:
@@ -35,11 +43,16 @@
             self.report_violation("task %s is started %.1f s after its job's cancellation"
                                   % (task, time.monotonic() - self.cancelled[job]))
         runs.add((worker.identity, attempt))
+        drained = 0 if worker.drains_since is None else time.monotonic() - worker.drains_since
+        if drained > DRAIN_SECONDS and self.faults.calm_seconds() > DRAIN_SECONDS + DRAIN_CALM_SECONDS:
+            self.report_violation("task %s is started on %s, which drains since %.1f s"
+                                  % (task, worker.identity, drained))
         used = sum(run["cpu"] for run in worker.runs.values())
         if used > worker.capacity:
             self.report_violation("worker %s has %d of %d processors in use" % (worker.identity, used, worker.capacity))
 
     def on_attempt_ended(self, worker, task, attempt, outcome):
+        self.log_event("%s ends attempt %d on %s: %s" % (task, attempt, worker.identity, outcome), is_short=False)
         self.running_attempts.get(task, set()).discard((worker.identity, attempt))
         if outcome == "done":
             self.finished_tasks.add(task)
--- a/tests/auto/usersplatform/soak/soak.py
+++ b/tests/auto/usersplatform/soak/soak.py
@@ -2,177 +2,113 @@
 """Randomized soak test of geraniumquayd: runs real processes, injects faults from outside and checks the guarantees
 against what callers and workers observe.
 
-    soak.py --program PATH [--seed N] [--seeds COUNT] [--seconds S] [--logs FOLDER]
+    soak.py --program PATH [--seed N] [--seeds COUNT] [--seconds S] [--logs FOLDER] [--large]
 
-Exits with 0 if no invariant was violated. A seed determines the injected faults and their times; the timing of the
-processes still varies.
+Exits with 0 if no invariant was violated; else the logs of the failed seeds are kept. A seed determines the injected
+faults and their times; the timing of the processes still varies. With --large, 100 processes and 60 workers run: by
+hand only, and one such run at a time.
 """
 
 import argparse
 import asyncio
+import datetime
 import json
 import os
 import random
-import signal
-import socket
+import shutil
 import sys
 import tempfile
 import time
 
+from clients import ConnectionClient, call
+from faultclock import FaultClock
+from faultinjector import FaultInjector
 from faultproxy import FaultProxy
 from invariantchecker import InvariantChecker
-from standinplatform import Store, Worker, unix_ms
+from progresschecker import CALM_SECONDS, INTERVAL_SECONDS, LONG_RUNNING_SECONDS, ProgressChecker, TrackedJob
+from soaknode import Node, free_ports
+from standinplatform import Store
+from workerpool import WorkerPool
 
-ZONES = ("zone-a", "zone-b")
-NODES = 3
-WORKERS_PER_ZONE = 3
-STOP_GRACE_SECONDS = 6
 SETTLE_SECONDS = 45
+MAX_SPEC_BYTES = 4000
+MAX_EVENTS_SHOWN = 60
+# Share of the processors that long-running tasks may ask for, and largest number of big jobs at once.
+LONG_RUNNING_SHARE = 0.3
+MAX_BIG_JOBS = 2
 
-SETTINGS = """\
-[node]
-name = {name}
-domain = {zone}
-region = region
-[endpoints]
-callers = 127.0.0.1:{callers}
-readiness = 127.0.0.1:{readiness}
-peers = 127.0.0.1:{peers}
-metrics = 127.0.0.1:{metrics}
-[table]
-endpoint = 127.0.0.1:{store}
-row_bytes = 65536
-[dispatch]
-processor_share = 1
-processors = 1
-worker_lease_limit_ms = 10000
-stop_ms = 200
-drain_ms = 2500
-grace_ms = 6000
-retention_s = 120
-remote_penalty = 3
-interference_ms = 4000
-disruption_notice_ms = 5500
-gang_ms = 3000
-"""
-
-
-# Below the range of ephemeral ports, so that no outgoing connection can occupy the port of a node that is down.
-PORTS = range(18000, 32000)
-
-
-def free_ports(count):
-    ports = []
-    for port in random.Random(os.getpid() * 1000003 + time.monotonic_ns()).sample(PORTS, len(PORTS)):
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-        if len(ports) == count:
-            break
-    return ports
 
+class Size:
+    """Numbers of processes, workers and clients."""
 
-class Node:
-    """One geraniumquayd process with its settings and its fault proxy to the store."""
+    def __init__(self, zones, nodes, racks_per_zone, workers_per_rack, connections, mean_pause):
+        self.zones = zones
+        self.nodes = nodes
+        self.racks_per_zone = racks_per_zone
+        self.workers_per_rack = workers_per_rack
+        self.connections = connections
+        self.mean_pause = mean_pause  # Seconds between two submissions.
 
-    def __init__(self, number, program, folder, proxy):
-        self.name = "node-%d" % number
-        self.program = program
-        self.proxy = proxy
-        self.settings = os.path.join(folder, self.name + ".ini")
-        self.log = os.path.join(folder, self.name + ".log")
-        ports = free_ports(4)
-        self.callers_port = ports[0]
-        with open(self.settings, "w", encoding="utf-8") as file:
-            file.write(SETTINGS.format(name=self.name, zone=ZONES[number % len(ZONES)], callers=ports[0],
-                                       readiness=ports[1], peers=ports[2], metrics=ports[3], store=proxy.port))
-        self.process = None
-        self.is_busy = False  # A fault is currently injected into the process.
 
-    async def start(self):
-        with open(self.log, "a", encoding="utf-8") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                self.program, "--config", self.settings, stdout=log, stderr=log)
-
-    def signal(self, number):
-        if self.process and self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def kill(self):
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        await self.process.wait()
-
-
-async def call(port, method, path, body=None, seconds=3.0):
-    """Sends one request on a new connection. Returns status and body; status 0 without a complete response."""
-    writer = None
-    try:
-        async with asyncio.timeout(seconds) if hasattr(asyncio, "timeout") else _Timeout(seconds):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            text = json.dumps(body).encode() if body is not None else b""
-            writer.write(("%s %s HTTP/1.1\r\nHost: jobs.example\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n"
-                          % (method, path, int(seconds * 1000), len(text))).encode() + text)
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            length = next((int(line.split(":")[1]) for line in head.split("\r\n")
-                           if line.lower().startswith("content-length")), 0)
-            answer = await reader.readexactly(length)
-            return int(head.split(" ")[1]), json.loads(answer or b"{}")
-    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, TimeoutError, ValueError):
-        return 0, {}
-    finally:
-        if writer:
-            writer.close()
+SMALL = Size(("zone-a", "zone-b"), 3, 2, 4, 6, 0.25)
+LARGE = Size(("zone-a", "zone-b", "zone-c"), 100, 4, 5, 40, 0.15)
 
 
 class Soak:
     """One run of the soak test with one seed."""
 
-    def __init__(self, program, seed, seconds, folder):
+    def __init__(self, program, seed, seconds, folder, size):
         self.program = program
         self.random = random.Random(seed)
         self.seconds = seconds
         self.folder = folder
-        self.checker = InvariantChecker()
-        self.jobs = {}  # id -> names of its tasks; empty for long-running jobs
+        self.size = size
+        self.started_at = time.monotonic()
+        self.events = []
+        self.event_log = open(os.path.join(folder, "soak.events"), "w", encoding="utf-8")
+        self.faults = FaultClock()
+        self.unplanned = FaultClock(self.faults)
+        self.checker = InvariantChecker(self.faults, self.log_event)
         self.store = Store(self.random)
-        self.workers = []
-        self.worker_proxies = []
+        self.pool = WorkerPool(self.random, self.store, self.checker, self.unplanned, self.log_event, size.zones,
+                               size.racks_per_zone, size.workers_per_rack)
+        self.progress = ProgressChecker(self.checker, self.faults, self.pool, folder)
+        self.jobs = self.progress.jobs  # id -> TrackedJob
         self.nodes = []
-        self.faults_until = 0.0
-        self.events = []
+        self.kept_tasks = []
+        self.configuration_version = 1
+        self.big_jobs = 0
+        self.answer_count = 0
+        self.broken_count = 0
+
+    def log_event(self, text, is_short=True):
+        now = datetime.datetime.now(datetime.timezone.utc).strftime("%H:%M:%S.%f")[:-3]
+        line = "%.1f (%s) %s" % (time.monotonic() - self.started_at, now, text)
+        self.event_log.write(line + "\n")
+        if is_short and "VIOLATION" not in text:
+            self.events.append(line)
+        return line
+
+    def keep(self, tasks):
+        self.kept_tasks += tasks
 
-    def log_event(self, text):
-        self.events.append("%.1f %s" % (time.monotonic() - self.started_at, text))
+    def is_calm(self, seconds):
+        return self.faults.calm_seconds() > seconds
 
     async def start(self):
-        self.started_at = time.monotonic()
         await self.store.start()
-        for zone in ZONES:
-            for number in range(WORKERS_PER_ZONE):
-                worker = Worker("%s-w%d" % (zone, number), zone, self.checker, self.random)
-                await worker.start()
-                proxy = FaultProxy(worker.port)
-                await proxy.start()
-                worker.listed_port = proxy.port
-                self.workers.append(worker)
-                self.worker_proxies.append(proxy)
-        self.publish_workers()
-        self.configuration_version = 1
+        await self.pool.start()
         self.publish_configuration()
-        for number in range(NODES):
+        ports = free_ports(4 * self.size.nodes)
+        for number in range(self.size.nodes):
             proxy = FaultProxy(self.store.port)
             await proxy.start()
-            self.nodes.append(Node(number, self.program, self.folder, proxy))
+            zone = self.size.zones[number % len(self.size.zones)]
+            self.nodes.append(Node(number, zone, self.program, self.folder, proxy, ports[4 * number:4 * number + 4],
+                                   self.checker, self.unplanned))
         for node in self.nodes:
             await node.start()
-
-    def publish_workers(self):
-        for worker in self.workers:
-            self.store.put("servers", "", worker.identity, worker.entry())
+        self.unplanned.note()
 
     def publish_configuration(self):
         route = {"name": "queue", "host": "jobs.example", "path_prefix": "/jobs/", "kind": "non_idempotent",
@@ -182,207 +118,202 @@
                     "limits": {"max_body_bytes": 262144}}
         self.store.put("op", "", "config", json.dumps(document).encode())
 
-    async def tick_workers(self):
+    async def tick(self):
+        checked_at = 0.0
         while True:
-            for worker in self.workers:
+            for worker in self.pool.workers:
                 worker.tick()
+            if time.monotonic() - checked_at >= INTERVAL_SECONDS:
+                checked_at = time.monotonic()
+                self.progress.tick()
             await asyncio.sleep(0.02)
 
-    async def submit_random_job(self):
-        job = "%016x" % self.random.getrandbits(64)
-        is_long_running = self.random.random() < 0.05
-        count = self.random.randint(1, 3)
-        shape = {"cpu": self.random.choice((300, 600, 1000)), "ms": self.random.randint(100, 900),
+    def make_job(self, is_long_running, is_big=False):
+        name = "%016x" % self.random.getrandbits(64)
+        count = 1 if is_big else self.random.randint(1, 3)
+        shape = {"cpu": 300 if is_big else self.random.choice((300, 600, 1000)), "ms": self.random.randint(100, 900),
                  "lasts": is_long_running}
         phase = {"count": count, "cpu": shape["cpu"], "mem_mb": 100, "estimate_ms": shape["ms"]}
         phases = [dict(phase, long_running=True)] if is_long_running else [phase]
-        if not is_long_running and self.random.random() < 0.4:
+        if is_big:
+            shape["ms"] = self.random.randint(50, 300)
+            phases += [dict(phase, after=[0] if number % 3 == 0 else [])
+                       for number in range(self.random.randint(100, 300))]
+        elif not is_long_running and self.random.random() < 0.4:
             phases.append(dict(phase, after=[0]))
-        self.jobs[job] = [] if is_long_running else ["%s.0.%d.%d" % (job, step, index)
-                                                     for step in range(len(phases)) for index in range(count)]
-        body = {"spec": json.dumps(shape), "phases": phases}
+        spec = json.dumps(shape)
+        if is_big:
+            spec = json.dumps(dict(shape, pad="x" * (MAX_SPEC_BYTES - len(spec) - len(', "pad": ""'))))
+        steps = [(["%s.0.%d.%d" % (name, step, index) for index in range(count)], phase.get("after", []))
+                 for step, phase in enumerate(phases)]
+        job = TrackedJob(name, {"spec": spec, "phases": phases}, steps, shape["cpu"], is_long_running)
+        self.jobs[name] = job
+        return job
+
+    def on_accepted(self, job):
+        self.checker.accepted[job.name] = time.monotonic()
+        self.log_event("%s is accepted" % job.name, is_short=False)
+        if not job.is_long_running:
+            self.keep([asyncio.create_task(self.follow_job(job))])
+        return True
+
+    def recent_jobs(self):
+        now = time.monotonic()
+        return [name for name, accepted_at in self.checker.accepted.items() if 4 < now - accepted_at < 60]
+
+    def long_running_share(self):
+        asked = sum(job.processors * len(job.tasks) for job in self.jobs.values()
+                    if job.is_long_running and not job.is_cancelling)
+        return asked / self.pool.base_capacity()
+
+    async def submit_job(self, is_long_running=False, is_big=False, pause=0.0):
+        if is_big and self.big_jobs >= MAX_BIG_JOBS:
+            return
+        self.big_jobs += 1 if is_big else 0
+        try:
+            await self.submit_and_attend(self.make_job(is_long_running, is_big), pause)
+        finally:
+            self.big_jobs -= 1 if is_big else 0
+
+    async def submit_and_attend(self, job, pause):
         may_have_run = False
         for _ in range(4):
-            status, _ = await call(self.random.choice(self.nodes).callers_port, "POST", "/jobs/" + job, body)
+            port = self.random.choice(self.nodes).callers_port
+            status, _ = await call(port, "POST", "/jobs/" + job.name, job.body, pause=pause)
             if status == 200:
-                self.checker.accepted[job] = time.monotonic()
+                self.on_accepted(job)
                 break
             if status in (429, 503):
                 if not may_have_run:
-                    self.checker.rejected.add(job)
+                    self.checker.rejected.add(job.name)
+                job.is_cancelling = True
                 return
             may_have_run = True
             await asyncio.sleep(0.3)
         else:
+            job.is_cancelling = True
             return
-        if is_long_running or self.random.random() < 0.1:
+        if self.random.random() < (0.4 if job.is_long_running else 0.1):
             await asyncio.sleep(self.random.uniform(0.2, 5))
             await self.cancel(job)
 
     async def cancel(self, job):
+        job.is_cancelling = True
         for _ in range(60):
-            status, _ = await call(self.random.choice(self.nodes).callers_port, "DELETE", "/jobs/" + job)
+            status, _ = await call(self.random.choice(self.nodes).callers_port, "DELETE", "/jobs/" + job.name)
             if status in (200, 410):
-                self.checker.cancelled[job] = time.monotonic()
+                self.checker.cancelled[job.name] = time.monotonic()
                 if status == 410:
-                    self.checker.report_violation("job %s was accepted and its cancellation is answered 410" % job)
+                    self.checker.report_violation("job %s was accepted and its cancellation is answered 410" % job.name)
                 return
             await asyncio.sleep(0.5)
-        self.checker.report_violation("job %s could not be cancelled in 30 s" % job)
-
-    async def query_random_job(self):
-        open_jobs = [job for job in self.checker.accepted if job not in self.checker.cancelled and self.jobs[job]]
-        if open_jobs:
-            await self.query_job(self.random.choice(open_jobs))
+        self.checker.report_violation("job %s could not be cancelled in 30 s" % job.name)
+
+    async def follow_job(self, job):
+        """Asks for the state of a job from time to time, until its end is told or its cancellation begins."""
+        deadline = None
+        while not job.is_cancelling:
+            if await self.query_job(job) in ("completed", "failed"):
+                job.is_ended = True
+                return
+            if deadline is None and self.is_load_over:
+                deadline = time.monotonic() + SETTLE_SECONDS
+            if deadline is not None and time.monotonic() > deadline:
+                self.checker.report_violation("job %s was accepted and has not ended" % job.name)
+                return
+            await asyncio.sleep(self.random.uniform(0.5, 1) if self.is_load_over else self.random.uniform(0.5, 4))
 
     async def query_job(self, job):
-        accepted_at = self.checker.accepted[job]
-        status, fields = await call(self.random.choice(self.nodes).callers_port, "GET", "/jobs/" + job)
-        if job in self.checker.cancelled or status not in (200, 410):
+        accepted_at = self.checker.accepted[job.name]
+        status, fields = await call(self.random.choice(self.nodes).callers_port, "GET", "/jobs/" + job.name)
+        if job.name in self.checker.cancelled or status not in (200, 410):
             return None
         if status == 410 and time.monotonic() - accepted_at < 3:
             return None
-        self.checker.on_state_reported(job, fields.get("state"), self.jobs[job])
+        self.checker.on_state_reported(job.name, fields.get("state"), job.tasks)
+        if fields.get("state") == "failed":
+            self.log_event("%s is told as failed" % job.name)
         return fields.get("state")
 
-    async def generate_load(self):
-        deadline = time.monotonic() + self.seconds
-        tasks = []
-        while time.monotonic() < deadline:
-            tasks.append(asyncio.create_task(self.submit_random_job()))
-            tasks.append(asyncio.create_task(self.query_random_job()))
-            await asyncio.sleep(self.random.uniform(0.1, 0.4))
-        await asyncio.gather(*tasks)
-
-    async def inject_store_fault(self):
-        self.store.mode = self.random.choice(("busy", "slow", "lost"))
-        self.log_event("store " + self.store.mode)
-        await asyncio.sleep(self.random.uniform(0.5, 4))
-        self.store.mode = None
-
-    async def inject_link_fault(self):
-        is_store_link = self.random.random() < 0.5
-        proxies = [node.proxy for node in self.nodes] if is_store_link else self.worker_proxies
-        proxy = self.random.choice(proxies)
-        mode = self.random.choice(("delay", "one_way", "silent", "reset"))
-        self.log_event("link %s %d %s" % ("to the store" if is_store_link else "to worker", proxies.index(proxy), mode))
-        if mode == "reset":
-            return proxy.reset()
-        proxy.set_mode(mode)
-        await asyncio.sleep(self.random.uniform(0.5, 4))
-        proxy.set_mode(None)
-
-    async def inject_node_fault(self):
-        node = self.random.choice(self.nodes)
-        kind = self.random.choice(("kill", "pause", "stop", "reload"))
-        if node.is_busy:
-            return
-        self.log_event("%s %s" % (node.name, kind))
-        if kind == "reload":
-            node.signal(signal.SIGHUP)
-        elif kind == "kill":
-            node.is_busy = True
-            await node.kill()
-            await asyncio.sleep(self.random.uniform(0.1, 3))
-            await node.start()
-            node.is_busy = False
-        elif kind == "pause":
-            node.is_busy = True
-            node.signal(signal.SIGSTOP)
-            await asyncio.sleep(self.random.uniform(0.5, 5))
-            node.signal(signal.SIGCONT)
-            node.is_busy = False
-        else:
-            node.is_busy = True
-            await self.stop(node)
-            await node.start()
-            node.is_busy = False
-
-    async def stop(self, node):
-        node.signal(signal.SIGTERM)
-        try:
-            code = await asyncio.wait_for(node.process.wait(), STOP_GRACE_SECONDS)
-            if code != 0:
-                self.checker.report_violation("%s ends with %d after SIGTERM" % (node.name, code))
-        except asyncio.TimeoutError:
-            self.checker.report_violation("%s has not ended %d s after SIGTERM" % (node.name, STOP_GRACE_SECONDS))
-            await node.kill()
-
-    async def inject_worker_fault(self):
-        worker = self.random.choice(self.workers)
-        self.log_event("%s restarts" % worker.identity)
-        worker.restart()
-        self.store.put("servers", "", worker.identity, worker.entry())
-
-    async def inject_configuration_change(self):
-        self.configuration_version += self.random.randint(1, 9)
-        self.log_event("configuration %d" % self.configuration_version)
-        self.publish_configuration()
-
-    async def inject_faults(self):
-        """Injects random faults, several of which may overlap."""
-        kinds = (self.inject_store_fault, self.inject_link_fault, self.inject_link_fault, self.inject_node_fault,
-                 self.inject_node_fault, self.inject_worker_fault, self.inject_configuration_change)
-        deadline = time.monotonic() + self.seconds - 5
-        tasks = []
-        await asyncio.sleep(5)
+    async def generate_load(self, deadline):
         while time.monotonic() < deadline:
-            tasks.append(asyncio.create_task(self.random.choice(kinds)()))
-            await asyncio.sleep(self.random.uniform(0.2, 3))
-        await asyncio.gather(*tasks)
-
-    async def wait_for_jobs_to_end(self):
-        """Checks that all accepted jobs end and that no task of a cancelled job is still running."""
-        unfinished_jobs = {job for job in self.checker.accepted if self.jobs[job] and job not in self.checker.cancelled}
-        deadline = time.monotonic() + SETTLE_SECONDS
-        while unfinished_jobs and time.monotonic() < deadline:
-            for job in list(unfinished_jobs):
-                if await self.query_job(job) in ("completed", "failed"):
-                    unfinished_jobs.discard(job)
-            await asyncio.sleep(0.5)
-        for job in unfinished_jobs:
-            self.checker.report_violation("job %s was accepted and has not ended" % job)
-        for worker in self.workers:
-            for task in worker.runs:
-                if task.split(".")[0] in self.checker.cancelled:
-                    self.checker.report_violation("task %s still runs after its job's cancellation" % task)
+            is_long_running = self.random.random() < 0.1 and self.long_running_share() < LONG_RUNNING_SHARE
+            is_big = not is_long_running and self.random.random() < 0.05
+            self.keep([asyncio.create_task(self.submit_job(is_long_running, is_big))])
+            known = self.recent_jobs()
+            if known:
+                self.keep([asyncio.create_task(self.query_job(self.jobs[self.random.choice(known)]))])
+            await asyncio.sleep(self.random.uniform(0.4, 1.6) * self.size.mean_pause)
+
+    async def settle(self):
+        """Waits for the end of all work and faults, and longer than the bound on what may wait; then ends the
+        long-running jobs and checks that nothing of a cancelled job still runs."""
+        self.is_load_over = True
+        self.pool.is_ending = True
+        while self.kept_tasks:
+            tasks, self.kept_tasks = self.kept_tasks, []
+            await asyncio.gather(*tasks)
+        await asyncio.sleep(max(0, CALM_SECONDS + LONG_RUNNING_SECONDS + 1 - self.faults.calm_seconds()))
+        open_jobs = [job for job in self.jobs.values()
+                     if job.is_long_running and job.name in self.checker.accepted and not job.is_cancelling]
+        await asyncio.gather(*[self.cancel(job) for job in open_jobs])
+        await asyncio.sleep(4)
+        for task, runs in self.checker.running_attempts.items():
+            if runs and task.split(".")[0] in self.checker.cancelled:
+                self.checker.report_violation("task %s still runs after its job's cancellation" % task)
 
     async def run(self):
+        self.is_load_over = False
         await self.start()
-        worker_ticks = asyncio.create_task(self.tick_workers())
+        ticks = asyncio.create_task(self.tick())
         try:
             await asyncio.sleep(4)
-            await asyncio.gather(self.generate_load(), self.inject_faults())
-            await self.wait_for_jobs_to_end()
-            for node in self.nodes:
-                await self.stop(node)
+            deadline = time.monotonic() + self.seconds
+            clients = [ConnectionClient(self, number) for number in range(self.size.connections)]
+            await asyncio.gather(self.generate_load(deadline), FaultInjector(self).run(deadline),
+                                 *[client.run(deadline) for client in clients])
+            await self.settle()
+            if ticks.done():
+                await ticks
+            self.peak_memory_mb = sum(node.peak_memory_mb() for node in self.nodes)
+            await asyncio.gather(*[node.stop() for node in self.nodes])
         finally:
-            worker_ticks.cancel()
+            ticks.cancel()
             for node in self.nodes:
                 if node.process and node.process.returncode is None:
                     await node.kill()
+            self.event_log.close()
         return self.checker
 
-
-class _Timeout:
-    """Replacement for asyncio.timeout(), which older Python versions lack."""
-
-    def __init__(self, seconds):
-        self.seconds = seconds
-
-    async def __aenter__(self):
-        task = asyncio.current_task()
-        self.is_over = False
-
-        def end():
-            self.is_over = True
-            task.cancel()
-        self.handle = asyncio.get_running_loop().call_later(self.seconds, end)
-
-    async def __aexit__(self, kind, error, trace):
-        self.handle.cancel()
-        if self.is_over and kind is asyncio.CancelledError:
-            raise asyncio.TimeoutError
+    def summary(self):
+        longest = self.progress.longest_calm_wait
+        return ("%d jobs accepted, %d rejected, %d completed, %d starts, %d answers on open connections, %d broken, "
+                "longest wait beside room in calm times %.1f s (long-running %.1f s), %.0f MB, lag %.2f s, "
+                "%d invariant violations"
+                % (len(self.checker.accepted), len(self.checker.rejected), len(self.checker.completed),
+                   self.checker.start_count, self.answer_count, self.broken_count, longest[False], longest[True],
+                   self.peak_memory_mb, self.progress.longest_lag, len(self.checker.violations)))
+
+
+def run_seed(options, seed):
+    """Returns whether the seed violated no invariant."""
+    if options.logs:
+        folder = os.path.join(options.logs, "seed-%d" % seed)
+        os.makedirs(folder, exist_ok=True)
+    else:
+        folder = tempfile.mkdtemp(prefix="soak-seed-%d-" % seed)
+    soak = Soak(options.program, seed, options.seconds, folder, LARGE if options.large else SMALL)
+    checker = asyncio.run(soak.run())
+    print("seed %d: %s" % (seed, soak.summary()), flush=True)
+    is_good = not checker.violations and bool(checker.completed)
+    if not is_good:
+        for text in checker.violations[:10]:
+            print("  " + text)
+        print("  injected: " + "; ".join(soak.events[-MAX_EVENTS_SHOWN:]))
+        print("  logs: " + folder, flush=True)
+    elif not options.logs:
+        shutil.rmtree(folder)
+    return is_good
 
 
 def main():
@@ -390,28 +321,12 @@
     parser.add_argument("--program", required=True)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=25)
+    parser.add_argument("--seconds", type=float, default=40)
     parser.add_argument("--logs", default=None, help="folder in which to keep the settings and logs of each seed")
+    parser.add_argument("--large", action="store_true", help="100 processes and 60 workers")
     options = parser.parse_args()
-    failed_seeds = 0
-    for seed in range(options.seed, options.seed + options.seeds):
-        with tempfile.TemporaryDirectory() as scratch:
-            folder = scratch
-            if options.logs:
-                folder = os.path.join(options.logs, "seed-%d" % seed)
-                os.makedirs(folder, exist_ok=True)
-            soak = Soak(options.program, seed, options.seconds, folder)
-            checker = asyncio.run(soak.run())
-        accepted, rejected = len(checker.accepted), len(checker.rejected)
-        print("seed %d: %d jobs accepted, %d rejected, %d completed, %d starts, %d invariant violations"
-              % (seed, accepted, rejected, len(checker.completed), checker.start_count, len(checker.violations)),
-              flush=True)
-        if checker.violations or not checker.completed:
-            failed_seeds += 1
-            for text in checker.violations[:10]:
-                print("  " + text)
-            print("  injected: " + "; ".join(soak.events), flush=True)
-    return 1 if failed_seeds else 0
+    results = [run_seed(options, seed) for seed in range(options.seed, options.seed + options.seeds)]
+    return 0 if all(results) else 1
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/auto/usersplatform/soak/soaknode.py
@@ -0,0 +1,146 @@
+"""A geraniumquayd process of the soak test."""
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import time
+
+STOP_GRACE_SECONDS = 6
+
+SETTINGS = """\
+[node]
+name = {name}
+domain = {zone}
+region = region
+[endpoints]
+callers = 127.0.0.1:{callers}
+readiness = 127.0.0.1:{readiness}
+peers = 127.0.0.1:{peers}
+metrics = 127.0.0.1:{metrics}
+[table]
+endpoint = 127.0.0.1:{store}
+row_bytes = 65536
+[dispatch]
+processor_share = 1
+processors = 1
+worker_lease_limit_ms = 10000
+stop_ms = 200
+drain_ms = 2500
+grace_ms = 6000
+retention_s = 120
+remote_penalty = 3
+interference_ms = 4000
+disruption_notice_ms = 5500
+gang_ms = 3000
+"""
+
+# Below the range of ephemeral ports, so that no outgoing connection can occupy the port of a node that is down.
+PORTS = range(18000, 32000)
+
+
+def free_ports(count):
+    ports = []
+    for port in random.Random(os.getpid() * 1000003 + time.monotonic_ns()).sample(PORTS, len(PORTS)):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            break
+    return ports
+
+
+class Node:
+    """One geraniumquayd process with its settings and its fault proxy to the store.
+
+    A process that ends without having been told to is a violation.
+    """
+
+    def __init__(self, number, zone, program, folder, proxy, ports, checker, unplanned):
+        self.name = "node-%d" % number
+        self.program = program
+        self.proxy = proxy
+        self.checker = checker
+        self.settings = os.path.join(folder, self.name + ".ini")
+        self.log = os.path.join(folder, self.name + ".log")
+        self.callers_port = ports[0]
+        with open(self.settings, "w", encoding="utf-8") as file:
+            file.write(SETTINGS.format(name=self.name, zone=zone, callers=ports[0], readiness=ports[1],
+                                       peers=ports[2], metrics=ports[3], store=proxy.port))
+        self.process = None
+        self.is_end_expected = False
+        self.is_busy = False  # A fault is currently injected into the process.
+        self.unplanned = unplanned  # Faults but planned stops.
+        self.watcher = None
+
+    async def start(self):
+        self.is_end_expected = False
+        with open(self.log, "a", encoding="utf-8") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.program, "--config", self.settings, stdout=log, stderr=log)
+        self.watcher = asyncio.create_task(self.watch())
+
+    async def watch(self):
+        code = await self.process.wait()
+        if self.is_end_expected:
+            return
+        self.unplanned.note()
+        with open(self.log, "rb") as file:
+            file.seek(max(0, os.path.getsize(self.log) - 600))
+            tail = file.read().decode("utf-8", "replace")
+        self.checker.report_violation("%s ends by itself with code %d; its log ends with: %s"
+                                      % (self.name, code, tail))
+        await self.start()
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self):
+        self.is_end_expected = True
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
+    async def restart_killed(self, seconds):
+        self.is_busy = True
+        with self.unplanned:
+            await self.kill()
+            await asyncio.sleep(seconds)
+            await self.start()
+        self.is_busy = False
+
+    async def pause(self, seconds):
+        self.is_busy = True
+        with self.unplanned:
+            self.signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            self.signal(signal.SIGCONT)
+        self.is_busy = False
+
+    async def restart_stopped(self, seconds):
+        self.is_busy = True
+        with self.unplanned.parent:
+            await self.stop()
+            await asyncio.sleep(seconds)
+            await self.start()
+        self.is_busy = False
+
+    async def stop(self):
+        self.is_end_expected = True
+        self.signal(signal.SIGTERM)
+        try:
+            code = await asyncio.wait_for(self.process.wait(), STOP_GRACE_SECONDS)
+            if code != 0:
+                self.checker.report_violation("%s ends with %d after SIGTERM" % (self.name, code))
+        except asyncio.TimeoutError:
+            self.checker.report_violation("%s has not ended %d s after SIGTERM" % (self.name, STOP_GRACE_SECONDS))
+            await self.kill()
+
+    def peak_memory_mb(self):
+        with open("/proc/%d/status" % self.process.pid, encoding="utf-8") as file:
+            return next((int(line.split()[1]) / 1024 for line in file if line.startswith("VmHWM")), 0)
--- a/tests/auto/usersplatform/soak/standinplatform.py
+++ b/tests/auto/usersplatform/soak/standinplatform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import bisect
 import json
 import time
 import urllib.parse
@@ -9,6 +10,8 @@
 STORE_ROWS_LIMIT = 500
 MAX_LEASE_MS = 10000
 STOP_SECONDS = 0.05
+DRAIN_MS = 2500
+MAX_CONNECTIONS = 4096
 
 
 def unix_ms():
@@ -35,12 +38,20 @@
     def __init__(self):
         self.server = None
         self.port = 0
+        self.writers = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=MAX_CONNECTIONS)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def close(self):
+        """Closes the port and breaks all connections."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 method, target, headers, body = await read_request(reader)
@@ -56,6 +67,7 @@
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def handle(self, method, target, headers, body):
@@ -71,24 +83,34 @@
     def __init__(self, random):
         super().__init__()
         self.random = random
-        self.rows = {}
-        self.changes = []
+        self.partitions = {}  # (table, partition) -> key -> (value, version)
+        self.changes = {}  # table -> list of (version, name, fields), ordered by version
+        self.changed = {}  # table -> event that is set at its next change
         self.version = 1
         self.mode = None
-        self.changed = asyncio.Event()
 
     def put(self, table, part, key, value):
         self.version += 1
         self.apply_put((table, part, key), base64.b64encode(value).decode())
 
+    def remove(self, table, part, key):
+        self.version += 1
+        self.apply_removal((table, part, key))
+
+    def row(self, name):
+        return self.partitions.get(name[:2], {}).get(name[2], ("", 0))
+
     def apply_put(self, name, value):
-        self.rows[name] = (value, self.version)
+        self.partitions.setdefault(name[:2], {})[name[2]] = (value, self.version)
         self.record_change(name, {"value": value})
 
+    def apply_removal(self, name):
+        if self.partitions.get(name[:2], {}).pop(name[2], None):
+            self.record_change(name, {"deleted": True})
+
     def record_change(self, name, fields):
-        self.changes.append((self.version, name, fields))
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self.changes.setdefault(name[0], []).append((self.version, name, fields))
+        self.changed.pop(name[0], asyncio.Event()).set()
 
     @staticmethod
     def describe(name, value, version):
@@ -114,36 +136,36 @@
             return entry["table"], entry.get("part", ""), entry["key"]
 
         current = [(name_of(entry), entry["ver"]) for entry in call.get("expected_rev", [])]
-        if any(self.rows.get(name, ("", 0))[1] != version for name, version in current):
-            rows = [self.describe(name, *self.rows.get(name, ("", 0))) for name, _ in current]
-            return 412, {"rows": rows, "ver": self.version}
+        if any(self.row(name)[1] != version for name, version in current):
+            return 412, {"rows": [self.describe(name, *self.row(name)) for name, _ in current], "ver": self.version}
         self.version += 1
         for entry in call.get("puts", []):
             self.apply_put(name_of(entry), entry["value"])
         for entry in call.get("remove", []):
-            if self.rows.pop(name_of(entry), None):
-                self.record_change(name_of(entry), {"deleted": True})
+            self.apply_removal(name_of(entry))
         return 200, {"ver": self.version, "now_ms": unix_ms()}
 
     def get(self, query):
-        names = sorted(name for name in self.rows
-                       if name[:2] == (query["table"], query.get("part", "")) and name[2] >= query.get("from", "")
-                       and ("target" not in query or name[2] < query["target"]))
+        partition = (query["table"], query.get("part", ""))
+        rows = self.partitions.get(partition, {})
+        keys = sorted(key for key in rows
+                      if key >= query.get("from", "") and ("target" not in query or key < query["target"]))
         limit = int(query.get("limit", STORE_ROWS_LIMIT))
-        rows = [self.describe(name, *self.rows[name]) for name in names[:limit]]
-        return 200, {"rows": rows, "has_more": len(names) > limit, "ver": self.version, "now_ms": unix_ms()}
+        return 200, {"rows": [self.describe(partition + (key,), *rows[key]) for key in keys[:limit]],
+                     "has_more": len(keys) > limit, "ver": self.version, "now_ms": unix_ms()}
 
     async def feed(self, query):
-        after = int(query["after"])
+        table, after = query["table"], int(query["after"])
         deadline = time.monotonic() + min(int(query.get("wait_ms", 0)), 30000) / 1000
         while True:
-            found = [change for change in self.changes if change[0] > after and change[1][0] == query["table"]]
+            changes = self.changes.setdefault(table, [])
+            found = changes[bisect.bisect_right(changes, after, key=lambda change: change[0]):]
             remaining = deadline - time.monotonic()
             if found or remaining <= 0:
                 rows = [dict(self.describe(name, "", version), **fields) for version, name, fields in found]
                 return 200, {"rows": rows, "ver": self.version, "now_ms": unix_ms()}
             try:
-                await asyncio.wait_for(self.changed.wait(), remaining)
+                await asyncio.wait_for(self.changed.setdefault(table, asyncio.Event()).wait(), remaining)
             except asyncio.TimeoutError:
                 pass
 
@@ -151,13 +173,22 @@
 class Worker(HttpServer):
     """Runs tasks under a lease and reports each start and end to the invariant checker."""
 
-    def __init__(self, identity, zone, checker, random):
+    def __init__(self, identity, zone, rack, checker, random):
         super().__init__()
         self.identity = identity
         self.zone = zone
+        self.rack = rack
         self.checker = checker
         self.random = random
         self.capacity = 8000
+        self.proxy = None
+        self.is_listed = False
+        self.listed_since = 0.0
+        self.is_replaced = False  # It drains, or will soon.
+        self.is_gone = False
+        self.drains_since = None  # Time at which the store accepted the report that the worker drains.
+        self.free_samples = []  # (time, processors that were free all the time since the sample before)
+        self.lowest_free = 0
         self.restart()
 
     def restart(self):
@@ -177,10 +208,37 @@
         return unix_ms() - self.started_unix_ms
 
     def entry(self):
-        return json.dumps({"service": "service", "addr": "127.0.0.1:%d" % self.listed_port, "zone": self.zone,
-                           "version": "1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1,
-                           "born": self.started_unix_ms, "labels": ["a", self.zone + "-r1"],
-                           "capacity": {"cpu": self.capacity, "mem_mb": 64000, "gpu": 0}}).encode()
+        fields = {"service": "service", "addr": "127.0.0.1:%d" % self.proxy.port, "zone": self.zone,
+                  "version": "1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1,
+                  "born": self.started_unix_ms, "labels": ["a", self.rack],
+                  "capacity": {"cpu": self.capacity, "mem_mb": 64000, "gpu": 0}}
+        if self.drains_since is not None:
+            fields["state"] = "draining"
+            fields["drain_remaining_ms"] = max(0, DRAIN_MS - int((time.monotonic() - self.drains_since) * 1000))
+        return json.dumps(fields).encode()
+
+    def leave(self):
+        """Closes the port and ends all runs; nothing of it is reported to a caller any more."""
+        self.is_gone = True
+        self.restart()
+        self.close()
+
+    def free_processors(self):
+        return self.capacity - sum(run["cpu"] for run in self.runs.values())
+
+    def sample_room(self, now, settle_seconds, kept_seconds):
+        """Records the room that new tasks could have used: none while nodes need not know of the worker yet."""
+        is_usable = (self.is_listed and now - self.listed_since >= settle_seconds and not self.is_replaced
+                     and self.proxy.mode is None and (unix_ms() - self.started_unix_ms) / 1000 >= settle_seconds)
+        self.free_samples.append((now, self.lowest_free if is_usable else 0))
+        self.lowest_free = self.free_processors()
+        while self.free_samples[0][0] < now - kept_seconds:
+            self.free_samples.pop(0)
+
+    def room_for(self, now, seconds):
+        """Returns the processors that were free without a break for that time; 0 without samples of all of it."""
+        samples = [free for at, free in self.free_samples if at >= now - seconds]
+        return min(samples) if samples and self.free_samples[0][0] <= now - seconds + 1 else 0
 
     def end_attempt(self, task, how):
         run = self.runs.pop(task)
@@ -206,6 +264,8 @@
         self.lease_until = max(self.lease_until, deadline)
 
     async def handle(self, method, target, headers, body):
+        if self.is_gone:
+            return None
         call = json.loads(body) if body else {}
         if headers.get("x-expect-instance", self.identity) != self.identity:
             return 421, {"wall_clock_ms": self.clock_ms(), "born": self.started_unix_ms}
@@ -239,6 +299,7 @@
         self.runs[task] = {"attempt": attempt, "stop_at": None, "started": time.monotonic(), "cpu": shape["cpu"],
                            "ms": shape["ms"],
                            "done_at": None if is_long_running else time.monotonic() + shape["ms"] / 1000}
+        self.lowest_free = min(self.lowest_free, self.free_processors())
         self.checker.on_attempt_started(self, task, attempt)
         return 200, fields
 
--- /dev/null
+++ b/tests/auto/usersplatform/soak/workerpool.py
@@ -0,0 +1,156 @@
+"""Workers of the soak test that are replaced while it runs."""
+
+import asyncio
+import time
+
+from faultproxy import FaultProxy
+from standinplatform import DRAIN_MS, Worker
+
+REPORTS = ("at once", "at once", "at once", "late", "never")
+
+
+class WorkerPool:
+    """Starts workers, lets them leave with and without a report, and lists them in the store."""
+
+    def __init__(self, random, store, checker, faults, log_event, zones, racks_per_zone, workers_per_rack):
+        self.random = random
+        self.store = store
+        self.checker = checker
+        self.faults = faults
+        self.log_event = log_event
+        self.zones = zones
+        self.racks_per_zone = racks_per_zone
+        self.workers_per_rack = workers_per_rack
+        self.workers = []
+        self.count = 0
+        self.is_ending = False
+
+    def base_capacity(self):
+        return len(self.zones) * self.racks_per_zone * self.workers_per_rack * 8000
+
+    async def start(self):
+        for zone in self.zones:
+            for rack in range(self.racks_per_zone):
+                for _ in range(self.workers_per_rack):
+                    await self.add(zone, "%s-r%d" % (zone, rack))
+
+    async def add(self, zone, rack):
+        worker = Worker("w%03d-%s" % (self.count, rack), zone, rack, self.checker, self.random)
+        self.count += 1
+        await worker.start()
+        worker.proxy = FaultProxy(worker.port)
+        await worker.proxy.start()
+        self.workers.append(worker)
+        self.list(worker)
+        return worker
+
+    def list(self, worker):
+        if worker.is_gone:
+            return
+        if not worker.is_listed:
+            worker.listed_since = time.monotonic()
+        worker.is_listed = True
+        self.store.put("servers", "", worker.identity, worker.entry())
+
+    def unlist(self, worker):
+        worker.is_listed = False
+        self.store.remove("servers", "", worker.identity)
+
+    def replaceable(self):
+        return [worker for worker in self.workers if not worker.is_replaced]
+
+    async def take_away(self, worker, report=None):
+        """Lets a worker drain and leave. Its report may come late or never."""
+        if worker.is_replaced:
+            return
+        worker.is_replaced = True
+        report = report or self.random.choice(REPORTS)
+        serve_seconds = self.random.uniform(0.2, 3) if self.random.random() < 0.7 else self.random.uniform(3, 12)
+        late_seconds = self.random.uniform(0.5, 12)
+        is_entry_removed = self.random.random() < 0.5
+        lapse_seconds = self.random.uniform(1, 6)
+        self.log_event("%s leaves, report %s" % (worker.identity, report))
+        if report == "never":
+            await asyncio.sleep(serve_seconds)
+            self.faults.note()
+        else:
+            if report == "late":
+                await asyncio.sleep(late_seconds)
+            while self.store.mode == "busy":
+                await asyncio.sleep(0.1)
+            worker.drains_since = time.monotonic()
+            self.list(worker)
+            self.log_event("%s is listed as draining" % worker.identity)
+            await asyncio.sleep(DRAIN_MS / 1000 + serve_seconds)
+        worker.leave()
+        worker.proxy.close()
+        self.workers.remove(worker)
+        self.log_event("%s has left" % worker.identity)
+        if not is_entry_removed:
+            await asyncio.sleep(lapse_seconds)
+        while self.store.mode == "busy" and not self.is_ending:
+            await asyncio.sleep(0.1)
+        self.unlist(worker)
+
+    async def replace(self, worker):
+        """Starts a new worker in the same rack or in another one of the zone, and takes the old one away."""
+        rack = worker.rack
+        if self.random.random() < 0.4:
+            rack = "%s-r%d" % (worker.zone, self.random.randrange(self.racks_per_zone + 1))
+        pause = self.random.uniform(0, 3)
+        if self.random.random() < 0.5:
+            await self.add(worker.zone, rack)
+            await asyncio.sleep(pause)
+            await self.take_away(worker)
+        else:
+            leaving = asyncio.create_task(self.take_away(worker))
+            await asyncio.sleep(pause)
+            await self.add(worker.zone, rack)
+            await leaving
+
+    async def run_wave(self):
+        """Replaces several workers within seconds, or all of a moment."""
+        candidates = self.replaceable()
+        share = self.random.choice((0.15, 0.25, 0.5))
+        chosen = self.random.sample(candidates, int(len(candidates) * share))
+        spread = self.random.choice((0, 2, 8))
+        self.log_event("wave of %d of %d workers in %d s" % (len(chosen), len(candidates), spread))
+
+        async def replace_later(worker, seconds):
+            await asyncio.sleep(seconds)
+            await self.replace(worker)
+        await asyncio.gather(*[replace_later(worker, self.random.uniform(0, spread)) for worker in chosen])
+
+    async def empty_group(self):
+        """Takes all workers of a rack or of a whole zone away; new ones come after many seconds."""
+        is_zone = self.random.random() < 0.4
+        model = self.random.choice(self.replaceable())
+        chosen = [worker for worker in self.replaceable()
+                  if worker.zone == model.zone and (is_zone or worker.rack == model.rack)]
+        if 2 * len(chosen) > len(self.replaceable()):
+            return
+        self.log_event("%s loses all %d workers" % (model.zone if is_zone else model.rack, len(chosen)))
+        leaving = [asyncio.create_task(self.take_away(worker)) for worker in chosen]
+        await asyncio.sleep(self.random.uniform(8, 25))
+        for worker in chosen:
+            await self.add(worker.zone, worker.rack)
+            await asyncio.sleep(self.random.uniform(0, 0.5))
+        await asyncio.gather(*leaving)
+
+    async def lapse(self):
+        """Removes the entry of a worker that lives, and puts it back."""
+        worker = self.random.choice(self.replaceable())
+        self.log_event("%s is not listed for some time" % worker.identity)
+        with self.faults:
+            self.unlist(worker)
+            await asyncio.sleep(self.random.uniform(0.5, 6))
+            if not worker.is_gone:
+                self.list(worker)
+
+    def restart(self, worker):
+        """Starts a new incarnation at once."""
+        worker.restart()
+        self.faults.note()
+        if worker.is_listed:
+            worker.listed_since = time.monotonic()
+            self.list(worker)
