Let a soak that is told to end kill its nodes

Cause: SIGTERM ended the script at once, and its node processes went on. Change: it is handled like an interrupt, so the nodes are killed before the script ends.

--- a/tests/auto/usersplatform/soak/soak.py
+++ b/tests/auto/usersplatform/soak/soak.py
@@ -16,6 +16,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -325,6 +326,7 @@
     parser.add_argument("--logs", default=None, help="folder in which to keep the settings and logs of each seed")
     parser.add_argument("--large", action="store_true", help="100 processes and 60 workers")
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # So that the nodes are ended, too.
     results = [run_seed(options, seed) for seed in range(options.seed, options.seed + options.seeds)]
     return 0 if all(results) else 1
 
