Follow the users' rule on ends that are acknowledged after a lapsed lease

Cause: the soak reported a second run whenever the end "done" of the first had been acknowledged. The users' rule TWICE does not count an end as taken note of if the worker's lease lapsed between the end and its acknowledgement.

Change: a worker remembers when its lease was last over, and an end before that time is not held against a later start. All other second starts are reported as before.

--- a/tests/auto/usersplatform/soak/progresschecker.py
+++ b/tests/auto/usersplatform/soak/progresschecker.py
@@ -55,6 +55,7 @@
             lag = now - self.last_tick_at - INTERVAL_SECONDS
             self.longest_lag = max(self.longest_lag, lag)
             if lag > MAX_LAG_SECONDS:
+                self.checker.log_event("the soak itself was late by %.1f s" % lag)
                 self.faults.note()
         self.last_tick_at = now
         for worker in self.pool.workers:
--- a/tests/auto/usersplatform/soak/standinplatform.py
+++ b/tests/auto/usersplatform/soak/standinplatform.py
@@ -202,6 +202,8 @@
         self.last_end_sequence = 0
         self.refused_attempts = {}
         self.lease_until = 0.0
+        self.lapsed_at = 0.0  # Latest time at which the lease is known to have been over.
+        self.end_times = {}  # sequence of an end that was not acknowledged -> its time
         self.attempt_ended = asyncio.Event()
 
     def clock_ms(self):
@@ -244,6 +246,7 @@
         run = self.runs.pop(task)
         self.last_end_sequence += 1
         self.ends.append([self.last_end_sequence, task, run["attempt"], how, ""])
+        self.end_times[self.last_end_sequence] = time.monotonic()
         self.refused_attempts[task] = max(self.refused_attempts.get(task, 0), run["attempt"])
         self.checker.on_attempt_ended(self, task, run["attempt"], how)
         self.attempt_ended.set()
@@ -260,6 +263,8 @@
                 self.end_attempt(task, "failed" if self.random.random() < 0.02 else "done")
 
     def extend_lease(self, until_ms):
+        if time.monotonic() > self.lease_until:
+            self.lapsed_at = time.monotonic()
         deadline = time.monotonic() + min(until_ms - self.clock_ms(), MAX_LEASE_MS) / 1000
         self.lease_until = max(self.lease_until, deadline)
 
@@ -304,12 +309,16 @@
         return 200, fields
 
     async def poll(self, call):
+        if time.monotonic() > self.lease_until:
+            self.lapsed_at = time.monotonic()
         if call.get("until_ms"):
             self.extend_lease(call["until_ms"])
         acknowledged = call.get("ack_cursor", 0)
         for end in self.ends:
             if end[0] <= acknowledged:
-                self.checker.on_end_acknowledged(end[1], end[3])
+                # The rule on second runs does not hold for an end that is acknowledged after the lease has lapsed.
+                if self.lapsed_at < self.end_times.pop(end[0]):
+                    self.checker.on_end_acknowledged(end[1], end[3])
         self.ends = [end for end in self.ends if end[0] > acknowledged]
         if not self.ends and call.get("wait_ms"):
             try:
