Let the soak pause nodes while they connect to the store

On the loopback interface a connection or write is done at once, so nothing was under way when a pause began.

Change: a proxy can let new connections wait (its queue of one is full), and can have small receive buffers.

--- a/tests/auto/usersplatform/soak/faultinjector.py
+++ b/tests/auto/usersplatform/soak/faultinjector.py
@@ -4,7 +4,7 @@
 import signal
 import time
 
-FAULT_MODES = ("delay", "one_way", "silent", "reset")
+FAULT_MODES = ("delay", "one_way", "silent", "unconnectable", "reset")
 # Bounds the length of a series.
 MAX_NODES_IN_TURN = 5
 
@@ -89,6 +89,27 @@
         await asyncio.gather(*disturbed)
         self.soak.keep(others)
 
+    async def freeze_while_writing(self):
+        """Pauses a node whose connections or writes to the store are blocked, so that their time limits pass while it
+        stands still."""
+        if not self.free_nodes():
+            return
+        node = self.random.choice(self.free_nodes())
+        mode = "unconnectable" if self.soak.has_only_freezes or self.random.random() < 0.7 else "silent"
+        self.log_event("%s pause while the store is %s" % (node.name, mode))
+        with self.soak.unplanned:
+            node.proxy.set_mode(mode)
+            if mode == "unconnectable":
+                node.proxy.reset()
+            big_jobs = [asyncio.create_task(self.soak.submit_job(is_big=True)) for _ in range(2)]
+            await asyncio.sleep(self.random.uniform(0.05, 0.6))
+            if not node.is_busy:
+                unblocked = asyncio.get_running_loop().call_later(self.random.uniform(0, 1), node.proxy.set_mode, None)
+                await node.pause(self.random.uniform(1.2, 3.2))
+                unblocked.cancel()
+            node.proxy.set_mode(None)
+        await asyncio.gather(*big_jobs)
+
     async def inject_worker_fault(self):
         worker = self.random.choice(self.soak.pool.workers)
         self.log_event("%s restarts" % worker.identity)
@@ -109,11 +130,15 @@
             await self.soak.pool.replace(self.random.choice(workers))
 
     async def run(self, deadline):
+        while self.soak.has_only_freezes and time.monotonic() < deadline:
+            await self.freeze_while_writing()
+            await asyncio.sleep(0.2)
         pool = self.soak.pool
         planned = (self.replace_worker, pool.run_wave, pool.empty_group, self.reload_settings,
                    self.inject_configuration_change)
         faults = (self.inject_store_fault, self.inject_link_fault, self.inject_link_fault, self.inject_node_fault,
-                  self.inject_node_fault, self.inject_series, self.inject_worker_fault, pool.lapse)
+                  self.inject_node_fault, self.inject_series, self.freeze_while_writing, self.inject_worker_fault,
+                  pool.lapse)
         is_calm_seed = self.random.random() < 0.2
         while time.monotonic() < deadline:
             if not is_calm_seed:
--- a/tests/auto/usersplatform/soak/faultproxy.py
+++ b/tests/auto/usersplatform/soak/faultproxy.py
@@ -1,34 +1,70 @@
 """TCP proxy on the loopback interface that can delay, block or reset its connections."""
 
 import asyncio
+import socket
+
+BACKLOG = 1024
 
 
 class FaultProxy:
     """Forwards connections to a target port.
 
-    Fault modes: None, 'delay', 'one_way' (responses are blocked), 'silent' (both directions are blocked).
+    Fault modes: None, 'delay', 'one_way' (responses are blocked), 'silent' (both directions are blocked),
+    'unconnectable' (new connections wait).
+
+    With `receive_bytes` its receive buffers are small, so that a sender's write of tens of KB stays unfinished while the
+    proxy blocks.
     """
 
-    def __init__(self, target_port):
+    def __init__(self, target_port, receive_bytes=None):
         self.target_port = target_port
+        self.receive_bytes = receive_bytes
         self.mode = None
         self.port = 0
-        self.server = None
+        self.listener = socket.socket()
+        self.acceptor = None
+        self.tasks = set()
+        self.accepting = asyncio.Event()
+        self.accepting.set()
         self.writers = set()
         self.unblocked = asyncio.Event()
         self.unblocked.set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.forward_connection, "127.0.0.1", 0, backlog=1024)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.listener.setblocking(False)
+        if self.receive_bytes:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(BACKLOG)
+        self.port = self.listener.getsockname()[1]
+        self.acceptor = asyncio.create_task(self.accept_connections())
 
     def close(self):
-        self.server.close()
         self.set_mode(None)
+        self.acceptor.cancel()
+        self.listener.close()
         self.reset()
 
+    async def accept_connections(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(self.listener)
+            await self.accepting.wait()
+            reader, writer = await asyncio.open_connection(sock=connection, limit=self.receive_bytes or 65536)
+            task = asyncio.create_task(self.forward_connection(reader, writer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
     def set_mode(self, mode):
+        if self.listener.fileno() < 0:  # It is closed.
+            return
         self.mode = mode
+        if mode == "unconnectable":
+            self.accepting.clear()
+            self.listener.listen(0)
+        elif not self.accepting.is_set():
+            self.accepting.set()
+            self.listener.listen(BACKLOG)
         if mode in ("one_way", "silent"):
             self.unblocked.clear()
         else:
--- a/tests/auto/usersplatform/soak/soak.py
+++ b/tests/auto/usersplatform/soak/soak.py
@@ -3,6 +3,7 @@
 against what callers and workers observe.
 
     soak.py --program PATH [--seed N] [--seeds COUNT] [--seconds S] [--logs FOLDER] [--large]
+            [--only-freezes]
 
 Exits with 0 if no invariant was violated; else the logs of the failed seeds are kept. A seed determines the injected
 faults and their times; the timing of the processes still varies. With --large, 100 processes and 60 workers run: by
@@ -37,6 +38,8 @@
 # Share of the processors that long-running tasks may ask for, and largest number of big jobs at once.
 LONG_RUNNING_SHARE = 0.3
 MAX_BIG_JOBS = 2
+# Receive buffer between nodes and store in a part of the seeds.
+NARROW_BYTES = 4096
 
 
 class Size:
@@ -58,12 +61,13 @@
 class Soak:
     """One run of the soak test with one seed."""
 
-    def __init__(self, program, seed, seconds, folder, size):
+    def __init__(self, program, seed, seconds, folder, size, has_only_freezes=False):
         self.program = program
         self.random = random.Random(seed)
         self.seconds = seconds
         self.folder = folder
         self.size = size
+        self.has_only_freezes = has_only_freezes
         self.started_at = time.monotonic()
         self.events = []
         self.event_log = open(os.path.join(folder, "soak.events"), "w", encoding="utf-8")
@@ -101,8 +105,9 @@
         await self.pool.start()
         self.publish_configuration()
         ports = free_ports(4 * self.size.nodes)
+        receive_bytes = NARROW_BYTES if self.has_only_freezes or self.random.random() < 0.4 else None
         for number in range(self.size.nodes):
-            proxy = FaultProxy(self.store.port)
+            proxy = FaultProxy(self.store.port, receive_bytes)
             await proxy.start()
             zone = self.size.zones[number % len(self.size.zones)]
             self.nodes.append(Node(number, zone, self.program, self.folder, proxy, ports[4 * number:4 * number + 4],
@@ -168,6 +173,7 @@
         return asked / self.pool.base_capacity()
 
     async def submit_job(self, is_long_running=False, is_big=False, pause=0.0):
+        """Submits a job, its request in two halves if `pause` is not 0, and attends to it."""
         if is_big and self.big_jobs >= MAX_BIG_JOBS:
             return
         self.big_jobs += 1 if is_big else 0
@@ -303,7 +309,8 @@
         os.makedirs(folder, exist_ok=True)
     else:
         folder = tempfile.mkdtemp(prefix="soak-seed-%d-" % seed)
-    soak = Soak(options.program, seed, options.seconds, folder, LARGE if options.large else SMALL)
+    soak = Soak(options.program, seed, options.seconds, folder, LARGE if options.large else SMALL,
+                options.only_freezes)
     checker = asyncio.run(soak.run())
     print("seed %d: %s" % (seed, soak.summary()), flush=True)
     is_good = not checker.violations and bool(checker.completed)
@@ -325,6 +332,8 @@
     parser.add_argument("--seconds", type=float, default=40)
     parser.add_argument("--logs", default=None, help="folder in which to keep the settings and logs of each seed")
     parser.add_argument("--large", action="store_true", help="100 processes and 60 workers")
+    parser.add_argument("--only-freezes", action="store_true",
+                        help="no fault but pauses of nodes that connect or write to the store")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # So that the nodes are ended, too.
     results = [run_seed(options, seed) for seed in range(options.seed, options.seed + options.seeds)]
