Delegate tasks that end before they wait for the users' bound

A task on a silent worker was not reported as waiting, as its phase is running.

Change: 2.2 s, no assumed assignments for tasks that must leave, and such tasks are reported.

--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -32,7 +32,7 @@
 // because it finds no worker there for another reason.
 constexpr double maxDelegationCost = 0.9;
 constexpr double maxRelativeDelegationCost = 0.8;
-constexpr std::chrono::milliseconds overdueWait { 4000 };
+constexpr std::chrono::milliseconds overdueWait { 2200 };
 
 bool fitsLargestWorker(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
 {
@@ -177,10 +177,16 @@
 double ShardChooser::delegationCostLimit(
     const std::string& originShard, const FleetSchema::JobSpec& spec, Utils::Duration waited) const
 {
-    const auto origin = owners_.find(originShard);
-    if (waited >= overdueWait || origin == owners_.end() || origin->second.load.capacity() <= 0)
+    if (mustLeave(originShard, waited))
         return maxDelegationCost;
-    return std::min(maxDelegationCost, maxRelativeDelegationCost * costOf(spec, origin->second.load, {}, 1));
+    const FleetSchema::ShardLoad& load = owners_.at(originShard).load;
+    return std::min(maxDelegationCost, maxRelativeDelegationCost * costOf(spec, load, {}, 1));
+}
+
+bool ShardChooser::mustLeave(const std::string& originShard, Utils::Duration waited) const
+{
+    const auto origin = owners_.find(originShard);
+    return waited >= overdueWait || origin == owners_.end() || origin->second.load.capacity() <= 0;
 }
 
 bool ShardChooser::mayHost(
@@ -197,6 +203,9 @@
     const std::int64_t size = stepSpec.milli_processors();
     std::string best;
     bool hasBestRoom = false;
+    // Few shards have tasks that must leave, so that the other nodes hardly assign such tasks meanwhile.
+    if (mustLeave(originShard, waited))
+        assigningNodes = 1;
     const double limit
         = stepSpec.lasting() ? maxDelegationShare : delegationCostLimit(originShard, spec, waited);
     double bestCost = limit;
--- a/src/libs/fleet/shardchooser.h
+++ b/src/libs/fleet/shardchooser.h
@@ -83,6 +83,7 @@
 
     double delegationCostLimit(
         const std::string& originShard, const FleetSchema::JobSpec& spec, Utils::Duration waited) const;
+    bool mustLeave(const std::string& originShard, Utils::Duration waited) const;
     bool mayHost(const std::string& shard, const FleetSchema::ShardLoad& load,
         const FleetSchema::StepSpec& step) const;
 
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -35,8 +35,9 @@
 
 bool canWait(const Task& task)
 {
-    return task.phase != TaskPhase::Running && task.phase != TaskPhase::Done
-        && task.phase != TaskPhase::AtOrigin
+    if (task.phase == TaskPhase::Running)
+        return !task.worker->isResponsive;
+    return task.phase != TaskPhase::Done && task.phase != TaskPhase::AtOrigin
         && !(task.phase == TaskPhase::Delegated && task.isDelegationAcknowledged);
 }
 
--- a/tests/auto/fleet/tst_shardchooser.cpp
+++ b/tests/auto/fleet/tst_shardchooser.cpp
@@ -203,3 +203,19 @@
     // The room may be taken by the first task, so the load decides about the next one.
     CHECK(chooser.chooseForTask("own", job, 0, {}, 1) == "fragmented");
 }
+
+TEST_CASE("Many tasks leave a shard without workers at once, whatever the number of nodes")
+{
+    const FleetSchema::JobSpec job = makeJob("j", { makeStep(4, 8000, 1000) });
+    Fleet::ShardOwnerInfo own = ownerInfo("own", 0);
+    own.load.set_capacity(0);
+    Fleet::ShardOwnerInfo other = ownerInfo("other", 100'000);
+    other.load.set_reports_results(true);
+    Fleet::ShardChooser chooser;
+    chooser.update({ { "own", own }, { "other", other } });
+    int delegated = 0;
+    while (delegated < 100 && !chooser.chooseForTask("own", job, 0, {}, 37).empty())
+        ++delegated;
+    // The other shard has 350 processors below the limit, and each task takes 8.
+    CHECK(delegated == 44);
+}
--- a/tests/auto/fleet/tst_shardwaits.cpp
+++ b/tests/auto/fleet/tst_shardwaits.cpp
@@ -73,3 +73,18 @@
     }
     CHECK(fixture.output.waits.empty());
 }
+
+TEST_CASE("A task on a worker that has stopped answering is reported as waiting")
+{
+    SchedulerFixture fixture(1);
+    fixture.scheduler.submit(makeJob("job", { makeStep(1, 1000, 60'000) }), 1, fixture.now, testStartUnixMs);
+    fixture.scheduleAndCommit();
+    fixture.confirmStarts();
+    fixture.scheduler.onPollFailed("w0");
+    fixture.scheduler.onPollFailed("w0");
+    tick(fixture, 3500ms);
+    REQUIRE(fixture.output.waits.size() == 1);
+    CHECK(fixture.output.waits[0].phase == "running");
+    CHECK_FALSE(fixture.output.waits[0].isWorkerResponsive);
+    CHECK(fixture.output.waits[0].leaseRemainingMs > 0);
+}
