--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -245,7 +245,7 @@
 std::string ShardChooser::chooseForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
     std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes)
 {
-    const std::string shard = findForTask(originShard, spec, step, waited, assigningNodes);
+    std::string shard = findForTask(originShard, spec, step, waited, assigningNodes);
     if (!shard.empty())
         countDelegation(shard, spec, step);
     return shard;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -210,6 +210,8 @@
     struct InflightBatch;
     struct BatchedJob;
 
+    void restoreTask(Task& task, const FleetSchema::TaskRecord& stored, Utils::TimePoint now);
+    void restoreAttempt(Task& task, const FleetSchema::TaskRecord& stored, Utils::TimePoint now);
     Job* findJob(std::string_view id);
     Job& ensureHostedJob(
         const FleetSchema::JobSpec& spec, const std::string& originShard, Utils::TimePoint now);
--- a/src/libs/fleetnode/delegationtargets.cpp
+++ b/src/libs/fleetnode/delegationtargets.cpp
@@ -22,7 +22,7 @@
 std::string DelegationTargets::find(const std::string& originShard, const FleetSchema::JobSpec& spec,
     std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes)
 {
-    const std::string shard = chooser_.findForTask(originShard, spec, step, waited, assigningNodes);
+    std::string shard = chooser_.findForTask(originShard, spec, step, waited, assigningNodes);
     if (shard.empty())
         return shard;
     const auto confirmed = confirmedAt_.find(shard);
