Mend lint findings in the fleet emulator

clang-tidy found a function too large, copies and an unused declaration. No change of behavior; tst_emulatedfleet and tst_shardtransfer pass.

--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -140,7 +140,7 @@
 }
 
 // A transaction that cannot reach the store is repeated until its outcome is known.
-void EmulatedOwner::storeBatch(std::shared_ptr<Fleet::RecordBatch> batch, bool isLast)
+void EmulatedOwner::storeBatch(const std::shared_ptr<Fleet::RecordBatch>& batch, bool isLast)
 {
     if (!fleet_.isStoreReachable(node_))
         return runLater(storeRetryMs, [this, batch, isLast] { storeBatch(batch, isLast); });
@@ -278,7 +278,7 @@
     if (fleet_.scenario().variant == FleetVariant::NoDelegationOfEndingTasks
         && !spec.steps(static_cast<int>(step)).lasting())
         return {};
-    const std::string chosen = fleet_.node(node_).chooser.chooseForTask(
+    std::string chosen = fleet_.node(node_).chooser.chooseForTask(
         EmulatedFleet::shardName(shard_), spec, step, waited, fleet_.countAliveNodes());
     trace({ spec.id(), 0, step, 0 },
         "looks for another shard: " + (chosen.empty() ? std::string("none") : chosen));
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -78,7 +78,7 @@
     void pollWorkers();
     void poll(const std::string& id);
     void commit();
-    void storeBatch(std::shared_ptr<Fleet::RecordBatch> batch, bool isLast);
+    void storeBatch(const std::shared_ptr<Fleet::RecordBatch>& batch, bool isLast);
     void trace(const Ports::TaskKey& task, const std::string& event) const;
     std::uint64_t addHandler(AnswerHandler handler);
 
--- a/src/tools/gqemulate/emulatedplatform.cpp
+++ b/src/tools/gqemulate/emulatedplatform.cpp
@@ -84,24 +84,8 @@
 
 void EmulatedPlatform::setFaultActive(const FleetFault& fault, bool isActive)
 {
-    const std::size_t shard = fault.target % shardCount_;
-    if (fault.kind == FleetFaultKind::Replacement || fault.kind == FleetFaultKind::ShardLoss) {
-        const bool isLoss = fault.kind == FleetFaultKind::ShardLoss;
-        std::vector<FleetWorker*> stable = stableWorkers(shard);
-        const std::size_t count = isLoss ? stable.size() : std::min(fault.count, stable.size());
-        if (isActive) {
-            for (std::size_t number = 0; number < count; ++number)
-                drain(*stable[number]);
-        }
-        if (isActive == isLoss)
-            return;
-        for (std::size_t number = 0; number < fault.count; ++number) {
-            const std::size_t target
-                = isLoss || time_.happens(60) ? shard : static_cast<std::size_t>(time_.random(3));
-            time_.schedule(time_.random(3000), [this, target] { addWorker(target % shardCount_); });
-        }
-        return;
-    }
+    if (fault.kind == FleetFaultKind::Replacement || fault.kind == FleetFaultKind::ShardLoss)
+        return replaceWorkers(fault, isActive);
     if (isActive) {
         if (const FleetWorker* worker = anyStableWorker(fault.target))
             faultTargets_[&fault] = worker->simulated.info().id;
@@ -111,21 +95,53 @@
         return;
     FleetWorker& worker = *findWorker(target->second);
     const bool hasLeft = worker.leaveMs >= 0 && worker.leaveMs <= time_.nowMs();
-    if (hasLeft)
+    if (!hasLeft)
+        setWorkerFaultActive(worker, fault.kind, isActive);
+}
+
+// Drains the workers at the start of the fault, and adds others: at the same time, or after the loss of a
+// shard.
+void EmulatedPlatform::replaceWorkers(const FleetFault& fault, bool isActive)
+{
+    const std::size_t shard = fault.target % shardCount_;
+    const bool isLoss = fault.kind == FleetFaultKind::ShardLoss;
+    std::vector<FleetWorker*> stable = stableWorkers(shard);
+    const std::size_t count = isLoss ? stable.size() : std::min(fault.count, stable.size());
+    if (isActive) {
+        for (std::size_t number = 0; number < count; ++number)
+            drain(*stable[number]);
+    }
+    if (isActive == isLoss)
         return;
-    if (fault.kind == FleetFaultKind::EntryLapse) {
+    for (std::size_t number = 0; number < fault.count; ++number) {
+        const std::size_t target
+            = isLoss || time_.happens(60) ? shard : static_cast<std::size_t>(time_.random(3));
+        time_.schedule(time_.random(3000), [this, target] { addWorker(target % shardCount_); });
+    }
+}
+
+void EmulatedPlatform::setWorkerFaultActive(FleetWorker& worker, FleetFaultKind kind, bool isActive)
+{
+    switch (kind) {
+    case FleetFaultKind::EntryLapse:
         if (worker.leaveMs < 0) {
             worker.unlistedFromMs = isActive ? time_.nowMs() : -1;
             worker.unlistedUntilMs = -1;
         }
-    } else if (fault.kind == FleetFaultKind::WorkerCrash) {
+        return;
+    case FleetFaultKind::WorkerCrash:
         worker.simulated.isUp = !isActive;
         if (!isActive)
             worker.simulated.restart(time_.nowMs());
-    } else if (fault.kind == FleetFaultKind::WorkerUnreachable) {
+        return;
+    case FleetFaultKind::WorkerUnreachable:
         worker.simulated.isReachable = !isActive;
-    } else if (fault.kind == FleetFaultKind::WorkerFailing) {
+        return;
+    case FleetFaultKind::WorkerFailing:
         worker.simulated.failsAllTasks = isActive;
+        return;
+    default:
+        return;
     }
 }
 
--- a/src/tools/gqemulate/emulatedplatform.h
+++ b/src/tools/gqemulate/emulatedplatform.h
@@ -65,6 +65,8 @@
 private:
     void addWorker(std::size_t shard);
     void drain(FleetWorker& worker);
+    void replaceWorkers(const FleetFault& fault, bool isActive);
+    void setWorkerFaultActive(FleetWorker& worker, FleetFaultKind kind, bool isActive);
     std::vector<FleetWorker*> stableWorkers(std::size_t shard);
     FleetWorker* anyStableWorker(std::size_t number);
     void breakGangs();
--- a/src/tools/gqemulate/invariantchecker.cpp
+++ b/src/tools/gqemulate/invariantchecker.cpp
@@ -82,6 +82,7 @@
 void InvariantChecker::checkWorkers(const std::vector<SimulatedWorker>& workers, std::int64_t nowMs)
 {
     std::vector<const SimulatedWorker*> pointers;
+    pointers.reserve(workers.size());
     for (const SimulatedWorker& worker : workers)
         pointers.push_back(&worker);
     checkWorkers(pointers, nowMs);
--- a/tests/auto/fleet/tst_shardtransfer.cpp
+++ b/tests/auto/fleet/tst_shardtransfer.cpp
@@ -10,7 +10,6 @@
 using Testing::makeJob;
 using Testing::makeStep;
 using Testing::SchedulerFixture;
-using Testing::testStart;
 using Testing::testStartUnixMs;
 
 namespace {
