Answer repeated transfers between shards without a new transaction

Callers saw long-running tasks that did not run for ten seconds (LOST).

Cause: an owner that had stored a transfer answered a repeated call only with the next transaction, which it started for that call alone. While transactions take longer than a call between nodes (1 s), every call times out and is repeated after 0.6 s, each time with another transaction that writes the whole job.

Change: a repeated call is answered at once if the job is stored, or with the transaction in progress if that contains the job.

Two new cases of tst_shardtransfer failed before (3 of their 4 checks) and hold now.

--- a/src/libs/fleet/inflightbatch.h
+++ b/src/libs/fleet/inflightbatch.h
@@ -2,6 +2,8 @@
 
 #include "shardscheduler.h"
 
+#include <algorithm>
+
 namespace Fleet {
 
 /*! A job of the batch with the state that is being stored and the tickets to answer once it is committed. */
@@ -24,6 +26,20 @@
         std::uint32_t transferNumber = 0;
     };
 
+    /*! \return the entry of a job whose state is being stored, or nullptr if there is none. */
+    BatchedJob* findJob(const Job& job)
+    {
+        const auto found = std::find_if(
+            jobs.begin(), jobs.end(), [&](const BatchedJob& stored) { return stored.job == &job; });
+        return found == jobs.end() ? nullptr : &*found;
+    }
+
+    /*! \return whether the record of a job is being removed. */
+    bool removes(const Job& job) const
+    {
+        return std::find(removals.begin(), removals.end(), job.spec.id()) != removals.end();
+    }
+
     std::vector<BatchedJob> jobs;
     std::vector<RecordedAttempt> starts;
     std::vector<RecordedDelegation> delegations;
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -4,7 +4,7 @@
 // call until it is answered. A task that ends is over in the host shard once its result is stored there; the
 // host shard repeats the result until the origin shard has stored it too.
 
-#include "shardscheduler.h"
+#include "inflightbatch.h"
 
 #include <algorithm>
 #include <set>
@@ -206,9 +206,17 @@
     answerOnceStored(job, ticket);
 }
 
+// A call that is repeated because its answer was late must not cause further transactions.
 void ShardScheduler::answerOnceStored(Job& job, std::uint64_t ticket)
 {
-    if (job.isCommitted && !job.isDirty && !inflightBatch_)
+    if (!job.isDirty && inflightBatch_) {
+        if (BatchedJob* const stored = inflightBatch_->findJob(job)) {
+            stored->acceptTickets.push_back(ticket);
+            return;
+        }
+    }
+    const bool isBeingRemoved = inflightBatch_ && inflightBatch_->removes(job);
+    if (job.isCommitted && !job.isDirty && !isBeingRemoved)
         return output_.answer(ticket, { FleetSchema::PEER_OK, job.committedState, 0 });
     markDirty(job);
     job.acceptTickets.push_back(ticket);
