--- a/tests/auto/fleetnode/scriptedrowstore.h
+++ b/tests/auto/fleetnode/scriptedrowstore.h
@@ -66,6 +66,12 @@
     void read(const Ports::RowRange& range, PageHandler handler) override
     {
         ++readCount;
+        if (failingReads > 0) {
+            --failingReads;
+            const Utils::Error error { Utils::ErrorCode::OutcomeUnknown, "read", "store", "no answer" };
+            boost::asio::post(io_, [handler = std::move(handler), error] { handler(error); });
+            return;
+        }
         Ports::RowPage page;
         page.version = version_;
         if (!pages.empty()) {
@@ -95,6 +101,7 @@
     std::deque<Ports::RowPage> pages; //!< If any, read() returns them in turn and then the last one again.
     std::deque<Ports::RowPage> changes; //!< For the next calls of follow(), which then no longer answers.
     int commitCount = 0;
+    int failingReads = 0; //!< The next reads, which fail.
     int readCount = 0;
 
 private:
--- a/tests/auto/fleetnode/tst_tablewatcher.cpp
+++ b/tests/auto/fleetnode/tst_tablewatcher.cpp
@@ -113,3 +113,30 @@
     fixture.io.run_for(50ms);
     CHECK(fixture.reportedSizes == std::vector<std::size_t> { 1, 2 });
 }
+
+TEST_CASE("Failing reads of a table are repeated after growing pauses")
+{
+    const auto mode = GENERATE(TableWatcher::Mode::Poll, TableWatcher::Mode::Follow);
+    WatcherFixture fixture(1h, mode);
+    fixture.store.failingReads = 1000;
+    fixture.watcher.start();
+    // The first repetition stays early, because most failures pass.
+    fixture.io.run_for(300ms);
+    CHECK(fixture.store.readCount == 2);
+    fixture.io.run_for(3s);
+    CHECK(fixture.store.readCount >= 4);
+    CHECK(fixture.store.readCount <= 8);
+}
+
+TEST_CASE("The pauses between failing reads are short again after a read succeeded")
+{
+    WatcherFixture fixture(1h);
+    fixture.store.failingReads = 4;
+    fixture.watcher.start();
+    while (fixture.reportedSizes.empty())
+        fixture.io.run_one();
+    fixture.store.failingReads = 1;
+    fixture.watcher.pollNow();
+    fixture.io.run_for(300ms);
+    CHECK(fixture.reportedSizes.size() == 2);
+}
