Keep reading a list or a feed for as long as its bytes arrive

Cause: every exchange with the table service ended after a fixed time, also when megabytes still arrived. The read then started again from its beginning, so the work done was lost and the load stayed.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -16,16 +16,18 @@
 // A request without a connection; the handler of its timer owns it as well.
 struct QueuedRequest {
     QueuedRequest(
-        Asio::io_context& context, Request&& queued, Utils::Duration limit, ResponseHandler&& receiver)
+        Asio::io_context& context, Request&& queued, const TimeLimits& timeLimits, ResponseHandler&& receiver)
         : request(std::move(queued))
         , handler(std::move(receiver))
-        , timer(context, limit)
+        , limits(timeLimits)
+        , timer(context, timeLimits.start)
     {
     }
 
     Request request;
     ResponseHandler handler;
-    Asio::steady_timer timer; //!< Expires at the time limit.
+    TimeLimits limits; //!< From the time when the request was queued.
+    Asio::steady_timer timer; //!< Expires after `limits.start`.
 };
 
 } // namespace
@@ -39,13 +41,13 @@
     {
     }
 
-    void send(Request request, Utils::Duration timeout, ResponseHandler handler)
+    void send(Request request, const TimeLimits& limits, ResponseHandler handler)
     {
         const auto connection = queue_.empty() ? idleConnection() : nullptr;
         if (connection)
-            return start(*connection, std::move(request), timeout, std::move(handler));
+            return start(*connection, std::move(request), limits, std::move(handler));
         const auto queued
-            = std::make_shared<QueuedRequest>(context_, std::move(request), timeout, std::move(handler));
+            = std::make_shared<QueuedRequest>(context_, std::move(request), limits, std::move(handler));
         queue_.push_back(queued);
         queued->timer.async_wait([weak = weak_from_this(), queued](boost::system::error_code errorCode) {
             const auto self = weak.lock();
@@ -79,9 +81,9 @@
     }
 
     void start(
-        ClientConnection& connection, Request&& request, Utils::Duration timeout, ResponseHandler&& handler)
+        ClientConnection& connection, Request&& request, const TimeLimits& limits, ResponseHandler&& handler)
     {
-        connection.exchange(std::move(request), timeout,
+        connection.exchange(std::move(request), limits,
             [weak = weak_from_this(), handler = std::move(handler)](Utils::Result<Response> result) {
                 const auto self = weak.lock();
                 handler(std::move(result));
@@ -106,7 +108,8 @@
             const auto queued = *found;
             queue_.erase(found);
             queued->timer.cancel();
-            start(*connection, std::move(queued->request), queued->timer.expiry() - now,
+            const Utils::Duration waited = queued->limits.start - (queued->timer.expiry() - now);
+            start(*connection, std::move(queued->request), queued->limits.after(waited),
                 std::move(queued->handler));
         }
     }
@@ -139,9 +142,14 @@
     d_->clear();
 }
 
+void Client::send(Request request, const TimeLimits& limits, ResponseHandler handler)
+{
+    d_->send(std::move(request), limits, std::move(handler));
+}
+
 void Client::send(Request request, Utils::Duration timeout, ResponseHandler handler)
 {
-    d_->send(std::move(request), timeout, std::move(handler));
+    d_->send(std::move(request), TimeLimits::total(timeout), std::move(handler));
 }
 
 const Endpoint& Client::endpoint() const
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -23,10 +23,13 @@
 
     /*!
         Sends a request.
-        \param timeout limit of the exchange, including the wait for an available connection. A request that
-        gets none within the limit is not sent and ends with ErrorCode::Unavailable.
+        \param limits of the exchange, including the wait for an available connection. A request that gets
+        none within `limits.start` is not sent and ends with ErrorCode::Unavailable.
         \param handler called once, unless the client is destroyed first.
     */
+    void send(Request request, const TimeLimits& limits, ResponseHandler handler);
+
+    /*! Sends a request as above; \a timeout is the limit of the whole exchange. */
     void send(Request request, Utils::Duration timeout, ResponseHandler handler);
 
     /*! Returns the endpoint of the server. */
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -54,15 +55,16 @@
         , handler_(std::move(handler))
     {
         parser_.body_limit(maxResponseBytes);
+        parser_.eager(true);
     }
 
-    void start(std::optional<tcp::socket> socket, Utils::Duration timeout)
+    void start(std::optional<tcp::socket> socket, const TimeLimits& limits)
     {
-        timer_.expires_after(timeout);
-        timer_.async_wait([self = shared_from_this()](boost::system::error_code errorCode) {
-            if (!errorCode && !self->hasEnded())
-                self->fail("no response within the time limit");
-        });
+        const auto now = asio::steady_timer::clock_type::now();
+        end_ = now + limits.end;
+        silence_ = limits.silence;
+        receivedAt_ = now;
+        waitUntil(now + limits.start);
         if (!socket || !Internal::isIdle(*socket))
             return connect();
         socket_ = std::move(*socket);
@@ -80,6 +82,24 @@
 private:
     bool hasEnded() const { return !handler_; }
 
+    void waitUntil(asio::steady_timer::time_point limit)
+    {
+        timer_.expires_at(limit);
+        timer_.async_wait([self = shared_from_this()](boost::system::error_code errorCode) {
+            if (!errorCode && !self->hasEnded())
+                self->onLimit();
+        });
+    }
+
+    // Goes on waiting while a bulk response arrives.
+    void onLimit()
+    {
+        const auto limit = std::min(receivedAt_ + silence_, end_);
+        if (limit <= asio::steady_timer::clock_type::now())
+            return fail("no response within the time limit");
+        waitUntil(limit);
+    }
+
     void connect()
     {
         boost::system::error_code code;
@@ -110,13 +130,16 @@
 
     void read()
     {
-        bhttp::async_read(socket_, buffer_, parser_,
+        bhttp::async_read_some(socket_, buffer_, parser_,
             [self = shared_from_this()](boost::system::error_code errorCode, std::size_t) {
                 if (self->hasEnded())
                     return;
                 if (errorCode)
                     return self->fail(errorCode.message());
-                self->succeed();
+                if (self->parser_.is_done())
+                    return self->succeed();
+                self->receivedAt_ = asio::steady_timer::clock_type::now();
+                self->read();
             });
     }
 
@@ -156,6 +179,9 @@
 
     Endpoint endpoint_;
     asio::steady_timer timer_;
+    asio::steady_timer::time_point end_ {}; //!< Latest end of the exchange.
+    asio::steady_timer::time_point receivedAt_ {}; //!< When bytes were last received.
+    Utils::Duration silence_ {}; //!< Longest gap between received bytes once the first limit has passed.
     tcp::socket socket_;
     bhttp::request<bhttp::string_body> message_;
     beast::flat_buffer buffer_;
@@ -174,7 +200,7 @@
     {
     }
 
-    void exchange(Request request, Utils::Duration timeout, ResponseHandler handler)
+    void exchange(Request request, const TimeLimits& limits, ResponseHandler handler)
     {
         const auto exchange = std::make_shared<Exchange>(context_, endpoint_, std::move(request),
             [self = shared_from_this(), handler = std::move(handler)](
@@ -184,7 +210,7 @@
                 handler(std::move(result));
             });
         exchange_ = exchange;
-        exchange->start(std::exchange(idleSocket_, std::nullopt), timeout);
+        exchange->start(std::exchange(idleSocket_, std::nullopt), limits);
     }
 
     void close()
@@ -214,9 +240,9 @@
     d_->close();
 }
 
-void ClientConnection::exchange(Request request, Utils::Duration timeout, ResponseHandler handler)
+void ClientConnection::exchange(Request request, const TimeLimits& limits, ResponseHandler handler)
 {
-    d_->exchange(std::move(request), timeout, std::move(handler));
+    d_->exchange(std::move(request), limits, std::move(handler));
 }
 
 bool ClientConnection::isBusy() const
--- a/src/libs/http/clientconnection.h
+++ b/src/libs/http/clientconnection.h
@@ -2,8 +2,8 @@
 
 #include "endpoint.h"
 #include "message.h"
+#include "timelimits.h"
 
-#include "utils/clock.h"
 #include "utils/result.h"
 
 #include <functional>
@@ -38,10 +38,10 @@
     /*!
         Starts an exchange; no other exchange may be in progress.
         \param request its Host header defaults to the endpoint.
-        \param timeout limit of the whole exchange, including the connection setup.
+        \param limits of the exchange, including the connection setup.
         \param handler called once, but never before this function returns.
     */
-    void exchange(Request request, Utils::Duration timeout, ResponseHandler handler);
+    void exchange(Request request, const TimeLimits& limits, ResponseHandler handler);
 
     /*! Returns whether an exchange is in progress. */
     bool isBusy() const;
--- a/tests/auto/http/tst_clienttimeout.cpp
+++ b/tests/auto/http/tst_clienttimeout.cpp
@@ -155,6 +155,26 @@
     fixture.checkNextAfterHold(timedOut, next);
 }
 
+TEST_CASE("A bulk response that keeps arriving is given up at its latest end")
+{
+    MaybeResult result;
+    Fixture fixture;
+    fixture.openConnection();
+    const auto begin = std::chrono::steady_clock::now();
+    fixture.client->send(Http::Request {}, Http::TimeLimits::bulk(shortLimit, shortLimit, 4 * shortLimit),
+        [&result](Utils::Result<Http::Response> received) { result = std::move(received); });
+    fixture.loop.runUntil([&] { return fixture.socket->available() > 0; });
+    ScriptedPeer::send(*fixture.socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n");
+    fixture.loop.runUntil([&] {
+        if (!result)
+            ScriptedPeer::send(*fixture.socket, "x");
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        return result.has_value();
+    });
+    Fixture::checkTimedOut(*result);
+    CHECK(std::chrono::steady_clock::now() - begin >= 4 * shortLimit);
+}
+
 TEST_CASE("A client can be destroyed while a request is being written")
 {
     const int handlers = GENERATE(range(0, 4));
