Let the pauses between failing reads of a table grow

Callers saw long-running tasks stand still beside a growing configuration.

Cause: after a failed read of the operator's table or of the workers' a node read it again 0.2 s later, for as long as it failed, and so did all the other nodes. Reads that fail because the link is full kept it full.

The first pause stays 0.2 s, so that a passing failure delays a configuration no more than before. Each further one doubles, up to 2 s, of which a node waits between half and all, at random. A success resets it.

--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "utils/log/log.h"
 
+#include <algorithm>
+
 namespace FleetNode {
 
 namespace {
@@ -11,7 +13,9 @@
 // An unresponsive connection delays a change by this wait plus the timeout of a call. Even then, a
 // configuration must be in force 2.5 s after it was written.
 constexpr milliseconds longPollWait { 1500 };
-constexpr milliseconds retryPause { 200 };
+// The first pause before a failed call is repeated, and the longest one, which also delays a configuration.
+constexpr milliseconds initialRetryPause { 200 };
+constexpr milliseconds maxRetryPause { 2000 };
 
 } // namespace
 
@@ -82,7 +86,7 @@
 void TableWatcher::restart(const Utils::Error& error)
 {
     onReadFailed(error);
-    timer_.start(retryPause, [this] { start(); });
+    timer_.start(nextRetryPause(), [this] { start(); });
 }
 
 void TableWatcher::follow()
@@ -100,7 +104,7 @@
         onReadFailed(Utils::error(result));
         // NotFound: the history is no longer kept, so the whole table is read again.
         const bool isHistoryLost = Utils::error(result).code == Utils::ErrorCode::NotFound;
-        timer_.start(retryPause, [this, isHistoryLost] { isHistoryLost ? start() : follow(); });
+        timer_.start(nextRetryPause(), [this, isHistoryLost] { isHistoryLost ? start() : follow(); });
         return;
     }
     onReadSucceeded();
@@ -138,7 +142,20 @@
     if (isFailing_)
         Utils::log(Utils::LogLevel::Info, "table-regained", { { "table", table_ } });
     isFailing_ = false;
+    retryPause_ = {};
     currentAt_ = context_.now();
 }
 
+// Pauses after the first one are between half and all of the longest one, at random.
+Utils::Duration TableWatcher::nextRetryPause()
+{
+    if (retryPause_ == Utils::Duration::zero()) {
+        retryPause_ = initialRetryPause;
+        return retryPause_;
+    }
+    retryPause_ = std::min<Utils::Duration>(2 * retryPause_, maxRetryPause);
+    std::uniform_int_distribution<Utils::Duration::rep> pause(retryPause_.count() / 2, retryPause_.count());
+    return Utils::Duration(pause(random_));
+}
+
 } // namespace FleetNode
--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace FleetNode {
@@ -16,6 +17,9 @@
     A table that seldom changes is read once and then followed. A table whose rows change all the time is read
     periodically instead, because its changes could arrive faster than they can be followed, so that the copy
     would fall behind.
+
+    A failed call is repeated after a pause that grows with each failure and differs between nodes, so that
+    the nodes do not keep up an overload that made the call fail.
 */
 class TableWatcher {
 public:
@@ -55,6 +59,7 @@
     void onChanges(const Utils::Result<Ports::RowPage>& result);
     void onReadFailed(const Utils::Error& error);
     void onReadSucceeded();
+    Utils::Duration nextRetryPause();
 
     NodeContext& context_;
     std::string table_;
@@ -66,6 +71,8 @@
     std::uint64_t version_ = 0;
     Utils::TimePoint currentAt_ {};
     bool isFailing_ = false;
+    Utils::Duration retryPause_ {}; //!< Longest pause after the latest failure; 0 after a success.
+    std::mt19937_64 random_ { std::random_device {}() };
     Timer timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
