Measure reads of tables and transactions of shards

The time and the size of a read of a table, and the time of a transaction of a shard, were measured nowhere, so a link filled by reads showed only in what suffered from it.

/metrics gets the bytes read from each table (counter), the time of a read that does not wait for changes, and the time of a shard's transaction from its first try (summaries). A response of more than 256 KiB, or of more than a second beyond the wait for changes, is logged as "table-read" with table, bytes, ms and version, at most once in 2 s for each table. No logic is changed.

Result: a new case of tst_tablewatcher finds the bytes and the time on /metrics; tst_shardwriter holds.

--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -116,7 +116,10 @@
     version_ = version;
     confirmedAt_ = lastSentAt_;
     hasFailedTry_ = false;
-    stallLimit_.addDuration(context_.now() - firstSentAt_);
+    const Utils::Duration took = context_.now() - firstSentAt_;
+    stallLimit_.addDuration(took);
+    context_.metrics.observe(
+        "geraniumquay_shard_write_milliseconds", {}, std::chrono::duration<double, std::milli>(took).count());
     transaction_.reset();
     const auto done = std::move(done_);
     done_ = nullptr;
--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -16,6 +16,18 @@
 // The first pause before a failed call is repeated, and the longest one, which also delays a configuration.
 constexpr milliseconds initialRetryPause { 200 };
 constexpr milliseconds maxRetryPause { 2000 };
+// A response that takes longer or has more bytes is logged, but not more often than the interval.
+constexpr milliseconds longReadDuration { 1000 };
+constexpr std::size_t largeReadBytes = 256U << 10U;
+constexpr milliseconds readLogInterval { 2000 };
+
+std::size_t countBytes(const Ports::RowPage& page)
+{
+    std::size_t bytes = 0;
+    for (const Ports::Row& row : page.rows)
+        bytes += row.name.key.size() + row.value.size();
+    return bytes;
+}
 
 } // namespace
 
@@ -50,6 +62,7 @@
     Ports::RowRange range;
     range.table = table_;
     range.from = from;
+    callSentAt_ = context_.now();
     context_.store.read(
         range, [this, weak = std::weak_ptr<bool>(alive_), from](const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
@@ -62,6 +75,7 @@
     if (!Utils::isOk(result))
         return restart(Utils::error(result));
     const Ports::RowPage& page = Utils::value(result);
+    recordRead(page, Utils::Duration::zero());
     if (page.hasMore && (page.rows.empty() || page.rows.back().name.key < from)) {
         return restart({ Utils::ErrorCode::InvalidArgument, "table.read", {},
             "the page does not lead to the next one" });
@@ -91,6 +105,7 @@
 
 void TableWatcher::follow()
 {
+    callSentAt_ = context_.now();
     context_.store.follow(table_, version_, longPollWait,
         [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
@@ -109,6 +124,7 @@
     }
     onReadSucceeded();
     const Ports::RowPage& page = Utils::value(result);
+    recordRead(page, longPollWait);
     version_ = std::max(version_, page.version);
     bool isChanged = false;
     for (const Ports::Row& row : page.rows) {
@@ -146,6 +162,26 @@
     currentAt_ = context_.now();
 }
 
+// The duration of a call includes the wait for changes, which may take as long as expected.
+void TableWatcher::recordRead(const Ports::RowPage& page, Utils::Duration expected)
+{
+    const std::size_t bytes = countBytes(page);
+    const Utils::Duration took = context_.now() - callSentAt_;
+    const std::string tableLabel = Telemetry::label("table", table_);
+    const double tookMs = std::chrono::duration<double, std::milli>(took).count();
+    context_.metrics.add("geraniumquay_table_read_bytes_total", tableLabel, static_cast<double>(bytes));
+    if (expected == Utils::Duration::zero())
+        context_.metrics.observe("geraniumquay_table_read_milliseconds", tableLabel, tookMs);
+    const bool isRemarkable = took > expected + longReadDuration || bytes > largeReadBytes;
+    if (!isRemarkable || context_.now() - lastLoggedAt_ < readLogInterval)
+        return;
+    lastLoggedAt_ = context_.now();
+    Utils::log(Utils::LogLevel::Info, "table-read",
+        { { "table", table_ }, { "bytes", std::to_string(bytes) },
+            { "ms", std::to_string(static_cast<std::int64_t>(tookMs)) },
+            { "version", std::to_string(page.version) } });
+}
+
 // Pauses after the first one are between half and all of the longest one, at random.
 Utils::Duration TableWatcher::nextRetryPause()
 {
--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -59,6 +59,7 @@
     void onChanges(const Utils::Result<Ports::RowPage>& result);
     void onReadFailed(const Utils::Error& error);
     void onReadSucceeded();
+    void recordRead(const Ports::RowPage& page, Utils::Duration expected);
     Utils::Duration nextRetryPause();
 
     NodeContext& context_;
@@ -70,6 +71,8 @@
     Rows partialCopy_; //!< Pages of a new copy that have been read so far.
     std::uint64_t version_ = 0;
     Utils::TimePoint currentAt_ {};
+    Utils::TimePoint callSentAt_ {}; //!< Of the call in progress.
+    Utils::TimePoint lastLoggedAt_ {}; //!< When a long or large read was last logged.
     bool isFailing_ = false;
     Utils::Duration retryPause_ {}; //!< Longest pause after the latest failure; 0 after a success.
     std::mt19937_64 random_ { std::random_device {}() };
--- a/tests/auto/fleetnode/tst_tablewatcher.cpp
+++ b/tests/auto/fleetnode/tst_tablewatcher.cpp
@@ -128,6 +128,17 @@
     CHECK(fixture.store.readCount <= 8);
 }
 
+TEST_CASE("The bytes and the time of a read are measured for each table")
+{
+    WatcherFixture fixture(1h);
+    fixture.add("first");
+    fixture.watcher.start();
+    fixture.runReady();
+    const std::string metrics = fixture.metrics.toPrometheus();
+    CHECK(metrics.find("geraniumquay_table_read_bytes_total{table=\"workers\"} 10") != std::string::npos);
+    CHECK(metrics.find("geraniumquay_table_read_milliseconds{table=\"workers\"") != std::string::npos);
+}
+
 TEST_CASE("The pauses between failing reads are short again after a read succeeded")
 {
     WatcherFixture fixture(1h);
