--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "utils/log/log.h"
 
+#include <algorithm>
+
 namespace FleetNode {
 
 namespace {
@@ -11,7 +13,21 @@
 // An unresponsive connection delays a change by this wait plus the timeout of a call. Even then, a
 // configuration must be in force 2.5 s after it was written.
 constexpr milliseconds longPollWait { 1500 };
-constexpr milliseconds retryPause { 200 };
+// The first pause before a failed call is repeated, and the longest one, which also delays a configuration.
+constexpr milliseconds initialRetryPause { 200 };
+constexpr milliseconds maxRetryPause { 2000 };
+// A response that takes longer or has more bytes is logged, but not more often than the interval.
+constexpr milliseconds longReadDuration { 1000 };
+constexpr std::size_t largeReadBytes = 256U << 10U;
+constexpr milliseconds readLogInterval { 2000 };
+
+std::size_t countBytes(const Ports::RowPage& page)
+{
+    std::size_t bytes = 0;
+    for (const Ports::Row& row : page.rows)
+        bytes += row.name.key.size() + row.value.size();
+    return bytes;
+}
 
 } // namespace
 
@@ -46,6 +62,7 @@
     Ports::RowRange range;
     range.table = table_;
     range.from = from;
+    callSentAt_ = context_.now();
     context_.store.read(
         range, [this, weak = std::weak_ptr<bool>(alive_), from](const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
@@ -58,6 +75,7 @@
     if (!Utils::isOk(result))
         return restart(Utils::error(result));
     const Ports::RowPage& page = Utils::value(result);
+    recordRead(page, Utils::Duration::zero());
     if (page.hasMore && (page.rows.empty() || page.rows.back().name.key < from)) {
         return restart({ Utils::ErrorCode::InvalidArgument, "table.read", {},
             "the page does not lead to the next one" });
@@ -82,11 +100,12 @@
 void TableWatcher::restart(const Utils::Error& error)
 {
     onReadFailed(error);
-    timer_.start(retryPause, [this] { start(); });
+    timer_.start(nextRetryPause(), [this] { start(); });
 }
 
 void TableWatcher::follow()
 {
+    callSentAt_ = context_.now();
     context_.store.follow(table_, version_, longPollWait,
         [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
@@ -100,11 +119,12 @@
         onReadFailed(Utils::error(result));
         // NotFound: the history is no longer kept, so the whole table is read again.
         const bool isHistoryLost = Utils::error(result).code == Utils::ErrorCode::NotFound;
-        timer_.start(retryPause, [this, isHistoryLost] { isHistoryLost ? start() : follow(); });
+        timer_.start(nextRetryPause(), [this, isHistoryLost] { isHistoryLost ? start() : follow(); });
         return;
     }
     onReadSucceeded();
     const Ports::RowPage& page = Utils::value(result);
+    recordRead(page, longPollWait);
     version_ = std::max(version_, page.version);
     bool isChanged = false;
     for (const Ports::Row& row : page.rows) {
@@ -138,7 +158,40 @@
     if (isFailing_)
         Utils::log(Utils::LogLevel::Info, "table-regained", { { "table", table_ } });
     isFailing_ = false;
+    retryPause_ = {};
     currentAt_ = context_.now();
 }
 
+// The duration of a call includes the wait for changes, which may take as long as expected.
+void TableWatcher::recordRead(const Ports::RowPage& page, Utils::Duration expected)
+{
+    const std::size_t bytes = countBytes(page);
+    const Utils::Duration took = context_.now() - callSentAt_;
+    const std::string tableLabel = Telemetry::label("table", table_);
+    const double tookMs = std::chrono::duration<double, std::milli>(took).count();
+    context_.metrics.add("geraniumquay_table_read_bytes_total", tableLabel, static_cast<double>(bytes));
+    if (expected == Utils::Duration::zero())
+        context_.metrics.observe("geraniumquay_table_read_milliseconds", tableLabel, tookMs);
+    const bool isRemarkable = took > expected + longReadDuration || bytes > largeReadBytes;
+    if (!isRemarkable || context_.now() - lastLoggedAt_ < readLogInterval)
+        return;
+    lastLoggedAt_ = context_.now();
+    Utils::log(Utils::LogLevel::Info, "table-read",
+        { { "table", table_ }, { "bytes", std::to_string(bytes) },
+            { "ms", std::to_string(static_cast<std::int64_t>(tookMs)) },
+            { "version", std::to_string(page.version) } });
+}
+
+// Pauses after the first one are between half and all of the longest one, at random.
+Utils::Duration TableWatcher::nextRetryPause()
+{
+    if (retryPause_ == Utils::Duration::zero()) {
+        retryPause_ = initialRetryPause;
+        return retryPause_;
+    }
+    retryPause_ = std::min<Utils::Duration>(2 * retryPause_, maxRetryPause);
+    std::uniform_int_distribution<Utils::Duration::rep> pause(retryPause_.count() / 2, retryPause_.count());
+    return Utils::Duration(pause(random_));
+}
+
 } // namespace FleetNode
