Add failing tests for the wait for a silent worker after a handover

Callers saw tasks of a silent worker wait for 20 s and more while their shard changed hands: each owner begins the wait for the worker's lease anew.

Both tests fail on this code: after a planned handover nothing starts elsewhere within the lease that the former owner had granted, nor after two handovers within the first owner's bound.

--- a/tests/auto/fleetnode/tst_shardhost.cpp
+++ b/tests/auto/fleetnode/tst_shardhost.cpp
@@ -16,6 +16,7 @@
 struct WorkerCalls {
     std::set<std::string> polledAddresses;
     std::optional<Utils::Error> pollError; //!< Answer of the worker that is not listed.
+    std::optional<Ports::WorkerReport> report; //!< Report of the worker that is not listed.
     std::vector<std::string> starts; //!< Addresses at which an attempt was started.
 };
 
@@ -46,6 +47,8 @@
             boost::asio::post(io_, [handler, report] { handler(report); });
         } else if (calls_.pollError) {
             boost::asio::post(io_, [handler, error = *calls_.pollError] { handler(error); });
+        } else if (calls_.report) {
+            boost::asio::post(io_, [handler, report = *calls_.report] { handler(report); });
         }
     }
 
@@ -104,7 +107,8 @@
         listed.address = "127.0.0.1:8";
         listed.service = "service";
         listed.milliProcessors = 1000;
-        host.setWorkers({ listed });
+        listedWorkers = { listed };
+        host.setWorkers(listedWorkers);
     }
 
     /*! Takes the shard over and lets 0.3 s pass. */
@@ -119,12 +123,62 @@
         }
     }
 
+    std::vector<Ports::WorkerInfo> listedWorkers;
     WorkerCalls calls;
     NoOtherShards others;
     Fleet::TailLatencyModel model;
     FleetNode::ShardHost host { context, "shard", others, model, [] {} };
 };
 
+/*! Owners that pass the shard on; each one's first polls are answered as WorkerCalls says. */
+struct HandoverFixture : SuccessorFixture {
+    /*! Lets the next owner take the shard over and act for \p duration. */
+    void takeOver(std::chrono::milliseconds duration)
+    {
+        const Ports::RowKey name { FleetNode::shardTable, "shard", FleetNode::shardOwnerKey };
+        FleetSchema::ShardRecord former;
+        former.ParseFromString(store.rows[name].value);
+        calls.polledAddresses.clear();
+        isClosed = false;
+        owner = std::make_unique<FleetNode::ShardHost>(
+            context, "shard", others, model, [this] { isClosed = true; });
+        owner->setWorkers(listedWorkers);
+        owner->takeOver(former, store.rows[name].version);
+        run(duration);
+    }
+
+    /*! \return whether the owner gave the shard up. */
+    bool release()
+    {
+        owner->release();
+        run(std::chrono::milliseconds(100));
+        return isClosed;
+    }
+
+    void run(std::chrono::milliseconds duration)
+    {
+        const Utils::TimePoint end = context.now() + duration;
+        while (context.now() < end) {
+            io.restart();
+            io.run_for(std::chrono::milliseconds(10));
+            owner->tick();
+        }
+    }
+
+    std::unique_ptr<FleetNode::ShardHost> owner;
+    bool isClosed = false;
+};
+
+/*! \return a report with the attempt of SuccessorFixture. */
+Ports::WorkerReport makeReportOfAttempt()
+{
+    Ports::WorkerReport report;
+    report.startedUnixMs = 7;
+    report.clockMs = 1000;
+    report.running.push_back({ { "job", 0, 0, 0 }, 1, {}, 10, 1000 });
+    return report;
+}
+
 } // namespace
 
 TEST_CASE("A successor polls a worker with recorded attempts also if the platform does not list it")
@@ -206,3 +260,36 @@
     REQUIRE(record.ParseFromString(node.store.rows[name].value));
     CHECK(record.tasks(0).state() == FleetSchema::TASK_ASSIGNED);
 }
+
+TEST_CASE("A successor waits for a silent worker no longer than the owner that released the shard would",
+    "[!shouldfail]")
+{
+    HandoverFixture fixture;
+    fixture.settings.mutable_dispatch()->set_worker_lease_ms(1500);
+    fixture.calls.report = makeReportOfAttempt();
+    fixture.takeOver(std::chrono::milliseconds(300));
+    REQUIRE(fixture.owner->isServing());
+    REQUIRE(fixture.release());
+    // The worker answers nobody any more; its lease was renewed for 1.5 s, its longest lease is 10 s.
+    fixture.calls.report.reset();
+    fixture.takeOver(std::chrono::milliseconds(400));
+    CHECK(fixture.calls.starts.empty());
+    fixture.run(std::chrono::milliseconds(1400));
+    CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
+}
+
+TEST_CASE("The wait for a silent worker does not begin anew with each handover", "[!shouldfail]")
+{
+    HandoverFixture fixture;
+    fixture.settings.mutable_dispatch()->set_worker_lease_limit_ms(2000);
+    fixture.settings.mutable_dispatch()->set_orphan_grace_ms(0);
+    for (int handover = 0; handover < 2; ++handover) {
+        fixture.takeOver(std::chrono::milliseconds(500));
+        REQUIRE(fixture.release());
+    }
+    fixture.takeOver(std::chrono::milliseconds(500));
+    CHECK(fixture.calls.starts.empty());
+    // 2.04 s after the first takeover, and 1 s after the last one, in which the worker could report.
+    fixture.run(std::chrono::milliseconds(800));
+    CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
+}
