Release a shard only after all recorded starts were sent

Callers could have seen a task run twice: when the last transaction of an owner that releases its shard recorded attempts, it sent their starts after the release. A successor relies on no start and no renewal after it.

Cause: attempts that did not fit into one transaction were recorded by the one that releases the shard, and starts follow their transaction. Change: a batch with starts is stored before the release, not with it.

--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -47,6 +47,7 @@
                 inflightBatch_->results.push_back({ &task, task.transferNumber });
         }
     }
+    batch.hasStarts = !inflightBatch_->starts.empty();
     dirtyJobs_.erase(dirtyJobs_.begin(), dirtyJobs_.begin() + static_cast<std::ptrdiff_t>(batchedCount));
     if (dirtyJobs_.empty()) {
         for (const auto& [id, worker] : workers_)
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -26,6 +26,7 @@
 struct RecordBatch {
     std::vector<std::pair<std::string, std::string>> puts; //!< Job identifier and serialized JobRecord.
     std::vector<std::string> removals; //!< Identifiers of jobs whose retention time is over.
+    bool hasStarts = false; //!< Starts are sent once the batch is stored.
 };
 
 /*! Content of the next poll of a worker. */
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -265,7 +265,8 @@
     if (!isReleasing_)
         scheduler_.schedule(now, NodeContext::nowUnixMs());
     const std::optional<Fleet::RecordBatch> batch = scheduler_.beginCommit(NodeContext::nowUnixMs());
-    const bool isLast = isReleasing_ && !scheduler_.hasChanges();
+    // Starts are sent once their batch is stored, which must be before the release.
+    const bool isLast = isReleasing_ && !scheduler_.hasChanges() && !(batch && batch->hasStarts);
     if (!batch && !isLast && now - writer_.confirmedAt() < ownershipRenewalInterval) {
         for (const auto& [worker, connection] : connections_)
             connection->resumePolling();
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -129,7 +129,7 @@
     if (!isReleasing_)
         scheduler_->schedule(fleet_.time().now(), nowMs);
     std::optional<Fleet::RecordBatch> batch = scheduler_->beginCommit(nowMs);
-    const bool isLast = isReleasing_ && !scheduler_->hasChanges();
+    const bool isLast = isReleasing_ && !scheduler_->hasChanges() && !(batch && batch->hasStarts);
     if (!batch && !isLast && nowMs - confirmedMs_ < ownershipRenewalMs)
         return;
     isCommitting_ = true;
--- a/tests/auto/fleetnode/tst_shardhost.cpp
+++ b/tests/auto/fleetnode/tst_shardhost.cpp
@@ -6,9 +6,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace {
 
@@ -18,6 +22,7 @@
     std::optional<Utils::Error> pollError; //!< Answer of the worker that is not listed.
     std::optional<Ports::WorkerReport> report; //!< Report of the worker that is not listed.
     std::vector<std::string> starts; //!< Addresses at which an attempt was started.
+    std::function<void()> onStart; //!< If set, called with each start.
 };
 
 class ScriptedWorker final : public Ports::WorkerAgent {
@@ -32,6 +37,8 @@
     void start(const Ports::StartCommand&, CommandHandler) override
     {
         calls_.starts.push_back(info_.address);
+        if (calls_.onStart)
+            calls_.onStart();
     }
     void stop(const Ports::TaskKey&, std::uint32_t, std::uint64_t, CommandHandler) override { }
     void throttle(const Ports::TaskKey&, std::uint32_t, int, std::uint64_t, CommandHandler) override { }
@@ -293,3 +300,32 @@
     fixture.run(std::chrono::milliseconds(800));
     CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
 }
+
+TEST_CASE("No start is sent after the transaction that releases the shard, however many were recorded")
+{
+    HandoverFixture fixture;
+    fixture.takeOver(std::chrono::milliseconds(100));
+    REQUIRE(fixture.owner->isServing());
+    FleetSchema::JobSpec spec;
+    spec.set_service("service");
+    spec.add_steps()->set_count(1);
+    // More than one transaction can record.
+    constexpr std::size_t jobCount = 150;
+    for (std::size_t number = 0; number < jobCount; ++number) {
+        spec.set_id("job" + std::to_string(number));
+        fixture.owner->submit(spec, [](const Fleet::JobAnswer&) {});
+    }
+    std::size_t lateStarts = 0;
+    fixture.calls.onStart = [&] {
+        // The first start is sent while the later ones are not recorded yet.
+        fixture.owner->release();
+        FleetSchema::ShardRecord stored;
+        stored.ParseFromString(
+            fixture.store.rows[{ FleetNode::shardTable, "shard", FleetNode::shardOwnerKey }].value);
+        lateStarts += stored.owner().empty() ? 1 : 0;
+    };
+    fixture.run(std::chrono::milliseconds(300));
+    CHECK(fixture.isClosed);
+    CHECK(fixture.calls.starts.size() == jobCount);
+    CHECK(lateStarts == 0);
+}
