Let only large reads go on beyond the time limit of a call

Every read without a limit had become a bulk read, also the list of nodes, which a node reads with each heartbeat. An answer that trickles in for up to 30 s would then have been taken for the present state, after newer ones.

The caller now says whether a read may be large: the copies of the operator's and the workers' tables and the load of a shard's jobs. The list of nodes, the owner row of a claim and the exchange of tail latencies keep the limit of the whole call.

Result: the cases of tst_slowresponses on lists now ask for a bulk read and hold; the last one now checks that a list that isn't bulk keeps the limit, besides a read with a limit, and holds for both.

--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -86,6 +86,7 @@
     range.table = jobTable;
     range.partition = shard_;
     range.from = fromJob;
+    range.isBulk = true;
     context_.store.read(range,
         [this, weak = std::weak_ptr<bool>(alive_), fromJob](const Utils::Result<Ports::RowPage>& result) {
             if (!weak.lock())
--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -62,6 +62,7 @@
     Ports::RowRange range;
     range.table = table_;
     range.from = from;
+    range.isBulk = true;
     callSentAt_ = context_.now();
     context_.store.read(
         range, [this, weak = std::weak_ptr<bool>(alive_), from](const Utils::Result<Ports::RowPage>& result) {
--- a/src/libs/ports/rowstore.h
+++ b/src/libs/ports/rowstore.h
@@ -66,6 +66,7 @@
     std::string from; //!< First key of the range.
     std::string until; //!< Exclusive upper bound; empty: unbounded.
     std::size_t limit = 0; //!< Maximum number of rows; 0: as many as the store returns.
+    bool isBulk = false; //!< May be large; the read goes on for as long as its rows arrive.
 };
 
 /*! Snapshot of rows, or changes in the order in which they were made. */
--- a/tests/auto/usersplatform/tst_slowresponses.cpp
+++ b/tests/auto/usersplatform/tst_slowresponses.cpp
@@ -84,9 +84,9 @@
 
 struct SlowFixture {
     // Returns the outcome and how long it took.
-    std::pair<Utils::Result<Ports::RowPage>, Utils::Duration> readRange(std::size_t limit)
+    std::pair<Utils::Result<Ports::RowPage>, Utils::Duration> readRange(std::size_t limit, bool isBulk)
     {
-        return call([&](auto handler) { store.read({ "op", "", "", "", limit }, handler); });
+        return call([&](auto handler) { store.read({ "op", "", "", "", limit, isBulk }, handler); });
     }
 
     std::pair<Utils::Result<Ports::RowPage>, Utils::Duration> follow()
@@ -123,10 +123,10 @@
 
 } // namespace
 
-TEST_CASE("A list that keeps arriving is not given up after the time limit of a call")
+TEST_CASE("A bulk list that keeps arriving is not given up after the time limit of a call")
 {
     SlowFixture fixture;
-    checkComplete(fixture.readRange(0).first);
+    checkComplete(fixture.readRange(0, true).first);
 }
 
 TEST_CASE("Changes that keep arriving are not given up after the time limit of a call")
@@ -135,11 +135,11 @@
     checkComplete(fixture.follow().first);
 }
 
-TEST_CASE("A list or a feed that does not begin is given up after the time limit of a call")
+TEST_CASE("A bulk list or a feed that does not begin is given up after the time limit of a call")
 {
     SlowFixture list;
     list.service.partsToSend = 0;
-    const auto [listResult, listDuration] = list.readRange(0);
+    const auto [listResult, listDuration] = list.readRange(0, true);
     CHECK_FALSE(Utils::isOk(listResult));
     CHECK(listDuration < callTimeout + 150ms);
 
@@ -150,19 +150,20 @@
     CHECK(feedDuration < 100ms + callTimeout + 150ms);
 }
 
-TEST_CASE("A list that stops arriving is given up soon after its last bytes")
+TEST_CASE("A bulk list that stops arriving is given up soon after its last bytes")
 {
     SlowFixture fixture;
     fixture.service.partsToSend = responseParts / 2;
-    const auto [result, duration] = fixture.readRange(0);
+    const auto [result, duration] = fixture.readRange(0, true);
     CHECK_FALSE(Utils::isOk(result));
     CHECK(duration < responseParts / 2 * partInterval + callTimeout + 300ms);
 }
 
-TEST_CASE("A read with a limit keeps the time limit of a call although bytes arrive")
+TEST_CASE("Other reads keep the time limit of a call although bytes arrive")
 {
+    const std::size_t limit = GENERATE(std::size_t(0), std::size_t(1));
     SlowFixture fixture;
-    const auto [result, duration] = fixture.readRange(1);
+    const auto [result, duration] = fixture.readRange(limit, false);
     CHECK_FALSE(Utils::isOk(result));
     CHECK(duration < callTimeout + 150ms);
 }
