Check a worker's capacity again before a recorded attempt is sent

Callers would see a worker that does not reject what does not fit run tasks beyond its capacity: an attempt is placed, recorded in the store and sent once the record is stored, which can take seconds when the store is slow. A smaller capacity that the platform lists in between was not considered.

An attempt is now sent only if it fits beside all attempts that may run on the worker. Attempts recorded later do not count, so the ones that are sent first keep their place. What does not fit is given up as no-capacity and placed again. A gang is sent whole or not at all: members sent alone would wait for the others in vain. That also holds if one member's worker has become unusable.

--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -1,6 +1,7 @@
 // Transactions of ShardScheduler: collects changes into batches and acts on them once they are committed.
 
 #include "inflightbatch.h"
+#include "workercommitment.h"
 
 #include <algorithm>
 
@@ -13,6 +14,24 @@
 constexpr std::size_t maxBatchRows = 90;
 constexpr std::size_t maxBatchBytes = 600'000;
 
+// Returns why recorded attempts cannot be sent together; empty if they can.
+std::string_view findSendObstacle(const std::vector<Task*>& tasks)
+{
+    std::map<const Worker*, Placement::Resources> sizes;
+    for (const Task* task : tasks) {
+        const Worker& worker = *task->worker;
+        if (!worker.isUsable() || worker.bornMs != task->workerBornMs)
+            return "not-sent";
+        sizes[&worker] += committedSize(task->job->step(*task));
+    }
+    for (const auto& [worker, size] : sizes) {
+        // The capacity may have been reduced since the attempts were decided on.
+        if (!size.fitsIn(worker->available() + recordedSize(*worker)))
+            return "no-capacity";
+    }
+    return {};
+}
+
 } // namespace
 
 std::optional<RecordBatch> ShardScheduler::beginCommit(std::int64_t nowUnixMs)
@@ -87,7 +106,7 @@
         if (task.phase != TaskPhase::Recorded || task.attempt != start.attempt)
             continue;
         if (task.job->isActive())
-            sendStart(task, now);
+            sendRecorded(task, now);
         else
             requeue(task, now);
     }
@@ -122,15 +141,35 @@
     }
 }
 
-void ShardScheduler::sendStart(Task& task, Utils::TimePoint now)
+// Sends a recorded attempt, or gives it up if its worker has changed meanwhile. The members of a gang are
+// sent together or not at all.
+void ShardScheduler::sendRecorded(Task& task, Utils::TimePoint now)
 {
-    Worker& worker = *task.worker;
-    if (!worker.isUsable() || worker.bornMs != task.workerBornMs) {
+    Job& job = *task.job;
+    std::vector<Task*> tasks { &task };
+    if (job.step(task).gang()) {
+        tasks.clear();
+        for (std::uint32_t index = 0; index < job.step(task).count(); ++index) {
+            Task* const member = job.findTask(task.occurrence, task.step, index);
+            if (member->phase == TaskPhase::Recorded)
+                tasks.push_back(member);
+        }
+    }
+    const std::string_view obstacle = findSendObstacle(tasks);
+    for (Task* recorded : tasks) {
+        if (obstacle.empty()) {
+            sendStart(*recorded, now);
+            continue;
+        }
         // Nothing was sent, so the attempt cannot run.
-        output_.attemptEnded(worker.info.id, keyOf(task), task.attempt, "not-sent");
-        requeue(task, now);
-        return;
+        output_.attemptEnded(recorded->worker->info.id, keyOf(*recorded), recorded->attempt, obstacle);
+        requeue(*recorded, now);
     }
+}
+
+void ShardScheduler::sendStart(Task& task, Utils::TimePoint now)
+{
+    Worker& worker = *task.worker;
     task.phase = TaskPhase::Sent;
     task.sentAt = now;
     task.reportableSince = {};
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -247,6 +247,7 @@
     std::int64_t extendLease(Worker& worker, Utils::Duration lease, Utils::TimePoint now);
     static void suspectWorker(Worker& worker);
     void onJobCommitted(const BatchedJob& stored, Utils::TimePoint now);
+    void sendRecorded(Task& task, Utils::TimePoint now);
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
     void tickTransfers(Job& job, Utils::TimePoint now);
--- a/src/libs/fleet/workercommitment.cpp
+++ b/src/libs/fleet/workercommitment.cpp
@@ -37,6 +37,16 @@
     }
 }
 
+Placement::Resources recordedSize(const Worker& worker)
+{
+    Placement::Resources size;
+    for (const Task* task : worker.tasks) {
+        if (task->phase == TaskPhase::Recorded)
+            size += committedSize(task->job->step(*task));
+    }
+    return size;
+}
+
 Placement::Resources capacityBesideLongRunningTasks(const Worker& worker)
 {
     Placement::Resources free = worker.available();
--- a/src/libs/fleet/workercommitment.h
+++ b/src/libs/fleet/workercommitment.h
@@ -23,6 +23,9 @@
 /*! Removes a task from a worker, and what it requests from the worker's totals. */
 void removeAttempt(Task& task, Worker& worker);
 
+/*! \return the resources committed to attempts on a worker that have not been sent yet. */
+Placement::Resources recordedSize(const Worker& worker);
+
 /*! \return the capacity of a worker that its long-running tasks leave, whatever short tasks run there. */
 Placement::Resources capacityBesideLongRunningTasks(const Worker& worker);
 
