Count attempts that a worker runs although they were given up

Callers would see a worker run more than its capacity: a report may list an attempt that its owner has given up, or whose job it does not know. It is stopped, but took no room until it had ended, so that other tasks were started in its place at once.

Such attempts now count by the size of their step until a report no longer lists them. If the job is not known, neither is the size, and the worker gets no start meanwhile. A report that no longer lists them causes a scheduling pass.

Three cases of tst_workercapacity failed before and hold now; tst_shardscheduler, tst_workerlease, tst_shardtransfer and tst_shardwaits hold.

--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -4,6 +4,7 @@
 
 #include "interference.h"
 #include "taillatencymodel.h"
+#include "workercommitment.h"
 
 #include <algorithm>
 
@@ -96,8 +97,13 @@
         applyEndedAttempt(*worker, end, now, nowUnixMs);
         worker->lastSeenEnd = end.sequence;
     }
+    const bool ranGivenUp = worker->runsUnknownJob || worker->givenUp != Placement::Resources();
+    worker->givenUp = {};
+    worker->runsUnknownJob = false;
     for (const Ports::RunningAttempt& running : report.running)
         applyRunningAttempt(*worker, running, now);
+    if (ranGivenUp)
+        isScheduleDue_ = true;
     requeueMissingAttempts(*worker, sentAt, report, now);
     processTailLatencies(*worker, tailLatencyModel_, now);
     adjustSpeeds(*worker, now);
@@ -151,6 +157,11 @@
     Task* task = findOpenTask(worker.info.id, running.task, running.attempt);
     if (!task) {
         // The worker carried out a start after the attempt had been given up, or the job was removed.
+        const Job* const job = findJob(running.task.job);
+        if (job && running.task.step < static_cast<std::uint32_t>(job->spec.steps_size()))
+            worker.givenUp += committedSize(job->spec.steps(static_cast<int>(running.task.step)));
+        else
+            worker.runsUnknownJob = true;
         output_.stopAttempt(worker.info.id, running.task, running.attempt);
         return;
     }
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -16,6 +16,10 @@
     Ports::WorkerInfo info;
     bool isListed = false;
     Placement::Resources committed; //!< Resources committed to open attempts.
+    //! Resources of attempts that the latest report lists though they are not open here: given up, but not
+    //! ended yet.
+    Placement::Resources givenUp;
+    bool runsUnknownJob = false; //!< The latest report lists an attempt whose size is not known.
     //! Milli-processors requested by open best-effort attempts, which do not commit them.
     std::int64_t bestEffortMilliProcessors = 0;
     std::int64_t criticalMilliProcessors = 0; //!< Milli-processors committed to latency-critical tasks.
@@ -71,7 +75,7 @@
     }
 
     /*! \return the resources that may still be committed. */
-    Placement::Resources available() const { return capacity() - committed; }
+    Placement::Resources available() const { return capacity() - committed - givenUp; }
 
     Placement::Resources capacity() const
     {
@@ -79,7 +83,10 @@
     }
 
     /*! \return whether the worker can be assigned new attempts, as far as its state is known. */
-    bool isUsable() const { return isListed && isResponsive && !info.isDraining && clockMs != 0; }
+    bool isUsable() const
+    {
+        return isListed && isResponsive && !info.isDraining && clockMs != 0 && !runsUnknownJob;
+    }
 };
 
 } // namespace Fleet
