Give a restarted worker no start by the capacity of its former incarnation

Callers would see a worker run more than its capacity: a worker that restarts under its identifier may be of another size. Its report names the new incarnation before the platform's entry does, and until then starts were sent by the old capacity.

A worker is now usable only if its entry and its latest report name the same incarnation. An entry without a start time counts as before.

--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -85,8 +85,15 @@
     /*! \return whether the worker can be assigned new attempts, as far as its state is known. */
     bool isUsable() const
     {
-        return isListed && isResponsive && !info.isDraining && clockMs != 0 && !runsUnknownJob;
+        return isListed && isResponsive && !info.isDraining && clockMs != 0 && !runsUnknownJob
+            && isListedIncarnation();
     }
+
+    /*!
+        \return whether the platform's entry describes the incarnation that last reported; another one may
+            have another capacity.
+    */
+    bool isListedIncarnation() const { return info.startedUnixMs == 0 || info.startedUnixMs == bornMs; }
 };
 
 } // namespace Fleet
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -46,6 +46,7 @@
             workers.back()->isListed = true;
             workers.back()->isResponsive = true;
             workers.back()->clockMs = 1;
+            workers.back()->bornMs = workers.back()->info.startedUnixMs;
             workerPointers.push_back(workers.back().get());
         }
     }
--- a/tests/auto/fleet/tst_taskgrouping.cpp
+++ b/tests/auto/fleet/tst_taskgrouping.cpp
@@ -53,6 +53,7 @@
             workers.back()->isListed = true;
             workers.back()->isResponsive = true;
             workers.back()->clockMs = 1;
+            workers.back()->bornMs = workers.back()->info.startedUnixMs;
             workerPointers.push_back(workers.back().get());
         }
     }
