Start nothing by a list of workers that is too old

Callers would see a worker run more than its capacity: a node that could commit but not read the list of workers went on starting tasks by capacities of any age. Also, a list counted as new whenever it was passed to a shard, for example when the shard was taken over or the rack map changed, however long ago it had been read.

The list now carries the time at which its read was started. If that is more than 3.5 s ago, nothing is placed, moved to another worker or sent; a recorded attempt is given up as worker-list-outdated. Capacities must be respected 4 s after they are listed at the latest, and a start needs part of that to reach its worker.

Two new cases of tst_workercapacity and one of tst_shardhost; with the check switched off all three fail. The other tests of fleet hold.

--- a/src/libs/fleet/scheduleroptions.h
+++ b/src/libs/fleet/scheduleroptions.h
@@ -17,6 +17,9 @@
     //! Time for which an owner that cannot write to the store still renews leases.
     Utils::Duration orphanGrace {};
     Utils::Duration stopLimit {}; //!< Longest time that a worker takes to stop a task.
+    //! Age beyond which the list of workers is too old for new starts; longer than the time between two
+    //! reads.
+    Utils::Duration workerListLimit = Utils::Duration::max();
     Utils::Duration retention {}; //!< Time for which an ended job is kept.
     Utils::Duration interferenceLimit {}; //!< Time for which a latency-critical task may miss its target.
     //! Time for which a long-running task must have been running to count as available.
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -155,7 +155,8 @@
                 tasks.push_back(member);
         }
     }
-    const std::string_view obstacle = findSendObstacle(tasks);
+    const std::string_view obstacle
+        = isWorkerListOutdated(now) ? "worker-list-outdated" : findSendObstacle(tasks);
     for (Task* recorded : tasks) {
         if (obstacle.empty()) {
             sendStart(*recorded, now);
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -52,7 +52,8 @@
 
 ShardScheduler::~ShardScheduler() = default;
 
-void ShardScheduler::setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint now)
+void ShardScheduler::setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint now,
+    std::optional<Utils::TimePoint> readAt)
 {
     for (auto& [id, worker] : workers_)
         worker->isListed = false;
@@ -61,7 +62,7 @@
         worker.info = info;
         worker.isListed = true;
     }
-    workersSetAt_ = now;
+    workersReadAt_ = readAt.value_or(now);
     std::erase_if(
         workers_, [](const auto& entry) { return !entry.second->isListed && entry.second->tasks.empty(); });
     isScheduleDue_ = true;
@@ -112,7 +113,7 @@
 
 void ShardScheduler::schedule(Utils::TimePoint now, std::int64_t nowUnixMs)
 {
-    if (!isScheduleDue_)
+    if (!isScheduleDue_ || isWorkerListOutdated(now))
         return;
     isScheduleDue_ = false;
     hasWaitingTasks_ = false;
@@ -153,6 +154,12 @@
     }
 }
 
+// The capacities in an old list may have been reduced since.
+bool ShardScheduler::isWorkerListOutdated(Utils::TimePoint now) const
+{
+    return now - workersReadAt_ > options_.workerListLimit;
+}
+
 void ShardScheduler::assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now)
 {
     std::vector<Worker*> workers;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -64,8 +64,13 @@
     /*! Loads a job from its stored record. */
     void restore(const FleetSchema::JobRecord& record, Utils::TimePoint now, std::int64_t nowUnixMs);
 
-    /*! Sets the workers that the platform lists for the shard. */
-    void setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint now);
+    /*!
+        Sets the workers that the platform lists for the shard.
+
+        \param readAt when the list started to be read; empty: \p now.
+    */
+    void setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint now,
+        std::optional<Utils::TimePoint> readAt = std::nullopt);
 
     /*!
         Accepts a job; the submission is answered once the job is stored. A job with a known
@@ -262,6 +267,7 @@
     void cancelUnacknowledged(Job& job, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now);
     void requeueAttempts(Worker& worker, std::string_view reason, Utils::TimePoint now);
+    bool isWorkerListOutdated(Utils::TimePoint now) const;
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
     void adjustSpeeds(Worker& worker, Utils::TimePoint now);
     void collectExpiredJobs(std::int64_t nowUnixMs);
@@ -282,7 +288,7 @@
     Utils::TimePoint groupingAllowedAt_ {};
     std::string lastGroupingSource_; //!< Worker last examined for a move of a latency-critical task.
     Utils::TimePoint lastScheduledAt_ {};
-    Utils::TimePoint workersSetAt_ {}; //!< Time of the latest list of workers.
+    Utils::TimePoint workersReadAt_ {}; //!< When the latest list of workers started to be read.
     Utils::TimePoint waitsReviewedAt_ {};
     std::optional<Utils::Duration> formerRenewal_; //!< Empty: SchedulerOptions::orphanGrace.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -66,7 +66,8 @@
 // disruption of the shard.
 void ShardScheduler::improveGrouping(Utils::TimePoint now)
 {
-    if (now < groupingAllowedAt_ || workers_.empty())
+    // A moved task could not be started on the other worker.
+    if (now < groupingAllowedAt_ || workers_.empty() || isWorkerListOutdated(now))
         return;
     auto source = workers_.upper_bound(lastGroupingSource_);
     if (source == workers_.end())
@@ -146,7 +147,7 @@
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     if (task.speedPercent > relocationSpeedPercent || now - task.throttledSince < throttledRelocationDelay
-        || step.gang())
+        || step.gang() || isWorkerListOutdated(now))
         return false;
     if (!step.checkpointed() && task.progressPercent > maxLostProgressPercent)
         return false;
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -134,7 +134,7 @@
     report.phase = nameOf(task.phase);
     report.waitedMs = toMs(now - task.idleSince);
     report.similarTaskCount = similarTaskCount;
-    report.workerListAgeMs = workersSetAt_ == Utils::TimePoint {} ? -1 : toMs(now - workersSetAt_);
+    report.workerListAgeMs = workersReadAt_ == Utils::TimePoint {} ? -1 : toMs(now - workersReadAt_);
     std::vector<Worker*> workers;
     for (const auto& [id, worker] : workers_) {
         workers.push_back(worker.get());
--- a/src/libs/fleetnode/node.cpp
+++ b/src/libs/fleetnode/node.cpp
@@ -184,7 +184,7 @@
             workers.push_back(Utils::value(entry.worker));
     }
     decodedWorkers_ = std::move(decoded);
-    ownership_.setWorkers(workers);
+    ownership_.setWorkers(workers, workerWatcher_.readStartedAt());
     workerWatcher_.setPause(
         ownership_.needsWorkerList() ? workerPollInterval(context_) : idleWorkerPollInterval);
 }
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -23,6 +23,10 @@
 // Also bounds the time until a poll renews the lease of a first start.
 constexpr milliseconds idlePollWait { 1500 };
 
+// A worker's entry shows a reduced capacity within a heartbeat, and no start may exceed it 4 s after that.
+// The rest of this time is left for the start to reach the worker.
+constexpr milliseconds workerListLimit { 3500 };
+
 Fleet::SchedulerOptions schedulerOptions(const NodeContext& context, const std::string& shard)
 {
     const Schema::DispatchSettings& settings = context.settings.dispatch();
@@ -33,6 +37,7 @@
         = std::min<Utils::Duration>(milliseconds(settings.worker_lease_ms()), options.workerLeaseLimit);
     options.orphanGrace = milliseconds(settings.orphan_grace_ms());
     options.stopLimit = milliseconds(settings.stop_ms());
+    options.workerListLimit = workerListLimit;
     options.retention = std::chrono::seconds(settings.retention_s());
     options.interferenceLimit = milliseconds(settings.interference_ms());
     options.availabilityDelay = milliseconds(settings.disruption_notice_ms());
@@ -124,9 +129,10 @@
     requestRound();
 }
 
-void ShardHost::setWorkers(std::vector<Ports::WorkerInfo> workers)
+void ShardHost::setWorkers(std::vector<Ports::WorkerInfo> workers, Utils::TimePoint readAt)
 {
     workers_ = std::move(workers);
+    workersReadAt_ = readAt;
     if (isLoaded_ && !isClosed_)
         applyWorkers();
 }
@@ -155,7 +161,7 @@
 
 void ShardHost::applyWorkers()
 {
-    scheduler_.setWorkers(workers_, context_.now());
+    scheduler_.setWorkers(workers_, context_.now(), workersReadAt_);
     logWorkerCount();
     for (const Ports::WorkerInfo& info : workers_)
         connect(info);
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -59,8 +59,8 @@
     */
     void takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version);
 
-    /*! Replaces the list of the shard's workers. */
-    void setWorkers(std::vector<Ports::WorkerInfo> workers);
+    /*! Replaces the list of the shard's workers. \param readAt when the list started to be read. */
+    void setWorkers(std::vector<Ports::WorkerInfo> workers, Utils::TimePoint readAt);
 
     /*! \return whether the shard's jobs are loaded and it accepts requests. */
     bool isServing() const { return isLoaded_ && !isClosed_; }
@@ -155,6 +155,7 @@
     Fleet::ShardScheduler scheduler_;
     ShardWriter writer_;
     std::vector<Ports::WorkerInfo> workers_;
+    Utils::TimePoint workersReadAt_ {}; //!< When workers_ started to be read.
     WorkerCount workerCount_;
     std::map<std::string, std::unique_ptr<WorkerConnection>> connections_;
     std::map<std::uint64_t, JobAnswerHandler> answerHandlers_;
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -250,13 +250,14 @@
         tailLatencyModel_, [this, shard] { onHostClosed(shard); });
     // With an outdated list, a task could be started on a worker that no longer exists.
     if (isWorkerListCurrent_)
-        host->setWorkers(rackDirectory_.workersOf(shard));
+        host->setWorkers(rackDirectory_.workersOf(shard), workersReadAt_);
     host->takeOver(former, version);
     hosts_[shard] = std::move(host);
 }
 
-void ShardOwnership::setWorkers(const std::vector<Ports::WorkerInfo>& workers)
+void ShardOwnership::setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint readAt)
 {
+    workersReadAt_ = readAt;
     rackDirectory_.setWorkers(workers);
     isWorkerListCurrent_ = true;
     passWorkersToHosts();
@@ -279,7 +280,7 @@
     if (!isWorkerListCurrent_)
         return;
     for (const auto& [shard, host] : hosts_)
-        host->setWorkers(rackDirectory_.workersOf(shard));
+        host->setWorkers(rackDirectory_.workersOf(shard), workersReadAt_);
 }
 
 void ShardOwnership::release(const std::string& shard, const std::string& successor)
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -35,8 +35,8 @@
     /*! Starts heartbeats and, with them, claiming shards. */
     void start();
 
-    /*! Replaces the list of workers. */
-    void setWorkers(const std::vector<Ports::WorkerInfo>& workers);
+    /*! Replaces the list of workers. \param readAt when the list started to be read. */
+    void setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint readAt);
 
     /*! \return whether this node needs a current list of workers, for its shards, claims or the rack map. */
     bool needsWorkerList() const;
@@ -112,6 +112,7 @@
     std::map<std::string, std::string> successors_; //!< Planned next owners of the shards being released.
     Utils::TimePoint startedAt_ {};
     Utils::TimePoint membersReadAt_ {};
+    Utils::TimePoint workersReadAt_ {}; //!< When the latest list of workers started to be read.
     Utils::TimePoint handoverAllowedAt_ {};
     std::uint64_t configurationRevision_ = 0;
     bool hasReclaimedShards_ = false;
--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -31,6 +31,7 @@
     timer_.stop();
     partialCopy_.clear();
     version_ = 0;
+    readStartedAt_ = context_.now();
     readAll({});
 }
 
@@ -70,6 +71,7 @@
     if (page.hasMore)
         return readAll(page.rows.back().name.key + '\0');
     rows_ = std::move(partialCopy_);
+    copyReadStartedAt_ = readStartedAt_;
     partialCopy_.clear();
     onReadSucceeded();
     onChange_(rows_);
--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -44,6 +44,9 @@
     /*! Reads a polled table immediately unless a read is already in progress. */
     void pollNow();
 
+    /*! \return when the read that the copy is from was started; the clock's epoch if there is none. */
+    Utils::TimePoint readStartedAt() const { return copyReadStartedAt_; }
+
     /*! \return when the copy was last known to be up to date; the clock's epoch if never. */
     Utils::TimePoint currentAt() const { return currentAt_; }
 
@@ -65,6 +68,8 @@
     Rows partialCopy_; //!< Pages of a new copy that have been read so far.
     std::uint64_t version_ = 0;
     Utils::TimePoint currentAt_ {};
+    Utils::TimePoint readStartedAt_ {}; //!< Start of the latest read of the whole table.
+    Utils::TimePoint copyReadStartedAt_ {}; //!< Start of the read that rows_ was last replaced by.
     bool isFailing_ = false;
     Timer timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/auto/fleet/fleetfixtures.cpp
+++ b/tests/auto/fleet/fleetfixtures.cpp
@@ -6,7 +6,7 @@
 
 using namespace std::chrono_literals;
 
-Fleet::SchedulerOptions makeOptions()
+Fleet::SchedulerOptions makeOptions(Utils::Duration workerListLimit)
 {
     Fleet::SchedulerOptions options;
     options.shard = "shard";
@@ -14,6 +14,7 @@
     options.workerLeaseLimit = 10s;
     options.orphanGrace = 12s;
     options.stopLimit = 200ms;
+    options.workerListLimit = workerListLimit;
     options.retention = 120s;
     options.interferenceLimit = 4s;
     options.availabilityDelay = 5500ms;
@@ -85,8 +86,8 @@
     return info;
 }
 
-SchedulerFixture::SchedulerFixture(std::size_t workerCount)
-    : scheduler(makeOptions(), output, tailLatencyModel)
+SchedulerFixture::SchedulerFixture(std::size_t workerCount, Utils::Duration workerListLimit)
+    : scheduler(makeOptions(workerListLimit), output, tailLatencyModel)
 {
     std::vector<Ports::WorkerInfo> infos;
     for (std::size_t number = 0; number < workerCount; ++number) {
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -90,7 +90,7 @@
 
 /*! A scheduler with workers that have reported once. */
 struct SchedulerFixture {
-    explicit SchedulerFixture(std::size_t workers);
+    explicit SchedulerFixture(std::size_t workers, Utils::Duration workerListLimit = Utils::Duration::max());
 
     /*! Delivers a report of a worker. */
     void report(const std::string& worker, const Ports::WorkerReport& report);
--- a/tests/auto/fleet/tst_workercapacity.cpp
+++ b/tests/auto/fleet/tst_workercapacity.cpp
@@ -11,8 +11,9 @@
 
 /*! Workers whose capacities change. */
 struct CapacityFixture : SchedulerFixture {
-    explicit CapacityFixture(std::size_t workerCount)
-        : SchedulerFixture(workerCount)
+    explicit CapacityFixture(
+        std::size_t workerCount, Utils::Duration workerListLimit = Utils::Duration::max())
+        : SchedulerFixture(workerCount, workerListLimit)
     {
         for (const std::string& worker : workers)
             infos.push_back(makeWorkerInfo(worker));
@@ -256,3 +257,36 @@
     CHECK(fixture.countStarts("w0") == 2);
     CHECK(fixture.countStarts("w1") == 2);
 }
+
+TEST_CASE("Without a recent list of workers no task is started until there is one")
+{
+    CapacityFixture fixture(1, 3500ms);
+    fixture.now += 3600ms;
+    fixture.report("w0", {});
+    fixture.submit("job", makeStep(1, 1000, 500));
+    fixture.scheduleAndCommit();
+    CHECK(fixture.output.starts.empty());
+    CHECK(fixture.scheduler.isScheduleDue());
+    fixture.scheduler.setWorkers(fixture.infos, fixture.now);
+    fixture.scheduleAndCommit();
+    CHECK(fixture.output.starts.size() == 1);
+}
+
+TEST_CASE("A start whose record is stored only after the list of workers became too old is not sent")
+{
+    CapacityFixture fixture(1, 3500ms);
+    fixture.submit("job", makeStep(1, 1000, 500));
+    fixture.scheduler.schedule(fixture.now, testStartUnixMs);
+    REQUIRE(fixture.scheduler.beginCommit(testStartUnixMs));
+    fixture.now += 3600ms;
+    fixture.report("w0", {});
+    fixture.scheduler.onCommitted(fixture.now);
+    CHECK(fixture.output.starts.empty());
+    // The list was in use before, so only the time of its reading counts.
+    fixture.scheduler.setWorkers(fixture.infos, fixture.now, testStart);
+    fixture.scheduleAndCommit();
+    CHECK(fixture.output.starts.empty());
+    fixture.scheduler.setWorkers(fixture.infos, fixture.now, fixture.now - 1s);
+    fixture.scheduleAndCommit();
+    CHECK(fixture.output.starts.size() == 1);
+}
--- a/tests/auto/fleetnode/tst_shardhost.cpp
+++ b/tests/auto/fleetnode/tst_shardhost.cpp
@@ -80,7 +80,7 @@
 /*! A successor of a shard with one job, whose attempt is recorded at a worker that the platform does not
  * list. */
 struct SuccessorFixture : LeaseSettingsFixture {
-    SuccessorFixture()
+    explicit SuccessorFixture(Utils::Duration listAge = {})
     {
         platform.makeWorkerAgent = [this](const Ports::WorkerInfo& info) {
             return std::make_unique<ScriptedWorker>(io, info, calls);
@@ -104,7 +104,7 @@
         listed.address = "127.0.0.1:8";
         listed.service = "service";
         listed.milliProcessors = 1000;
-        host.setWorkers({ listed });
+        host.setWorkers({ listed }, context.now() - listAge);
     }
 
     /*! Takes the shard over and lets 0.3 s pass. */
@@ -145,6 +145,16 @@
     CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
 }
 
+TEST_CASE("A list of workers that was read long ago leads to no start, however late the shard gets it")
+{
+    SuccessorFixture fixture(std::chrono::seconds(4));
+    fixture.calls.pollError = Utils::Error { Utils::ErrorCode::NotFound, "worker.poll", "127.0.0.1:9",
+        "another worker answered" };
+    fixture.takeOver();
+    REQUIRE(fixture.host.isServing());
+    CHECK(fixture.calls.starts.empty());
+}
+
 TEST_CASE("A successor of an owner that released soon after a takeover waits for the owner before that")
 {
     Testing::NodeFixture node;
@@ -188,7 +198,7 @@
     };
     bool isClosed = false;
     FleetNode::ShardHost second(node.context, "shard", others, model, [&] { isClosed = true; });
-    second.setWorkers({});
+    second.setWorkers({}, node.context.now());
     second.takeOver(former, 2);
     run(second, std::chrono::milliseconds(100));
     REQUIRE(second.isServing());
@@ -199,7 +209,7 @@
     FleetSchema::ShardRecord released;
     REQUIRE(released.ParseFromString(node.store.rows[ownerName].value));
     FleetNode::ShardHost third(node.context, "shard", others, model, [] {});
-    third.setWorkers({});
+    third.setWorkers({}, node.context.now());
     third.takeOver(released, node.store.rows[ownerName].version);
     run(third, std::chrono::milliseconds(1000));
     REQUIRE(third.isServing());
