Log changes of a worker's capacity and describe what follows from them

worker-capacity-changed gives the former and the current capacity and what is committed, one line a worker and list; a warning if more is committed than there is. A new case of tst_workercapacity covers the report; it could not be compiled before.

--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -2,6 +2,7 @@
 
 #include "waitreport.h"
 
+#include "placement/resources.h"
 #include "ports/taskkey.h"
 #include "utils/clock.h"
 
@@ -30,6 +31,14 @@
     std::uint32_t retryAfterMs = 0; //!< Set only if the outcome is PEER_REFUSED.
 };
 
+/*! Change of the capacity that the platform lists for a worker. */
+struct CapacityChange {
+    std::string worker;
+    Placement::Resources former;
+    Placement::Resources current;
+    Placement::Resources committed; //!< Resources of the worker's open attempts; may exceed the capacity.
+};
+
 /*! Summary of an ended job for the log. */
 struct JobSummary {
     std::string job;
@@ -93,6 +102,9 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
         = 0;
 
+    /*! Reports that the capacity of a worker has changed; once a list of workers. */
+    virtual void capacityChanged(const CapacityChange& change) = 0;
+
     /*! Reports that a task does not run although its turn has come; repeated while it waits. */
     virtual void taskWaiting(const WaitReport& report) = 0;
 
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -59,8 +59,11 @@
         worker->isListed = false;
     for (const Ports::WorkerInfo& info : workers) {
         Worker& worker = ensureWorker(info.id, now);
+        const Placement::Resources former = worker.capacity();
         worker.info = info;
         worker.isListed = true;
+        if (former != Placement::Resources() && former != worker.capacity())
+            output_.capacityChanged({ info.id, former, worker.capacity(), worker.committed });
     }
     workersReadAt_ = readAt.value_or(now);
     std::erase_if(
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -18,6 +18,13 @@
         + std::to_string(task.index);
 }
 
+// Milli-processors, MB of memory and accelerators.
+std::string describe(const Placement::Resources& resources)
+{
+    return std::to_string(resources.milliProcessors) + "/" + std::to_string(resources.memoryMb) + "/"
+        + std::to_string(resources.accelerators);
+}
+
 } // namespace
 
 void ShardHost::startAttempt(const Fleet::AttemptStart& start)
@@ -103,6 +110,15 @@
             { "worker", worker }, { "how", std::string(how) } });
 }
 
+void ShardHost::capacityChanged(const Fleet::CapacityChange& change)
+{
+    const bool isOvercommitted = !change.committed.fitsIn(change.current);
+    context_.metrics.add("geraniumquay_worker_capacity_changes_total");
+    Utils::log(isOvercommitted ? Utils::LogLevel::Warning : Utils::LogLevel::Info, "worker-capacity-changed",
+        { { "worker", change.worker }, { "shard", shard_ }, { "former", describe(change.former) },
+            { "current", describe(change.current) }, { "committed", describe(change.committed) } });
+}
+
 void ShardHost::taskWaiting(const Fleet::WaitReport& report)
 {
     const auto sinceConfirmed
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -49,6 +49,7 @@
     {
         trace(task.job, "attempt " + std::to_string(attempt) + " over: " + std::string(reason));
     }
+    void capacityChanged(const Fleet::CapacityChange&) override { }
     void taskWaiting(const Fleet::WaitReport&) override { }
     void jobEnded(const Fleet::JobSummary&) override { }
     void answer(std::uint64_t, const Fleet::JobAnswer&) override { }
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -63,6 +63,7 @@
         results.emplace_back(originShard, result);
     }
     void attemptEnded(const std::string&, const Ports::TaskKey&, std::uint32_t, std::string_view) override { }
+    void capacityChanged(const Fleet::CapacityChange& change) override { capacityChanges.push_back(change); }
     void taskWaiting(const Fleet::WaitReport& report) override { waits.push_back(report); }
     void jobEnded(const Fleet::JobSummary& summary) override { ended.push_back(summary); }
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override
@@ -83,6 +84,7 @@
     std::vector<Fleet::AttemptStart> starts;
     std::vector<Command> stops;
     std::vector<Command> throttles;
+    std::vector<Fleet::CapacityChange> capacityChanges;
     std::vector<Fleet::WaitReport> waits;
     std::vector<Fleet::JobSummary> ended;
     std::vector<std::pair<std::uint64_t, Fleet::JobAnswer>> answers;
--- a/tests/auto/fleet/tst_workercapacity.cpp
+++ b/tests/auto/fleet/tst_workercapacity.cpp
@@ -290,3 +290,18 @@
     fixture.scheduleAndCommit();
     CHECK(fixture.output.starts.size() == 1);
 }
+
+TEST_CASE("A change of a worker's capacity is reported once, with what is committed there")
+{
+    CapacityFixture fixture(1);
+    CHECK(fixture.output.capacityChanges.empty());
+    fixture.submit("job", makeStep(1, 20'000, 9000));
+    fixture.scheduleAndCommit();
+    fixture.resize(0, 16'000);
+    fixture.resize(0, 16'000);
+    REQUIRE(fixture.output.capacityChanges.size() == 1);
+    CHECK(fixture.output.capacityChanges[0].worker == "w0");
+    CHECK(fixture.output.capacityChanges[0].former.milliProcessors == 32'000);
+    CHECK(fixture.output.capacityChanges[0].current.milliProcessors == 16'000);
+    CHECK(fixture.output.capacityChanges[0].committed.milliProcessors == 20'000);
+}
