--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -48,6 +48,9 @@
     /*! Reads a polled table immediately unless a read is already in progress. */
     void pollNow();
 
+    /*! \return when the read that the copy is from was started; the clock's epoch if there is none. */
+    Utils::TimePoint readStartedAt() const { return copyReadStartedAt_; }
+
     /*! \return when the copy was last known to be up to date; the clock's epoch if never. */
     Utils::TimePoint currentAt() const { return currentAt_; }
 
@@ -73,6 +76,8 @@
     Utils::TimePoint currentAt_ {};
     Utils::TimePoint callSentAt_ {}; //!< Of the call in progress.
     Utils::TimePoint lastLoggedAt_ {}; //!< When a long or large read was last logged.
+    Utils::TimePoint readStartedAt_ {}; //!< Start of the latest read of the whole table.
+    Utils::TimePoint copyReadStartedAt_ {}; //!< Start of the read that rows_ was last replaced by.
     bool isFailing_ = false;
     Utils::Duration retryPause_ {}; //!< Longest pause after the latest failure; 0 after a success.
     std::mt19937_64 random_ { std::random_device {}() };
--- a/tests/auto/fleetnode/tst_shardhost.cpp
+++ b/tests/auto/fleetnode/tst_shardhost.cpp
@@ -90,7 +90,7 @@
 /*! A successor of a shard with one job, whose attempt is recorded at a worker that the platform does not
  * list. */
 struct SuccessorFixture : LeaseSettingsFixture {
-    SuccessorFixture()
+    explicit SuccessorFixture(Utils::Duration listAge = {})
     {
         platform.makeWorkerAgent = [this](const Ports::WorkerInfo& info) {
             return std::make_unique<ScriptedWorker>(io, info, calls);
@@ -115,7 +115,7 @@
         listed.service = "service";
         listed.milliProcessors = 1000;
         listedWorkers = { listed };
-        host.setWorkers(listedWorkers);
+        host.setWorkers(listedWorkers, context.now() - listAge);
     }
 
     /*! Takes the shard over and lets 0.3 s pass. */
@@ -149,7 +149,7 @@
         isClosed = false;
         owner = std::make_unique<FleetNode::ShardHost>(
             context, "shard", others, model, [this] { isClosed = true; });
-        owner->setWorkers(listedWorkers);
+        owner->setWorkers(listedWorkers, context.now());
         owner->takeOver(former, store.rows[name].version);
         run(duration);
     }
@@ -206,6 +206,16 @@
     CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
 }
 
+TEST_CASE("A list of workers that was read long ago leads to no start, however late the shard gets it")
+{
+    SuccessorFixture fixture(std::chrono::seconds(4));
+    fixture.calls.pollError = Utils::Error { Utils::ErrorCode::NotFound, "worker.poll", "127.0.0.1:9",
+        "another worker answered" };
+    fixture.takeOver();
+    REQUIRE(fixture.host.isServing());
+    CHECK(fixture.calls.starts.empty());
+}
+
 TEST_CASE("A successor of an owner that released soon after a takeover waits for the owner before that")
 {
     Testing::NodeFixture node;
@@ -249,7 +259,7 @@
     };
     bool isClosed = false;
     FleetNode::ShardHost second(node.context, "shard", others, model, [&] { isClosed = true; });
-    second.setWorkers({});
+    second.setWorkers({}, node.context.now());
     second.takeOver(former, 2);
     run(second, std::chrono::milliseconds(100));
     REQUIRE(second.isServing());
@@ -260,7 +270,7 @@
     FleetSchema::ShardRecord released;
     REQUIRE(released.ParseFromString(node.store.rows[ownerName].value));
     FleetNode::ShardHost third(node.context, "shard", others, model, [] {});
-    third.setWorkers({});
+    third.setWorkers({}, node.context.now());
     third.takeOver(released, node.store.rows[ownerName].version);
     run(third, std::chrono::milliseconds(1000));
     REQUIRE(third.isServing());
