Leave a shard with its owner while it waits for workers to report

Callers saw a task's shard change hands for load balancing 9 s and 16 s after a handover, while its owner still waited for a worker that never reported. Each change stops the shard for a moment and its workers are asked anew.

Cause: the plan of handovers looked at the number of shards only. Change: a shard with attempts that no worker has confirmed to this owner is not handed over for balance, another one may go instead; a node that leaves still hands over all.

Result: the new test in tst_membership failed before (1 handover instead of none) and holds now; tst_shardownership and tst_shardhost hold.

--- a/src/libs/fleet/ownershipplan.cpp
+++ b/src/libs/fleet/ownershipplan.cpp
@@ -92,7 +92,8 @@
     const bool isLeaving = ownNode->isLeaving;
     std::vector<ShardAssignment> assignments;
     for (const ShardInfo& shard : shards) {
-        if (shard.owner != self)
+        // Its next owner would begin to ask the workers anew.
+        if (shard.owner != self || (shard.hasUnconfirmedAttempts && !isLeaving))
             continue;
         const NodeInfo* node = bestNode(shard, nodes, counts, regionByDomain);
         if (!node || node->name == self)
--- a/src/libs/fleet/ownershipplan.h
+++ b/src/libs/fleet/ownershipplan.h
@@ -11,6 +11,7 @@
     std::string shard;
     std::string domain; //!< Failure domain of its workers.
     std::string owner; //!< Live owner; empty if there is none.
+    bool hasUnconfirmedAttempts = false; //!< The owner waits for workers that it has not heard of yet.
 };
 
 /*! A node that can own shards. */
@@ -48,7 +49,8 @@
     \param self name of this node.
     \param nodes the live nodes sorted by name.
     \param regionByDomain region of each failure domain.
-    \return at most one of this node's shards with its new owner; all of them if this node is leaving.
+    \return at most one of this node's shards without unconfirmed attempts, with its new owner; all shards if
+        this node is leaving.
 */
 std::vector<ShardAssignment> planHandovers(const std::string& self, const std::vector<ShardInfo>& shards,
     const std::vector<NodeInfo>& nodes, const std::map<std::string, std::string>& regionByDomain);
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -100,6 +100,9 @@
     /*! Performs time-dependent work; must be called every 100 ms. */
     void tick();
 
+    /*! \return whether attempts of former owners may run on workers that have not reported to this one. */
+    bool hasUnconfirmedAttempts() const { return !isLoaded_ || scheduler_.countUnconfirmedAttempts() > 0; }
+
     /*! \return the shard's load as reported to other nodes. */
     FleetSchema::ShardLoad load() const;
 
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -165,8 +165,11 @@
         owners[shard] = context_.settings.node().name();
     std::vector<Fleet::ShardInfo> infos;
     infos.reserve(owners.size());
-    for (const auto& [shard, owner] : owners)
-        infos.push_back({ shard, rackDirectory_.domainOf(shard), owner });
+    for (const auto& [shard, owner] : owners) {
+        const auto host = hosts_.find(shard);
+        const bool isUnconfirmed = host != hosts_.end() && host->second->hasUnconfirmedAttempts();
+        infos.push_back({ shard, rackDirectory_.domainOf(shard), owner, isUnconfirmed });
+    }
     return infos;
 }
 
--- a/tests/auto/fleet/tst_membership.cpp
+++ b/tests/auto/fleet/tst_membership.cpp
@@ -75,6 +75,22 @@
     CHECK(Fleet::planHandovers("n1", { { "s1", "d1", "n1" }, { "s2", "d1", "n1" } }, nodes, {}).size() == 1);
 }
 
+TEST_CASE("A shard whose owner still waits for workers is handed over only if its node leaves")
+{
+    for (const bool isLeaving : { false, true }) {
+        const std::vector<Fleet::NodeInfo> nodes { { "n1", "d1", "r1", isLeaving },
+            { "n2", "d1", "r1", false } };
+        std::vector<Fleet::ShardInfo> shards { { "s1", "d1", "n1", true }, { "s2", "d1", "n1", true },
+            { "s3", "d1", "n1", true } };
+        CHECK(Fleet::planHandovers("n1", shards, nodes, {}).size() == (isLeaving ? 3 : 0));
+        // Another one goes instead.
+        shards[1].hasUnconfirmedAttempts = false;
+        const auto moves = Fleet::planHandovers("n1", shards, nodes, {});
+        REQUIRE(moves.size() == (isLeaving ? 3 : 1));
+        CHECK(moves[0].shard == (isLeaving ? "s1" : "s2"));
+    }
+}
+
 TEST_CASE("Racks are grouped up to a shard's target size and never move to another shard")
 {
     FleetSchema::RackMap map;
