Wait for a worker's first report no longer than its lease can last

Callers are not affected: the longest lease is longer than the 1 s that a new owner gives a worker to report.

--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -95,8 +95,11 @@
         && worker.tasks.empty())
         isScheduleDue_ = true;
     const std::vector<Task*> tasks = worker.tasks;
-    // A worker whose lease has expired may still report attempts that ended before.
-    const bool couldReport = worker.bornMs != 0 || now - worker.addedAt >= firstReportTimeout;
+    // A worker whose lease has expired may still report attempts that ended before. The wait for that is no
+    // longer than the longest lease.
+    const Utils::Duration reportTimeout
+        = std::min<Utils::Duration>(firstReportTimeout, options_.workerLeaseLimit);
+    const bool couldReport = worker.bornMs != 0 || now - worker.addedAt >= reportTimeout;
     if (!worker.isResponsive && couldReport && now > worker.leaseUpperBound) {
         requeueAttempts(worker, "worker-silent-beyond-lease", now);
         return;
