Give up a task that crashes the workers that start it

Cause: only reported failures counted against a task. An attempt that ended with its worker was started again at once, beside other tasks, by every owner anew.

Change: an attempt that is lost with a crashed worker before it has run for 0.5 s there (by the worker's clock) counts as a crash of its task. A crash is another incarnation in place of the attempt's one, or a port without a listener once the entry is gone or the lease has lapsed; a cut, a lapse alone and a departure after draining are not. The count is stored with the end of the attempt, carried in delegations and results, and begins at 0 once an attempt has run. The third crash in a row fails the job, of any kind, also from a host shard, and its other tasks are stopped. After a crash the task avoids other tasks and that worker; after the second it also waits, and no task of another job joins it until it has run. Logs and metrics name the reason.

The count is assigned, not maximized, when a task moves: it may have been reset in the other shard.

--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -40,6 +40,7 @@
     std::uint32_t taskCount = 0;
     std::uint32_t attemptCount = 0;
     std::uint32_t failureCount = 0;
+    std::string_view reason; //!< Why the job has failed; empty if it has not.
 };
 
 /*!
@@ -93,6 +94,16 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
         = 0;
 
+    /*!
+        Reports that an attempt has ended with its worker, which crashed before the attempt had run long
+        enough to show that it is not the cause.
+
+        \param crashes the task's latest starts in a row that ended like this.
+    */
+    virtual void workerCrashed(
+        const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::uint32_t crashes)
+        = 0;
+
     /*! Reports that a task does not run although its turn has come; repeated while it waits. */
     virtual void taskWaiting(const WaitReport& report) = 0;
 
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -127,6 +127,7 @@
     transfer.set_checkpoint(task.checkpoint);
     transfer.set_occurrence(task.occurrence);
     transfer.set_failures(task.failures);
+    transfer.set_crashes(task.crashes);
     transfer.set_waited_ms(idleMs(task, now));
     transfer.set_origin_shard(task.job->isHosted() ? task.job->originShard : options_.shard);
     output_.delegateTask(task.hostShard, transfer);
@@ -189,6 +190,7 @@
         task->transferNumber = transfer.transfer();
         task->attempt = std::max(task->attempt, transfer.attempt());
         task->failures = std::max(task->failures, transfer.failures());
+        task->crashes = transfer.crashes();
         task->checkpoint = transfer.checkpoint();
         task->hostShard.clear();
         task->waitingSince = {};
@@ -250,6 +252,7 @@
     result.set_kind(task.result);
     result.set_attempt(task.attempt);
     result.set_failures(task.failures);
+    result.set_crashes(task.crashes);
     result.set_waited_ms(idleMs(task, now));
     result.set_checkpoint(task.checkpoint);
     output_.sendTaskResult(task.job->originShard, result);
@@ -274,10 +277,14 @@
     if (!job)
         return output_.answer(ticket, { FleetSchema::PEER_OK, FleetSchema::JOB_COMPLETED, 0 });
     Task* const task = job->findTask(result.occurrence(), result.step(), result.index());
+    // A host shard may have delegated a long-running task further, which raises the transfer number.
+    const bool isFurtherTransfer = result.kind() == FleetSchema::TASK_FAILED && task
+        && job->step(*task).lasting() && result.transfer() > task->transferNumber;
     if (task && job->isActive() && task->phase == TaskPhase::Delegated
-        && task->transferNumber == result.transfer()) {
+        && (task->transferNumber == result.transfer() || isFurtherTransfer)) {
         task->attempt = std::max(task->attempt, result.attempt());
         task->failures = std::max(task->failures, result.failures());
+        task->crashes = result.crashes();
         task->checkpoint = result.checkpoint();
         job->isStarted = job->isStarted || task->attempt > 0;
         if (result.kind() == FleetSchema::TASK_COMPLETED) {
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -97,8 +97,8 @@
         worker->lastSeenEnd = end.sequence;
     }
     for (const Ports::RunningAttempt& running : report.running)
-        applyRunningAttempt(*worker, running, now);
-    requeueMissingAttempts(*worker, sentAt, report, now);
+        applyRunningAttempt(*worker, running, report.clockMs, now);
+    requeueMissingAttempts(*worker, sentAt, report, now, nowUnixMs);
     processTailLatencies(*worker, tailLatencyModel_, now);
     adjustSpeeds(*worker, now);
 }
@@ -146,7 +146,7 @@
 }
 
 void ShardScheduler::applyRunningAttempt(
-    Worker& worker, const Ports::RunningAttempt& running, Utils::TimePoint now)
+    Worker& worker, const Ports::RunningAttempt& running, std::int64_t clockMs, Utils::TimePoint now)
 {
     Task* task = findOpenTask(worker.info.id, running.task, running.attempt);
     if (!task) {
@@ -165,7 +165,7 @@
         task->progressAt = now;
     task->progressPercent = running.progressPercent;
     task->reportedLoad = running.load;
-    task->workerBornMs = worker.bornMs;
+    onListedAsRunning(*task, clockMs);
     if (task->phase == TaskPhase::Stopping)
         return;
     const bool wasKnown = task->phase == TaskPhase::Running;
@@ -187,8 +187,8 @@
 }
 
 // Requeues the tasks of attempts that the report would list if they were running, but does not.
-void ShardScheduler::requeueMissingAttempts(
-    Worker& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report, Utils::TimePoint now)
+void ShardScheduler::requeueMissingAttempts(Worker& worker, Utils::TimePoint sentAt,
+    const Ports::WorkerReport& report, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     if (report.isTruncated)
         return;
@@ -210,8 +210,8 @@
             requestStop(*task, now);
     }
     for (Task* task : missing) {
-        output_.attemptEnded(worker.info.id, keyOf(*task), task->attempt, "missing-from-report");
-        requeue(*task, now);
+        const bool hasRestarted = task->workerBornMs != 0 && task->workerBornMs != worker.bornMs;
+        endLostAttempt(*task, "missing-from-report", hasRestarted, now, nowUnixMs);
     }
 }
 
@@ -234,24 +234,23 @@
         worker->isResponsive = false;
 }
 
-void ShardScheduler::onWorkerReplaced(const std::string& id, Utils::TimePoint now)
+void ShardScheduler::onWorkerReplaced(const std::string& id, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     Worker* const worker = findWorker(id);
     if (!worker)
         return;
     worker->isResponsive = false;
-    requeueAttempts(*worker, "worker-replaced", now);
+    requeueAttempts(*worker, "worker-replaced", !worker->info.isDraining, now, nowUnixMs);
 }
 
 // Attempts that are only recorded stay; once the record is stored, they are not sent to an unusable worker.
-void ShardScheduler::requeueAttempts(Worker& worker, std::string_view reason, Utils::TimePoint now)
+void ShardScheduler::requeueAttempts(Worker& worker, std::string_view reason, bool hasWorkerCrashed,
+    Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     const std::vector<Task*> tasks = worker.tasks;
     for (Task* task : tasks) {
-        if (task->phase == TaskPhase::Recorded)
-            continue;
-        output_.attemptEnded(worker.info.id, keyOf(*task), task->attempt, reason);
-        requeue(*task, now);
+        if (task->phase != TaskPhase::Recorded)
+            endLostAttempt(*task, reason, hasWorkerCrashed, now, nowUnixMs);
     }
 }
 
@@ -287,6 +286,7 @@
         task->reportableSince = now;
         task->startedAt = now;
         task->progressAt = now;
+        task->startClockMs = Utils::value(reply).clockMs;
         if (!task->job->isActive())
             requestStop(*task, now);
     }
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -34,6 +34,7 @@
     Job& job = *task.job;
     task.attempt = stored.attempt();
     task.failures = stored.failures();
+    task.crashes = stored.crashes();
     task.checkpoint = stored.checkpoint();
     task.hostShard = stored.lent_to();
     task.transferNumber = stored.transfer();
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -1,5 +1,6 @@
 #include "shardscheduler.h"
 
+#include "crashpolicy.h"
 #include "inflightbatch.h"
 #include "interferenceview.h"
 #include "jobrank.h"
@@ -270,6 +271,7 @@
     task.ownUtilization = Task().ownUtilization;
     task.overTargetSince = {};
     task.isStopAnswered = false;
+    task.startClockMs = 0;
     addAttempt(task, worker);
     job.isStarted = true;
     if (job.firstStartAt == Utils::TimePoint {})
@@ -296,6 +298,7 @@
     task.phase = TaskPhase::Waiting;
     task.notBefore = retryAt;
     task.progressPercent = 0;
+    task.isProven = false;
     markDirty(*task.job);
 }
 
@@ -340,11 +343,11 @@
         failJobIfExhausted(task, now, nowUnixMs);
 }
 
-// Fails the job if the task has failed as often as the job allows. In a host shard, only the task is over.
+// Fails the job if the task must not be started any more. In a host shard, only the task is over.
 void ShardScheduler::failJobIfExhausted(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     Job& job = *task.job;
-    if (task.failures < std::max(1U, job.spec.max_failures()))
+    if (!isExhausted(task))
         return;
     if (job.isHosted())
         return resolveTask(task, FleetSchema::TASK_FAILED);
@@ -369,6 +372,8 @@
     for (const Task& task : job.tasks) {
         summary.attemptCount += task.attempt;
         summary.failureCount += task.failures;
+        if (state == FleetSchema::JOB_FAILED && isExhausted(task))
+            summary.reason = task.crashes >= maxCrashes ? "crashed-workers" : "failed-attempts";
     }
     output_.jobEnded(summary);
 }
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -168,7 +168,7 @@
         Notifies the scheduler that another worker has taken the place of this one. All attempts on it have
         ended, whatever its lease.
     */
-    void onWorkerReplaced(const std::string& worker, Utils::TimePoint now);
+    void onWorkerReplaced(const std::string& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
 
     /*! Processes the answer to a start. */
     void onStartReply(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
@@ -238,9 +238,13 @@
     void stopOpenTasks(Job& job, Utils::TimePoint now);
     void applyEndedAttempt(
         Worker& worker, const Ports::EndedAttempt& end, Utils::TimePoint now, std::int64_t nowUnixMs);
-    void applyRunningAttempt(Worker& worker, const Ports::RunningAttempt& running, Utils::TimePoint now);
-    void requeueMissingAttempts(
-        Worker& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report, Utils::TimePoint now);
+    void applyRunningAttempt(
+        Worker& worker, const Ports::RunningAttempt& running, std::int64_t clockMs, Utils::TimePoint now);
+    void requeueMissingAttempts(Worker& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report,
+        Utils::TimePoint now, std::int64_t nowUnixMs);
+    void endLostAttempt(Task& task, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now,
+        std::int64_t nowUnixMs);
+    void onListedAsRunning(Task& task, std::int64_t clockMs);
     void recordRunTime(Worker& worker, const Task& task, Utils::TimePoint now);
     void recordFailure(Worker& worker, const Task& task, Utils::TimePoint now);
     void recordSuccess(Worker& worker);
@@ -259,8 +263,9 @@
     void sendResult(Task& task, Utils::TimePoint now);
     void cancelAtHostShards(Job& job, Utils::TimePoint now);
     void cancelUnacknowledged(Job& job, Utils::TimePoint now);
-    void tickWorker(Worker& worker, Utils::TimePoint now);
-    void requeueAttempts(Worker& worker, std::string_view reason, Utils::TimePoint now);
+    void tickWorker(Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
+    void requeueAttempts(Worker& worker, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now,
+        std::int64_t nowUnixMs);
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
     void adjustSpeeds(Worker& worker, Utils::TimePoint now);
     void collectExpiredJobs(std::int64_t nowUnixMs);
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -2,6 +2,7 @@
 
 #include "shardscheduler.h"
 
+#include "crashpolicy.h"
 #include "interference.h"
 #include "interferenceview.h"
 #include "taillatencymodel.h"
@@ -17,8 +18,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds waitingRetryInterval { 300 };
-// A worker that restarts listens again within one pause between polls.
-constexpr int pollsToAbsent = 2;
 
 // Shortest time between two moves of latency-critical tasks. A moved task is unavailable for a while, so this
 // bounds how many are unavailable at a time.
@@ -41,7 +40,7 @@
 void ShardScheduler::onTick(Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     for (auto& [id, worker] : workers_)
-        tickWorker(*worker, now);
+        tickWorker(*worker, now, nowUnixMs);
     improveGrouping(now);
     // Waiting tasks are reconsidered as time passes, not only when capacity becomes free.
     if (hasWaitingTasks_ && now - lastScheduledAt_ > waitingRetryInterval)
@@ -86,19 +85,20 @@
     requestStop(*move.task, now);
 }
 
-void ShardScheduler::tickWorker(Worker& worker, Utils::TimePoint now)
+void ShardScheduler::tickWorker(Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     if (worker.quarantineTime != Utils::Duration::zero() && now >= worker.quarantinedUntil
         && worker.tasks.empty())
         isScheduleDue_ = true;
     const std::vector<Task*> tasks = worker.tasks;
     if (!worker.isResponsive && now > worker.leaseUpperBound) {
-        requeueAttempts(worker, "worker-silent-beyond-lease", now);
+        const bool hasCrashed = isAbsent(worker) && !worker.info.isDraining;
+        requeueAttempts(worker, "worker-silent-beyond-lease", hasCrashed, now, nowUnixMs);
         return;
     }
     // A worker ends all attempts when it leaves. One that is only cut off does not answer at all.
-    if (!worker.isListed && worker.absentPolls >= pollsToAbsent) {
-        requeueAttempts(worker, "worker-left", now);
+    if (!worker.isListed && isAbsent(worker)) {
+        requeueAttempts(worker, "worker-left", !worker.info.isDraining, now, nowUnixMs);
         return;
     }
     for (Task* task : tasks)
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -36,6 +36,7 @@
     TaskPhase phase = TaskPhase::Waiting;
     std::uint32_t attempt = 0; //!< Number of the latest attempt; 0 if there is none.
     std::uint32_t failures = 0;
+    std::uint32_t crashes = 0; //!< Latest starts in a row after which the worker crashed.
     std::string checkpoint; //!< Latest known checkpoint; may be empty.
     Worker* worker = nullptr; //!< Worker of the open attempt; null if there is none.
     std::int64_t workerBornMs = 0; //!< Incarnation of the worker that the attempt was assigned to.
@@ -51,6 +52,10 @@
     Utils::TimePoint resultSentAt {};
     //! Worker where the task failed or from which it was moved; used only if no other fits.
     std::string avoidedWorker;
+    std::string crashedAddress; //!< Address of the worker that crashed last; empty if there is none.
+    //! Worker's clock at the answer to the start or the first report of the attempt; 0 if unknown.
+    std::int64_t startClockMs = 0;
+    bool isProven = false; //!< The attempt has run long enough to show that it does not crash the worker.
 
     //! Since when the task is not known to run although its turn has come; the clock's epoch if it runs.
     Utils::TimePoint idleSince {};
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -1,5 +1,6 @@
 #include "workerchoice.h"
 
+#include "crashpolicy.h"
 #include "interference.h"
 #include "interferenceview.h"
 #include "job.h"
@@ -26,6 +27,9 @@
 constexpr double sameStepWeight = 0.05;
 constexpr double slownessWeight = 1.0;
 constexpr double retryOnSameWorkerWeight = 10.0;
+// A task under which a worker has crashed avoids other tasks, and above all that worker.
+constexpr double suspectColocationWeight = 20.0;
+constexpr double crashedWorkerWeight = 2000.0;
 
 // A task that interferes with every latency-critical task in reach waits this long for a worker that allows
 // full speed. Then, if no other task of its job runs, it starts throttled to the speed that the
@@ -133,6 +137,8 @@
         return PlacementObstacle::Unusable;
     if (worker.info.service != task.job->spec.service() || !hasLabel(worker, step.required_label()))
         return PlacementObstacle::Ineligible;
+    if (isReservedForSuspect(worker, task))
+        return PlacementObstacle::Isolated;
     if (!committedSize(step).fitsIn(worker.available())) {
         return committedSize(step).fitsIn(worker.capacity()) ? PlacementObstacle::Full
                                                              : PlacementObstacle::TooSmall;
@@ -165,6 +171,12 @@
         - static_cast<double>(worker.unusedMilliProcessors()) / capacity;
     if (worker.info.id == task.avoidedWorker)
         cost += retryOnSameWorkerWeight;
+    if (isSuspect(task)) {
+        const bool hasCrashed
+            = worker.info.id == task.avoidedWorker || worker.info.address == task.crashedAddress;
+        cost += suspectColocationWeight * static_cast<double>(worker.tasks.size())
+            + (hasCrashed ? crashedWorkerWeight : 0);
+    }
     if (step.tail_target_ms() > 0) {
         const double unused = static_cast<double>(worker.unusedMilliProcessors()) / capacity;
         const double noncriticalCost
@@ -215,7 +227,7 @@
 std::string_view nameOf(PlacementObstacle obstacle)
 {
     static constexpr std::string_view names[placementObstacleCount] = { "none", "unusable", "ineligible",
-        "too-small", "full", "reserved", "interference", "quarantined", "spread-limit" };
+        "too-small", "full", "reserved", "interference", "quarantined", "spread-limit", "isolated" };
     return names[static_cast<std::size_t>(obstacle)];
 }
 
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -24,10 +24,11 @@
     Interference, //!< A latency-critical task would miss its target.
     Quarantined,
     SpreadLimit, //!< The worker runs as many tasks of the step as it may.
+    Isolated, //!< The worker runs a task of another job that may crash it.
 };
 
 /*! Number of values of PlacementObstacle. */
-inline constexpr std::size_t placementObstacleCount = 9;
+inline constexpr std::size_t placementObstacleCount = 10;
 
 /*! \return the name of an obstacle for logs. */
 std::string_view nameOf(PlacementObstacle obstacle);
@@ -48,6 +49,9 @@
       waits.
     - A failing or slow worker attracts tasks because its capacity is free, so it is chosen last or
       excluded.
+    - A task that crashes its workers would take others along, so a task under which a worker has crashed
+      goes where few other tasks run. After a second crash, nothing is placed beside it until it has run for
+      a while.
 
     \return the worker, or nullptr if none fits.
 */
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -354,7 +354,7 @@
     if (error.code == Utils::ErrorCode::Conflict)
         return close("fenced-by-worker");
     if (error.code == Utils::ErrorCode::NotFound) {
-        scheduler_.onWorkerReplaced(worker, context_.now());
+        scheduler_.onWorkerReplaced(worker, context_.now(), NodeContext::nowUnixMs());
         return requestRound();
     }
     scheduler_.onPollFailed(worker, error.isPeerAbsent);
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -103,6 +103,16 @@
             { "worker", worker }, { "how", std::string(how) } });
 }
 
+void ShardHost::workerCrashed(
+    const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::uint32_t crashes)
+{
+    constexpr const char* how = "worker-crashed";
+    context_.metrics.add("geraniumquay_attempts_ended_total", Telemetry::label("how", how));
+    Utils::log(Utils::LogLevel::Warning, "attempt-ended",
+        { { "job", task.job }, { "task", describe(task) }, { "attempt", std::to_string(attempt) },
+            { "worker", worker }, { "how", how }, { "crashes", std::to_string(crashes) } });
+}
+
 void ShardHost::taskWaiting(const Fleet::WaitReport& report)
 {
     const auto sinceConfirmed
@@ -129,6 +139,8 @@
     static constexpr const char* names[] = { "queued", "running", "completed", "failed", "cancelled" };
     const char* const state = names[summary.state];
     context_.metrics.add("geraniumquay_jobs_ended_total", Telemetry::label("state", state));
+    if (!summary.reason.empty())
+        context_.metrics.add("geraniumquay_jobs_failed_total", Telemetry::label("reason", summary.reason));
     Utils::log(Utils::LogLevel::Info, "job-ended",
         { { "job", summary.job }, { "shard", shard_ }, { "state", state },
             { "age_ms", std::to_string(summary.ageMs) },
@@ -136,7 +148,8 @@
             { "first_start_ms", std::to_string(summary.firstStartMs) },
             { "tasks", std::to_string(summary.taskCount) },
             { "attempts", std::to_string(summary.attemptCount) },
-            { "failures", std::to_string(summary.failureCount) } });
+            { "failures", std::to_string(summary.failureCount) },
+            { "reason", std::string(summary.reason) } });
 }
 
 void ShardHost::delegateTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer)
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -343,6 +343,12 @@
     trace(task, "attempt " + std::to_string(attempt) + " at " + worker + " over: " + std::string(reason));
 }
 
+void EmulatedOwner::workerCrashed(
+    const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::uint32_t crashes)
+{
+    attemptEnded(worker, task, attempt, "worker crashed, number " + std::to_string(crashes));
+}
+
 void EmulatedOwner::taskWaiting(const Fleet::WaitReport& report)
 {
     trace(report.task,
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -69,6 +69,8 @@
     void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) override;
     void attemptEnded(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         std::string_view reason) override;
+    void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
+        std::uint32_t crashes) override;
     void taskWaiting(const Fleet::WaitReport& report) override;
     void jobEnded(const Fleet::JobSummary& summary) override;
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override;
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -49,6 +49,13 @@
     {
         trace(task.job, "attempt " + std::to_string(attempt) + " over: " + std::string(reason));
     }
+    void workerCrashed(
+        const std::string&, const Ports::TaskKey& task, std::uint32_t attempt, std::uint32_t crashes) override
+    {
+        trace(task.job,
+            "attempt " + std::to_string(attempt) + " over: worker crashed, number "
+                + std::to_string(crashes));
+    }
     void taskWaiting(const Fleet::WaitReport&) override { }
     void jobEnded(const Fleet::JobSummary&) override { }
     void answer(std::uint64_t, const Fleet::JobAnswer&) override { }
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -63,6 +63,11 @@
         results.emplace_back(originShard, result);
     }
     void attemptEnded(const std::string&, const Ports::TaskKey&, std::uint32_t, std::string_view) override { }
+    void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t,
+        std::uint32_t crashCount) override
+    {
+        crashes.push_back({ worker, task, crashCount });
+    }
     void taskWaiting(const Fleet::WaitReport& report) override { waits.push_back(report); }
     void jobEnded(const Fleet::JobSummary& summary) override { ended.push_back(summary); }
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override
@@ -73,7 +78,7 @@
     struct Command {
         std::string worker;
         Ports::TaskKey task;
-        std::uint32_t number = 0; //!< Attempt, or speed in percent.
+        std::uint32_t number = 0; //!< Attempt, speed in percent or number of crashes.
     };
 
     std::string shardWithCapacity; //!< Result of findShardWithCapacity().
@@ -83,6 +88,7 @@
     std::vector<Fleet::AttemptStart> starts;
     std::vector<Command> stops;
     std::vector<Command> throttles;
+    std::vector<Command> crashes; //!< With the number of crashes in a row.
     std::vector<Fleet::WaitReport> waits;
     std::vector<Fleet::JobSummary> ended;
     std::vector<std::pair<std::uint64_t, Fleet::JobAnswer>> answers;
--- a/tests/auto/fleet/tst_shardtransfer.cpp
+++ b/tests/auto/fleet/tst_shardtransfer.cpp
@@ -92,6 +92,52 @@
         CHECK(start.attempt == 2);
 }
 
+TEST_CASE("The crashes under a task are counted across shards, and the third ends its job")
+{
+    for (const bool isLongRunning : { false, true }) {
+        FleetSchema::StepSpec step = makeStep(1, 1000, 500);
+        step.set_lasting(isLongRunning);
+        TransferFixture fixture({ step });
+        for (std::uint32_t crashes = 1; crashes <= 3; ++crashes) {
+            for (int step100ms = 0; step100ms < 40 && fixture.host.running.empty(); ++step100ms)
+                fixture.advance(100ms);
+            REQUIRE(fixture.host.running.size() == 1);
+            fixture.host.scheduler.onWorkerReplaced(
+                fixture.host.running[0].worker, fixture.host.now, testStartUnixMs);
+            fixture.host.running.clear();
+            for (const std::string& id : fixture.host.workers)
+                fixture.host.report(id, {});
+            REQUIRE(fixture.host.output.crashes.size() == crashes);
+        }
+        fixture.advance(1s);
+        REQUIRE(fixture.host.output.results.size() == 1);
+        CHECK(fixture.host.output.results[0].second.kind() == FleetSchema::TASK_FAILED);
+        CHECK(fixture.host.output.results[0].second.crashes() == 3);
+        CHECK(fixture.origin.scheduler.state("job") == FleetSchema::JOB_FAILED);
+        CHECK(fixture.host.output.starts.size() == 3);
+    }
+}
+
+TEST_CASE("A delegated task brings the count of its crashes, and returns with it")
+{
+    TransferFixture fixture({ makeStep(1, 1000, 500) });
+    fixture.host.scheduler.setWorkers({}, fixture.host.now);
+    FleetSchema::TaskTransfer transfer;
+    *transfer.mutable_job() = makeJob("other", { makeStep(1, 1000, 500) });
+    transfer.set_transfer(1);
+    transfer.set_crashes(2);
+    transfer.set_origin_shard("shard");
+    fixture.host.scheduler.acceptDelegatedTask(transfer, 1, fixture.host.now);
+    for (int step100ms = 0; step100ms < 60; ++step100ms) {
+        fixture.host.now += 100ms;
+        fixture.host.scheduler.onTick(fixture.host.now, testStartUnixMs);
+        fixture.host.scheduleAndCommit();
+    }
+    REQUIRE(fixture.host.output.results.size() > 0);
+    const FleetSchema::TaskResult& result = fixture.host.output.results[0].second;
+    CHECK((result.kind() == FleetSchema::TASK_RETURNED && result.crashes() == 2));
+}
+
 TEST_CASE("Steps that follow a delegated one run after its result, in any shard")
 {
     TransferFixture fixture({ makeStep(1, 1000, 500), makeStep(2, 1000, 500) });
@@ -407,6 +453,7 @@
             task.worker = &worker;
             task.workerBornMs = 1'796'439'891'000;
             task.attempt = 3;
+            task.crashes = 2;
             task.checkpoint = "00000bb87a21d94b";
             task.hostShard = "levantamiento/santander-a/3";
             task.transferNumber = 1;
--- a/tests/auto/fleet/tst_workerlease.cpp
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -151,7 +151,7 @@
     successor.report("other", {});
     successor.scheduleAndCommit();
     CHECK(successor.output.starts.empty());
-    successor.scheduler.onWorkerReplaced("w0", successor.now);
+    successor.scheduler.onWorkerReplaced("w0", successor.now, testStartUnixMs);
     successor.scheduleAndCommit();
     REQUIRE(successor.output.starts.size() == 1);
     CHECK(successor.output.starts[0].worker == "other");
