--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -2,6 +2,7 @@
 
 #include "shardscheduler.h"
 
+#include "crashpolicy.h"
 #include "interference.h"
 #include "interferenceview.h"
 #include "taillatencymodel.h"
@@ -20,8 +21,6 @@
 // A new owner waits at least this long for a worker's first report: longer than the timeout of the first
 // poll.
 constexpr milliseconds firstReportTimeout { 1000 };
-// A worker that restarts listens again within one pause between polls.
-constexpr int pollsToAbsent = 2;
 
 // Shortest time between two moves of latency-critical tasks. A moved task is unavailable for a while, so this
 // bounds how many are unavailable at a time.
@@ -44,7 +43,7 @@
 void ShardScheduler::onTick(Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     for (auto& [id, worker] : workers_)
-        tickWorker(*worker, now);
+        tickWorker(*worker, now, nowUnixMs);
     improveGrouping(now);
     // Waiting tasks are reconsidered as time passes, not only when capacity becomes free.
     if (hasWaitingTasks_ && now - lastScheduledAt_ > waitingRetryInterval)
@@ -90,7 +89,7 @@
     requestStop(*move.task, now);
 }
 
-void ShardScheduler::tickWorker(Worker& worker, Utils::TimePoint now)
+void ShardScheduler::tickWorker(Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     if (worker.quarantineTime != Utils::Duration::zero() && now >= worker.quarantinedUntil
         && worker.tasks.empty())
@@ -102,12 +101,13 @@
         = std::min<Utils::Duration>(firstReportTimeout, options_.workerLeaseLimit);
     const bool couldReport = worker.bornMs != 0 || now - worker.addedAt >= reportTimeout;
     if (!worker.isResponsive && couldReport && now > worker.leaseUpperBound) {
-        requeueAttempts(worker, "worker-silent-beyond-lease", now);
+        const bool hasCrashed = isAbsent(worker) && !worker.info.isDraining;
+        requeueAttempts(worker, "worker-silent-beyond-lease", hasCrashed, now, nowUnixMs);
         return;
     }
     // A worker ends all attempts when it leaves. One that is only cut off does not answer at all.
-    if (!worker.isListed && worker.absentPolls >= pollsToAbsent) {
-        requeueAttempts(worker, "worker-left", now);
+    if (!worker.isListed && isAbsent(worker)) {
+        requeueAttempts(worker, "worker-left", !worker.info.isDraining, now, nowUnixMs);
         return;
     }
     for (Task* task : tasks)
