Keep a task apart from others only after its second crash

Cause: after such a crash many tasks have crashed once, and each avoided all other tasks, which spread them over the shard without regard to interference.

Change: after the first crash a task avoids only the worker that crashed; it goes where few tasks run from the second crash on, when it is also isolated.

The case on starting alone checks the placement after the second crash, no longer after the first.

--- a/src/libs/fleet/crashpolicy.cpp
+++ b/src/libs/fleet/crashpolicy.cpp
@@ -13,9 +13,6 @@
 
 // A worker that restarts listens again within one pause between polls.
 constexpr int pollsToAbsent = 2;
-// From this many crashes in a row on, the task's worker gets no tasks of other jobs. After a single crash,
-// often with the other tasks there not at fault either, that would block much of a shard.
-constexpr std::uint32_t crashesToIsolation = 2;
 // A task that crashes its worker does so within this run time.
 constexpr milliseconds minProvenRunTime { 500 };
 // Pause after the second crash in a row; doubled with each further one. A single crash need not be the task's
--- a/src/libs/fleet/crashpolicy.h
+++ b/src/libs/fleet/crashpolicy.h
@@ -12,6 +12,12 @@
 /*! A task is not started again after this many starts in a row that crashed their worker. */
 inline constexpr std::uint32_t maxCrashes = 3;
 
+/*!
+    From this many crashes in a row on, a task is kept apart from tasks of other jobs. When a worker crashes
+   for another reason, many tasks have crashed once, and keeping them all apart would block much of a shard.
+*/
+inline constexpr std::uint32_t crashesToIsolation = 2;
+
 /*! \return whether nothing listens at the worker's address, so that its process has ended. */
 bool isAbsent(const Worker& worker);
 
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -27,7 +27,8 @@
 constexpr double sameStepWeight = 0.05;
 constexpr double slownessWeight = 1.0;
 constexpr double retryOnSameWorkerWeight = 10.0;
-// A task under which a worker has crashed avoids other tasks, and above all that worker.
+// A task under which workers have crashed avoids the last of them, and from crashesToIsolation on other
+// tasks.
 constexpr double suspectColocationWeight = 20.0;
 constexpr double crashedWorkerWeight = 2000.0;
 
@@ -174,8 +175,10 @@
     if (isSuspect(task)) {
         const bool hasCrashed
             = worker.info.id == task.avoidedWorker || worker.info.address == task.crashedAddress;
-        cost += suspectColocationWeight * static_cast<double>(worker.tasks.size())
-            + (hasCrashed ? crashedWorkerWeight : 0);
+        if (hasCrashed)
+            cost += crashedWorkerWeight;
+        if (task.crashes >= crashesToIsolation)
+            cost += suspectColocationWeight * static_cast<double>(worker.tasks.size());
     }
     if (step.tail_target_ms() > 0) {
         const double unused = static_cast<double>(worker.unusedMilliProcessors()) / capacity;
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -50,8 +50,8 @@
     - A failing or slow worker attracts tasks because its capacity is free, so it is chosen last or
       excluded.
     - A task that crashes its workers would take others along, so a task under which a worker has crashed
-      goes where few other tasks run. After a second crash, nothing is placed beside it until it has run for
-      a while.
+      avoids that one. After a second crash it goes where few other tasks run, and nothing is placed beside
+      it until it has run for a while.
 
     \return the worker, or nullptr if none fits.
 */
--- a/tests/auto/fleet/tst_workercrashes.cpp
+++ b/tests/auto/fleet/tst_workercrashes.cpp
@@ -344,8 +344,8 @@
             fixture.advance(100ms);
         suspectWorker = fixture.workerOf("deadly");
         REQUIRE(!suspectWorker.empty());
-        CHECK(suspectWorker != fixture.workerOf("busy"));
     }
+    CHECK(suspectWorker != fixture.workerOf("busy"));
     fixture.submit("wide", 80, 30'000);
     for (std::uint32_t index = 0; index < 80; ++index)
         CHECK(fixture.workerOf("wide", index) != suspectWorker);
