Test that a task that crashes the workers that start it is given up

On the present scheduler both tests fail: 60 of 60 scenarios of a shard and 20 of 20 of a fleet start such a task three times more after three workers have crashed under it, and its job does not end.

--- a/tests/auto/fleet/tst_emulatedfleet.cpp
+++ b/tests/auto/fleet/tst_emulatedfleet.cpp
@@ -66,6 +66,17 @@
     }
 }
 
+TEST_CASE("A task that crashes each worker that starts it is given up in a fleet")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const Emulate::FleetResult result = Emulate::runFleetScenario(scenarioWithCrashes(seed, true));
+        INFO("seed " << seed);
+        CHECK(countOf(result, "started three times more") == 0);
+        CHECK(countOf(result, "failed without cause") == 0);
+        CHECK(result.unfinished == 0);
+    }
+}
+
 TEST_CASE("No job of a fleet fails without cause when many workers crash for other reasons")
 {
     for (std::uint64_t seed = 1; seed <= 15; ++seed) {
--- a/tests/auto/fleet/tst_emulatedscenarios.cpp
+++ b/tests/auto/fleet/tst_emulatedscenarios.cpp
@@ -50,6 +50,11 @@
     }
 }
 
+TEST_CASE("A task that crashes each worker that starts it is given up")
+{
+    CHECK(countViolatedScenariosWithCrashes(true, 60, "started three times more") == 0);
+}
+
 TEST_CASE("No job fails without cause when many workers crash for other reasons")
 {
     CHECK(countViolatedScenariosWithCrashes(false, 100, "failed without cause") == 0);
