--- a/tests/auto/fleet/tst_emulatedfleet.cpp
+++ b/tests/auto/fleet/tst_emulatedfleet.cpp
@@ -77,6 +77,14 @@
     }
 }
 
+TEST_CASE("No start in a fleet is beyond a capacity that has shrunk")
+{
+    CHECK(countOf(Emulate::runFleetScenario(scenarioWithCrashes(17, false)), "started beyond the capacity")
+        == 0);
+    CHECK(countOf(Emulate::runFleetScenario(scenarioWithCrashes(72, false)), "started beyond the capacity")
+        == 0);
+}
+
 TEST_CASE("No job of a fleet fails without cause when many workers crash for other reasons")
 {
     for (std::uint64_t seed = 1; seed <= 15; ++seed) {
--- a/tests/auto/fleet/tst_emulatedscenarios.cpp
+++ b/tests/auto/fleet/tst_emulatedscenarios.cpp
@@ -55,6 +55,11 @@
     CHECK(countViolatedScenariosWithCrashes(true, 60, "started three times more") == 0);
 }
 
+TEST_CASE("No start is beyond a capacity that has shrunk")
+{
+    CHECK(countViolatedScenariosWithCrashes(false, 100, "started beyond the capacity") == 0);
+}
+
 TEST_CASE("No job fails without cause when many workers crash for other reasons")
 {
     CHECK(countViolatedScenariosWithCrashes(false, 100, "failed without cause") == 0);
