Let workers of the soak crash under tasks and together, and change their capacities

In storms, some jobs have a task that crashes each worker 10 ms after its start, and single workers, 30% of a zone and whole racks crash at the same moment. Such a worker refuses connections or is silent for 1 to 4 s and comes back with a new start time, at times under another identifier. Capacities shrink and grow back at any time; the entry shows it up to a heartbeat later. The draws come from a random stream of their own; --no-crashes switches all of that off.

The checker reports a third start after three crashes under a task, a start beyond the capacity that the worker has had within the last 5.5 s, and a job that is told as failed without cause.

--- a/tests/auto/usersplatform/soak/clients.py
+++ b/tests/auto/usersplatform/soak/clients.py
@@ -11,8 +11,8 @@
 REFUSALS = (429, 503, 504)
 
 
-def encode_request(method, path, body, seconds):
-    text = json.dumps(body).encode() if body is not None else b""
+def encode_request(method, path, body, seconds, least_bytes=0):
+    text = json.dumps(body).encode().ljust(least_bytes) if body is not None else b""
     return ("%s %s HTTP/1.1\r\nHost: jobs.example\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n"
             % (method, path, int(seconds * 1000), len(text))).encode() + text
 
@@ -25,7 +25,7 @@
     return int(head.split(" ")[1]), json.loads(answer or b"{}"), "connection: close" in head.lower()
 
 
-async def call(port, method, path, body=None, seconds=3.0, pause=0.0):
+async def call(port, method, path, body=None, seconds=3.0, pause=0.0, least_bytes=0):
     """Sends one request on a new connection, in two halves if `pause` is not 0. Returns status and body; status 0
     without a complete response."""
     writer = None
@@ -33,7 +33,7 @@
     async def exchange():
         nonlocal writer
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        data = encode_request(method, path, body, seconds)
+        data = encode_request(method, path, body, seconds, least_bytes)
         writer.write(data[:len(data) // 2])
         await asyncio.sleep(pause)
         writer.write(data[len(data) // 2:])
--- a/tests/auto/usersplatform/soak/faultinjector.py
+++ b/tests/auto/usersplatform/soak/faultinjector.py
@@ -17,6 +17,7 @@
         self.soak = soak
         self.random = soak.random
         self.log_event = soak.log_event
+        self.is_storm = False
 
     def free_nodes(self):
         return [node for node in self.soak.nodes if not node.is_busy]
@@ -129,6 +130,31 @@
         if workers:
             await self.soak.pool.replace(self.random.choice(workers))
 
+    async def freeze_with_large_requests(self):
+        """Pauses a node while requests with large bodies are in flight to it."""
+        random = self.soak.disturbances
+        if not self.free_nodes():
+            return
+        node = random.choice(self.free_nodes())
+        self.log_event("%s pause while it receives large requests" % node.name)
+        requests = [asyncio.create_task(self.soak.submit_job(pause=random.uniform(0.02, 0.3), node=node))
+                    for _ in range(4)]
+        await asyncio.sleep(random.uniform(0, 0.3))
+        if not node.is_busy:
+            await node.pause(random.uniform(1, 4))
+        await asyncio.gather(*requests)
+
+    async def disturb_workers(self, deadline):
+        """Lets workers crash and nodes freeze as they receive requests in storms, and capacities change all the time, by
+        a random stream of its own, so that the other faults of a seed stay the same."""
+        random, pool = self.soak.disturbances, self.soak.pool
+        kinds = (pool.crash_several, pool.shrink_capacities, pool.shrink_capacities, self.freeze_with_large_requests)
+        while time.monotonic() < deadline:
+            await asyncio.sleep(random.uniform(0.5, 3))
+            kind = random.choice(kinds)
+            if self.is_storm or kind == pool.shrink_capacities:
+                self.soak.keep([asyncio.create_task(kind())])
+
     async def run(self, deadline):
         while self.soak.has_only_freezes and time.monotonic() < deadline:
             await self.freeze_while_writing()
@@ -143,8 +169,10 @@
         while time.monotonic() < deadline:
             if not is_calm_seed:
                 self.log_event("storm")
+                self.is_storm = True
                 await self.inject(faults + planned, min(deadline, time.monotonic() + self.random.uniform(4, 12)), 1.5)
             self.log_event("calm")
+            self.is_storm = False
             await self.inject(planned, min(deadline, time.monotonic() + self.random.uniform(12, 25)), 4)
 
     async def inject(self, kinds, until, longest_pause):
--- a/tests/auto/usersplatform/soak/faultproxy.py
+++ b/tests/auto/usersplatform/soak/faultproxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 BACKLOG = 1024
 
@@ -20,6 +21,7 @@
         self.target_port = target_port
         self.receive_bytes = receive_bytes
         self.mode = None
+        self.disturbed_at = 0.0  # Latest time at which a fault mode began or ended.
         self.port = 0
         self.listener = socket.socket()
         self.acceptor = None
@@ -31,10 +33,14 @@
         self.unblocked.set()
 
     async def start(self):
+        """Starts to listen, on the same port as before if the proxy was closed."""
+        if self.listener.fileno() < 0:
+            self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.setblocking(False)
         if self.receive_bytes:
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
-        self.listener.bind(("127.0.0.1", 0))
+        self.listener.bind(("127.0.0.1", self.port))
         self.listener.listen(BACKLOG)
         self.port = self.listener.getsockname()[1]
         self.acceptor = asyncio.create_task(self.accept_connections())
@@ -58,6 +64,8 @@
     def set_mode(self, mode):
         if self.listener.fileno() < 0:  # It is closed.
             return
+        if mode or self.mode:
+            self.disturbed_at = time.monotonic()
         self.mode = mode
         if mode == "unconnectable":
             self.accepting.clear()
--- a/tests/auto/usersplatform/soak/invariantchecker.py
+++ b/tests/auto/usersplatform/soak/invariantchecker.py
@@ -2,10 +2,19 @@
 
 import time
 
+from standinplatform import BASE_CAPACITY, CAPACITY_NOTICE_SECONDS
+
+# Failed attempts of a task after which its job fails, as configured.
+MAX_ATTEMPTS = 8
 # The users' bounds: a task starts no later than this after the store has accepted that its worker drains, if the 4 s
 # before are calm.
 DRAIN_SECONDS = 2.5
 DRAIN_CALM_SECONDS = 4.0
+# A task may be given up after the first number of crashes under it. The start of the third number after the second
+# number of crashes breaks the users' rule.
+MIN_CRASHES_OF_FAILED_JOB = 2
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 3
 
 
 class InvariantChecker:
@@ -23,6 +32,9 @@
         self.cancelled = {}  # job -> time of the acknowledgement
         self.completed = set()
         self.start_count = 0
+        self.crashes = {}  # task that crashes workers -> number of crashes
+        self.starts_after_crashes = {}
+        self.failures = {}  # task -> number of failed attempts
 
     def report_violation(self, text):
         self.violations.append(self.log_event("VIOLATION " + text))
@@ -48,14 +60,28 @@
             self.report_violation("task %s is started on %s, which drains since %.1f s"
                                   % (task, worker.identity, drained))
         used = sum(run["cpu"] for run in worker.runs.values())
-        if used > worker.capacity:
-            self.report_violation("worker %s has %d of %d processors in use" % (worker.identity, used, worker.capacity))
+        # A start may be carried out late if the link to the worker was disturbed.
+        is_late = worker.proxy.mode or time.monotonic() - worker.proxy.disturbed_at < CAPACITY_NOTICE_SECONDS
+        capacity = BASE_CAPACITY if is_late else worker.largest_recent_capacity()
+        if used > capacity:
+            self.report_violation("worker %s has %d of %d processors in use by the start of %s"
+                                  % (worker.identity, used, capacity, task))
+        if self.crashes.get(task, 0) >= MAX_CRASHES:
+            self.starts_after_crashes[task] = self.starts_after_crashes.get(task, 0) + 1
+            if self.starts_after_crashes[task] == MAX_STARTS_AFTER_CRASHES:
+                self.report_violation("task %s is started three times more after three workers crashed under it" % task)
+
+    def on_worker_crashed(self, deadly_tasks):
+        for task in deadly_tasks:
+            self.crashes[task] = self.crashes.get(task, 0) + 1
 
     def on_attempt_ended(self, worker, task, attempt, outcome):
         self.log_event("%s ends attempt %d on %s: %s" % (task, attempt, worker.identity, outcome), is_short=False)
         self.running_attempts.get(task, set()).discard((worker.identity, attempt))
         if outcome == "done":
             self.finished_tasks.add(task)
+        if outcome == "failed":
+            self.failures[task] = self.failures.get(task, 0) + 1
 
     def on_end_acknowledged(self, task, outcome):
         if outcome == "done":
@@ -70,5 +96,8 @@
             missing = [task for task in tasks if task not in self.finished_tasks]
             if missing:
                 self.report_violation("job %s is completed without %s" % (job, missing))
+        if state == "failed" and not any(self.failures.get(task, 0) >= MAX_ATTEMPTS
+                                         or self.crashes.get(task, 0) >= MIN_CRASHES_OF_FAILED_JOB for task in tasks):
+            self.report_violation("job %s is reported as failed without cause" % job)
         if state is None and job in self.accepted:
             self.report_violation("job %s was accepted and is unknown" % job)
--- a/tests/auto/usersplatform/soak/progresschecker.py
+++ b/tests/auto/usersplatform/soak/progresschecker.py
@@ -30,6 +30,7 @@
         self.processors = processors
         self.is_long_running = is_long_running
         self.tasks = [task for tasks, _ in steps for task in tasks]
+        self.is_deadly = False  # A task of it crashes each worker that starts it.
         self.is_cancelling = False
         self.is_ended = False  # Its end was told to a caller.
         self.idle_since = {}  # task, or '' for the whole job -> time since which it does not run
--- a/tests/auto/usersplatform/soak/soak.py
+++ b/tests/auto/usersplatform/soak/soak.py
@@ -3,7 +3,7 @@
 against what callers and workers observe.
 
     soak.py --program PATH [--seed N] [--seeds COUNT] [--seconds S] [--logs FOLDER] [--large]
-            [--only-freezes]
+            [--only-freezes] [--no-crashes]
 
 Exits with 0 if no invariant was violated; else the logs of the failed seeds are kept. A seed determines the injected
 faults and their times; the timing of the processes still varies. With --large, 100 processes and 60 workers run: by
@@ -26,7 +26,7 @@
 from faultclock import FaultClock
 from faultinjector import FaultInjector
 from faultproxy import FaultProxy
-from invariantchecker import InvariantChecker
+from invariantchecker import MAX_ATTEMPTS, InvariantChecker
 from progresschecker import CALM_SECONDS, INTERVAL_SECONDS, LONG_RUNNING_SECONDS, ProgressChecker, TrackedJob
 from soaknode import Node, free_ports
 from standinplatform import Store
@@ -40,6 +40,9 @@
 MAX_BIG_JOBS = 2
 # Receive buffer between nodes and store in a part of the seeds.
 NARROW_BYTES = 4096
+# Share of the jobs in storms with a task that crashes each worker that starts it.
+DEADLY_SHARE = 0.08
+LARGE_REQUEST_BYTES = 65536
 
 
 class Size:
@@ -61,9 +64,11 @@
 class Soak:
     """One run of the soak test with one seed."""
 
-    def __init__(self, program, seed, seconds, folder, size, has_only_freezes=False):
+    def __init__(self, program, seed, seconds, folder, size, has_only_freezes=False, has_crashes=True):
         self.program = program
         self.random = random.Random(seed)
+        self.disturbances = random.Random("disturbances %d" % seed)
+        self.has_crashes = has_crashes and not has_only_freezes
         self.seconds = seconds
         self.folder = folder
         self.size = size
@@ -75,7 +80,7 @@
         self.unplanned = FaultClock(self.faults)
         self.checker = InvariantChecker(self.faults, self.log_event)
         self.store = Store(self.random)
-        self.pool = WorkerPool(self.random, self.store, self.checker, self.unplanned, self.log_event, size.zones,
+        self.pool = WorkerPool(self.random, self.disturbances, self.store, self.checker, self.unplanned, self.log_event, size.zones,
                                size.racks_per_zone, size.workers_per_rack)
         self.progress = ProgressChecker(self.checker, self.faults, self.pool, folder)
         self.jobs = self.progress.jobs  # id -> TrackedJob
@@ -83,6 +88,7 @@
         self.kept_tasks = []
         self.configuration_version = 1
         self.big_jobs = 0
+        self.injector = FaultInjector(self)
         self.answer_count = 0
         self.broken_count = 0
 
@@ -119,7 +125,7 @@
     def publish_configuration(self):
         route = {"name": "queue", "host": "jobs.example", "path_prefix": "/jobs/", "kind": "non_idempotent",
                  "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 0, "service": "service",
-                 "max_attempts": 8, "slack_factor": 2.0}
+                 "max_attempts": MAX_ATTEMPTS, "slack_factor": 2.0}
         document = {"version": self.configuration_version, "routes": [route], "services": [{"name": "service"}],
                     "limits": {"max_body_bytes": 262144}}
         self.store.put("op", "", "config", json.dumps(document).encode())
@@ -147,19 +153,24 @@
                        for number in range(self.random.randint(100, 300))]
         elif not is_long_running and self.random.random() < 0.4:
             phases.append(dict(phase, after=[0]))
+        is_deadly = (self.has_crashes and self.injector.is_storm and not is_big
+                     and self.disturbances.random() < DEADLY_SHARE)
+        if is_deadly:
+            shape["deadly"] = "%d.%d" % (self.disturbances.randrange(len(phases)), self.disturbances.randrange(count))
         spec = json.dumps(shape)
         if is_big:
             spec = json.dumps(dict(shape, pad="x" * (MAX_SPEC_BYTES - len(spec) - len(', "pad": ""'))))
         steps = [(["%s.0.%d.%d" % (name, step, index) for index in range(count)], phase.get("after", []))
                  for step, phase in enumerate(phases)]
         job = TrackedJob(name, {"spec": spec, "phases": phases}, steps, shape["cpu"], is_long_running)
+        job.is_deadly = is_deadly
         self.jobs[name] = job
         return job
 
     def on_accepted(self, job):
         self.checker.accepted[job.name] = time.monotonic()
         self.log_event("%s is accepted" % job.name, is_short=False)
-        if not job.is_long_running:
+        if not job.is_long_running or job.is_deadly:
             self.keep([asyncio.create_task(self.follow_job(job))])
         return True
 
@@ -172,21 +183,23 @@
                     if job.is_long_running and not job.is_cancelling)
         return asked / self.pool.base_capacity()
 
-    async def submit_job(self, is_long_running=False, is_big=False, pause=0.0):
-        """Submits a job, its request in two halves if `pause` is not 0, and attends to it."""
+    async def submit_job(self, is_long_running=False, is_big=False, pause=0.0, node=None):
+        """Submits a job, its request in two halves if `pause` is not 0, and attends to it. With `node`, a large request
+        is first sent to that node."""
         if is_big and self.big_jobs >= MAX_BIG_JOBS:
             return
         self.big_jobs += 1 if is_big else 0
         try:
-            await self.submit_and_attend(self.make_job(is_long_running, is_big), pause)
+            await self.submit_and_attend(self.make_job(is_long_running, is_big), pause, node)
         finally:
             self.big_jobs -= 1 if is_big else 0
 
-    async def submit_and_attend(self, job, pause):
+    async def submit_and_attend(self, job, pause, node):
         may_have_run = False
-        for _ in range(4):
-            port = self.random.choice(self.nodes).callers_port
-            status, _ = await call(port, "POST", "/jobs/" + job.name, job.body, pause=pause)
+        for number in range(4):
+            target = node if node and number == 0 else self.random.choice(self.nodes)
+            status, _ = await call(target.callers_port, "POST", "/jobs/" + job.name, job.body, pause=pause,
+                                   least_bytes=LARGE_REQUEST_BYTES if node else 0)
             if status == 200:
                 self.on_accepted(job)
                 break
@@ -277,7 +290,8 @@
             await asyncio.sleep(4)
             deadline = time.monotonic() + self.seconds
             clients = [ConnectionClient(self, number) for number in range(self.size.connections)]
-            await asyncio.gather(self.generate_load(deadline), FaultInjector(self).run(deadline),
+            disturbances = [self.injector.disturb_workers(deadline)] if self.has_crashes else []
+            await asyncio.gather(self.generate_load(deadline), self.injector.run(deadline), *disturbances,
                                  *[client.run(deadline) for client in clients])
             await self.settle()
             if ticks.done():
@@ -310,7 +324,7 @@
     else:
         folder = tempfile.mkdtemp(prefix="soak-seed-%d-" % seed)
     soak = Soak(options.program, seed, options.seconds, folder, LARGE if options.large else SMALL,
-                options.only_freezes)
+                options.only_freezes, not options.no_crashes)
     checker = asyncio.run(soak.run())
     print("seed %d: %s" % (seed, soak.summary()), flush=True)
     is_good = not checker.violations and bool(checker.completed)
@@ -334,6 +348,8 @@
     parser.add_argument("--large", action="store_true", help="100 processes and 60 workers")
     parser.add_argument("--only-freezes", action="store_true",
                         help="no fault but pauses of nodes that connect or write to the store")
+    parser.add_argument("--no-crashes", action="store_true",
+                        help="no tasks that crash workers, workers that crash together or capacities that change")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # So that the nodes are ended, too.
     results = [run_seed(options, seed) for seed in range(options.seed, options.seed + options.seeds)]
--- a/tests/auto/usersplatform/soak/standinplatform.py
+++ b/tests/auto/usersplatform/soak/standinplatform.py
@@ -11,6 +11,11 @@
 MAX_LEASE_MS = 10000
 STOP_SECONDS = 0.05
 DRAIN_MS = 2500
+BASE_CAPACITY = 8000
+# Time after which a capacity that has shrunk counts: the users' contact_ms and one heartbeat interval.
+CAPACITY_NOTICE_SECONDS = 4.0 + 1.5
+# Time from the start of a task that crashes workers to the crash.
+CRASH_SECONDS = 0.01
 MAX_CONNECTIONS = 4096
 
 
@@ -41,7 +46,7 @@
         self.writers = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=MAX_CONNECTIONS)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, backlog=MAX_CONNECTIONS)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def close(self):
@@ -180,7 +185,12 @@
         self.rack = rack
         self.checker = checker
         self.random = random
-        self.capacity = 8000
+        self.capacity = BASE_CAPACITY
+        self.listed_capacity = BASE_CAPACITY
+        self.capacity_changes = []  # (time, capacity until then)
+        self.crash = None  # Called when a task crashes the worker.
+        self.is_down = False
+        self.is_silent = False
         self.proxy = None
         self.is_listed = False
         self.listed_since = 0.0
@@ -209,7 +219,17 @@
     def clock_ms(self):
         return unix_ms() - self.started_unix_ms
 
+    def set_capacity(self, capacity):
+        self.capacity_changes.append((time.monotonic(), self.capacity))
+        self.capacity = capacity
+        self.lowest_free = min(self.lowest_free, self.free_processors())
+
+    def largest_recent_capacity(self):
+        since = time.monotonic() - CAPACITY_NOTICE_SECONDS
+        return max([self.capacity] + [capacity for at, capacity in self.capacity_changes if at >= since])
+
     def entry(self):
+        self.listed_capacity = self.capacity
         fields = {"service": "service", "addr": "127.0.0.1:%d" % self.proxy.port, "zone": self.zone,
                   "version": "1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1,
                   "born": self.started_unix_ms, "labels": ["a", self.rack],
@@ -226,11 +246,12 @@
         self.close()
 
     def free_processors(self):
-        return self.capacity - sum(run["cpu"] for run in self.runs.values())
+        """Returns the processors that a node which knows the worker's entry can use."""
+        return min(self.capacity, self.listed_capacity) - sum(run["cpu"] for run in self.runs.values())
 
     def sample_room(self, now, settle_seconds, kept_seconds):
         """Records the room that new tasks could have used: none while nodes need not know of the worker yet."""
-        is_usable = (self.is_listed and now - self.listed_since >= settle_seconds and not self.is_replaced
+        is_usable = (self.is_listed and not self.is_down and now - self.listed_since >= settle_seconds and not self.is_replaced
                      and self.proxy.mode is None and (unix_ms() - self.started_unix_ms) / 1000 >= settle_seconds)
         self.free_samples.append((now, self.lowest_free if is_usable else 0))
         self.lowest_free = self.free_processors()
@@ -269,7 +290,7 @@
         self.lease_until = max(self.lease_until, deadline)
 
     async def handle(self, method, target, headers, body):
-        if self.is_gone:
+        if self.is_gone or self.is_silent:
             return None
         call = json.loads(body) if body else {}
         if headers.get("x-expect-instance", self.identity) != self.identity:
@@ -301,11 +322,14 @@
             return 409, dict(fields, reason="late")
         shape = json.loads(call["spec"])
         is_long_running = shape.get("lasts", False)
+        is_deadly = shape.get("deadly") == task.split(".", 2)[2]
         self.runs[task] = {"attempt": attempt, "stop_at": None, "started": time.monotonic(), "cpu": shape["cpu"],
-                           "ms": shape["ms"],
+                           "ms": shape["ms"], "is_deadly": is_deadly,
                            "done_at": None if is_long_running else time.monotonic() + shape["ms"] / 1000}
         self.lowest_free = min(self.lowest_free, self.free_processors())
         self.checker.on_attempt_started(self, task, attempt)
+        if is_deadly:
+            asyncio.get_running_loop().call_later(CRASH_SECONDS, self.crash, self)
         return 200, fields
 
     async def poll(self, call):
--- a/tests/auto/usersplatform/soak/workerpool.py
+++ b/tests/auto/usersplatform/soak/workerpool.py
@@ -4,16 +4,19 @@
 import time
 
 from faultproxy import FaultProxy
-from standinplatform import DRAIN_MS, Worker
+from standinplatform import BASE_CAPACITY, DRAIN_MS, Worker
 
 REPORTS = ("at once", "at once", "at once", "late", "never")
+HEARTBEAT_SECONDS = 1.5
 
 
 class WorkerPool:
     """Starts workers, lets them leave with and without a report, and lists them in the store."""
 
-    def __init__(self, random, store, checker, faults, log_event, zones, racks_per_zone, workers_per_rack):
+    def __init__(self, random, disturbances, store, checker, faults, log_event, zones, racks_per_zone, workers_per_rack):
         self.random = random
+        self.disturbances = disturbances  # Random numbers for crashes and capacities.
+        self.kept_tasks = []
         self.store = store
         self.checker = checker
         self.faults = faults
@@ -26,7 +29,7 @@
         self.is_ending = False
 
     def base_capacity(self):
-        return len(self.zones) * self.racks_per_zone * self.workers_per_rack * 8000
+        return len(self.zones) * self.racks_per_zone * self.workers_per_rack * BASE_CAPACITY
 
     async def start(self):
         for zone in self.zones:
@@ -38,6 +41,7 @@
         worker = Worker("w%03d-%s" % (self.count, rack), zone, rack, self.checker, self.random)
         self.count += 1
         await worker.start()
+        worker.crash = self.crash
         worker.proxy = FaultProxy(worker.port)
         await worker.proxy.start()
         self.workers.append(worker)
@@ -154,3 +158,75 @@
         if worker.is_listed:
             worker.listed_since = time.monotonic()
             self.list(worker)
+
+    def crash(self, worker):
+        """Ends all that runs on a worker; after some seconds it is back, at times under another identifier."""
+        if worker.is_down or worker.is_gone:
+            return
+        self.log_event("%s crashes" % worker.identity)
+        self.checker.on_worker_crashed([task for task, run in worker.runs.items() if run["is_deadly"]])
+        worker.is_down = True
+        worker.is_silent = self.disturbances.random() < 0.3
+        worker.restart()
+        worker.close()
+        if not worker.is_silent:
+            worker.proxy.close()
+        self.kept_tasks = [task for task in self.kept_tasks if not task.done()]
+        self.kept_tasks.append(asyncio.create_task(self.restore(worker)))
+
+    async def restore(self, worker):
+        has_new_identity = self.disturbances.random() < 0.4 and not worker.is_replaced
+        down_seconds = self.disturbances.uniform(1, 4)
+        with self.faults:
+            if has_new_identity:
+                worker.is_replaced = True
+                worker.leave()
+                worker.proxy.close()
+                self.workers.remove(worker)
+            elif worker.is_silent:
+                await worker.start()
+            await asyncio.sleep(down_seconds)
+            if has_new_identity:
+                await self.add(worker.zone, worker.rack)
+            elif not worker.is_gone:
+                if not worker.is_silent:
+                    await worker.start()
+                    await worker.proxy.start()
+                worker.is_silent = False
+                worker.is_down = False
+                self.restart(worker)
+                self.log_event("%s is back" % worker.identity)
+        if has_new_identity:
+            await asyncio.sleep(max(0, 3 * HEARTBEAT_SECONDS - down_seconds))
+            self.unlist(worker)
+
+    async def crash_several(self):
+        """Lets one worker, 30% of a zone's workers or all of a rack crash at the same moment."""
+        model = self.disturbances.choice(self.workers)
+        kind = self.disturbances.choice(("worker", "zone", "rack"))
+        chosen = [worker for worker in self.workers if (worker.zone == model.zone if kind == "zone" else
+                                                        worker.rack == model.rack if kind == "rack" else
+                                                        worker is model)]
+        if kind == "zone":
+            chosen = self.disturbances.sample(chosen, max(1, len(chosen) * 3 // 10))
+        for worker in chosen:
+            self.crash(worker)
+
+    async def shrink_capacities(self):
+        """Lets some workers offer a share of their capacity only; their entries show it up to a heartbeat later."""
+        chosen = self.disturbances.sample(self.workers, self.disturbances.randint(1, max(1, len(self.workers) // 3)))
+        share = self.disturbances.uniform(0.1, 0.8)
+        self.log_event("%d workers have %d%% of their capacity" % (len(chosen), 100 * share))
+        await self.set_capacities(chosen, int(BASE_CAPACITY * share))
+        ends_at = time.monotonic() + self.disturbances.uniform(3, 20)
+        while time.monotonic() < ends_at and not self.is_ending:
+            await asyncio.sleep(0.25)
+        await self.set_capacities(chosen, BASE_CAPACITY)
+
+    async def set_capacities(self, workers, capacity):
+        for worker in workers:
+            worker.set_capacity(capacity)
+        for worker in workers:
+            await asyncio.sleep(self.disturbances.uniform(0, HEARTBEAT_SECONDS / len(workers)))
+            if worker.is_listed:
+                self.list(worker)
