--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -31,6 +31,7 @@
     options.retention = std::chrono::seconds(120);
     options.interferenceLimit = milliseconds(4000);
     options.availabilityDelay = milliseconds(5500);
+    options.workerListLimit = milliseconds(3500);
     if (variant == FleetVariant::NoLeaseWait) {
         options.orphanGrace = {};
         options.workerLeaseLimit = {};
--- a/src/tools/gqemulate/emulatedshard.cpp
+++ b/src/tools/gqemulate/emulatedshard.cpp
@@ -37,6 +37,7 @@
     options.retention = std::chrono::seconds(120);
     options.interferenceLimit = milliseconds(4000);
     options.availabilityDelay = milliseconds(5500);
+    options.workerListLimit = milliseconds(3500);
     if (variant == ProtocolVariant::NoLeaseWait) {
         options.orphanGrace = {};
         options.workerLeaseLimit = {};
