Keep tasks that crashed workers apart, and clear others of blame sooner

An attempt was cleared of blame only after 0.5 s of run time, and a task that had crashed two workers could join a worker where attempts of other jobs had just been started, so that the cause was not clear again. Now 0.2 s suffice, and neither joins the other.

--- a/src/libs/fleet/crashpolicy.cpp
+++ b/src/libs/fleet/crashpolicy.cpp
@@ -14,7 +14,7 @@
 // A worker that restarts listens again within one pause between polls.
 constexpr int pollsToAbsent = 2;
 // A task that crashes its worker does so within this run time.
-constexpr milliseconds minProvenRunTime { 500 };
+constexpr milliseconds minProvenRunTime { 200 };
 // Pause after the second crash in a row; doubled with each further one. A single crash need not be the task's
 // fault, so it is started again at once.
 constexpr milliseconds initialPause { 500 };
@@ -31,10 +31,13 @@
     return task.crashes > 0 && !task.isProven;
 }
 
-bool isReservedForSuspect(const Worker& worker, const Task& task)
+bool isKeptApart(const Task& task, const Worker& worker)
 {
+    const bool isRepeatedSuspect = task.crashes >= crashesToIsolation && isSuspect(task);
     return std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const Task* other) {
-        return other->job != task.job && other->crashes >= crashesToIsolation && isSuspect(*other);
+        if (other->job == task.job || other->isProven)
+            return false;
+        return isRepeatedSuspect || other->crashes >= crashesToIsolation;
     });
 }
 
--- a/src/libs/fleet/crashpolicy.h
+++ b/src/libs/fleet/crashpolicy.h
@@ -28,10 +28,10 @@
 bool isSuspect(const Task& task);
 
 /*!
-    \return whether the task must not join the worker's tasks because one of another job has crashed workers
-        repeatedly.
+    \return whether the task must not join the worker's tasks: if the worker crashed, the cause could be
+   either the task or one of another job there, of which at least one has crashed workers repeatedly.
 */
-bool isReservedForSuspect(const Worker& worker, const Task& task);
+bool isKeptApart(const Task& task, const Worker& worker);
 
 /*! \return whether the task must not be started any more: it has failed too often or crashed its workers. */
 bool isExhausted(const Task& task);
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -138,7 +138,7 @@
         return PlacementObstacle::Unusable;
     if (worker.info.service != task.job->spec.service() || !hasLabel(worker, step.required_label()))
         return PlacementObstacle::Ineligible;
-    if (isReservedForSuspect(worker, task))
+    if (isKeptApart(task, worker))
         return PlacementObstacle::Isolated;
     if (!committedSize(step).fitsIn(worker.available())) {
         return committedSize(step).fitsIn(worker.capacity()) ? PlacementObstacle::Full
