Do not blame a task for a crash of a worker that never confirmed its start

Callers would see jobs shown as failed that could be done: while a worker is down, starts are still sent to it until that is noticed. They were counted like starts that the worker had carried out, though nothing of them had run under it.

Only attempts whose start the worker has confirmed, or that it has listed, count; after a takeover the count stays, as the owner cannot know.

--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -11,7 +11,8 @@
     Task& task, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     const Ports::WorkerInfo& worker = task.worker->info;
-    if (!hasWorkerCrashed || task.isProven) {
+    // A start that the worker never confirmed may have reached it only after the crash, or not at all.
+    if (!hasWorkerCrashed || !task.hasStarted || task.isProven) {
         output_.attemptEnded(worker.id, keyOf(task), task.attempt, reason);
         requeue(task, now);
         return;
@@ -27,6 +28,7 @@
 
 void ShardScheduler::onListedAsRunning(Task& task, std::int64_t clockMs)
 {
+    task.hasStarted = true;
     if (task.workerBornMs != task.worker->bornMs) {
         task.workerBornMs = task.worker->bornMs;
         task.startClockMs = 0;
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -290,6 +290,7 @@
         requeue(*task, now + rejectionPause);
         return;
     }
+    task->hasStarted = true;
     if (task->phase == TaskPhase::Sent) {
         task->phase = TaskPhase::Running;
         task->idleSince = {};
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -308,6 +308,7 @@
     task.phase = TaskPhase::Waiting;
     task.notBefore = retryAt;
     task.progressPercent = 0;
+    task.hasStarted = false;
     task.isProven = false;
     markDirty(*task.job);
 }
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -55,6 +55,8 @@
     std::string crashedAddress; //!< Address of the worker that crashed last; empty if there is none.
     //! Worker's clock at the answer to the start or the first report of the attempt; 0 if unknown.
     std::int64_t startClockMs = 0;
+    //! The worker has confirmed the start, or, after a takeover, may have done so.
+    bool hasStarted = false;
     bool isProven = false; //!< The attempt has run long enough to show that it does not crash the worker.
 
     //! Since when the task is not known to run although its turn has come; the clock's epoch if it runs.
