Let tasks leave a shard whose list of workers is too old

Callers could see tasks that do not run although another shard has room: while an owner's list of workers is older than 3.5 s, it starts nothing, but it also did not count its tasks as waiting, so that they were neither delegated nor reported.

Such a pass now runs without workers.

--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -117,7 +117,7 @@
 
 void ShardScheduler::schedule(Utils::TimePoint now, std::int64_t nowUnixMs)
 {
-    if (!isScheduleDue_ || isWorkerListOutdated(now))
+    if (!isScheduleDue_)
         return;
     isScheduleDue_ = false;
     hasWaitingTasks_ = false;
@@ -164,6 +164,17 @@
     return now - workersReadAt_ > options_.workerListLimit;
 }
 
+// Without workers, tasks are marked as waiting, so that another shard can run them.
+std::vector<Worker*> ShardScheduler::assignableWorkers(Utils::TimePoint now) const
+{
+    std::vector<Worker*> workers;
+    if (isWorkerListOutdated(now))
+        return workers;
+    for (const auto& [id, worker] : workers_)
+        workers.push_back(worker.get());
+    return workers;
+}
+
 void ShardScheduler::assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now)
 {
     std::vector<Worker*> workers;
@@ -181,10 +192,8 @@
             markWaiting(task, now);
             continue;
         }
-        if (workers.empty()) {
-            for (const auto& [id, worker] : workers_)
-                workers.push_back(worker.get());
-        }
+        if (workers.empty())
+            workers = assignableWorkers(now);
         Worker* worker = chooseWorker(task, workers, interferenceView(), now);
         if (worker) {
             assign(task, *worker, now);
@@ -238,9 +247,7 @@
             return;
         attempt = std::max(attempt, task.attempt);
     }
-    std::vector<Worker*> workers;
-    for (const auto& [id, worker] : workers_)
-        workers.push_back(worker.get());
+    const std::vector<Worker*> workers = assignableWorkers(now);
     std::vector<std::pair<Task*, Worker*>> chosen;
     for (std::uint32_t index = 0; index < count; ++index) {
         Task& task = *job.findTask(occurrence, step, index);
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -286,6 +286,7 @@
     void requeueAttempts(Worker& worker, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now,
         std::int64_t nowUnixMs);
     bool isWorkerListOutdated(Utils::TimePoint now) const;
+    std::vector<Worker*> assignableWorkers(Utils::TimePoint now) const;
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
     void adjustSpeeds(Worker& worker, Utils::TimePoint now);
     void collectExpiredJobs(std::int64_t nowUnixMs);
--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -18,8 +18,8 @@
     periodically instead, because its changes could arrive faster than they can be followed, so that the copy
     would fall behind.
 
-    A failed call is repeated after a pause that grows with each failure and differs between nodes, so that
-    the nodes do not keep up an overload that made the call fail.
+    A failed call is repeated after a pause that grows with each further failure and then differs between
+    nodes, so that the nodes do not keep up an overload that made the call fail.
 */
 class TableWatcher {
 public:
