Start tasks that were lost in one crash on different workers

A task that crashes its worker and an innocent one were lost together, avoided that worker together, chose the same one again, and were lost again; the third worker of the innocent one left without notice.

--- a/src/libs/fleet/crashpolicy.cpp
+++ b/src/libs/fleet/crashpolicy.cpp
@@ -37,6 +37,8 @@
     return std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const Task* other) {
         if (other->job == task.job || other->isProven)
             return false;
+        if (isSuspect(task) && isSuspect(*other))
+            return true;
         return isRepeatedSuspect || other->crashes >= crashesToIsolation;
     });
 }
--- a/src/libs/fleet/crashpolicy.h
+++ b/src/libs/fleet/crashpolicy.h
@@ -13,8 +13,9 @@
 inline constexpr std::uint32_t maxCrashes = 3;
 
 /*!
-    From this many crashes in a row on, a task is kept apart from tasks of other jobs. When a worker crashes
-   for another reason, many tasks have crashed once, and keeping them all apart would block much of a shard.
+    From this many crashes in a row on, a task is kept apart from all tasks of other jobs that have just been
+   started, before that only from such tasks under which a worker has crashed too. When a worker crashes for
+   another reason, many tasks have crashed once, and keeping them all apart would block much of a shard.
 */
 inline constexpr std::uint32_t crashesToIsolation = 2;
 
@@ -28,8 +29,8 @@
 bool isSuspect(const Task& task);
 
 /*!
-    \return whether the task must not join the worker's tasks: if the worker crashed, the cause could be
-   either the task or one of another job there, of which at least one has crashed workers repeatedly.
+    \return whether the task must not join the worker's tasks, because if the worker crashed, the cause could
+        be either the task or one of another job there.
 */
 bool isKeptApart(const Task& task, const Worker& worker);
 
--- a/tests/auto/fleet/tst_workercrashes.cpp
+++ b/tests/auto/fleet/tst_workercrashes.cpp
@@ -356,6 +356,21 @@
     CHECK(isUsedAgain);
 }
 
+// Otherwise the cause of one crash takes the same tasks along to the next one.
+TEST_CASE("Tasks of two jobs that were lost in one crash do not start on one worker again")
+{
+    CrashFixture fixture(1);
+    fixture.submit("first", 1, 30'000);
+    fixture.submit("second", 1, 30'000);
+    REQUIRE(fixture.workerOf("first") == fixture.workerOf("second"));
+    fixture.crash(fixture.workerOf("first"));
+    fixture.commit();
+    CHECK((fixture.workerOf("first").empty() || fixture.workerOf("second").empty()));
+    fixture.advance(1s);
+    CHECK_FALSE(fixture.workerOf("first").empty());
+    CHECK(fixture.workerOf("first") == fixture.workerOf("second"));
+}
+
 TEST_CASE("The other tasks of a job are stopped when one of them has crashed its workers")
 {
     CrashFixture fixture(6);
