Do not acknowledge ends to a worker that may have restarted

A worker had crashed and was back under its identifier; a start sent before was carried out and its task done. The next poll acknowledged the number of the former process's latest end, so that the new one forgot its own ends unseen, and the owner took the attempts for lost.

Between a failed poll and the next report nothing is acknowledged now; ends that were acknowledged before stay forgotten. The new case of tst_workercrashes failed before and holds now.

--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -48,7 +48,9 @@
     if (!worker)
         return {};
     PollPlan plan;
-    plan.acknowledged = worker->lastAcknowledgedEnd;
+    // After a failed poll the worker may have restarted and numbered new ends from 1 again.
+    if (worker->failedPolls == 0)
+        plan.acknowledged = worker->lastAcknowledgedEnd;
     plan.isWorkerResponsive = worker->bornMs != 0 && worker->isResponsive;
     plan.hasTasks = !worker->tasks.empty();
     // A worker that does not answer is polled without renewal, so that its lease expires. One without tasks
--- a/tests/auto/fleet/tst_workercrashes.cpp
+++ b/tests/auto/fleet/tst_workercrashes.cpp
@@ -455,3 +455,18 @@
     origin.commit();
     CHECK(origin.scheduler.state("job") == FleetSchema::JOB_FAILED);
 }
+
+// Its ends would be forgotten unseen, and the tasks started again.
+TEST_CASE("A worker that may have restarted gets no acknowledgement of its former ends")
+{
+    CrashFixture fixture(1);
+    fixture.submit("job", 1);
+    fixture.finishTask("job", 0, Ports::AttemptOutcome::Done);
+    fixture.commit();
+    fixture.commit();
+    REQUIRE(fixture.scheduler.planPoll("w0", fixture.now, true).acknowledged == 1);
+    fixture.scheduler.onPollFailed("w0");
+    CHECK(fixture.scheduler.planPoll("w0", fixture.now, true).acknowledged == 0);
+    fixture.report("w0", {});
+    CHECK(fixture.scheduler.planPoll("w0", fixture.now, true).acknowledged == 1);
+}
