Cache interference estimates within a scheduling pass and skip searches that must fail

Each search looked up the pressure of every pair of images by name. Change: InterferenceCache holds pressures, headrooms and distances for one pass or tick; FailedSearches passes over tasks that need at least as much of the same as one that found no worker in the pass. Result: tst_schedulingpass finds the same choices with and without both on 20 random full shards.

--- /dev/null
+++ b/src/libs/fleet/failedsearches.cpp
@@ -0,0 +1,61 @@
+#include "failedsearches.h"
+
+#include "job.h"
+#include "workerchoice.h"
+#include "workercommitment.h"
+
+#include <algorithm>
+
+namespace Fleet {
+
+namespace {
+
+// Bounds the time of a lookup.
+constexpr std::size_t maxSearches = 64;
+
+// Whether the choice of a worker depends only on what isAtLeastAsDemanding() compares. Tasks of a job that
+// crashed workers are kept apart from tasks of other jobs.
+bool isComparable(const Task& task)
+{
+    const FleetSchema::StepSpec& step = task.job->step(task);
+    if (step.lasting() || step.gang() || step.max_per_worker() > 0)
+        return false;
+    return std::none_of(
+        task.job->tasks.begin(), task.job->tasks.end(), [](const Task& other) { return other.crashes > 0; });
+}
+
+} // namespace
+
+bool FailedSearches::isAtLeastAsDemanding(const Search& search, const Search& failed)
+{
+    const FleetSchema::StepSpec& step = search.task->job->step(*search.task);
+    const FleetSchema::StepSpec& failedStep = failed.task->job->step(*failed.task);
+    const bool isSameKind = step.leftover_processors() == failedStep.leftover_processors()
+        && search.task->job->spec.service() == failed.task->job->spec.service()
+        && (failedStep.required_label().empty() || failedStep.required_label() == step.required_label())
+        && (failed.task->failures == 0 || search.task->failures > 0);
+    if (!isSameKind || !committedSize(failedStep).fitsIn(committedSize(step)))
+        return false;
+    if (!step.leftover_processors())
+        return true;
+    return step.image() == failedStep.image() && step.milli_processors() >= failedStep.milli_processors()
+        && search.speed >= failed.speed
+        && (failed.mayStartThrottledToZero || !search.mayStartThrottledToZero);
+}
+
+bool FailedSearches::includes(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now) const
+{
+    if (searches_.empty() || !isComparable(task))
+        return false;
+    const Search search { &task, startSpeed(task, workers, now), isBeyondThrottledWait(task, now) };
+    return std::any_of(searches_.begin(), searches_.end(),
+        [&](const Search& failed) { return isAtLeastAsDemanding(search, failed); });
+}
+
+void FailedSearches::add(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
+{
+    if (searches_.size() < maxSearches && isComparable(task))
+        searches_.push_back({ &task, startSpeed(task, workers, now), isBeyondThrottledWait(task, now) });
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/failedsearches.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "utils/clock.h"
+
+#include <cstddef>
+#include <span>
+#include <vector>
+
+namespace Fleet {
+
+struct Task;
+struct Worker;
+
+/*!
+    Remembers the tasks for which a scheduling pass has found no worker.
+
+    Capacity only decreases during a pass, so a task that needs at least as much of the same as such a task
+   does not find a worker either. Under overload, most tasks that wait are passed over in this way; comparing
+   each of them with all workers would take most of an owner's processor time just when there is the most to
+   do.
+*/
+class FailedSearches {
+public:
+    /*! \return whether a search for the task is known to fail. */
+    bool includes(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now) const;
+
+    /*! Adds a task for which no worker was found. */
+    void add(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now);
+
+private:
+    /*! A task without a worker and the speed for which it needed headroom. */
+    struct Search {
+        const Task* task = nullptr;
+        double speed = 1;
+        bool mayStartThrottledToZero = false;
+    };
+
+    static bool isAtLeastAsDemanding(const Search& search, const Search& failed);
+
+    std::vector<Search> searches_;
+};
+
+} // namespace Fleet
--- a/src/libs/fleet/interference.cpp
+++ b/src/libs/fleet/interference.cpp
@@ -42,12 +42,6 @@
     return task.job->step(task).leftover_processors();
 }
 
-double shareOf(const FleetSchema::StepSpec& step, const Worker& worker)
-{
-    return static_cast<double>(step.milli_processors())
-        / static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
-}
-
 double utilizationLimitOf(const Task& task, const TailLatencyModel& model)
 {
     return model.utilizationLimit(imageOf(task), task.job->step(task).tail_target_ms());
@@ -66,7 +60,14 @@
     return shares;
 }
 
-// Shares of the worker's processors that its best-effort tasks would use at their commanded speeds.
+} // namespace
+
+double shareOf(const FleetSchema::StepSpec& step, const Worker& worker)
+{
+    return static_cast<double>(step.milli_processors())
+        / static_cast<double>(std::max<std::int64_t>(1, worker.info.milliProcessors));
+}
+
 std::vector<ImageShare> commandedShares(const Worker& worker)
 {
     std::vector<ImageShare> shares;
@@ -78,7 +79,15 @@
     return shares;
 }
 
-} // namespace
+double marginAtSpeed(double speed)
+{
+    return speed < 1 ? throttlingMargin : placementMargin;
+}
+
+bool isNoticeable(double addedUtilization)
+{
+    return addedUtilization > negligibleUtilization;
+}
 
 void processTailLatencies(Worker& worker, TailLatencyModel& model, Utils::TimePoint now)
 {
@@ -105,9 +114,7 @@
         return 1;
     const std::vector<ImageShare> colocated = commandedShares(worker);
     const double share = shareOf(step, worker) * speed;
-    // A task that starts throttled has its speed adjusted to the load from its start, so the smaller margin
-    // suffices.
-    const double margin = speed < 1 ? throttlingMargin : placementMargin;
+    const double margin = marginAtSpeed(speed);
     double minHeadroom = 1;
     for (const Task* task : worker.tasks) {
         if (!isLatencyCritical(*task))
@@ -115,9 +122,7 @@
         const double added = share * model.pressure(imageOf(*task), step.image());
         const double headroom = utilizationLimitOf(*task, model) - margin - task->ownUtilization
             - model.addedUtilization(imageOf(*task), colocated) - added;
-        // A latency-critical task to which the added task adds almost no utilization does not limit the
-        // headroom; capacity would stay unused without a benefit.
-        if (added > negligibleUtilization)
+        if (isNoticeable(added))
             minHeadroom = std::min(minHeadroom, headroom);
     }
     return minHeadroom;
--- a/src/libs/fleet/interference.h
+++ b/src/libs/fleet/interference.h
@@ -29,6 +29,24 @@
 */
 void processTailLatencies(Worker& worker, TailLatencyModel& model, Utils::TimePoint now);
 
+/*! \return the share of the worker's processors that a task of the step requests. */
+double shareOf(const FleetSchema::StepSpec& step, const Worker& worker);
+
+/*! \return the shares that the worker's best-effort tasks would use at their commanded speeds. */
+std::vector<ImageShare> commandedShares(const Worker& worker);
+
+/*!
+    \return the utilization to keep free when a task is added. A task that starts throttled has its speed
+        adjusted to the load from its start, so a smaller margin suffices.
+*/
+double marginAtSpeed(double speed);
+
+/*!
+    \return whether added utilization limits a latency-critical task's headroom. If tasks that add almost none
+        did, capacity would stay unused without a benefit.
+*/
+bool isNoticeable(double addedUtilization);
+
 /*!
     Computes the utilization headroom of the most endangered latency-critical task of a worker if a task
     were added.
--- a/src/libs/fleet/interferenceview.h
+++ b/src/libs/fleet/interferenceview.h
@@ -4,6 +4,7 @@
 
 namespace Fleet {
 
+class InterferenceCache;
 struct ImageShare;
 class TailLatencyModel;
 
@@ -15,6 +16,7 @@
     const TailLatencyModel& model;
     //! Shares of the images in the best-effort demand, which add up to 1; empty if there is none.
     std::span<const ImageShare> demand {};
+    InterferenceCache* cache = nullptr; //!< Estimates of the model; may be null.
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -1,7 +1,9 @@
 #include "shardscheduler.h"
 
 #include "crashpolicy.h"
+#include "failedsearches.h"
 #include "inflightbatch.h"
+#include "interferencecache.h"
 #include "interferenceview.h"
 #include "jobrank.h"
 #include "relocation.h"
@@ -130,6 +132,7 @@
     for (auto& [id, worker] : workers_)
         worker->reservedMilliProcessors = 0;
     updateDemand();
+    interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
     for (auto& [id, worker] : workers_)
         worker->toleratedDemand = toleratedDemandShare(*worker, interferenceView());
     std::vector<Candidate> candidates;
@@ -144,6 +147,7 @@
     }
     std::sort(candidates.begin(), candidates.end(),
         [](const Candidate& left, const Candidate& right) { return left.rank < right.rank; });
+    FailedSearches failedSearches;
     for (const Candidate& candidate : candidates) {
         Job& job = *candidate.job;
         for (std::uint32_t step = 0; step < job.stepOffsets.size(); ++step) {
@@ -153,9 +157,16 @@
             if (job.spec.steps(static_cast<int>(step)).gang())
                 assignGang(job, candidate.occurrence, step, now);
             else
-                assignStep(job, candidate.occurrence, step, now);
+                assignStep(job, candidate.occurrence, step, now, failedSearches);
         }
     }
+    interferenceCache_.reset();
+}
+
+void ShardScheduler::onTasksChanged(const Worker& worker)
+{
+    if (interferenceCache_)
+        interferenceCache_->invalidate(worker);
 }
 
 // The capacities in an old list may have been reduced since.
@@ -175,7 +186,8 @@
     return workers;
 }
 
-void ShardScheduler::assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now)
+void ShardScheduler::assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now,
+    FailedSearches& failedSearches)
 {
     std::vector<Worker*> workers;
     bool isFull = false;
@@ -194,11 +206,14 @@
         }
         if (workers.empty())
             workers = assignableWorkers(now);
-        Worker* worker = chooseWorker(task, workers, interferenceView(), now);
+        Worker* const worker = failedSearches.includes(task, workers, now)
+            ? nullptr
+            : chooseWorker(task, workers, interferenceView(), now);
         if (worker) {
             assign(task, *worker, now);
             continue;
         }
+        failedSearches.add(task, workers, now);
         markWaiting(task, now);
         if (job.step(task).lasting()) {
             reserveWorker(task, workers);
@@ -255,10 +270,12 @@
         if (!worker)
             break;
         addAttempt(task, *worker);
+        onTasksChanged(*worker);
         chosen.emplace_back(&task, worker);
     }
     for (const auto& [task, worker] : chosen) {
         removeAttempt(*task, *worker);
+        onTasksChanged(*worker);
     }
     if (chosen.size() != count) {
         for (std::uint32_t index = 0; index < count; ++index)
@@ -290,6 +307,7 @@
     task.isStopAnswered = false;
     task.startClockMs = 0;
     addAttempt(task, worker);
+    onTasksChanged(worker);
     job.isStarted = true;
     if (job.firstStartAt == Utils::TimePoint {})
         job.firstStartAt = now;
@@ -303,6 +321,7 @@
     if (!task.worker)
         return;
     removeAttempt(task, *task.worker);
+    onTasksChanged(*task.worker);
     task.worker = nullptr;
     isScheduleDue_ = true;
 }
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -20,6 +20,8 @@
 namespace Fleet {
 
 struct InterferenceView;
+class FailedSearches;
+class InterferenceCache;
 class TailLatencyModel;
 
 /*! Rows that one transaction of a shard's owner changes. */
@@ -238,12 +240,14 @@
     Task* findOpenTask(const std::string& worker, const Ports::TaskKey& key, std::uint32_t attempt);
     void markDirty(Job& job);
     void assign(Task& task, Worker& worker, Utils::TimePoint now);
-    void assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
+    void assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now,
+        FailedSearches& failedSearches);
     void assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
     void markWaiting(Task& task, Utils::TimePoint now);
     void updateDemand();
     void improveGrouping(Utils::TimePoint now);
     InterferenceView interferenceView() const;
+    void onTasksChanged(const Worker& worker);
     void relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now);
     void releaseWorker(Task& task);
     void requeue(Task& task, Utils::TimePoint retryAt);
@@ -300,6 +304,7 @@
     std::map<std::string, std::unique_ptr<Job>, std::less<>> jobs_;
     std::map<std::string, std::unique_ptr<Worker>, std::less<>> workers_;
     TailLatencyModel& tailLatencyModel_;
+    std::unique_ptr<InterferenceCache> interferenceCache_; //!< Null outside schedule() and onTick().
     ImageDemand demand_;
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expiredJobs_; //!< Jobs to remove from the store.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -4,6 +4,7 @@
 
 #include "crashpolicy.h"
 #include "interference.h"
+#include "interferencecache.h"
 #include "interferenceview.h"
 #include "taillatencymodel.h"
 #include "taskgrouping.h"
@@ -42,9 +43,11 @@
 
 void ShardScheduler::onTick(Utils::TimePoint now, std::int64_t nowUnixMs)
 {
+    interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
     for (auto& [id, worker] : workers_)
         tickWorker(*worker, now, nowUnixMs);
     improveGrouping(now);
+    interferenceCache_.reset();
     // Waiting tasks are reconsidered as time passes, not only when capacity becomes free.
     if (hasWaitingTasks_ && now - lastScheduledAt_ > waitingRetryInterval)
         isScheduleDue_ = true;
@@ -61,7 +64,7 @@
 
 InterferenceView ShardScheduler::interferenceView() const
 {
-    return { tailLatencyModel_, demand_.shares() };
+    return { tailLatencyModel_, demand_.shares(), interferenceCache_.get() };
 }
 
 // Examines one worker per tick and makes one move at a time, to bound both the processor time and the
--- a/src/libs/fleet/taskgrouping.cpp
+++ b/src/libs/fleet/taskgrouping.cpp
@@ -1,5 +1,6 @@
 #include "taskgrouping.h"
 
+#include "interferencecache.h"
 #include "interferenceview.h"
 #include "job.h"
 #include "relocation.h"
@@ -9,7 +10,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 #include <string_view>
 
 namespace Fleet {
@@ -25,6 +25,15 @@
 // A worker that tolerates this share of the demand need not be freed by moves.
 constexpr double maxToleratedDemand = 0.9;
 
+InterferenceCache::Pressure pressureOf(
+    const std::string& criticalImage, std::string_view colocated, const InterferenceView& view)
+{
+    if (view.cache)
+        return view.cache->pressure(criticalImage, colocated);
+    return { view.model.pressure(criticalImage, colocated),
+        view.model.isPressureKnown(criticalImage, colocated) };
+}
+
 bool isLatencyCritical(const Task& task)
 {
     return task.job->step(task).tail_target_ms() > 0;
@@ -76,24 +85,47 @@
         : nullptr;
 }
 
-} // namespace
-
-double sensitivityDistance(const std::string& first, const std::string& second, const InterferenceView& view)
+double computeSensitivityDistance(
+    const std::string& first, const std::string& second, const InterferenceView& view)
 {
-    if (first == second)
-        return 0;
     double distance = 0;
     double known = 0;
     for (const ImageShare& part : view.demand) {
-        if (!view.model.isPressureKnown(first, part.image) || !view.model.isPressureKnown(second, part.image))
+        const InterferenceCache::Pressure ofFirst = pressureOf(first, part.image, view);
+        const InterferenceCache::Pressure ofSecond = pressureOf(second, part.image, view);
+        if (!ofFirst.isKnown || !ofSecond.isKnown)
             continue;
         known += part.share;
-        distance += part.share
-            * std::abs(view.model.pressure(first, part.image) - view.model.pressure(second, part.image));
+        distance += part.share * std::abs(ofFirst.value - ofSecond.value);
     }
     return distance + (1 - known) * defaultDistance;
 }
 
+double maxPressureOn(const Worker& worker, std::string_view colocated, const InterferenceView& view)
+{
+    if (view.cache)
+        return view.cache->maxPressure(worker, colocated);
+    double maxPressure = 0;
+    for (const Task* task : worker.tasks) {
+        if (isLatencyCritical(*task))
+            maxPressure
+                = std::max(maxPressure, view.model.pressure(task->job->step(*task).image(), colocated));
+    }
+    return maxPressure;
+}
+
+} // namespace
+
+double sensitivityDistance(const std::string& first, const std::string& second, const InterferenceView& view)
+{
+    if (first == second)
+        return 0;
+    if (!view.cache)
+        return computeSensitivityDistance(first, second, view);
+    return view.cache->distance(
+        first, second, [&] { return computeSensitivityDistance(first, second, view); });
+}
+
 double meanSensitivityDistance(const Task& task, const Worker& worker, const InterferenceView& view)
 {
     return worker.criticalTaskCount == 0
@@ -105,17 +137,9 @@
 {
     if (worker.criticalTaskCount == 0)
         return 1;
-    std::set<std::string_view> images;
-    for (const Task* task : worker.tasks) {
-        if (isLatencyCritical(*task))
-            images.insert(task->job->step(*task).image());
-    }
     double tolerated = 0;
     for (const ImageShare& part : view.demand) {
-        double pressure = 0;
-        for (const std::string_view image : images)
-            pressure = std::max(pressure, view.model.pressure(std::string(image), part.image));
-        tolerated += part.share * std::max(0.0, 1 - pressure);
+        tolerated += part.share * std::max(0.0, 1 - maxPressureOn(worker, part.image, view));
     }
     return tolerated;
 }
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -2,6 +2,7 @@
 
 #include "crashpolicy.h"
 #include "interference.h"
+#include "interferencecache.h"
 #include "interferenceview.h"
 #include "job.h"
 #include "taskgrouping.h"
@@ -67,12 +68,13 @@
     return now - (isIdleLonger ? task.idleSince : task.waitingSince);
 }
 
+} // namespace
+
 bool isBeyondThrottledWait(const Task& task, Utils::TimePoint now)
 {
     return waitOf(task, now) >= throttledWaitLimit;
 }
 
-// Speed, as a share of full speed, for which a worker must have headroom to start the task.
 double startSpeed(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
     if (waitOf(task, now) < idleFleetWaitLimit)
@@ -85,6 +87,8 @@
     return waitOf(task, now) < fullSpeedWaitLimit ? 1 : starvedSpeed;
 }
 
+namespace {
+
 bool hasLabel(const Worker& worker, const std::string& label)
 {
     return label.empty()
@@ -99,6 +103,20 @@
         }));
 }
 
+double headroomFor(
+    const FleetSchema::StepSpec& step, const Worker& worker, const InterferenceView& view, double speed = 1)
+{
+    return view.cache ? view.cache->headroomAfterAdding(worker, step, speed)
+                      : headroomAfterAdding(worker, step, view.model, speed);
+}
+
+double utilizationAddedBy(
+    const FleetSchema::StepSpec& step, const Worker& worker, const InterferenceView& view)
+{
+    return view.cache ? view.cache->maxAddedUtilization(worker, step)
+                      : maxAddedUtilization(worker, step, view.model);
+}
+
 // Best-effort tasks commit no processors, so whether one fits depends on what the others use.
 PlacementObstacle obstacleToBestEffort(
     const Task& task, const Worker& worker, const InterferenceView& view, double speed, Utils::TimePoint now)
@@ -107,7 +125,7 @@
     // A task larger than its worker would wait forever, so a worker without best-effort tasks accepts it.
     if (worker.bestEffortMilliProcessors > 0 && step.milli_processors() > worker.unusedMilliProcessors())
         return PlacementObstacle::Full;
-    if (headroomAfterAdding(worker, step, view.model, speed) < 0)
+    if (headroomFor(step, worker, view, speed) < 0)
         return PlacementObstacle::Interference;
     const bool hasTaskOverTarget = std::any_of(worker.tasks.begin(), worker.tasks.end(),
         [now](const Task* other) { return isPersistentlyOverTarget(*other, now); });
@@ -192,9 +210,8 @@
     cost += toleratedDemandWeight * worker.toleratedDemand;
     if (!step.leftover_processors())
         return cost;
-    const double saturation
-        = std::min(1.0, maxAddedUtilization(worker, step, view.model) / saturatingUtilization);
-    return cost + headroomWeight * saturation * (1 - headroomAfterAdding(worker, step, view.model));
+    const double saturation = std::min(1.0, utilizationAddedBy(step, worker, view) / saturatingUtilization);
+    return cost + headroomWeight * saturation * (1 - headroomFor(step, worker, view));
 }
 
 } // namespace
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -33,6 +33,18 @@
 /*! \return the name of an obstacle for logs. */
 std::string_view nameOf(PlacementObstacle obstacle);
 
+/*!
+    \return the speed, as a share of full speed, for which a worker must have headroom to start a best-effort
+        task.
+*/
+double startSpeed(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now);
+
+/*!
+    \return whether a best-effort task has waited so long that it may start on a worker whose latency-critical
+        tasks are over their target, throttled to zero.
+*/
+bool isBeyondThrottledWait(const Task& task, Utils::TimePoint now);
+
 /*!
     Chooses the worker of a task among those of a shard.
 
--- /dev/null
+++ b/tests/auto/fleet/tst_schedulingpass.cpp
@@ -0,0 +1,202 @@
+// Decisions of a scheduling pass of an overloaded shard: what is skipped or cached must not change them.
+
+#include "fleetfixtures.h"
+
+#include <fleet/failedsearches.h>
+#include <fleet/interference.h>
+#include <fleet/interferencecache.h>
+#include <fleet/interferenceview.h>
+#include <fleet/taskgrouping.h>
+#include <fleet/workerchoice.h>
+#include <fleet/workercommitment.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace std::chrono_literals;
+using namespace Testing;
+
+namespace {
+
+const std::vector<std::string> servingImages { "api", "search", "feed" };
+const std::vector<std::string> fillingImages { "hot", "warm", "mild", "cold" };
+
+Fleet::TailLatencyModel trainedModel(std::mt19937& random)
+{
+    Fleet::TailLatencyModel model;
+    std::uniform_real_distribution<double> share(0.0, 0.15);
+    for (int sample = 0; sample < 300; ++sample) {
+        std::vector<Fleet::ImageShare> colocated;
+        double utilization = 0.3;
+        for (std::size_t image = 0; image < fillingImages.size(); ++image) {
+            colocated.push_back({ fillingImages[image], share(random) });
+            utilization += colocated.back().share * 1.5 / static_cast<double>(1 + image);
+        }
+        for (const std::string& serving : servingImages)
+            model.addSample(serving, colocated, 4 / (1 - std::min(0.95, utilization)));
+    }
+    return model;
+}
+
+/*! Workers with serving and filling tasks, close to full. */
+struct BusyShard {
+    explicit BusyShard(unsigned seed)
+        : random(seed)
+        , model(trainedModel(random))
+    {
+        for (int number = 0; number < 24; ++number) {
+            workers.push_back(std::make_unique<Fleet::Worker>());
+            Fleet::Worker& worker = *workers.back();
+            worker.info = makeWorkerInfo("w" + std::to_string(number));
+            worker.isListed = true;
+            worker.isResponsive = true;
+            worker.clockMs = 1;
+            worker.bornMs = worker.info.startedUnixMs;
+            pointers.push_back(&worker);
+            for (int task = pick(0, 4); task > 0; --task)
+                run(makeLatencyCriticalStep(1, pick(2000, 6000), servingImages[pick(0, 2)]), worker);
+            for (int task = pick(0, 5); task > 0; --task)
+                run(makeBestEffortStep(1, pick(1000, 5000), fillingImages[pick(0, 3)]), worker);
+            if (pick(0, 5) == 0)
+                worker.quarantineTime = 1s;
+            worker.toleratedDemand = pick(0, 10) / 10.0;
+        }
+    }
+
+    int pick(int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); }
+
+    Fleet::Task& makeTask(const FleetSchema::StepSpec& step)
+    {
+        jobs.push_back(std::make_unique<Fleet::Job>());
+        Fleet::initializeJob(makeJob("j" + std::to_string(jobs.size()), { step }), *jobs.back());
+        return jobs.back()->tasks[0];
+    }
+
+    void run(const FleetSchema::StepSpec& step, Fleet::Worker& worker)
+    {
+        Fleet::Task& task = makeTask(step);
+        Fleet::addAttempt(task, worker);
+        task.worker = &worker;
+        task.phase = Fleet::TaskPhase::Running;
+        task.speedPercent = pick(0, 4) * 25;
+        task.ownUtilization = pick(20, 60) / 100.0;
+        if (pick(0, 9) == 0)
+            task.overTargetSince = now - 5s;
+    }
+
+    Fleet::Task& makeWaitingTask()
+    {
+        const bool isFilling = pick(0, 2) > 0;
+        FleetSchema::StepSpec step = isFilling
+            ? makeBestEffortStep(1, pick(1000, 9000), fillingImages[pick(0, 3)])
+            : makeStep(1, pick(4000, 32000), 1000);
+        step.set_memory_mb(pick(0, 3) * 1000);
+        if (pick(0, 7) == 0)
+            step.set_max_per_worker(1);
+        Fleet::Task& task = makeTask(step);
+        task.failures = static_cast<std::uint32_t>(pick(0, 4) == 0 ? 1 : 0);
+        task.waitingSince = now - pick(0, 10) * 1s;
+        return task;
+    }
+
+    std::mt19937 random;
+    Utils::TimePoint now = testStart;
+    Fleet::TailLatencyModel model;
+    std::vector<std::unique_ptr<Fleet::Worker>> workers;
+    std::vector<Fleet::Worker*> pointers;
+    std::vector<std::unique_ptr<Fleet::Job>> jobs;
+    std::vector<Fleet::ImageShare> demand { { "hot", 0.4 }, { "warm", 0.3 }, { "mild", 0.3 } };
+};
+
+} // namespace
+
+TEST_CASE("A pass with cached estimates and skipped searches chooses the same workers as one without")
+{
+    std::size_t skipped = 0;
+    std::size_t placed = 0;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        BusyShard shard(seed);
+        Fleet::InterferenceCache cache(shard.model);
+        const Fleet::InterferenceView cached { shard.model, shard.demand, &cache };
+        const Fleet::InterferenceView direct { shard.model, shard.demand };
+        Fleet::FailedSearches failedSearches;
+        for (int number = 0; number < 150; ++number) {
+            Fleet::Task& task = shard.makeWaitingTask();
+            Fleet::Worker* const expected = Fleet::chooseWorker(task, shard.pointers, direct, shard.now);
+            if (failedSearches.includes(task, shard.pointers, shard.now)) {
+                ++skipped;
+                REQUIRE(expected == nullptr);
+                continue;
+            }
+            REQUIRE(Fleet::chooseWorker(task, shard.pointers, cached, shard.now) == expected);
+            if (!expected) {
+                failedSearches.add(task, shard.pointers, shard.now);
+                continue;
+            }
+            ++placed;
+            Fleet::addAttempt(task, *expected);
+            cache.invalidate(*expected);
+            task.worker = expected;
+            task.phase = Fleet::TaskPhase::Recorded;
+        }
+    }
+    CHECK(placed > 200);
+    CHECK(skipped > 500);
+}
+
+TEST_CASE("Cached estimates equal those of the model")
+{
+    BusyShard shard(3);
+    Fleet::InterferenceCache cache(shard.model);
+    const Fleet::InterferenceView cached { shard.model, shard.demand, &cache };
+    const Fleet::InterferenceView direct { shard.model, shard.demand };
+    for (const Fleet::Worker* worker : shard.pointers) {
+        CHECK(Fleet::toleratedDemandShare(*worker, cached)
+            == Approx(Fleet::toleratedDemandShare(*worker, direct)));
+        for (const std::string& image : fillingImages) {
+            const FleetSchema::StepSpec step = makeBestEffortStep(1, 4000, image);
+            for (const double speed : { 0.0, 0.25, 1.0 })
+                CHECK(cache.headroomAfterAdding(*worker, step, speed)
+                    == Approx(Fleet::headroomAfterAdding(*worker, step, shard.model, speed)));
+        }
+    }
+    for (const std::string& first : servingImages) {
+        for (const std::string& second : servingImages)
+            CHECK(Fleet::sensitivityDistance(first, second, cached)
+                == Approx(Fleet::sensitivityDistance(first, second, direct)));
+    }
+}
+
+TEST_CASE("A smaller task, another image or an older wait is searched for after a failed search")
+{
+    BusyShard shard(5);
+    Fleet::FailedSearches failedSearches;
+    Fleet::Task& failed = shard.makeTask(makeBestEffortStep(1, 4000, "hot"));
+    failedSearches.add(failed, shard.pointers, shard.now);
+    const auto includes = [&](const FleetSchema::StepSpec& step) {
+        return failedSearches.includes(shard.makeTask(step), shard.pointers, shard.now);
+    };
+    CHECK(includes(makeBestEffortStep(1, 4000, "hot")));
+    CHECK(includes(makeBestEffortStep(1, 5000, "hot")));
+    CHECK_FALSE(includes(makeBestEffortStep(1, 3999, "hot")));
+    CHECK_FALSE(includes(makeBestEffortStep(1, 4000, "warm")));
+    CHECK_FALSE(includes(makeStep(1, 4000, 1000)));
+    Fleet::Task& older = shard.makeTask(makeBestEffortStep(1, 4000, "hot"));
+    older.waitingSince = shard.now - 9s;
+    CHECK_FALSE(failedSearches.includes(older, shard.pointers, shard.now));
+}
+
+TEST_CASE("Tasks of a job that crashed a worker are always searched for")
+{
+    BusyShard shard(6);
+    Fleet::FailedSearches failedSearches;
+    Fleet::Task& failed = shard.makeTask(makeStep(1, 4000, 1000));
+    failedSearches.add(failed, shard.pointers, shard.now);
+    Fleet::Task& suspect = shard.makeTask(makeStep(1, 4000, 1000));
+    suspect.crashes = 1;
+    CHECK_FALSE(failedSearches.includes(suspect, shard.pointers, shard.now));
+    Fleet::FailedSearches others;
+    others.add(suspect, shard.pointers, shard.now);
+    CHECK_FALSE(others.includes(failed, shard.pointers, shard.now));
+}
