Assign racks to shards once their workers are listed

Cause: racks were assigned as soon as any of their workers was listed, and never again. At a start of all machines, workers register over five seconds, so nearly empty racks were packed into one shard: the large deployment had 9 shards of 18 to 90 workers, by chance. Change: RackSettling waits until the number of listed workers has not risen for 2 s, 6 s at most. The map also holds the failure domain of each shard.

--- a/src/libs/fleetnode/rackdirectory.cpp
+++ b/src/libs/fleetnode/rackdirectory.cpp
@@ -3,6 +3,9 @@
 #include "fleet/rackmap.h"
 #include "utils/log/log.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace FleetNode {
 
 RackDirectory::RackDirectory(NodeContext& context)
@@ -41,7 +44,7 @@
     }
 }
 
-void RackDirectory::addUnmappedRacks()
+std::vector<Fleet::RackInfo> RackDirectory::listedRacks() const
 {
     std::map<std::string, Fleet::RackInfo> racks;
     for (const Ports::WorkerInfo& worker : workers_) {
@@ -55,8 +58,34 @@
     rackInfos.reserve(racks.size());
     for (const auto& [key, rack] : racks)
         rackInfos.push_back(rack);
+    return rackInfos;
+}
+
+bool RackDirectory::isMapped(const Fleet::RackInfo& rack) const
+{
+    return map_.shards().contains(Fleet::rackKey(rack.service, rack.rack));
+}
+
+void RackDirectory::addUnmappedRacks()
+{
+    std::vector<Fleet::RackInfo> racks = listedRacks();
+    std::vector<Fleet::RackInfo> unmappedRacks;
+    std::copy_if(racks.begin(), racks.end(), std::back_inserter(unmappedRacks),
+        [this](const Fleet::RackInfo& rack) { return !isMapped(rack); });
+    const Utils::TimePoint now = context_.now();
+    settling_.update(unmappedRacks, now);
+    std::erase_if(racks, [&](const Fleet::RackInfo& rack) {
+        return !isMapped(rack) && !settling_.isSettled(rack.service, rack.domain, now);
+    });
     FleetSchema::RackMap extendedMap = map_;
-    if (!Fleet::assignRacksToShards(std::move(rackInfos), extendedMap))
+    bool isChanged = Fleet::assignRacksToShards(std::move(racks), extendedMap);
+    // Failure domains are also missing in a map that an earlier version wrote.
+    for (const Ports::WorkerInfo& worker : workers_) {
+        const auto shard = extendedMap.shards().find(Fleet::rackKey(worker.service, worker.rack));
+        if (shard != extendedMap.shards().end())
+            isChanged |= extendedMap.mutable_domains()->insert({ shard->second, worker.domain }).second;
+    }
+    if (!isChanged)
         return;
     const Ports::RowKey name { nodeTable, {}, rackMapKey };
     Ports::Transaction transaction;
@@ -69,6 +98,14 @@
     });
 }
 
+std::set<std::string> RackDirectory::shards() const
+{
+    std::set<std::string> shards;
+    for (const auto& [rack, shard] : map_.shards())
+        shards.insert(shard);
+    return shards;
+}
+
 std::vector<Ports::WorkerInfo> RackDirectory::workersOf(const std::string& shard) const
 {
     const auto found = workersByShard_.find(shard);
@@ -77,8 +114,11 @@
 
 std::string RackDirectory::domainOf(const std::string& shard) const
 {
-    const auto found = domainByShard_.find(shard);
-    return found == domainByShard_.end() ? std::string() : found->second;
+    const auto mapped = map_.domains().find(shard);
+    if (mapped != map_.domains().end())
+        return mapped->second;
+    const auto listed = domainByShard_.find(shard);
+    return listed == domainByShard_.end() ? std::string() : listed->second;
 }
 
 } // namespace FleetNode
--- a/src/libs/fleetnode/rackdirectory.h
+++ b/src/libs/fleetnode/rackdirectory.h
@@ -2,16 +2,23 @@
 
 #include "nodecontext.h"
 
+#include "fleet/racksettling.h"
+
 #include <fleet.pb.h>
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace FleetNode {
 
-/*! Groups workers by shard according to the rack map in the store. */
+/*!
+    Groups workers by shard according to the rack map in the store.
+
+    The map alone tells which shards exist, so only nodes that own shards need a list of workers.
+*/
 class RackDirectory {
 public:
     explicit RackDirectory(NodeContext& context);
@@ -22,27 +29,30 @@
     /*! Updates the rack map from its row. \return whether the row has changed. */
     bool setMapRow(const Ports::Row& row);
 
-    /*! Adds racks without a shard to the rack map in the store; of concurrent writes, the first one wins. */
+    /*!
+        Adds racks without a shard to the rack map in the store once their workers are listed; of concurrent
+        writes, the first one wins.
+    */
     void addUnmappedRacks();
 
-    /*! \return the workers of each shard, including shards that have none at present. */
-    const std::map<std::string, std::vector<Ports::WorkerInfo>>& workersByShard() const
-    {
-        return workersByShard_;
-    }
+    /*! \return the shards of the rack map, including those that have no workers at present. */
+    std::set<std::string> shards() const;
 
     std::vector<Ports::WorkerInfo> workersOf(const std::string& shard) const;
 
-    /*! \return the failure domain of a shard's workers; empty if no worker was ever listed. */
+    /*! \return the failure domain of a shard's workers; empty if it is not known. */
     std::string domainOf(const std::string& shard) const;
 
 private:
     void groupWorkers();
+    std::vector<Fleet::RackInfo> listedRacks() const;
+    bool isMapped(const Fleet::RackInfo& rack) const;
 
     NodeContext& context_;
     std::vector<Ports::WorkerInfo> workers_;
     std::map<std::string, std::vector<Ports::WorkerInfo>> workersByShard_;
-    std::map<std::string, std::string> domainByShard_;
+    std::map<std::string, std::string> domainByShard_; //!< According to the list of workers.
+    Fleet::RackSettling settling_;
     FleetSchema::RackMap map_;
     std::uint64_t mapVersion_ = 0; //!< Version of the map's row; 0: there is no row.
 };
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -155,7 +155,7 @@
 std::vector<Fleet::ShardInfo> ShardOwnership::shardInfos() const
 {
     std::map<std::string, std::string> owners;
-    for (const auto& [shard, workers] : rackDirectory_.workersByShard())
+    for (const std::string& shard : rackDirectory_.shards())
         owners[shard];
     for (const auto& [shard, ownerInfo] : shardOwners_)
         owners[shard];
