Read the lists of workers and of interference estimates in owners only

Cause: on the large deployment, the list of workers (540 rows, 110 KB) made up half of the bytes at the store, and 88 of 97 nodes read it every 4 s though they owned no shard; the rows of estimates went to all nodes every 4 s as well. Change: a node polls both only while it owns or claims a shard, and the list while it maintains the rack map; shards and failure domains come from the map. A list counts as current only while it is polled.

--- a/src/libs/fleetnode/node.cpp
+++ b/src/libs/fleetnode/node.cpp
@@ -27,9 +27,6 @@
 // The list of workers is read this many times within the drain time, so that a draining worker is noticed
 // before it stops, even if one read fails.
 constexpr int pollsPerDrain = 3;
-// A node that neither owns or claims a shard nor maintains the rack map can do with an outdated list of
-// workers; it reads the list at once when it claims a shard.
-constexpr milliseconds idleWorkerPollInterval { 4000 };
 constexpr milliseconds configurationBatchPause { 100 };
 // Part of the stop grace period that is reserved for the exit of the process; when only this part remains,
 // an incomplete stop is ended.
@@ -141,10 +138,11 @@
         if (!Utils::isOk(status))
             return status;
     }
-    ownership_.setWorkerListRequester([this] { workerWatcher_.pollNow(); });
+    ownership_.setWorkerListRequester([this] {
+        tailLatencyExchange_.setNeeded(true);
+        workerWatcher_.pollNow();
+    });
     configurationWatcher_.start();
-    workerWatcher_.start();
-    tailLatencyExchange_.start();
     ownership_.start();
     return Utils::success();
 }
@@ -185,8 +183,11 @@
     }
     decodedWorkers_ = std::move(decoded);
     ownership_.setWorkers(workers, workerWatcher_.readStartedAt());
+    // A node that neither owns or claims a shard nor maintains the rack map needs no list of workers; it
+    // reads the list at once when that changes.
     workerWatcher_.setPause(
-        ownership_.needsWorkerList() ? workerPollInterval(context_) : idleWorkerPollInterval);
+        ownership_.needsWorkerList() ? std::optional(workerPollInterval(context_)) : std::nullopt);
+    tailLatencyExchange_.setNeeded(ownership_.ownsShards());
 }
 
 void Node::Private::onPeerRequest(const Http::Request& request, const Http::Responder& respond)
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -189,7 +189,8 @@
     const std::string& self = context_.settings.node().name();
     if (isLeaving_ || context_.now() - startedAt_ < startupDelay)
         return;
-    if (maintainsRackMap())
+    requireWorkerList();
+    if (maintainsRackMap() && isWorkerListCurrent_)
         rackDirectory_.addUnmappedRacks();
     const std::vector<Fleet::ShardInfo> shards = shardInfos();
     const std::vector<Fleet::NodeInfo> nodes = nodeInfos();
@@ -232,7 +233,7 @@
     claimsInProgress_.erase(shard);
     if (!Utils::isOk(result)) {
         Utils::logError("shard-claim-failed", Utils::error(result));
-        return;
+        return requireWorkerList();
     }
     FleetSchema::ShardRecord former;
     std::uint64_t version = 0;
@@ -247,7 +248,7 @@
         && members_.isAlive(former.owner());
     if (isLeaving_ || hosts_.contains(shard)
         || (hasLiveOwner && ++postponedClaims_[shard] < maxPostponedClaims))
-        return;
+        return requireWorkerList();
     postponedClaims_.erase(shard);
     auto host = std::make_unique<ShardHost>(context_, shard, static_cast<OtherShards&>(*this),
         tailLatencyModel_, [this, shard] { onHostClosed(shard); });
@@ -262,13 +263,22 @@
 {
     workersReadAt_ = readAt;
     rackDirectory_.setWorkers(workers);
-    isWorkerListCurrent_ = true;
+    // A list that is not needed is not read again.
+    isWorkerListCurrent_ = needsWorkerList();
     passWorkersToHosts();
 }
 
+void ShardOwnership::requireWorkerList()
+{
+    if (!needsWorkerList())
+        isWorkerListCurrent_ = false;
+    else if (!isWorkerListCurrent_)
+        requestWorkerList_();
+}
+
 bool ShardOwnership::needsWorkerList() const
 {
-    return !hosts_.empty() || !claimsInProgress_.empty() || maintainsRackMap();
+    return ownsShards() || maintainsRackMap();
 }
 
 // Only one node maintains the rack map: the first by name of those that are alive.
@@ -299,6 +309,7 @@
 void ShardOwnership::onHostClosed(const std::string& shard)
 {
     hosts_.erase(shard);
+    requireWorkerList();
     const auto successor = successors_.find(shard);
     if (successor != successors_.end()) {
         requestTakeOver(shard, successor->second);
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -41,7 +41,10 @@
     /*! \return whether this node needs a current list of workers, for its shards, claims or the rack map. */
     bool needsWorkerList() const;
 
-    /*! Sets the function that is called when a shard is claimed while the list of workers may be outdated. */
+    /*! \return whether this node owns or claims a shard. */
+    bool ownsShards() const { return !hosts_.empty() || !claimsInProgress_.empty(); }
+
+    /*! Sets the function that reads the list of workers now and, while it is needed, periodically. */
     void setWorkerListRequester(std::function<void()> requestWorkerList)
     {
         requestWorkerList_ = std::move(requestWorkerList);
@@ -80,6 +83,8 @@
     void onMembers(const Utils::Result<Ports::RowPage>& result);
     void reclaimFormerShards();
     void passWorkersToHosts();
+    /*! Requests a current list of workers if one is needed and none is being kept up to date. */
+    void requireWorkerList();
     bool maintainsRackMap() const;
     void planOwnership();
     void claim(const std::string& shard);
--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -45,16 +45,16 @@
 void TableWatcher::start()
 {
     timer_.stop();
+    isReading_ = true;
     partialCopy_.clear();
     version_ = 0;
     readStartedAt_ = context_.now();
     readAll({});
 }
 
-// The timer is set only while no read is in progress: between reads or before a failed read is repeated.
 void TableWatcher::pollNow()
 {
-    if (mode_ == Mode::Poll && timer_.isSet())
+    if (mode_ == Mode::Poll && !isReading_)
         start();
 }
 
@@ -89,19 +89,22 @@
         version_ = page.version;
     if (page.hasMore)
         return readAll(page.rows.back().name.key + '\0');
+    isReading_ = false;
     rows_ = std::move(partialCopy_);
     copyReadStartedAt_ = readStartedAt_;
     partialCopy_.clear();
     onReadSucceeded();
     onChange_(rows_);
-    if (mode_ == Mode::Poll)
-        timer_.start(pause_, [this] { start(); });
-    else
-        follow();
+    if (mode_ == Mode::Follow)
+        return follow();
+    // A read that onChange_ has requested is already in progress.
+    if (pause_ && !isReading_)
+        timer_.start(*pause_, [this] { start(); });
 }
 
 void TableWatcher::restart(const Utils::Error& error)
 {
+    isReading_ = false;
     onReadFailed(error);
     timer_.start(nextRetryPause(), [this] { start(); });
 }
@@ -144,7 +147,7 @@
         return follow();
     if (isChanged)
         onChange_(rows_);
-    timer_.start(pause_, [this] { follow(); });
+    timer_.start(pause_.value_or(Utils::Duration::zero()), [this] { follow(); });
 }
 
 void TableWatcher::onReadFailed(const Utils::Error& error)
--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -42,8 +43,8 @@
     /*! Starts watching the table. */
     void start();
 
-    /*! Sets the pause that follows the next read. */
-    void setPause(Utils::Duration pause) { pause_ = pause; }
+    /*! Sets the pause that follows the next read of a polled table; empty: it is read by pollNow() only. */
+    void setPause(std::optional<Utils::Duration> pause) { pause_ = pause; }
 
     /*! Reads a polled table immediately unless a read is already in progress. */
     void pollNow();
@@ -68,7 +69,7 @@
     NodeContext& context_;
     std::string table_;
     Mode mode_;
-    Utils::Duration pause_;
+    std::optional<Utils::Duration> pause_;
     std::function<void(const Rows&)> onChange_;
     Rows rows_;
     Rows partialCopy_; //!< Pages of a new copy that have been read so far.
@@ -78,6 +79,7 @@
     Utils::TimePoint lastLoggedAt_ {}; //!< When a long or large read was last logged.
     Utils::TimePoint readStartedAt_ {}; //!< Start of the latest read of the whole table.
     Utils::TimePoint copyReadStartedAt_ {}; //!< Start of the read that rows_ was last replaced by.
+    bool isReading_ = false; //!< A read of the whole table is in progress.
     bool isFailing_ = false;
     Utils::Duration retryPause_ {}; //!< Longest pause after the latest failure; 0 after a success.
     std::mt19937_64 random_ { std::random_device {}() };
--- a/src/libs/fleetnode/taillatencyexchange.cpp
+++ b/src/libs/fleetnode/taillatencyexchange.cpp
@@ -27,13 +27,21 @@
 
 TailLatencyExchange::~TailLatencyExchange() = default;
 
-void TailLatencyExchange::start()
+void TailLatencyExchange::setNeeded(bool isNeeded)
 {
-    read();
+    if (isNeeded == isNeeded_)
+        return;
+    isNeeded_ = isNeeded;
+    if (isNeeded)
+        read();
+    else
+        timer_.stop();
 }
 
 void TailLatencyExchange::read()
 {
+    if (!isNeeded_)
+        return;
     timer_.start(hasReadFormerRow_ ? exchangeInterval : initialReadInterval, [this] { write(); });
     Ports::RowRange range;
     range.table = tailLatencyTable;
--- a/src/libs/fleetnode/taillatencyexchange.h
+++ b/src/libs/fleetnode/taillatencyexchange.h
@@ -25,8 +25,11 @@
     explicit TailLatencyExchange(NodeContext& context);
     ~TailLatencyExchange();
 
-    /*! Reads all rows, then periodically writes the row of this node and reads all rows again. */
-    void start();
+    /*!
+        Sets whether this node owns or claims shards. While it does, it reads all rows and then periodically
+        writes its own row and reads all rows again.
+    */
+    void setNeeded(bool isNeeded);
 
     /*! \return the model of this node, which includes the estimates of the other nodes. */
     Fleet::TailLatencyModel& model() { return model_; }
@@ -39,6 +42,7 @@
     NodeContext& context_;
     Fleet::TailLatencyModel model_;
     Timer timer_;
+    bool isNeeded_ = false;
     bool hasReadFormerRow_ = false; //!< The row of this node's former incarnation was read, if it exists.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
