Learn of the other nodes through a relay in each failure domain

Change: MemberReader asks the strongest node of the failure domain for changes; a relay answers after each of its own reads. Result: tst_memberreader, 40 nodes: 2 reads a round instead of 40; loss, pause and refusal of a relay, restart of the view and the rack map.

--- a/src/libs/fleet/memberview.h
+++ b/src/libs/fleet/memberview.h
@@ -24,6 +24,13 @@
     FleetSchema::ShardLoad load;
 };
 
+/*! A relay's view of the members, as last received. */
+struct RelayedView {
+    std::uint64_t relay = 0; //!< Incarnation of the relay; 0: there is no view.
+    std::uint64_t revision = 0;
+    std::uint64_t storeVersion = 0; //!< Rows up to this version are part of the view.
+};
+
 /*!
     Tracks which nodes are alive by their heartbeat rows.
 
@@ -38,8 +45,28 @@
     */
     MemberView(std::string self, Utils::Duration timeout);
 
-    /*! Updates the members from the heartbeat rows of all nodes, read at \p now. */
-    void update(const std::vector<MemberRow>& rows, Utils::TimePoint now);
+    /*!
+        Updates the members from the heartbeat rows of all nodes, read at \p now.
+
+        \param storeVersion newest version in the store when the rows were read; 0: unknown.
+    */
+    void update(const std::vector<MemberRow>& rows, Utils::TimePoint now, std::uint64_t storeVersion = 0);
+
+    /*!
+        Updates the members from a relay's reply.
+
+        \return false if the reply does not fit this view, which then stays as it is.
+    */
+    bool applyRelayed(const FleetSchema::MembersReply& reply, Utils::TimePoint now);
+
+    /*!
+        \param revision revision of the view that the requester has; 0: none.
+        \return the changes since then, for applyRelayed() of another node.
+    */
+    FleetSchema::MembersReply changesSince(std::uint64_t revision) const;
+
+    /*! \return relay and revision of the view that applyRelayed() last made; no relay after update(). */
+    const RelayedView& relayedView() const { return relayedView_; }
 
     /*! Updates a node's record from a direct message. Only its heartbeat row shows that the node is alive. */
     void updateRecord(const FleetSchema::NodeRecord& record);
@@ -47,6 +74,8 @@
     /*! Sets this node's own record. */
     void setSelf(const FleetSchema::NodeRecord& record) { self_ = record; }
 
+    const FleetSchema::NodeRecord& self() const { return self_; }
+
     /*!
         \return the records of the nodes that are alive, this one included, sorted by name; valid until the
             next change.
@@ -69,7 +98,8 @@
     struct Member {
         FleetSchema::NodeRecord record;
         std::uint64_t version = 0;
-        Utils::TimePoint changedAt {};
+        Utils::TimePoint changedAt {}; //!< When the row was last known to change.
+        std::uint64_t revision = 0; //!< Revision of the view in which the record last changed.
     };
 
     std::string selfName_;
@@ -77,6 +107,9 @@
     FleetSchema::NodeRecord self_;
     std::map<std::string, Member> members_;
     Utils::TimePoint readAt_ {};
+    std::uint64_t storeVersion_ = 0; //!< Newest version in the store at the latest update().
+    std::uint64_t revision_ = 0; //!< Incremented with each update().
+    RelayedView relayedView_;
 };
 
 } // namespace Fleet
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -16,7 +16,7 @@
 // Delay between the start of a node and its first ownership plan, so that nodes that start together have seen
 // each other before they assign shards.
 constexpr milliseconds startupDelay { 1800 };
-// Time without a successful read after which the store counts as unreachable.
+// Time without a successful call after which the store counts as unreachable.
 constexpr milliseconds storeTimeout { 2500 };
 // Minimum time from an assignment or handover of shards to the next handover for load balancing, so that all
 // nodes see the change before the handover is planned.
@@ -37,6 +37,12 @@
     , delegationTargets_(context, chooser_,
           [this](const auto& request, auto handler) { callOwner(request, std::move(handler)); })
     , members_(context.settings.node().name(), milliseconds(context.settings.dispatch().node_timeout_ms()))
+    , memberReader_(context, members_,
+          [this](const auto& address, const auto& request, auto timeout, auto handler) {
+              peerClient_.call(address, request, timeout, std::move(handler));
+          },
+          { [this](const Ports::Row& row) { onRackMap(row); }, [this] { onMembersUpdated(); },
+              [this](const Utils::Error& error) { onMembersFailed(error); } })
     , startedAt_(context.now())
     , heartbeatTimer_(context.io)
     , tickTimer_(context.io)
@@ -77,57 +83,45 @@
     members_.setSelf(own);
     // The row of the former incarnation lists the shards to reclaim, so it is read before it is overwritten.
     if (!hasReclaimedShards_)
-        return readMembers();
+        return memberReader_.read(false);
     Ports::Transaction transaction;
     transaction.puts.push_back({ { nodeTable, {}, nodeKeyPrefix + own.name() }, own.SerializeAsString() });
     context_.store.commit(transaction,
         [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::TransactionOutcome>& result) {
-            if (!weak.lock())
-                return;
-            if (!Utils::isOk(result))
-                context_.metrics.add("geraniumquay_heartbeats_failed_total");
-            readMembers();
+            if (weak.lock())
+                onHeartbeatWritten(Utils::isOk(result));
         });
 }
 
-void ShardOwnership::readMembers()
+void ShardOwnership::onHeartbeatWritten(bool isWritten)
 {
-    Ports::RowRange range;
-    range.table = nodeTable;
-    context_.store.read(
-        range, [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::RowPage>& result) {
-            if (weak.lock())
-                onMembers(result);
-        });
+    if (isWritten)
+        heartbeatWrittenAt_ = context_.now();
+    else
+        context_.metrics.add("geraniumquay_heartbeats_failed_total");
+    // After this time, nodes that count as alive have sent heartbeats since this one started.
+    const bool isSettled = context_.now() - startedAt_ >= 2 * startupDelay;
+    memberReader_.read(isWritten && isSettled);
 }
 
-void ShardOwnership::onMembers(const Utils::Result<Ports::RowPage>& result)
+void ShardOwnership::onMembersFailed(const Utils::Error& error)
+{
+    if (!isStoreLost_)
+        Utils::logError("store-lost", error);
+    isStoreLost_ = true;
+}
+
+void ShardOwnership::onRackMap(const Ports::Row& row)
+{
+    if (rackDirectory_.setMapRow(row))
+        passWorkersToHosts();
+}
+
+void ShardOwnership::onMembersUpdated()
 {
-    if (!Utils::isOk(result)) {
-        if (!isStoreLost_)
-            Utils::logError("store-lost", Utils::error(result));
-        isStoreLost_ = true;
-        return;
-    }
     if (isStoreLost_)
         Utils::log(Utils::LogLevel::Info, "store-regained", {});
     isStoreLost_ = false;
-    std::vector<Fleet::MemberRow> rows;
-    for (const Ports::Row& row : Utils::value(result).rows) {
-        if (row.name.key == rackMapKey) {
-            if (rackDirectory_.setMapRow(row))
-                passWorkersToHosts();
-            continue;
-        }
-        Fleet::MemberRow member;
-        member.version = row.version;
-        if (member.record.ParseFromString(row.value))
-            rows.push_back(std::move(member));
-        else
-            Utils::log(Utils::LogLevel::Error, "member-record-damaged", { { "node", row.name.key } });
-    }
-    membersReadAt_ = context_.now();
-    members_.update(rows, membersReadAt_);
     updateShardOwners();
     if (!hasReclaimedShards_)
         reclaimFormerShards();
@@ -444,66 +438,8 @@
 
 bool ShardOwnership::isStoreReachable() const
 {
-    return membersReadAt_ != Utils::TimePoint {} && context_.now() - membersReadAt_ < storeTimeout;
-}
-
-void ShardOwnership::serve(
-    const FleetSchema::PeerRequest& request, std::function<void(const FleetSchema::PeerReply&)> handler)
-{
-    if (request.has_heartbeat() || request.has_take_over()) {
-        if (request.has_take_over())
-            claim(request.shard());
-        else
-            members_.updateRecord(request.heartbeat());
-        updateShardOwners();
-        return handler({});
-    }
-    const auto host = hosts_.find(request.shard());
-    FleetSchema::PeerReply reply;
-    if (host == hosts_.end() || !host->second->isServing()) {
-        reply.set_outcome(FleetSchema::PEER_NOT_OWNER);
-        return handler(reply);
-    }
-    if (request.has_host_check()) {
-        const bool canHost
-            = host->second->canHostTasks() && isStoreReachable() && !isStoreLost_ && !isLeaving_;
-        reply.set_outcome(canHost ? FleetSchema::PEER_OK : FleetSchema::PEER_UNAVAILABLE);
-        return handler(reply);
-    }
-    dispatchToHost(*host->second, request, handler);
-}
-
-void ShardOwnership::dispatchToHost(ShardHost& host, const FleetSchema::PeerRequest& request,
-    const std::function<void(const FleetSchema::PeerReply&)>& handler)
-{
-    const auto onAnswer = [handler](const Fleet::JobAnswer& answer) {
-        FleetSchema::PeerReply reply;
-        reply.set_outcome(answer.outcome);
-        reply.set_state(answer.state);
-        reply.set_retry_after_ms(answer.retryAfterMs);
-        handler(reply);
-    };
-    if (request.has_submit())
-        return host.submit(request.submit(), onAnswer);
-    if (request.has_adopt() || request.has_cancel_part()) {
-        const std::string fault
-            = Fleet::validateJobSpec(request.has_adopt() ? request.adopt().job() : request.cancel_part());
-        if (fault.empty() && request.has_adopt())
-            return host.acceptDelegatedTask(request.adopt(), onAnswer);
-        if (fault.empty())
-            return host.cancelHostedTasks(request.cancel_part(), onAnswer);
-        Utils::log(Utils::LogLevel::Error, "lent-task-damaged", { { "fault", fault } });
-        return onAnswer({ FleetSchema::PEER_UNDECIDED, FleetSchema::JOB_QUEUED, 0 });
-    }
-    if (request.has_result())
-        return host.acceptTaskResult(request.result(), onAnswer);
-    if (request.has_cancel())
-        return host.cancel(request.cancel(), onAnswer);
-    FleetSchema::PeerReply reply;
-    const auto state = host.state(request.query());
-    reply.set_outcome(state ? FleetSchema::PEER_OK : FleetSchema::PEER_UNKNOWN_JOB);
-    reply.set_state(state.value_or(FleetSchema::JOB_QUEUED));
-    handler(reply);
+    const Utils::TimePoint answeredAt = std::max(heartbeatWrittenAt_, memberReader_.storeReadAt());
+    return answeredAt != Utils::TimePoint {} && context_.now() - answeredAt < storeTimeout;
 }
 
 } // namespace FleetNode
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -2,6 +2,7 @@
 
 #include "delegationtargets.h"
 #include "jobrouter.h"
+#include "memberreader.h"
 #include "nodecontext.h"
 #include "rackdirectory.h"
 #include "shardhost.h"
@@ -67,7 +68,7 @@
     /*! \return number of accepted jobs of a queue without a started task, over all shards. */
     std::uint64_t pendingJobs(const std::string& queue) const;
 
-    /*! \return whether a recent read from the store succeeded. */
+    /*! \return whether this node has recently reached the store. */
     bool isStoreReachable() const override;
 
     /*! Sets the revision of the configuration in force, which heartbeats report. */
@@ -79,8 +80,10 @@
     void callOwner(const FleetSchema::PeerRequest& request,
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler) override;
     void heartbeat();
-    void readMembers();
-    void onMembers(const Utils::Result<Ports::RowPage>& result);
+    void onHeartbeatWritten(bool isWritten);
+    void onRackMap(const Ports::Row& row);
+    void onMembersUpdated();
+    void onMembersFailed(const Utils::Error& error);
     void reclaimFormerShards();
     void passWorkersToHosts();
     /*! Requests a current list of workers if one is needed and none is being kept up to date. */
@@ -108,6 +111,7 @@
     Fleet::ShardChooser chooser_;
     DelegationTargets delegationTargets_;
     Fleet::MemberView members_;
+    MemberReader memberReader_;
     std::map<std::string, std::unique_ptr<ShardHost>> hosts_;
     std::map<std::string, std::string> regionOfDomain_;
     std::map<std::string, Fleet::ShardOwnerInfo>
@@ -116,7 +120,7 @@
     std::map<std::string, int> postponedClaims_; //!< Number of claims that found a live owner, by shard.
     std::map<std::string, std::string> successors_; //!< Planned next owners of the shards being released.
     Utils::TimePoint startedAt_ {};
-    Utils::TimePoint membersReadAt_ {};
+    Utils::TimePoint heartbeatWrittenAt_ {}; //!< When the store last acknowledged a heartbeat.
     Utils::TimePoint workersReadAt_ {}; //!< When the latest list of workers started to be read.
     Utils::TimePoint handoverAllowedAt_ {};
     std::uint64_t configurationRevision_ = 0;
