Give no jobs to shards whose owner misses heartbeats

Each entry node found out for itself, by a job that is bound to the shard from then on. Change: an owner whose row stands still for half of the timeout counts as unresponsive in the choice of a shard for jobs and for delegated tasks.

--- a/src/libs/fleet/memberview.cpp
+++ b/src/libs/fleet/memberview.cpp
@@ -112,6 +112,12 @@
     return found != members_.end() && readAt_ - found->second.changedAt < timeout_;
 }
 
+bool MemberView::isSilent(const std::string& name) const
+{
+    const auto found = members_.find(name);
+    return name != selfName_ && found != members_.end() && readAt_ - found->second.changedAt > timeout_ / 2;
+}
+
 std::map<std::string, ShardOwnerInfo> MemberView::shardOwners() const
 {
     std::map<std::string, ShardOwnerInfo> owners;
@@ -119,7 +125,7 @@
         for (const FleetSchema::ShardLoad& load : node->shards()) {
             ShardOwnerInfo& owner = owners[load.shard()];
             if (owner.node.empty() || owner.load.epoch() < load.epoch())
-                owner = { node->name(), node->address(), load };
+                owner = { node->name(), node->address(), load, isSilent(node->name()) };
         }
     }
     return owners;
--- a/src/libs/fleet/memberview.h
+++ b/src/libs/fleet/memberview.h
@@ -22,6 +22,7 @@
     std::string node;
     std::string address; //!< Address for calls of peers.
     FleetSchema::ShardLoad load;
+    bool isSilent = false; //!< It has missed heartbeats but does not count as dead yet.
 };
 
 /*! A relay's view of the members, as last received. */
@@ -84,6 +85,9 @@
 
     bool isAlive(const std::string& name) const;
 
+    /*! \return whether a node's row has not changed for half of the timeout. */
+    bool isSilent(const std::string& name) const;
+
     /*! \return the owner of each shard that a live node owns; of several, the one with the highest epoch. */
     std::map<std::string, ShardOwnerInfo> shardOwners() const;
 
--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -147,6 +147,12 @@
         static_cast<double>(load.capacity() - committed));
 }
 
+// An owner that misses heartbeats cannot reach the store, or is not there any more, and stores no job.
+bool ShardChooser::isUnresponsive(const std::string& shard, const ShardOwnerInfo& owner) const
+{
+    return owner.isSilent || unresponsiveUpdates_.contains(shard);
+}
+
 ShardChoice ShardChooser::choose(const FleetSchema::JobSpec& spec, std::size_t assigningNodes)
 {
     ShardChoice choice;
@@ -161,11 +167,11 @@
         }
         candidates.push_back({ shard,
             exponentialSample(spec.id(), shard) / freeMilliProcessors(load, assigned_[shard], assigningNodes),
-            costOf(spec, load, assigned_[shard], assigningNodes), unresponsiveUpdates_.contains(shard) });
+            costOf(spec, load, assigned_[shard], assigningNodes), isUnresponsive(shard, owner) });
     }
-    const auto isUnresponsive = [](const Candidate& entry) { return entry.isUnresponsive; };
-    if (!std::all_of(candidates.begin(), candidates.end(), isUnresponsive))
-        std::erase_if(candidates, isUnresponsive);
+    const auto isCandidateUnresponsive = [](const Candidate& entry) { return entry.isUnresponsive; };
+    if (!std::all_of(candidates.begin(), candidates.end(), isCandidateUnresponsive))
+        std::erase_if(candidates, isCandidateUnresponsive);
     if (!candidates.empty()) {
         choice = { lessLoadedOfTwo(candidates).shard, false };
         AssignedWork& assigned = assigned_[choice.shard];
@@ -190,10 +196,11 @@
 }
 
 bool ShardChooser::mayHost(
-    const std::string& shard, const FleetSchema::ShardLoad& load, const FleetSchema::StepSpec& step) const
+    const std::string& shard, const ShardOwnerInfo& owner, const FleetSchema::StepSpec& step) const
 {
+    const FleetSchema::ShardLoad& load = owner.load;
     return load.capacity() > 0 && step.milli_processors() <= load.largest_worker()
-        && !unresponsiveUpdates_.contains(shard) && (step.lasting() || load.reports_results());
+        && !isUnresponsive(shard, owner) && (step.lasting() || load.reports_results());
 }
 
 std::string ShardChooser::findForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
@@ -211,7 +218,7 @@
     double bestCost = limit;
     for (const auto& [shard, owner] : owners_) {
         const FleetSchema::ShardLoad& load = owner.load;
-        if (shard == originShard || load.service() != spec.service() || !mayHost(shard, load, stepSpec))
+        if (shard == originShard || load.service() != spec.service() || !mayHost(shard, owner, stepSpec))
             continue;
         // For a long-running task, short tasks do not count, because the other shard reserves a worker until
         // they have ended there.
--- a/src/libs/fleet/shardchooser.h
+++ b/src/libs/fleet/shardchooser.h
@@ -84,8 +84,9 @@
     double delegationCostLimit(
         const std::string& originShard, const FleetSchema::JobSpec& spec, Utils::Duration waited) const;
     bool mustLeave(const std::string& originShard, Utils::Duration waited) const;
-    bool mayHost(const std::string& shard, const FleetSchema::ShardLoad& load,
-        const FleetSchema::StepSpec& step) const;
+    bool isUnresponsive(const std::string& shard, const ShardOwnerInfo& owner) const;
+    bool mayHost(
+        const std::string& shard, const ShardOwnerInfo& owner, const FleetSchema::StepSpec& step) const;
 
     std::map<std::string, ShardOwnerInfo> owners_;
     //! Milli-processors of tasks delegated since the shard's load last changed.
--- a/tests/auto/fleet/tst_memberrelay.cpp
+++ b/tests/auto/fleet/tst_memberrelay.cpp
@@ -154,3 +154,19 @@
     REQUIRE(requester.applyRelayed(replyOf(relay, requester), start + 1s));
     CHECK_FALSE(requester.applyRelayed(early, start + 2s));
 }
+
+TEST_CASE("An owner that misses heartbeats is reported as silent before it counts as dead")
+{
+    Fleet::MemberView view("self", 2500ms);
+    FleetSchema::NodeRecord owner = makeNode("a", "d");
+    owner.add_shards()->set_shard("s1");
+    view.update({ { owner, 1 } }, start);
+    CHECK_FALSE(view.shardOwners().at("s1").isSilent);
+    view.update({ { owner, 1 } }, start + 700ms);
+    CHECK_FALSE(view.shardOwners().at("s1").isSilent);
+    view.update({ { owner, 1 } }, start + 1400ms);
+    CHECK(view.shardOwners().at("s1").isSilent);
+    CHECK(view.isAlive("a"));
+    view.update({ { owner, 2 } }, start + 2100ms);
+    CHECK_FALSE(view.shardOwners().at("s1").isSilent);
+}
--- a/tests/auto/fleet/tst_shardchooser.cpp
+++ b/tests/auto/fleet/tst_shardchooser.cpp
@@ -219,3 +219,28 @@
     // The other shard has 350 processors below the limit, and each task takes 8.
     CHECK(delegated == 44);
 }
+
+TEST_CASE("While the store turns some nodes away, their shards get no jobs and no delegated tasks")
+{
+    std::map<std::string, Fleet::ShardOwnerInfo> owners;
+    for (const char* shard : { "a", "b", "c", "d" })
+        owners[shard] = ownerInfo(shard, 400'000);
+    owners["a"] = ownerInfo("a", 0);
+    owners["b"] = ownerInfo("b", 0);
+    owners["a"].isSilent = owners["b"].isSilent = true;
+    Fleet::ShardChooser chooser;
+    chooser.update(owners);
+    const FleetSchema::JobSpec spec = makeJob("j", { makeStep(4, 2000, 800) });
+    for (int number = 0; number < 20; ++number) {
+        const std::string shard
+            = chooser.choose(makeJob(std::to_string(number), { makeStep(4, 2000, 800) }), 1).shard;
+        CHECK((shard == "c" || shard == "d"));
+        const std::string host = chooser.findForTask("c", spec, 0, std::chrono::seconds(5), 1);
+        CHECK((host.empty() || host == "d"));
+    }
+    // If all are silent, this node may be the one that is cut off.
+    for (auto& [shard, owner] : owners)
+        owner.isSilent = true;
+    chooser.update(owners);
+    CHECK_FALSE(chooser.choose(spec, 1).shard.empty());
+}
