Read the members page by page

Cause: the store returns 500 rows a call, and only the first page of the heartbeat rows was read, so a fleet of 500 nodes and more would have taken the others for dead. Change: MemberReader reads all pages. The version of the first page bounds what counts as known, as rows may change between two pages. Result: case in tst_memberreader, with a page that does not lead to the next one.

--- a/src/libs/fleetnode/memberreader.cpp
+++ b/src/libs/fleetnode/memberreader.cpp
@@ -40,24 +40,52 @@
 void MemberReader::readStore()
 {
     readsStore_ = true;
+    rows_.clear();
+    readPage({});
+}
+
+void MemberReader::readPage(const std::string& from)
+{
     Ports::RowRange range;
     range.table = nodeTable;
+    range.from = from;
     context_.store.read(
-        range, [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::RowPage>& result) {
+        range, [this, weak = std::weak_ptr<bool>(alive_), from](const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
-                onRows(result);
+                onPage(from, result);
         });
 }
 
-void MemberReader::onRows(const Utils::Result<Ports::RowPage>& result)
+void MemberReader::onPage(const std::string& from, const Utils::Result<Ports::RowPage>& result)
 {
-    isReading_ = false;
-    if (!Utils::isOk(result)) {
-        answerWaiting(false);
-        return events_.onFailed(Utils::error(result));
+    if (!Utils::isOk(result))
+        return onReadFailed(Utils::error(result));
+    const Ports::RowPage& page = Utils::value(result);
+    if (page.hasMore && (page.rows.empty() || page.rows.back().name.key < from)) {
+        return onReadFailed({ Utils::ErrorCode::InvalidArgument, "members.read", {},
+            "the page does not lead to the next one" });
     }
+    // A row may change between two pages, so only the version of the first page holds for all of them.
+    if (rows_.empty())
+        storeVersion_ = page.version;
+    rows_.insert(rows_.end(), page.rows.begin(), page.rows.end());
+    if (page.hasMore)
+        return readPage(page.rows.back().name.key + '\0');
+    onRows();
+}
+
+void MemberReader::onReadFailed(const Utils::Error& error)
+{
+    isReading_ = false;
+    answerWaiting(false);
+    events_.onFailed(error);
+}
+
+void MemberReader::onRows()
+{
+    isReading_ = false;
     std::vector<Fleet::MemberRow> rows;
-    for (const Ports::Row& row : Utils::value(result).rows) {
+    for (const Ports::Row& row : rows_) {
         if (row.name.key == rackMapKey) {
             rackMap_ = row;
             continue;
@@ -70,7 +98,8 @@
             Utils::log(Utils::LogLevel::Error, "member-record-damaged", { { "node", row.name.key } });
     }
     storeReadAt_ = context_.now();
-    members_.update(rows, storeReadAt_, Utils::value(result).version);
+    rows_.clear();
+    members_.update(rows, storeReadAt_, storeVersion_);
     answerWaiting(true);
     if (rackMap_.version > 0)
         events_.onRackMap(rackMap_);
--- a/src/libs/fleetnode/memberreader.h
+++ b/src/libs/fleetnode/memberreader.h
@@ -60,7 +60,10 @@
     };
 
     void readStore();
-    void onRows(const Utils::Result<Ports::RowPage>& result);
+    void readPage(const std::string& from);
+    void onPage(const std::string& from, const Utils::Result<Ports::RowPage>& result);
+    void onReadFailed(const Utils::Error& error);
+    void onRows();
     bool askRelay();
     void onRelayReply(const std::string& relay, const Utils::Result<FleetSchema::PeerReply>& result);
     bool applyReply(const FleetSchema::MembersReply& reply);
@@ -73,6 +76,8 @@
     Events events_;
     std::vector<WaitingRequest> waitingRequests_;
     Utils::TimePoint relaysAvoidedUntil_ {}; //!< After a relay did not answer.
+    std::vector<Ports::Row> rows_; //!< Pages of the read in progress.
+    std::uint64_t storeVersion_ = 0; //!< Newest version in the store at the first page.
     Ports::Row rackMap_; //!< Version 0: there is none.
     Utils::TimePoint storeReadAt_ {};
     bool isReading_ = false;
--- a/tests/auto/fleetnode/tst_memberreader.cpp
+++ b/tests/auto/fleetnode/tst_memberreader.cpp
@@ -224,3 +224,34 @@
     for (const auto& [nodeName, node] : fleet.nodes)
         CHECK(node->mapVersion == 7);
 }
+
+TEST_CASE("Members that do not fit into one page of the store are read as well")
+{
+    Fleet40 fleet;
+    fleet.runRound();
+    TestNode& node = *fleet.nodes.at("d1-100");
+    const auto makePage = [&](std::initializer_list<const char*> names, bool hasMore, std::uint64_t version) {
+        Ports::RowPage page;
+        page.hasMore = hasMore;
+        page.version = version;
+        for (const char* name : names) {
+            FleetSchema::NodeRecord record;
+            record.set_name(name);
+            page.rows.push_back({ { FleetNode::nodeTable, {}, std::string(FleetNode::nodeKeyPrefix) + name },
+                record.SerializeAsString(), version, false });
+        }
+        return page;
+    };
+    fleet.store.pages = { makePage({ "x1", "x2" }, true, 900), makePage({ "x3" }, false, 905) };
+    node.reader->read(false);
+    fleet.io.restart();
+    fleet.io.poll();
+    for (const char* name : { "x1", "x2", "x3" })
+        CHECK(node.view.isAlive(name));
+    const int failures = node.failures;
+    fleet.store.pages = { makePage({ "x3" }, true, 910), makePage({ "x1" }, true, 910) };
+    node.reader->read(false);
+    fleet.io.restart();
+    fleet.io.poll();
+    CHECK(node.failures == failures + 1);
+}
