Do not go back to an older view of the members or an older map of racks

Cause: a relay may answer with a read that began before the asking node's own, so that node would take an older map of racks and older records of owners for current, as after a restart with an old copy. Change: a reply is applied only if the store's version is not lower than that of the node's view, and a row of the map only if its version is higher. Result: cases in tst_memberrelay and tst_rackdirectory.

--- a/src/libs/fleet/memberview.cpp
+++ b/src/libs/fleet/memberview.cpp
@@ -61,9 +61,11 @@
 bool MemberView::applyRelayed(const FleetSchema::MembersReply& reply, Utils::TimePoint now)
 {
     const bool isComplete = reply.relay() != relayedView_.relay;
-    if (reply.relay() == 0 || (!isComplete && reply.revision() < relayedView_.revision))
+    if (reply.relay() == 0 || reply.store_version() < storeVersion_
+        || (!isComplete && reply.revision() < relayedView_.revision))
         return false;
     relayedView_ = { reply.relay(), reply.revision(), reply.store_version() };
+    storeVersion_ = reply.store_version();
     readAt_ = now - std::chrono::milliseconds(reply.age_ms());
     for (const FleetSchema::NodeRecord& record : reply.changed()) {
         Member& member = members_[record.name()];
--- a/src/libs/fleet/memberview.h
+++ b/src/libs/fleet/memberview.h
@@ -111,7 +111,7 @@
     FleetSchema::NodeRecord self_;
     std::map<std::string, Member> members_;
     Utils::TimePoint readAt_ {};
-    std::uint64_t storeVersion_ = 0; //!< Newest version in the store at the latest update().
+    std::uint64_t storeVersion_ = 0; //!< Newest version in the store when the rows of the view were read.
     std::uint64_t revision_ = 0; //!< Incremented with each update().
     RelayedView relayedView_;
 };
--- a/src/libs/fleetnode/memberreader.cpp
+++ b/src/libs/fleetnode/memberreader.cpp
@@ -186,7 +186,7 @@
     members.set_relay(context_.incarnation);
     members.set_age_ms(static_cast<std::uint32_t>(
         std::chrono::duration_cast<milliseconds>(context_.now() - storeReadAt_).count()));
-    if (request.map_version() != rackMap_.version) {
+    if (request.map_version() < rackMap_.version) {
         members.set_rack_map(rackMap_.value);
         members.set_map_version(rackMap_.version);
     }
--- a/src/libs/fleetnode/rackdirectory.cpp
+++ b/src/libs/fleetnode/rackdirectory.cpp
@@ -21,7 +21,8 @@
 
 bool RackDirectory::setMapRow(const Ports::Row& row)
 {
-    if (row.version == mapVersion_)
+    // A relay may have read the rows before this node did.
+    if (row.version <= mapVersion_)
         return false;
     mapVersion_ = row.version;
     if (!map_.ParseFromString(row.value))
--- a/tests/auto/fleet/tst_memberrelay.cpp
+++ b/tests/auto/fleet/tst_memberrelay.cpp
@@ -155,6 +155,20 @@
     CHECK_FALSE(requester.applyRelayed(early, start + 2s));
 }
 
+TEST_CASE("A relay's view that is older than the rows that a node has read is not applied")
+{
+    Fleet::MemberView relay("relay", 2500ms);
+    Fleet::MemberView requester("requester", 2500ms);
+    relay.update({ makeRow("a", 1) }, start, 100);
+    FleetSchema::NodeRecord owner = makeNode("a", "d");
+    owner.add_shards()->set_shard("s1");
+    requester.update({ { owner, 102 } }, start + 100ms, 102);
+    CHECK_FALSE(requester.applyRelayed(replyOf(relay, requester), start + 200ms));
+    CHECK(requester.shardOwners().contains("s1"));
+    relay.update({ { owner, 103 } }, start + 300ms, 103);
+    CHECK(requester.applyRelayed(replyOf(relay, requester), start + 300ms));
+}
+
 TEST_CASE("An owner that misses heartbeats is reported as silent before it counts as dead")
 {
     Fleet::MemberView view("self", 2500ms);
--- a/tests/auto/fleetnode/tst_rackdirectory.cpp
+++ b/tests/auto/fleetnode/tst_rackdirectory.cpp
@@ -95,3 +95,16 @@
     fixture.list(1);
     CHECK(fixture.directory.domainOf("s/d/1") == "d");
 }
+
+TEST_CASE("An older map of racks does not replace a newer one")
+{
+    DirectoryFixture fixture;
+    FleetSchema::RackMap map;
+    (*map.mutable_shards())["s/r0"] = "s/d/1";
+    const Ports::RowKey name { FleetNode::nodeTable, {}, FleetNode::rackMapKey };
+    const Ports::Row older { name, map.SerializeAsString(), 5, false };
+    (*map.mutable_shards())["s/r1"] = "s/d/2";
+    CHECK(fixture.directory.setMapRow({ name, map.SerializeAsString(), 8, false }));
+    CHECK_FALSE(fixture.directory.setMapRow(older));
+    CHECK(fixture.directory.shards().size() == 2);
+}
