Assign racks after one read of the list without new workers instead of 2 s

Change: RackSettling goes by the reads of the list; while workers register, some are new in nearly every read.

--- a/src/libs/fleet/racksettling.cpp
+++ b/src/libs/fleet/racksettling.cpp
@@ -6,16 +6,18 @@
 
 using std::chrono::milliseconds;
 
-// Exceeds the interval in which a worker registers and the one in which the list of workers is read.
-constexpr milliseconds settlingTime { 2000 };
+// Shorter than the interval in which the list of workers is read, so that one more read without new workers
+// suffices: while workers register, some are new in nearly every read.
+constexpr milliseconds settlingTime { 500 };
 // Racks whose workers keep registering one by one are assigned nevertheless after this time, as their
 // capacity cannot be used before.
 constexpr milliseconds maxSettlingTime { 6000 };
 
 } // namespace
 
-void RackSettling::update(std::span<const RackInfo> unassignedRacks, Utils::TimePoint now)
+void RackSettling::update(std::span<const RackInfo> unassignedRacks, Utils::TimePoint readAt)
 {
+    readAt_ = readAt;
     std::map<std::pair<std::string, std::string>, std::size_t> workerCounts;
     for (const RackInfo& rack : unassignedRacks)
         workerCounts[{ rack.service, rack.domain }] += rack.workerCount;
@@ -24,21 +26,20 @@
         const auto [entry, isNew] = groups_.try_emplace(key);
         Group& group = entry->second;
         if (isNew)
-            group.firstSeenAt = now;
+            group.firstSeenAt = readAt;
         if (isNew || workerCount > group.workerCount)
-            group.grewAt = now;
+            group.grewAt = readAt;
         group.workerCount = workerCount;
     }
 }
 
-bool RackSettling::isSettled(
-    const std::string& service, const std::string& domain, Utils::TimePoint now) const
+bool RackSettling::isSettled(const std::string& service, const std::string& domain) const
 {
     const auto found = groups_.find({ service, domain });
     if (found == groups_.end())
         return false;
     const Group& group = found->second;
-    return now - group.grewAt >= settlingTime || now - group.firstSeenAt >= maxSettlingTime;
+    return readAt_ - group.grewAt >= settlingTime || readAt_ - group.firstSeenAt >= maxSettlingTime;
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/racksettling.h
+++ b/src/libs/fleet/racksettling.h
@@ -18,11 +18,15 @@
 */
 class RackSettling {
 public:
-    /*! Updates the number of listed workers of the racks that belong to no shard. */
-    void update(std::span<const RackInfo> unassignedRacks, Utils::TimePoint now);
+    /*!
+        Updates the number of listed workers of the racks that belong to no shard.
+
+        \param readAt when the list of workers was read; repeated calls with the same list have no effect.
+    */
+    void update(std::span<const RackInfo> unassignedRacks, Utils::TimePoint readAt);
 
     /*! \return whether racks of this service and failure domain can be assigned now. */
-    bool isSettled(const std::string& service, const std::string& domain, Utils::TimePoint now) const;
+    bool isSettled(const std::string& service, const std::string& domain) const;
 
 private:
     /*! Unassigned racks of one service and failure domain. */
@@ -32,6 +36,8 @@
         Utils::TimePoint grewAt {}; //!< When the number of workers last rose.
     };
 
+    Utils::TimePoint readAt_ {};
+
     std::map<std::pair<std::string, std::string>, Group> groups_; //!< By service and failure domain.
 };
 
--- a/src/libs/fleetnode/rackdirectory.cpp
+++ b/src/libs/fleetnode/rackdirectory.cpp
@@ -13,9 +13,10 @@
 {
 }
 
-void RackDirectory::setWorkers(const std::vector<Ports::WorkerInfo>& workers)
+void RackDirectory::setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint readAt)
 {
     workers_ = workers;
+    workersReadAt_ = readAt;
     groupWorkers();
 }
 
@@ -73,10 +74,9 @@
     std::vector<Fleet::RackInfo> unmappedRacks;
     std::copy_if(racks.begin(), racks.end(), std::back_inserter(unmappedRacks),
         [this](const Fleet::RackInfo& rack) { return !isMapped(rack); });
-    const Utils::TimePoint now = context_.now();
-    settling_.update(unmappedRacks, now);
+    settling_.update(unmappedRacks, workersReadAt_);
     std::erase_if(racks, [&](const Fleet::RackInfo& rack) {
-        return !isMapped(rack) && !settling_.isSettled(rack.service, rack.domain, now);
+        return !isMapped(rack) && !settling_.isSettled(rack.service, rack.domain);
     });
     FleetSchema::RackMap extendedMap = map_;
     bool isChanged = Fleet::assignRacksToShards(std::move(racks), extendedMap);
--- a/src/libs/fleetnode/rackdirectory.h
+++ b/src/libs/fleetnode/rackdirectory.h
@@ -23,8 +23,8 @@
 public:
     explicit RackDirectory(NodeContext& context);
 
-    /*! Replaces the list of workers. */
-    void setWorkers(const std::vector<Ports::WorkerInfo>& workers);
+    /*! Replaces the list of workers. \param readAt when the list started to be read. */
+    void setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint readAt);
 
     /*! Updates the rack map from its row. \return whether the row has changed. */
     bool setMapRow(const Ports::Row& row);
@@ -50,6 +50,7 @@
 
     NodeContext& context_;
     std::vector<Ports::WorkerInfo> workers_;
+    Utils::TimePoint workersReadAt_ {};
     std::map<std::string, std::vector<Ports::WorkerInfo>> workersByShard_;
     std::map<std::string, std::string> domainByShard_; //!< According to the list of workers.
     Fleet::RackSettling settling_;
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -256,7 +256,7 @@
 void ShardOwnership::setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint readAt)
 {
     workersReadAt_ = readAt;
-    rackDirectory_.setWorkers(workers);
+    rackDirectory_.setWorkers(workers, readAt);
     // A list that is not needed is not read again.
     isWorkerListCurrent_ = needsWorkerList();
     passWorkersToHosts();
