--- a/tests/auto/fleet/tst_memberrelay.cpp
+++ b/tests/auto/fleet/tst_memberrelay.cpp
@@ -38,6 +38,7 @@
 std::vector<const FleetSchema::NodeRecord*> pointersTo(const std::vector<FleetSchema::NodeRecord>& nodes)
 {
     std::vector<const FleetSchema::NodeRecord*> pointers;
+    pointers.reserve(nodes.size());
     for (const FleetSchema::NodeRecord& node : nodes)
         pointers.push_back(&node);
     return pointers;
--- a/tests/auto/fleet/tst_membership.cpp
+++ b/tests/auto/fleet/tst_membership.cpp
@@ -109,6 +109,7 @@
 TEST_CASE("The racks of a failure domain are spread evenly over shards of at least the target size")
 {
     std::vector<Fleet::RackInfo> racks;
+    racks.reserve(10);
     for (int number = 0; number < 10; ++number)
         racks.push_back({ "s", "r" + std::to_string(number), "d1", 20 });
     FleetSchema::RackMap map;
@@ -121,6 +122,7 @@
         CHECK((count == 3 || count == 4));
     // Five racks of 18 workers are one shard, not a large one and a small one.
     std::vector<Fleet::RackInfo> others;
+    others.reserve(5);
     for (int number = 0; number < 5; ++number)
         others.push_back({ "s", "q" + std::to_string(number), "d2", 18 });
     CHECK(Fleet::assignRacksToShards(others, map));
--- a/tests/auto/fleet/tst_schedulingpass.cpp
+++ b/tests/auto/fleet/tst_schedulingpass.cpp
@@ -91,7 +91,7 @@
         FleetSchema::StepSpec step = isFilling
             ? makeBestEffortStep(1, pick(1000, 9000), fillingImages[pick(0, 3)])
             : makeStep(1, pick(4000, 32000), 1000);
-        step.set_memory_mb(pick(0, 3) * 1000);
+        step.set_memory_mb(1000 * std::int64_t { pick(0, 3) });
         if (pick(0, 7) == 0)
             step.set_max_per_worker(1);
         Fleet::Task& task = makeTask(step);
--- a/tests/auto/fleetnode/tst_memberreader.cpp
+++ b/tests/auto/fleetnode/tst_memberreader.cpp
@@ -88,8 +88,12 @@
             if (!silent.contains(name))
                 writeHeartbeat(*node);
         }
-        for (auto entry = nodes.rbegin(); entry != nodes.rend(); ++entry)
-            entry->second->reader->read(mayUseRelay);
+        for (const bool isRelay : { false, true }) {
+            for (const auto& [name, node] : nodes) {
+                if (name.ends_with("-100") == isRelay)
+                    node->reader->read(mayUseRelay);
+            }
+        }
         io.restart();
         io.poll();
     }
