Do not keep references to temporaries in the cache of distances

Cause: std::minmax of two temporaries returns references to them, so InterferenceCache::distance read indexes from a stack slot that was out of scope. Change: the overload for a list, which returns values. Result: tst_schedulingpass aborted under AddressSanitizer before and passes now, and so does tst_taskgrouping.

--- a/src/libs/fleet/interferencecache.h
+++ b/src/libs/fleet/interferencecache.h
@@ -51,7 +51,7 @@
     template <typename Compute>
     double distance(const std::string& first, const std::string& second, Compute compute)
     {
-        const auto [low, high] = std::minmax(indexOf(first), indexOf(second));
+        const auto [low, high] = std::minmax({ indexOf(first), indexOf(second) });
         const auto [entry, isNew] = distances_.try_emplace(low << 32U | high);
         if (isNew)
             entry->second = compute();
