Date the owner row of a shard by the store's clock, and log a successor's bounds

Change: answers of the store state its steady clock. An owner row now states a time of that clock which is not before its transaction was sent, for how long the owner renews leases after it, and the longest lease requested. shard-owned logs the age of the former owner's last write and the bounds derived from it. After a lost answer the right to renew leases counts from the first copy sent, as the row in the store may state that time. No decision of a successor uses the row's time yet.

--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "formerleases.h"
 #include "imagedemand.h"
 #include "job.h"
 #include "scheduleroptions.h"
@@ -31,9 +32,6 @@
     bool hasStarts = false; //!< Starts are sent once the batch is stored.
 };
 
-/*! Time after which no attempt runs on a worker unless its lease is renewed, by worker. */
-using LeaseEnds = std::map<std::string, Utils::TimePoint, std::less<>>;
-
 /*! Content of the next poll of a worker. */
 struct PollPlan {
     std::int64_t leaseUntilMs = 0; //!< In the worker's clock; 0: do not renew.
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -44,6 +44,11 @@
     return options;
 }
 
+std::string toMilliseconds(Utils::Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
 bool isReleased(const FleetSchema::ShardRecord& former)
 {
     return former.epoch() > 0 && former.owner().empty();
@@ -67,27 +72,26 @@
 
 ShardHost::~ShardHost() = default;
 
-void ShardHost::takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version)
+void ShardHost::takeOver(
+    const FleetSchema::ShardRecord& former, std::uint64_t version, const Fleet::StoreClock& clock)
 {
-    const Utils::Duration formerRenewal = formerRenewalTime(former);
-    // The row was read after the release and does not change until this node has taken the shard over.
-    Fleet::LeaseEnds leaseEnds;
-    if (isReleased(former)) {
-        for (const auto& [worker, remaining] : former.lease_remaining_ms())
-            leaseEnds[worker] = context_.now() + milliseconds(remaining);
-    }
-    writer_.takeOver(former, version, formerRenewal, [this, former, formerRenewal, leaseEnds] {
+    // The row does not change until this node has taken the shard over, so the ends that it states still hold
+    // then.
+    const Fleet::FormerLeases atRead = findFormerLeases(former, clock);
+    writer_.takeOver(former, version, clock, atRead, [this, former, ends = atRead.ends] {
+        const Fleet::FormerLeases leases = findFormerLeases(former, writer_.storeClock());
         Utils::log(Utils::LogLevel::Info, "shard-owned",
             { { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) },
-                { "former_owner", former.owner() } });
-        scheduler_.setFormerRenewal(formerRenewal);
-        scheduler_.setFormerLeaseEnds(leaseEnds);
+                { "former_owner", former.owner() }, { "former_write_age_ms", std::to_string(leases.ageMs) },
+                { "former_renewal_ms", toMilliseconds(leases.renewal) },
+                { "longest_wait_ms", toMilliseconds(leases.longestWait()) },
+                { "stated_lease_ends", std::to_string(ends.size()) } });
+        scheduler_.setFormerRenewal(formerRenewalTime(former));
+        scheduler_.setFormerLeaseEnds(isReleased(former) ? ends : Fleet::LeaseEnds());
         loadJobs({});
     });
 }
 
-// An owner that has released the shard, or was an earlier process of this node, renews no leases any more,
-// but the owner before it may still do so.
 Utils::Duration ShardHost::formerRenewalTime(const FleetSchema::ShardRecord& former) const
 {
     const bool isGone = isReleased(former) || former.owner() == context_.settings.node().name();
@@ -96,6 +100,17 @@
     return milliseconds(context_.settings.dispatch().orphan_grace_ms());
 }
 
+// An owner that has released the shard, or was an earlier process of this node, renews no leases any more,
+// but the owner before it may still do so.
+Fleet::FormerLeases ShardHost::findFormerLeases(
+    const FleetSchema::ShardRecord& former, const Fleet::StoreClock& clock) const
+{
+    const Schema::DispatchSettings& settings = context_.settings.dispatch();
+    const bool isGone = isReleased(former) || former.owner() == context_.settings.node().name();
+    return Fleet::findFormerLeases(former, isGone, clock, context_.now(),
+        { milliseconds(settings.orphan_grace_ms()), milliseconds(settings.worker_lease_limit_ms()) });
+}
+
 void ShardHost::loadJobs(const std::string& fromJob)
 {
     Ports::RowRange range;
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -56,8 +56,10 @@
         Takes over the shard.
         \param former the shard's current row; empty if there is none.
         \param version the row's version; 0 if there is no row.
+        \param clock the store's clock, from the answer with the row.
     */
-    void takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version);
+    void takeOver(
+        const FleetSchema::ShardRecord& former, std::uint64_t version, const Fleet::StoreClock& clock = {});
 
     /*! Replaces the list of the shard's workers. \param readAt when the list started to be read. */
     void setWorkers(std::vector<Ports::WorkerInfo> workers, Utils::TimePoint readAt);
@@ -142,6 +144,8 @@
 
     void callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
     Utils::Duration formerRenewalTime(const FleetSchema::ShardRecord& former) const;
+    Fleet::FormerLeases findFormerLeases(
+        const FleetSchema::ShardRecord& former, const Fleet::StoreClock& clock) const;
     void loadJobs(const std::string& fromJob);
     void onJobPage(const Utils::Result<Ports::RowPage>& result);
     void requestRound();
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -216,13 +216,15 @@
     range.table = shardTable;
     range.partition = shard;
     context_.store.read(range,
-        [this, weak = std::weak_ptr<bool>(alive_), shard](const Utils::Result<Ports::RowPage>& result) {
+        [this, weak = std::weak_ptr<bool>(alive_), shard, sentAt = context_.now()](
+            const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
-                onShardRow(shard, result);
+                onShardRow(shard, sentAt, result);
         });
 }
 
-void ShardOwnership::onShardRow(const std::string& shard, const Utils::Result<Ports::RowPage>& result)
+void ShardOwnership::onShardRow(
+    const std::string& shard, Utils::TimePoint sentAt, const Utils::Result<Ports::RowPage>& result)
 {
     claimsInProgress_.erase(shard);
     if (!Utils::isOk(result)) {
@@ -249,7 +251,9 @@
     // With an outdated list, a task could be started on a worker that no longer exists.
     if (isWorkerListCurrent_)
         host->setWorkers(rackDirectory_.workersOf(shard), workersReadAt_);
-    host->takeOver(former, version);
+    Fleet::StoreClock clock;
+    clock.onAnswer(Utils::value(result).storeMs, sentAt, context_.now());
+    host->takeOver(former, version, clock);
     hosts_[shard] = std::move(host);
 }
 
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -91,7 +91,8 @@
     bool maintainsRackMap() const;
     void planOwnership();
     void claim(const std::string& shard);
-    void onShardRow(const std::string& shard, const Utils::Result<Ports::RowPage>& result);
+    void onShardRow(
+        const std::string& shard, Utils::TimePoint sentAt, const Utils::Result<Ports::RowPage>& result);
     void release(const std::string& shard, const std::string& successor);
     void onHostClosed(const std::string& shard);
     void requestTakeOver(const std::string& shard, const std::string& successor);
--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -30,39 +30,53 @@
 }
 
 void ShardWriter::takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version,
-    Utils::Duration earlierRenewal, std::function<void()> done)
+    const Fleet::StoreClock& clock, const Fleet::FormerLeases& formerLeases, std::function<void()> done)
 {
-    earlierRenewalEnd_ = context_.now() + earlierRenewal;
+    storeClock_ = clock;
+    earlierRenewalEnd_ = context_.now() + formerLeases.renewal;
+    earlierLease_ = formerLeases.lease;
     record_.set_epoch(former.epoch() + 1);
     record_.set_sequence(0);
     version_ = version;
     write({}, false, std::move(done));
 }
 
-// The times remain upper bounds if the transaction is applied late: a successor adds them to a time after
-// that. Without a release, this owner goes on renewing leases, so the row must not hold any.
-void ShardWriter::setLeaseEnds(const Fleet::LeaseEnds& leaseEnds)
+std::uint32_t ShardWriter::longestLeaseMs() const
 {
+    const Schema::DispatchSettings& settings = context_.settings.dispatch();
+    const std::uint32_t own = std::min(settings.worker_lease_ms(), settings.worker_lease_limit_ms());
+    const bool areEarlierOver = context_.now() > earlierRenewalEnd_ + earlierLease_ * 51 / 50;
+    const auto earlier = std::chrono::ceil<milliseconds>(earlierLease_);
+    return areEarlierOver ? own : std::max(own, static_cast<std::uint32_t>(earlier.count()));
+}
+
+// The times remain upper bounds if the transaction is sent again or applied late: a successor counts them
+// from the time that the row states, or from a time after that.
+void ShardWriter::setLeaseTimes(const Fleet::LeaseEnds& leaseEnds)
+{
+    const Utils::TimePoint now = context_.now();
+    const auto remainingMs = [now](Utils::TimePoint end) {
+        return static_cast<std::uint32_t>(
+            std::max<std::int64_t>(0, std::chrono::ceil<milliseconds>(end - now).count()));
+    };
+    record_.set_renewal_ms(context_.settings.dispatch().orphan_grace_ms());
+    record_.set_lease_ms(longestLeaseMs());
+    record_.set_earlier_renewal_ms(remainingMs(earlierRenewalEnd_));
     record_.clear_lease_remaining_ms();
-    for (const auto& [worker, end] : leaseEnds) {
-        const auto remaining = std::chrono::ceil<milliseconds>(end - context_.now());
-        (*record_.mutable_lease_remaining_ms())[worker]
-            = static_cast<std::uint32_t>(std::max<std::int64_t>(0, remaining.count()));
-    }
+    for (const auto& [worker, end] : leaseEnds)
+        (*record_.mutable_lease_remaining_ms())[worker] = remainingMs(end);
 }
 
 void ShardWriter::write(const Fleet::RecordBatch& batch, bool isRelease, std::function<void()> done,
     const Fleet::LeaseEnds& leaseEnds)
 {
-    setLeaseEnds(isRelease ? leaseEnds : Fleet::LeaseEnds());
+    // Without a release, this owner goes on renewing leases, so the row must not hold any ends.
+    setLeaseTimes(isRelease ? leaseEnds : Fleet::LeaseEnds());
     record_.set_owner(isRelease ? std::string() : context_.settings.node().name());
     record_.set_incarnation(context_.incarnation);
-    const auto earlierRenewal = std::chrono::duration_cast<milliseconds>(earlierRenewalEnd_ - context_.now());
-    record_.set_earlier_renewal_ms(
-        static_cast<std::uint32_t>(std::max<std::int64_t>(0, earlierRenewal.count())));
     record_.set_sequence(record_.sequence() + 1);
     Ports::Transaction transaction;
-    transaction.puts.push_back({ ownerRowKey(), record_.SerializeAsString() });
+    transaction.puts.push_back({ ownerRowKey(), {} });
     for (const auto& [job, value] : batch.puts)
         transaction.puts.push_back({ { jobTable, shard_, job }, value });
     for (const std::string& job : batch.removals)
@@ -81,6 +95,9 @@
 
 void ShardWriter::send()
 {
+    if (storeClock_.isKnown())
+        record_.set_store_ms(static_cast<std::uint64_t>(storeClock_.latestMs(context_.now())));
+    transaction_->puts.front().value = record_.SerializeAsString();
     transaction_->conditions = { { ownerRowKey(), version_ } };
     lastSentAt_ = context_.now();
     context_.store.commit(*transaction_,
@@ -95,8 +112,9 @@
     if (!Utils::isOk(result))
         return scheduleRetry(Utils::error(result));
     const Ports::TransactionOutcome& outcome = Utils::value(result);
+    storeClock_.onAnswer(outcome.storeMs, lastSentAt_, context_.now());
     if (outcome.isCommitted)
-        finish(outcome.version);
+        finish(outcome.version, lastSentAt_);
     else
         onConflict(outcome);
 }
@@ -112,8 +130,9 @@
     }
     const bool isOwnEpoch = stored.epoch() == record_.epoch() && stored.incarnation() == record_.incarnation()
         && stored.owner() == record_.owner();
+    // Which copy was applied is unknown, so its row may state the time of the first one.
     if (isOwnEpoch && stored.sequence() == record_.sequence())
-        return finish(version);
+        return finish(version, firstSentAt_);
     if (isOwnEpoch && stored.sequence() + 1 == record_.sequence() && version != version_) {
         version_ = version;
         return send();
@@ -125,10 +144,10 @@
     onLost();
 }
 
-void ShardWriter::finish(std::uint64_t version)
+void ShardWriter::finish(std::uint64_t version, Utils::TimePoint confirmedAt)
 {
     version_ = version;
-    confirmedAt_ = lastSentAt_;
+    confirmedAt_ = confirmedAt;
     hasFailedTry_ = false;
     const Utils::Duration took = context_.now() - firstSentAt_;
     stallLimit_.addDuration(took);
--- a/src/libs/fleetnode/shardwriter.h
+++ b/src/libs/fleetnode/shardwriter.h
@@ -5,6 +5,7 @@
 
 #include "fleet/shardscheduler.h"
 #include "fleet/stalllimit.h"
+#include "fleet/storeclock.h"
 
 #include <fleet.pb.h>
 
@@ -33,11 +34,12 @@
         Takes over the shard with the next epoch.
         \param former the shard's current owner row; empty if there is none.
         \param version the row's version; 0 if there is no row.
-        \param earlierRenewal time for which former owners may still renew leases of workers.
+        \param clock the store's clock, from the answer with the row.
+        \param formerLeases leases that former owners have granted.
         \param done called when this node owns the shard.
     */
     void takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version,
-        Utils::Duration earlierRenewal, std::function<void()> done);
+        const Fleet::StoreClock& clock, const Fleet::FormerLeases& formerLeases, std::function<void()> done);
 
     /*!
         Writes a batch of rows; no other write may be in progress.
@@ -58,18 +60,25 @@
     /*! \return whether the store answers: no transaction has failed or takes long since the last success. */
     bool isStoreAnswering() const { return !hasFailedTry_ && !isStalled(); }
 
-    /*! \return send time of the last successful transaction, at which this node still owned the shard. */
+    /*!
+        \return a time at which this node still owned the shard, not later than the time that the stored owner
+            row states.
+    */
     Utils::TimePoint confirmedAt() const { return confirmedAt_; }
 
+    /*! \return the store's clock. */
+    const Fleet::StoreClock& storeClock() const { return storeClock_; }
+
     /*! \return the epoch of this node's ownership. */
     std::uint64_t epoch() const { return record_.epoch(); }
 
 private:
-    void setLeaseEnds(const Fleet::LeaseEnds& leaseEnds);
+    void setLeaseTimes(const Fleet::LeaseEnds& leaseEnds);
     void send();
     void onOutcome(const Utils::Result<Ports::TransactionOutcome>& result);
     void onConflict(const Ports::TransactionOutcome& outcome);
-    void finish(std::uint64_t version);
+    void finish(std::uint64_t version, Utils::TimePoint confirmedAt);
+    std::uint32_t longestLeaseMs() const;
     void scheduleRetry(const Utils::Error& error);
     Ports::RowKey ownerRowKey() const;
 
@@ -81,6 +90,8 @@
     std::optional<Ports::Transaction> transaction_;
     std::function<void()> done_;
     Utils::TimePoint earlierRenewalEnd_ {}; //!< Until when former owners may renew leases of workers.
+    Utils::Duration earlierLease_ {}; //!< Longest lease that they request.
+    Fleet::StoreClock storeClock_;
     Utils::TimePoint firstSentAt_ {}; //!< When the transaction in progress was first sent.
     Utils::TimePoint lastSentAt_ {};
     Utils::TimePoint confirmedAt_ {};
--- a/src/libs/ports/rowstore.h
+++ b/src/libs/ports/rowstore.h
@@ -56,6 +56,7 @@
 struct TransactionOutcome {
     bool isCommitted = false;
     std::uint64_t version = 0; //!< Version of the written rows, if committed.
+    std::int64_t storeMs = 0; //!< The store's steady clock during the call; 0 if unknown.
     std::vector<Row> current; //!< Current rows that the conditions name, if a condition did not hold.
 };
 
@@ -74,6 +75,7 @@
     std::vector<Row> rows;
     bool hasMore = false;
     std::uint64_t version = 0; //!< Latest version that the page covers.
+    std::int64_t storeMs = 0; //!< The store's steady clock during the call; 0 if unknown.
 };
 
 /*!
--- a/tests/auto/fleetnode/scriptedrowstore.h
+++ b/tests/auto/fleetnode/scriptedrowstore.h
@@ -74,6 +74,7 @@
         }
         Ports::RowPage page;
         page.version = version_;
+        page.storeMs = clockMs ? clockMs() : 0;
         if (!pages.empty()) {
             page = pages.front();
             if (pages.size() > 1)
@@ -100,6 +101,7 @@
     std::deque<CommitBehavior> commitBehaviors; //!< For the next transactions; Answer once they are used up.
     std::deque<Ports::RowPage> pages; //!< If any, read() returns them in turn and then the last one again.
     std::deque<Ports::RowPage> changes; //!< For the next calls of follow(), which then no longer answers.
+    std::function<std::int64_t()> clockMs; //!< Clock that answers state; empty: they state none.
     int commitCount = 0;
     int failingReads = 0; //!< The next reads, which fail.
     int readCount = 0;
@@ -111,6 +113,7 @@
     {
         Ports::TransactionOutcome outcome;
         outcome.isCommitted = true;
+        outcome.storeMs = clockMs ? clockMs() : 0;
         for (const Ports::RowCondition& condition : transaction.conditions) {
             const auto found = rows.find(condition.name);
             if ((found == rows.end() ? 0 : found->second.version) != condition.version)
--- a/tests/auto/fleetnode/tst_shardwriter.cpp
+++ b/tests/auto/fleetnode/tst_shardwriter.cpp
@@ -12,7 +12,7 @@
     WriterFixture()
         : writer(context, "shard", [this] { isLost = true; })
     {
-        writer.takeOver({}, 0, {}, [] {});
+        writer.takeOver({}, 0, {}, {}, [] {});
         run();
     }
 
@@ -37,6 +37,14 @@
         return store.rows[{ FleetNode::jobTable, "shard", job }].value;
     }
 
+    FleetSchema::ShardRecord ownerRow()
+    {
+        FleetSchema::ShardRecord record;
+        record.ParseFromString(
+            store.rows[{ FleetNode::shardTable, "shard", FleetNode::shardOwnerKey }].value);
+        return record;
+    }
+
     bool isLost = false;
     FleetNode::ShardWriter writer;
 };
@@ -95,12 +103,7 @@
 TEST_CASE("Only a row that releases the shard states the rest of the leases, rounded up")
 {
     WriterFixture fixture;
-    const auto ownerRow = [&] {
-        FleetSchema::ShardRecord record;
-        record.ParseFromString(
-            fixture.store.rows[{ FleetNode::shardTable, "shard", FleetNode::shardOwnerKey }].value);
-        return record;
-    };
+    const auto ownerRow = [&] { return fixture.ownerRow(); };
     const Utils::TimePoint now = fixture.context.now();
     const Fleet::LeaseEnds ends { { "past", now - std::chrono::seconds(1) },
         { "w", now + std::chrono::seconds(60) + std::chrono::microseconds(1) } };
@@ -123,8 +126,38 @@
 
     FleetNode::ShardWriter successor(fixture.context, "shard", [] {});
     const auto& row = fixture.store.rows[{ FleetNode::shardTable, "shard", FleetNode::shardOwnerKey }];
-    successor.takeOver(released, row.version, {}, [] {});
+    successor.takeOver(released, row.version, {}, {}, [] {});
     fixture.run();
     CHECK(ownerRow().owner() == "node-1");
     CHECK(ownerRow().lease_remaining_ms().empty());
 }
+
+TEST_CASE("The owner row states a time of the store's clock that is not before the transaction was sent")
+{
+    WriterFixture fixture;
+    std::int64_t storeMs = 5'000'000;
+    fixture.store.clockMs = [&] { return storeMs; };
+    REQUIRE(fixture.write("a", "1"));
+    CHECK_FALSE(fixture.ownerRow().has_store_ms());
+    REQUIRE(fixture.write("a", "2"));
+    CHECK(fixture.ownerRow().store_ms() >= 5'000'000);
+    CHECK(fixture.ownerRow().store_ms() < 5'001'000);
+    storeMs = 5'600'000;
+    REQUIRE(fixture.write("a", "3"));
+    REQUIRE(fixture.write("a", "4"));
+    CHECK(fixture.ownerRow().store_ms() >= 5'600'000);
+}
+
+TEST_CASE("An owner whose answer was lost counts its right to renew leases from the first copy sent")
+{
+    WriterFixture fixture;
+    REQUIRE(fixture.write("a", "1"));
+    const Utils::TimePoint before = fixture.context.now();
+    // The first copy is applied; the second one finds it in the store after the pause between both.
+    fixture.store.commitBehaviors = { CommitBehavior::LoseReply, CommitBehavior::Refuse };
+    REQUIRE(fixture.write("a", "2"));
+    const Utils::TimePoint after = fixture.context.now();
+    REQUIRE(after - before > std::chrono::milliseconds(60));
+    CHECK(fixture.writer.confirmedAt() >= before);
+    CHECK(fixture.writer.confirmedAt() - before < std::chrono::milliseconds(30));
+}
--- a/tests/auto/usersplatform/tst_tablestore.cpp
+++ b/tests/auto/usersplatform/tst_tablestore.cpp
@@ -63,6 +63,7 @@
     REQUIRE(Utils::isOk(outcome));
     CHECK(Utils::value(outcome).isCommitted);
     CHECK(Utils::value(outcome).version == 412);
+    CHECK(Utils::value(outcome).storeMs == 5);
     REQUIRE(fixture.requests.size() == 1);
     CHECK(fixture.requests[0].body.find(R"("ver":3)") != std::string::npos);
     CHECK(fixture.requests[0].body.find("bm9kZS0x") != std::string::npos);
