Count a successor's wait for silent workers from the former owner's last transaction

Cause: the owner took in the end of the runs, could not write that while the store was away, and was replaced. Its successor cannot reach the workers, which are gone, and has to assume that the former owner goes on renewing their leases. The former owner's right to renew had run out long before: it counts from its last transaction.

An owner requests leases that are not lengthened by the slowness of a worker's clock, so that the stated length holds. Rows of earlier versions, which state nothing, give the bounds as before.

--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -35,10 +35,11 @@
 
 std::int64_t ShardScheduler::extendLease(Worker& worker, Utils::Duration lease, Utils::TimePoint now)
 {
-    const auto elapsed = now - worker.clockSeenAt;
+    // The worker's clock may run up to 2% slow. The lease must not be longer for that: a successor counts on
+    // its length.
+    const Utils::Duration elapsed = (now - worker.clockSeenAt) * 50 / 51;
     const Utils::Duration fromSeen = elapsed + lease;
-    // The worker's clock may run up to 2% slow.
-    worker.leaseUpperBound = std::max(worker.leaseUpperBound, worker.clockSeenAt + fromSeen * 51 / 50);
+    worker.leaseUpperBound = std::max(worker.leaseUpperBound, now + lease * 51 / 50);
     return worker.clockMs + std::chrono::duration_cast<milliseconds>(fromSeen).count();
 }
 
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -449,14 +449,14 @@
     if (!worker) {
         worker = std::make_unique<Worker>();
         worker->info.id = id;
-        // A former owner may have renewed the lease until its grace time ended; workers' clocks run up to
-        // 2% slow.
-        const Utils::Duration grace = formerRenewal_.value_or(options_.orphanGrace);
-        worker->leaseUpperBound = now + grace + options_.workerLeaseLimit * 51 / 50;
+        // A former owner may have renewed the lease until its grace time ended.
+        const FormerLeases former { formerRenewal_.value_or(options_.orphanGrace),
+            formerLease_.value_or(options_.workerLeaseLimit), {} };
+        worker->leaseUpperBound = now + former.longestWait();
         worker->addedAt = now;
         // A former owner's bound holds for the attempts that it left open, not for later ones.
-        if (const auto former = formerLeaseEnds_.extract(id))
-            worker->leaseUpperBound = std::min(worker->leaseUpperBound, former.mapped());
+        if (const auto end = formerLeaseEnds_.extract(id))
+            worker->leaseUpperBound = std::min(worker->leaseUpperBound, end.mapped());
     }
     return *worker;
 }
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -65,9 +65,12 @@
      * restore(). */
     void setFormerRenewal(Utils::Duration time) { formerRenewal_ = time; }
 
+    /*! Sets the longest lease that former owners requested. Must be called before restore(). */
+    void setFormerLease(Utils::Duration lease) { formerLease_ = lease; }
+
     /*!
-        Sets until when attempts can run on workers, as the owner that released the shard knew it. Must be
-        called before restore().
+        Sets until when attempts can run on workers, as the former owner knew it. Must be called before
+        restore().
     */
     void setFormerLeaseEnds(LeaseEnds ends) { formerLeaseEnds_ = std::move(ends); }
 
@@ -313,6 +316,7 @@
     Utils::TimePoint workersReadAt_ {}; //!< When the latest list of workers started to be read.
     Utils::TimePoint waitsReviewedAt_ {};
     std::optional<Utils::Duration> formerRenewal_; //!< Empty: SchedulerOptions::orphanGrace.
+    std::optional<Utils::Duration> formerLease_; //!< Empty: SchedulerOptions::workerLeaseLimit.
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -86,20 +86,13 @@
                 { "former_renewal_ms", toMilliseconds(leases.renewal) },
                 { "longest_wait_ms", toMilliseconds(leases.longestWait()) },
                 { "stated_lease_ends", std::to_string(ends.size()) } });
-        scheduler_.setFormerRenewal(formerRenewalTime(former));
-        scheduler_.setFormerLeaseEnds(isReleased(former) ? ends : Fleet::LeaseEnds());
+        scheduler_.setFormerRenewal(leases.renewal);
+        scheduler_.setFormerLease(leases.lease);
+        scheduler_.setFormerLeaseEnds(ends);
         loadJobs({});
     });
 }
 
-Utils::Duration ShardHost::formerRenewalTime(const FleetSchema::ShardRecord& former) const
-{
-    const bool isGone = isReleased(former) || former.owner() == context_.settings.node().name();
-    if (isGone && former.has_earlier_renewal_ms())
-        return milliseconds(former.earlier_renewal_ms());
-    return milliseconds(context_.settings.dispatch().orphan_grace_ms());
-}
-
 // An owner that has released the shard, or was an earlier process of this node, renews no leases any more,
 // but the owner before it may still do so.
 Fleet::FormerLeases ShardHost::findFormerLeases(
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -143,7 +143,6 @@
     };
 
     void callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
-    Utils::Duration formerRenewalTime(const FleetSchema::ShardRecord& former) const;
     Fleet::FormerLeases findFormerLeases(
         const FleetSchema::ShardRecord& former, const Fleet::StoreClock& clock) const;
     void loadJobs(const std::string& fromJob);
--- a/tests/auto/fleetnode/tst_shardhost.cpp
+++ b/tests/auto/fleetnode/tst_shardhost.cpp
@@ -150,10 +150,39 @@
         owner = std::make_unique<FleetNode::ShardHost>(
             context, "shard", others, model, [this] { isClosed = true; });
         owner->setWorkers(listedWorkers, context.now());
-        owner->takeOver(former, store.rows[name].version);
+        Fleet::StoreClock storeClock;
+        storeClock.onAnswer(store.clockMs ? store.clockMs() : 0, context.now(), context.now());
+        owner->takeOver(former, store.rows[name].version, storeClock);
         run(duration);
     }
 
+    /*! Sets the row that an owner leaves which released the shard, without attempts of earlier ones. */
+    void releaseByFirstOwner()
+    {
+        FleetSchema::ShardRecord released;
+        released.set_epoch(1);
+        released.set_earlier_renewal_ms(0);
+        released.set_lease_ms(settings.dispatch().worker_lease_ms());
+        const Ports::RowKey name { FleetNode::shardTable, "shard", FleetNode::shardOwnerKey };
+        store.rows[name] = { name, released.SerializeAsString(), 2, false };
+    }
+
+    /*! Ends the owner without a release, as a crash does; the next one runs on another node. */
+    void loseOwner()
+    {
+        owner.reset();
+        settings.mutable_node()->set_name("node-2");
+    }
+
+    /*! Lets answers of the store state a clock that differs from that of the nodes. */
+    void startStoreClock()
+    {
+        store.clockMs = [this, startedAt = context.now()] {
+            return 5'000'000
+                + std::chrono::duration_cast<std::chrono::milliseconds>(context.now() - startedAt).count();
+        };
+    }
+
     /*! \return whether the owner gave the shard up. */
     bool release()
     {
@@ -338,3 +367,36 @@
     CHECK(fixture.calls.starts.size() == jobCount);
     CHECK(lateStarts == 0);
 }
+
+TEST_CASE("A successor counts the wait for a silent worker from the former owner's last transaction")
+{
+    HandoverFixture fixture;
+    fixture.startStoreClock();
+    fixture.settings.mutable_dispatch()->set_worker_lease_ms(300);
+    fixture.settings.mutable_dispatch()->set_orphan_grace_ms(2000);
+    fixture.releaseByFirstOwner();
+    fixture.takeOver(std::chrono::milliseconds(100));
+    REQUIRE(fixture.owner->isServing());
+    fixture.loseOwner();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    // The former owner may renew leases until 2.04 s after its last transaction, for 0.306 s each.
+    fixture.takeOver(std::chrono::milliseconds(1000));
+    CHECK(fixture.calls.starts.empty());
+    fixture.run(std::chrono::milliseconds(500));
+    CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
+}
+
+TEST_CASE("Without the store's clock a successor assumes that the former owner has just written")
+{
+    HandoverFixture fixture;
+    fixture.settings.mutable_dispatch()->set_worker_lease_ms(300);
+    fixture.settings.mutable_dispatch()->set_orphan_grace_ms(1000);
+    fixture.releaseByFirstOwner();
+    fixture.takeOver(std::chrono::milliseconds(100));
+    fixture.loseOwner();
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    fixture.takeOver(std::chrono::milliseconds(1200));
+    CHECK(fixture.calls.starts.empty());
+    fixture.run(std::chrono::milliseconds(400));
+    CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
+}
