State in the shard's row until when attempts run on workers that leave

What callers saw: tasks of workers that had been emptied had no run for as long as those of a worker that is only cut off, when the owner of their shard was lost before it had written the end of their runs.

Cause: an owner knows which workers drain, or are neither listed nor answer, and writes nothing of it. It also grants them the same leases for 12 s without the store as any other worker. So its successor has to wait for them as long as for any other, although nothing is to be saved there; and when a first successor has waited for a silent worker and is lost, the next one starts anew.

Change: each transaction states until when attempts can run on these workers: for a silent one the end of its lease, for one that drains 2.5 s of renewal and a lease. The owner grants no longer lease, with a poll or a start, before another transaction states another end or none. A changed set is written at once. The successor takes the earlier of this end and its general bound.

Changed check: the row was to state ends in a release only.

--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -84,6 +84,7 @@
 
 void ShardScheduler::onCommitted(Utils::TimePoint now)
 {
+    statedLeaseEnds_.onStored();
     if (!inflightBatch_)
         return;
     const std::unique_ptr<InflightBatch> batch = std::move(inflightBatch_);
@@ -156,8 +157,10 @@
                 tasks.push_back(member);
         }
     }
-    const std::string_view obstacle
-        = isWorkerListOutdated(now) ? "worker-list-outdated" : findSendObstacle(tasks);
+    std::string_view obstacle = isWorkerListOutdated(now) ? "worker-list-outdated" : findSendObstacle(tasks);
+    const auto mayStart = [&](const Task* member) { return mayLease(*member->worker, startLease(), now); };
+    if (obstacle.empty() && !std::all_of(tasks.begin(), tasks.end(), mayStart))
+        obstacle = "worker-leaving";
     for (Task* recorded : tasks) {
         if (obstacle.empty()) {
             sendStart(*recorded, now);
@@ -183,7 +186,7 @@
     start.attempt = task.attempt;
     start.payload = task.job->spec.payload();
     start.checkpoint = task.checkpoint;
-    start.leaseUntilMs = extendLease(worker, std::min(options_.startLease, options_.workerLease), now);
+    start.leaseUntilMs = extendLease(worker, startLease(), now);
     output_.startAttempt(start);
 }
 
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -56,7 +56,8 @@
     plan.hasTasks = !worker->tasks.empty();
     // A worker that does not answer is polled without renewal, so that its lease expires. One without tasks
     // needs no lease, and if a start is lost there, the task can soon be started elsewhere.
-    if (mayRenew && worker->clockMs != 0 && worker->isResponsive && plan.hasTasks)
+    if (mayRenew && worker->clockMs != 0 && worker->isResponsive && plan.hasTasks
+        && mayLease(*worker, options_.workerLease, now))
         plan.leaseUntilMs = extendLease(*worker, options_.workerLease, now);
     return plan;
 }
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -10,6 +10,16 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// Whether the worker drains, or is neither listed nor answers.
+bool isLeaving(const Worker& worker)
+{
+    return worker.info.isDraining || (!worker.isListed && !worker.isResponsive);
+}
+
+} // namespace
+
 void ShardScheduler::restore(
     const FleetSchema::JobRecord& record, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
@@ -39,6 +49,37 @@
     return ends;
 }
 
+LeaseEnds ShardScheduler::stateLeaseEnds(Utils::TimePoint now)
+{
+    // A worker that drains is worth no longer lease than until the next transactions, which are at most 2 s
+    // apart while the store answers.
+    constexpr milliseconds leavingRenewal { 2500 };
+    LeaseEnds ends;
+    for (const auto& [id, worker] : workers_) {
+        if (worker->tasks.empty() || !isLeaving(*worker))
+            continue;
+        ends[id] = worker->leaseUpperBound;
+        if (worker->isResponsive)
+            ends[id] = std::max(ends[id], now + leavingRenewal + options_.workerLease * 51 / 50);
+    }
+    statedLeaseEnds_.onSent(ends);
+    return ends;
+}
+
+bool ShardScheduler::isLeaseStatementDue() const
+{
+    const LeaseEnds& stated = statedLeaseEnds_.latest();
+    return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+        const bool mustBeStated = !entry.second->tasks.empty() && isLeaving(*entry.second);
+        return mustBeStated != stated.contains(entry.first);
+    });
+}
+
+bool ShardScheduler::mayLease(const Worker& worker, Utils::Duration lease, Utils::TimePoint now) const
+{
+    return statedLeaseEnds_.allows(worker.info.id, now + lease * 51 / 50);
+}
+
 void ShardScheduler::restoreTask(Task& task, const FleetSchema::TaskRecord& stored, Utils::TimePoint now)
 {
     Job& job = *task.job;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -5,11 +5,13 @@
 #include "job.h"
 #include "scheduleroptions.h"
 #include "scheduleroutput.h"
+#include "statedleaseends.h"
 #include "worker.h"
 
 #include "ports/workeragent.h"
 #include "utils/clock.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -77,6 +79,15 @@
     /*! \return until when attempts can run on the workers with open attempts. */
     LeaseEnds leaseEnds() const;
 
+    /*!
+        Returns until when attempts can run on the workers that leave or have left. They are stated in the
+       next transaction; this owner does not renew their leases for longer until another one is stored.
+    */
+    LeaseEnds stateLeaseEnds(Utils::TimePoint now);
+
+    /*! \return whether other workers leave or have left than the latest transaction states. */
+    bool isLeaseStatementDue() const;
+
     /*! Loads a job from its stored record. */
     void restore(const FleetSchema::JobRecord& record, Utils::TimePoint now, std::int64_t nowUnixMs);
 
@@ -290,6 +301,8 @@
     void tickWorker(Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
     void requeueAttempts(Worker& worker, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now,
         std::int64_t nowUnixMs);
+    Utils::Duration startLease() const { return std::min(options_.startLease, options_.workerLease); }
+    bool mayLease(const Worker& worker, Utils::Duration lease, Utils::TimePoint now) const;
     bool isWorkerListOutdated(Utils::TimePoint now) const;
     std::vector<Worker*> assignableWorkers(Utils::TimePoint now) const;
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
@@ -317,6 +330,7 @@
     Utils::TimePoint waitsReviewedAt_ {};
     std::optional<Utils::Duration> formerRenewal_; //!< Empty: SchedulerOptions::orphanGrace.
     std::optional<Utils::Duration> formerLease_; //!< Empty: SchedulerOptions::workerLeaseLimit.
+    StatedLeaseEnds statedLeaseEnds_;
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -293,7 +293,8 @@
     const std::optional<Fleet::RecordBatch> batch = scheduler_.beginCommit(NodeContext::nowUnixMs());
     // Starts are sent once their batch is stored, which must be before the release.
     const bool isLast = isReleasing_ && !scheduler_.hasChanges() && !(batch && batch->hasStarts);
-    if (!batch && !isLast && now - writer_.confirmedAt() < ownershipRenewalInterval) {
+    if (!batch && !isLast && !scheduler_.isLeaseStatementDue()
+        && now - writer_.confirmedAt() < ownershipRenewalInterval) {
         for (const auto& [worker, connection] : connections_)
             connection->resumePolling();
         return;
@@ -311,7 +312,7 @@
             if (isLast)
                 close("released");
         },
-        isLast ? scheduler_.leaseEnds() : Fleet::LeaseEnds());
+        isLast ? scheduler_.leaseEnds() : scheduler_.stateLeaseEnds(now));
 }
 
 void ShardHost::onBatchStored()
@@ -329,7 +330,7 @@
         return;
     scheduler_.onTick(context_.now(), NodeContext::nowUnixMs());
     std::erase_if(connections_, [this](const auto& entry) { return !scheduler_.knowsWorker(entry.first); });
-    if (scheduler_.hasChanges() || scheduler_.isScheduleDue()
+    if (scheduler_.hasChanges() || scheduler_.isScheduleDue() || scheduler_.isLeaseStatementDue()
         || context_.now() - writer_.confirmedAt() > ownershipRenewalInterval) {
         requestRound();
     }
--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -70,8 +70,7 @@
 void ShardWriter::write(const Fleet::RecordBatch& batch, bool isRelease, std::function<void()> done,
     const Fleet::LeaseEnds& leaseEnds)
 {
-    // Without a release, this owner goes on renewing leases, so the row must not hold any ends.
-    setLeaseTimes(isRelease ? leaseEnds : Fleet::LeaseEnds());
+    setLeaseTimes(leaseEnds);
     record_.set_owner(isRelease ? std::string() : context_.settings.node().name());
     record_.set_incarnation(context_.incarnation);
     record_.set_sequence(record_.sequence() + 1);
--- a/src/libs/fleetnode/shardwriter.h
+++ b/src/libs/fleetnode/shardwriter.h
@@ -45,8 +45,8 @@
         Writes a batch of rows; no other write may be in progress.
         \param isRelease whether to give up the ownership in the same transaction.
         \param done called when the rows are stored.
-        \param leaseEnds until when attempts can run on workers; stored with a release. This owner must not
-            have renewed a lease or sent a start since, and must not do so later.
+        \param leaseEnds until when attempts can run on workers. This owner must not have granted longer
+       leases to them, and must not do so before a later batch states other ends.
     */
     void write(const Fleet::RecordBatch& batch, bool isRelease, std::function<void()> done,
         const Fleet::LeaseEnds& leaseEnds = {});
--- a/tests/auto/fleetnode/tst_shardhost.cpp
+++ b/tests/auto/fleetnode/tst_shardhost.cpp
@@ -167,10 +167,22 @@
         store.rows[name] = { name, released.SerializeAsString(), 2, false };
     }
 
-    /*! Ends the owner without a release, as a crash does; the next one runs on another node. */
+    /*! Lists the silent worker for the next owner, which therefore states no end for it. */
+    void listSilentWorker()
+    {
+        listedWorkers.push_back(listedWorkers.front());
+        listedWorkers.back().id = "unlisted";
+        listedWorkers.back().address = "127.0.0.1:9";
+    }
+
+    /*!
+        Ends the owner without a release, as a crash does. The next one runs on another node and finds only
+        the worker that answers in the list.
+    */
     void loseOwner()
     {
         owner.reset();
+        listedWorkers.resize(1);
         settings.mutable_node()->set_name("node-2");
     }
 
@@ -375,6 +387,7 @@
     fixture.settings.mutable_dispatch()->set_worker_lease_ms(300);
     fixture.settings.mutable_dispatch()->set_orphan_grace_ms(2000);
     fixture.releaseByFirstOwner();
+    fixture.listSilentWorker();
     fixture.takeOver(std::chrono::milliseconds(100));
     REQUIRE(fixture.owner->isServing());
     fixture.loseOwner();
@@ -392,6 +405,7 @@
     fixture.settings.mutable_dispatch()->set_worker_lease_ms(300);
     fixture.settings.mutable_dispatch()->set_orphan_grace_ms(1000);
     fixture.releaseByFirstOwner();
+    fixture.listSilentWorker();
     fixture.takeOver(std::chrono::milliseconds(100));
     fixture.loseOwner();
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
@@ -400,3 +414,20 @@
     fixture.run(std::chrono::milliseconds(400));
     CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
 }
+
+TEST_CASE("A successor of an owner that crashed waits for a worker that had left only until its stated end")
+{
+    HandoverFixture fixture;
+    fixture.startStoreClock();
+    fixture.settings.mutable_dispatch()->set_worker_lease_ms(1500);
+    fixture.releaseByFirstOwner();
+    fixture.takeOver(std::chrono::milliseconds(200));
+    REQUIRE(fixture.owner->isServing());
+    fixture.loseOwner();
+    // The owner had found the worker neither listed nor answering, for which it waits 1.53 s. An owner that
+    // cannot write renews leases of other workers for 12 s.
+    fixture.takeOver(std::chrono::milliseconds(1100));
+    CHECK(fixture.calls.starts.empty());
+    fixture.run(std::chrono::milliseconds(600));
+    CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
+}
--- a/tests/auto/fleetnode/tst_shardwriter.cpp
+++ b/tests/auto/fleetnode/tst_shardwriter.cpp
@@ -100,16 +100,21 @@
     CHECK(fixture.jobRow("a").empty());
 }
 
-TEST_CASE("Only a row that releases the shard states the rest of the leases, rounded up")
+TEST_CASE("The owner row states the rest of the leases that are passed with its transaction, rounded up")
 {
     WriterFixture fixture;
     const auto ownerRow = [&] { return fixture.ownerRow(); };
     const Utils::TimePoint now = fixture.context.now();
     const Fleet::LeaseEnds ends { { "past", now - std::chrono::seconds(1) },
         { "w", now + std::chrono::seconds(60) + std::chrono::microseconds(1) } };
-    fixture.writer.write(
-        {}, false, [] {}, ends);
+    REQUIRE(fixture.write("a", "1"));
+    CHECK(ownerRow().lease_remaining_ms().empty());
+    fixture.writer.write({}, false, [] {}, { { "v", now + std::chrono::seconds(30) } });
     fixture.run();
+    REQUIRE(ownerRow().lease_remaining_ms().size() == 1);
+    CHECK(ownerRow().lease_remaining_ms().at("v") <= 30'000);
+    CHECK(ownerRow().lease_remaining_ms().at("v") > 29'000);
+    REQUIRE(fixture.write("a", "2"));
     CHECK(ownerRow().lease_remaining_ms().empty());
     // The answer is lost, so the transaction is sent again later; its times must not be shorter then.
     fixture.store.commitBehaviors = { CommitBehavior::LoseRequest };
