--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -1,14 +1,17 @@
 #pragma once
 
+#include "formerleases.h"
 #include "imagedemand.h"
 #include "job.h"
 #include "scheduleroptions.h"
 #include "scheduleroutput.h"
+#include "statedleaseends.h"
 #include "worker.h"
 
 #include "ports/workeragent.h"
 #include "utils/clock.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,9 +34,6 @@
     bool hasStarts = false; //!< Starts are sent once the batch is stored.
 };
 
-/*! Time after which no attempt runs on a worker unless its lease is renewed, by worker. */
-using LeaseEnds = std::map<std::string, Utils::TimePoint, std::less<>>;
-
 /*! Content of the next poll of a worker. */
 struct PollPlan {
     std::int64_t leaseUntilMs = 0; //!< In the worker's clock; 0: do not renew.
@@ -67,15 +67,27 @@
      * restore(). */
     void setFormerRenewal(Utils::Duration time) { formerRenewal_ = time; }
 
+    /*! Sets the longest lease that former owners requested. Must be called before restore(). */
+    void setFormerLease(Utils::Duration lease) { formerLease_ = lease; }
+
     /*!
-        Sets until when attempts can run on workers, as the owner that released the shard knew it. Must be
-        called before restore().
+        Sets until when attempts can run on workers, as the former owner knew it. Must be called before
+        restore().
     */
     void setFormerLeaseEnds(LeaseEnds ends) { formerLeaseEnds_ = std::move(ends); }
 
     /*! \return until when attempts can run on the workers with open attempts. */
     LeaseEnds leaseEnds() const;
 
+    /*!
+        Returns until when attempts can run on the workers that leave or have left. They are stated in the
+       next transaction; this owner does not renew their leases for longer until another one is stored.
+    */
+    LeaseEnds stateLeaseEnds(Utils::TimePoint now);
+
+    /*! \return whether other workers leave or have left than the latest transaction states. */
+    bool isLeaseStatementDue() const;
+
     /*! Loads a job from its stored record. */
     void restore(const FleetSchema::JobRecord& record, Utils::TimePoint now, std::int64_t nowUnixMs);
 
@@ -289,6 +301,8 @@
     void tickWorker(Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
     void requeueAttempts(Worker& worker, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now,
         std::int64_t nowUnixMs);
+    Utils::Duration startLease() const { return std::min(options_.startLease, options_.workerLease); }
+    bool mayLease(const Worker& worker, Utils::Duration lease, Utils::TimePoint now) const;
     bool isWorkerListOutdated(Utils::TimePoint now) const;
     std::vector<Worker*> assignableWorkers(Utils::TimePoint now) const;
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
@@ -315,6 +329,8 @@
     Utils::TimePoint workersReadAt_ {}; //!< When the latest list of workers started to be read.
     Utils::TimePoint waitsReviewedAt_ {};
     std::optional<Utils::Duration> formerRenewal_; //!< Empty: SchedulerOptions::orphanGrace.
+    std::optional<Utils::Duration> formerLease_; //!< Empty: SchedulerOptions::workerLeaseLimit.
+    StatedLeaseEnds statedLeaseEnds_;
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -44,6 +44,11 @@
     return options;
 }
 
+std::string toMilliseconds(Utils::Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
 bool isReleased(const FleetSchema::ShardRecord& former)
 {
     return former.epoch() > 0 && former.owner().empty();
@@ -67,33 +72,36 @@
 
 ShardHost::~ShardHost() = default;
 
-void ShardHost::takeOver(const FleetSchema::ShardRecord& former, std::uint64_t version)
+void ShardHost::takeOver(
+    const FleetSchema::ShardRecord& former, std::uint64_t version, const Fleet::StoreClock& clock)
 {
-    const Utils::Duration formerRenewal = formerRenewalTime(former);
-    // The row was read after the release and does not change until this node has taken the shard over.
-    Fleet::LeaseEnds leaseEnds;
-    if (isReleased(former)) {
-        for (const auto& [worker, remaining] : former.lease_remaining_ms())
-            leaseEnds[worker] = context_.now() + milliseconds(remaining);
-    }
-    writer_.takeOver(former, version, formerRenewal, [this, former, formerRenewal, leaseEnds] {
+    // The row does not change until this node has taken the shard over, so the ends that it states still hold
+    // then.
+    const Fleet::FormerLeases atRead = findFormerLeases(former, clock);
+    writer_.takeOver(former, version, clock, atRead, [this, former, ends = atRead.ends] {
+        const Fleet::FormerLeases leases = findFormerLeases(former, writer_.storeClock());
         Utils::log(Utils::LogLevel::Info, "shard-owned",
             { { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) },
-                { "former_owner", former.owner() } });
-        scheduler_.setFormerRenewal(formerRenewal);
-        scheduler_.setFormerLeaseEnds(leaseEnds);
+                { "former_owner", former.owner() }, { "former_write_age_ms", std::to_string(leases.ageMs) },
+                { "former_renewal_ms", toMilliseconds(leases.renewal) },
+                { "longest_wait_ms", toMilliseconds(leases.longestWait()) },
+                { "stated_lease_ends", std::to_string(ends.size()) } });
+        scheduler_.setFormerRenewal(leases.renewal);
+        scheduler_.setFormerLease(leases.lease);
+        scheduler_.setFormerLeaseEnds(ends);
         loadJobs({});
     });
 }
 
 // An owner that has released the shard, or was an earlier process of this node, renews no leases any more,
 // but the owner before it may still do so.
-Utils::Duration ShardHost::formerRenewalTime(const FleetSchema::ShardRecord& former) const
+Fleet::FormerLeases ShardHost::findFormerLeases(
+    const FleetSchema::ShardRecord& former, const Fleet::StoreClock& clock) const
 {
+    const Schema::DispatchSettings& settings = context_.settings.dispatch();
     const bool isGone = isReleased(former) || former.owner() == context_.settings.node().name();
-    if (isGone && former.has_earlier_renewal_ms())
-        return milliseconds(former.earlier_renewal_ms());
-    return milliseconds(context_.settings.dispatch().orphan_grace_ms());
+    return Fleet::findFormerLeases(former, isGone, clock, context_.now(),
+        { milliseconds(settings.orphan_grace_ms()), milliseconds(settings.worker_lease_limit_ms()) });
 }
 
 void ShardHost::loadJobs(const std::string& fromJob)
@@ -285,7 +293,8 @@
     const std::optional<Fleet::RecordBatch> batch = scheduler_.beginCommit(NodeContext::nowUnixMs());
     // Starts are sent once their batch is stored, which must be before the release.
     const bool isLast = isReleasing_ && !scheduler_.hasChanges() && !(batch && batch->hasStarts);
-    if (!batch && !isLast && now - writer_.confirmedAt() < ownershipRenewalInterval) {
+    if (!batch && !isLast && !scheduler_.isLeaseStatementDue()
+        && now - writer_.confirmedAt() < ownershipRenewalInterval) {
         for (const auto& [worker, connection] : connections_)
             connection->resumePolling();
         return;
@@ -303,7 +312,7 @@
             if (isLast)
                 close("released");
         },
-        isLast ? scheduler_.leaseEnds() : Fleet::LeaseEnds());
+        isLast ? scheduler_.leaseEnds() : scheduler_.stateLeaseEnds(now));
 }
 
 void ShardHost::onBatchStored()
@@ -321,7 +330,7 @@
         return;
     scheduler_.onTick(context_.now(), NodeContext::nowUnixMs());
     std::erase_if(connections_, [this](const auto& entry) { return !scheduler_.knowsWorker(entry.first); });
-    if (scheduler_.hasChanges() || scheduler_.isScheduleDue()
+    if (scheduler_.hasChanges() || scheduler_.isScheduleDue() || scheduler_.isLeaseStatementDue()
         || context_.now() - writer_.confirmedAt() > ownershipRenewalInterval) {
         requestRound();
     }
