Ask the former owner of a shard which leases it granted

Cause: what an owner takes in and cannot write stays with it, also where its process lives on after the takeover, because the store turned it away, it was cut off or it was frozen. Nobody asks it.

Change: a node that has taken a shard over from another one asks that one, every 0.5 s until there is an answer and as long as attempts are unconfirmed. The former owner gives the shard up first, if it has not, so that it grants no lease after its answer, and names the workers with open attempts and the ends of their leases; attempts on other workers have ended. A new process of the former owner's node answers that the former one has ended, so nothing is renewed any more.

Evidence: 'A successor starts a task whose end its former owner took in as soon as that one tells so' and 'A successor waits for an attempt that its former owner reports as open, or does not know of' fail without the question (no start in 1.9 s and after a restart) and hold with it. tst_shardownership checks the answering side.

--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -39,6 +39,17 @@
     isScheduleDue_ = true;
 }
 
+void ShardScheduler::limitFormerLeases(const LeaseEnds& ends, Utils::TimePoint otherEnd)
+{
+    for (const auto& [id, worker] : workers_) {
+        if (worker->bornMs != 0)
+            continue;
+        const auto end = ends.find(id);
+        worker->leaseUpperBound
+            = std::min(worker->leaseUpperBound, end == ends.end() ? otherEnd : end->second);
+    }
+}
+
 LeaseEnds ShardScheduler::leaseEnds() const
 {
     LeaseEnds ends;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -76,6 +76,14 @@
     */
     void setFormerLeaseEnds(LeaseEnds ends) { formerLeaseEnds_ = std::move(ends); }
 
+    /*!
+        Limits the wait for workers that have not reported to this owner.
+
+        \param ends until when attempts of former owners can run, by worker.
+        \param otherEnd the same for all other workers.
+    */
+    void limitFormerLeases(const LeaseEnds& ends, Utils::TimePoint otherEnd);
+
     /*! \return until when attempts can run on the workers with open attempts. */
     LeaseEnds leaseEnds() const;
 
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -64,6 +64,7 @@
     , onClosed_(std::move(onClosed))
     , scheduler_(schedulerOptions(context, shard_), *this, tailLatencyModel)
     , writer_(context, shard_, [this] { close("taken-over"); })
+    , formerOwnerInquiry_(context, otherShards, shard_)
     , roundTimer_(context.io)
     , loadTimer_(context.io)
     , closeTimer_(context.io)
@@ -89,10 +90,25 @@
         scheduler_.setFormerRenewal(leases.renewal);
         scheduler_.setFormerLease(leases.lease);
         scheduler_.setFormerLeaseEnds(ends);
+        formerOwner_ = former;
+        formerLease_ = leases.lease;
         loadJobs({});
     });
 }
 
+void ShardHost::onLeaseReport(const FleetSchema::LeaseReport& report)
+{
+    const Utils::TimePoint now = context_.now();
+    Fleet::LeaseEnds ends;
+    for (const auto& [worker, remainingMs] : report.remaining_ms())
+        ends[worker] = now + milliseconds(remainingMs);
+    if (report.is_known())
+        scheduler_.limitFormerLeases(ends, now);
+    else if (report.has_process_ended())
+        scheduler_.limitFormerLeases({}, now + Fleet::FormerLeases { {}, formerLease_, {} }.longestWait());
+    requestRound();
+}
+
 // An owner that has released the shard, or was an earlier process of this node, renews no leases any more,
 // but the owner before it may still do so.
 Fleet::FormerLeases ShardHost::findFormerLeases(
@@ -146,6 +162,8 @@
         { { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) },
             { "unconfirmed_attempts", std::to_string(unconfirmed) },
             { "at_unlisted_workers", std::to_string(scheduler_.countAttemptsOnUnlistedWorkers()) } });
+    formerOwnerInquiry_.start(
+        formerOwner_, [this](const FleetSchema::LeaseReport& report) { onLeaseReport(report); });
     requestRound();
 }
 
@@ -328,6 +346,8 @@
 {
     if (!isLoaded_ || isClosed_)
         return;
+    if (hasUnconfirmedAttempts())
+        formerOwnerInquiry_.tick();
     scheduler_.onTick(context_.now(), NodeContext::nowUnixMs());
     std::erase_if(connections_, [this](const auto& entry) { return !scheduler_.knowsWorker(entry.first); });
     if (scheduler_.hasChanges() || scheduler_.isScheduleDue() || scheduler_.isLeaseStatementDue()
@@ -341,6 +361,8 @@
     if (isClosed_)
         return;
     isClosed_ = true;
+    if (isLoaded_)
+        finalLeaseEnds_ = scheduler_.leaseEnds();
     Utils::log(Utils::LogLevel::Info, "shard-given-up",
         { { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) }, { "reason", reason } });
     connections_.clear();
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "formerownerinquiry.h"
 #include "nodecontext.h"
 #include "shardwriter.h"
 #include "timer.h"
@@ -38,6 +39,11 @@
     virtual void callOwner(const FleetSchema::PeerRequest& request,
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler)
         = 0;
+
+    /*! Calls a node, which need not count as alive. */
+    virtual void callNode(const std::string& name, const FleetSchema::PeerRequest& request,
+        std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler)
+        = 0;
 };
 
 /*! Runs a shard that this node owns or is taking over: stores and executes its scheduler's decisions. */
@@ -99,6 +105,18 @@
     /*! Gives up the shard once all decisions are stored; onClosed is called afterwards. */
     void release();
 
+    /*! Gives up the shard, because another node has taken it over. */
+    void onTakenOver() { close("taken-over"); }
+
+    /*! \return the epoch of this node's ownership. */
+    std::uint64_t epoch() const { return writer_.epoch(); }
+
+    /*!
+        \return until when attempts can run on the workers with open attempts, after the shard was given up;
+            nothing if its jobs were not loaded.
+    */
+    const std::optional<Fleet::LeaseEnds>& finalLeaseEnds() const { return finalLeaseEnds_; }
+
     /*! Performs time-dependent work; must be called every 100 ms. */
     void tick();
 
@@ -143,6 +161,7 @@
     };
 
     void callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
+    void onLeaseReport(const FleetSchema::LeaseReport& report);
     Fleet::FormerLeases findFormerLeases(
         const FleetSchema::ShardRecord& former, const Fleet::StoreClock& clock) const;
     void loadJobs(const std::string& fromJob);
@@ -163,6 +182,10 @@
     std::function<void()> onClosed_;
     Fleet::ShardScheduler scheduler_;
     ShardWriter writer_;
+    FleetSchema::ShardRecord formerOwner_; //!< Owner row before the takeover.
+    Utils::Duration formerLease_ {}; //!< Longest lease that former owners request.
+    FormerOwnerInquiry formerOwnerInquiry_;
+    std::optional<Fleet::LeaseEnds> finalLeaseEnds_;
     std::vector<Ports::WorkerInfo> workers_;
     Utils::TimePoint workersReadAt_ {}; //!< When workers_ started to be read.
     WorkerCount workerCount_;
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -306,7 +306,10 @@
 
 void ShardOwnership::onHostClosed(const std::string& shard)
 {
-    hosts_.erase(shard);
+    if (const auto host = hosts_.find(shard); host != hosts_.end()) {
+        givenUpShards_[shard] = { host->second->epoch(), host->second->finalLeaseEnds() };
+        hosts_.erase(host);
+    }
     requireWorkerList();
     const auto successor = successors_.find(shard);
     if (successor != successors_.end()) {
@@ -426,6 +429,17 @@
     });
 }
 
+void ShardOwnership::callNode(const std::string& name, const FleetSchema::PeerRequest& request,
+    std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler)
+{
+    FleetSchema::NodeRecord node;
+    if (members_.lastRecord(name, node))
+        return peerClient_.call(node.address(), request, peerCallTimeout, std::move(handler));
+    boost::asio::post(context_.io, [name, handler = std::move(handler)] {
+        handler(Utils::Error { Utils::ErrorCode::Unavailable, "peer.call", name, "the node is unknown" });
+    });
+}
+
 std::uint64_t ShardOwnership::pendingJobs(const std::string& queue) const
 {
     std::uint64_t sum = 0;
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -79,6 +80,9 @@
         std::uint32_t step, Utils::Duration waited) override;
     void callOwner(const FleetSchema::PeerRequest& request,
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler) override;
+    void callNode(const std::string& name, const FleetSchema::PeerRequest& request,
+        std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler) override;
+    FleetSchema::LeaseReport reportLeases(const std::string& shard, const FleetSchema::LeaseInquiry& inquiry);
     void heartbeat();
     void onHeartbeatWritten(bool isWritten);
     void onRackMap(const Ports::Row& row);
@@ -105,6 +109,12 @@
     void dispatchToHost(ShardHost& host, const FleetSchema::PeerRequest& request,
         const std::function<void(const FleetSchema::PeerReply&)>& handler);
 
+    /*! Leases of a shard that this node has given up, for the next owner. */
+    struct GivenUpShard {
+        std::uint64_t epoch = 0;
+        std::optional<Fleet::LeaseEnds> leaseEnds; //!< Nothing if the jobs were not loaded.
+    };
+
     NodeContext& context_;
     PeerClient& peerClient_;
     Fleet::TailLatencyModel& tailLatencyModel_;
@@ -114,6 +124,7 @@
     Fleet::MemberView members_;
     MemberReader memberReader_;
     std::map<std::string, std::unique_ptr<ShardHost>> hosts_;
+    std::map<std::string, GivenUpShard> givenUpShards_; //!< Last ownership of each shard that has ended.
     std::map<std::string, std::string> regionOfDomain_;
     std::map<std::string, Fleet::ShardOwnerInfo>
         shardOwners_; //!< Last known owner of each shard, including dead ones.
--- a/src/libs/fleetnode/shardownershipcalls.cpp
+++ b/src/libs/fleetnode/shardownershipcalls.cpp
@@ -4,6 +4,8 @@
 
 #include "utils/log/log.h"
 
+#include <algorithm>
+
 namespace FleetNode {
 
 void ShardOwnership::serve(
@@ -19,8 +21,12 @@
     }
     if (request.has_members())
         return memberReader_.serve(request.members(), handler);
-    const auto host = hosts_.find(request.shard());
     FleetSchema::PeerReply reply;
+    if (request.has_lease_inquiry()) {
+        *reply.mutable_leases() = reportLeases(request.shard(), request.lease_inquiry());
+        return handler(reply);
+    }
+    const auto host = hosts_.find(request.shard());
     if (host == hosts_.end() || !host->second->isServing()) {
         reply.set_outcome(FleetSchema::PEER_NOT_OWNER);
         return handler(reply);
@@ -34,6 +40,35 @@
     dispatchToHost(*host->second, request, handler);
 }
 
+FleetSchema::LeaseReport ShardOwnership::reportLeases(
+    const std::string& shard, const FleetSchema::LeaseInquiry& inquiry)
+{
+    FleetSchema::LeaseReport report;
+    if (inquiry.owner() != context_.settings.node().name())
+        return report;
+    if (inquiry.incarnation() != context_.incarnation) {
+        report.set_has_process_ended(true);
+        return report;
+    }
+    GivenUpShard givenUp;
+    if (const auto host = hosts_.find(shard);
+        host != hosts_.end() && host->second->epoch() == inquiry.epoch()) {
+        host->second->onTakenOver();
+        givenUp = { inquiry.epoch(), host->second->finalLeaseEnds() };
+    } else if (const auto found = givenUpShards_.find(shard); found != givenUpShards_.end()) {
+        givenUp = found->second;
+    }
+    if (givenUp.epoch != inquiry.epoch() || !givenUp.leaseEnds)
+        return report;
+    report.set_is_known(true);
+    for (const auto& [worker, end] : *givenUp.leaseEnds) {
+        const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(end - context_.now());
+        (*report.mutable_remaining_ms())[worker]
+            = static_cast<std::uint32_t>(std::max<std::int64_t>(0, remaining.count()));
+    }
+    return report;
+}
+
 void ShardOwnership::dispatchToHost(ShardHost& host, const FleetSchema::PeerRequest& request,
     const std::function<void(const FleetSchema::PeerReply&)>& handler)
 {
--- a/tests/auto/fleetnode/tst_shardhost.cpp
+++ b/tests/auto/fleetnode/tst_shardhost.cpp
@@ -67,6 +67,11 @@
 
 class NoOtherShards final : public FleetNode::OtherShards {
 public:
+    explicit NoOtherShards(boost::asio::io_context& io)
+        : io_(io)
+    {
+    }
+
     std::string findShardWithCapacity(
         const std::string&, const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration) override
     {
@@ -76,6 +81,26 @@
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)>) override
     {
     }
+    void callNode(const std::string& name, const FleetSchema::PeerRequest& request,
+        std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler) override
+    {
+        inquiries.push_back(
+            name + "/" + request.shard() + "/" + std::to_string(request.lease_inquiry().epoch()));
+        Utils::Result<FleetSchema::PeerReply> result
+            = Utils::Error { Utils::ErrorCode::Unavailable, "peer.call", name, "no answer" };
+        if (leaseReport) {
+            FleetSchema::PeerReply reply;
+            *reply.mutable_leases() = *leaseReport;
+            result = reply;
+        }
+        boost::asio::post(io_, [handler = std::move(handler), result] { handler(result); });
+    }
+
+    std::vector<std::string> inquiries; //!< Node, shard and epoch of each question to a former owner.
+    std::optional<FleetSchema::LeaseReport> leaseReport; //!< Answer to them; empty: there is none.
+
+private:
+    boost::asio::io_context& io_;
 };
 
 struct LeaseSettingsFixture : Testing::NodeFixture {
@@ -132,7 +157,7 @@
 
     std::vector<Ports::WorkerInfo> listedWorkers;
     WorkerCalls calls;
-    NoOtherShards others;
+    NoOtherShards others { io };
     Fleet::TailLatencyModel model;
     FleetNode::ShardHost host { context, "shard", others, model, [] {} };
 };
@@ -288,7 +313,7 @@
     former.set_epoch(1);
     node.store.rows[ownerName] = { ownerName, former.SerializeAsString(), 2, false };
 
-    NoOtherShards others;
+    NoOtherShards others { node.io };
     Fleet::TailLatencyModel model;
     const auto run = [&](FleetNode::ShardHost& host, std::chrono::milliseconds duration) {
         const auto end = node.context.now() + duration;
@@ -431,3 +456,52 @@
     fixture.run(std::chrono::milliseconds(600));
     CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
 }
+
+TEST_CASE("A successor starts a task whose end its former owner took in as soon as that one tells so")
+{
+    HandoverFixture fixture;
+    fixture.startStoreClock();
+    fixture.releaseByFirstOwner();
+    fixture.listSilentWorker();
+    fixture.takeOver(std::chrono::milliseconds(100));
+    fixture.loseOwner();
+    // The former owner cannot be reached at first. It may renew leases for 12 s, as far as the row tells.
+    fixture.takeOver(std::chrono::milliseconds(1100));
+    CHECK(fixture.calls.starts.empty());
+    REQUIRE(fixture.others.inquiries.size() >= 2);
+    CHECK(fixture.others.inquiries[0] == "node-1/shard/2");
+    fixture.others.leaseReport.emplace().set_is_known(true);
+    fixture.run(std::chrono::milliseconds(800));
+    CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
+    const std::size_t inquiryCount = fixture.others.inquiries.size();
+    fixture.run(std::chrono::milliseconds(600));
+    CHECK(fixture.others.inquiries.size() == inquiryCount);
+}
+
+TEST_CASE("A successor waits for an attempt that its former owner reports as open, or does not know of")
+{
+    FleetSchema::LeaseReport running;
+    running.set_is_known(true);
+    (*running.mutable_remaining_ms())["unlisted"] = 60'000;
+    FleetSchema::LeaseReport unknown;
+    FleetSchema::LeaseReport restarted;
+    restarted.set_has_process_ended(true);
+    for (const FleetSchema::LeaseReport& report : { running, unknown, restarted }) {
+        HandoverFixture fixture;
+        fixture.startStoreClock();
+        fixture.settings.mutable_dispatch()->set_worker_lease_ms(1500);
+        fixture.settings.mutable_dispatch()->set_orphan_grace_ms(1500);
+        fixture.releaseByFirstOwner();
+        fixture.listSilentWorker();
+        fixture.takeOver(std::chrono::milliseconds(100));
+        fixture.loseOwner();
+        fixture.others.leaseReport = report;
+        fixture.takeOver(std::chrono::milliseconds(1400));
+        CHECK(fixture.calls.starts.empty());
+        // 1.53 s of lease, and 1.53 s before it in which an owner whose process lives may renew.
+        fixture.run(std::chrono::milliseconds(500));
+        CHECK(fixture.calls.starts.size() == (report.has_process_ended() ? 1 : 0));
+        fixture.run(std::chrono::milliseconds(1400));
+        CHECK(fixture.calls.starts.size() == 1);
+    }
+}
--- a/tests/auto/fleetnode/tst_shardownership.cpp
+++ b/tests/auto/fleetnode/tst_shardownership.cpp
@@ -48,6 +48,30 @@
         ownership.serve(request, [](const FleetSchema::PeerReply&) {});
     }
 
+    /*! \return the answer to a question about the shard that names this owner, process and epoch. */
+    FleetSchema::LeaseReport askForLeases(
+        const std::string& shard, const std::string& owner, std::uint64_t incarnation, std::uint64_t epoch)
+    {
+        FleetSchema::PeerRequest request;
+        request.set_shard(shard);
+        request.mutable_lease_inquiry()->set_owner(owner);
+        request.mutable_lease_inquiry()->set_incarnation(incarnation);
+        request.mutable_lease_inquiry()->set_epoch(epoch);
+        FleetSchema::LeaseReport report;
+        ownership.serve(request, [&](const FleetSchema::PeerReply& reply) { report = reply.leases(); });
+        return report;
+    }
+
+    bool ownsShard(const std::string& shard)
+    {
+        FleetSchema::PeerRequest request;
+        request.set_shard(shard);
+        request.set_query("job");
+        FleetSchema::PeerOutcome outcome = FleetSchema::PEER_OK;
+        ownership.serve(request, [&](const FleetSchema::PeerReply& reply) { outcome = reply.outcome(); });
+        return outcome != FleetSchema::PEER_NOT_OWNER;
+    }
+
     Fleet::TailLatencyModel model;
     FleetNode::PeerClient peers { context };
     FleetNode::ShardOwnership ownership { context, peers, model };
@@ -68,3 +92,26 @@
     fixture.takeOver("shard-2");
     CHECK(fixture.workerListRequests == 1);
 }
+
+TEST_CASE("A former owner that is asked for its leases gives up the shard and answers the same again")
+{
+    OwnershipFixture fixture;
+    const std::uint64_t incarnation = fixture.context.incarnation;
+    fixture.takeOver("shard-1");
+    fixture.runReady();
+    REQUIRE(fixture.ownsShard("shard-1"));
+    // Questions about another epoch, node or process do not concern this ownership.
+    CHECK_FALSE(fixture.askForLeases("shard-1", "node-1", incarnation, 2).is_known());
+    CHECK_FALSE(fixture.askForLeases("shard-1", "node-2", incarnation, 1).is_known());
+    CHECK_FALSE(fixture.askForLeases("shard-1", "node-2", incarnation + 1, 1).has_process_ended());
+    const FleetSchema::LeaseReport restarted = fixture.askForLeases("shard-1", "node-1", incarnation + 1, 1);
+    CHECK(restarted.has_process_ended());
+    CHECK_FALSE(restarted.is_known());
+    CHECK(fixture.ownsShard("shard-1"));
+
+    CHECK(fixture.askForLeases("shard-1", "node-1", incarnation, 1).is_known());
+    CHECK_FALSE(fixture.ownsShard("shard-1"));
+    fixture.runReady();
+    CHECK(fixture.askForLeases("shard-1", "node-1", incarnation, 1).is_known());
+    CHECK_FALSE(fixture.askForLeases("shard-2", "node-1", incarnation, 1).is_known());
+}
