Date an owner row and the right to renew leases from one reading of the clock

Cause, found by review: the time that the row states and the one from which the owner counts its right to renew leases were read one after the other. A process paused between the two would renew for longer than a successor expects. Change: one reading for both, taken first. Evidence: 'An owner that is frozen while it sends a transaction renews leases no longer than its row states' failed (confirmed 5 s after the stated time) and holds.

--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -94,11 +94,13 @@
 
 void ShardWriter::send()
 {
+    // The time that the row states and the one from which this owner counts must be the same, however long
+    // the process is paused between them.
+    lastSentAt_ = context_.now();
     if (storeClock_.isKnown())
-        record_.set_store_ms(static_cast<std::uint64_t>(storeClock_.latestMs(context_.now())));
+        record_.set_store_ms(static_cast<std::uint64_t>(storeClock_.latestMs(lastSentAt_)));
     transaction_->puts.front().value = record_.SerializeAsString();
     transaction_->conditions = { { ownerRowKey(), version_ } };
-    lastSentAt_ = context_.now();
     context_.store.commit(*transaction_,
         [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::TransactionOutcome>& result) {
             if (weak.lock())
--- a/tests/auto/fleetnode/tst_shardwriter.cpp
+++ b/tests/auto/fleetnode/tst_shardwriter.cpp
@@ -168,3 +168,56 @@
     CHECK(fixture.writer.confirmedAt() >= before);
     CHECK(fixture.writer.confirmedAt() <= afterFirstCopy);
 }
+
+namespace {
+
+/*! Clock that stands still, except that the process is frozen for 5 s before one of the readings. */
+class FreezingClock final : public Utils::Clock {
+public:
+    Utils::TimePoint now() const override
+    {
+        if (readingsToFreeze >= 0 && readingsToFreeze-- == 0)
+            time += std::chrono::seconds(5);
+        return time;
+    }
+
+    mutable Utils::TimePoint time { std::chrono::seconds(1000) };
+    mutable int readingsToFreeze = -1; //!< -1: no freeze.
+};
+
+} // namespace
+
+TEST_CASE("An owner that is frozen while it sends a transaction renews leases no longer than its row states")
+{
+    for (const CommitBehavior behavior : { CommitBehavior::Answer, CommitBehavior::LoseReply }) {
+        for (int reading = 0; reading < 8; ++reading) {
+            Testing::NodeFixture node;
+            FreezingClock clock;
+            FleetNode::NodeContext context { node.io, clock, node.store, node.platform, node.settings,
+                node.metrics, 77 };
+            const auto storeMsAt = [](Utils::TimePoint time) {
+                return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+            };
+            node.store.clockMs = [&] { return storeMsAt(clock.time); };
+            FleetNode::ShardWriter writer(context, "shard", [] {});
+            const auto run = [&] {
+                node.io.restart();
+                node.io.run();
+            };
+            writer.takeOver({}, 0, {}, {}, [] {});
+            run();
+            node.store.commitBehaviors = { behavior };
+            clock.readingsToFreeze = reading;
+            bool isDone = false;
+            writer.write({}, false, [&] { isDone = true; });
+            run();
+            REQUIRE(isDone);
+            FleetSchema::ShardRecord row;
+            row.ParseFromString(
+                node.store.rows[{ FleetNode::shardTable, "shard", FleetNode::shardOwnerKey }].value);
+            INFO("freeze before reading " << reading
+                                          << ", answer lost: " << (behavior == CommitBehavior::LoseReply));
+            CHECK(storeMsAt(writer.confirmedAt()) <= static_cast<std::int64_t>(row.store_ms()));
+        }
+    }
+}
