Pass on ends that a lost owner took in, and keep starts and bounds within the row's times

- The former owner's answer named workers with open attempts only, and the successor took attempts elsewhere as ended at once.
An end 'done' that was not stored could be acknowledged after the task had been started again, and a failure was not counted.
The answer now lists the ends with their outcome, failures, crashes and checkpoint.
The successor stores them like a worker's report; other attempts are waited for as if the former owner's process had ended.
- 'Its process has ended' shortened the wait for the owner before that one.
Its time of renewal is kept now.
- The wait counted from the read of the jobs, not from the takeover.
The time of renewal is an absolute one now, and may be over before the takeover.
- The takeover row dropped the stated ends.
It carries them on, and the new owner keeps to them until its next transaction.
- The first report of a worker assumed this owner's lease for former ones; the longer of both counts.
A shard without a former owner has nothing to wait for.
An answer that tells nothing does not end the question.
An ownership without loaded jobs does not replace the record of an earlier one.

Changed tests: 'The wait for a silent worker does not begin anew' started from a shard without a row and with a time of renewal below the settings' minimum; it starts from an owner's row now, with the same bound of one wait. tst_formerleases expects waits that are over to be negative.

--- a/src/libs/fleet/formerleases.h
+++ b/src/libs/fleet/formerleases.h
@@ -25,12 +25,16 @@
 
 /*! What a new owner knows about the leases that the shard's former owners have granted. */
 struct FormerLeases {
-    Utils::Duration renewal {}; //!< Time from now on for which former owners may still renew leases.
+    //! Time from now on for which former owners may still renew leases; negative if they cannot any more.
+    Utils::Duration renewal {};
     Utils::Duration lease {}; //!< Longest lease that they request, in the worker's clock.
     LeaseEnds ends; //!< Workers whose leases end earlier than that.
     std::int64_t ageMs = -1; //!< Time since the last transaction of the former owner; -1 if unknown.
 
-    /*! \return the time from now on after which no attempt of a former owner runs on any worker. */
+    /*!
+        \return the time from now on after which no attempt of a former owner runs on any worker; negative if
+            none runs any more.
+    */
     Utils::Duration longestWait() const
     {
         // The worker's clock may run up to 2% slow.
@@ -44,7 +48,7 @@
     A former owner renews leases for a limited time after its last transaction, which the row dates by the
     store's clock.
 
-    \param former the owner row as the former owner last wrote it.
+    \param former the owner row as the former owner last wrote it; empty if there was no owner.
     \param isOwnerGone whether that owner renews no leases any more, because it released the shard or its
         process has ended.
     \param clock the store's clock, from an answer that is not older than the row.
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -79,9 +79,10 @@
             worker->quarantineTime = {};
             worker->failureStreak = 0;
         } else {
-            // From this report on the worker rejects former owners, whose leases were no longer than this
-            // one.
-            worker->leaseUpperBound = now + options_.workerLease * 51 / 50;
+            // From this report on the worker rejects former owners.
+            const Utils::Duration lease
+                = std::max(options_.workerLease, formerLease_.value_or(Utils::Duration::zero()));
+            worker->leaseUpperBound = now + lease * 51 / 50;
         }
         worker->bornMs = report.startedUnixMs;
         worker->clockMs = 0;
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -1,7 +1,6 @@
 // Loading of ShardScheduler from stored records, and what it passes on to the next owner beside them.
 
-#include "shardscheduler.h"
-
+#include "inflightbatch.h"
 #include "workercommitment.h"
 
 #include <algorithm>
@@ -77,15 +76,82 @@
     return ends;
 }
 
-bool ShardScheduler::isLeaseStatementDue() const
+bool ShardScheduler::isLeaseStatementDue(Utils::TimePoint now) const
 {
     const LeaseEnds& stated = statedLeaseEnds_.latest();
     return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
-        const bool mustBeStated = !entry.second->tasks.empty() && isLeaving(*entry.second);
-        return mustBeStated != stated.contains(entry.first);
+        const Worker& worker = *entry.second;
+        const bool mustBeStated = !worker.tasks.empty() && isLeaving(worker);
+        if (mustBeStated != stated.contains(entry.first))
+            return true;
+        return mustBeStated && worker.isResponsive && !mayLease(worker, options_.workerLease, now);
     });
 }
 
+void ShardScheduler::adoptStatedLeaseEnds(const LeaseEnds& ends)
+{
+    statedLeaseEnds_.onSent(ends);
+    statedLeaseEnds_.onStored();
+}
+
+std::vector<FleetSchema::EndedTask> ShardScheduler::unstoredEnds() const
+{
+    // Bounds the size of the answer to a successor; the other attempts are waited for.
+    constexpr std::size_t maxEnds = 4000;
+    std::vector<FleetSchema::EndedTask> ends;
+    std::vector<const Job*> jobs(dirtyJobs_.begin(), dirtyJobs_.end());
+    if (inflightBatch_) {
+        for (const BatchedJob& stored : inflightBatch_->jobs)
+            jobs.push_back(stored.job);
+    }
+    for (const Job* job : jobs) {
+        for (const Task& task : job->tasks) {
+            const bool isDone = task.phase == TaskPhase::Done
+                || (task.phase == TaskPhase::Resolved && task.result == FleetSchema::TASK_COMPLETED);
+            const bool isOver
+                = isDone || task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Recorded;
+            if (!isOver || task.attempt == 0 || ends.size() == maxEnds)
+                continue;
+            FleetSchema::EndedTask& end = ends.emplace_back();
+            end.set_job(job->spec.id());
+            end.set_occurrence(task.occurrence);
+            end.set_step(task.step);
+            end.set_index(task.index);
+            end.set_attempt(task.attempt);
+            end.set_done(isDone);
+            end.set_failures(task.failures);
+            end.set_crashes(task.crashes);
+            end.set_checkpoint(task.checkpoint);
+        }
+    }
+    return ends;
+}
+
+void ShardScheduler::onFormerOwnersEnds(
+    const std::vector<FleetSchema::EndedTask>& ends, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    for (const FleetSchema::EndedTask& end : ends) {
+        Job* const job = findJob(end.job());
+        Task* const task = job ? job->findTask(end.occurrence(), end.step(), end.index()) : nullptr;
+        // An attempt that was recorded later than the stored one shows that the stored one had ended.
+        if (!task || task->phase != TaskPhase::Unverified || end.attempt() < task->attempt)
+            continue;
+        output_.attemptEnded(task->worker->info.id, keyOf(*task), task->attempt, "told-by-former-owner");
+        task->attempt = end.attempt();
+        task->failures = std::max(task->failures, end.failures());
+        task->crashes = end.crashes();
+        if (!end.checkpoint().empty())
+            task->checkpoint = end.checkpoint();
+        if (end.done() && !job->step(*task).lasting()) {
+            finishTask(*task, now, nowUnixMs);
+            continue;
+        }
+        requeue(*task, now);
+        if (job->isActive())
+            failJobIfExhausted(*task, now, nowUnixMs);
+    }
+}
+
 bool ShardScheduler::mayLease(const Worker& worker, Utils::Duration lease, Utils::TimePoint now) const
 {
     return statedLeaseEnds_.allows(worker.info.id, now + lease * 51 / 50);
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -76,6 +76,22 @@
     */
     void setFormerLeaseEnds(LeaseEnds ends) { formerLeaseEnds_ = std::move(ends); }
 
+    /*! Sets until when this owner is entitled to grant leases with starts. Initially there is no limit. */
+    void setLeaseRightEnd(Utils::TimePoint end) { leaseRightEnd_ = end; }
+
+    /*!
+        Keeps to the ends of leases that the former owner stated until a transaction states others. Must be
+        called after the takeover and before the first transaction.
+    */
+    void adoptStatedLeaseEnds(const LeaseEnds& ends);
+
+    /*! \return the attempts that have ended while their ends are not known to be stored. */
+    std::vector<FleetSchema::EndedTask> unstoredEnds() const;
+
+    /*! Processes ends that a former owner took in and could not store. */
+    void onFormerOwnersEnds(
+        const std::vector<FleetSchema::EndedTask>& ends, Utils::TimePoint now, std::int64_t nowUnixMs);
+
     /*!
         Limits the wait for workers that have not reported to this owner.
 
@@ -93,8 +109,11 @@
     */
     LeaseEnds stateLeaseEnds(Utils::TimePoint now);
 
-    /*! \return whether other workers leave or have left than the latest transaction states. */
-    bool isLeaseStatementDue() const;
+    /*!
+        \return whether other workers leave or have left than the latest transaction states, or the lease of
+       one that answers cannot be renewed because of a stated end.
+    */
+    bool isLeaseStatementDue(Utils::TimePoint now) const;
 
     /*! Loads a job from its stored record. */
     void restore(const FleetSchema::JobRecord& record, Utils::TimePoint now, std::int64_t nowUnixMs);
@@ -338,6 +357,7 @@
     Utils::TimePoint waitsReviewedAt_ {};
     std::optional<Utils::Duration> formerRenewal_; //!< Empty: SchedulerOptions::orphanGrace.
     std::optional<Utils::Duration> formerLease_; //!< Empty: SchedulerOptions::workerLeaseLimit.
+    Utils::TimePoint leaseRightEnd_ = Utils::TimePoint::max(); //!< Until when starts may grant leases.
     StatedLeaseEnds statedLeaseEnds_;
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
--- a/src/libs/fleetnode/formerownerinquiry.cpp
+++ b/src/libs/fleetnode/formerownerinquiry.cpp
@@ -50,15 +50,19 @@
 void FormerOwnerInquiry::onReply(const Utils::Result<FleetSchema::PeerReply>& result)
 {
     isCalling_ = false;
-    // An owner of an earlier version answers without a report.
-    if (!Utils::isOk(result) || !Utils::value(result).has_leases())
+    // An owner of an earlier version answers without a report, and another node at its address with an empty
+    // one.
+    if (!Utils::isOk(result))
         return;
     const FleetSchema::LeaseReport& report = Utils::value(result).leases();
+    if (!report.is_known() && !report.has_process_ended())
+        return;
     Utils::log(Utils::LogLevel::Info, "former-owner-answered",
         { { "shard", shard_ }, { "former_owner", inquiry_.owner() },
             { "known", report.is_known() ? "true" : "false" },
             { "process_ended", report.has_process_ended() ? "true" : "false" },
-            { "workers", std::to_string(report.remaining_ms_size()) } });
+            { "workers", std::to_string(report.remaining_ms_size()) },
+            { "unstored_ends", std::to_string(report.ended_size()) } });
     const ReportHandler onReport = std::move(onReport_);
     onReport_ = nullptr;
     onReport(report);
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -76,24 +76,27 @@
 void ShardHost::takeOver(
     const FleetSchema::ShardRecord& former, std::uint64_t version, const Fleet::StoreClock& clock)
 {
-    // The row does not change until this node has taken the shard over, so the ends that it states still hold
-    // then.
-    const Fleet::FormerLeases atRead = findFormerLeases(former, clock);
-    writer_.takeOver(former, version, clock, atRead, [this, former, ends = atRead.ends] {
-        const Fleet::FormerLeases leases = findFormerLeases(former, writer_.storeClock());
-        Utils::log(Utils::LogLevel::Info, "shard-owned",
-            { { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) },
-                { "former_owner", former.owner() }, { "former_write_age_ms", std::to_string(leases.ageMs) },
-                { "former_renewal_ms", toMilliseconds(leases.renewal) },
-                { "longest_wait_ms", toMilliseconds(leases.longestWait()) },
-                { "stated_lease_ends", std::to_string(ends.size()) } });
-        scheduler_.setFormerRenewal(leases.renewal);
-        scheduler_.setFormerLease(leases.lease);
-        scheduler_.setFormerLeaseEnds(ends);
-        formerOwner_ = former;
-        formerLease_ = leases.lease;
-        loadJobs({});
-    });
+    // The row does not change until this node has taken the shard over, so what it states still holds then.
+    const Fleet::FormerLeases atRead = findFormerLeases(former, isOwnerGone(former), clock);
+    formerOwner_ = former;
+    writer_.takeOver(former, version, clock, atRead, [this, ends = atRead.ends] { onTookOver(ends); });
+}
+
+void ShardHost::onTookOver(const Fleet::LeaseEnds& statedEnds)
+{
+    const Fleet::FormerLeases leases
+        = findFormerLeases(formerOwner_, isOwnerGone(formerOwner_), writer_.storeClock());
+    Utils::log(Utils::LogLevel::Info, "shard-owned",
+        { { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) },
+            { "former_owner", formerOwner_.owner() }, { "former_write_age_ms", std::to_string(leases.ageMs) },
+            { "former_renewal_ms", toMilliseconds(leases.renewal) },
+            { "longest_wait_ms", toMilliseconds(leases.longestWait()) },
+            { "stated_lease_ends", std::to_string(statedEnds.size()) } });
+    formerRenewalEnd_ = context_.now() + leases.renewal;
+    scheduler_.setFormerLease(leases.lease);
+    scheduler_.setFormerLeaseEnds(statedEnds);
+    scheduler_.adoptStatedLeaseEnds(statedEnds);
+    loadJobs({});
 }
 
 void ShardHost::onLeaseReport(const FleetSchema::LeaseReport& report)
@@ -102,20 +105,24 @@
     Fleet::LeaseEnds ends;
     for (const auto& [worker, remainingMs] : report.remaining_ms())
         ends[worker] = now + milliseconds(remainingMs);
-    if (report.is_known())
-        scheduler_.limitFormerLeases(ends, now);
-    else if (report.has_process_ended())
-        scheduler_.limitFormerLeases({}, now + Fleet::FormerLeases { {}, formerLease_, {} }.longestWait());
+    const Fleet::FormerLeases leases = findFormerLeases(formerOwner_, true, writer_.storeClock());
+    scheduler_.limitFormerLeases(ends, now + leases.longestWait());
+    scheduler_.onFormerOwnersEnds(
+        { report.ended().begin(), report.ended().end() }, now, NodeContext::nowUnixMs());
     requestRound();
 }
 
 // An owner that has released the shard, or was an earlier process of this node, renews no leases any more,
 // but the owner before it may still do so.
+bool ShardHost::isOwnerGone(const FleetSchema::ShardRecord& former) const
+{
+    return isReleased(former) || former.owner() == context_.settings.node().name();
+}
+
 Fleet::FormerLeases ShardHost::findFormerLeases(
-    const FleetSchema::ShardRecord& former, const Fleet::StoreClock& clock) const
+    const FleetSchema::ShardRecord& former, bool isGone, const Fleet::StoreClock& clock) const
 {
     const Schema::DispatchSettings& settings = context_.settings.dispatch();
-    const bool isGone = isReleased(former) || former.owner() == context_.settings.node().name();
     return Fleet::findFormerLeases(former, isGone, clock, context_.now(),
         { milliseconds(settings.orphan_grace_ms()), milliseconds(settings.worker_lease_limit_ms()) });
 }
@@ -141,6 +148,8 @@
 void ShardHost::onJobPage(const Utils::Result<Ports::RowPage>& result)
 {
     const Ports::RowPage& page = Utils::value(result);
+    // The time for which former owners renew leases does not depend on how long the jobs take to read.
+    scheduler_.setFormerRenewal(formerRenewalEnd_ - context_.now());
     for (const Ports::Row& row : page.rows) {
         FleetSchema::JobRecord record;
         const std::string fault
@@ -311,7 +320,7 @@
     const std::optional<Fleet::RecordBatch> batch = scheduler_.beginCommit(NodeContext::nowUnixMs());
     // Starts are sent once their batch is stored, which must be before the release.
     const bool isLast = isReleasing_ && !scheduler_.hasChanges() && !(batch && batch->hasStarts);
-    if (!batch && !isLast && !scheduler_.isLeaseStatementDue()
+    if (!batch && !isLast && !scheduler_.isLeaseStatementDue(now)
         && now - writer_.confirmedAt() < ownershipRenewalInterval) {
         for (const auto& [worker, connection] : connections_)
             connection->resumePolling();
@@ -335,6 +344,8 @@
 
 void ShardHost::onBatchStored()
 {
+    scheduler_.setLeaseRightEnd(
+        writer_.confirmedAt() + milliseconds(context_.settings.dispatch().orphan_grace_ms()));
     scheduler_.onCommitted(context_.now());
     for (const auto& [worker, connection] : connections_)
         connection->resumePolling();
@@ -350,7 +361,8 @@
         formerOwnerInquiry_.tick();
     scheduler_.onTick(context_.now(), NodeContext::nowUnixMs());
     std::erase_if(connections_, [this](const auto& entry) { return !scheduler_.knowsWorker(entry.first); });
-    if (scheduler_.hasChanges() || scheduler_.isScheduleDue() || scheduler_.isLeaseStatementDue()
+    if (scheduler_.hasChanges() || scheduler_.isScheduleDue()
+        || scheduler_.isLeaseStatementDue(context_.now())
         || context_.now() - writer_.confirmedAt() > ownershipRenewalInterval) {
         requestRound();
     }
@@ -362,7 +374,7 @@
         return;
     isClosed_ = true;
     if (isLoaded_)
-        finalLeaseEnds_ = scheduler_.leaseEnds();
+        finalState_ = FinalState { scheduler_.leaseEnds(), scheduler_.unstoredEnds() };
     Utils::log(Utils::LogLevel::Info, "shard-given-up",
         { { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) }, { "reason", reason } });
     connections_.clear();
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -111,11 +111,14 @@
     /*! \return the epoch of this node's ownership. */
     std::uint64_t epoch() const { return writer_.epoch(); }
 
-    /*!
-        \return until when attempts can run on the workers with open attempts, after the shard was given up;
-            nothing if its jobs were not loaded.
-    */
-    const std::optional<Fleet::LeaseEnds>& finalLeaseEnds() const { return finalLeaseEnds_; }
+    /*! What an owner that has given up its shard knows of the attempts there. */
+    struct FinalState {
+        Fleet::LeaseEnds leaseEnds; //!< Of the workers with open attempts.
+        std::vector<FleetSchema::EndedTask> unstoredEnds;
+    };
+
+    /*! \return the final state, after the shard was given up; nothing if its jobs were not loaded. */
+    const std::optional<FinalState>& finalState() const { return finalState_; }
 
     /*! Performs time-dependent work; must be called every 100 ms. */
     void tick();
@@ -162,8 +165,10 @@
 
     void callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
     void onLeaseReport(const FleetSchema::LeaseReport& report);
+    void onTookOver(const Fleet::LeaseEnds& statedEnds);
+    bool isOwnerGone(const FleetSchema::ShardRecord& former) const;
     Fleet::FormerLeases findFormerLeases(
-        const FleetSchema::ShardRecord& former, const Fleet::StoreClock& clock) const;
+        const FleetSchema::ShardRecord& former, bool isGone, const Fleet::StoreClock& clock) const;
     void loadJobs(const std::string& fromJob);
     void onJobPage(const Utils::Result<Ports::RowPage>& result);
     void requestRound();
@@ -183,9 +188,9 @@
     Fleet::ShardScheduler scheduler_;
     ShardWriter writer_;
     FleetSchema::ShardRecord formerOwner_; //!< Owner row before the takeover.
-    Utils::Duration formerLease_ {}; //!< Longest lease that former owners request.
+    Utils::TimePoint formerRenewalEnd_ {}; //!< Until when former owners may renew leases.
     FormerOwnerInquiry formerOwnerInquiry_;
-    std::optional<Fleet::LeaseEnds> finalLeaseEnds_;
+    std::optional<FinalState> finalState_;
     std::vector<Ports::WorkerInfo> workers_;
     Utils::TimePoint workersReadAt_ {}; //!< When workers_ started to be read.
     WorkerCount workerCount_;
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -307,7 +307,8 @@
 void ShardOwnership::onHostClosed(const std::string& shard)
 {
     if (const auto host = hosts_.find(shard); host != hosts_.end()) {
-        givenUpShards_[shard] = { host->second->epoch(), host->second->finalLeaseEnds() };
+        if (const auto& state = host->second->finalState())
+            givenUpShards_[shard] = { host->second->epoch(), *state };
         hosts_.erase(host);
     }
     requireWorkerList();
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -109,10 +109,10 @@
     void dispatchToHost(ShardHost& host, const FleetSchema::PeerRequest& request,
         const std::function<void(const FleetSchema::PeerReply&)>& handler);
 
-    /*! Leases of a shard that this node has given up, for the next owner. */
+    /*! A shard that this node has given up, for the next owner. */
     struct GivenUpShard {
         std::uint64_t epoch = 0;
-        std::optional<Fleet::LeaseEnds> leaseEnds; //!< Nothing if the jobs were not loaded.
+        ShardHost::FinalState state;
     };
 
     NodeContext& context_;
@@ -124,7 +124,8 @@
     Fleet::MemberView members_;
     MemberReader memberReader_;
     std::map<std::string, std::unique_ptr<ShardHost>> hosts_;
-    std::map<std::string, GivenUpShard> givenUpShards_; //!< Last ownership of each shard that has ended.
+    std::map<std::string, GivenUpShard>
+        givenUpShards_; //!< Last ownership of each shard in which jobs were loaded.
     std::map<std::string, std::string> regionOfDomain_;
     std::map<std::string, Fleet::ShardOwnerInfo>
         shardOwners_; //!< Last known owner of each shard, including dead ones.
--- a/src/libs/fleetnode/shardownershipcalls.cpp
+++ b/src/libs/fleetnode/shardownershipcalls.cpp
@@ -50,18 +50,20 @@
         report.set_has_process_ended(true);
         return report;
     }
-    GivenUpShard givenUp;
     if (const auto host = hosts_.find(shard);
         host != hosts_.end() && host->second->epoch() == inquiry.epoch()) {
         host->second->onTakenOver();
-        givenUp = { inquiry.epoch(), host->second->finalLeaseEnds() };
-    } else if (const auto found = givenUpShards_.find(shard); found != givenUpShards_.end()) {
-        givenUp = found->second;
+        if (const auto& state = host->second->finalState())
+            givenUpShards_[shard] = { inquiry.epoch(), *state };
     }
-    if (givenUp.epoch != inquiry.epoch() || !givenUp.leaseEnds)
+    const auto givenUp = givenUpShards_.find(shard);
+    if (givenUp == givenUpShards_.end() || givenUp->second.epoch != inquiry.epoch())
         return report;
+    const ShardHost::FinalState& state = givenUp->second.state;
     report.set_is_known(true);
-    for (const auto& [worker, end] : *givenUp.leaseEnds) {
+    for (const FleetSchema::EndedTask& end : state.unstoredEnds)
+        *report.add_ended() = end;
+    for (const auto& [worker, end] : state.leaseEnds) {
         const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(end - context_.now());
         (*report.mutable_remaining_ms())[worker]
             = static_cast<std::uint32_t>(std::max<std::int64_t>(0, remaining.count()));
--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -38,7 +38,8 @@
     record_.set_epoch(former.epoch() + 1);
     record_.set_sequence(0);
     version_ = version;
-    write({}, false, std::move(done));
+    // Until its next transaction, this owner keeps to the ends that the former one stated.
+    write({}, false, std::move(done), formerLeases.ends);
 }
 
 std::uint32_t ShardWriter::longestLeaseMs() const
--- a/tests/auto/fleet/tst_formerleases.cpp
+++ b/tests/auto/fleet/tst_formerleases.cpp
@@ -42,7 +42,8 @@
     // 12 s and 5 s, each measured on a clock that may be 2% slow.
     CHECK(fixture.leasesAt(start).longestWait() == 17'340ms);
     CHECK(fixture.leasesAt(start + 10'200ms).longestWait() == 7340ms);
-    CHECK(fixture.leasesAt(start + 30s).longestWait() == 5100ms);
+    CHECK(fixture.leasesAt(start + 17'345ms * 51 / 50).longestWait() <= 0ms);
+    CHECK(fixture.leasesAt(start + 17'300ms * 51 / 50).longestWait() > 0ms);
     CHECK(fixture.leasesAt(start + 10'200ms).ageMs == 10'000);
 }
 
@@ -75,11 +76,18 @@
     RowFixture fixture;
     (*fixture.record.mutable_lease_remaining_ms())["w"] = 3000;
     CHECK(fixture.leasesAt(start + 1020ms).ends.at("w") == start + 1020ms + 2s);
-    CHECK(fixture.leasesAt(start + 20s).ends.at("w") == start + 20s);
+    CHECK(fixture.leasesAt(start + 20'400ms).ends.at("w") == start + 20'400ms - 17s);
     fixture.record.clear_store_ms();
     CHECK(fixture.leasesAt(start + 20s).ends.at("w") == start + 23s);
 }
 
+TEST_CASE("A shard that never had an owner leaves nothing to wait for")
+{
+    RowFixture fixture;
+    fixture.record.Clear();
+    CHECK(fixture.leasesAt(start).longestWait() == 0ms);
+}
+
 TEST_CASE("A store clock behind the row's time does not shorten the wait")
 {
     RowFixture fixture;
--- a/tests/auto/fleet/tst_leavingworkers.cpp
+++ b/tests/auto/fleet/tst_leavingworkers.cpp
@@ -63,18 +63,18 @@
 {
     LeavingFixture fixture;
     REQUIRE(fixture.poll());
-    CHECK_FALSE(fixture.scheduler.isLeaseStatementDue());
+    CHECK_FALSE(fixture.scheduler.isLeaseStatementDue(fixture.now));
     CHECK(fixture.storeStatement().empty());
     fixture.scheduler.onPollFailed(fixture.busyWorker());
     fixture.scheduler.onPollFailed(fixture.busyWorker());
     // Silent, but listed.
     CHECK(fixture.storeStatement().empty());
     fixture.list(false, false);
-    CHECK(fixture.scheduler.isLeaseStatementDue());
+    CHECK(fixture.scheduler.isLeaseStatementDue(fixture.now));
     CHECK(fixture.storeStatement() == Fleet::LeaseEnds { { fixture.busyWorker(), fixture.leaseEnd() } });
-    CHECK_FALSE(fixture.scheduler.isLeaseStatementDue());
+    CHECK_FALSE(fixture.scheduler.isLeaseStatementDue(fixture.now));
     fixture.list(true, false);
-    CHECK(fixture.scheduler.isLeaseStatementDue());
+    CHECK(fixture.scheduler.isLeaseStatementDue(fixture.now));
     CHECK(fixture.storeStatement().empty());
 }
 
--- a/tests/auto/fleetnode/shardhostfixture.h
+++ b/tests/auto/fleetnode/shardhostfixture.h
@@ -189,8 +189,13 @@
         released.set_epoch(1);
         released.set_earlier_renewal_ms(0);
         released.set_lease_ms(settings.dispatch().worker_lease_ms());
+        setOwnerRow(released);
+    }
+
+    void setOwnerRow(const FleetSchema::ShardRecord& record)
+    {
         const Ports::RowKey name { FleetNode::shardTable, "shard", FleetNode::shardOwnerKey };
-        store.rows[name] = { name, released.SerializeAsString(), 2, false };
+        store.rows[name] = { name, record.SerializeAsString(), 2, false };
     }
 
     /*! Lists the silent worker for the next owner, which therefore states no end for it. */
--- a/tests/auto/fleetnode/tst_shardhost.cpp
+++ b/tests/auto/fleetnode/tst_shardhost.cpp
@@ -127,16 +127,21 @@
 TEST_CASE("The wait for a silent worker does not begin anew with each handover")
 {
     HandoverFixture fixture;
+    fixture.startStoreClock();
     fixture.settings.mutable_dispatch()->set_worker_lease_limit_ms(2000);
-    fixture.settings.mutable_dispatch()->set_orphan_grace_ms(0);
+    fixture.settings.mutable_dispatch()->set_orphan_grace_ms(500);
+    FleetSchema::ShardRecord former;
+    former.set_owner("x");
+    former.set_epoch(1);
+    fixture.setOwnerRow(former);
     for (int handover = 0; handover < 2; ++handover) {
         fixture.takeOver(std::chrono::milliseconds(500));
         REQUIRE(fixture.release());
     }
     fixture.takeOver(std::chrono::milliseconds(500));
     CHECK(fixture.calls.starts.empty());
-    // 2.04 s after the first takeover, and 1 s after the last one, in which the worker could report.
-    fixture.run(std::chrono::milliseconds(800));
+    // 2.54 s after the first takeover, and 1 s after the last one, in which the worker could report.
+    fixture.run(std::chrono::milliseconds(1200));
     CHECK(fixture.calls.starts == std::vector<std::string> { "127.0.0.1:8" });
 }
 
