Let the emulated fleet take shards over by the real owner row

Cause: the emulated fleet counted a former owner's renewal of leases from the takeover and knew neither the dated owner row, nor the stated ends of leases, nor the question to the former owner.

Change: each emulated shard keeps the owner row that ShardWriter would write, dated by the store's clock when the transaction was sent. A successor derives its bounds from it with Fleet::findFormerLeases. Owners write when a statement is due, count their right to renew from the sending of the latest stored transaction (from the first sending if an answer was lost, which is new too) and ask the former owner every 0.5 s. Workers that have left can be silent instead of refusing calls.

Changed checks: the excuse for leases of a former owner ends 12 s of renewal and a lease of 5 s after its last transaction, both times 1.02, or 1 s after the takeover if that is later, with 0.5 s for the load. It was 22.7 s after the takeover.

Not modelled: workers' clocks that run slow, and a worker that one node reaches and another one does not.

--- a/src/tools/gqemulate/emulatedfleet.cpp
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -13,7 +13,6 @@
 constexpr std::int64_t tickMs = 10;
 constexpr std::int64_t submissionEndMs = 66'000;
 constexpr std::int64_t heartbeatIntervalMs = 700;
-constexpr std::int64_t nodeTimeoutMs = 2500;
 constexpr std::int64_t planningIntervalMs = 100;
 constexpr std::int64_t checkIntervalMs = 100;
 constexpr std::int64_t callTimeoutMs = 1000;
@@ -44,18 +43,25 @@
 {
     if (scenario.hasWorkerDisturbances)
         platform_.setStopDurationLimit(maxStopDurationMs);
-    for (std::size_t shard = 0; shard < shardCount; ++shard)
+    if (scenario.hasSilentDepartures)
+        platform_.setSilentDepartures();
+    for (std::size_t shard = 0; shard < shardCount; ++shard) {
+        shards_[shard].record = EmulatedOwnerRow::releasedRow();
         claim(shard, shard);
+    }
 }
 
 EmulatedFleet::~EmulatedFleet() = default;
 
 std::size_t EmulatedFleet::countAliveNodes() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(nodes_.begin(), nodes_.end(), [this](const EmulatedNode& node) {
-            return node.isUp && nowMs() - node.heartbeatMs < nodeTimeoutMs;
-        }));
+    return static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.end(),
+        [this](const EmulatedNode& node) { return node.isUp && hasHeartbeat(node); }));
+}
+
+bool EmulatedFleet::hasHeartbeat(const EmulatedNode& node) const
+{
+    return nowMs() - node.heartbeatMs < nodeTimeoutMs;
 }
 
 bool EmulatedFleet::canAct(std::size_t node) const
@@ -144,29 +150,6 @@
     }
 }
 
-void EmulatedFleet::killNode(std::size_t node)
-{
-    nodes_[node].isUp = false;
-    for (const auto& owner : owners_) {
-        if (owner->node() == node)
-            owner->close();
-    }
-}
-
-void EmulatedFleet::restartNode(std::size_t node)
-{
-    EmulatedNode restarted;
-    restarted.heartbeat = nodes_[node].heartbeat;
-    restarted.heartbeatMs = nodes_[node].heartbeatMs;
-    restarted.isStoreReachable = nodes_[node].isStoreReachable;
-    nodes_[node] = std::move(restarted);
-    for (std::size_t shard = 0; shard < shardCount; ++shard) {
-        const auto& owner = shards_[shard].owner;
-        if (owner && owner->isClosed() && owner->node() == node)
-            claim(shard, node);
-    }
-}
-
 // Writes the node's row and reads those of the others.
 void EmulatedFleet::heartbeat(std::size_t number)
 {
@@ -181,7 +164,7 @@
     }
     std::map<std::string, Fleet::ShardOwnerInfo> owners;
     for (std::size_t other = 0; other < nodeCount; ++other) {
-        if (nowMs() - nodes_[other].heartbeatMs >= nodeTimeoutMs)
+        if (!hasHeartbeat(nodes_[other]))
             continue;
         for (const FleetSchema::ShardLoad& load : nodes_[other].heartbeat) {
             Fleet::ShardOwnerInfo& owner = owners[load.shard()];
@@ -207,83 +190,6 @@
     heartbeat(owner.node());
 }
 
-// Passes shards whose owner does not send heartbeats to another node.
-void EmulatedFleet::planOwnership()
-{
-    for (std::size_t shard = 0; shard < shardCount; ++shard) {
-        const auto& owner = shards_[shard].owner;
-        const bool isAlive = owner && nowMs() - nodes_[owner->node()].heartbeatMs < nodeTimeoutMs;
-        const bool isClaimed
-            = owner && !owner->isClosed() && nowMs() - shards_[shard].takenOverMs < nodeTimeoutMs;
-        const bool isServed = isAlive && (!owner->isClosed() || !nodes_[owner->node()].isUp);
-        if (isClaimed || isServed)
-            continue;
-        const std::size_t first = static_cast<std::size_t>(time_.random(nodeCount));
-        for (std::size_t offset = 0; offset < nodeCount; ++offset) {
-            const std::size_t node = (first + offset) % nodeCount;
-            if (canAct(node) && (!owner || owner->node() != node || owner->isClosed())) {
-                claim(shard, node);
-                break;
-            }
-        }
-    }
-}
-
-void EmulatedFleet::claim(std::size_t shard, std::size_t node)
-{
-    StoredShard& stored = shards_[shard];
-    if (stored.owner) {
-        stored.changes.push_back({ nowMs(), stored.isReleased });
-        if (!stored.isReleased)
-            stored.renewalEndMs = nowMs() + EmulatedOwner::orphanGraceMs;
-    }
-    const Fleet::LeaseEnds leaseEnds
-        = stored.isReleased ? stored.owner->releasedLeaseEnds() : Fleet::LeaseEnds();
-    stored.isReleased = false;
-    ++stored.epoch;
-    stored.takenOverMs = nowMs();
-    const auto formerRenewal
-        = std::chrono::milliseconds(std::max<std::int64_t>(0, stored.renewalEndMs - nowMs()));
-    stored.owner
-        = std::make_shared<EmulatedOwner>(*this, node, shard, stored.epoch, formerRenewal, leaseEnds);
-    owners_.push_back(stored.owner);
-    stored.owner->load();
-}
-
-void EmulatedFleet::onReleased(std::size_t shard, std::size_t formerNode)
-{
-    shards_[shard].isReleased = true;
-    for (std::size_t offset = 1; offset < nodeCount; ++offset) {
-        const std::size_t node = (formerNode + offset) % nodeCount;
-        if (!canAct(node))
-            continue;
-        time_.schedule(time_.latencyMs(), [this, shard, node, epoch = shards_[shard].epoch] {
-            if (shards_[shard].epoch == epoch && canAct(node))
-                claim(shard, node);
-        });
-        return;
-    }
-}
-
-bool EmulatedFleet::store(const EmulatedOwner& owner, const Fleet::RecordBatch& batch)
-{
-    StoredShard& shard = shards_[owner.shard()];
-    if (shard.epoch != owner.epoch())
-        return false;
-    for (const auto& [id, value] : batch.puts) {
-        FleetSchema::JobRecord record;
-        record.ParseFromString(value);
-        if (record.origin_shard().empty() && record.state() != FleetSchema::JOB_CANCELLED)
-            checker_.onRecordStored(record, nowMs());
-        if (record.state() == FleetSchema::JOB_CANCELLED)
-            checker_.onCancellationStored(id, nowMs());
-        shard.rows[id] = std::move(record);
-    }
-    for (const std::string& id : batch.removals)
-        shard.rows.erase(id);
-    return true;
-}
-
 std::shared_ptr<EmulatedOwner> EmulatedFleet::ownerKnownTo(std::size_t node, const std::string& shard) const
 {
     const std::size_t number = shardNumber(shard);
@@ -354,11 +260,12 @@
     // Calls that cancel a job in a host shard take longer while there are faults.
     const bool isHosted = !shards_[shard].rows.contains(command.task.job)
         || !shards_[shard].rows.at(command.task.job).origin_shard().empty();
-    const bool isLate = command.epoch != shards_[shard].epoch || (isHosted && nowMs() - lastFaultMs_ < 7000);
+    const bool isLate
+        = command.epoch != shards_[shard].record.epoch() || (isHosted && nowMs() - lastFaultMs_ < 7000);
     if (reply.outcome == Ports::CommandOutcome::Done && !wasRunning) {
         checker_.onStarted(id, command, isLate, nowMs());
         checker_.onCapacityUsed(worker->simulated, command.task, nowMs());
-        if (command.epoch == shards_[shard].epoch)
+        if (command.epoch == shards_[shard].record.epoch())
             checker_.onStartedByOwner(command.task, nowMs());
     }
     return reply;
--- a/src/tools/gqemulate/emulatedfleet.h
+++ b/src/tools/gqemulate/emulatedfleet.h
@@ -55,8 +55,37 @@
         return shards_[shard].rows;
     }
 
-    /*! \return false if another node has taken the shard over, so that nothing was stored. */
-    bool store(const EmulatedOwner& owner, const Fleet::RecordBatch& batch);
+    enum class StoreOutcome {
+        Stored,
+        StoredBefore, //!< An earlier copy of the transaction was stored, whose answer was lost.
+        TakenOver, //!< Another node has taken the shard over, so that nothing was stored.
+    };
+
+    /*!
+        Stores a transaction.
+
+        \param record the owner row.
+        \param batch the job records.
+    */
+    StoreOutcome store(
+        std::size_t shard, const FleetSchema::ShardRecord& record, const Fleet::RecordBatch& batch);
+
+    /*! \return the store's clock. */
+    std::int64_t storeMs() const { return nowMs() + storeClockOriginMs; }
+
+    /*! Answer of the former owner of a shard about the leases that it granted. */
+    struct FormerOwnerAnswer {
+        bool hasProcessEnded = false; //!< The node runs another process now.
+        std::optional<Fleet::LeaseEnds> leaseEnds; //!< Empty if they are not known.
+    };
+
+    /*!
+        Asks the node of a former owner until when attempts can run on the workers, which closes that owner.
+
+        \param onAnswer receives the answer; not called if the node does not answer.
+    */
+    void askFormerOwner(
+        const std::shared_ptr<EmulatedOwner>& former, std::function<void(const FormerOwnerAnswer&)> onAnswer);
 
     /*! Tells the other nodes of a new owner. */
     void announce(const EmulatedOwner& owner);
@@ -86,13 +115,15 @@
     static std::size_t shardNumber(const std::string& name) { return std::stoul(name.substr(5)); }
 
 private:
+    static constexpr std::int64_t nodeTimeoutMs = 2500;
+    // The store's clock must not start at 0, which stands for an unknown time.
+    static constexpr std::int64_t storeClockOriginMs = 1'000'000;
+
     struct StoredShard {
         std::map<std::string, FleetSchema::JobRecord> rows;
-        std::uint64_t epoch = 0;
+        FleetSchema::ShardRecord record; //!< The owner row.
         std::shared_ptr<EmulatedOwner> owner; //!< Latest owner, which may be down.
         std::int64_t takenOverMs = 0;
-        std::int64_t renewalEndMs = 0; //!< Until when owners before the latest one may renew leases.
-        bool isReleased = false; //!< The latest owner has released the shard.
         std::vector<WaitChecker::OwnerChange> changes;
         std::int64_t ableSinceMs = -1; //!< Since when the owner can act; -1 if it cannot.
     };
@@ -104,6 +135,7 @@
     void heartbeat(std::size_t node);
     void planOwnership();
     void claim(std::size_t shard, std::size_t node);
+    bool hasHeartbeat(const EmulatedNode& node) const;
     bool canAct(std::size_t node) const;
     std::shared_ptr<EmulatedOwner> ownerKnownTo(std::size_t node, const std::string& shard) const;
     void submitJobs();
--- a/src/tools/gqemulate/emulatednode.h
+++ b/src/tools/gqemulate/emulatednode.h
@@ -18,6 +18,7 @@
     std::vector<FleetSchema::ShardLoad> heartbeat; //!< Loads in the node's row of the store.
     std::int64_t heartbeatMs = 0; //!< Time of the latest heartbeat.
     std::int64_t frozenUntilMs = 0;
+    std::uint64_t incarnation = 1; //!< Number of the node's process.
     bool isUp = true;
     bool isStoreReachable = true;
 };
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -18,15 +18,14 @@
 constexpr std::int64_t listIntervalMs = 800;
 constexpr std::int64_t minCommitIntervalMs = 40;
 constexpr std::int64_t ownershipRenewalMs = 2000;
-constexpr std::int64_t storeRetryMs = 200;
 
 Fleet::SchedulerOptions optionsFor(FleetVariant variant, std::size_t shard)
 {
     Fleet::SchedulerOptions options;
     options.shard = EmulatedFleet::shardName(shard);
-    options.workerLease = milliseconds(5000);
-    options.workerLeaseLimit = milliseconds(10'000);
-    options.orphanGrace = milliseconds(EmulatedOwner::orphanGraceMs);
+    options.workerLease = milliseconds(EmulatedOwnerRow::leaseMs);
+    options.workerLeaseLimit = milliseconds(EmulatedOwnerRow::leaseLimitMs);
+    options.orphanGrace = milliseconds(EmulatedOwnerRow::renewalMs);
     options.stopLimit = milliseconds(200);
     options.retention = std::chrono::seconds(120);
     options.interferenceLimit = milliseconds(4000);
@@ -41,14 +40,11 @@
 
 } // namespace
 
-EmulatedOwner::EmulatedOwner(EmulatedFleet& fleet, std::size_t node, std::size_t shard, std::uint64_t epoch,
-    Utils::Duration formerRenewal, Fleet::LeaseEnds formerLeaseEnds)
+EmulatedOwner::EmulatedOwner(EmulatedFleet& fleet, std::size_t node, std::size_t shard)
     : fleet_(fleet)
     , node_(node)
     , shard_(shard)
-    , epoch_(epoch)
-    , formerRenewal_(formerRenewal)
-    , formerLeaseEnds_(std::move(formerLeaseEnds))
+    , incarnation_(fleet.node(node).incarnation)
     , scheduler_(std::make_unique<Fleet::ShardScheduler>(optionsFor(fleet.scenario().variant, shard),
           static_cast<Fleet::SchedulerOutput&>(*this), fleet.node(node).tailLatencyModel))
 {
@@ -70,38 +66,19 @@
     });
 }
 
-void EmulatedOwner::load()
+void EmulatedOwner::close()
 {
-    runLater(20 + fleet_.time().latencyMs(), [this] { restoreJobs(); });
-}
-
-void EmulatedOwner::restoreJobs()
-{
-    if (!fleet_.isStoreReachable(node_))
-        return runLater(storeRetryMs, [this] { restoreJobs(); });
-    if (fleet_.scenario().variant != FleetVariant::NoLeaseWait)
-        scheduler_->setFormerRenewal(formerRenewal_);
-    scheduler_->setFormerLeaseEnds(formerLeaseEnds_);
-    for (const auto& [id, stored] : fleet_.rows(shard_)) {
-        FleetSchema::JobRecord record = stored;
-        if (fleet_.scenario().variant == FleetVariant::RestartOfDelegatedTasks) {
-            for (FleetSchema::TaskRecord& task : *record.mutable_tasks()) {
-                if (task.state() == FleetSchema::TASK_LENT)
-                    task.set_state(FleetSchema::TASK_WAITING);
-            }
-        }
-        scheduler_->restore(record, fleet_.time().now(), fleet_.nowMs());
-    }
-    isLoaded_ = true;
-    loadedMs_ = fleet_.nowMs();
-    confirmedMs_ = fleet_.nowMs();
-    fleet_.announce(*this);
+    if (isClosed_)
+        return;
+    isClosed_ = true;
+    if (isLoaded_)
+        finalLeaseEnds_ = scheduler_->leaseEnds();
 }
 
 FleetSchema::ShardLoad EmulatedOwner::currentLoad() const
 {
     FleetSchema::ShardLoad load = scheduler_->load();
-    load.set_epoch(epoch_);
+    load.set_epoch(epoch());
     return load;
 }
 
@@ -113,6 +90,8 @@
     if (nowMs % housekeepingIntervalMs == 0) {
         if (fleet_.isStoreReachable(node_))
             readWorkerList();
+        if (scheduler_->countUnconfirmedAttempts() > 0)
+            askFormerOwner();
         scheduler_->onTick(fleet_.time().now(), nowMs);
         std::erase_if(
             nextPollMs_, [this](const auto& entry) { return !scheduler_->knowsWorker(entry.first); });
@@ -143,34 +122,56 @@
         scheduler_->schedule(fleet_.time().now(), nowMs);
     std::optional<Fleet::RecordBatch> batch = scheduler_->beginCommit(nowMs);
     const bool isLast = isReleasing_ && !scheduler_->hasChanges() && !(batch && batch->hasStarts);
-    if (!batch && !isLast && nowMs - confirmedMs_ < ownershipRenewalMs)
+    if (!batch && !isLast && !scheduler_->isLeaseStatementDue() && nowMs - confirmedMs_ < ownershipRenewalMs)
         return;
     isCommitting_ = true;
     isReleaseSent_ = isLast;
-    releasedLeaseEnds_ = isLast ? scheduler_->leaseEnds() : Fleet::LeaseEnds();
     nextRoundMs_ = nowMs + minCommitIntervalMs;
+    const Utils::TimePoint now = fleet_.time().now();
+    row_.prepare(isLast ? scheduler_->leaseEnds() : scheduler_->stateLeaseEnds(now), isLast, now);
+    firstSentMs_ = nowMs;
     auto shared = std::make_shared<Fleet::RecordBatch>(batch.value_or(Fleet::RecordBatch()));
-    runLater(4 + fleet_.time().random(10), [this, shared, isLast] { storeBatch(shared, isLast); });
+    storeBatch(shared, isLast);
 }
 
-// A transaction that cannot reach the store is repeated until its outcome is known.
+// A transaction that cannot reach the store, or whose answer is lost, is repeated until its outcome is known.
+// The row states the time at which it was sent, so that a repeated one states a later time.
 void EmulatedOwner::storeBatch(const std::shared_ptr<Fleet::RecordBatch>& batch, bool isLast)
 {
-    if (!fleet_.isStoreReachable(node_))
-        return runLater(storeRetryMs, [this, batch, isLast] { storeBatch(batch, isLast); });
-    if (!fleet_.store(*this, *batch))
-        return close();
-    runLater(2 + fleet_.time().random(10), [this, isLast, sentMs = fleet_.nowMs()] {
-        isCommitting_ = false;
-        confirmedMs_ = sentMs;
-        scheduler_->onCommitted(fleet_.time().now());
-        if (isLast) {
-            close();
-            fleet_.onReleased(shard_, node_);
-        }
+    const std::int64_t sentMs = fleet_.nowMs();
+    const Utils::TimePoint sentAt = fleet_.time().now();
+    const auto record = std::make_shared<FleetSchema::ShardRecord>(row_.dated(sentAt));
+    const auto retry = [this, batch, isLast] { storeBatch(batch, isLast); };
+    runLater(4 + fleet_.time().random(10), [this, batch, isLast, sentMs, sentAt, record, retry] {
+        if (!fleet_.isStoreReachable(node_))
+            return runLater(storeRetryMs, retry);
+        const EmulatedFleet::StoreOutcome outcome = fleet_.store(shard_, *record, *batch);
+        if (outcome == EmulatedFleet::StoreOutcome::TakenOver)
+            return close();
+        const std::int64_t storeMs = fleet_.storeMs();
+        // Which copy was stored is unknown after a lost answer.
+        const std::int64_t confirmedMs
+            = outcome == EmulatedFleet::StoreOutcome::Stored ? sentMs : firstSentMs_;
+        runLater(2 + fleet_.time().random(10), [this, isLast, confirmedMs, storeMs, sentAt, retry] {
+            if (!fleet_.isStoreReachable(node_))
+                return runLater(storeRetryMs, retry);
+            row_.onAnswer(storeMs, sentAt, fleet_.time().now());
+            onStored(isLast, confirmedMs);
+        });
     });
 }
 
+void EmulatedOwner::onStored(bool isLast, std::int64_t confirmedMs)
+{
+    isCommitting_ = false;
+    confirmedMs_ = confirmedMs;
+    scheduler_->onCommitted(fleet_.time().now());
+    if (isLast) {
+        close();
+        fleet_.onReleased(shard_, node_);
+    }
+}
+
 void EmulatedOwner::pollWorkers()
 {
     for (auto& [id, nextMs] : nextPollMs_) {
@@ -183,17 +184,19 @@
 
 void EmulatedOwner::poll(const std::string& id)
 {
-    const bool mayRenew = !isReleaseSent_ && fleet_.nowMs() - confirmedMs_ < orphanGraceMs;
+    const bool mayRenew = !isReleaseSent_ && fleet_.nowMs() - confirmedMs_ < EmulatedOwnerRow::renewalMs;
     const Fleet::PollPlan plan = scheduler_->planPoll(id, fleet_.time().now(), mayRenew);
     Ports::PollRequest request;
     request.leaseUntilMs = plan.leaseUntilMs;
+    if (mayRenew && fleet_.scenario().variant == FleetVariant::IgnoredLeaseStatement)
+        request.leaseUntilMs = ignoredStatementLease(id, plan);
     request.acknowledgedUpTo = plan.acknowledged;
-    request.epoch = epoch_;
+    request.epoch = epoch();
     fleet_.time().schedule(fleet_.time().latencyMs(),
         [weak = weak_from_this(), &fleet = fleet_, id, request, sentAt = fleet_.time().now()] {
             FleetWorker* const worker = fleet.platform().findWorker(id);
             const bool isAnswered = worker && worker->answers();
-            const bool isAbsent = !worker || !worker->simulated.isUp;
+            const bool isAbsent = !worker || worker->refusesCalls();
             const bool isFenced = isAnswered && worker->simulated.rejectsEpoch(request.epoch);
             const auto report = isAnswered ? worker->simulated.poll(request, fleet.nowMs()) : std::nullopt;
             const auto self = weak.lock();
@@ -213,13 +216,24 @@
         });
 }
 
+// Returns the lease that a poll would request if the owner had stated no ends of leases.
+std::int64_t EmulatedOwner::ignoredStatementLease(const std::string& worker, const Fleet::PollPlan& plan)
+{
+    if (plan.leaseUntilMs > 0)
+        leaseLeadMs_[worker] = plan.leaseUntilMs - fleet_.nowMs();
+    const auto lead = leaseLeadMs_.find(worker);
+    if (!plan.isWorkerResponsive || !plan.hasTasks || lead == leaseLeadMs_.end())
+        return plan.leaseUntilMs;
+    return lead->second + fleet_.nowMs();
+}
+
 void EmulatedOwner::trace(const Ports::TaskKey& task, const std::string& event) const
 {
     const std::string& traced = fleet_.scenario().traceJob;
     if (task.job != traced && traced != "all")
         return;
     std::cout << fleet_.nowMs() << " ms " << task.job << "." << task.occurrence << "." << task.step << "."
-              << task.index << " shard " << shard_ << " epoch " << epoch_ << " node " << node_ << ": "
+              << task.index << " shard " << shard_ << " epoch " << epoch() << " node " << node_ << ": "
               << event << "\n";
 }
 
@@ -230,7 +244,7 @@
     command.task = start.task;
     command.attempt = start.attempt;
     command.leaseUntilMs = start.leaseUntilMs;
-    command.epoch = epoch_;
+    command.epoch = epoch();
     fleet_.onStartOrdered(start.task, start.worker, shard_);
     const auto onReply = [weak = weak_from_this(), worker = start.worker, command](
                              const Utils::Result<Ports::CommandReply>& reply) {
@@ -262,7 +276,7 @@
     if (!nextPollMs_.contains(worker))
         return;
     fleet_.time().schedule(fleet_.time().latencyMs(),
-        [weak = weak_from_this(), &fleet = fleet_, worker, task, attempt, epoch = epoch_] {
+        [weak = weak_from_this(), &fleet = fleet_, worker, task, attempt, epoch = epoch()] {
             FleetWorker* const target = fleet.platform().findWorker(worker);
             if (!target || !target->answers())
                 return;
@@ -279,7 +293,7 @@
 {
     trace(task, "speed " + std::to_string(percent) + " ordered at " + worker);
     fleet_.time().schedule(
-        fleet_.time().latencyMs(), [&fleet = fleet_, worker, task, attempt, percent, epoch = epoch_] {
+        fleet_.time().latencyMs(), [&fleet = fleet_, worker, task, attempt, percent, epoch = epoch()] {
             FleetWorker* const target = fleet.platform().findWorker(worker);
             if (target && target->answers())
                 target->simulated.throttle(task, attempt, percent, epoch);
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "emulatedownerrow.h"
 #include "fleetscenario.h"
 
 #include "fleet/scheduleroutput.h"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -22,16 +24,18 @@
 public:
     using AnswerHandler = std::function<void(const Fleet::JobAnswer&)>;
 
-    /*!
-        \param formerRenewal time for which former owners may still renew leases of workers.
-        \param formerLeaseEnds stated by the owner that released the shard.
-    */
-    EmulatedOwner(EmulatedFleet& fleet, std::size_t node, std::size_t shard, std::uint64_t epoch,
-        Utils::Duration formerRenewal, Fleet::LeaseEnds formerLeaseEnds);
+    EmulatedOwner(EmulatedFleet& fleet, std::size_t node, std::size_t shard);
     ~EmulatedOwner() override;
 
-    /*! Loads the shard's jobs from the store and starts to serve. */
-    void load();
+    /*!
+        Takes the shard over, and then loads its jobs from the store and starts to serve.
+
+        \param former the owner row as the former owner last wrote it.
+        \param formerOwner the former owner; nullptr if there was none.
+        \return the new owner row, which counts as stored at this time.
+    */
+    FleetSchema::ShardRecord takeOver(
+        const FleetSchema::ShardRecord& former, std::shared_ptr<EmulatedOwner> formerOwner);
 
     /*! Advances the owner by one tick. */
     void advance();
@@ -40,7 +44,7 @@
     void release() { isReleasing_ = true; }
 
     /*! Ends this ownership without further effects. */
-    void close() { isClosed_ = true; }
+    void close();
 
     /*! Answers with the outcome of a call; \p handler runs once the change is stored. */
     void submit(const FleetSchema::JobSpec& spec, AnswerHandler handler);
@@ -49,21 +53,21 @@
     void acceptTaskResult(const FleetSchema::TaskResult& result, AnswerHandler handler);
     void cancelHostedTasks(const FleetSchema::JobSpec& spec, AnswerHandler handler);
 
-    /*! \return until when attempts can run on workers; valid once the shard is released. */
-    const Fleet::LeaseEnds& releasedLeaseEnds() const { return releasedLeaseEnds_; }
+    /*! \return until when attempts can run on workers; empty before the end of an ownership that served. */
+    const std::optional<Fleet::LeaseEnds>& finalLeaseEnds() const { return finalLeaseEnds_; }
 
     std::size_t node() const { return node_; }
     std::size_t shard() const { return shard_; }
-    std::uint64_t epoch() const { return epoch_; }
+    std::uint64_t epoch() const { return row_.epoch(); }
+    std::uint64_t incarnation() const { return incarnation_; }
     bool isClosed() const { return isClosed_; }
     bool isServing() const { return isLoaded_ && !isClosed_; }
-    //! Longest time for which an owner that cannot store anything renews leases.
-    static constexpr std::int64_t orphanGraceMs = 12'000;
-
     std::int64_t loadedMs() const { return loadedMs_; } //!< Valid if the owner serves.
     FleetSchema::ShardLoad currentLoad() const;
 
 private:
+    static constexpr std::int64_t storeRetryMs = 200;
+
     void startAttempt(const Fleet::AttemptStart& start) override;
     void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
     void throttleAttempt(
@@ -84,21 +88,26 @@
 
     void runLater(std::int64_t delayMs, std::function<void()> function);
     void restoreJobs();
+    Fleet::FormerLeases formerLeases() const;
+    void askFormerOwner();
     void readWorkerList();
     void pollWorkers();
     void poll(const std::string& id);
     void commit();
     void storeBatch(const std::shared_ptr<Fleet::RecordBatch>& batch, bool isLast);
+    void onStored(bool isLast, std::int64_t confirmedMs);
+    std::int64_t ignoredStatementLease(const std::string& worker, const Fleet::PollPlan& plan);
     void trace(const Ports::TaskKey& task, const std::string& event) const;
     std::uint64_t addHandler(AnswerHandler handler);
 
     EmulatedFleet& fleet_;
     std::size_t node_;
     std::size_t shard_;
-    std::uint64_t epoch_;
-    Utils::Duration formerRenewal_;
-    Fleet::LeaseEnds formerLeaseEnds_;
-    Fleet::LeaseEnds releasedLeaseEnds_; //!< At the time of the release.
+    std::uint64_t incarnation_; //!< Of the node's process.
+    EmulatedOwnerRow row_;
+    bool ignoresFormerRow_ = false; //!< For FleetVariant::LeaseWaitFromTakeover.
+    std::shared_ptr<EmulatedOwner> formerOwner_; //!< To be asked for its leases; nullptr: none.
+    std::optional<Fleet::LeaseEnds> finalLeaseEnds_;
     std::unique_ptr<Fleet::ShardScheduler> scheduler_;
     std::map<std::string, std::int64_t> nextPollMs_; //!< By worker with a known address.
     std::map<std::uint64_t, AnswerHandler> answerHandlers_;
@@ -110,7 +119,10 @@
     bool isCommitting_ = false;
     std::int64_t loadedMs_ = 0;
     std::int64_t listReadMs_ = -1; //!< Time at which the list of workers was last read; -1: never.
-    std::int64_t confirmedMs_ = 0; //!< Time of the latest stored transaction.
+    std::int64_t nextQuestionMs_ = 0; //!< To the former owner.
+    std::int64_t firstSentMs_ = 0; //!< Of the transaction in progress.
+    std::int64_t confirmedMs_ = 0; //!< Time at which the latest stored transaction was sent.
+    std::map<std::string, std::int64_t> leaseLeadMs_; //!< Lease in a worker's clock less virtual time.
     std::int64_t nextRoundMs_ = 0;
 };
 
--- a/src/tools/gqemulate/emulatedplatform.cpp
+++ b/src/tools/gqemulate/emulatedplatform.cpp
@@ -236,6 +236,7 @@
         if (worker->leaveMs >= 0 && worker->leaveMs <= nowMs && worker->simulated.isUp) {
             worker->simulated.restart(nowMs);
             worker->simulated.isUp = false;
+            worker->isSilent = hasSilentDepartures_;
         }
         if (worker->answers())
             worker->unansweredSinceMs = -1;
--- a/src/tools/gqemulate/emulatedplatform.h
+++ b/src/tools/gqemulate/emulatedplatform.h
@@ -25,11 +25,15 @@
     std::int64_t unlistedUntilMs = -1; //!< End of the absence; -1: for good.
     std::int64_t unansweredSinceMs = -1; //!< Since when the worker does not answer; -1 if it does.
 
+    bool isSilent = false; //!< Its host is gone, so that calls to it are not refused.
     bool hasCrashed = false; //!< It has crashed and has not started again.
 
     /*! \return whether the worker carries out commands. */
     bool answers() const { return simulated.isUp && simulated.isReachable; }
 
+    /*! \return whether calls show that no worker runs at its address. */
+    bool refusesCalls() const { return !simulated.isUp && !isSilent; }
+
     /*! \return whether new attempts may be expected to run on the worker. */
     bool isUsable(std::int64_t nowMs) const
     {
@@ -59,6 +63,9 @@
     /*! Lets attempts take time to stop. */
     void setStopDurationLimit(std::int64_t limitMs);
 
+    /*! Lets calls to workers that have left fail without showing that no worker runs there. */
+    void setSilentDepartures() { hasSilentDepartures_ = true; }
+
     /*! \return whether a worker has crashed and has not started again. */
     bool hasCrashedWorkers() const;
 
@@ -86,6 +93,7 @@
     std::size_t shardCount_;
     bool honorsEpochs_;
     std::int64_t stopDurationLimitMs_ = 0;
+    bool hasSilentDepartures_ = false;
     std::size_t nextNumber_ = 0;
     std::map<std::string, std::unique_ptr<FleetWorker>> workers_;
     std::map<const void*, std::string> faultTargets_; //!< Worker that an active fault affects.
--- a/src/tools/gqemulate/fleetscenario.cpp
+++ b/src/tools/gqemulate/fleetscenario.cpp
@@ -118,6 +118,47 @@
     scenario.faults.push_back(shrink);
 }
 
+FleetScenario ownerLossScenario(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 32'452'843 + 11);
+    const auto draw = [&random](std::int64_t minMs, std::int64_t maxMs) {
+        return minMs + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(maxMs - minMs));
+    };
+    FleetScenario scenario;
+    scenario.seed = seed;
+    scenario.hasSilentDepartures = true;
+    // Without other faults, the node of this number owns the shard of this number.
+    const std::size_t shard = random() % 3;
+    const std::int64_t startMs = draw(25'000, 35'000);
+    const std::int64_t outageMs = draw(8000, 13'000);
+    scenario.faults.push_back({ FleetFaultKind::StoreDown, startMs, outageMs, 0, 1, 100 });
+    scenario.faults.push_back(
+        { FleetFaultKind::Replacement, startMs - draw(0, 3000), 100, shard, 3 + random() % 3, 100 });
+    scenario.faults.push_back({ FleetFaultKind::Replacement, startMs + draw(0, 4000), 100, shard, 3, 100 });
+    if (seed % 2 == 0) {
+        const std::int64_t killMs = startMs + draw(1000, outageMs - 500);
+        scenario.faults.push_back(
+            { FleetFaultKind::NodeKill, killMs, startMs + outageMs + 3500 - killMs, shard, 1, 100 });
+    } else {
+        scenario.faults.push_back({ FleetFaultKind::StoreOutage, startMs + outageMs, 3500, shard, 1, 100 });
+    }
+    return scenario;
+}
+
+FleetScenario statedLeaseScenario(std::uint64_t seed)
+{
+    FleetScenario scenario;
+    scenario.seed = seed;
+    constexpr std::int64_t startMs = 30'000;
+    constexpr std::size_t worker = 3; // Of shard 0, which node 0 owns.
+    scenario.faults.push_back({ FleetFaultKind::EntryLapse, startMs, 20'000, worker, 1, 100 });
+    scenario.faults.push_back({ FleetFaultKind::WorkerUnreachable, startMs + 100, 1400, worker, 1, 100 });
+    scenario.faults.push_back({ FleetFaultKind::StoreDown, startMs + 1400, 5600, 0, 1, 100 });
+    scenario.faults.push_back({ FleetFaultKind::WorkerUnreachable, startMs + 6500, 9000, worker, 1, 100 });
+    scenario.faults.push_back({ FleetFaultKind::NodeKill, startMs + 6600, 6000, 0, 1, 100 });
+    return scenario;
+}
+
 FleetResult runFleetScenario(const FleetScenario& scenario)
 {
     EmulatedFleet fleet(scenario);
--- a/src/tools/gqemulate/fleetscenario.h
+++ b/src/tools/gqemulate/fleetscenario.h
@@ -42,6 +42,8 @@
     NoLeaseWait, //!< A successor treats tasks of unresponsive workers as ended at once.
     NoDelegationOfEndingTasks, //!< Only long-running tasks are delegated.
     RestartOfDelegatedTasks, //!< A successor starts the tasks that its predecessor delegated.
+    LeaseWaitFromTakeover, //!< A successor does not know when and what the former owner last wrote.
+    IgnoredLeaseStatement, //!< An owner renews leases beyond the ends that it has stated.
 };
 
 /*! Input of the emulation of a fleet of several shards. */
@@ -51,6 +53,7 @@
     std::vector<FleetFault> faults;
     bool hasWorkerDisturbances = false; //!< Stops take time, and the list of workers is read less often.
     bool hasDeadlyTasks = false; //!< Some jobs have a task that crashes each worker that starts it.
+    bool hasSilentDepartures = false; //!< Calls to workers that have left are not refused.
     std::string traceJob; //!< Job whose events are printed; empty: none.
 };
 
@@ -89,6 +92,19 @@
 */
 void addWorkerDisturbances(FleetScenario& scenario);
 
+/*!
+    Creates a scenario in which the store is away for 8 to 13 s while workers of a shard drain and leave, and
+    the node of the shard's owner is killed or, if the seed is odd, cut off from the store for longer than the
+    other nodes. Calls to workers that have left are not refused.
+*/
+FleetScenario ownerLossScenario(std::uint64_t seed);
+
+/*!
+    Creates a scenario in which an owner states the end of a lease, because a worker is neither listed nor
+    answers, and is replaced while it cannot store that the worker answers again.
+*/
+FleetScenario statedLeaseScenario(std::uint64_t seed);
+
 /*! Runs a scenario in virtual time with the real schedulers. */
 FleetResult runFleetScenario(const FleetScenario& scenario);
 
--- a/src/tools/gqemulate/main.cpp
+++ b/src/tools/gqemulate/main.cpp
@@ -18,6 +18,8 @@
     bool withoutFaults = false;
     bool hasWaves = false;
     bool isFleet = false;
+    bool hasOwnerLoss = false;
+    bool hasStatedLease = false;
     bool hasWorkerDisturbances = true;
     bool hasDeadlyTasks = true;
     Emulate::FleetVariant variant = Emulate::FleetVariant::Complete;
@@ -30,6 +32,8 @@
     { "no-lease-wait", Emulate::FleetVariant::NoLeaseWait },
     { "no-delegation", Emulate::FleetVariant::NoDelegationOfEndingTasks },
     { "restart-delegated", Emulate::FleetVariant::RestartOfDelegatedTasks },
+    { "wait-from-takeover", Emulate::FleetVariant::LeaseWaitFromTakeover },
+    { "ignored-statement", Emulate::FleetVariant::IgnoredLeaseStatement },
 };
 
 /*! Sums over several days. */
@@ -47,13 +51,17 @@
 void printUsage(std::ostream& stream)
 {
     stream
-        << "Usage: gqemulate [--fleet] [--waves] [--variant NAME] [--seed N] [--days N] [--calm]\n"
+        << "Usage: gqemulate [--fleet] [--waves] [--owner-loss] [--stated-lease]\n"
+        << "                 [--variant NAME] [--seed N] [--days N] [--calm]\n"
         << "                 [--no-deadly] [--no-crashes] [--trace JOB]\n"
         << "Plays days of a shard in virtual time with the real scheduler and judges what its workers did.\n"
         << "  --fleet      days of several shards with worker replacement, instead of one shard\n"
         << "  --waves      fleet days with no faults but many replaced workers\n"
+        << "  --owner-loss fleet days with a node lost while the store is away and workers leave\n"
+        << "  --stated-lease  fleet days with an owner lost that has stated the end of a lease\n"
         << "  --variant V  fleet that lacks a protection: no-fencing, no-lease-wait, no-delegation,\n"
-        << "               restart-delegated\n"
+        << "               restart-delegated, wait-from-takeover,\n"
+        << "               ignored-statement\n"
         << "  --seed N     seed of the first day (1)\n"
         << "  --days N     number of days with seeds from there on (1)\n"
         << "  --calm       days without faults\n"
@@ -81,6 +89,7 @@
         = { { "seed", required_argument, nullptr, 's' }, { "days", required_argument, nullptr, 'd' },
               { "calm", no_argument, nullptr, 'c' }, { "trace", required_argument, nullptr, 't' },
               { "fleet", no_argument, nullptr, 'f' }, { "waves", no_argument, nullptr, 'w' },
+              { "owner-loss", no_argument, nullptr, 'o' }, { "stated-lease", no_argument, nullptr, 'l' },
               { "variant", required_argument, nullptr, 'v' }, { "no-crashes", no_argument, nullptr, 'n' },
               { "no-deadly", no_argument, nullptr, 'D' }, { nullptr, 0, nullptr, 0 } };
     for (int flag = 0; (flag = getopt_long(argc, argv, "", flags, nullptr)) != -1;) {
@@ -100,6 +109,12 @@
         case 'w':
             options.hasWaves = true;
             break;
+        case 'o':
+            options.hasOwnerLoss = true;
+            break;
+        case 'l':
+            options.hasStatedLease = true;
+            break;
         case 'n':
             options.hasWorkerDisturbances = false;
             break;
@@ -156,11 +171,21 @@
     return options.hasWaves ? Emulate::FaultMix::Waves : Emulate::FaultMix::All;
 }
 
-void playFleet(const Options& options, std::uint64_t seed, Totals& totals)
+Emulate::FleetScenario fleetScenario(const Options& options, std::uint64_t seed)
 {
+    if (options.hasOwnerLoss)
+        return Emulate::ownerLossScenario(seed);
+    if (options.hasStatedLease)
+        return Emulate::statedLeaseScenario(seed);
     Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, faultMix(options));
     if (options.hasWorkerDisturbances && faultMix(options) == Emulate::FaultMix::All)
         Emulate::addWorkerDisturbances(scenario);
+    return scenario;
+}
+
+void playFleet(const Options& options, std::uint64_t seed, Totals& totals)
+{
+    Emulate::FleetScenario scenario = fleetScenario(options, seed);
     scenario.hasDeadlyTasks = scenario.hasDeadlyTasks && options.hasDeadlyTasks;
     scenario.variant = options.variant;
     scenario.traceJob = options.traceJob;
--- a/src/tools/gqemulate/waitchecker.cpp
+++ b/src/tools/gqemulate/waitchecker.cpp
@@ -13,9 +13,14 @@
 constexpr std::int64_t calmMs = 7000;
 constexpr double maxUseShare = 0.5;
 constexpr std::int64_t spareFactor = 2;
-// Longest leases, with the drift of workers' clocks: of the present owner, and of former ones.
+// Longest lease of the present owner, with the drift of workers' clocks.
 constexpr std::int64_t leaseMs = 5100 + 1500;
-constexpr std::int64_t formerLeaseMs = 22'200 + 500;
+// Time from a former owner's last transaction to the end of the leases that it granted: 12 s in which it
+// renews leases of 5 s, both with the drift of clocks.
+constexpr std::int64_t formerLeaseMs = 12'240 + 5100;
+// Time that a new owner has in any case after it has taken the shard over.
+constexpr std::int64_t takeoverMs = 1000;
+constexpr std::int64_t takeoverToleranceMs = 500;
 
 std::string nameOf(const Ports::TaskKey& task)
 {
@@ -90,21 +95,36 @@
            });
 }
 
-// Returns whether an attempt that its shard has recorded as open may run on a worker that does not answer.
-bool WaitChecker::mayStillRun(const Ports::TaskKey& key, std::int64_t nowMs) const
+// Returns where the task's latest attempt was started or, if its start was stored and not ordered because the
+// store's answer was lost, may have been started for all that a later owner knows.
+std::optional<WaitChecker::LatestStart> WaitChecker::openAttempt(
+    const Ports::TaskKey& key, const JobView& job, int position) const
 {
     const auto start = latestStarts_.find(key);
+    const FleetSchema::TaskRecord& recorded = job.record->tasks(position);
+    if (recorded.state() == FleetSchema::TASK_ASSIGNED)
+        return LatestStart { recorded.worker(), job.shard };
     if (start == latestStarts_.end())
+        return std::nullopt;
+    return start->second;
+}
+
+// Returns whether an attempt that its shard has recorded as open may run on a worker that does not answer.
+bool WaitChecker::mayStillRun(
+    const Ports::TaskKey& key, const JobView& job, int position, std::int64_t nowMs) const
+{
+    const std::optional<LatestStart> start = openAttempt(key, job, position);
+    if (!start)
         return false;
-    const ShardState& shard = shards_[start->second.shard];
+    const ShardState& shard = shards_[start->shard];
     const auto row = shard.rows->find(key.job);
     if (row == shard.rows->end())
         return false;
     const bool isAssigned = std::any_of(
         row->second.tasks().begin(), row->second.tasks().end(), [&](const FleetSchema::TaskRecord& task) {
-            return task.state() == FleetSchema::TASK_ASSIGNED && task.worker() == start->second.worker;
+            return task.state() == FleetSchema::TASK_ASSIGNED && task.worker() == start->worker;
         });
-    const auto worker = platform_.workers().find(start->second.worker);
+    const auto worker = platform_.workers().find(start->worker);
     if (!isAssigned || worker == platform_.workers().end() || worker->second->answers())
         return false;
     const std::int64_t sinceMs = worker->second->unansweredSinceMs;
@@ -114,8 +134,10 @@
         [sinceMs](const OwnerChange& other) { return other.timeMs > sinceMs - boundMs; });
     if (change == shard.changes->end())
         return nowMs < sinceMs + leaseMs;
-    return nowMs
-        < std::max(sinceMs + leaseMs, change->timeMs + (change->isRelease ? leaseMs : formerLeaseMs));
+    const std::int64_t formerEndMs = change->isRelease
+        ? change->timeMs + leaseMs
+        : std::max(change->writtenMs + formerLeaseMs, change->timeMs + takeoverMs) + takeoverToleranceMs;
+    return nowMs < std::max(sinceMs + leaseMs, formerEndMs);
 }
 
 void WaitChecker::updateWait(Wait& wait, const Ports::TaskKey& key, bool mayRun, bool isExcused,
@@ -154,8 +176,8 @@
         }
         ++missingLongRunning_;
         const bool mayRun = isCalm && canShardsAct(job) && countSlots(key, step) >= missingLongRunning_;
-        updateWait(wait, key, mayRun, mayStillRun(key, nowMs), longRunningToleranceMs,
-            "long-running task without a run although there is capacity", nowMs);
+        updateWait(wait, key, mayRun, mayStillRun(key, job, static_cast<int>(index), nowMs),
+            longRunningToleranceMs, "long-running task without a run although there is capacity", nowMs);
     }
 }
 
@@ -175,11 +197,12 @@
         std::int64_t unresolved = 0;
         Ports::TaskKey key { spec.id(), 0, static_cast<std::uint32_t>(step), 0 };
         for (std::uint32_t index = 0; index < count; ++index) {
-            if (job.record->tasks(position++).state() == FleetSchema::TASK_DONE)
+            const int taskPosition = position++;
+            if (job.record->tasks(taskPosition).state() == FleetSchema::TASK_DONE)
                 continue;
             key.index = index;
             ++waiting;
-            unresolved += mayStillRun(key, nowMs) ? 1 : 0;
+            unresolved += mayStillRun(key, job, taskPosition, nowMs) ? 1 : 0;
         }
         if (waiting == 0)
             continue;
--- a/src/tools/gqemulate/waitchecker.h
+++ b/src/tools/gqemulate/waitchecker.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,6 +31,7 @@
     /*! A change of a shard's owner. */
     struct OwnerChange {
         std::int64_t timeMs = 0;
+        std::int64_t writtenMs = 0; //!< Time of the former owner's last stored transaction.
         bool isRelease = false; //!< The former owner stored its release and renewed no leases afterwards.
     };
 
@@ -85,6 +87,7 @@
         std::int64_t memoryMb = 0;
     };
 
+    /*! Place of a task's latest start. */
     struct LatestStart {
         std::string worker;
         std::size_t shard = 0;
@@ -96,7 +99,8 @@
     void updateWait(Wait& wait, const Ports::TaskKey& key, bool mayRun, bool isExcused,
         std::int64_t toleranceMs, const std::string& rule, std::int64_t nowMs);
     bool canShardsAct(const JobView& job) const;
-    bool mayStillRun(const Ports::TaskKey& key, std::int64_t nowMs) const;
+    std::optional<LatestStart> openAttempt(const Ports::TaskKey& key, const JobView& job, int position) const;
+    bool mayStillRun(const Ports::TaskKey& key, const JobView& job, int position, std::int64_t nowMs) const;
     std::int64_t countSlots(const Ports::TaskKey& task, const FleetSchema::StepSpec& step) const;
 
     const EmulatedPlatform& platform_;
