--- a/src/tools/gqemulate/emulatedfleet.h
+++ b/src/tools/gqemulate/emulatedfleet.h
@@ -77,6 +77,7 @@
     struct FormerOwnerAnswer {
         bool hasProcessEnded = false; //!< The node runs another process now.
         std::optional<Fleet::LeaseEnds> leaseEnds; //!< Empty if they are not known.
+        std::vector<FleetSchema::EndedTask> unstoredEnds;
     };
 
     /*!
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -71,8 +71,10 @@
     if (isClosed_)
         return;
     isClosed_ = true;
-    if (isLoaded_)
-        finalLeaseEnds_ = scheduler_->leaseEnds();
+    if (!isLoaded_)
+        return;
+    finalLeaseEnds_ = scheduler_->leaseEnds();
+    unstoredEnds_ = scheduler_->unstoredEnds();
 }
 
 FleetSchema::ShardLoad EmulatedOwner::currentLoad() const
@@ -122,12 +124,13 @@
         scheduler_->schedule(fleet_.time().now(), nowMs);
     std::optional<Fleet::RecordBatch> batch = scheduler_->beginCommit(nowMs);
     const bool isLast = isReleasing_ && !scheduler_->hasChanges() && !(batch && batch->hasStarts);
-    if (!batch && !isLast && !scheduler_->isLeaseStatementDue() && nowMs - confirmedMs_ < ownershipRenewalMs)
+    const Utils::TimePoint now = fleet_.time().now();
+    if (!batch && !isLast && !scheduler_->isLeaseStatementDue(now)
+        && nowMs - confirmedMs_ < ownershipRenewalMs)
         return;
     isCommitting_ = true;
     isReleaseSent_ = isLast;
     nextRoundMs_ = nowMs + minCommitIntervalMs;
-    const Utils::TimePoint now = fleet_.time().now();
     row_.prepare(isLast ? scheduler_->leaseEnds() : scheduler_->stateLeaseEnds(now), isLast, now);
     firstSentMs_ = nowMs;
     auto shared = std::make_shared<Fleet::RecordBatch>(batch.value_or(Fleet::RecordBatch()));
@@ -165,7 +168,10 @@
 {
     isCommitting_ = false;
     confirmedMs_ = confirmedMs;
-    scheduler_->onCommitted(fleet_.time().now());
+    const Utils::TimePoint now = fleet_.time().now();
+    scheduler_->setLeaseRightEnd(
+        now + milliseconds(confirmedMs + EmulatedOwnerRow::renewalMs - fleet_.nowMs()));
+    scheduler_->onCommitted(now);
     if (isLast) {
         close();
         fleet_.onReleased(shard_, node_);
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -56,6 +56,9 @@
     /*! \return until when attempts can run on workers; empty before the end of an ownership that served. */
     const std::optional<Fleet::LeaseEnds>& finalLeaseEnds() const { return finalLeaseEnds_; }
 
+    /*! \return the ends that may not be stored, after the shard was given up. */
+    const std::vector<FleetSchema::EndedTask>& unstoredEnds() const { return unstoredEnds_; }
+
     std::size_t node() const { return node_; }
     std::size_t shard() const { return shard_; }
     std::uint64_t epoch() const { return row_.epoch(); }
@@ -108,6 +111,7 @@
     bool ignoresFormerRow_ = false; //!< For FleetVariant::LeaseWaitFromTakeover.
     std::shared_ptr<EmulatedOwner> formerOwner_; //!< To be asked for its leases; nullptr: none.
     std::optional<Fleet::LeaseEnds> finalLeaseEnds_;
+    std::vector<FleetSchema::EndedTask> unstoredEnds_;
     std::unique_ptr<Fleet::ShardScheduler> scheduler_;
     std::map<std::string, std::int64_t> nextPollMs_; //!< By worker with a known address.
     std::map<std::uint64_t, AnswerHandler> answerHandlers_;
--- a/src/tools/gqemulate/emulatedownerrow.cpp
+++ b/src/tools/gqemulate/emulatedownerrow.cpp
@@ -8,6 +8,9 @@
 
 using std::chrono::milliseconds;
 
+constexpr Fleet::LeaseLimits limits { milliseconds(EmulatedOwnerRow::renewalMs),
+    milliseconds(EmulatedOwnerRow::leaseLimitMs) };
+
 } // namespace
 
 FleetSchema::ShardRecord EmulatedOwnerRow::releasedRow()
@@ -26,14 +29,25 @@
 {
     owner_ = owner;
     storeClock_.onAnswer(storeMs, now, now);
-    // An owner that released the shard or was an earlier process of this node renews no leases any more.
-    const bool isGone = former.owner().empty() || former.owner() == owner;
-    formerLeases_ = Fleet::findFormerLeases(
-        former, isGone, storeClock_, now, { milliseconds(renewalMs), milliseconds(leaseLimitMs) });
-    earlierRenewalEnd_ = now + formerLeases_.renewal;
+    former_ = former;
+    const Fleet::FormerLeases leases = formerLeases(now);
+    earlierRenewalEnd_ = now + leases.renewal;
+    earlierLease_ = leases.lease;
     record_.set_epoch(former.epoch() + 1);
     record_.set_incarnation(incarnation);
-    prepare({}, false, now);
+    prepare(leases.ends, false, now);
+}
+
+// An owner that released the shard or was an earlier process of this node renews no leases any more.
+Fleet::FormerLeases EmulatedOwnerRow::formerLeases(Utils::TimePoint now) const
+{
+    const bool isGone = former_.owner().empty() || former_.owner() == owner_;
+    return Fleet::findFormerLeases(former_, isGone, storeClock_, now, limits);
+}
+
+Fleet::FormerLeases EmulatedOwnerRow::leasesOfGoneOwner(Utils::TimePoint now) const
+{
+    return Fleet::findFormerLeases(former_, true, storeClock_, now, limits);
 }
 
 void EmulatedOwnerRow::prepare(const Fleet::LeaseEnds& leaseEnds, bool isRelease, Utils::TimePoint now)
@@ -42,8 +56,8 @@
         return static_cast<std::uint32_t>(
             std::max<std::int64_t>(0, std::chrono::ceil<milliseconds>(end - now).count()));
     };
-    const bool areEarlierOver = now > earlierRenewalEnd_ + formerLeases_.lease * 51 / 50;
-    const auto earlierLease = std::chrono::ceil<milliseconds>(formerLeases_.lease).count();
+    const bool areEarlierOver = now > earlierRenewalEnd_ + earlierLease_ * 51 / 50;
+    const auto earlierLease = std::chrono::ceil<milliseconds>(earlierLease_).count();
     const std::int64_t lease = areEarlierOver ? leaseMs : std::max<std::int64_t>(leaseMs, earlierLease);
     record_.set_owner(isRelease ? std::string() : owner_);
     record_.set_sequence(record_.sequence() + 1);
--- a/src/tools/gqemulate/emulatedownerrow.h
+++ b/src/tools/gqemulate/emulatedownerrow.h
@@ -52,8 +52,11 @@
         storeClock_.onAnswer(storeMs, sentAt, receivedAt);
     }
 
-    /*! \return what the owner knows about the leases of former owners since it took the shard over. */
-    const Fleet::FormerLeases& formerLeases() const { return formerLeases_; }
+    /*! \return what the owner knows at \p now about the leases of former owners. */
+    Fleet::FormerLeases formerLeases(Utils::TimePoint now) const;
+
+    /*! \return the same if the former owner is known to renew no leases any more. */
+    Fleet::FormerLeases leasesOfGoneOwner(Utils::TimePoint now) const;
 
     std::uint64_t epoch() const { return record_.epoch(); }
     std::uint64_t sequence() const { return record_.sequence(); }
@@ -62,7 +65,8 @@
     FleetSchema::ShardRecord record_;
     std::string owner_;
     Fleet::StoreClock storeClock_;
-    Fleet::FormerLeases formerLeases_;
+    FleetSchema::ShardRecord former_;
+    Utils::Duration earlierLease_ {};
     Utils::TimePoint earlierRenewalEnd_ {};
 };
 
--- a/src/tools/gqemulate/emulatedownertakeover.cpp
+++ b/src/tools/gqemulate/emulatedownertakeover.cpp
@@ -36,7 +36,7 @@
     if (ignoresFormerRow_)
         return { milliseconds(EmulatedOwnerRow::renewalMs), milliseconds(EmulatedOwnerRow::leaseLimitMs),
             {} };
-    return row_.formerLeases();
+    return row_.formerLeases(fleet_.time().now());
 }
 
 void EmulatedOwner::restoreJobs()
@@ -49,6 +49,7 @@
         scheduler_->setFormerLease(former.lease);
     }
     scheduler_->setFormerLeaseEnds(former.ends);
+    scheduler_->adoptStatedLeaseEnds(former.ends);
     for (const auto& [id, stored] : fleet_.rows(shard_)) {
         FleetSchema::JobRecord record = stored;
         if (fleet_.scenario().variant == FleetVariant::RestartOfDelegatedTasks) {
@@ -73,17 +74,17 @@
     nextQuestionMs_ = fleet_.nowMs() + questionIntervalMs;
     const auto onAnswer = [weak = weak_from_this()](const EmulatedFleet::FormerOwnerAnswer& answer) {
         const auto self = weak.lock();
-        if (!self)
+        const bool isKnown = answer.hasProcessEnded || answer.leaseEnds;
+        if (!self || !isKnown)
             return;
         self->runLater(0, [owner = self.get(), answer] {
             if (!std::exchange(owner->formerOwner_, nullptr))
                 return;
             const Utils::TimePoint now = owner->fleet_.time().now();
-            const Fleet::FormerLeases remaining { {}, owner->row_.formerLeases().lease, {} };
-            if (answer.hasProcessEnded)
-                owner->scheduler_->limitFormerLeases({}, now + remaining.longestWait());
-            else if (answer.leaseEnds)
-                owner->scheduler_->limitFormerLeases(*answer.leaseEnds, now);
+            const Fleet::FormerLeases remaining = owner->row_.leasesOfGoneOwner(now);
+            owner->scheduler_->limitFormerLeases(
+                answer.leaseEnds.value_or(Fleet::LeaseEnds()), now + remaining.longestWait());
+            owner->scheduler_->onFormerOwnersEnds(answer.unstoredEnds, now, owner->fleet_.nowMs());
         });
     };
     fleet_.askFormerOwner(formerOwner_, onAnswer);
--- a/src/tools/gqemulate/emulatedtakeovers.cpp
+++ b/src/tools/gqemulate/emulatedtakeovers.cpp
@@ -118,6 +118,7 @@
         if (!answer.hasProcessEnded) {
             former->close();
             answer.leaseEnds = former->finalLeaseEnds();
+            answer.unstoredEnds = former->unstoredEnds();
         }
         if (isCallLost())
             return;
