Let the clock of every third worker of the emulated fleet run 2% slow

Change: the clock of every third emulated worker of a fleet runs at 50/51 of virtual time. No random number is drawn for it.

A lack of the margin of 2% itself was not tried. tst_emulatedfleet, tst_emulatedscenarios and tst_invariantchecker hold.

--- a/src/tools/gqemulate/emulatedplatform.cpp
+++ b/src/tools/gqemulate/emulatedplatform.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t maxEntryRemovalMs = 4500;
 constexpr std::int64_t maxDownAfterDeadlyTaskMs = 4000;
 constexpr int newIdentifierPercent = 40;
+// One of so many workers has a slow clock.
+constexpr std::size_t slowClockInterval = 3;
 
 Ports::TaskKey gangOf(Ports::TaskKey task)
 {
@@ -52,6 +54,7 @@
     info.startedUnixMs = time_.nowMs() + 1;
     workers_[info.id]
         = std::make_unique<FleetWorker>(FleetWorker { SimulatedWorker(info, honorsEpochs_), shard });
+    workers_[info.id]->simulated.hasSlowClock = nextNumber_ % slowClockInterval == 0;
     if (stopDurationLimitMs_ > 0)
         workers_[info.id]->simulated.stopDurationMs = time_.random(stopDurationLimitMs_);
 }
--- a/src/tools/gqemulate/simulatedworker.h
+++ b/src/tools/gqemulate/simulatedworker.h
@@ -102,6 +102,7 @@
     //! vector.
     std::vector<Ports::TaskKey> newlyCrashedUnder;
 
+    bool hasSlowClock = false; //!< Its clock runs 2% slow.
     bool isUp = true; //!< False after a crash, until the restart.
     bool isReachable = true;
     bool failsAllTasks = false;
@@ -118,7 +119,11 @@
     };
 
     std::int64_t reportedLoad(const Attempt& attempt, std::int64_t nowMs) const;
-    std::int64_t clockMs(std::int64_t nowMs) const { return nowMs - info_.startedUnixMs + clockOffsetMs; }
+    std::int64_t clockMs(std::int64_t nowMs) const
+    {
+        const std::int64_t elapsedMs = nowMs - info_.startedUnixMs;
+        return (hasSlowClock ? elapsedMs * 50 / 51 : elapsedMs) + clockOffsetMs;
+    }
 
     // Makes the worker's clock differ from virtual time, as workers' clocks are unrelated to the owner's.
     static constexpr std::int64_t clockOffsetMs = 77'000;
