--- a/src/tools/gqemulate/emulatedtakeovers.cpp
+++ b/src/tools/gqemulate/emulatedtakeovers.cpp
@@ -107,7 +107,8 @@
 void EmulatedFleet::askFormerOwner(
     const std::shared_ptr<EmulatedOwner>& former, std::function<void(const FormerOwnerAnswer&)> onAnswer)
 {
-    if (isCallLost())
+    // The question makes a former owner give up the shard, which fencing does as well.
+    if (isCallLost() || scenario_.variant == FleetVariant::NoEpochFencing)
         return;
     time_.schedule(time_.latencyMs(), [this, former, onAnswer = std::move(onAnswer)] {
         const EmulatedNode& node = nodes_[former->node()];
--- a/src/tools/gqemulate/fleetscenario.h
+++ b/src/tools/gqemulate/fleetscenario.h
@@ -38,7 +38,7 @@
 /*! Protocol variants of a fleet that lack a protection, to show that the checkers detect the lack. */
 enum class FleetVariant {
     Complete,
-    NoEpochFencing, //!< Workers obey former owners.
+    NoEpochFencing, //!< Workers obey former owners, which successors do not ask to give up.
     NoLeaseWait, //!< A successor treats tasks of unresponsive workers as ended at once.
     NoDelegationOfEndingTasks, //!< Only long-running tasks are delegated.
     RestartOfDelegatedTasks, //!< A successor starts the tasks that its predecessor delegated.
