--- a/tests/auto/fleet/tst_formerowneranswers.cpp
+++ b/tests/auto/fleet/tst_formerowneranswers.cpp
@@ -1,5 +1,3 @@
-// What a successor does with the answer of a former owner that took in ends which it could not store.
-
 #include "fleetfixtures.h"
 
 #include <catch2/catch.hpp>
@@ -9,73 +7,96 @@
 
 namespace {
 
-/*! \return whether the successor started the task although its end, stored by nobody, was listed again. */
-struct Outcome {
-    std::size_t starts = 0; //!< Of the successor, before the lease of the worker was over.
-    bool isEndAcknowledged = false;
-    std::uint32_t failures = 0; //!< As the successor stores them.
-    FleetSchema::JobState state = FleetSchema::JOB_QUEUED; //!< As the successor stores it.
+const FleetSchema::JobSpec oneTaskJob = makeJob("job", { makeStep(1, 1000, 60'000) });
+
+/*! An owner that has renewed the lease of its only worker, and then took in an end that it cannot store. */
+struct FormerOwner : SchedulerFixture {
+    explicit FormerOwner(Ports::AttemptOutcome kind)
+        : SchedulerFixture(1)
+    {
+        now += 60s;
+        report("w0", {});
+        scheduler.submit(oneTaskJob, 1, now, testStartUnixMs);
+        scheduleAndCommit();
+        confirmStarts();
+        REQUIRE(scheduler.planPoll("w0", now, true).leaseUntilMs != 0);
+        leaseEnd = now + 5s;
+        now += 100ms;
+        finishAll(kind);
+    }
+
+    Utils::TimePoint leaseEnd {};
 };
 
-Outcome takeOverAfterUnstoredEnd(Ports::AttemptOutcome kind)
-{
-    // The former owner renews the lease for 5 s, takes the end in 0.1 s later, and cannot store it.
-    SchedulerFixture former(1);
-    former.now += 60s;
-    former.report("w0", {});
-    const FleetSchema::JobSpec spec = makeJob("job", { makeStep(1, 1000, 60'000) });
-    former.scheduler.submit(spec, 1, former.now, testStartUnixMs);
-    former.scheduleAndCommit();
-    former.confirmStarts();
-    REQUIRE(former.scheduler.planPoll("w0", former.now, true).leaseUntilMs != 0);
-    const Utils::TimePoint leaseEnd = former.now + 5s;
-    former.now += 100ms;
-    former.finishAll(kind);
-
-    // The successor cannot reach w0 for 1.3 s, and asks the former owner.
-    SchedulerFixture successor(0);
-    successor.now = former.now;
-    successor.scheduler.setFormerRenewal(12s);
-    successor.scheduler.setFormerLease(5s);
-    FleetSchema::JobRecord record;
-    *record.mutable_spec() = spec;
-    record.set_state(FleetSchema::JOB_RUNNING);
-    FleetSchema::TaskRecord& task = *record.add_tasks();
-    task.set_state(FleetSchema::TASK_ASSIGNED);
-    task.set_attempt(1);
-    task.set_worker("w0");
-    task.set_worker_born(7);
-    successor.scheduler.restore(record, successor.now, testStartUnixMs);
-    successor.scheduler.setWorkers({ makeWorkerInfo("w0"), makeWorkerInfo("w1") }, successor.now);
-    successor.scheduler.limitFormerLeases(former.scheduler.leaseEnds(), successor.now + 5100ms);
-    successor.scheduler.onFormerOwnersEnds(former.scheduler.unstoredEnds(), successor.now, testStartUnixMs);
-    const auto commit = [&] {
-        const auto batch = successor.scheduler.beginCommit(testStartUnixMs);
+/*! The next owner, which asks the former one and reaches only another worker at first. */
+struct Successor : SchedulerFixture {
+    explicit Successor(const FormerOwner& former)
+        : SchedulerFixture(0)
+    {
+        now = former.now;
+        scheduler.setFormerRenewal(12s);
+        scheduler.setFormerLease(5s);
+        *record.mutable_spec() = oneTaskJob;
+        record.set_state(FleetSchema::JOB_RUNNING);
+        FleetSchema::TaskRecord& task = *record.add_tasks();
+        task.set_state(FleetSchema::TASK_ASSIGNED);
+        task.set_attempt(1);
+        task.set_worker("w0");
+        task.set_worker_born(7);
+        scheduler.restore(record, now, testStartUnixMs);
+        scheduler.setWorkers({ makeWorkerInfo("w0"), makeWorkerInfo("w1") }, now);
+        scheduler.limitFormerLeases(former.scheduler.leaseEnds(), now + 5100ms);
+        scheduler.onFormerOwnersEnds(former.scheduler.unstoredEnds(), now, testStartUnixMs);
+    }
+
+    void commit()
+    {
+        const auto batch = scheduler.beginCommit(testStartUnixMs);
         if (!batch)
             return;
         for (const auto& [id, value] : batch->puts)
             REQUIRE(record.ParseFromString(value));
-        successor.scheduler.onCommitted(successor.now);
-    };
-    for (int round = 0; round < 13; ++round) {
-        successor.now += 100ms;
-        successor.report("w1", {});
-        successor.scheduler.onTick(successor.now, testStartUnixMs);
-        successor.scheduler.schedule(successor.now, testStartUnixMs);
-        commit();
+        scheduler.onCommitted(now);
     }
-    REQUIRE(successor.now < leaseEnd);
+
+    void advance(Utils::Duration duration)
+    {
+        for (const Utils::TimePoint end = now + duration; now < end;) {
+            now += 100ms;
+            report("w1", {});
+            scheduler.onTick(now, testStartUnixMs);
+            scheduler.schedule(now, testStartUnixMs);
+            commit();
+        }
+    }
+
+    FleetSchema::JobRecord record; //!< As stored.
+};
+
+/*! What a successor does whose former owner could not store an end that the worker lists again. */
+struct Outcome {
+    std::size_t starts = 0; //!< Before the lease of the worker was over.
+    bool isEndAcknowledged = false;
+    std::uint32_t failures = 0; //!< As stored.
+    FleetSchema::JobState state = FleetSchema::JOB_QUEUED; //!< As stored.
+};
+
+Outcome takeOverAfterUnstoredEnd(Ports::AttemptOutcome kind)
+{
+    const FormerOwner former(kind);
+    Successor successor(former);
+    successor.advance(1300ms);
+    REQUIRE(successor.now < former.leaseEnd);
     Outcome outcome;
     outcome.starts = successor.output.starts.size();
-
-    // w0 answers again. Its lease has not lapsed, so that an acknowledgement counts for the end.
+    // The lease has not lapsed, so an acknowledgement counts for the end.
     Ports::WorkerReport again;
     again.ended.push_back({ 1, { "job", 0, 0, 0 }, 1, kind, {} });
     successor.report("w0", again);
     for (int round = 0; round < 3; ++round)
-        commit();
-    outcome.failures = record.tasks(0).failures();
-    outcome.state = record.state();
+        successor.commit();
+    outcome.failures = successor.record.tasks(0).failures();
+    outcome.state = successor.record.state();
     outcome.isEndAcknowledged = successor.scheduler.planPoll("w0", successor.now, true).acknowledged == 1;
     return outcome;
 }
