Reword two comments of the stated ends

Cause: the reading of the diff as a newcomer stumbled over one, and two were indented oddly. Change: comments only.

--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -61,8 +61,8 @@
 
 LeaseEnds ShardScheduler::stateLeaseEnds(Utils::TimePoint now)
 {
-    // A worker that drains is worth no longer lease than until the next transactions, which are at most 2 s
-    // apart while the store answers.
+    // A draining worker needs leases only from one transaction to the next. While the store answers, these
+    // are at most 2 s apart.
     constexpr milliseconds leavingRenewal { 2500 };
     LeaseEnds ends;
     for (const auto& [id, worker] : workers_) {
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -105,13 +105,13 @@
 
     /*!
         Returns until when attempts can run on the workers that leave or have left. They are stated in the
-       next transaction; this owner does not renew their leases for longer until another one is stored.
+        next transaction; this owner does not renew their leases for longer until another one is stored.
     */
     LeaseEnds stateLeaseEnds(Utils::TimePoint now);
 
     /*!
         \return whether other workers leave or have left than the latest transaction states, or the lease of
-       one that answers cannot be renewed because of a stated end.
+            one that answers cannot be renewed because of a stated end.
     */
     bool isLeaseStatementDue(Utils::TimePoint now) const;
 
