--- a/tests/auto/fleet/tst_leavingworkers.cpp
+++ b/tests/auto/fleet/tst_leavingworkers.cpp
@@ -39,7 +39,7 @@
     /*! Stores a transaction. \return the ends that it states. */
     Fleet::LeaseEnds storeStatement()
     {
-        const Fleet::LeaseEnds stated = scheduler.stateLeaseEnds(now);
+        Fleet::LeaseEnds stated = scheduler.stateLeaseEnds(now);
         scheduler.onCommitted(now);
         return stated;
     }
