--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -127,9 +127,10 @@
 class Minion(HttpServer):
     """Runs tasks as PROTOCOL.md says. `fleet` is told of each start and end."""
 
-    def __init__(self, identity, zone, labels, capacity, fleet):
+    def __init__(self, identity, zone, labels, capacity, fleet, service):
         super().__init__()
         self.identity = identity
+        self.service = service
         self.zone = zone
         self.labels = labels
         self.capacity = capacity
@@ -156,7 +157,7 @@
     def entry(self):
         self.seq += 1
         return json.dumps({
-            "service": "rounds-app", "addr": "%s:%d" % (HOST, self.port), "zone": self.zone, "version": "v1", "slots": 8,
+            "service": self.service, "addr": "%s:%d" % (HOST, self.port), "zone": self.zone, "version": "v1", "slots": 8,
             "state": "ready", "cold_left_ms": 0, "labels": self.labels, "wall_clock_ms": self.clock_ms(),
             "capacity": {"cpu": self.capacity, "mem_mb": 128000, "gpu": 0}, "seq": self.seq, "born": self.born}).encode()
 
@@ -264,10 +265,11 @@
         self.starts = []  # (time, task, attempt, minion)
         self.ends = []  # (time, task, attempt, how, minion)
         self.listeners = []  # Called with each start.
+        self.spec_listeners = []  # Called with the task and the specification of each start.
         self.tasks = []
 
-    async def add(self, identity, zone, rack, capacity=32000, kind="a"):
-        minion = Minion(identity, zone, [kind, rack], capacity, self)
+    async def add(self, identity, zone, rack, capacity=32000, kind="a", service="rounds-app"):
+        minion = Minion(identity, zone, [kind, rack], capacity, self, service)
         await minion.start()
         self.minions.append(minion)
         self.tasks.append(asyncio.create_task(self.beat(minion)))
@@ -298,6 +300,8 @@
                          % (task, attempt, minion.identity, call.get("fencing_token")))
         for listener in self.listeners:
             listener(minion, task, attempt)
+        for listener in self.spec_listeners:
+            listener(task, call["spec"])
 
     def on_end(self, minion, task, attempt, how):
         self.ends.append((time.monotonic(), task, attempt, how, minion.identity))
@@ -404,19 +408,21 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.tasks = []
 
-    async def start(self, node_zones, zones, minions_per_zone, max_attempts=4, kinds=None, capacity=32000):
-        """`kinds` gives the kind of the minions of a zone; "a" by default."""
+    async def start(self, node_zones, zones, minions_per_zone, max_attempts=4, kinds=None, capacity=32000, queues=None):
+        """`kinds` gives the kind of the minions of a zone; "a" by default. `queues` gives the path prefix of each service."""
+        queues = queues or {"rounds-app": QUEUE_PREFIX}
         await self.store.start()
-        for place, zone in enumerate(zones):
+        places = [(service, zone) for service in queues for zone in zones]
+        for place, (service, zone) in enumerate(places):
             for number in range(minions_per_zone):
-                await self.fleet.add("i-7f%02x91%02x" % (place, number), zone, "%s-r%d" % (zone, number // 8), capacity,
-                                     (kinds or {}).get(zone, "a"))
+                await self.fleet.add("i-7f%02x91%02x" % (place, number), zone, "%s-%s-r%d" % (service, zone, number // 8),
+                                     capacity, (kinds or {}).get(zone, "a"), service)
         self.tasks.append(asyncio.create_task(self.fleet.tick()))
-        routes = [{"name": "r-rounds", "host": QUEUE_HOST, "path_prefix": QUEUE_PREFIX, "kind": "non_idempotent",
-                   "timeout_ms": 3000, "target_latency_ms": 400, "priority": 0, "service": "rounds-app",
-                   "max_attempts": max_attempts, "slack_factor": 1.5}]
-        services = [{"name": "rounds-app", "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": False,
-                     "admission_check": False, "standby": False}]
+        routes = [{"name": "r-" + service, "host": QUEUE_HOST, "path_prefix": prefix, "kind": "non_idempotent",
+                   "timeout_ms": 3000, "target_latency_ms": 400, "priority": 0, "service": service,
+                   "max_attempts": max_attempts, "slack_factor": 1.5} for service, prefix in queues.items()]
+        services = [{"name": service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": False,
+                     "admission_check": False, "standby": False} for service in queues]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
         self.store.put("op", "", "config", json.dumps(
             {"version": 7, "routes": routes, "services": services, "limits": limits}).encode())
@@ -434,8 +440,8 @@
         deadline = time.monotonic() + 25
         while time.monotonic() < deadline:
             answers = [await call(node.ready_port, "GET", "/ready", seconds=1) for node in self.nodes]
-            zones = {minion.zone for minion in self.fleet.minions}
-            if all(status == 200 for status, _ in answers) and len(self.shard_owners()) >= len(zones):
+            places = {(minion.service, minion.zone) for minion in self.fleet.minions}
+            if all(status == 200 for status, _ in answers) and len(self.shard_owners()) >= len(places):
                 await asyncio.sleep(3)
                 self.record.note("all nodes are ready; owners: %s" % self.shard_owners())
                 return
@@ -453,12 +459,12 @@
                     owners[part] = value[2:2 + value[1]].decode("utf-8", "replace")
         return owners
 
-    async def submit(self, job, body, node=None, tries=4):
+    async def submit(self, job, body, node=None, tries=4, prefix=QUEUE_PREFIX):
         """Submits a job as the users' clients do; returns whether a 2xx response accepted it."""
         for number in range(tries):
             target = node if node and number == 0 else random.choice(self.nodes)
-            status, fields = await call(target.port, "POST", QUEUE_PREFIX + job, body)
-            self.record.note("POST %s at %s: %s %s" % (job, target.name, status or "no answer", fields or ""))
+            status, fields = await call(target.port, "POST", prefix + job, body)
+            self.record.note("POST %s at %s: %s %s" % (prefix + job, target.name, status or "no answer", fields or ""))
             if 200 <= status < 300:
                 return True
             if status in (404, 400, 413):
@@ -466,10 +472,10 @@
             await asyncio.sleep(0.3)
         return False
 
-    async def state(self, job, node=None):
+    async def state(self, job, node=None, prefix=QUEUE_PREFIX):
         target = node or random.choice(self.nodes)
-        status, fields = await call(target.port, "GET", QUEUE_PREFIX + job)
-        self.record.note("GET %s at %s: %s %s" % (job, target.name, status or "no answer", fields or ""))
+        status, fields = await call(target.port, "GET", prefix + job)
+        self.record.note("GET %s at %s: %s %s" % (prefix + job, target.name, status or "no answer", fields or ""))
         return status, fields.get("state")
 
     async def close(self):
