--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -311,6 +311,9 @@
         return [(minion.identity, minion.runs[task]["attempt"]) for minion in self.minions
                 if minion.is_up and task in minion.runs]
 
+    def starts_of(self, job):
+        return [start for start in self.starts if start[1].split(".")[0] == job]
+
     def done(self, task):
         return any(end[1] == task and end[3] == "done" for end in self.ends)
 
