--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -496,6 +496,7 @@
     """Runs `make_run(folder, has_trouble)`; exits with 1 if a rule was broken, 0 if not, 2 if the case could not run."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     random.seed(int(os.environ.get("SEED", "0")) or None)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # So that the nodes are ended, too.
 
     async def guarded():
         case = None
@@ -508,7 +509,7 @@
                 await case.close()
     try:
         case = asyncio.run(guarded())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, KeyboardInterrupt) as error:  # pylint: disable=broad-except
         print("the case could not run: %r" % error)
         return 2
     for text in case.record.broken:
