--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 STEPS = 590
 LARGE_TASK_MS = 4000
 SMALL_TASK_MS = 300
-LONG_IMAGE = "registry.rounds.example/planner/route-solver:2026.11.4-b7f03c1"
+LONG_IMAGE = "rounds-planner/route-solver-for-riders-and-kitchens-2026-11-4-"
 SHORT_IMAGE = "solver"
 # The bound of rule LOST: for 3 s, a job has nothing running while a task's turn has come and there is capacity.
 IDLE_SECONDS = 3.0
