--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -39,6 +40,15 @@
                "remote_penalty": 3, "interference_ms": 4000, "notice_ms": 5500, "gang_ms": 3000}}
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Makes the kernel kill a node when its script ends, even if the script is killed itself."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def free_ports(count):
     """Ports below the range of ephemeral ports, so that no outgoing connection takes one."""
     ports = []
@@ -354,7 +364,7 @@
                  for word in self.role["run"].split()]
         with open(self.log, "a", encoding="utf-8") as log:
             self.process = await asyncio.create_subprocess_exec(
-                os.path.join(ROOT, words[0]), *words[1:], stdout=log, stderr=log, cwd=ROOT,
+                os.path.join(ROOT, words[0]), *words[1:], stdout=log, stderr=log, cwd=ROOT, preexec_fn=end_with_parent,
                 env={"PATH": os.environ.get("PATH", ""), "GERANIUMQUAY_CONFIG": self.settings})
         self.record.note("%s starts, pid %d" % (self.name, self.process.pid))
 
