--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -159,8 +159,8 @@
     }
     std::string_view obstacle = isWorkerListOutdated(now) ? "worker-list-outdated" : findSendObstacle(tasks);
     const auto mayStart = [&](const Task* member) { return mayLease(*member->worker, startLease(), now); };
-    // An answer of the store that is taken in late no longer entitles to grant leases.
-    if (obstacle.empty() && now > leaseRightEnd_)
+    // A successor may have taken the shard over since the answer of the store was sent.
+    if (obstacle.empty() && now > startRightEnd_)
         obstacle = "ownership-unconfirmed";
     if (obstacle.empty() && !std::all_of(tasks.begin(), tasks.end(), mayStart))
         obstacle = "worker-leaving";
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -117,6 +117,14 @@
     return found->second->committedState;
 }
 
+void ShardScheduler::setStartRightEnd(Utils::TimePoint end)
+{
+    // The last pass found the right lapsed and assigned no worker.
+    if (lastScheduledAt_ > startRightEnd_ && end > lastScheduledAt_)
+        isScheduleDue_ = true;
+    startRightEnd_ = end;
+}
+
 void ShardScheduler::schedule(Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     if (!isScheduleDue_)
@@ -179,7 +187,7 @@
 std::vector<Worker*> ShardScheduler::assignableWorkers(Utils::TimePoint now) const
 {
     std::vector<Worker*> workers;
-    if (isWorkerListOutdated(now))
+    if (isWorkerListOutdated(now) || now > startRightEnd_)
         return workers;
     for (const auto& [id, worker] : workers_)
         workers.push_back(worker.get());
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -76,8 +76,8 @@
     */
     void setFormerLeaseEnds(LeaseEnds ends) { formerLeaseEnds_ = std::move(ends); }
 
-    /*! Sets until when this owner is entitled to grant leases with starts. Initially there is no limit. */
-    void setLeaseRightEnd(Utils::TimePoint end) { leaseRightEnd_ = end; }
+    /*! Sets until when this owner is entitled to start attempts. Initially there is no limit. */
+    void setStartRightEnd(Utils::TimePoint end);
 
     /*!
         Keeps to the ends of leases that the former owner stated until a transaction states others. Must be
@@ -357,7 +357,7 @@
     Utils::TimePoint waitsReviewedAt_ {};
     std::optional<Utils::Duration> formerRenewal_; //!< Empty: SchedulerOptions::orphanGrace.
     std::optional<Utils::Duration> formerLease_; //!< Empty: SchedulerOptions::workerLeaseLimit.
-    Utils::TimePoint leaseRightEnd_ = Utils::TimePoint::max(); //!< Until when starts may grant leases.
+    Utils::TimePoint startRightEnd_ = Utils::TimePoint::max(); //!< Until when attempts may be started.
     StatedLeaseEnds statedLeaseEnds_;
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace FleetNode {
@@ -22,10 +23,8 @@
 constexpr milliseconds busyPollWait { 400 };
 // Also bounds the time until a poll renews the lease of a first start.
 constexpr milliseconds idlePollWait { 1500 };
-
-// A worker's entry shows a reduced capacity within a heartbeat, and no start may exceed it 4 s after that.
-// The rest of this time is left for the start to reach the worker.
-constexpr milliseconds workerListLimit { 3500 };
+// Longest time from the plan of a poll until it is sent.
+constexpr milliseconds pollSendLimit { 700 };
 
 Fleet::SchedulerOptions schedulerOptions(const NodeContext& context, const std::string& shard)
 {
@@ -57,10 +56,12 @@
 } // namespace
 
 ShardHost::ShardHost(NodeContext& context, std::string shard, OtherShards& otherShards,
-    Fleet::TailLatencyModel& tailLatencyModel, std::function<void()> onClosed)
+    const Fleet::MembershipLease& membership, Fleet::TailLatencyModel& tailLatencyModel,
+    std::function<void()> onClosed)
     : context_(context)
     , shard_(std::move(shard))
     , otherShards_(otherShards)
+    , membership_(membership)
     , onClosed_(std::move(onClosed))
     , scheduler_(schedulerOptions(context, shard_), *this, tailLatencyModel)
     , writer_(context, shard_, [this] { close("taken-over"); })
@@ -263,6 +264,9 @@
 
 void ShardHost::acceptTaskResult(const FleetSchema::TaskResult& result, JobAnswerHandler handler)
 {
+    // A successor may have delegated the task.
+    if (!scheduler_.knowsJob(result.job()) && !isOwnershipCertain())
+        return handler({ FleetSchema::PEER_NOT_OWNER, FleetSchema::JOB_QUEUED, 0 });
     const std::uint64_t requestId = nextRequestId_++;
     answerHandlers_[requestId] = std::move(handler);
     scheduler_.acceptTaskResult(result, requestId, context_.now(), NodeContext::nowUnixMs());
@@ -279,6 +283,9 @@
 
 void ShardHost::cancel(const std::string& job, JobAnswerHandler handler)
 {
+    // A successor may have accepted the job.
+    if (!scheduler_.knowsJob(job) && !isOwnershipCertain())
+        return handler({ FleetSchema::PEER_NOT_OWNER, FleetSchema::JOB_QUEUED, 0 });
     const std::uint64_t requestId = nextRequestId_++;
     answerHandlers_[requestId] = std::move(handler);
     scheduler_.cancel(job, requestId, NodeContext::nowUnixMs());
@@ -315,12 +322,13 @@
     if (isClosed_ || writer_.isBusy())
         return;
     const Utils::TimePoint now = context_.now();
+    scheduler_.setStartRightEnd(commandRightEnd());
     if (!isReleasing_)
         scheduler_.schedule(now, NodeContext::nowUnixMs());
     const std::optional<Fleet::RecordBatch> batch = scheduler_.beginCommit(NodeContext::nowUnixMs());
     // Starts are sent once their batch is stored, which must be before the release.
     const bool isLast = isReleasing_ && !scheduler_.hasChanges() && !(batch && batch->hasStarts);
-    if (!batch && !isLast && !scheduler_.isLeaseStatementDue(now)
+    if (!batch && !isLast && !scheduler_.isLeaseStatementDue(now) && !needsConfirmation()
         && now - writer_.confirmedAt() < ownershipRenewalInterval) {
         for (const auto& [worker, connection] : connections_)
             connection->resumePolling();
@@ -344,8 +352,7 @@
 
 void ShardHost::onBatchStored()
 {
-    scheduler_.setLeaseRightEnd(
-        writer_.confirmedAt() + milliseconds(context_.settings.dispatch().orphan_grace_ms()));
+    scheduler_.setStartRightEnd(commandRightEnd());
     scheduler_.onCommitted(context_.now());
     for (const auto& [worker, connection] : connections_)
         connection->resumePolling();
@@ -353,16 +360,40 @@
         requestRound();
 }
 
+// Starts and stops, and calls to other shards, must not follow those of a successor.
+Utils::TimePoint ShardHost::commandRightEnd() const
+{
+    return std::min(membership_.endFor(writer_.confirmedAt()), renewalRightEnd());
+}
+
+// Successors expect leases to be renewed until this time.
+Utils::TimePoint ShardHost::renewalRightEnd() const
+{
+    return writer_.confirmedAt() + milliseconds(context_.settings.dispatch().orphan_grace_ms());
+}
+
+bool ShardHost::isOwnershipCertain() const
+{
+    return context_.now() < commandRightEnd();
+}
+
+// Whether a transaction would make the ownership certain again.
+bool ShardHost::needsConfirmation() const
+{
+    return !isOwnershipCertain() && context_.now() < membership_.end();
+}
+
 void ShardHost::tick()
 {
     if (!isLoaded_ || isClosed_)
         return;
+    scheduler_.setStartRightEnd(commandRightEnd());
     if (hasUnconfirmedAttempts())
         formerOwnerInquiry_.tick();
     scheduler_.onTick(context_.now(), NodeContext::nowUnixMs());
     std::erase_if(connections_, [this](const auto& entry) { return !scheduler_.knowsWorker(entry.first); });
     if (scheduler_.hasChanges() || scheduler_.isScheduleDue()
-        || scheduler_.isLeaseStatementDue(context_.now())
+        || scheduler_.isLeaseStatementDue(context_.now()) || needsConfirmation()
         || context_.now() - writer_.confirmedAt() > ownershipRenewalInterval) {
         requestRound();
     }
@@ -397,14 +428,14 @@
 Ports::PollRequest ShardHost::planPoll(const std::string& worker)
 {
     const Utils::TimePoint now = context_.now();
-    const auto grace = milliseconds(context_.settings.dispatch().orphan_grace_ms());
     // A successor relies on leases not being renewed once the shard is released.
-    const bool mayRenew = !isReleaseSent_ && now - writer_.confirmedAt() < grace;
+    const bool mayRenew = !isReleaseSent_ && now < renewalRightEnd();
     const Fleet::PollPlan plan = scheduler_.planPoll(worker, now, mayRenew);
     Ports::PollRequest request;
     request.leaseUntilMs = plan.leaseUntilMs;
     request.acknowledgedUpTo = plan.acknowledged;
-    request.epoch = writer_.epoch();
+    // A poll that waits longer, for example in a paused process, is planned anew.
+    request.authority = { writer_.epoch(), now + pollSendLimit };
     if (plan.isWorkerResponsive)
         request.wait = plan.hasTasks ? busyPollWait : idlePollWait;
     return request;
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -6,6 +6,7 @@
 #include "timer.h"
 #include "workerconnection.h"
 
+#include "fleet/membershiplease.h"
 #include "fleet/scheduleroutput.h"
 #include "fleet/shardscheduler.h"
 
@@ -18,6 +19,11 @@
 
 namespace FleetNode {
 
+//! Age beyond which a list of workers leads to no start. A worker's entry shows a reduced capacity within a
+//! heartbeat, and no start may exceed it 4 s after that. The rest of this time is left for the start to reach
+//! the worker.
+inline constexpr std::chrono::milliseconds workerListLimit { 3500 };
+
 /*! Receives the answer to a submission, delegation or cancellation. */
 using JobAnswerHandler = std::function<void(const Fleet::JobAnswer&)>;
 
@@ -51,11 +57,13 @@
 public:
     /*!
         \param otherShards must outlive the host.
+        \param membership this node's membership lease; must outlive the host.
         \param tailLatencyModel must outlive the host.
         \param onClosed called once, from the event loop, after the shard was lost or released.
     */
     ShardHost(NodeContext& context, std::string shard, OtherShards& otherShards,
-        Fleet::TailLatencyModel& tailLatencyModel, std::function<void()> onClosed);
+        const Fleet::MembershipLease& membership, Fleet::TailLatencyModel& tailLatencyModel,
+        std::function<void()> onClosed);
     ~ShardHost() override;
 
     /*!
@@ -74,7 +82,19 @@
     bool isServing() const { return isLoaded_ && !isClosed_; }
 
     /*! \return whether the shard could store a delegated task now, as far as this node knows. */
-    bool canHostTasks() const { return isServing() && !isReleasing_ && writer_.isStoreAnswering(); }
+    bool canHostTasks() const
+    {
+        return isServing() && !isReleasing_ && writer_.isStoreAnswering() && isOwnershipCertain();
+    }
+
+    /*!
+        \return whether no other node can have taken the shard over. Otherwise, the shard may have jobs that
+       this node does not know.
+    */
+    bool isOwnershipCertain() const;
+
+    /*! \return a time at which this node still owned the shard. */
+    Utils::TimePoint confirmedAt() const { return writer_.confirmedAt(); }
 
     /*!
         Submits a job.
@@ -163,6 +183,9 @@
         bool operator==(const WorkerCount&) const = default;
     };
 
+    Utils::TimePoint commandRightEnd() const;
+    Utils::TimePoint renewalRightEnd() const;
+    bool needsConfirmation() const;
     void callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
     void onLeaseReport(const FleetSchema::LeaseReport& report);
     void onTookOver(const Fleet::LeaseEnds& statedEnds);
@@ -184,6 +207,7 @@
     NodeContext& context_;
     std::string shard_;
     OtherShards& otherShards_;
+    const Fleet::MembershipLease& membership_;
     std::function<void()> onClosed_;
     Fleet::ShardScheduler scheduler_;
     ShardWriter writer_;
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -57,12 +57,15 @@
     command.payload = start.payload;
     command.checkpoint = start.checkpoint;
     command.leaseUntilMs = start.leaseUntilMs;
-    command.epoch = writer_.epoch();
+    command.authority = { writer_.epoch(), std::min(commandRightEnd(), workersReadAt_ + workerListLimit) };
     connection->agent().start(command, onReply);
 }
 
 void ShardHost::stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt)
 {
+    // A successor may have adopted the attempt. The scheduler repeats the command while the attempt is open.
+    if (!isOwnershipCertain())
+        return;
     context_.metrics.add("geraniumquay_attempt_stops_total");
     Utils::log(Utils::LogLevel::Info, "attempt-stopped",
         { { "job", task.job }, { "task", describe(task) }, { "attempt", std::to_string(attempt) },
@@ -70,7 +73,7 @@
     WorkerConnection* const connection = this->findConnection(worker);
     if (!connection)
         return; // The scheduler repeats the command while the attempt is open.
-    connection->agent().stop(task, attempt, writer_.epoch(),
+    connection->agent().stop(task, attempt, { writer_.epoch(), commandRightEnd() },
         [this, weak = std::weak_ptr<bool>(alive_), worker, task, attempt](
             const Utils::Result<Ports::CommandReply>& result) {
             if (!weak.lock() || isClosed_)
@@ -86,7 +89,7 @@
 {
     context_.metrics.add("geraniumquay_attempt_throttles_total");
     if (WorkerConnection* const connection = this->findConnection(worker)) {
-        connection->agent().throttle(task, attempt, percent, writer_.epoch(),
+        connection->agent().throttle(task, attempt, percent, { writer_.epoch(), renewalRightEnd() },
             [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::CommandReply>& result) {
                 if (weak.lock() && !isClosed_)
                     checkFencing(result);
@@ -205,9 +208,11 @@
         request, [this, id = job.id(), shard] { scheduler_.onDelegatedTasksCancelled(id, shard); });
 }
 
-// Does not retry, because the scheduler repeats a call that gets no reply.
+// Does not retry, because the scheduler repeats a call that is not made or gets no reply.
 void ShardHost::callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored)
 {
+    if (!isOwnershipCertain())
+        return;
     otherShards_.callOwner(request,
         [this, weak = std::weak_ptr<bool>(alive_), onStored = std::move(onStored)](
             const Utils::Result<FleetSchema::PeerReply>& result) {
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -25,6 +25,8 @@
 // have dropped the shard, because it does not report it, and the shard is taken over.
 constexpr int maxPostponedClaims = 4;
 constexpr milliseconds peerCallTimeout { 1000 };
+// Shortest time between two heartbeats while the membership lease has lapsed and the store answers.
+constexpr milliseconds heartbeatRetryInterval { 300 };
 
 } // namespace
 
@@ -43,6 +45,7 @@
           },
           { [this](const Ports::Row& row) { onRackMap(row); }, [this] { onMembersUpdated(); },
               [this](const Utils::Error& error) { onMembersFailed(error); } })
+    , membership_(milliseconds(context.settings.dispatch().node_timeout_ms()))
     , startedAt_(context.now())
     , heartbeatTimer_(context.io)
     , tickTimer_(context.io)
@@ -86,19 +89,23 @@
         return memberReader_.read(false);
     Ports::Transaction transaction;
     transaction.puts.push_back({ { nodeTable, {}, nodeKeyPrefix + own.name() }, own.SerializeAsString() });
+    heartbeatSentAt_ = context_.now();
     context_.store.commit(transaction,
-        [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::TransactionOutcome>& result) {
+        [this, weak = std::weak_ptr<bool>(alive_), sentAt = heartbeatSentAt_](
+            const Utils::Result<Ports::TransactionOutcome>& result) {
             if (weak.lock())
-                onHeartbeatWritten(Utils::isOk(result));
+                onHeartbeatWritten(sentAt, Utils::isOk(result));
         });
 }
 
-void ShardOwnership::onHeartbeatWritten(bool isWritten)
+void ShardOwnership::onHeartbeatWritten(Utils::TimePoint sentAt, bool isWritten)
 {
-    if (isWritten)
+    if (isWritten) {
+        membership_.onHeartbeatStored(sentAt);
         heartbeatWrittenAt_ = context_.now();
-    else
+    } else {
         context_.metrics.add("geraniumquay_heartbeats_failed_total");
+    }
     // After this time, nodes that count as alive have sent heartbeats since this one started.
     const bool isSettled = context_.now() - startedAt_ >= 2 * startupDelay;
     memberReader_.read(isWritten && isSettled);
@@ -246,7 +253,7 @@
         || (hasLiveOwner && ++postponedClaims_[shard] < maxPostponedClaims))
         return requireWorkerList();
     postponedClaims_.erase(shard);
-    auto host = std::make_unique<ShardHost>(context_, shard, static_cast<OtherShards&>(*this),
+    auto host = std::make_unique<ShardHost>(context_, shard, static_cast<OtherShards&>(*this), membership_,
         tailLatencyModel_, [this, shard] { onHostClosed(shard); });
     // With an outdated list, a task could be started on a worker that no longer exists.
     if (isWorkerListCurrent_)
@@ -386,15 +393,19 @@
 {
     tickTimer_.start(tickInterval, [this] { tick(); });
     bool hasNewShards = false;
+    bool isStoreBack = false;
     for (const auto& [shard, host] : hosts_) {
+        isStoreBack = isStoreBack || host->confirmedAt() > membership_.end();
         const bool isNew = host->isServing() && shardOwners_[shard].node != context_.settings.node().name();
         hasNewShards = hasNewShards || isNew;
         host->tick();
     }
-    if (hasNewShards) {
+    if (hasNewShards)
         announceOwnership();
+    // After an outage of the store, starts wait for a heartbeat.
+    const bool isRenewalDue = isStoreBack && context_.now() - heartbeatSentAt_ > heartbeatRetryInterval;
+    if (hasNewShards || isRenewalDue)
         heartbeat();
-    }
 }
 
 std::string ShardOwnership::ownerAddress(const std::string& shard) const
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -84,7 +84,7 @@
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler) override;
     FleetSchema::LeaseReport reportLeases(const std::string& shard, const FleetSchema::LeaseInquiry& inquiry);
     void heartbeat();
-    void onHeartbeatWritten(bool isWritten);
+    void onHeartbeatWritten(Utils::TimePoint sentAt, bool isWritten);
     void onRackMap(const Ports::Row& row);
     void onMembersUpdated();
     void onMembersFailed(const Utils::Error& error);
@@ -123,6 +123,7 @@
     DelegationTargets delegationTargets_;
     Fleet::MemberView members_;
     MemberReader memberReader_;
+    Fleet::MembershipLease membership_;
     std::map<std::string, std::unique_ptr<ShardHost>> hosts_;
     std::map<std::string, GivenUpShard>
         givenUpShards_; //!< Last ownership of each shard in which jobs were loaded.
@@ -133,6 +134,7 @@
     std::map<std::string, int> postponedClaims_; //!< Number of claims that found a live owner, by shard.
     std::map<std::string, std::string> successors_; //!< Planned next owners of the shards being released.
     Utils::TimePoint startedAt_ {};
+    Utils::TimePoint heartbeatSentAt_ {}; //!< When the latest heartbeat was sent.
     Utils::TimePoint heartbeatWrittenAt_ {}; //!< When the store last acknowledged a heartbeat.
     Utils::TimePoint workersReadAt_ {}; //!< When the latest list of workers started to be read.
     Utils::TimePoint handoverAllowedAt_ {};
--- a/src/libs/fleetnode/shardownershipcalls.cpp
+++ b/src/libs/fleetnode/shardownershipcalls.cpp
@@ -99,7 +99,10 @@
         return host.cancel(request.cancel(), onAnswer);
     FleetSchema::PeerReply reply;
     const auto state = host.state(request.query());
-    reply.set_outcome(state ? FleetSchema::PEER_OK : FleetSchema::PEER_UNKNOWN_JOB);
+    // A successor may have accepted the job.
+    const auto unknown
+        = host.isOwnershipCertain() ? FleetSchema::PEER_UNKNOWN_JOB : FleetSchema::PEER_NOT_OWNER;
+    reply.set_outcome(state ? FleetSchema::PEER_OK : unknown);
     reply.set_state(state.value_or(FleetSchema::JOB_QUEUED));
     handler(reply);
 }
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -51,6 +51,7 @@
         : endpoint_(std::move(endpoint))
         , timer_(context)
         , socket_(context)
+        , maySend_(std::move(request.maySend))
         , message_(toMessage(std::move(request), endpoint_))
         , handler_(std::move(handler))
     {
@@ -117,6 +118,8 @@
 
     void write()
     {
+        if (maySend_ && !maySend_())
+            return fail("the request must not be sent any more");
         isSent_ = true;
         bhttp::async_write(
             socket_, message_, [self = shared_from_this()](boost::system::error_code errorCode, std::size_t) {
@@ -145,6 +148,7 @@
 
     void succeed()
     {
+        isComplete_ = true;
         auto message = parser_.release();
         std::optional<tcp::socket> socket;
         if (message.keep_alive() && buffer_.size() == 0)
@@ -171,9 +175,13 @@
         handler(std::move(result), std::move(socket));
     }
 
+    // Resets the connection of a request without a complete response: bytes that still wait to be sent must
+    // not reach the server after the caller has given up.
     void closeSocket()
     {
         boost::system::error_code ignored;
+        if (isSent_ && !isComplete_)
+            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
         socket_.close(ignored);
     }
 
@@ -183,11 +191,13 @@
     asio::steady_timer::time_point receivedAt_ {}; //!< When bytes were last received.
     Utils::Duration silence_ {}; //!< Longest gap between received bytes once the first limit has passed.
     tcp::socket socket_;
+    std::function<bool()> maySend_; //!< As in Request.
     bhttp::request<bhttp::string_body> message_;
     beast::flat_buffer buffer_;
     bhttp::response_parser<bhttp::string_body> parser_;
     EndHandler handler_; //!< Empty once the exchange has ended.
     bool isSent_ = false;
+    bool isComplete_ = false; //!< The whole response was received.
 };
 
 } // namespace
--- a/src/libs/ports/workeragent.h
+++ b/src/libs/ports/workeragent.h
@@ -30,6 +30,13 @@
     std::int64_t clockMs = 0; //!< Current time of the worker's clock; 0: unknown.
 };
 
+/*! Right of a shard's owner to send a command to a worker. */
+struct Authority {
+    std::uint64_t epoch = 0; //!< Epoch of the shard's owner.
+    //! A command that was not written to the connection by this time is not sent.
+    Utils::TimePoint sendBy = Utils::TimePoint::max();
+};
+
 /*! Command to start an attempt. */
 struct StartCommand {
     TaskKey task;
@@ -38,13 +45,13 @@
     std::string checkpoint; //!< Checkpoint to resume from; empty: start from the beginning.
     std::string ticket; //!< Issued by the advice service; empty if not required.
     std::int64_t leaseUntilMs = 0; //!< Expiry of the lease, on the worker's clock.
-    std::uint64_t epoch = 0; //!< Epoch of the shard's owner.
+    Authority authority;
 };
 
 /*! Request for a worker's report, which also renews the worker's lease. */
 struct PollRequest {
     std::int64_t leaseUntilMs = 0; //!< New expiry of the lease, on the worker's clock; 0: do not renew it.
-    std::uint64_t epoch = 0;
+    Authority authority;
     std::uint64_t acknowledgedUpTo = 0; //!< The worker may drop ended attempts up to this sequence number.
     Utils::Duration wait {}; //!< How long the worker may delay its report until an attempt ends.
 };
@@ -69,18 +76,17 @@
 
     /*!
         Stops an attempt; the worker rejects later commands to start it.
-        \param epoch epoch of the shard's owner.
     */
-    virtual void stop(const TaskKey& task, std::uint32_t attempt, std::uint64_t epoch, CommandHandler handler)
+    virtual void stop(
+        const TaskKey& task, std::uint32_t attempt, const Authority& authority, CommandHandler handler)
         = 0;
 
     /*!
         Limits the speed of an attempt.
         \param speedPercent share of the full speed, from 0 to 100.
-        \param epoch epoch of the shard's owner.
     */
-    virtual void throttle(const TaskKey& task, std::uint32_t attempt, int speedPercent, std::uint64_t epoch,
-        CommandHandler handler)
+    virtual void throttle(const TaskKey& task, std::uint32_t attempt, int speedPercent,
+        const Authority& authority, CommandHandler handler)
         = 0;
 
     /*!
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -169,7 +169,7 @@
     isCommitting_ = false;
     confirmedMs_ = confirmedMs;
     const Utils::TimePoint now = fleet_.time().now();
-    scheduler_->setLeaseRightEnd(
+    scheduler_->setStartRightEnd(
         now + milliseconds(confirmedMs + EmulatedOwnerRow::renewalMs - fleet_.nowMs()));
     scheduler_->onCommitted(now);
     if (isLast) {
--- a/tests/auto/fleetnode/shardhostfixture.h
+++ b/tests/auto/fleetnode/shardhostfixture.h
@@ -23,6 +23,8 @@
     std::optional<Ports::WorkerReport> report; //!< Report of the worker that is not listed.
     std::vector<std::string> starts; //!< Addresses at which an attempt was started.
     std::function<void()> onStart; //!< If set, called with each start.
+    Ports::Authority latestAuthority; //!< Of the latest start.
+    std::size_t stopCount = 0;
 };
 
 class ScriptedWorker final : public Ports::WorkerAgent {
@@ -34,14 +36,20 @@
     {
     }
 
-    void start(const Ports::StartCommand&, CommandHandler) override
+    void start(const Ports::StartCommand& command, CommandHandler) override
     {
         calls_.starts.push_back(info_.address);
+        calls_.latestAuthority = command.authority;
         if (calls_.onStart)
             calls_.onStart();
     }
-    void stop(const Ports::TaskKey&, std::uint32_t, std::uint64_t, CommandHandler) override { }
-    void throttle(const Ports::TaskKey&, std::uint32_t, int, std::uint64_t, CommandHandler) override { }
+    void stop(const Ports::TaskKey&, std::uint32_t, const Ports::Authority&, CommandHandler) override
+    {
+        ++calls_.stopCount;
+    }
+    void throttle(const Ports::TaskKey&, std::uint32_t, int, const Ports::Authority&, CommandHandler) override
+    {
+    }
     void poll(const Ports::PollRequest&, ReportHandler handler) override
     {
         const bool isFirst = calls_.polledAddresses.insert(info_.address).second;
@@ -78,9 +86,10 @@
     {
         return {};
     }
-    void callOwner(const FleetSchema::PeerRequest&,
+    void callOwner(const FleetSchema::PeerRequest& request,
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)>) override
     {
+        ownerCalls.push_back(request);
     }
     void callNode(const std::string& name, const FleetSchema::PeerRequest& request,
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler) override
@@ -98,6 +107,7 @@
     }
 
     std::vector<std::string> inquiries; //!< Node, shard and epoch of each question to a former owner.
+    std::vector<FleetSchema::PeerRequest> ownerCalls; //!< Calls to owners of other shards.
     std::optional<FleetSchema::LeaseReport> leaseReport; //!< Answer to them; empty: there is none.
 
 private:
@@ -110,7 +120,10 @@
         settings.mutable_dispatch()->set_worker_lease_ms(5000);
         settings.mutable_dispatch()->set_worker_lease_limit_ms(10'000);
         settings.mutable_dispatch()->set_orphan_grace_ms(12'000);
+        membership.onHeartbeatStored(context.now());
     }
+
+    Fleet::MembershipLease membership { std::chrono::hours(1) };
 };
 
 /*! A successor of a shard with one job, whose attempt is recorded at a worker that the platform does not
@@ -160,7 +173,7 @@
     WorkerCalls calls;
     ScriptedOtherShards others { io };
     Fleet::TailLatencyModel model;
-    FleetNode::ShardHost host { context, "shard", others, model, [] {} };
+    FleetNode::ShardHost host { context, "shard", others, membership, model, [] {} };
 };
 
 /*! Owners that pass the shard on; each one's first polls are answered as WorkerCalls says. */
@@ -174,7 +187,7 @@
         calls.polledAddresses.clear();
         isClosed = false;
         owner = std::make_unique<FleetNode::ShardHost>(
-            context, "shard", others, model, [this] { isClosed = true; });
+            context, "shard", others, membership, model, [this] { isClosed = true; });
         owner->setWorkers(listedWorkers, context.now());
         Fleet::StoreClock storeClock;
         storeClock.onAnswer(store.clockMs ? store.clockMs() : 0, context.now(), context.now());
--- a/tests/auto/fleetnode/tst_shardhost.cpp
+++ b/tests/auto/fleetnode/tst_shardhost.cpp
@@ -78,6 +78,8 @@
     node.store.rows[ownerName] = { ownerName, former.SerializeAsString(), 2, false };
 
     ScriptedOtherShards others { node.io };
+    Fleet::MembershipLease membership { std::chrono::hours(1) };
+    membership.onHeartbeatStored(node.context.now());
     Fleet::TailLatencyModel model;
     const auto run = [&](FleetNode::ShardHost& host, std::chrono::milliseconds duration) {
         const auto end = node.context.now() + duration;
@@ -88,7 +90,7 @@
         }
     };
     bool isClosed = false;
-    FleetNode::ShardHost second(node.context, "shard", others, model, [&] { isClosed = true; });
+    FleetNode::ShardHost second(node.context, "shard", others, membership, model, [&] { isClosed = true; });
     second.setWorkers({}, node.context.now());
     second.takeOver(former, 2);
     run(second, std::chrono::milliseconds(100));
@@ -99,7 +101,7 @@
 
     FleetSchema::ShardRecord released;
     REQUIRE(released.ParseFromString(node.store.rows[ownerName].value));
-    FleetNode::ShardHost third(node.context, "shard", others, model, [] {});
+    FleetNode::ShardHost third(node.context, "shard", others, membership, model, [] {});
     third.setWorkers({}, node.context.now());
     third.takeOver(released, node.store.rows[ownerName].version);
     run(third, std::chrono::milliseconds(1000));
--- a/tests/auto/http/tst_clientqueue.cpp
+++ b/tests/auto/http/tst_clientqueue.cpp
@@ -108,6 +108,26 @@
     CHECK(ScriptedPeer::readTarget(*fixture.connection) == "/next");
 }
 
+TEST_CASE("A request that must not be sent any more when it gets its connection is not sent")
+{
+    Fixture fixture(longLimit);
+    bool maySend = true;
+    std::size_t refused = 0;
+    Http::Request request;
+    request.target = "/queued";
+    request.maySend = [&maySend] { return maySend; };
+    fixture.client.send(std::move(request), longLimit, [&](const Utils::Result<Http::Response>& result) {
+        checkNotSent(result);
+        ++refused;
+    });
+    maySend = false;
+    ScriptedPeer::send(*fixture.connection, responseWith("occupying"));
+    fixture.loop.runUntil([&] { return refused == 1; });
+    fixture.loop.runHandlers(20);
+    boost::system::error_code errorCode;
+    CHECK(fixture.connection->available(errorCode) == 0);
+}
+
 TEST_CASE("A client can be destroyed while requests wait for a connection")
 {
     std::optional<Fixture> fixture(std::in_place, longLimit);
--- a/tests/auto/http/tst_clienttimeout.cpp
+++ b/tests/auto/http/tst_clienttimeout.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <thread>
+#include <vector>
 
 namespace {
 
@@ -99,6 +100,22 @@
 
 } // namespace
 
+TEST_CASE(
+    "A request that is given up resets its connection, so that bytes that were held up do not arrive later")
+{
+    Fixture fixture;
+    MaybeResult result;
+    fixture.send("/given-up", shortLimit, result, largeBodyBytes);
+    fixture.connect();
+    fixture.loop.runUntil([&] { return result.has_value(); });
+    CHECK_FALSE(Utils::isOk(*result));
+    boost::system::error_code errorCode;
+    std::vector<char> chunk(largeBodyBytes);
+    while (!errorCode)
+        fixture.socket->read_some(boost::asio::buffer(chunk), errorCode);
+    CHECK(errorCode == boost::asio::error::connection_reset);
+}
+
 TEST_CASE("A write that completes after its exchange timed out leaves the next exchange alone")
 {
     const bool isOpen = GENERATE(false, true);
