--- a/src/libs/http/message.h
+++ b/src/libs/http/message.h
@@ -20,7 +20,7 @@
     std::string peer; //!< IP address of the sender; set by the server that received the request.
     //! Asked by the client right before it writes the request, however long that waited for a connection. If
     //! it returns false, the request is not sent and ends with ErrorCode::Unavailable. Empty: always sent.
-    std::function<bool()> maySend;
+    std::function<bool()> maySend {};
 };
 
 /*! A complete HTTP response. */
--- a/src/tools/gqemulate/emulatedfleet.cpp
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -260,12 +260,12 @@
     // Calls that cancel a job in a host shard take longer while there are faults.
     const bool isHosted = !shards_[shard].rows.contains(command.task.job)
         || !shards_[shard].rows.at(command.task.job).origin_shard().empty();
-    const bool isLate
-        = command.epoch != shards_[shard].record.epoch() || (isHosted && nowMs() - lastFaultMs_ < 7000);
+    const bool isLate = command.authority.epoch != shards_[shard].record.epoch()
+        || (isHosted && nowMs() - lastFaultMs_ < 7000);
     if (reply.outcome == Ports::CommandOutcome::Done && !wasRunning) {
         checker_.onStarted(id, command, isLate, nowMs());
         checker_.onCapacityUsed(worker->simulated, command.task, nowMs());
-        if (command.epoch == shards_[shard].record.epoch())
+        if (command.authority.epoch == shards_[shard].record.epoch())
             checker_.onStartedByOwner(command.task, nowMs());
     }
     return reply;
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -197,13 +197,13 @@
     if (mayRenew && fleet_.scenario().variant == FleetVariant::IgnoredLeaseStatement)
         request.leaseUntilMs = ignoredStatementLease(id, plan);
     request.acknowledgedUpTo = plan.acknowledged;
-    request.epoch = epoch();
+    request.authority.epoch = epoch();
     fleet_.time().schedule(fleet_.time().latencyMs(),
         [weak = weak_from_this(), &fleet = fleet_, id, request, sentAt = fleet_.time().now()] {
             FleetWorker* const worker = fleet.platform().findWorker(id);
             const bool isAnswered = worker && worker->answers();
             const bool isAbsent = !worker || worker->refusesCalls();
-            const bool isFenced = isAnswered && worker->simulated.rejectsEpoch(request.epoch);
+            const bool isFenced = isAnswered && worker->simulated.rejectsEpoch(request.authority.epoch);
             const auto report = isAnswered ? worker->simulated.poll(request, fleet.nowMs()) : std::nullopt;
             const auto self = weak.lock();
             if (!self)
@@ -250,7 +250,7 @@
     command.task = start.task;
     command.attempt = start.attempt;
     command.leaseUntilMs = start.leaseUntilMs;
-    command.epoch = epoch();
+    command.authority.epoch = epoch();
     fleet_.onStartOrdered(start.task, start.worker, shard_);
     const auto onReply = [weak = weak_from_this(), worker = start.worker, command](
                              const Utils::Result<Ports::CommandReply>& reply) {
--- a/src/tools/gqemulate/emulatedshard.cpp
+++ b/src/tools/gqemulate/emulatedshard.cpp
@@ -323,7 +323,7 @@
         Ports::PollRequest command;
         command.leaseUntilMs = pollPlan.leaseUntilMs;
         command.acknowledgedUpTo = pollPlan.acknowledged;
-        command.epoch = epoch_;
+        command.authority.epoch = epoch_;
         nextPollMs_[number] = nowMs_ + pollIntervalMs;
         scheduleEvent(randomLatencyMs(), [this, id, command, sentAt = now(), epoch = epoch_, number] {
             SimulatedWorker& worker = *findWorker(id);
@@ -365,7 +365,7 @@
     command.task = start.task;
     command.attempt = start.attempt;
     command.leaseUntilMs = start.leaseUntilMs;
-    command.epoch = epoch_;
+    command.authority.epoch = epoch_;
     const bool isDelayed = areCommandsDelayed_ && random_() % 2 == 0;
     const std::int64_t delay
         = isDelayed ? 2000 + static_cast<std::int64_t>(random_() % 6000) : randomLatencyMs();
--- a/src/tools/gqemulate/simulatedworker.cpp
+++ b/src/tools/gqemulate/simulatedworker.cpp
@@ -26,9 +26,9 @@
 Ports::CommandReply SimulatedWorker::start(
     const Ports::StartCommand& command, const TaskBehavior& behavior, std::int64_t nowMs)
 {
-    if (honorsEpochs_ && command.epoch < epoch_)
+    if (honorsEpochs_ && command.authority.epoch < epoch_)
         return { Ports::CommandOutcome::Fenced, clockMs(nowMs) };
-    epoch_ = std::max(epoch_, command.epoch);
+    epoch_ = std::max(epoch_, command.authority.epoch);
     if (command.leaseUntilMs <= clockMs(nowMs))
         return { Ports::CommandOutcome::LeaseExpired, clockMs(nowMs) };
     const auto existing = running_.find(command.task);
@@ -62,9 +62,9 @@
 std::optional<Ports::WorkerReport> SimulatedWorker::poll(
     const Ports::PollRequest& command, std::int64_t nowMs)
 {
-    if (honorsEpochs_ && command.epoch < epoch_)
+    if (honorsEpochs_ && command.authority.epoch < epoch_)
         return std::nullopt;
-    epoch_ = std::max(epoch_, command.epoch);
+    epoch_ = std::max(epoch_, command.authority.epoch);
     if (command.leaseUntilMs > 0)
         leaseUntilMs_ = std::max(leaseUntilMs_, std::min(command.leaseUntilMs, clockMs(nowMs) + maxLeaseMs));
     std::erase_if(unacknowledgedEnds_, [&](const Ports::EndedAttempt& ended) {
--- a/tests/auto/fleet/tst_invariantchecker.cpp
+++ b/tests/auto/fleet/tst_invariantchecker.cpp
@@ -37,7 +37,7 @@
     Ports::StartCommand command;
     command.task = task;
     command.attempt = 1;
-    command.epoch = 1;
+    command.authority.epoch = 1;
     command.leaseUntilMs = nowMs + 1'000'000;
     REQUIRE(worker.start(command, taskBehavior, nowMs).outcome == Ports::CommandOutcome::Done);
 }
