--- a/src/libs/fleet/failedsearches.cpp
+++ b/src/libs/fleet/failedsearches.cpp
@@ -13,18 +13,26 @@
 // Bounds the time of a lookup.
 constexpr std::size_t maxSearches = 64;
 
+} // namespace
+
 // Whether the choice of a worker depends only on what isAtLeastAsDemanding() compares. Tasks of a job that
 // crashed workers are kept apart from tasks of other jobs.
-bool isComparable(const Task& task)
+bool FailedSearches::isComparable(const Task& task) const
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
-    if (step.lasting() || step.gang() || step.max_per_worker() > 0)
-        return false;
-    return std::none_of(
-        task.job->tasks.begin(), task.job->tasks.end(), [](const Task& other) { return other.crashes > 0; });
+    return !step.lasting() && !step.gang() && step.max_per_worker() == 0 && !hasCrashes(*task.job);
 }
 
-} // namespace
+// Examines all tasks of a job once, as a job may have as many steps as tasks.
+bool FailedSearches::hasCrashes(const Job& job) const
+{
+    const auto [entry, isNew] = jobsWithCrashes_.try_emplace(&job, false);
+    if (isNew) {
+        entry->second = std::any_of(
+            job.tasks.begin(), job.tasks.end(), [](const Task& task) { return task.crashes > 0; });
+    }
+    return entry->second;
+}
 
 bool FailedSearches::isAtLeastAsDemanding(const Search& search, const Search& failed)
 {
--- a/src/libs/fleet/failedsearches.h
+++ b/src/libs/fleet/failedsearches.h
@@ -4,10 +4,12 @@
 
 #include <cstddef>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace Fleet {
 
+struct Job;
 struct Task;
 struct Worker;
 
@@ -35,9 +37,12 @@
         bool mayStartThrottledToZero = false;
     };
 
+    bool isComparable(const Task& task) const;
+    bool hasCrashes(const Job& job) const;
     static bool isAtLeastAsDemanding(const Search& search, const Search& failed);
 
     std::vector<Search> searches_;
+    mutable std::unordered_map<const Job*, bool> jobsWithCrashes_; //!< Of the jobs examined so far.
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -45,10 +45,27 @@
 
 void Job::markPredecessorsDone(std::uint32_t occurrence, std::uint32_t step)
 {
-    for (const std::uint32_t predecessor : spec.steps(static_cast<int>(step)).after()) {
-        remainingTasks(occurrence, predecessor) = 0;
-        markPredecessorsDone(occurrence, predecessor);
+    std::vector<std::uint32_t> unvisited { step };
+    while (!unvisited.empty()) {
+        const std::uint32_t visited = unvisited.back();
+        unvisited.pop_back();
+        StepProgress& progress = progressOf(occurrence, visited);
+        if (progress.arePredecessorsMarked)
+            continue;
+        progress.arePredecessorsMarked = true;
+        for (const std::uint32_t predecessor : spec.steps(static_cast<int>(visited)).after()) {
+            progressOf(occurrence, predecessor).remainingTasks = 0;
+            if (!progressOf(occurrence, predecessor).arePredecessorsMarked)
+                unvisited.push_back(predecessor);
+        }
     }
+    criticalPathsMs[occurrence] = -1;
+}
+
+void Job::countDoneTask(std::uint32_t occurrence, std::uint32_t step)
+{
+    if (--progressOf(occurrence, step).remainingTasks == 0)
+        criticalPathsMs[occurrence] = -1;
 }
 
 bool Job::isStepReady(std::uint32_t occurrence, std::uint32_t step, std::int64_t nowUnixMs)
@@ -56,9 +73,13 @@
     const std::int64_t due = dueUnixMs(occurrence);
     if (due > nowUnixMs)
         return false;
+    // A step that is done stays so, so each predecessor is examined once.
     const auto& after = spec.steps(static_cast<int>(step)).after();
-    return std::all_of(after.begin(), after.end(),
-        [&](std::uint32_t predecessor) { return remainingTasks(occurrence, predecessor) == 0; });
+    std::uint32_t& done = progressOf(occurrence, step).donePredecessors;
+    const auto count = static_cast<std::uint32_t>(after.size());
+    while (done < count && remainingTasks(occurrence, after[static_cast<int>(done)]) == 0)
+        ++done;
+    return done == count;
 }
 
 std::int64_t Job::dueUnixMs(std::uint32_t occurrence) const
@@ -68,6 +89,9 @@
 
 std::int64_t Job::remainingCriticalPathMs(std::uint32_t occurrence)
 {
+    std::int64_t& known = criticalPathsMs[occurrence];
+    if (known >= 0)
+        return known;
     std::vector<std::int64_t> ends(stepOffsets.size());
     std::int64_t longest = 0;
     for (std::uint32_t step = 0; step < stepOffsets.size(); ++step) {
@@ -78,22 +102,14 @@
             ends[step] += stepSpec.estimate_ms();
         longest = std::max(longest, ends[step]);
     }
+    known = longest;
     return longest;
 }
 
 std::int64_t objectiveMs(const Job& job)
 {
-    std::vector<std::int64_t> ends(job.stepOffsets.size());
-    std::int64_t longest = 0;
-    for (std::size_t step = 0; step < ends.size(); ++step) {
-        const FleetSchema::StepSpec& stepSpec = job.spec.steps(static_cast<int>(step));
-        for (const std::uint32_t predecessor : stepSpec.after())
-            ends[step] = std::max(ends[step], ends[predecessor]);
-        ends[step] += stepSpec.estimate_ms();
-        longest = std::max(longest, ends[step]);
-    }
     const double slack = std::max(1.0, job.spec.slack_factor());
-    return std::llround(slack * static_cast<double>(longest)) + job.spec.target_ms();
+    return std::llround(slack * static_cast<double>(job.longestChainMs)) + job.spec.target_ms();
 }
 
 void initializeJob(FleetSchema::JobSpec spec, Job& job)
@@ -109,7 +125,7 @@
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
         for (std::uint32_t step = 0; step < job.stepOffsets.size(); ++step) {
             const std::uint32_t count = job.spec.steps(static_cast<int>(step)).count();
-            job.remainingTasksByStep.push_back(count);
+            job.stepProgress.push_back({ count });
             for (std::uint32_t index = 0; index < count; ++index) {
                 Task& task = job.tasks[position++];
                 task.job = &job;
@@ -119,6 +135,18 @@
             }
         }
     }
+    job.criticalPathsMs.assign(job.occurrences(), -1);
+    // No task is done yet.
+    job.longestChainMs = job.remainingCriticalPathMs(0);
+}
+
+void removeRepeatedPredecessors(FleetSchema::JobSpec& spec)
+{
+    for (FleetSchema::StepSpec& step : *spec.mutable_steps()) {
+        auto& after = *step.mutable_after();
+        std::sort(after.begin(), after.end());
+        after.erase(std::unique(after.begin(), after.end()), after.end());
+    }
 }
 
 FleetSchema::JobRecord toRecord(const Job& job)
--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -16,6 +16,13 @@
 */
 inline constexpr std::uint32_t maxTasksPerJob = 1000;
 
+/*! Progress of one step of an occurrence. */
+struct StepProgress {
+    std::uint32_t remainingTasks = 0; //!< Tasks that are not done.
+    std::uint32_t donePredecessors = 0; //!< The first ones of StepSpec::after that are known to be done.
+    bool arePredecessorsMarked = false; //!< Job::markPredecessorsDone() has visited the step.
+};
+
 /*! A job with its tasks, ordered by occurrence, step and index. */
 struct Job {
     FleetSchema::JobSpec spec;
@@ -35,7 +42,9 @@
     Utils::TimePoint firstStartAt {};
     std::vector<Task> tasks;
     std::vector<std::uint32_t> stepOffsets; //!< Offset of each step's first task within an occurrence.
-    std::vector<std::uint32_t> remainingTasksByStep; //!< Tasks not done, by occurrence and step.
+    std::vector<StepProgress> stepProgress; //!< By occurrence and step.
+    std::vector<std::int64_t> criticalPathsMs; //!< By occurrence; -1: not computed since a step was done.
+    std::int64_t longestChainMs = 0; //!< Longest chain of estimated run times through all steps.
     std::uint32_t tasksPerOccurrence = 0;
     std::uint32_t remainingTaskCount = 0;
     std::vector<std::uint64_t> acceptTickets; //!< Submissions and delegations to answer once committed.
@@ -59,20 +68,23 @@
     bool isHandedBack() const;
 
     /*!
-        Marks the steps that \p step follows as done. A host shard does not see their tasks, but gets only
-        tasks whose turn has come.
+        Marks the steps that \p step follows, directly or not, as done. A host shard does not see their tasks,
+        but gets only tasks whose turn has come. All calls together visit each step of an occurrence once.
     */
     void markPredecessorsDone(std::uint32_t occurrence, std::uint32_t step);
 
     /*! \return the task at this position, or nullptr if there is none. */
     Task* findTask(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index);
 
-    /*! \return the number of tasks of a step that are not done, by reference. */
-    std::uint32_t& remainingTasks(std::uint32_t occurrence, std::uint32_t step)
+    /*! \return the number of tasks of a step that are not done. */
+    std::uint32_t remainingTasks(std::uint32_t occurrence, std::uint32_t step) const
     {
-        return remainingTasksByStep[occurrence * static_cast<std::uint32_t>(spec.steps_size()) + step];
+        return progressOf(occurrence, step).remainingTasks;
     }
 
+    /*! Counts a task of a step as done. */
+    void countDoneTask(std::uint32_t occurrence, std::uint32_t step);
+
     /*!
         \return whether a step's predecessors are done and its occurrence is due at \p nowUnixMs, so that
             its tasks may start.
@@ -87,6 +99,16 @@
             that are not done.
     */
     std::int64_t remainingCriticalPathMs(std::uint32_t occurrence);
+
+private:
+    StepProgress& progressOf(std::uint32_t occurrence, std::uint32_t step)
+    {
+        return stepProgress[occurrence * stepOffsets.size() + step];
+    }
+    const StepProgress& progressOf(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        return stepProgress[occurrence * stepOffsets.size() + step];
+    }
 };
 
 /*! \return the time, in milliseconds, within which the job is to complete. */
@@ -102,6 +124,9 @@
 /*! \return the record under which a job is stored. */
 FleetSchema::JobRecord toRecord(const Job& job);
 
+/*! Removes repeated entries from the predecessors of each step. */
+void removeRepeatedPredecessors(FleetSchema::JobSpec& spec);
+
 /*!
     Checks that steps are within bounds and depend only on earlier steps.
 
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -71,7 +71,9 @@
         return resolveTask(task, FleetSchema::TASK_RETURNED);
     std::vector<Task*> tasks { &task };
     if (job.step(task).gang()) {
-        // The members of a gang run together, so all of them move to the same shard.
+        // The members of a gang run together, so all of them move to the same shard, with the first one.
+        if (task.index != 0)
+            return;
         tasks.clear();
         for (std::uint32_t index = 0; index < job.step(task).count(); ++index) {
             tasks.push_back(job.findTask(task.occurrence, task.step, index));
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -181,7 +181,7 @@
         break;
     case FleetSchema::TASK_DONE:
         task.phase = TaskPhase::Done;
-        --job.remainingTasks(task.occurrence, task.step);
+        job.countDoneTask(task.occurrence, task.step);
         --job.remainingTaskCount;
         break;
     case FleetSchema::TASK_ASSIGNED:
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -354,7 +354,7 @@
         return resolveTask(task, FleetSchema::TASK_COMPLETED);
     releaseWorker(task);
     task.phase = TaskPhase::Done;
-    --job.remainingTasks(task.occurrence, task.step);
+    job.countDoneTask(task.occurrence, task.step);
     --job.remainingTaskCount;
     markDirty(job);
     if (job.step(task).gang()) {
@@ -365,7 +365,7 @@
                 continue;
             releaseWorker(member);
             member.phase = TaskPhase::Done;
-            --job.remainingTasks(task.occurrence, task.step);
+            job.countDoneTask(task.occurrence, task.step);
             --job.remainingTaskCount;
         }
     }
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -77,7 +77,7 @@
 
 double startSpeed(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
-    if (waitOf(task, now) < idleFleetWaitLimit)
+    if (!task.job->step(task).leftover_processors() || waitOf(task, now) < idleFleetWaitLimit)
         return 1;
     const std::vector<Task>& tasks = task.job->tasks;
     if (std::any_of(tasks.begin(), tasks.end(), [](const Task& other) { return other.isOpen(); }))
--- a/src/libs/fleetnode/callerservice.cpp
+++ b/src/libs/fleetnode/callerservice.cpp
@@ -113,6 +113,7 @@
         break;
     }
     applyQueue(*match.queue, id, call.spec);
+    Fleet::removeRepeatedPredecessors(call.spec);
     const std::string fault = Fleet::validateJobSpec(call.spec);
     if (!fault.empty())
         return handler(refusal(Ports::CallerOutcome::Invalid, fault));
