--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// The records of larger jobs leave out the addresses of workers, so that they fit into a row.
-constexpr std::size_t maxTasksWithAddress = 600;
-
 FleetSchema::TaskState storedState(const Task& task)
 {
     if (task.phase == TaskPhase::Done)
@@ -149,14 +146,32 @@
     }
 }
 
+namespace {
+
+// A single step without content makes the specification valid.
+FleetSchema::JobSpec reducedSpec(const FleetSchema::JobSpec& spec)
+{
+    FleetSchema::JobSpec reduced;
+    reduced.set_id(spec.id());
+    reduced.set_queue(spec.queue());
+    reduced.set_service(spec.service());
+    reduced.set_accepted_unix_ms(spec.accepted_unix_ms());
+    reduced.add_steps()->set_count(1);
+    return reduced;
+}
+
+} // namespace
+
 FleetSchema::JobRecord toRecord(const Job& job)
 {
     FleetSchema::JobRecord record;
-    *record.mutable_spec() = job.spec;
+    *record.mutable_spec() = job.isReduced ? reducedSpec(job.spec) : job.spec;
     record.set_state(job.state);
     record.set_started(job.isStarted);
     record.set_ended_unix_ms(job.endedUnixMs);
     record.set_origin_shard(job.originShard);
+    if (job.isReduced)
+        return record;
     for (const Task& task : job.tasks) {
         FleetSchema::TaskRecord& stored = *record.add_tasks();
         stored.set_state(storedState(task));
@@ -172,8 +187,7 @@
         if (task.worker) {
             stored.set_worker(task.worker->info.id);
             stored.set_worker_born(task.workerBornMs);
-            if (job.tasks.size() <= maxTasksWithAddress)
-                stored.set_worker_address(task.worker->info.address);
+            stored.set_worker_address(task.worker->info.address);
         }
     }
     return record;
--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -10,10 +10,8 @@
 
 namespace Fleet {
 
-/*!
-    A job with more tasks is rejected. The limit bounds the memory that one job can take, and a record of this
-   many tasks with open attempts fits into a row of the store.
-*/
+/*! A job with more tasks is rejected. The limit bounds the memory and the scheduling time that one job can
+ * take. */
 inline constexpr std::uint32_t maxTasksPerJob = 1000;
 
 /*! Progress of one step of an occurrence. */
@@ -31,6 +29,7 @@
     FleetSchema::JobState committedState = FleetSchema::JOB_QUEUED;
     bool isCommitted = false;
     bool isDirty = false; //!< The latest state is not stored yet.
+    bool isReduced = false; //!< Only the outcome of the job is stored, because its record cannot be.
     bool isStarted = false; //!< An attempt has been recorded.
     //! End of the job, or time at which this host shard last had a task of it; 0 if it still has one.
     std::int64_t endedUnixMs = 0;
@@ -47,6 +46,8 @@
     std::int64_t longestChainMs = 0; //!< Longest chain of estimated run times through all steps.
     std::uint32_t tasksPerOccurrence = 0;
     std::uint32_t remainingTaskCount = 0;
+    //! Hashes of the rows that hold parts of the job's record, as last sent to the store; 0: unknown.
+    std::vector<std::uint64_t> storedParts;
     std::vector<std::uint64_t> acceptTickets; //!< Submissions and delegations to answer once committed.
     std::vector<std::uint64_t> cancelTickets; //!< Cancellations to answer once committed.
 
@@ -121,7 +122,7 @@
 */
 void initializeJob(FleetSchema::JobSpec spec, Job& job);
 
-/*! \return the record under which a job is stored. */
+/*! \return the record under which a job is stored; of a reduced job, only its outcome. */
 FleetSchema::JobRecord toRecord(const Job& job);
 
 /*! Removes repeated entries from the predecessors of each step. */
--- a/src/libs/fleet/scheduleroptions.h
+++ b/src/libs/fleet/scheduleroptions.h
@@ -2,6 +2,8 @@
 
 #include "utils/clock.h"
 
+#include <cstddef>
+#include <limits>
 #include <string>
 
 namespace Fleet {
@@ -20,6 +22,8 @@
     //! Age beyond which the list of workers is too old for new starts; longer than the time between two
     //! reads.
     Utils::Duration workerListLimit = Utils::Duration::max();
+    //! Greatest size of a row's value in the store.
+    std::size_t maxRowBytes = std::numeric_limits<std::size_t>::max();
     Utils::Duration retention {}; //!< Time for which an ended job is kept.
     Utils::Duration interferenceLimit {}; //!< Time for which a latency-critical task may miss its target.
     //! Time for which a long-running task must have been running to count as available.
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -3,6 +3,8 @@
 #include "inflightbatch.h"
 #include "workercommitment.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace Fleet {
@@ -14,6 +16,40 @@
 constexpr std::size_t maxBatchRows = 90;
 constexpr std::size_t maxBatchBytes = 600'000;
 
+/*! Changes of the rows of one job. */
+struct JobRowChanges {
+    std::vector<JobRow> puts;
+    std::vector<std::string> removals; //!< Keys of parts that the record does not have any more.
+    std::vector<std::uint64_t> parts; //!< New value of Job::storedParts.
+
+    std::size_t count() const { return puts.size() + removals.size(); }
+
+    std::size_t bytes() const
+    {
+        std::size_t sum = 0;
+        for (const JobRow& row : puts)
+            sum += row.value.size();
+        return sum;
+    }
+};
+
+// Leaves out parts that the store already has.
+JobRowChanges findRowChanges(const Job& job, std::size_t maxRowBytes)
+{
+    JobRowChanges changes;
+    std::vector<JobRow> rows = toJobRows(toRecord(job), maxRowBytes);
+    changes.puts.push_back(std::move(rows.front()));
+    for (std::size_t number = 1; number < rows.size(); ++number) {
+        const std::string& value = rows[number].value;
+        changes.parts.push_back(XXH64(value.data(), value.size(), 0));
+        if (number > job.storedParts.size() || job.storedParts[number - 1] != changes.parts.back())
+            changes.puts.push_back(std::move(rows[number]));
+    }
+    for (std::size_t number = rows.size(); number <= job.storedParts.size(); ++number)
+        changes.removals.push_back(jobPartKey(job.spec.id(), static_cast<std::uint32_t>(number)));
+    return changes;
+}
+
 // Returns why recorded attempts cannot be sent together; empty if they can.
 std::string_view findSendObstacle(const std::vector<Task*>& tasks)
 {
@@ -46,13 +82,21 @@
     RecordBatch batch;
     inflightBatch_ = std::make_unique<InflightBatch>();
     std::size_t bytes = 0;
+    std::size_t rowCount = 0;
     std::size_t batchedCount = 0;
-    for (; batchedCount < dirtyJobs_.size() && batchedCount < maxBatchRows && bytes < maxBatchBytes;
-         ++batchedCount) {
+    for (; batchedCount < std::min(dirtyJobs_.size(), batchJobLimit_); ++batchedCount) {
         Job& job = *dirtyJobs_[batchedCount];
+        JobRowChanges changes = findRowChanges(job, options_.maxRowBytes);
+        const bool hasRoom
+            = rowCount + changes.count() <= maxBatchRows && bytes + changes.bytes() <= maxBatchBytes;
+        if (batchedCount > 0 && !hasRoom)
+            break;
         job.isDirty = false;
-        batch.puts.emplace_back(job.spec.id(), toRecord(job).SerializeAsString());
-        bytes += batch.puts.back().second.size();
+        rowCount += changes.count();
+        bytes += changes.bytes();
+        std::move(changes.puts.begin(), changes.puts.end(), std::back_inserter(batch.puts));
+        std::move(changes.removals.begin(), changes.removals.end(), std::back_inserter(batch.removals));
+        job.storedParts = std::move(changes.parts);
         inflightBatch_->jobs.push_back(
             { &job, job.state, std::move(job.acceptTickets), std::move(job.cancelTickets) });
         job.acceptTickets.clear();
@@ -72,22 +116,37 @@
         for (const auto& [id, worker] : workers_)
             inflightBatch_->acknowledgements.emplace_back(id, worker->lastSeenEnd);
     }
-    const std::size_t removalCount
-        = std::min(expiredJobs_.size(), maxBatchRows - std::min(batchedCount, maxBatchRows));
-    batch.removals.assign(
-        expiredJobs_.begin(), expiredJobs_.begin() + static_cast<std::ptrdiff_t>(removalCount));
-    expiredJobs_.erase(
-        expiredJobs_.begin(), expiredJobs_.begin() + static_cast<std::ptrdiff_t>(removalCount));
-    inflightBatch_->removals = batch.removals;
+    addRemovals(batch, rowCount);
     return batch;
 }
 
+// Removes expired jobs as far as the transaction has room for their rows.
+void ShardScheduler::addRemovals(RecordBatch& batch, std::size_t rowCount)
+{
+    std::size_t removedCount = 0;
+    for (; removedCount < expiredJobs_.size(); ++removedCount) {
+        const std::string& id = expiredJobs_[removedCount];
+        const std::size_t partCount = findJob(id)->storedParts.size();
+        rowCount += 1 + partCount;
+        if (rowCount > maxBatchRows)
+            break;
+        batch.removals.push_back(id);
+        for (std::size_t number = 1; number <= partCount; ++number)
+            batch.removals.push_back(jobPartKey(id, static_cast<std::uint32_t>(number)));
+        inflightBatch_->removals.push_back(id);
+    }
+    expiredJobs_.erase(
+        expiredJobs_.begin(), expiredJobs_.begin() + static_cast<std::ptrdiff_t>(removedCount));
+}
+
 void ShardScheduler::onCommitted(Utils::TimePoint now)
 {
     statedLeaseEnds_.onStored();
     if (!inflightBatch_)
         return;
     const std::unique_ptr<InflightBatch> batch = std::move(inflightBatch_);
+    if (batchJobLimit_ <= maxBatchRows)
+        batchJobLimit_ *= 2;
     for (const auto& [id, number] : batch->acknowledgements) {
         if (Worker* worker = findWorker(id)) {
             // If the worker restarted during the transaction, its new incarnation numbers its ends from 1
@@ -120,6 +179,47 @@
     }
 }
 
+void ShardScheduler::onBatchRejected(Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    if (!inflightBatch_)
+        return;
+    const std::unique_ptr<InflightBatch> batch = std::move(inflightBatch_);
+    for (BatchedJob& rejected : batch->jobs) {
+        Job& job = *rejected.job;
+        std::fill(job.storedParts.begin(), job.storedParts.end(), 0);
+        const auto moveTickets = [](std::vector<std::uint64_t>& from, std::vector<std::uint64_t>& to) {
+            to.insert(to.begin(), from.begin(), from.end());
+        };
+        moveTickets(rejected.acceptTickets, job.acceptTickets);
+        moveTickets(rejected.cancelTickets, job.cancelTickets);
+        markDirty(job);
+    }
+    batchJobLimit_ = std::max<std::size_t>(1, batch->jobs.size() / 2);
+    if (batch->jobs.size() == 1)
+        giveUpStoring(*batch->jobs.front().job, now, nowUnixMs);
+}
+
+void ShardScheduler::giveUpStoring(Job& job, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    if (job.isCommitted && !job.isReduced) {
+        job.isReduced = true;
+        if (job.isActive())
+            endJob(job, FleetSchema::JOB_FAILED, nowUnixMs);
+        return stopOpenTasks(job, now);
+    }
+    job.isDirty = false;
+    std::erase(dirtyJobs_, &job);
+    if (job.isCommitted)
+        return; // Not even the outcome can be stored.
+    for (const std::uint64_t ticket : job.acceptTickets)
+        output_.answer(ticket, { FleetSchema::PEER_INVALID, FleetSchema::JOB_QUEUED, 0 });
+    for (const std::uint64_t ticket : job.cancelTickets)
+        output_.answer(ticket, { FleetSchema::PEER_UNKNOWN_JOB, FleetSchema::JOB_CANCELLED, 0 });
+    for (Task& task : job.tasks)
+        releaseWorker(task);
+    jobs_.erase(job.spec.id());
+}
+
 void ShardScheduler::onJobCommitted(const BatchedJob& stored, Utils::TimePoint now)
 {
     Job& job = *stored.job;
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -26,6 +26,12 @@
     return names[static_cast<std::size_t>(kind)];
 }
 
+// A task whose new checkpoint is too long to be stored keeps its former one.
+bool isStorableCheckpoint(const std::string& checkpoint)
+{
+    return !checkpoint.empty() && checkpoint.size() <= maxCheckpointBytes;
+}
+
 bool isRejected(Ports::CommandOutcome outcome)
 {
     return outcome != Ports::CommandOutcome::Done;
@@ -130,7 +136,7 @@
     if (!wasPresumedLost && task->worker != &worker)
         return;
     output_.attemptEnded(worker.info.id, end.task, end.attempt, nameOf(end.outcome));
-    if (!end.checkpoint.empty())
+    if (isStorableCheckpoint(end.checkpoint))
         task->checkpoint = end.checkpoint;
     switch (end.outcome) {
     case Ports::AttemptOutcome::Done:
@@ -170,7 +176,7 @@
         output_.stopAttempt(worker.info.id, running.task, running.attempt);
         return;
     }
-    if (!running.checkpoint.empty())
+    if (isStorableCheckpoint(running.checkpoint))
         task->checkpoint = running.checkpoint;
     const bool hasCompletedStartup
         = task->job->step(*task).lasting() && task->progressPercent < 100 && running.progressPercent >= 100;
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -30,6 +30,7 @@
     job->isStarted = record.started();
     job->endedUnixMs = record.ended_unix_ms();
     job->originShard = record.origin_shard();
+    job->storedParts.assign(record.part_count(), 0);
     job->acceptedAt = now - milliseconds(std::max<std::int64_t>(0, nowUnixMs - job->spec.accepted_unix_ms()));
     const int count = std::min(record.tasks_size(), static_cast<int>(job->tasks.size()));
     for (int position = 0; position < count; ++position)
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -420,6 +420,8 @@
         if (state == FleetSchema::JOB_FAILED && isExhausted(task))
             summary.reason = task.crashes >= maxCrashes ? "crashed-workers" : "failed-attempts";
     }
+    if (job.isReduced)
+        summary.reason = "record-rejected";
     output_.jobEnded(summary);
 }
 
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -3,6 +3,7 @@
 #include "formerleases.h"
 #include "imagedemand.h"
 #include "job.h"
+#include "jobrows.h"
 #include "scheduleroptions.h"
 #include "scheduleroutput.h"
 #include "statedleaseends.h"
@@ -12,6 +13,7 @@
 #include "utils/clock.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,8 +31,8 @@
 
 /*! Rows that one transaction of a shard's owner changes. */
 struct RecordBatch {
-    std::vector<std::pair<std::string, std::string>> puts; //!< Job identifier and serialized JobRecord.
-    std::vector<std::string> removals; //!< Identifiers of jobs whose retention time is over.
+    std::vector<JobRow> puts;
+    std::vector<std::string> removals; //!< Keys of rows.
     bool hasStarts = false; //!< Starts are sent once the batch is stored.
 };
 
@@ -201,6 +203,13 @@
     */
     void onCommitted(Utils::TimePoint now);
 
+    /*!
+        Notifies the scheduler that the store will never accept the batch; nothing of it is stored. Its jobs
+       are stored again in smaller batches. A job that cannot be stored by itself is rejected or, once it was
+        accepted, ends as failed, so that it does not keep the others from being stored.
+    */
+    void onBatchRejected(Utils::TimePoint now, std::int64_t nowUnixMs);
+
     /*!
         Prepares a poll. The requested lease counts as granted from now on.
 
@@ -335,6 +344,8 @@
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
     void adjustSpeeds(Worker& worker, Utils::TimePoint now);
     void collectExpiredJobs(std::int64_t nowUnixMs);
+    void addRemovals(RecordBatch& batch, std::size_t rowCount);
+    void giveUpStoring(Job& job, Utils::TimePoint now, std::int64_t nowUnixMs);
     void reviewWaits(Utils::TimePoint now, std::int64_t nowUnixMs);
     void reviewStepWaits(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now,
         std::size_t& reportLimit);
@@ -364,6 +375,7 @@
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
 
     std::unique_ptr<InflightBatch> inflightBatch_;
+    std::size_t batchJobLimit_ = std::numeric_limits<std::size_t>::max(); //!< Most jobs in the next batch.
 };
 
 Ports::TaskKey keyOf(const Task& task);
--- a/src/libs/fleetnode/callerservice.cpp
+++ b/src/libs/fleetnode/callerservice.cpp
@@ -2,6 +2,8 @@
 
 #include "shardownership.h"
 
+#include "fleet/jobrows.h"
+
 #include "utils/log/log.h"
 
 namespace FleetNode {
@@ -104,6 +106,12 @@
         return handler(answer);
     }
     const std::string id(match.jobId);
+    if (!Fleet::isJobId(id)) {
+        const bool isSubmission = call.action == Ports::CallerAction::Submit;
+        return handler(isSubmission ? refusal(Ports::CallerOutcome::Invalid,
+                           "the identifier of a job has 1 to 64 letters and digits")
+                                    : refusal(Ports::CallerOutcome::NoSuchJob, "no such job"));
+    }
     switch (call.action) {
     case Ports::CallerAction::Query:
         return router_.query(id, deadline, std::move(handler));
@@ -117,6 +125,9 @@
     const std::string fault = Fleet::validateJobSpec(call.spec);
     if (!fault.empty())
         return handler(refusal(Ports::CallerOutcome::Invalid, fault));
+    const std::string excess = Fleet::validateJobSize(call.spec, maxRowBytes(context_));
+    if (!excess.empty())
+        return handler(refusal(Ports::CallerOutcome::TooLarge, excess));
     router_.submit(call.spec, deadline, std::move(handler));
 }
 
--- a/src/libs/fleetnode/jobrouter.cpp
+++ b/src/libs/fleetnode/jobrouter.cpp
@@ -182,6 +182,8 @@
             failure(call->mayHaveBeenProcessed ? Ports::CallerOutcome::Undecided
                                                : Ports::CallerOutcome::Unavailable,
                 "the owner of shard " + call->request.shard() + " cannot reach the store"));
+    case FleetSchema::PEER_INVALID:
+        return answer(call, failure(Ports::CallerOutcome::TooLarge, "the job cannot be stored"));
     case FleetSchema::PEER_UNDECIDED:
         call->mayHaveBeenProcessed = true;
         return retryLater(call);
--- a/src/libs/fleetnode/nodecontext.h
+++ b/src/libs/fleetnode/nodecontext.h
@@ -35,6 +35,15 @@
     }
 };
 
+/*!
+    \return the greatest size of a row's value, in bytes, before it is encoded. It fits whether the platform's
+   limit is meant for the bytes or for their base64 text, which is 4/3 as long.
+*/
+inline std::size_t maxRowBytes(const NodeContext& context)
+{
+    return context.settings.table().row_bytes() / 4 * 3;
+}
+
 // Tables and row keys of this system in the platform's store.
 inline constexpr char shardTable[] = "shards"; //!< One row for each shard, in the shard's partition.
 inline constexpr char shardOwnerKey[] = "owner";
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -37,6 +37,7 @@
     options.orphanGrace = milliseconds(settings.orphan_grace_ms());
     options.stopLimit = milliseconds(settings.stop_ms());
     options.workerListLimit = workerListLimit;
+    options.maxRowBytes = maxRowBytes(context);
     options.retention = std::chrono::seconds(settings.retention_s());
     options.interferenceLimit = milliseconds(settings.interference_ms());
     options.availabilityDelay = milliseconds(settings.disruption_notice_ms());
@@ -64,7 +65,8 @@
     , membership_(membership)
     , onClosed_(std::move(onClosed))
     , scheduler_(schedulerOptions(context, shard_), *this, tailLatencyModel)
-    , writer_(context, shard_, [this] { close("taken-over"); })
+    , writer_(
+          context, shard_, [this] { close("taken-over"); }, [this] { onBatchRejected(); })
     , formerOwnerInquiry_(context, otherShards, shard_)
     , roundTimer_(context.io)
     , loadTimer_(context.io)
@@ -151,20 +153,27 @@
     const Ports::RowPage& page = Utils::value(result);
     // The time for which former owners renew leases does not depend on how long the jobs take to read.
     scheduler_.setFormerRenewal(formerRenewalEnd_ - context_.now());
+    const auto logDamage = [this](const std::string& key, const std::string& fault) {
+        Utils::log(Utils::LogLevel::Error, "job-record-damaged",
+            { { "shard", shard_ }, { "job", key }, { "fault", fault } });
+    };
     for (const Ports::Row& row : page.rows) {
-        FleetSchema::JobRecord record;
-        const std::string fault
-            = record.ParseFromString(row.value) ? Fleet::validateJobSpec(record.spec()) : "cannot be parsed";
+        const auto record = rowReader_.read(row.name.key, row.value);
+        if (!record)
+            continue;
+        const std::string fault = Fleet::validateJobSpec(record->spec());
         if (fault.empty())
-            scheduler_.restore(record, context_.now(), NodeContext::nowUnixMs());
+            scheduler_.restore(*record, context_.now(), NodeContext::nowUnixMs());
         else
-            Utils::log(Utils::LogLevel::Error, "job-record-damaged",
-                { { "shard", shard_ }, { "job", row.name.key }, { "fault", fault } });
+            logDamage(row.name.key, fault);
     }
     if (page.hasMore && !page.rows.empty()) {
         // The smallest key after the last one read.
         return loadJobs(page.rows.back().name.key + '\0');
     }
+    for (const std::string& key : rowReader_.incompleteRows())
+        logDamage(key, "cannot be parsed or put together");
+    rowReader_ = {};
     isLoaded_ = true;
     applyWorkers();
     const std::size_t unconfirmed = scheduler_.countUnconfirmedAttempts();
@@ -360,6 +369,12 @@
         requestRound();
 }
 
+void ShardHost::onBatchRejected()
+{
+    scheduler_.onBatchRejected(context_.now(), NodeContext::nowUnixMs());
+    requestRound();
+}
+
 // Starts and stops, and calls to other shards, must not follow those of a successor.
 Utils::TimePoint ShardHost::commandRightEnd() const
 {
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -197,6 +197,7 @@
     void requestRound();
     void runRound();
     void onBatchStored();
+    void onBatchRejected();
     void close(const char* reason);
     void applyWorkers();
     void logWorkerCount();
@@ -213,6 +214,7 @@
     ShardWriter writer_;
     FleetSchema::ShardRecord formerOwner_; //!< Owner row before the takeover.
     Utils::TimePoint formerRenewalEnd_ {}; //!< Until when former owners may renew leases.
+    Fleet::JobRowReader rowReader_; //!< Used while the jobs are loaded.
     FormerOwnerInquiry formerOwnerInquiry_;
     std::optional<FinalState> finalState_;
     std::vector<Ports::WorkerInfo> workers_;
--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -16,10 +16,12 @@
 
 } // namespace
 
-ShardWriter::ShardWriter(NodeContext& context, std::string shard, std::function<void()> onLost)
+ShardWriter::ShardWriter(
+    NodeContext& context, std::string shard, std::function<void()> onLost, std::function<void()> onRejected)
     : context_(context)
     , shard_(std::move(shard))
     , onLost_(std::move(onLost))
+    , onRejected_(std::move(onRejected))
     , retryTimer_(context.io)
 {
 }
@@ -77,10 +79,10 @@
     record_.set_sequence(record_.sequence() + 1);
     Ports::Transaction transaction;
     transaction.puts.push_back({ ownerRowKey(), {} });
-    for (const auto& [job, value] : batch.puts)
-        transaction.puts.push_back({ { jobTable, shard_, job }, value });
-    for (const std::string& job : batch.removals)
-        transaction.removals.push_back({ jobTable, shard_, job });
+    for (const Fleet::JobRow& row : batch.puts)
+        transaction.puts.push_back({ { jobTable, shard_, row.key }, row.value });
+    for (const std::string& key : batch.removals)
+        transaction.removals.push_back({ jobTable, shard_, key });
     transaction_ = std::move(transaction);
     done_ = std::move(done);
     backoff_ = initialBackoff;
@@ -111,8 +113,10 @@
 
 void ShardWriter::onOutcome(const Utils::Result<Ports::TransactionOutcome>& result)
 {
-    if (!Utils::isOk(result))
-        return scheduleRetry(Utils::error(result));
+    if (!Utils::isOk(result)) {
+        const Utils::Error& error = Utils::error(result);
+        return mustReject(error) ? reject(error) : scheduleRetry(error);
+    }
     const Ports::TransactionOutcome& outcome = Utils::value(result);
     storeClock_.onAnswer(outcome.storeMs, lastSentAt_, context_.now());
     if (outcome.isCommitted)
@@ -161,6 +165,24 @@
     done();
 }
 
+// A transaction that puts only the owner row is sent again in any case: no job is the cause.
+bool ShardWriter::mustReject(const Utils::Error& error) const
+{
+    return error.code == Utils::ErrorCode::InvalidArgument && onRejected_ && transaction_->puts.size() > 1;
+}
+
+// All tries have the same rows, so none of them is applied.
+void ShardWriter::reject(const Utils::Error& error)
+{
+    Utils::logError("shard-write-rejected", error);
+    context_.metrics.add("geraniumquay_shard_writes_rejected_total");
+    record_.set_sequence(record_.sequence() - 1);
+    transaction_.reset();
+    done_ = nullptr;
+    const auto onRejected = onRejected_;
+    onRejected();
+}
+
 void ShardWriter::scheduleRetry(const Utils::Error& error)
 {
     hasFailedTry_ = true;
--- a/src/libs/fleetnode/shardwriter.h
+++ b/src/libs/fleetnode/shardwriter.h
@@ -27,8 +27,10 @@
 public:
     /*!
         \param onLost called once when another node is found to have taken over the shard.
+        \param onRejected called when the store will never accept the rows of a write, which is over then.
     */
-    ShardWriter(NodeContext& context, std::string shard, std::function<void()> onLost);
+    ShardWriter(NodeContext& context, std::string shard, std::function<void()> onLost,
+        std::function<void()> onRejected = {});
 
     /*!
         Takes over the shard with the next epoch.
@@ -80,11 +82,14 @@
     void finish(std::uint64_t version, Utils::TimePoint confirmedAt);
     std::uint32_t longestLeaseMs() const;
     void scheduleRetry(const Utils::Error& error);
+    bool mustReject(const Utils::Error& error) const;
+    void reject(const Utils::Error& error);
     Ports::RowKey ownerRowKey() const;
 
     NodeContext& context_;
     std::string shard_;
     std::function<void()> onLost_;
+    std::function<void()> onRejected_;
     FleetSchema::ShardRecord record_; //!< Owner row in the transaction in progress, otherwise as stored.
     std::uint64_t version_ = 0; //!< Last known version of the owner row.
     std::optional<Ports::Transaction> transaction_;
--- a/src/libs/ports/rowstore.h
+++ b/src/libs/ports/rowstore.h
@@ -96,7 +96,7 @@
     /*!
         Commits a transaction.
         \param transaction changes to rows of one partition.
-        \param handler receives the outcome.
+        \param handler receives the outcome; InvalidArgument if the store will never accept the transaction.
     */
     virtual void commit(const Transaction& transaction, TransactionHandler handler) = 0;
 
--- a/tests/auto/fleet/tst_jobsteps.cpp
+++ b/tests/auto/fleet/tst_jobsteps.cpp
@@ -53,7 +53,7 @@
     CHECK(host.output.starts.size() == 1);
 
     FleetSchema::JobRecord record;
-    REQUIRE(record.ParseFromString(batch->puts.front().second));
+    REQUIRE(record.ParseFromString(batch->puts.front().value));
     SchedulerFixture successor(1);
     successor.scheduler.restore(record, successor.now, testStartUnixMs);
     CHECK(successor.scheduler.countUnconfirmedAttempts() == 1);
--- a/tests/auto/fleet/tst_shardscheduler.cpp
+++ b/tests/auto/fleet/tst_shardscheduler.cpp
@@ -141,7 +141,7 @@
     const auto batch = former.scheduler.beginCommit(testStartUnixMs);
     REQUIRE(batch);
     FleetSchema::JobRecord record;
-    REQUIRE(record.ParseFromString(batch->puts[0].second));
+    REQUIRE(record.ParseFromString(batch->puts[0].value));
 
     SchedulerFixture successor(0);
     successor.scheduler.restore(record, successor.now, testStartUnixMs);
@@ -314,7 +314,7 @@
             scheduler.schedule(now, testStartUnixMs);
             if (const auto batch = scheduler.beginCommit(testStartUnixMs)) {
                 CHECK(output.delegations.empty()); // The delegation must be stored before it is sent.
-                stored = batch->puts.back().second;
+                stored = batch->puts.back().value;
                 scheduler.onCommitted(now);
             }
         }
--- a/tests/auto/fleet/tst_shardtransfer.cpp
+++ b/tests/auto/fleet/tst_shardtransfer.cpp
@@ -121,7 +121,7 @@
     CHECK(host.output.results.size() == 2);
 
     FleetSchema::JobRecord record;
-    REQUIRE(record.ParseFromString(batch->puts.back().second));
+    REQUIRE(record.ParseFromString(batch->puts.back().value));
     SchedulerFixture successor(2);
     successor.scheduler.restore(record, successor.now, testStartUnixMs);
     successor.scheduler.onTick(successor.now, testStartUnixMs);
@@ -372,7 +372,26 @@
     CHECK((tried.size() > 1 || !shard.output.delegations.empty()));
 }
 
-TEST_CASE("The record of the largest job fits into a row")
+namespace {
+
+// Checks that a record can be written in one transaction, with values that the store accepts.
+void checkStorable(const FleetSchema::JobRecord& record)
+{
+    constexpr std::size_t maxRowBytes = 49'152;
+    constexpr std::size_t maxTransactionBytes = 700'000; // 1 MB in base64 is 750,000 bytes.
+    const std::vector<Fleet::JobRow> rows = Fleet::toJobRows(record, maxRowBytes);
+    std::size_t bytes = 0;
+    for (const Fleet::JobRow& row : rows) {
+        CHECK(row.value.size() <= maxRowBytes);
+        bytes += row.value.size();
+    }
+    CHECK(bytes <= maxTransactionBytes);
+    CHECK(rows.size() <= 90);
+}
+
+} // namespace
+
+TEST_CASE("The record of the largest job can be stored")
 {
     for (const std::uint32_t count : { 600U, Fleet::maxTasksPerJob }) {
         FleetSchema::JobSpec spec = makeJob("83d241ea64d8daf8", { makeStep(count, 1000, 500) });
@@ -393,12 +412,12 @@
             task.transferNumber = 1;
         }
         INFO(count << " tasks");
-        CHECK(Fleet::toRecord(job).SerializeAsString().size() <= 65536);
+        checkStorable(Fleet::toRecord(job));
         for (Fleet::Task& task : job.tasks) {
             task.worker = nullptr;
             task.phase = Fleet::TaskPhase::Delegated;
         }
-        CHECK(Fleet::toRecord(job).SerializeAsString().size() <= 65536);
+        checkStorable(Fleet::toRecord(job));
     }
 }
 
--- a/tests/auto/fleet/tst_shardwaits.cpp
+++ b/tests/auto/fleet/tst_shardwaits.cpp
@@ -47,7 +47,7 @@
     const auto batch = owner.scheduler.beginCommit(testStartUnixMs);
     REQUIRE(batch);
     FleetSchema::JobRecord record;
-    REQUIRE(record.ParseFromString(batch->puts[0].second));
+    REQUIRE(record.ParseFromString(batch->puts[0].value));
     SchedulerFixture successor(0);
     successor.scheduler.restore(record, successor.now, testStartUnixMs);
     CHECK(successor.scheduler.countUnconfirmedAttempts() == 1);
--- a/tests/auto/fleet/tst_workercapacity.cpp
+++ b/tests/auto/fleet/tst_workercapacity.cpp
@@ -215,7 +215,7 @@
     const auto batch = former.scheduler.beginCommit(testStartUnixMs);
     REQUIRE(batch);
     FleetSchema::JobRecord record;
-    REQUIRE(record.ParseFromString(batch->puts[0].second));
+    REQUIRE(record.ParseFromString(batch->puts[0].value));
     CapacityFixture successor(1);
     successor.scheduler.restore(record, successor.now, testStartUnixMs);
     successor.resize(0, 24'000);
--- a/tests/auto/fleet/tst_workerlease.cpp
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -136,7 +136,7 @@
     const auto batch = owner.scheduler.beginCommit(testStartUnixMs);
     REQUIRE(batch);
     FleetSchema::JobRecord record;
-    REQUIRE(record.ParseFromString(batch->puts[0].second));
+    REQUIRE(record.ParseFromString(batch->puts[0].value));
     for (const bool isFormerOwnerGone : { false, true }) {
         SchedulerFixture successor(0);
         if (isFormerOwnerGone)
@@ -167,7 +167,7 @@
     const auto batch = owner.scheduler.beginCommit(testStartUnixMs);
     REQUIRE(batch);
     FleetSchema::JobRecord record;
-    REQUIRE(record.ParseFromString(batch->puts[0].second));
+    REQUIRE(record.ParseFromString(batch->puts[0].value));
     SchedulerFixture successor(0);
     successor.scheduler.restore(record, successor.now, testStartUnixMs);
     const auto unlisted = successor.scheduler.unlistedWorkers();
@@ -184,7 +184,7 @@
     const auto batch = owner.scheduler.beginCommit(testStartUnixMs);
     REQUIRE(batch);
     FleetSchema::JobRecord record;
-    REQUIRE(record.ParseFromString(batch->puts[0].second));
+    REQUIRE(record.ParseFromString(batch->puts[0].value));
     SchedulerFixture successor(0);
     successor.scheduler.restore(record, successor.now, testStartUnixMs);
     successor.scheduler.setWorkers({ makeWorkerInfo("other") }, successor.now);
--- a/tests/auto/fleetnode/scriptedrowstore.h
+++ b/tests/auto/fleetnode/scriptedrowstore.h
@@ -39,6 +39,11 @@
             behavior = commitBehaviors.front();
             commitBehaviors.pop_front();
         }
+        if (isInvalid && isInvalid(transaction)) {
+            const Utils::Error error { Utils::ErrorCode::InvalidArgument, "commit", "store", "status 400" };
+            boost::asio::post(io_, [handler = std::move(handler), error] { handler(error); });
+            return;
+        }
         if (behavior == CommitBehavior::Hold) {
             heldCommits_.emplace_back(transaction, std::move(handler));
             return;
@@ -102,6 +107,7 @@
     std::deque<Ports::RowPage> pages; //!< If any, read() returns them in turn and then the last one again.
     std::deque<Ports::RowPage> changes; //!< For the next calls of follow(), which then no longer answers.
     std::function<std::int64_t()> clockMs; //!< Clock that answers state; empty: they state none.
+    std::function<bool(const Ports::Transaction&)> isInvalid; //!< If set, says what the store never accepts.
     int commitCount = 0;
     int failingReads = 0; //!< The next reads, which fail.
     int readCount = 0;
@@ -138,7 +144,11 @@
 
 /*! Context for components of a node, with an in-memory store. */
 struct NodeFixture {
-    NodeFixture() { settings.mutable_node()->set_name("node-1"); }
+    NodeFixture()
+    {
+        settings.mutable_node()->set_name("node-1");
+        settings.mutable_table()->set_row_bytes(65'536);
+    }
 
     boost::asio::io_context io { 1 };
     Utils::BootClock clock;
--- a/tests/auto/fleetnode/tst_shardwriter.cpp
+++ b/tests/auto/fleetnode/tst_shardwriter.cpp
@@ -26,7 +26,7 @@
     {
         bool isDone = false;
         Fleet::RecordBatch batch;
-        batch.puts.emplace_back(job, value);
+        batch.puts.push_back({ job, value });
         writer.write(batch, false, [&] { isDone = true; });
         run();
         return isDone;
