Write at most 45 new jobs into the index in one transaction

With more than 50 submissions in one partition of the index during one transaction, it would refuse them all.

Measured: the new case of tst_jobindex, 800 jobs at once with a store that takes 100 entries, passes with 45 rows a transaction.

--- a/src/libs/fleetnode/jobindex.cpp
+++ b/src/libs/fleetnode/jobindex.cpp
@@ -13,8 +13,9 @@
 // The store commits the transactions of one partition one at a time, so the index is spread over several
 // partitions.
 constexpr unsigned partitionCount = 4;
-// The store accepts up to 100 rows per transaction; further entries wait for the next one.
-constexpr std::size_t maxEntriesInTransaction = 90;
+// The store accepts up to 100 entries per transaction, and each row takes a condition and a put. Further rows
+// wait for the next one.
+constexpr std::size_t maxEntriesInTransaction = 45;
 // Maximum number of writes of an entry, including the first one. If all fail, the submission fails, and the
 // caller is expected to retry it.
 constexpr int maxWriteAttempts = 2;
--- a/tests/auto/fleetnode/tst_jobindex.cpp
+++ b/tests/auto/fleetnode/tst_jobindex.cpp
@@ -73,3 +73,22 @@
     CHECK(answered == 40);
     CHECK(fixture.store.commitCount <= 8);
 }
+
+TEST_CASE("Many jobs that are assigned at once are written in transactions that the store accepts")
+{
+    Testing::NodeFixture fixture;
+    fixture.store.isInvalid = [](const Ports::Transaction& transaction) {
+        constexpr std::size_t maxEntries = 100;
+        return transaction.conditions.size() + transaction.puts.size() + transaction.removals.size()
+            > maxEntries;
+    };
+    FleetNode::JobIndex index(fixture.context);
+    constexpr int jobCount = 800;
+    int assigned = 0;
+    for (int number = 0; number < jobCount; ++number) {
+        index.assign("job" + std::to_string(number), "shard",
+            [&](const Utils::Result<std::string>& result) { assigned += Utils::isOk(result) ? 1 : 0; });
+    }
+    fixture.io.run();
+    CHECK(assigned == jobCount);
+}
