--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -9,6 +9,7 @@
 #include <fleet.pb.h>
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -74,10 +75,11 @@
 
     /*!
         \param waited how long the task has waited in this shard.
+        \param returnedBy shards that have returned the task, the latest one last.
         \return another shard with free capacity for a task of \p step; empty if none is known.
     */
-    virtual std::string findShardWithCapacity(
-        const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited)
+    virtual std::string findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
+        Utils::Duration waited, std::span<const std::string> returnedBy)
         = 0;
 
     /*!
--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -1,11 +1,13 @@
 #include "shardchooser.h"
 
-#include "workercommitment.h"
+#include "workerkinds.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <tuple>
 #include <vector>
 
 namespace Fleet {
@@ -34,11 +36,10 @@
 constexpr double maxRelativeDelegationCost = 0.8;
 constexpr std::chrono::milliseconds overdueWait { 2200 };
 
-bool fitsLargestWorker(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
+std::size_t countRunnableSteps(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
 {
-    return std::all_of(spec.steps().begin(), spec.steps().end(), [&](const FleetSchema::StepSpec& step) {
-        return committedSize(step).milliProcessors <= load.largest_worker();
-    });
+    return static_cast<std::size_t>(std::count_if(spec.steps().begin(), spec.steps().end(),
+        [&](const FleetSchema::StepSpec& step) { return canEverRun(step, load); }));
 }
 
 /*! A shard that may accept a job. */
@@ -46,6 +47,7 @@
     std::string shard;
     double sample = 0; //!< Smaller samples are compared first.
     double cost = 0;
+    std::size_t runnableSteps = 0; //!< Steps of the job that its workers can ever run.
     bool isUnresponsive = false; //!< Its owner did not answer lately.
 };
 
@@ -153,13 +155,30 @@
     return owner.isSilent || unresponsiveUpdates_.contains(shard);
 }
 
+// The tasks of a step may run on several shards, but a gang needs one for all its tasks.
+bool ShardChooser::isRunnable(const FleetSchema::JobSpec& spec) const
+{
+    return std::all_of(spec.steps().begin(), spec.steps().end(), [&](const FleetSchema::StepSpec& step) {
+        std::uint64_t slots = 0;
+        for (const auto& [shard, owner] : owners_) {
+            if (owner.load.service() == spec.service() && canEverRun(step, owner.load))
+                slots += countSlots(step, owner.load);
+        }
+        // The tasks of a step that ends can run one after the other.
+        return slots >= (step.lasting() ? step.count() : 1);
+    });
+}
+
 ShardChoice ShardChooser::choose(const FleetSchema::JobSpec& spec, std::size_t assigningNodes)
 {
     ShardChoice choice;
+    if (!isRunnable(spec))
+        return choice;
     std::vector<Candidate> candidates;
     for (const auto& [shard, owner] : owners_) {
         const FleetSchema::ShardLoad& load = owner.load;
-        if (load.service() != spec.service() || load.capacity() <= 0 || !fitsLargestWorker(spec, load))
+        const std::size_t runnableSteps = countRunnableSteps(spec, load);
+        if (load.service() != spec.service() || load.capacity() <= 0 || runnableSteps == 0)
             continue;
         if (!hasCapacity(spec, load, assigned_[shard], assigningNodes)) {
             choice.isOverloaded = true;
@@ -167,8 +186,14 @@
         }
         candidates.push_back({ shard,
             exponentialSample(spec.id(), shard) / freeMilliProcessors(load, assigned_[shard], assigningNodes),
-            costOf(spec, load, assigned_[shard], assigningNodes), isUnresponsive(shard, owner) });
+            costOf(spec, load, assigned_[shard], assigningNodes), runnableSteps,
+            isUnresponsive(shard, owner) });
     }
+    // Tasks of the other steps have to move to another shard.
+    std::size_t mostSteps = 0;
+    for (const Candidate& candidate : candidates)
+        mostSteps = std::max(mostSteps, candidate.runnableSteps);
+    std::erase_if(candidates, [=](const Candidate& entry) { return entry.runnableSteps < mostSteps; });
     const auto isCandidateUnresponsive = [](const Candidate& entry) { return entry.isUnresponsive; };
     if (!std::all_of(candidates.begin(), candidates.end(), isCandidateUnresponsive))
         std::erase_if(candidates, isCandidateUnresponsive);
@@ -180,9 +205,13 @@
     return choice;
 }
 
-double ShardChooser::delegationCostLimit(
-    const std::string& originShard, const FleetSchema::JobSpec& spec, Utils::Duration waited) const
+double ShardChooser::delegationCostLimit(const std::string& originShard, const FleetSchema::JobSpec& spec,
+    std::uint32_t step, Utils::Duration waited) const
 {
+    const auto origin = owners_.find(originShard);
+    // It has to wait in another shard, however loaded.
+    if (origin != owners_.end() && !canEverRun(spec.steps(static_cast<int>(step)), origin->second.load))
+        return std::numeric_limits<double>::max();
     if (mustLeave(originShard, waited))
         return maxDelegationCost;
     const FleetSchema::ShardLoad& load = owners_.at(originShard).load;
@@ -199,22 +228,24 @@
     const std::string& shard, const ShardOwnerInfo& owner, const FleetSchema::StepSpec& step) const
 {
     const FleetSchema::ShardLoad& load = owner.load;
-    return load.capacity() > 0 && step.milli_processors() <= load.largest_worker()
-        && !isUnresponsive(shard, owner) && (step.lasting() || load.reports_results());
+    return load.capacity() > 0 && canEverRun(step, load) && !isUnresponsive(shard, owner)
+        && (step.lasting() || load.reports_results());
 }
 
 std::string ShardChooser::findForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
-    std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes)
+    std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes,
+    std::span<const std::string> returnedBy)
 {
     const FleetSchema::StepSpec& stepSpec = spec.steps(static_cast<int>(step));
     const std::int64_t size = stepSpec.milli_processors();
     std::string best;
     bool hasBestRoom = false;
+    std::size_t bestReturnOrder = 0;
     // Few shards have tasks that must leave, so that the other nodes hardly assign such tasks meanwhile.
     if (mustLeave(originShard, waited))
         assigningNodes = 1;
     const double limit
-        = stepSpec.lasting() ? maxDelegationShare : delegationCostLimit(originShard, spec, waited);
+        = stepSpec.lasting() ? maxDelegationShare : delegationCostLimit(originShard, spec, step, waited);
     double bestCost = limit;
     for (const auto& [shard, owner] : owners_) {
         const FleetSchema::ShardLoad& load = owner.load;
@@ -229,11 +260,17 @@
         // A shard in which one worker has room needs no relocation. Further tasks delegated to it before its
         // next report may take that room.
         const bool hasRoom = stepSpec.lasting() && size + delegated_[shard] <= load.lasting_room();
-        if (cost >= limit || hasRoom < hasBestRoom || (hasRoom == hasBestRoom && cost >= bestCost))
+        // 0 for a shard that has not returned the task, and greatest for the one that did so last.
+        const auto returned = std::find(returnedBy.begin(), returnedBy.end(), shard);
+        const std::size_t returnOrder
+            = returned == returnedBy.end() ? 0 : static_cast<std::size_t>(returned - returnedBy.begin()) + 1;
+        const auto rank = std::tuple(returnOrder, !hasRoom, cost);
+        if (cost >= limit || (!best.empty() && rank >= std::tuple(bestReturnOrder, !hasBestRoom, bestCost)))
             continue;
         best = shard;
         bestCost = cost;
         hasBestRoom = hasRoom;
+        bestReturnOrder = returnOrder;
     }
     return best;
 }
@@ -250,9 +287,10 @@
 }
 
 std::string ShardChooser::chooseForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
-    std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes)
+    std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes,
+    std::span<const std::string> returnedBy)
 {
-    std::string shard = findForTask(originShard, spec, step, waited, assigningNodes);
+    std::string shard = findForTask(originShard, spec, step, waited, assigningNodes, returnedBy);
     if (!shard.empty())
         countDelegation(shard, spec, step);
     return shard;
--- a/src/libs/fleet/shardchooser.h
+++ b/src/libs/fleet/shardchooser.h
@@ -5,6 +5,7 @@
 #include <fleet.pb.h>
 
 #include <map>
+#include <span>
 #include <string>
 
 namespace Fleet {
@@ -27,6 +28,9 @@
     few shards; therefore two shards are sampled by their free capacity, and the less loaded one is
     chosen. The sample depends only on the job's identifier.
 
+    A shard is chosen whose workers can ever run the most steps of a job: that have the labels and are large
+    enough. A job is rejected if the workers of no shard can ever run one of its steps.
+
     A long-running job holds its capacity for good, so it is rejected at once when no shard has capacity
     for all of it and for restarts of other tasks.
 */
@@ -55,18 +59,21 @@
         \param originShard shard without a worker for the task.
         \param waited how long the task has waited in that shard.
         \param assigningNodes as for choose().
+        \param returnedBy shards that have returned the task, the latest one last; they come after all others.
         \return the shard with the smallest share of long-running tasks or, for a task that ends, with the
             least load; empty if none has enough free capacity.
     */
     std::string findForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
-        std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes);
+        std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes,
+        std::span<const std::string> returnedBy = {});
 
     /*! Counts a task as delegated to \p shard. */
     void countDelegation(const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step);
 
     /*! Finds another shard for one task as findForTask() does, and counts the task as delegated to it. */
     std::string chooseForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
-        std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes);
+        std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes,
+        std::span<const std::string> returnedBy = {});
 
 private:
     struct AssignedWork {
@@ -81,8 +88,9 @@
     double costOf(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
         const AssignedWork& assigned, std::size_t assigningNodes) const;
 
-    double delegationCostLimit(
-        const std::string& originShard, const FleetSchema::JobSpec& spec, Utils::Duration waited) const;
+    bool isRunnable(const FleetSchema::JobSpec& spec) const;
+    double delegationCostLimit(const std::string& originShard, const FleetSchema::JobSpec& spec,
+        std::uint32_t step, Utils::Duration waited) const;
     bool mustLeave(const std::string& originShard, Utils::Duration waited) const;
     bool isUnresponsive(const std::string& shard, const ShardOwnerInfo& owner) const;
     bool mayHost(
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -5,6 +5,7 @@
 // host shard repeats the result until the origin shard has stored it too.
 
 #include "inflightbatch.h"
+#include "workerkinds.h"
 
 #include <algorithm>
 #include <set>
@@ -20,6 +21,9 @@
 constexpr milliseconds delegationDelay { 1800 };
 // Time for which a task that ends waits in its host shard before it is returned.
 constexpr milliseconds returnDelay { 3000 };
+// The same if no worker of this shard has the label or the size that the task needs. Long enough for the list
+// of workers to be read again.
+constexpr milliseconds unsuitableShardDelay { 700 };
 constexpr milliseconds transferRetryInterval { 600 };
 // Time after an unsuccessful search for a shard for a task that ends. Loads change with each heartbeat.
 constexpr milliseconds searchInterval { 200 };
@@ -59,11 +63,19 @@
     const Job& job = *task.job;
     if (task.phase != TaskPhase::Waiting || task.waitingSince == Utils::TimePoint {} || !job.isActive())
         return false;
+    if (!canEverRunHere(job.step(task), now))
+        return now - task.waitingSince > unsuitableShardDelay;
     if (job.isHosted() && !job.step(task).lasting())
         return now - task.waitingSince > returnDelay;
     return now - task.waitingSince > (1 + task.returnCount) * delegationDelay;
 }
 
+// A shard without a current list of workers may have suitable ones.
+bool ShardScheduler::canEverRunHere(const FleetSchema::StepSpec& step, Utils::TimePoint now) const
+{
+    return workerKinds_.worker_kinds().empty() || isWorkerListOutdated(now) || canEverRun(step, workerKinds_);
+}
+
 void ShardScheduler::delegateStarvedTask(Task& task, Utils::TimePoint now)
 {
     Job& job = *task.job;
@@ -84,7 +96,8 @@
     // Under overload, many tasks wait and no shard has capacity.
     if (!job.step(task).lasting() && now < job.searchAllowedAt)
         return;
-    const std::string shard = output_.findShardWithCapacity(job.spec, task.step, now - task.waitingSince);
+    const std::string shard
+        = output_.findShardWithCapacity(job.spec, task.step, now - task.waitingSince, task.returnedBy);
     if (shard.empty()) {
         if (!job.step(task).lasting())
             job.searchAllowedAt = now + searchInterval;
@@ -303,6 +316,8 @@
             task->waitingSince = {};
             task->idleSince = now - milliseconds(result.waited_ms());
             ++task->returnCount;
+            std::erase(task->returnedBy, task->hostShard);
+            task->returnedBy.push_back(task->hostShard);
             requeue(*task, now);
             if (result.kind() == FleetSchema::TASK_FAILED)
                 failJobIfExhausted(*task, now, nowUnixMs);
--- a/src/libs/fleet/shardload.cpp
+++ b/src/libs/fleet/shardload.cpp
@@ -28,6 +28,7 @@
     FleetSchema::ShardLoad load;
     load.set_shard(options_.shard);
     load.set_reports_results(true);
+    *load.mutable_worker_kinds() = workerKinds_.worker_kinds();
     for (const auto& [id, worker] : workers_) {
         if (worker->isUsable() && worker->quarantineTime == Utils::Duration::zero()) {
             load.set_capacity(load.capacity() + worker->info.milliProcessors);
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -10,6 +10,7 @@
 #include "taillatencymodel.h"
 #include "workerchoice.h"
 #include "workercommitment.h"
+#include "workerkinds.h"
 
 #include "taskgrouping.h"
 
@@ -60,11 +61,14 @@
 {
     for (auto& [id, worker] : workers_)
         worker->isListed = false;
+    workerKinds_.Clear();
     for (const Ports::WorkerInfo& info : workers) {
         Worker& worker = ensureWorker(info.id, now);
         const Placement::Resources former = worker.capacity();
         worker.info = info;
         worker.isListed = true;
+        if (!info.isDraining)
+            addToWorkerKinds(worker, workerKinds_);
         if (former != Placement::Resources() && former != worker.capacity())
             output_.capacityChanged({ info.id, former, worker.capacity(), worker.committed });
     }
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -327,6 +327,7 @@
     void tickTransfers(Job& job, Utils::TimePoint now);
     void answerOnceStored(Job& job, std::uint64_t ticket);
     bool isStarved(const Task& task, Utils::TimePoint now) const;
+    bool canEverRunHere(const FleetSchema::StepSpec& step, Utils::TimePoint now) const;
     void delegateStarvedTask(Task& task, Utils::TimePoint now);
     void delegate(Task& task, const std::string& shard);
     static bool mayCallHostShard(const Task& task);
@@ -364,6 +365,7 @@
     Utils::TimePoint groupingAllowedAt_ {};
     std::string lastGroupingSource_; //!< Worker last examined for a move of a latency-critical task.
     Utils::TimePoint lastScheduledAt_ {};
+    FleetSchema::ShardLoad workerKinds_; //!< Only the kinds of the listed workers that do not drain.
     Utils::TimePoint workersReadAt_ {}; //!< When the latest list of workers started to be read.
     Utils::TimePoint waitsReviewedAt_ {};
     std::optional<Utils::Duration> formerRenewal_; //!< Empty: SchedulerOptions::orphanGrace.
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Fleet {
 
@@ -47,6 +48,7 @@
     bool isDelegationAcknowledged = false;
     Utils::TimePoint delegationSentAt {};
     std::uint32_t returnCount = 0; //!< Number of times that a host shard has returned the task.
+    std::vector<std::string> returnedBy; //!< Shards that have returned the task, the latest one last.
     FleetSchema::TaskResultKind result = FleetSchema::TASK_RETURNED; //!< Valid in the phase Resolved.
     bool isResultStored = false; //!< The result under this transfer number is stored.
     Utils::TimePoint resultSentAt {};
--- a/src/libs/fleetnode/delegationtargets.cpp
+++ b/src/libs/fleetnode/delegationtargets.cpp
@@ -20,9 +20,10 @@
 }
 
 std::string DelegationTargets::find(const std::string& originShard, const FleetSchema::JobSpec& spec,
-    std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes)
+    std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes,
+    std::span<const std::string> returnedBy)
 {
-    std::string shard = chooser_.findForTask(originShard, spec, step, waited, assigningNodes);
+    std::string shard = chooser_.findForTask(originShard, spec, step, waited, assigningNodes, returnedBy);
     if (shard.empty())
         return shard;
     const auto confirmed = confirmedAt_.find(shard);
--- a/src/libs/fleetnode/delegationtargets.h
+++ b/src/libs/fleetnode/delegationtargets.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 
 namespace Fleet {
@@ -39,7 +40,7 @@
             tasks. In the latter case the owner is asked, and a call shortly afterwards may succeed.
     */
     std::string find(const std::string& originShard, const FleetSchema::JobSpec& spec, std::uint32_t step,
-        Utils::Duration waited, std::size_t assigningNodes);
+        Utils::Duration waited, std::size_t assigningNodes, std::span<const std::string> returnedBy = {});
 
 private:
     void checkOwner(const std::string& shard);
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -265,10 +265,10 @@
     requestRound();
 }
 
-std::string ShardHost::findShardWithCapacity(
-    const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited)
+std::string ShardHost::findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
+    Utils::Duration waited, std::span<const std::string> returnedBy)
 {
-    return otherShards_.findShardWithCapacity(shard_, spec, step, waited);
+    return otherShards_.findShardWithCapacity(shard_, spec, step, waited, returnedBy);
 }
 
 void ShardHost::acceptTaskResult(const FleetSchema::TaskResult& result, JobAnswerHandler handler)
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -35,10 +36,11 @@
     /*!
         \param shard the requesting shard, which is never returned.
         \param waited how long the task has waited there.
+        \param returnedBy shards that have returned the task, the latest one last.
         \return a shard with free capacity for a task of the job's step; empty if none is known.
     */
     virtual std::string findShardWithCapacity(const std::string& shard, const FleetSchema::JobSpec& spec,
-        std::uint32_t step, Utils::Duration waited)
+        std::uint32_t step, Utils::Duration waited, std::span<const std::string> returnedBy)
         = 0;
 
     /*! Calls the owner of the shard that the request names. */
@@ -156,8 +158,8 @@
     void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
     void throttleAttempt(
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
-    std::string findShardWithCapacity(
-        const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited) override;
+    std::string findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
+        Utils::Duration waited, std::span<const std::string> returnedBy) override;
     void delegateTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer) override;
     void cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job) override;
     void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) override;
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -423,10 +423,10 @@
     return chooser_.choose(spec, members_.aliveNodes().size());
 }
 
-std::string ShardOwnership::findShardWithCapacity(
-    const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited)
+std::string ShardOwnership::findShardWithCapacity(const std::string& shard, const FleetSchema::JobSpec& spec,
+    std::uint32_t step, Utils::Duration waited, std::span<const std::string> returnedBy)
 {
-    return delegationTargets_.find(shard, spec, step, waited, members_.aliveNodes().size());
+    return delegationTargets_.find(shard, spec, step, waited, members_.aliveNodes().size(), returnedBy);
 }
 
 void ShardOwnership::callOwner(const FleetSchema::PeerRequest& request,
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -306,14 +306,14 @@
         });
 }
 
-std::string EmulatedOwner::findShardWithCapacity(
-    const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited)
+std::string EmulatedOwner::findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
+    Utils::Duration waited, std::span<const std::string> returnedBy)
 {
     if (fleet_.scenario().variant == FleetVariant::NoDelegationOfEndingTasks
         && !spec.steps(static_cast<int>(step)).lasting())
         return {};
     std::string chosen = fleet_.node(node_).chooser.chooseForTask(
-        EmulatedFleet::shardName(shard_), spec, step, waited, fleet_.countAliveNodes());
+        EmulatedFleet::shardName(shard_), spec, step, waited, fleet_.countAliveNodes(), returnedBy);
     trace({ spec.id(), 0, step, 0 },
         "looks for another shard: " + (chosen.empty() ? std::string("none") : chosen));
     return chosen;
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -75,8 +75,8 @@
     void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
     void throttleAttempt(
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
-    std::string findShardWithCapacity(
-        const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited) override;
+    std::string findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
+        Utils::Duration waited, std::span<const std::string> returnedBy) override;
     void delegateTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer) override;
     void cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job) override;
     void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) override;
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -37,7 +37,8 @@
     void startAttempt(const Fleet::AttemptStart& start) override;
     void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
     void throttleAttempt(const std::string&, const Ports::TaskKey&, std::uint32_t, int) override { }
-    std::string findShardWithCapacity(const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration) override
+    std::string findShardWithCapacity(
+        const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration, std::span<const std::string>) override
     {
         return {};
     }
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -46,8 +46,10 @@
     {
         throttles.push_back({ worker, task, static_cast<std::uint32_t>(percent) });
     }
-    std::string findShardWithCapacity(const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration) override
+    std::string findShardWithCapacity(const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration,
+        std::span<const std::string> returnedBy) override
     {
+        latestReturnedBy.assign(returnedBy.begin(), returnedBy.end());
         return shardWithCapacity;
     }
     void delegateTask(const std::string&, const FleetSchema::TaskTransfer& transfer) override
@@ -83,6 +85,7 @@
     };
 
     std::string shardWithCapacity; //!< Result of findShardWithCapacity().
+    std::vector<std::string> latestReturnedBy; //!< Passed to its latest call.
     std::vector<FleetSchema::TaskTransfer> delegations;
     std::vector<std::pair<std::string, std::string>> delegationCancels;
     std::vector<std::pair<std::string, FleetSchema::TaskResult>> results;
--- a/tests/auto/fleetnode/shardhostfixture.h
+++ b/tests/auto/fleetnode/shardhostfixture.h
@@ -81,8 +81,8 @@
     {
     }
 
-    std::string findShardWithCapacity(
-        const std::string&, const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration) override
+    std::string findShardWithCapacity(const std::string&, const FleetSchema::JobSpec&, std::uint32_t,
+        Utils::Duration, std::span<const std::string>) override
     {
         return {};
     }
