--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -81,6 +81,19 @@
     }
     RecordBatch batch;
     inflightBatch_ = std::make_unique<InflightBatch>();
+    const std::size_t rowCount = addDirtyJobs(batch);
+    batch.hasStarts = !inflightBatch_->starts.empty();
+    if (dirtyJobs_.empty()) {
+        for (const auto& [id, worker] : workers_)
+            inflightBatch_->acknowledgements.emplace_back(id, worker->lastSeenEnd);
+    }
+    addRemovals(batch, rowCount);
+    return batch;
+}
+
+// Adds changed jobs as far as the transaction has room for them. Returns the number of rows.
+std::size_t ShardScheduler::addDirtyJobs(RecordBatch& batch)
+{
     std::size_t bytes = 0;
     std::size_t rowCount = 0;
     std::size_t batchedCount = 0;
@@ -97,27 +110,27 @@
         std::move(changes.puts.begin(), changes.puts.end(), std::back_inserter(batch.puts));
         std::move(changes.removals.begin(), changes.removals.end(), std::back_inserter(batch.removals));
         job.storedParts = std::move(changes.parts);
-        inflightBatch_->jobs.push_back(
-            { &job, job.state, std::move(job.acceptTickets), std::move(job.cancelTickets) });
-        job.acceptTickets.clear();
-        job.cancelTickets.clear();
-        for (Task& task : job.tasks) {
-            if (task.phase == TaskPhase::Recorded)
-                inflightBatch_->starts.push_back({ &task, task.attempt });
-            else if (task.phase == TaskPhase::Delegated)
-                inflightBatch_->delegations.push_back({ &task, task.transferNumber });
-            else if (task.phase == TaskPhase::Resolved)
-                inflightBatch_->results.push_back({ &task, task.transferNumber });
-        }
+        noteInflight(job);
     }
-    batch.hasStarts = !inflightBatch_->starts.empty();
     dirtyJobs_.erase(dirtyJobs_.begin(), dirtyJobs_.begin() + static_cast<std::ptrdiff_t>(batchedCount));
-    if (dirtyJobs_.empty()) {
-        for (const auto& [id, worker] : workers_)
-            inflightBatch_->acknowledgements.emplace_back(id, worker->lastSeenEnd);
+    return rowCount;
+}
+
+// Notes what has to be done for a job of the batch once the batch is committed.
+void ShardScheduler::noteInflight(Job& job)
+{
+    inflightBatch_->jobs.push_back(
+        { &job, job.state, std::move(job.acceptTickets), std::move(job.cancelTickets) });
+    job.acceptTickets.clear();
+    job.cancelTickets.clear();
+    for (Task& task : job.tasks) {
+        if (task.phase == TaskPhase::Recorded)
+            inflightBatch_->starts.push_back({ &task, task.attempt });
+        else if (task.phase == TaskPhase::Delegated)
+            inflightBatch_->delegations.push_back({ &task, task.transferNumber });
+        else if (task.phase == TaskPhase::Resolved)
+            inflightBatch_->results.push_back({ &task, task.transferNumber });
     }
-    addRemovals(batch, rowCount);
-    return batch;
 }
 
 // Removes expired jobs as far as the transaction has room for their rows.
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -345,6 +345,8 @@
     bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
     void adjustSpeeds(Worker& worker, Utils::TimePoint now);
     void collectExpiredJobs(std::int64_t nowUnixMs);
+    std::size_t addDirtyJobs(RecordBatch& batch);
+    void noteInflight(Job& job);
     void addRemovals(RecordBatch& batch, std::size_t rowCount);
     void giveUpStoring(Job& job, Utils::TimePoint now, std::int64_t nowUnixMs);
     void reviewWaits(Utils::TimePoint now, std::int64_t nowUnixMs);
--- a/src/libs/fleetnode/nodecontext.h
+++ b/src/libs/fleetnode/nodecontext.h
@@ -41,7 +41,7 @@
 */
 inline std::size_t maxRowBytes(const NodeContext& context)
 {
-    return context.settings.table().row_bytes() / 4 * 3;
+    return std::size_t { context.settings.table().row_bytes() } / 4 * 3;
 }
 
 // Tables and row keys of this system in the platform's store.
--- a/tests/auto/fleet/tst_jobsteps.cpp
+++ b/tests/auto/fleet/tst_jobsteps.cpp
@@ -27,6 +27,13 @@
     return spec;
 }
 
+/*! \return the estimated run time of that many steps one after the other. */
+std::int64_t pathMs(std::uint32_t steps)
+{
+    constexpr std::int64_t stepMs = 100;
+    return steps * stepMs;
+}
+
 /*! \return the last task of the job as another shard delegates it. */
 FleetSchema::TaskTransfer makeTransferOfLastTask()
 {
@@ -65,8 +72,8 @@
 {
     Fleet::Job job;
     Fleet::initializeJob(makeLayeredJob(), job);
-    CHECK(job.remainingCriticalPathMs(0) == (layerCount + 1) * 100);
-    CHECK(Fleet::objectiveMs(job) == 2 * (layerCount + 1) * 100 + 500);
+    CHECK(job.remainingCriticalPathMs(0) == pathMs(layerCount + 1));
+    CHECK(Fleet::objectiveMs(job) == 2 * pathMs(layerCount + 1) + 500);
     for (std::uint32_t step = 0; step < stepsInLayer; ++step) {
         CHECK(job.isStepReady(0, step, testStartUnixMs));
         CHECK_FALSE(job.isStepReady(0, stepsInLayer, testStartUnixMs));
@@ -74,10 +81,10 @@
     }
     CHECK(job.isStepReady(0, stepsInLayer, testStartUnixMs));
     CHECK_FALSE(job.isStepReady(0, 2 * stepsInLayer, testStartUnixMs));
-    CHECK(job.remainingCriticalPathMs(0) == layerCount * 100);
+    CHECK(job.remainingCriticalPathMs(0) == pathMs(layerCount));
     job.markPredecessorsDone(0, layerCount * stepsInLayer);
     CHECK(job.isStepReady(0, layerCount * stepsInLayer, testStartUnixMs));
-    CHECK(job.remainingCriticalPathMs(0) == 100);
+    CHECK(job.remainingCriticalPathMs(0) == pathMs(1));
 }
 
 TEST_CASE("Repeated predecessors of a step are removed")
