Pass long-running tasks to room that no waiting task of the other shard can use

Reported room included what was reserved for the shard's own waiting tasks.

Change: the reserved part is left out of the reported room, and a task that fits into that room may move whatever the share.

Measured: each of two new cases of tst_shardchooser fails without its half of the change.

--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -26,8 +26,8 @@
 constexpr int unresponsiveUpdateCount = 3;
 // Share of its processors that a full shard counts as free when shards are sampled.
 constexpr double minFreeShare = 0.02;
-// A shard is not chosen for a delegated task if long-running tasks would then hold at least this share of its
-// processors.
+// A shard in which no worker has room is not chosen for a delegated task if long-running tasks would then
+// hold at least this share of its processors.
 constexpr double maxDelegationShare = 0.95;
 // A task that ends is delegated to a shard whose cost is lower than this, and than this share of the cost of
 // its own shard. A task that has waited for overdueWait is also delegated if its own shard seems less loaded,
@@ -265,7 +265,9 @@
         const std::size_t returnOrder
             = returned == returnedBy.end() ? 0 : static_cast<std::size_t>(returned - returnedBy.begin()) + 1;
         const auto rank = std::tuple(returnOrder, !hasRoom, cost);
-        if (cost >= limit || (!best.empty() && rank >= std::tuple(bestReturnOrder, !hasBestRoom, bestCost)))
+        // Long-running tasks that wait in the other shard count in its share, but do not fit into the room.
+        if ((cost >= limit && !hasRoom)
+            || (!best.empty() && rank >= std::tuple(bestReturnOrder, !hasBestRoom, bestCost)))
             continue;
         best = shard;
         bestCost = cost;
--- a/src/libs/fleet/shardload.cpp
+++ b/src/libs/fleet/shardload.cpp
@@ -33,8 +33,8 @@
         if (worker->isUsable() && worker->quarantineTime == Utils::Duration::zero()) {
             load.set_capacity(load.capacity() + worker->info.milliProcessors);
             load.set_largest_worker(std::max(load.largest_worker(), worker->info.milliProcessors));
-            load.set_lasting_room(
-                std::max(load.lasting_room(), capacityBesideLongRunningTasks(*worker).milliProcessors));
+            load.set_lasting_room(std::max(load.lasting_room(),
+                capacityBesideLongRunningTasks(*worker).milliProcessors - worker->reservedMilliProcessors));
             load.set_service(worker->info.service);
             if (worker->criticalTaskCount > 0)
                 load.set_serving(load.serving() + worker->criticalMilliProcessors);
--- a/tests/auto/fleet/tst_shardchooser.cpp
+++ b/tests/auto/fleet/tst_shardchooser.cpp
@@ -204,6 +204,36 @@
     CHECK(chooser.chooseForTask("own", job, 0, {}, 1) == "fragmented");
 }
 
+TEST_CASE("A long-running task is delegated to room that the tasks waiting in the other shard cannot use")
+{
+    const FleetSchema::JobSpec job = makeJob("j", { makeLatencyCriticalStep(1, 8000, "s") });
+    Fleet::ShardOwnerInfo own = ownerInfo("own", 0);
+    Fleet::ShardOwnerInfo overloaded = ownerInfo("overloaded", 0);
+    overloaded.load.set_lasting(520'000);
+    overloaded.load.set_lasting_room(7999);
+    Fleet::ShardChooser chooser;
+    chooser.update({ { "own", own }, { "overloaded", overloaded } });
+    CHECK(chooser.chooseForTask("own", job, 0, {}, 1).empty());
+    overloaded.load.set_lasting_room(8000);
+    chooser.update({ { "own", own }, { "overloaded", overloaded } });
+    CHECK(chooser.chooseForTask("own", job, 0, {}, 1) == "overloaded");
+    // The first task takes the room.
+    CHECK(chooser.chooseForTask("own", job, 0, {}, 1).empty());
+}
+
+TEST_CASE("Room for long-running tasks is reported without what is reserved for those that wait")
+{
+    SchedulerFixture fixture(1);
+    // A short task keeps a long-running one waiting for the worker, which is reserved for it.
+    fixture.scheduler.submit(makeJob("short", { makeStep(1, 30'000, 500) }), 1, fixture.now, testStartUnixMs);
+    fixture.scheduleAndCommit();
+    fixture.scheduler.submit(
+        makeJob("lasting", { makeLatencyCriticalStep(1, 20'000, "s") }), 2, fixture.now, testStartUnixMs);
+    fixture.scheduleAndCommit();
+    REQUIRE(fixture.output.starts.size() == 1);
+    CHECK(fixture.scheduler.load().lasting_room() == 12'000);
+}
+
 TEST_CASE("Many tasks leave a shard without workers at once, whatever the number of nodes")
 {
     const FleetSchema::JobSpec job = makeJob("j", { makeStep(4, 8000, 1000) });
