--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -108,11 +108,6 @@
         requeueAttempts(worker, "worker-silent-beyond-lease", hasCrashed, now, nowUnixMs);
         return;
     }
-    // A worker ends all attempts when it leaves. One that is only cut off does not answer at all.
-    if (!worker.isListed && isAbsent(worker)) {
-        requeueAttempts(worker, "worker-left", !worker.info.isDraining, now, nowUnixMs);
-        return;
-    }
     for (Task* task : tasks)
         tickTask(*task, now);
 }
--- a/tests/auto/fleet/tst_workercrashes.cpp
+++ b/tests/auto/fleet/tst_workercrashes.cpp
@@ -74,14 +74,13 @@
         scheduler.setWorkers(infos, now);
     }
 
-    /*! The worker's process ends, its entry is removed, and a new worker takes its place. */
+    /*! The worker's process ends, its entry is removed, and a new worker answers at its address. */
     void crash(const std::string& worker)
     {
         std::erase(workers, worker);
         std::erase_if(running, [&](const Fleet::AttemptStart& attempt) { return attempt.worker == worker; });
         listWorkers();
-        scheduler.onPollFailed(worker, true);
-        scheduler.onPollFailed(worker, true);
+        scheduler.onWorkerReplaced(worker, now, testStartUnixMs);
         advance(100ms);
         workers.push_back("n" + std::to_string(++newWorkerCount));
         listWorkers();
--- a/tests/auto/fleet/tst_workerlease.cpp
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -198,33 +198,41 @@
     CHECK(successor.output.starts[0].attempt == 2);
 }
 
-TEST_CASE("Attempts end with a worker that is not listed and does not listen any more, whatever its lease")
+// Guards against second runs of tasks on workers that are cut off from nodes and store and run on.
+TEST_CASE("An attempt stays open until its lease ends if its worker is not listed and refuses connections")
 {
-    SchedulerFixture fixture(2);
-    fixture.scheduler.submit(makeJob("job", { makeStep(1, 1000, 9000) }), 1, fixture.now, testStartUnixMs);
-    fixture.scheduleAndCommit();
-    fixture.confirmStarts();
-    const std::string left = fixture.output.starts[0].worker;
-    const std::string other = left == "w0" ? "w1" : "w0";
-    const auto fail = [&](bool isAbsent) {
-        fixture.scheduler.onPollFailed(left, isAbsent);
-        fixture.now += 300ms;
-        fixture.report(other, {});
-        fixture.scheduler.onTick(fixture.now, testStartUnixMs);
+    for (const bool isDraining : { false, true }) {
+        SchedulerFixture fixture(2);
+        fixture.scheduler.submit(
+            makeJob("job", { makeStep(1, 1000, 60'000) }), 1, fixture.now, testStartUnixMs);
         fixture.scheduleAndCommit();
-    };
-    // Listed, it may be about to restart.
-    fail(true);
-    fail(true);
-    CHECK(fixture.output.starts.size() == 1);
-    fixture.scheduler.setWorkers({ makeWorkerInfo(other) }, fixture.now);
-    // Cut off, it may still run the attempt.
-    fail(false);
-    fail(true);
-    CHECK(fixture.output.starts.size() == 1);
-    fail(true);
-    REQUIRE(fixture.output.starts.size() == 2);
-    CHECK(fixture.output.starts[1].worker == other);
+        fixture.confirmStarts();
+        const std::string cutOff = fixture.output.starts[0].worker;
+        const std::string other = cutOff == "w0" ? "w1" : "w0";
+        REQUIRE(fixture.scheduler.planPoll(cutOff, fixture.now, true).leaseUntilMs > 0);
+        if (isDraining) {
+            std::vector<Ports::WorkerInfo> infos { makeWorkerInfo(cutOff), makeWorkerInfo(other) };
+            infos[0].isDraining = true;
+            infos[0].drainRemainingMs = 100'000;
+            fixture.scheduler.setWorkers(infos, fixture.now);
+        }
+        fixture.scheduler.setWorkers({ makeWorkerInfo(other) }, fixture.now);
+        const auto startsUntil = [&](Utils::TimePoint end) {
+            while (fixture.now < end) {
+                fixture.now += 100ms;
+                fixture.scheduler.onPollFailed(cutOff, true);
+                fixture.report(other, {});
+                fixture.scheduler.onTick(fixture.now, testStartUnixMs);
+                fixture.scheduleAndCommit();
+            }
+            return fixture.output.starts.size();
+        };
+        const Utils::TimePoint leaseEnd = fixture.scheduler.leaseEnds().at(cutOff);
+        REQUIRE(leaseEnd >= fixture.now + 5s);
+        CHECK(startsUntil(leaseEnd) == 1);
+        REQUIRE(startsUntil(leaseEnd + 200ms) == 2);
+        CHECK(fixture.output.starts[1].worker == other);
+    }
 }
 
 TEST_CASE("One lost poll does not cost a worker that has answered a start its lease")
