--- a/src/libs/fleet/crashpolicy.cpp
+++ b/src/libs/fleet/crashpolicy.cpp
@@ -43,9 +43,14 @@
     });
 }
 
+bool awaitsCrashVerdict(const Task& task)
+{
+    return task.crashes >= maxCrashes && task.provedCrashes() < maxCrashes;
+}
+
 bool isExhausted(const Task& task)
 {
-    if (task.crashes >= maxCrashes)
+    if (task.provedCrashes() >= maxCrashes)
         return true;
     return !task.job->step(task).lasting() && task.failures >= std::max(1U, task.job->spec.max_failures());
 }
--- a/src/libs/fleet/crashpolicy.h
+++ b/src/libs/fleet/crashpolicy.h
@@ -19,7 +19,20 @@
 */
 inline constexpr std::uint32_t crashesToIsolation = 2;
 
-/*! \return whether nothing listens at the worker's address, so that its process has ended. */
+/*!
+    A worker that may have crashed counts as crashed if it has not reported again for this long after its lease
+    has run out.
+*/
+inline constexpr Utils::Duration crashVerdictDelay = std::chrono::seconds(10);
+
+/*! What is known of a worker that lost an attempt. */
+enum class CrashEvidence {
+    None, //!< Nothing shows that its process has ended, or it has ended as planned.
+    Presumed, //!< It crashed, or it is cut off in a way that refuses connections.
+    Proved, //!< Its process has ended.
+};
+
+/*! \return whether connections to the worker's address are refused. It may run on behind a cut. */
 bool isAbsent(const Worker& worker);
 
 /*!
@@ -34,6 +47,12 @@
 */
 bool isKeptApart(const Task& task, const Worker& worker);
 
+/*!
+    \return whether the task must not be started before it is known whether its workers have crashed: if they
+        have, it must not be started any more.
+*/
+bool awaitsCrashVerdict(const Task& task);
+
 /*! \return whether the task must not be started any more: it has failed too often or crashed its workers. */
 bool isExhausted(const Task& task);
 
--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -177,7 +177,7 @@
         stored.set_state(storedState(task));
         stored.set_attempt(task.attempt);
         stored.set_failures(task.failures);
-        stored.set_crashes(task.crashes);
+        stored.set_crashes(task.provedCrashes());
         if (task.phase == TaskPhase::Delegated)
             stored.set_lent_to(task.hostShard);
         stored.set_transfer(task.transferNumber);
--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -109,8 +109,8 @@
     virtual void capacityChanged(const CapacityChange& change) = 0;
 
     /*!
-        Reports that an attempt has ended with its worker, which crashed before the attempt had run long
-        enough to show that it is not the cause.
+        Reports that an ended attempt has ended with its worker, which crashed before the attempt had run long
+        enough to show that it is not the cause. Follows attemptEnded(), once the crash is proved.
 
         \param crashes the task's latest starts in a row that ended like this.
     */
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -109,6 +109,7 @@
 
 void ShardScheduler::delegate(Task& task, const std::string& shard)
 {
+    forgetPresumedCrashes(task);
     task.phase = TaskPhase::Delegated;
     task.hostShard = shard;
     ++task.transferNumber;
@@ -142,7 +143,7 @@
     transfer.set_checkpoint(task.checkpoint);
     transfer.set_occurrence(task.occurrence);
     transfer.set_failures(task.failures);
-    transfer.set_crashes(task.crashes);
+    transfer.set_crashes(task.provedCrashes());
     transfer.set_waited_ms(idleMs(task, now));
     transfer.set_origin_shard(task.job->isHosted() ? task.job->originShard : options_.shard);
     output_.delegateTask(task.hostShard, transfer);
@@ -205,6 +206,7 @@
         task->transferNumber = transfer.transfer();
         task->attempt = std::max(task->attempt, transfer.attempt());
         task->failures = std::max(task->failures, transfer.failures());
+        forgetPresumedCrashes(*task);
         task->crashes = transfer.crashes();
         task->checkpoint = transfer.checkpoint();
         task->hostShard.clear();
@@ -245,6 +247,7 @@
     Job& job = *task.job;
     const auto resolve = [&](Task& resolved) {
         releaseWorker(resolved);
+        forgetPresumedCrashes(resolved);
         resolved.phase = TaskPhase::Resolved;
         resolved.result = result;
         resolved.isResultStored = false;
@@ -275,7 +278,7 @@
     result.set_kind(task.result);
     result.set_attempt(task.attempt);
     result.set_failures(task.failures);
-    result.set_crashes(task.crashes);
+    result.set_crashes(task.provedCrashes());
     result.set_waited_ms(idleMs(task, now));
     result.set_checkpoint(task.checkpoint);
     output_.sendTaskResult(task.job->originShard, result);
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -2,6 +2,7 @@
 
 #include "shardscheduler.h"
 
+#include "crashpolicy.h"
 #include "interference.h"
 #include "taillatencymodel.h"
 #include "workercommitment.h"
@@ -93,6 +94,7 @@
         worker->bornMs = report.startedUnixMs;
         worker->clockMs = 0;
     }
+    judgePresumedCrashes(*worker, now, nowUnixMs);
     if (!worker->isResponsive)
         isScheduleDue_ = true;
     worker->isResponsive = true;
@@ -233,7 +235,8 @@
     }
     for (Task* task : missing) {
         const bool hasRestarted = task->workerBornMs != 0 && task->workerBornMs != worker.bornMs;
-        endLostAttempt(*task, "missing-from-report", hasRestarted, now, nowUnixMs);
+        endLostAttempt(*task, "missing-from-report",
+            hasRestarted ? CrashEvidence::Proved : CrashEvidence::None, now, nowUnixMs);
     }
 }
 
@@ -262,17 +265,20 @@
     if (!worker)
         return;
     worker->isResponsive = false;
-    requeueAttempts(*worker, "worker-replaced", !worker->info.isDraining, now, nowUnixMs);
+    for (const PresumedCrash& crash : presumedCrashes_.takeAllOf(id))
+        confirmCrash(crash, now, nowUnixMs);
+    requeueAttempts(*worker, "worker-replaced",
+        worker->info.isDraining ? CrashEvidence::None : CrashEvidence::Proved, now, nowUnixMs);
 }
 
 // Attempts that are only recorded stay; once the record is stored, they are not sent to an unusable worker.
-void ShardScheduler::requeueAttempts(Worker& worker, std::string_view reason, bool hasWorkerCrashed,
+void ShardScheduler::requeueAttempts(Worker& worker, std::string_view reason, CrashEvidence evidence,
     Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     const std::vector<Task*> tasks = worker.tasks;
     for (Task* task : tasks) {
         if (task->phase != TaskPhase::Recorded)
-            endLostAttempt(*task, reason, hasWorkerCrashed, now, nowUnixMs);
+            endLostAttempt(*task, reason, evidence, now, nowUnixMs);
     }
 }
 
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -121,7 +121,7 @@
             end.set_attempt(task.attempt);
             end.set_done(isDone);
             end.set_failures(task.failures);
-            end.set_crashes(task.crashes);
+            end.set_crashes(task.provedCrashes());
             end.set_checkpoint(task.checkpoint);
         }
     }
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -212,6 +212,8 @@
             isScheduleDue_ = true;
             continue;
         }
+        if (awaitsCrashVerdict(task))
+            continue;
         if (isFull) {
             markWaiting(task, now);
             continue;
@@ -270,7 +272,7 @@
     std::uint32_t attempt = 0;
     for (std::uint32_t index = 0; index < count; ++index) {
         const Task& task = *job.findTask(occurrence, step, index);
-        if (task.phase != TaskPhase::Waiting || task.notBefore > now)
+        if (task.phase != TaskPhase::Waiting || task.notBefore > now || awaitsCrashVerdict(task))
             return;
         attempt = std::max(attempt, task.attempt);
     }
@@ -422,7 +424,7 @@
         summary.attemptCount += task.attempt;
         summary.failureCount += task.failures;
         if (state == FleetSchema::JOB_FAILED && isExhausted(task))
-            summary.reason = task.crashes >= maxCrashes ? "crashed-workers" : "failed-attempts";
+            summary.reason = task.provedCrashes() >= maxCrashes ? "crashed-workers" : "failed-attempts";
     }
     if (job.isReduced)
         summary.reason = "record-rejected";
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -4,6 +4,7 @@
 #include "imagedemand.h"
 #include "job.h"
 #include "jobrows.h"
+#include "presumedcrashes.h"
 #include "scheduleroptions.h"
 #include "scheduleroutput.h"
 #include "statedleaseends.h"
@@ -28,6 +29,7 @@
 class FailedSearches;
 class InterferenceCache;
 class TailLatencyModel;
+enum class CrashEvidence;
 
 /*! Rows that one transaction of a shard's owner changes. */
 struct RecordBatch {
@@ -312,8 +314,12 @@
         Worker& worker, const Ports::RunningAttempt& running, std::int64_t clockMs, Utils::TimePoint now);
     void requeueMissingAttempts(Worker& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report,
         Utils::TimePoint now, std::int64_t nowUnixMs);
-    void endLostAttempt(Task& task, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now,
+    void endLostAttempt(Task& task, std::string_view reason, CrashEvidence evidence, Utils::TimePoint now,
         std::int64_t nowUnixMs);
+    void judgePresumedCrashes(const Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
+    Task* takePresumedCrash(const PresumedCrash& crash);
+    void confirmCrash(const PresumedCrash& crash, Utils::TimePoint now, std::int64_t nowUnixMs);
+    void forgetPresumedCrashes(Task& task);
     void onListedAsRunning(Task& task, std::int64_t clockMs);
     void recordRunTime(Worker& worker, const Task& task, Utils::TimePoint now);
     void recordFailure(Worker& worker, const Task& task, Utils::TimePoint now);
@@ -336,7 +342,7 @@
     void cancelAtHostShards(Job& job, Utils::TimePoint now);
     void cancelUnacknowledged(Job& job, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
-    void requeueAttempts(Worker& worker, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now,
+    void requeueAttempts(Worker& worker, std::string_view reason, CrashEvidence evidence, Utils::TimePoint now,
         std::int64_t nowUnixMs);
     Utils::Duration startLease() const { return std::min(options_.startLease, options_.workerLease); }
     bool mayLease(const Worker& worker, Utils::Duration lease, Utils::TimePoint now) const;
@@ -374,6 +380,7 @@
     std::optional<Utils::Duration> formerLease_; //!< Empty: SchedulerOptions::workerLeaseLimit.
     Utils::TimePoint startRightEnd_ = Utils::TimePoint::max(); //!< Until when attempts may be started.
     StatedLeaseEnds statedLeaseEnds_;
+    PresumedCrashes presumedCrashes_;
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -46,6 +46,8 @@
     interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
     for (auto& [id, worker] : workers_)
         tickWorker(*worker, now, nowUnixMs);
+    for (const PresumedCrash& crash : presumedCrashes_.takeOlderThan(now - crashVerdictDelay))
+        confirmCrash(crash, now, nowUnixMs);
     improveGrouping(now);
     interferenceCache_.reset();
     // Waiting tasks are reconsidered as time passes, not only when capacity becomes free.
@@ -104,8 +106,9 @@
         = std::min<Utils::Duration>(firstReportTimeout, options_.workerLeaseLimit);
     const bool couldReport = worker.bornMs != 0 || now - worker.addedAt >= reportTimeout;
     if (!worker.isResponsive && couldReport && now > worker.leaseUpperBound) {
-        const bool hasCrashed = isAbsent(worker) && !worker.info.isDraining;
-        requeueAttempts(worker, "worker-silent-beyond-lease", hasCrashed, now, nowUnixMs);
+        const bool mayHaveCrashed = isAbsent(worker) && !worker.info.isDraining;
+        requeueAttempts(worker, "worker-silent-beyond-lease",
+            mayHaveCrashed ? CrashEvidence::Presumed : CrashEvidence::None, now, nowUnixMs);
         return;
     }
     for (Task* task : tasks)
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -2,6 +2,7 @@
 
 #include "shardscheduler.h"
 
+#include "crashpolicy.h"
 #include "interferenceview.h"
 #include "taillatencymodel.h"
 #include "workerchoice.h"
@@ -141,7 +142,9 @@
         report.listedWorkers += worker->isListed ? 1 : 0;
         report.usableWorkers += worker->isUsable() ? 1 : 0;
     }
-    if (task.phase == TaskPhase::Waiting) {
+    if (awaitsCrashVerdict(task)) {
+        report.obstacles = "verdict on crashes";
+    } else if (task.phase == TaskPhase::Waiting) {
         const auto counts = countObstacles(task, workers, interferenceView(), now);
         for (std::size_t obstacle = 0; obstacle < counts.size(); ++obstacle) {
             if (counts[obstacle] > 0) {
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -37,7 +37,8 @@
     TaskPhase phase = TaskPhase::Waiting;
     std::uint32_t attempt = 0; //!< Number of the latest attempt; 0 if there is none.
     std::uint32_t failures = 0;
-    std::uint32_t crashes = 0; //!< Latest starts in a row after which the worker crashed.
+    std::uint32_t crashes = 0; //!< Latest starts in a row after which the worker crashed, proved or not.
+    std::uint32_t presumedCrashes = 0; //!< Part of crashes that is not proved.
     std::string checkpoint; //!< Latest known checkpoint; may be empty.
     Worker* worker = nullptr; //!< Worker of the open attempt; null if there is none.
     std::int64_t workerBornMs = 0; //!< Incarnation of the worker that the attempt was assigned to.
@@ -84,6 +85,9 @@
     //! Since when the tail latency is over the target; the clock's epoch if it is not.
     Utils::TimePoint overTargetSince {};
 
+    /*! \return the latest starts in a row after which the worker is known to have crashed. */
+    std::uint32_t provedCrashes() const { return crashes - presumedCrashes; }
+
     /*! \return whether there is an attempt that runs or may still start to run. */
     bool isOpen() const
     {
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -125,11 +125,10 @@
 void ShardHost::workerCrashed(
     const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::uint32_t crashes)
 {
-    constexpr const char* how = "worker-crashed";
-    context_.metrics.add("geraniumquay_attempts_ended_total", Telemetry::label("how", how));
-    Utils::log(Utils::LogLevel::Warning, "attempt-ended",
+    context_.metrics.add("geraniumquay_worker_crashes_total");
+    Utils::log(Utils::LogLevel::Warning, "worker-crashed",
         { { "job", task.job }, { "task", describe(task) }, { "attempt", std::to_string(attempt) },
-            { "worker", worker }, { "how", how }, { "crashes", std::to_string(crashes) } });
+            { "worker", worker }, { "crashes", std::to_string(crashes) } });
 }
 
 void ShardHost::taskWaiting(const Fleet::WaitReport& report)
