--- a/src/libs/fleet/inflightbatch.h
+++ b/src/libs/fleet/inflightbatch.h
@@ -26,6 +26,12 @@
         std::uint32_t transferNumber = 0;
     };
 
+    struct Acknowledgement {
+        std::string worker;
+        std::int64_t workerBornMs = 0; //!< Incarnation that numbered the end.
+        std::uint64_t lastSeenEnd = 0; //!< Number of the latest processed end.
+    };
+
     /*! \return the entry of a job whose state is being stored, or nullptr if there is none. */
     BatchedJob* findJob(const Job& job)
     {
@@ -44,8 +50,7 @@
     std::vector<RecordedAttempt> starts;
     std::vector<RecordedDelegation> delegations;
     std::vector<RecordedDelegation> results; //!< Results for origin shards.
-    //! Worker and number of its latest processed end.
-    std::vector<std::pair<std::string, std::uint64_t>> acknowledgements;
+    std::vector<Acknowledgement> acknowledgements;
     std::vector<std::string> removals;
 };
 
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -85,7 +85,7 @@
     batch.hasStarts = !inflightBatch_->starts.empty();
     if (dirtyJobs_.empty()) {
         for (const auto& [id, worker] : workers_)
-            inflightBatch_->acknowledgements.emplace_back(id, worker->lastSeenEnd);
+            inflightBatch_->acknowledgements.push_back({ id, worker->bornMs, worker->lastSeenEnd });
     }
     addRemovals(batch, rowCount);
     return batch;
@@ -160,12 +160,11 @@
     const std::unique_ptr<InflightBatch> batch = std::move(inflightBatch_);
     if (batchJobLimit_ <= maxBatchRows)
         batchJobLimit_ *= 2;
-    for (const auto& [id, number] : batch->acknowledgements) {
-        if (Worker* worker = findWorker(id)) {
-            // If the worker restarted during the transaction, its new incarnation numbers its ends from 1
-            // again, so the number in the batch may be too high.
-            worker->lastAcknowledgedEnd = std::min(number, worker->lastSeenEnd);
-        }
+    for (const InflightBatch::Acknowledgement& acknowledgement : batch->acknowledgements) {
+        Worker* const worker = findWorker(acknowledgement.worker);
+        // A worker that restarted during the transaction numbers its ends from 1 again.
+        if (worker && worker->bornMs == acknowledgement.workerBornMs)
+            worker->lastAcknowledgedEnd = acknowledgement.lastSeenEnd;
     }
     for (const InflightBatch::RecordedDelegation& delegation : batch->delegations)
         delegation.task->isDelegationStored = delegation.task->phase == TaskPhase::Delegated
--- a/tests/auto/fleet/tst_workercrashes.cpp
+++ b/tests/auto/fleet/tst_workercrashes.cpp
@@ -570,3 +570,27 @@
     fixture.report("w0", {});
     CHECK(fixture.scheduler.planPoll("w0", fixture.now, true).acknowledged == 1);
 }
+
+// Otherwise an owner that is lost before it stores them leaves tasks to be run again after their end.
+TEST_CASE("Ends of a worker that restarts during a transaction are not acknowledged by that transaction")
+{
+    CrashFixture fixture(1);
+    fixture.submit("first", 3);
+    for (std::uint32_t index = 0; index < 3; ++index)
+        fixture.finishTask("first", index, Ports::AttemptOutcome::Done);
+    fixture.scheduler.submit(
+        makeJob("second", { makeStep(1, 1000, 500) }), 2, fixture.now, testStartUnixMs);
+    REQUIRE(fixture.scheduler.beginCommit(testStartUnixMs));
+
+    Ports::WorkerReport reborn;
+    reborn.startedUnixMs = 8;
+    reborn.ended.push_back({ 1, { "other", 0, 0, 0 }, 1, Ports::AttemptOutcome::Done, {} });
+    reborn.ended.push_back({ 2, { "other", 0, 0, 1 }, 1, Ports::AttemptOutcome::Done, {} });
+    fixture.report("w0", reborn);
+    fixture.scheduler.onCommitted(fixture.now);
+    CHECK(fixture.scheduler.planPoll("w0", fixture.now, true).acknowledged == 0);
+
+    fixture.commit();
+    fixture.commit();
+    CHECK(fixture.scheduler.planPoll("w0", fixture.now, true).acknowledged == 2);
+}
