--- a/tests/auto/usersplatform/tst_platformcodecs.cpp
+++ b/tests/auto/usersplatform/tst_platformcodecs.cpp
@@ -62,12 +62,27 @@
 
 TEST_CASE("A report with a malformed row is rejected as a whole")
 {
-    for (const char* invalidText : { "", "[]", R"({"running":[["j.0.1"]]})", R"({"running":[[1,2,"",3]]})",
-             R"({"finished":[[1,"j.0.1.1",1,"done"]]})", R"({"finished":[["x"]]})" }) {
+    for (const char* invalidText : { "", "[]", R"({"born":1,"running":[["j.0.1"]],"finished":[]})",
+             R"({"born":1,"running":[[1,2,"",3]],"finished":[]})",
+             R"({"born":1,"running":[],"finished":[[1,"j.0.1.1",1,"done"]]})",
+             R"({"born":1,"running":[],"finished":[["x"]]})" }) {
         CHECK_FALSE(Utils::isOk(decodeReport(invalidText, "peer")));
     }
 }
 
+// Guards against second runs: tasks that such a report does not list would be taken for ended.
+TEST_CASE("A report without the worker's start or a list of its attempts is rejected")
+{
+    REQUIRE(Utils::isOk(decodeReport(R"({"born":1,"running":[],"finished":[]})", "peer")));
+    for (const char* incompleteText :
+        { "{}", R"({"wall_clock_ms":5})", R"({"running":[],"finished":[]})", R"({"born":1,"finished":[]})",
+            R"({"born":1,"running":[]})", R"({"born":1,"running":null,"finished":[]})",
+            R"({"born":0,"running":[],"finished":[]})" }) {
+        INFO(incompleteText);
+        CHECK_FALSE(Utils::isOk(decodeReport(incompleteText, "peer")));
+    }
+}
+
 TEST_CASE("A worker's entry is decoded, and malformed entries are rejected")
 {
     const auto worker
