--- a/tests/auto/usersplatform/tst_platformcodecs.cpp
+++ b/tests/auto/usersplatform/tst_platformcodecs.cpp
@@ -83,6 +83,35 @@
     }
 }
 
+// Guards against second runs: a start that is taken for refused is sent to another worker at once.
+TEST_CASE("Only statuses of a worker tell that it has not carried out a command")
+{
+    const auto decode = [](unsigned status, const std::string& body) {
+        Http::Response response;
+        response.status = status;
+        response.body = body;
+        return decodeCommandReply(response, "worker.start", "peer");
+    };
+    const auto accepted = decode(200, R"({"wall_clock_ms":482113})");
+    REQUIRE(Utils::isOk(accepted));
+    CHECK(Utils::value(accepted).outcome == Ports::CommandOutcome::Done);
+    CHECK(Utils::value(accepted).clockMs == 482113);
+    const auto fenced = decode(409, R"({"reason":"fence"})");
+    REQUIRE(Utils::isOk(fenced));
+    CHECK(Utils::value(fenced).outcome == Ports::CommandOutcome::Fenced);
+    for (const unsigned refusal : { 400U, 409U, 421U, 429U, 503U }) {
+        const auto reply = decode(refusal, "{}");
+        REQUIRE(Utils::isOk(reply));
+        CHECK(Utils::value(reply).outcome != Ports::CommandOutcome::Done);
+    }
+    for (const unsigned other : { 204U, 404U, 408U, 500U, 502U, 504U }) {
+        const auto reply = decode(other, "{}");
+        INFO(other);
+        REQUIRE_FALSE(Utils::isOk(reply));
+        CHECK(Utils::error(reply).code == Utils::ErrorCode::OutcomeUnknown);
+    }
+}
+
 TEST_CASE("A worker's entry is decoded, and malformed entries are rejected")
 {
     const auto worker
