--- a/src/libs/fleet/crashpolicy.cpp
+++ b/src/libs/fleet/crashpolicy.cpp
@@ -45,7 +45,7 @@
 
 bool awaitsCrashVerdict(const Task& task)
 {
-    return task.crashes >= maxCrashes && task.provedCrashes() < maxCrashes;
+    return task.crashes >= maxCrashes && !task.presumedCrashes.empty();
 }
 
 bool isExhausted(const Task& task)
--- a/src/libs/fleet/crashpolicy.h
+++ b/src/libs/fleet/crashpolicy.h
@@ -20,10 +20,10 @@
 inline constexpr std::uint32_t crashesToIsolation = 2;
 
 /*!
-    A worker that may have crashed counts as crashed if it has not reported again for this long after its lease
-    has run out.
+    A worker that may have crashed counts as crashed if it has not reported again for this long after its
+   lease has run out.
 */
-inline constexpr Utils::Duration crashVerdictDelay = std::chrono::seconds(10);
+inline constexpr Utils::Duration crashVerdictDelay = std::chrono::milliseconds(2500);
 
 /*! What is known of a worker that lost an attempt. */
 enum class CrashEvidence {
--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -162,6 +162,16 @@
 
 } // namespace
 
+void addPresumedCrashes(
+    const Task& task, google::protobuf::RepeatedPtrField<FleetSchema::PresumedWorkerCrash>& crashes)
+{
+    for (const PresumedCrash& crash : task.presumedCrashes) {
+        FleetSchema::PresumedWorkerCrash& presumed = *crashes.Add();
+        presumed.set_worker(crash.worker);
+        presumed.set_worker_born(crash.workerBornMs);
+    }
+}
+
 FleetSchema::JobRecord toRecord(const Job& job)
 {
     FleetSchema::JobRecord record;
@@ -178,6 +188,7 @@
         stored.set_attempt(task.attempt);
         stored.set_failures(task.failures);
         stored.set_crashes(task.provedCrashes());
+        addPresumedCrashes(task, *stored.mutable_presumed_crashes());
         if (task.phase == TaskPhase::Delegated)
             stored.set_lent_to(task.hostShard);
         stored.set_transfer(task.transferNumber);
--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -122,6 +122,10 @@
 */
 void initializeJob(FleetSchema::JobSpec spec, Job& job);
 
+/*! Adds the crashes that are only presumed under the task to a record. */
+void addPresumedCrashes(
+    const Task& task, google::protobuf::RepeatedPtrField<FleetSchema::PresumedWorkerCrash>& crashes);
+
 /*! \return the record under which a job is stored; of a reduced job, only its outcome. */
 FleetSchema::JobRecord toRecord(const Job& job);
 
--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -1,6 +1,5 @@
 // Attempts of ShardScheduler that are lost with their worker. A crash is attributed to the attempts that had
-// not run long enough to show that they are not its cause. The count is stored with the end of the attempt, as
-// far as it is proved.
+// not run long enough to show that they are not its cause. The count is stored with the end of the attempt.
 
 #include "crashpolicy.h"
 #include "shardscheduler.h"
@@ -8,8 +7,8 @@
 namespace Fleet {
 
 // Ends an attempt that no longer runs. If its worker has crashed, the attempt may be the cause.
-void ShardScheduler::endLostAttempt(Task& task, std::string_view reason, CrashEvidence evidence,
-    Utils::TimePoint now, std::int64_t nowUnixMs)
+void ShardScheduler::endLostAttempt(
+    Task& task, std::string_view reason, CrashEvidence evidence, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     const Ports::WorkerInfo& worker = task.worker->info;
     output_.attemptEnded(worker.id, keyOf(task), task.attempt, reason);
@@ -24,8 +23,9 @@
     if (evidence == CrashEvidence::Proved) {
         output_.workerCrashed(worker.id, keyOf(task), task.attempt, task.provedCrashes());
     } else {
-        ++task.presumedCrashes;
-        presumedCrashes_.add({ worker.id, task.workerBornMs, keyOf(task), task.attempt, now });
+        task.presumedCrashes.push_back({ worker.id, task.workerBornMs, task.attempt, now });
+        task.worker->watchedUntil = now + crashVerdictDelay;
+        tasksWithPresumedCrashes_.insert(keyOf(task));
     }
     requeue(task, now + pauseAfterCrash(task.crashes));
     if (task.job->isActive())
@@ -33,50 +33,64 @@
 }
 
 // A worker that still lives had been cut off.
-void ShardScheduler::judgePresumedCrashes(
-    const Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs)
+void ShardScheduler::judgePresumedCrashes(const Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
-    for (const PresumedCrash& crash : presumedCrashes_.takeAllOf(worker.info.id)) {
-        if (crash.workerBornMs != 0 && crash.workerBornMs != worker.bornMs)
-            confirmCrash(crash, now, nowUnixMs);
-        else if (Task* const task = takePresumedCrash(crash))
-            --task->crashes;
+    const auto isOfWorker = [&](const PresumedCrash& crash) { return crash.worker == worker.info.id; };
+    for (const auto& [task, crash] : takePresumedCrashes(isOfWorker)) {
+        if (crash.workerBornMs != 0 && crash.workerBornMs != worker.bornMs) {
+            confirmCrash(*task, crash, now, nowUnixMs);
+            continue;
+        }
+        --task->crashes;
+        markDirty(*task->job);
+        isScheduleDue_ = true;
     }
 }
 
-// Returns the task whose crash is not a presumption any more, or nullptr if nothing depends on it.
-Task* ShardScheduler::takePresumedCrash(const PresumedCrash& crash)
+// Removes the presumed crashes that meet the condition from their tasks and returns them.
+std::vector<std::pair<Task*, PresumedCrash>> ShardScheduler::takePresumedCrashes(
+    const std::function<bool(const PresumedCrash&)>& condition)
 {
-    Job* const job = findJob(crash.task.job);
-    Task* const task
-        = job ? job->findTask(crash.task.occurrence, crash.task.step, crash.task.index) : nullptr;
-    if (!task || task->presumedCrashes == 0)
-        return nullptr;
-    --task->presumedCrashes;
-    isScheduleDue_ = true;
-    return task;
+    std::vector<std::pair<Task*, PresumedCrash>> taken;
+    std::erase_if(tasksWithPresumedCrashes_, [&](const Ports::TaskKey& key) {
+        Job* const job = findJob(key.job);
+        Task* const task = job ? job->findTask(key.occurrence, key.step, key.index) : nullptr;
+        if (!task)
+            return true;
+        std::erase_if(task->presumedCrashes, [&](const PresumedCrash& crash) {
+            if (!condition(crash))
+                return false;
+            taken.emplace_back(task, crash);
+            return true;
+        });
+        return task->presumedCrashes.empty();
+    });
+    return taken;
+}
+
+void ShardScheduler::confirmPresumedCrashes(
+    const std::function<bool(const PresumedCrash&)>& condition, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    for (const auto& [task, crash] : takePresumedCrashes(condition))
+        confirmCrash(*task, crash, now, nowUnixMs);
 }
 
 void ShardScheduler::confirmCrash(
-    const PresumedCrash& crash, Utils::TimePoint now, std::int64_t nowUnixMs)
+    Task& task, const PresumedCrash& crash, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
-    Task* const task = takePresumedCrash(crash);
-    if (!task)
+    const bool isOver = !task.isOpen() && task.phase != TaskPhase::Waiting;
+    if (isOver || !task.job->isActive())
         return;
-    markDirty(*task->job);
-    output_.workerCrashed(crash.worker, crash.task, crash.attempt, task->provedCrashes());
-    if (task->job->isActive() && task->phase == TaskPhase::Waiting)
-        failJobIfExhausted(*task, now, nowUnixMs);
+    markDirty(*task.job);
+    output_.workerCrashed(crash.worker, keyOf(task), crash.attempt, task.provedCrashes());
+    failJobIfExhausted(task, now, nowUnixMs);
 }
 
 // The verdict on crashes that are only presumed can be reached in this shard only.
 void ShardScheduler::forgetPresumedCrashes(Task& task)
 {
-    if (task.presumedCrashes == 0)
-        return;
-    presumedCrashes_.forget(keyOf(task));
     task.crashes = task.provedCrashes();
-    task.presumedCrashes = 0;
+    task.presumedCrashes.clear();
 }
 
 void ShardScheduler::onListedAsRunning(Task& task, std::int64_t clockMs)
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -63,6 +63,9 @@
     const Job& job = *task.job;
     if (task.phase != TaskPhase::Waiting || task.waitingSince == Utils::TimePoint {} || !job.isActive())
         return false;
+    // Only the shard of the workers learns whether they have crashed.
+    if (!task.presumedCrashes.empty())
+        return false;
     if (!canEverRunHere(job.step(task), now))
         return now - task.waitingSince > unsuitableShardDelay;
     if (job.isHosted() && !job.step(task).lasting())
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -75,6 +75,7 @@
     Worker* worker = findWorker(id);
     if (!worker)
         return;
+    const bool isBack = !worker->isResponsive || report.startedUnixMs != worker->bornMs;
     if (report.startedUnixMs != worker->bornMs) {
         if (worker->bornMs != 0) {
             worker->lastSeenEnd = 0;
@@ -94,9 +95,10 @@
         worker->bornMs = report.startedUnixMs;
         worker->clockMs = 0;
     }
-    judgePresumedCrashes(*worker, now, nowUnixMs);
-    if (!worker->isResponsive)
+    if (isBack) {
+        judgePresumedCrashes(*worker, now, nowUnixMs);
         isScheduleDue_ = true;
+    }
     worker->isResponsive = true;
     worker->failedPolls = 0;
     worker->absentPolls = 0;
@@ -265,8 +267,7 @@
     if (!worker)
         return;
     worker->isResponsive = false;
-    for (const PresumedCrash& crash : presumedCrashes_.takeAllOf(id))
-        confirmCrash(crash, now, nowUnixMs);
+    confirmPresumedCrashes([&id](const PresumedCrash& crash) { return crash.worker == id; }, now, nowUnixMs);
     requeueAttempts(*worker, "worker-replaced",
         worker->info.isDraining ? CrashEvidence::None : CrashEvidence::Proved, now, nowUnixMs);
 }
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -122,6 +122,7 @@
             end.set_done(isDone);
             end.set_failures(task.failures);
             end.set_crashes(task.provedCrashes());
+            addPresumedCrashes(task, *end.mutable_presumed_crashes());
             end.set_checkpoint(task.checkpoint);
         }
     }
@@ -140,7 +141,7 @@
         output_.attemptEnded(task->worker->info.id, keyOf(*task), task->attempt, "told-by-former-owner");
         task->attempt = end.attempt();
         task->failures = std::max(task->failures, end.failures());
-        task->crashes = end.crashes();
+        restoreCrashes(*task, end.crashes(), end.presumed_crashes(), now);
         if (!end.checkpoint().empty())
             task->checkpoint = end.checkpoint();
         if (end.done() && !job->step(*task).lasting()) {
@@ -163,7 +164,7 @@
     Job& job = *task.job;
     task.attempt = stored.attempt();
     task.failures = stored.failures();
-    task.crashes = stored.crashes();
+    restoreCrashes(task, stored.crashes(), stored.presumed_crashes(), now);
     task.checkpoint = stored.checkpoint();
     task.hostShard = stored.lent_to();
     task.transferNumber = stored.transfer();
@@ -196,6 +197,19 @@
         job.markPredecessorsDone(task.occurrence, task.step);
 }
 
+// The verdict on presumed crashes is left to this owner.
+void ShardScheduler::restoreCrashes(Task& task, std::uint32_t provedCount,
+    const google::protobuf::RepeatedPtrField<FleetSchema::PresumedWorkerCrash>& presumed,
+    Utils::TimePoint now)
+{
+    task.presumedCrashes.clear();
+    for (const FleetSchema::PresumedWorkerCrash& crash : presumed)
+        task.presumedCrashes.push_back({ crash.worker(), crash.worker_born(), task.attempt, now });
+    task.crashes = provedCount + static_cast<std::uint32_t>(task.presumedCrashes.size());
+    if (!task.presumedCrashes.empty())
+        tasksWithPresumedCrashes_.insert(keyOf(task));
+}
+
 void ShardScheduler::restoreAttempt(Task& task, const FleetSchema::TaskRecord& stored, Utils::TimePoint now)
 {
     Worker& worker = ensureWorker(stored.worker(), now);
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -73,8 +73,7 @@
             output_.capacityChanged({ info.id, former, worker.capacity(), worker.committed });
     }
     workersReadAt_ = readAt.value_or(now);
-    std::erase_if(
-        workers_, [](const auto& entry) { return !entry.second->isListed && entry.second->tasks.empty(); });
+    std::erase_if(workers_, [now](const auto& entry) { return entry.second->isObsolete(now); });
     isScheduleDue_ = true;
 }
 
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -4,7 +4,7 @@
 #include "imagedemand.h"
 #include "job.h"
 #include "jobrows.h"
-#include "presumedcrashes.h"
+#include "presumedcrash.h"
 #include "scheduleroptions.h"
 #include "scheduleroutput.h"
 #include "statedleaseends.h"
@@ -14,10 +14,12 @@
 #include "utils/clock.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -317,9 +319,15 @@
     void endLostAttempt(Task& task, std::string_view reason, CrashEvidence evidence, Utils::TimePoint now,
         std::int64_t nowUnixMs);
     void judgePresumedCrashes(const Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
-    Task* takePresumedCrash(const PresumedCrash& crash);
-    void confirmCrash(const PresumedCrash& crash, Utils::TimePoint now, std::int64_t nowUnixMs);
-    void forgetPresumedCrashes(Task& task);
+    std::vector<std::pair<Task*, PresumedCrash>> takePresumedCrashes(
+        const std::function<bool(const PresumedCrash&)>& condition);
+    void confirmPresumedCrashes(const std::function<bool(const PresumedCrash&)>& condition,
+        Utils::TimePoint now, std::int64_t nowUnixMs);
+    void confirmCrash(Task& task, const PresumedCrash& crash, Utils::TimePoint now, std::int64_t nowUnixMs);
+    static void forgetPresumedCrashes(Task& task);
+    void restoreCrashes(Task& task, std::uint32_t provedCount,
+        const google::protobuf::RepeatedPtrField<FleetSchema::PresumedWorkerCrash>& presumed,
+        Utils::TimePoint now);
     void onListedAsRunning(Task& task, std::int64_t clockMs);
     void recordRunTime(Worker& worker, const Task& task, Utils::TimePoint now);
     void recordFailure(Worker& worker, const Task& task, Utils::TimePoint now);
@@ -342,8 +350,8 @@
     void cancelAtHostShards(Job& job, Utils::TimePoint now);
     void cancelUnacknowledged(Job& job, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
-    void requeueAttempts(Worker& worker, std::string_view reason, CrashEvidence evidence, Utils::TimePoint now,
-        std::int64_t nowUnixMs);
+    void requeueAttempts(Worker& worker, std::string_view reason, CrashEvidence evidence,
+        Utils::TimePoint now, std::int64_t nowUnixMs);
     Utils::Duration startLease() const { return std::min(options_.startLease, options_.workerLease); }
     bool mayLease(const Worker& worker, Utils::Duration lease, Utils::TimePoint now) const;
     bool isWorkerListOutdated(Utils::TimePoint now) const;
@@ -380,7 +388,7 @@
     std::optional<Utils::Duration> formerLease_; //!< Empty: SchedulerOptions::workerLeaseLimit.
     Utils::TimePoint startRightEnd_ = Utils::TimePoint::max(); //!< Until when attempts may be started.
     StatedLeaseEnds statedLeaseEnds_;
-    PresumedCrashes presumedCrashes_;
+    std::set<Ports::TaskKey> tasksWithPresumedCrashes_; //!< May include others.
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -46,8 +46,9 @@
     interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
     for (auto& [id, worker] : workers_)
         tickWorker(*worker, now, nowUnixMs);
-    for (const PresumedCrash& crash : presumedCrashes_.takeOlderThan(now - crashVerdictDelay))
-        confirmCrash(crash, now, nowUnixMs);
+    confirmPresumedCrashes(
+        [now](const PresumedCrash& crash) { return now - crash.presumedAt > crashVerdictDelay; }, now,
+        nowUnixMs);
     improveGrouping(now);
     interferenceCache_.reset();
     // Waiting tasks are reconsidered as time passes, not only when capacity becomes free.
@@ -60,8 +61,7 @@
             isScheduleDue_ = true;
     }
     reviewWaits(now, nowUnixMs);
-    std::erase_if(
-        workers_, [](const auto& entry) { return !entry.second->isListed && entry.second->tasks.empty(); });
+    std::erase_if(workers_, [now](const auto& entry) { return entry.second->isObsolete(now); });
 }
 
 InterferenceView ShardScheduler::interferenceView() const
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -58,7 +58,8 @@
 {
     std::vector<Ports::WorkerInfo> unlisted;
     for (const auto& [id, worker] : workers_) {
-        if (!worker->isListed && !worker->tasks.empty() && !worker->info.address.empty())
+        const bool isNeeded = !worker->tasks.empty() || worker->watchedUntil != Utils::TimePoint {};
+        if (!worker->isListed && isNeeded && !worker->info.address.empty())
             unlisted.push_back(worker->info);
     }
     return unlisted;
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "presumedcrash.h"
+
 #include "utils/clock.h"
 
 #include <fleet.pb.h>
@@ -38,7 +40,7 @@
     std::uint32_t attempt = 0; //!< Number of the latest attempt; 0 if there is none.
     std::uint32_t failures = 0;
     std::uint32_t crashes = 0; //!< Latest starts in a row after which the worker crashed, proved or not.
-    std::uint32_t presumedCrashes = 0; //!< Part of crashes that is not proved.
+    std::vector<PresumedCrash> presumedCrashes; //!< Those of them that are not proved.
     std::string checkpoint; //!< Latest known checkpoint; may be empty.
     Worker* worker = nullptr; //!< Worker of the open attempt; null if there is none.
     std::int64_t workerBornMs = 0; //!< Incarnation of the worker that the attempt was assigned to.
@@ -86,7 +88,10 @@
     Utils::TimePoint overTargetSince {};
 
     /*! \return the latest starts in a row after which the worker is known to have crashed. */
-    std::uint32_t provedCrashes() const { return crashes - presumedCrashes; }
+    std::uint32_t provedCrashes() const
+    {
+        return crashes - static_cast<std::uint32_t>(presumedCrashes.size());
+    }
 
     /*! \return whether there is an attempt that runs or may still start to run. */
     bool isOpen() const
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -43,6 +43,8 @@
     //! No attempt runs on the worker after this time unless the lease is renewed.
     Utils::TimePoint leaseUpperBound {};
     Utils::TimePoint addedAt {}; //!< When this owner got to know the worker.
+    //! Until when the worker is polled without tasks and an entry, as it may have crashed or be cut off.
+    Utils::TimePoint watchedUntil {};
     std::uint64_t lastSeenEnd = 0; //!< Number of the latest processed end.
     std::uint64_t lastAcknowledgedEnd = 0; //!< Number of the latest end whose record is committed.
 
@@ -75,6 +77,9 @@
                 (1 - criticalUseShare) * static_cast<double>(criticalMilliProcessors));
     }
 
+    /*! \return whether this owner has no reason to call the worker any more. */
+    bool isObsolete(Utils::TimePoint now) const { return !isListed && tasks.empty() && now >= watchedUntil; }
+
     /*! \return the resources that may still be committed. */
     Placement::Resources available() const { return capacity() - committed - givenUp; }
 
