--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -8,24 +8,91 @@
 
 // Ends an attempt that no longer runs. If its worker has crashed, the attempt may be the cause.
 void ShardScheduler::endLostAttempt(
-    Task& task, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now, std::int64_t nowUnixMs)
+    Task& task, std::string_view reason, CrashEvidence evidence, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     const Ports::WorkerInfo& worker = task.worker->info;
+    output_.attemptEnded(worker.id, keyOf(task), task.attempt, reason);
     // A start that the worker never confirmed may have reached it only after the crash, or not at all.
-    if (!hasWorkerCrashed || !task.hasStarted || task.isProven) {
-        output_.attemptEnded(worker.id, keyOf(task), task.attempt, reason);
+    if (evidence == CrashEvidence::None || !task.hasStarted || task.isProven) {
         requeue(task, now);
         return;
     }
     ++task.crashes;
     task.avoidedWorker = worker.id;
     task.crashedAddress = worker.address;
-    output_.workerCrashed(worker.id, keyOf(task), task.attempt, task.crashes);
+    if (evidence == CrashEvidence::Proved) {
+        output_.workerCrashed(worker.id, keyOf(task), task.attempt, task.provedCrashes());
+    } else {
+        task.presumedCrashes.push_back({ worker.id, task.workerBornMs, task.attempt, now });
+        task.worker->watchedUntil = now + crashVerdictDelay;
+        tasksWithPresumedCrashes_.insert(keyOf(task));
+    }
     requeue(task, now + pauseAfterCrash(task.crashes));
     if (task.job->isActive())
         failJobIfExhausted(task, now, nowUnixMs);
 }
 
+// A worker that still lives had been cut off.
+void ShardScheduler::judgePresumedCrashes(const Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    const auto isOfWorker = [&](const PresumedCrash& crash) { return crash.worker == worker.info.id; };
+    for (const auto& [task, crash] : takePresumedCrashes(isOfWorker)) {
+        if (crash.workerBornMs != 0 && crash.workerBornMs != worker.bornMs) {
+            confirmCrash(*task, crash, now, nowUnixMs);
+            continue;
+        }
+        --task->crashes;
+        markDirty(*task->job);
+        isScheduleDue_ = true;
+    }
+}
+
+// Removes the presumed crashes that meet the condition from their tasks and returns them.
+std::vector<std::pair<Task*, PresumedCrash>> ShardScheduler::takePresumedCrashes(
+    const std::function<bool(const PresumedCrash&)>& condition)
+{
+    std::vector<std::pair<Task*, PresumedCrash>> taken;
+    std::erase_if(tasksWithPresumedCrashes_, [&](const Ports::TaskKey& key) {
+        Job* const job = findJob(key.job);
+        Task* const task = job ? job->findTask(key.occurrence, key.step, key.index) : nullptr;
+        if (!task)
+            return true;
+        std::erase_if(task->presumedCrashes, [&](const PresumedCrash& crash) {
+            if (!condition(crash))
+                return false;
+            taken.emplace_back(task, crash);
+            return true;
+        });
+        return task->presumedCrashes.empty();
+    });
+    return taken;
+}
+
+void ShardScheduler::confirmPresumedCrashes(
+    const std::function<bool(const PresumedCrash&)>& condition, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    for (const auto& [task, crash] : takePresumedCrashes(condition))
+        confirmCrash(*task, crash, now, nowUnixMs);
+}
+
+void ShardScheduler::confirmCrash(
+    Task& task, const PresumedCrash& crash, Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    const bool isOver = !task.isOpen() && task.phase != TaskPhase::Waiting;
+    if (isOver || !task.job->isActive())
+        return;
+    markDirty(*task.job);
+    output_.workerCrashed(crash.worker, keyOf(task), crash.attempt, task.provedCrashes());
+    failJobIfExhausted(task, now, nowUnixMs);
+}
+
+// The verdict on crashes that are only presumed can be reached in this shard only.
+void ShardScheduler::forgetPresumedCrashes(Task& task)
+{
+    task.crashes = task.provedCrashes();
+    task.presumedCrashes.clear();
+}
+
 void ShardScheduler::onListedAsRunning(Task& task, std::int64_t clockMs)
 {
     task.hasStarted = true;
@@ -36,6 +103,7 @@
     }
     if (!recordRunning(task, clockMs) || task.crashes == 0)
         return;
+    forgetPresumedCrashes(task);
     task.crashes = 0;
     markDirty(*task.job);
     isScheduleDue_ = true;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -4,6 +4,7 @@
 #include "imagedemand.h"
 #include "job.h"
 #include "jobrows.h"
+#include "presumedcrash.h"
 #include "scheduleroptions.h"
 #include "scheduleroutput.h"
 #include "statedleaseends.h"
@@ -13,10 +14,12 @@
 #include "utils/clock.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -28,6 +31,7 @@
 class FailedSearches;
 class InterferenceCache;
 class TailLatencyModel;
+enum class CrashEvidence;
 
 /*! Rows that one transaction of a shard's owner changes. */
 struct RecordBatch {
@@ -312,8 +316,18 @@
         Worker& worker, const Ports::RunningAttempt& running, std::int64_t clockMs, Utils::TimePoint now);
     void requeueMissingAttempts(Worker& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report,
         Utils::TimePoint now, std::int64_t nowUnixMs);
-    void endLostAttempt(Task& task, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now,
+    void endLostAttempt(Task& task, std::string_view reason, CrashEvidence evidence, Utils::TimePoint now,
         std::int64_t nowUnixMs);
+    void judgePresumedCrashes(const Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
+    std::vector<std::pair<Task*, PresumedCrash>> takePresumedCrashes(
+        const std::function<bool(const PresumedCrash&)>& condition);
+    void confirmPresumedCrashes(const std::function<bool(const PresumedCrash&)>& condition,
+        Utils::TimePoint now, std::int64_t nowUnixMs);
+    void confirmCrash(Task& task, const PresumedCrash& crash, Utils::TimePoint now, std::int64_t nowUnixMs);
+    static void forgetPresumedCrashes(Task& task);
+    void restoreCrashes(Task& task, std::uint32_t provedCount,
+        const google::protobuf::RepeatedPtrField<FleetSchema::PresumedWorkerCrash>& presumed,
+        Utils::TimePoint now);
     void onListedAsRunning(Task& task, std::int64_t clockMs);
     void recordRunTime(Worker& worker, const Task& task, Utils::TimePoint now);
     void recordFailure(Worker& worker, const Task& task, Utils::TimePoint now);
@@ -336,8 +350,8 @@
     void cancelAtHostShards(Job& job, Utils::TimePoint now);
     void cancelUnacknowledged(Job& job, Utils::TimePoint now);
     void tickWorker(Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
-    void requeueAttempts(Worker& worker, std::string_view reason, bool hasWorkerCrashed, Utils::TimePoint now,
-        std::int64_t nowUnixMs);
+    void requeueAttempts(Worker& worker, std::string_view reason, CrashEvidence evidence,
+        Utils::TimePoint now, std::int64_t nowUnixMs);
     Utils::Duration startLease() const { return std::min(options_.startLease, options_.workerLease); }
     bool mayLease(const Worker& worker, Utils::Duration lease, Utils::TimePoint now) const;
     bool isWorkerListOutdated(Utils::TimePoint now) const;
@@ -374,6 +388,7 @@
     std::optional<Utils::Duration> formerLease_; //!< Empty: SchedulerOptions::workerLeaseLimit.
     Utils::TimePoint startRightEnd_ = Utils::TimePoint::max(); //!< Until when attempts may be started.
     StatedLeaseEnds statedLeaseEnds_;
+    std::set<Ports::TaskKey> tasksWithPresumedCrashes_; //!< May include others.
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -46,6 +46,9 @@
     interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
     for (auto& [id, worker] : workers_)
         tickWorker(*worker, now, nowUnixMs);
+    confirmPresumedCrashes(
+        [now](const PresumedCrash& crash) { return now - crash.presumedAt > crashVerdictDelay; }, now,
+        nowUnixMs);
     improveGrouping(now);
     interferenceCache_.reset();
     // Waiting tasks are reconsidered as time passes, not only when capacity becomes free.
@@ -58,8 +61,7 @@
             isScheduleDue_ = true;
     }
     reviewWaits(now, nowUnixMs);
-    std::erase_if(
-        workers_, [](const auto& entry) { return !entry.second->isListed && entry.second->tasks.empty(); });
+    std::erase_if(workers_, [now](const auto& entry) { return entry.second->isObsolete(now); });
 }
 
 InterferenceView ShardScheduler::interferenceView() const
@@ -104,13 +106,9 @@
         = std::min<Utils::Duration>(firstReportTimeout, options_.workerLeaseLimit);
     const bool couldReport = worker.bornMs != 0 || now - worker.addedAt >= reportTimeout;
     if (!worker.isResponsive && couldReport && now > worker.leaseUpperBound) {
-        const bool hasCrashed = isAbsent(worker) && !worker.info.isDraining;
-        requeueAttempts(worker, "worker-silent-beyond-lease", hasCrashed, now, nowUnixMs);
-        return;
-    }
-    // A worker ends all attempts when it leaves. One that is only cut off does not answer at all.
-    if (!worker.isListed && isAbsent(worker)) {
-        requeueAttempts(worker, "worker-left", !worker.info.isDraining, now, nowUnixMs);
+        const bool mayHaveCrashed = isAbsent(worker) && !worker.info.isDraining;
+        requeueAttempts(worker, "worker-silent-beyond-lease",
+            mayHaveCrashed ? CrashEvidence::Presumed : CrashEvidence::None, now, nowUnixMs);
         return;
     }
     for (Task* task : tasks)
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -2,6 +2,7 @@
 
 #include "shardscheduler.h"
 
+#include "crashpolicy.h"
 #include "interferenceview.h"
 #include "taillatencymodel.h"
 #include "workerchoice.h"
@@ -57,7 +58,8 @@
 {
     std::vector<Ports::WorkerInfo> unlisted;
     for (const auto& [id, worker] : workers_) {
-        if (!worker->isListed && !worker->tasks.empty() && !worker->info.address.empty())
+        const bool isNeeded = !worker->tasks.empty() || worker->watchedUntil != Utils::TimePoint {};
+        if (!worker->isListed && isNeeded && !worker->info.address.empty())
             unlisted.push_back(worker->info);
     }
     return unlisted;
@@ -141,7 +143,9 @@
         report.listedWorkers += worker->isListed ? 1 : 0;
         report.usableWorkers += worker->isUsable() ? 1 : 0;
     }
-    if (task.phase == TaskPhase::Waiting) {
+    if (awaitsCrashVerdict(task)) {
+        report.obstacles = "verdict on crashes";
+    } else if (task.phase == TaskPhase::Waiting) {
         const auto counts = countObstacles(task, workers, interferenceView(), now);
         for (std::size_t obstacle = 0; obstacle < counts.size(); ++obstacle) {
             if (counts[obstacle] > 0) {
