Keep the port of a worker that refuses connections in the soak

For a cut with refused connections the proxy closed its listener, and another process took the port meanwhile, so the cut could not end.

Change: the listener is shut down and stays bound; start() listens again.

--- a/tests/auto/usersplatform/soak/faultproxy.py
+++ b/tests/auto/usersplatform/soak/faultproxy.py
@@ -35,6 +35,7 @@
         self.disturbed_at = 0.0  # Latest time at which a fault mode began or ended.
         self.port = 0
         self.listener = socket.socket()
+        self.is_refusing = False
         self.acceptor = None
         self.tasks = set()
         self.accepting = asyncio.Event()
@@ -44,8 +45,13 @@
         self.unblocked.set()
 
     async def start(self):
-        """Starts to listen, on the same port as before if the proxy was closed."""
-        if not self.is_listening():
+        """Starts to listen, on the same port as before if the proxy was closed or refused connections."""
+        if self.is_refusing:
+            self.is_refusing = False
+            self.listener.listen(BACKLOG)
+            self.acceptor = asyncio.create_task(self.accept_connections())
+            return
+        if self.listener.fileno() < 0:
             self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.setblocking(False)
@@ -58,6 +64,7 @@
 
     def close(self):
         self.set_mode(None)
+        self.is_refusing = False
         self.acceptor.cancel()
         self.listener.close()
         self.reset()
@@ -74,11 +81,16 @@
 
     def refuse(self):
         """Refuses all connections until start() is called; the target itself goes on."""
+        self.set_mode(None)
         self.disturbed_at = time.monotonic()
-        self.close()
+        self.acceptor.cancel()
+        # The socket stays bound, so that no other process can take the port.
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.is_refusing = True
+        self.reset()
 
     def is_listening(self):
-        return self.listener.fileno() >= 0
+        return self.listener.fileno() >= 0 and not self.is_refusing
 
     def set_mode(self, mode):
         if not self.is_listening():
