Trace the failure of soak_cuts: another soak used its worker's port

Its workers have the same identifiers. A proxy that refused connections was shut down but bound with SO_REUSEADDR, so the kernel gave its port to this run's w059. The other run's node then polled w059 and stopped this run's tasks: its log has attempt-stopped for them at 09:28:19.174, 19 ms before they ended and 62 ms before the owner missed them.

--- a/tests/auto/usersplatform/soak/faultproxy.py
+++ b/tests/auto/usersplatform/soak/faultproxy.py
@@ -53,7 +53,9 @@
             return
         if self.listener.fileno() < 0:
             self.listener = socket.socket()
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Without it, no other process can take the port while connections are refused.
+        if self.port:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.setblocking(False)
         if self.receive_bytes:
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
