--- /dev/null
+++ b/tests/auto/fleet/tst_quarantine.cpp
@@ -0,0 +1,141 @@
+// Workers on which tasks of several jobs fail in a row, and the tasks that wait for such workers.
+
+#include "fleetfixtures.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace std::chrono_literals;
+using namespace Testing;
+
+namespace {
+
+// The longest time for which a task may wait while workers have room for it.
+constexpr Utils::Duration waitBound = 3s;
+
+/*! A shard of which workers can be made to fail all that they start. */
+struct QuarantineFixture : SchedulerFixture {
+    explicit QuarantineFixture(std::size_t workerCount)
+        : SchedulerFixture(workerCount)
+    {
+    }
+
+    void submit(const std::string& job, const FleetSchema::StepSpec& step, std::uint32_t maxFailures = 20)
+    {
+        FleetSchema::JobSpec spec = makeJob(job, { step });
+        spec.set_max_failures(maxFailures);
+        scheduler.submit(spec, 1, now, testStartUnixMs);
+        schedule();
+    }
+
+    void schedule()
+    {
+        scheduler.onTick(now, testStartUnixMs);
+        scheduleAndCommit();
+        confirmStarts();
+    }
+
+    /*! Lets time pass while all workers report what they run. */
+    void advance(Utils::Duration duration)
+    {
+        const Utils::TimePoint end = now + duration;
+        while (now < end) {
+            now += 100ms;
+            for (const std::string& worker : workers)
+                reportRunning(worker);
+            schedule();
+        }
+    }
+
+    void reportRunning(const std::string& worker)
+    {
+        Ports::WorkerReport content;
+        for (const Fleet::AttemptStart& attempt : running) {
+            if (attempt.worker == worker)
+                content.running.push_back({ attempt.task, attempt.attempt, {}, 10, 0 });
+        }
+        report(worker, content);
+    }
+
+    /*! Fails what runs until nothing has run for the time. */
+    void failAllUntilIdleFor(Utils::Duration duration)
+    {
+        for (Utils::TimePoint idleSince = now; now - idleSince < duration;) {
+            if (!running.empty()) {
+                finishAll(Ports::AttemptOutcome::Failed);
+                idleSince = now;
+            }
+            advance(100ms);
+        }
+    }
+
+    /*! \return whether a task of the job starts within the time. */
+    bool startsWithin(const std::string& job, Utils::Duration duration)
+    {
+        const std::size_t startCount = output.starts.size();
+        advance(duration);
+        return std::any_of(output.starts.begin() + static_cast<std::ptrdiff_t>(startCount),
+            output.starts.end(), [&](const Fleet::AttemptStart& start) { return start.task.job == job; });
+    }
+};
+
+} // namespace
+
+TEST_CASE("A task that has failed starts again after all workers were quarantined")
+{
+    QuarantineFixture fixture(3);
+    for (int number = 0; number < 4; ++number)
+        fixture.submit("job" + std::to_string(number), makeStep(2, 1000, 500));
+    fixture.failAllUntilIdleFor(1s);
+    REQUIRE(fixture.running.empty());
+    CHECK(fixture.startsWithin("job0", waitBound));
+}
+
+TEST_CASE("Tasks do not wait beside idle workers for the end of a long quarantine")
+{
+    QuarantineFixture fixture(3);
+    for (int number = 0; number < 3; ++number)
+        fixture.submit("job" + std::to_string(number), makeStep(1, 1000, 500), 100);
+    // Each failed probe prolongs the quarantine.
+    for (int round = 0; round < 12; ++round) {
+        fixture.finishAll(Ports::AttemptOutcome::Failed);
+        const std::size_t startCount = fixture.output.starts.size();
+        fixture.advance(waitBound);
+        REQUIRE(fixture.output.starts.size() == startCount + 3);
+    }
+}
+
+TEST_CASE("A long-running task that has failed before starts on a quarantined worker")
+{
+    QuarantineFixture fixture(2);
+    FleetSchema::StepSpec step = makeLatencyCriticalStep(1, 4000, "api");
+    fixture.submit("lasting0", step);
+    fixture.submit("lasting1", step);
+    fixture.submit("lasting2", step);
+    for (int round = 0; round < 4; ++round) {
+        fixture.finishAll(Ports::AttemptOutcome::Failed);
+        fixture.advance(300ms);
+    }
+    fixture.failAllUntilIdleFor(1s);
+    CHECK(fixture.startsWithin("lasting0", waitBound));
+}
+
+TEST_CASE("A task that has failed prefers a worker that is not quarantined")
+{
+    QuarantineFixture fixture(3);
+    fixture.submit("first", makeStep(1, 1000, 500));
+    fixture.submit("second", makeStep(1, 1000, 500));
+    fixture.failAllUntilIdleFor(1s);
+    // The idle workers are quarantined, and the third one has other tasks.
+    fixture.workers.push_back("busy");
+    std::vector<Ports::WorkerInfo> infos;
+    for (const std::string& worker : fixture.workers)
+        infos.push_back(makeWorkerInfo(worker));
+    fixture.scheduler.setWorkers(infos, fixture.now);
+    fixture.report("busy", {});
+    fixture.advance(waitBound);
+    REQUIRE_FALSE(fixture.running.empty());
+    CHECK(std::all_of(fixture.running.begin(), fixture.running.end(),
+        [](const Fleet::AttemptStart& start) { return start.worker == "busy"; }));
+}
