--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -118,6 +118,13 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::uint32_t crashes)
         = 0;
 
+    /*!
+        Reports that a worker is quarantined because tasks fail there, or is not any more.
+
+        \param time time for which it gets no task; 0 if a task has shown that it works again.
+    */
+    virtual void quarantineChanged(const std::string& worker, Utils::Duration time) = 0;
+
     /*! Reports that a task does not run although its turn has come; repeated while it waits. */
     virtual void taskWaiting(const WaitReport& report) = 0;
 
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -349,7 +349,10 @@
 void ShardScheduler::recordSuccess(Worker& worker)
 {
     worker.failureStreak = 0;
+    if (worker.quarantineTime == Utils::Duration::zero())
+        return;
     worker.quarantineTime = {};
+    output_.quarantineChanged(worker.info.id, {});
 }
 
 void ShardScheduler::recordFailure(Worker& worker, const Task& task, Utils::TimePoint now)
@@ -361,6 +364,7 @@
     if (worker.quarantineTime != Utils::Duration::zero()) {
         worker.quarantineTime = std::min<Utils::Duration>(2 * worker.quarantineTime, maxQuarantine);
         worker.quarantinedUntil = now + worker.quarantineTime;
+        output_.quarantineChanged(worker.info.id, worker.quarantineTime);
         return;
     }
     if (worker.failureStreak > 0 && worker.streakJob == task.job->spec.id())
@@ -370,6 +374,7 @@
         return;
     worker.quarantineTime = initialQuarantine;
     worker.quarantinedUntil = now + initialQuarantine;
+    output_.quarantineChanged(worker.info.id, initialQuarantine);
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -131,6 +131,7 @@
     WaitReport report;
     report.task = keyOf(task);
     report.attempt = task.attempt;
+    report.failureCount = task.failures;
     const FleetSchema::StepSpec& step = task.job->step(task);
     report.kind = step.lasting() ? "long-running" : step.leftover_processors() ? "best-effort" : "short";
     report.phase = nameOf(task.phase);
--- a/src/libs/fleet/waitreport.h
+++ b/src/libs/fleet/waitreport.h
@@ -12,6 +12,7 @@
 struct WaitReport {
     Ports::TaskKey task;
     std::uint32_t attempt = 0; //!< Number of the latest attempt; 0 if there is none.
+    std::uint32_t failureCount = 0; //!< Number of attempts that failed.
     std::string_view kind; //!< "long-running", "best-effort" or "short".
     std::string_view phase; //!< State of the task, for example "stopping".
     std::int64_t waitedMs = 0; //!< Since the task was last known to run, or since its turn came.
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -168,6 +168,7 @@
     void capacityChanged(const Fleet::CapacityChange& change) override;
     void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         std::uint32_t crashes) override;
+    void quarantineChanged(const std::string& worker, Utils::Duration time) override;
     void taskWaiting(const Fleet::WaitReport& report) override;
     void jobEnded(const Fleet::JobSummary& summary) override;
     void answer(std::uint64_t requestId, const Fleet::JobAnswer& answer) override;
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -131,6 +131,15 @@
             { "worker", worker }, { "crashes", std::to_string(crashes) } });
 }
 
+void ShardHost::quarantineChanged(const std::string& worker, Utils::Duration time)
+{
+    const std::int64_t timeMs = std::chrono::duration_cast<milliseconds>(time).count();
+    context_.metrics.add(
+        timeMs > 0 ? "geraniumquay_worker_quarantines_total" : "geraniumquay_worker_quarantines_ended_total");
+    Utils::log(timeMs > 0 ? Utils::LogLevel::Warning : Utils::LogLevel::Info, "worker-quarantine",
+        { { "worker", worker }, { "shard", shard_ }, { "time_ms", std::to_string(timeMs) } });
+}
+
 void ShardHost::taskWaiting(const Fleet::WaitReport& report)
 {
     const auto sinceConfirmed
@@ -141,7 +150,8 @@
             { "epoch", std::to_string(writer_.epoch()) }, { "kind", std::string(report.kind) },
             { "phase", std::string(report.phase) }, { "waited_ms", std::to_string(report.waitedMs) },
             { "similar", std::to_string(report.similarTaskCount) },
-            { "attempt", std::to_string(report.attempt) }, { "obstacles", report.obstacles },
+            { "attempt", std::to_string(report.attempt) },
+            { "failures", std::to_string(report.failureCount) }, { "obstacles", report.obstacles },
             { "workers", std::to_string(report.usableWorkers) + "/" + std::to_string(report.listedWorkers) },
             { "list_age_ms", std::to_string(report.workerListAgeMs) }, { "worker", report.worker },
             { "worker_listed", report.isWorkerListed ? "true" : "false" },
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -58,6 +58,7 @@
             "attempt " + std::to_string(attempt) + " over: worker crashed, number "
                 + std::to_string(crashes));
     }
+    void quarantineChanged(const std::string&, Utils::Duration) override { }
     void taskWaiting(const Fleet::WaitReport&) override { }
     void jobEnded(const Fleet::JobSummary&) override { }
     void answer(std::uint64_t, const Fleet::JobAnswer&) override { }
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -71,6 +71,10 @@
     {
         crashes.push_back({ worker, task, crashCount });
     }
+    void quarantineChanged(const std::string& worker, Utils::Duration time) override
+    {
+        quarantines.emplace_back(worker, time);
+    }
     void taskWaiting(const Fleet::WaitReport& report) override { waits.push_back(report); }
     void jobEnded(const Fleet::JobSummary& summary) override { ended.push_back(summary); }
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override
@@ -94,6 +98,7 @@
     std::vector<Command> throttles;
     std::vector<Fleet::CapacityChange> capacityChanges;
     std::vector<Command> crashes; //!< With the number of crashes in a row.
+    std::vector<std::pair<std::string, Utils::Duration>> quarantines;
     std::vector<Fleet::WaitReport> waits;
     std::vector<Fleet::JobSummary> ended;
     std::vector<std::pair<std::uint64_t, Fleet::JobAnswer>> answers;
--- a/tests/auto/fleet/tst_quarantine.cpp
+++ b/tests/auto/fleet/tst_quarantine.cpp
@@ -82,6 +82,22 @@
 
 } // namespace
 
+TEST_CASE("A quarantine is reported with its length and its end")
+{
+    QuarantineFixture fixture(1);
+    for (int number = 0; number < 2; ++number)
+        fixture.submit("job" + std::to_string(number), makeStep(1, 1000, 500));
+    fixture.finishAll(Ports::AttemptOutcome::Failed);
+    REQUIRE(fixture.output.quarantines.size() == 1);
+    CHECK(fixture.output.quarantines[0] == std::pair<std::string, Utils::Duration>("w0", 1s));
+    fixture.submit("new", makeStep(1, 1000, 500));
+    fixture.advance(1500ms);
+    REQUIRE_FALSE(fixture.running.empty());
+    fixture.finishAll(Ports::AttemptOutcome::Done);
+    REQUIRE(fixture.output.quarantines.size() == 2);
+    CHECK(fixture.output.quarantines[1].second == Utils::Duration::zero());
+}
+
 TEST_CASE("A task that has failed starts again after all workers were quarantined")
 {
     QuarantineFixture fixture(3);
