--- a/src/libs/fleet/failedsearches.cpp
+++ b/src/libs/fleet/failedsearches.cpp
@@ -1,7 +1,6 @@
 #include "failedsearches.h"
 
 #include "job.h"
-#include "workerchoice.h"
 #include "workercommitment.h"
 
 #include <algorithm>
@@ -41,21 +40,21 @@
     const bool isSameKind = step.leftover_processors() == failedStep.leftover_processors()
         && search.task->job->spec.service() == failed.task->job->spec.service()
         && (failedStep.required_label().empty() || failedStep.required_label() == step.required_label())
-        && (failed.task->failures == 0 || search.task->failures > 0);
+        && (failed.terms.mayProbe || !search.terms.mayProbe);
     if (!isSameKind || !committedSize(failedStep).fitsIn(committedSize(step)))
         return false;
     if (!step.leftover_processors())
         return true;
     return step.image() == failedStep.image() && step.milli_processors() >= failedStep.milli_processors()
-        && search.speed >= failed.speed
-        && (failed.mayStartThrottledToZero || !search.mayStartThrottledToZero);
+        && search.terms.speed >= failed.terms.speed
+        && (failed.terms.mayStartThrottledToZero || !search.terms.mayStartThrottledToZero);
 }
 
 bool FailedSearches::includes(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now) const
 {
     if (searches_.empty() || !isComparable(task))
         return false;
-    const Search search { &task, startSpeed(task, workers, now), isBeyondThrottledWait(task, now) };
+    const Search search { &task, searchTermsOf(task, workers, now) };
     return std::any_of(searches_.begin(), searches_.end(),
         [&](const Search& failed) { return isAtLeastAsDemanding(search, failed); });
 }
@@ -63,7 +62,7 @@
 void FailedSearches::add(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
     if (searches_.size() < maxSearches && isComparable(task))
-        searches_.push_back({ &task, startSpeed(task, workers, now), isBeyondThrottledWait(task, now) });
+        searches_.push_back({ &task, searchTermsOf(task, workers, now) });
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/failedsearches.h
+++ b/src/libs/fleet/failedsearches.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "workerchoice.h"
+
 #include "utils/clock.h"
 
 #include <cstddef>
@@ -30,11 +32,10 @@
     void add(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now);
 
 private:
-    /*! A task without a worker and the speed for which it needed headroom. */
+    /*! A task without a worker and what it accepted. */
     struct Search {
         const Task* task = nullptr;
-        double speed = 1;
-        bool mayStartThrottledToZero = false;
+        SearchTerms terms;
     };
 
     bool isComparable(const Task& task) const;
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -360,7 +360,8 @@
     // On a healthy worker, tasks of two different jobs rarely fail one after the other.
     constexpr int failuresToQuarantine = 2;
     constexpr milliseconds initialQuarantine { 1000 };
-    constexpr milliseconds maxQuarantine { 8000 };
+    // A task must not wait for longer than 3 s beside idle workers, all of which may be quarantined.
+    constexpr milliseconds maxQuarantine { 2000 };
     if (worker.quarantineTime != Utils::Duration::zero()) {
         worker.quarantineTime = std::min<Utils::Duration>(2 * worker.quarantineTime, maxQuarantine);
         worker.quarantinedUntil = now + worker.quarantineTime;
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -28,6 +28,8 @@
 constexpr double sameStepWeight = 0.05;
 constexpr double slownessWeight = 1.0;
 constexpr double retryOnSameWorkerWeight = 10.0;
+// A task that has failed probes a quarantined worker only if no other one fits.
+constexpr double quarantinedWorkerWeight = 200.0;
 // A task under which workers have crashed avoids the last of them, and from crashesToIsolation on other
 // tasks.
 constexpr double suspectColocationWeight = 20.0;
@@ -45,6 +47,9 @@
 // waits only for idleFleetWaitLimit.
 constexpr double idleDemandShare = 0.5;
 constexpr std::chrono::milliseconds idleFleetWaitLimit { 1200 };
+// A task that has failed is a poor probe of a worker, so it waits this long for other workers. Where all of
+// them are quarantined and no other task waits, it is the only probe.
+constexpr std::chrono::milliseconds probeDelayOfFailedTask { 2200 };
 
 bool isMostlyIdle(std::span<Worker* const> workers)
 {
@@ -70,10 +75,7 @@
 
 } // namespace
 
-bool isBeyondThrottledWait(const Task& task, Utils::TimePoint now)
-{
-    return waitOf(task, now) >= throttledWaitLimit;
-}
+namespace {
 
 double startSpeed(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
@@ -82,11 +84,22 @@
     const std::vector<Task>& tasks = task.job->tasks;
     if (std::any_of(tasks.begin(), tasks.end(), [](const Task& other) { return other.isOpen(); }))
         return 1;
-    if (isMostlyIdle(workers) || isBeyondThrottledWait(task, now))
+    if (isMostlyIdle(workers) || waitOf(task, now) >= throttledWaitLimit)
         return 0;
     return waitOf(task, now) < fullSpeedWaitLimit ? 1 : starvedSpeed;
 }
 
+} // namespace
+
+SearchTerms searchTermsOf(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
+{
+    SearchTerms terms;
+    terms.speed = startSpeed(task, workers, now);
+    terms.mayStartThrottledToZero = waitOf(task, now) >= throttledWaitLimit;
+    terms.mayProbe = task.failures == 0 || waitOf(task, now) >= probeDelayOfFailedTask;
+    return terms;
+}
+
 namespace {
 
 bool hasLabel(const Worker& worker, const std::string& label)
@@ -118,14 +131,14 @@
 }
 
 // Best-effort tasks commit no processors, so whether one fits depends on what the others use.
-PlacementObstacle obstacleToBestEffort(
-    const Task& task, const Worker& worker, const InterferenceView& view, double speed, Utils::TimePoint now)
+PlacementObstacle obstacleToBestEffort(const Task& task, const Worker& worker, const InterferenceView& view,
+    const SearchTerms& terms, Utils::TimePoint now)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     // A task larger than its worker would wait forever, so a worker without best-effort tasks accepts it.
     if (worker.bestEffortMilliProcessors > 0 && step.milli_processors() > worker.unusedMilliProcessors())
         return PlacementObstacle::Full;
-    if (headroomFor(step, worker, view, speed) < 0)
+    if (headroomFor(step, worker, view, terms.speed) < 0)
         return PlacementObstacle::Interference;
     const bool hasTaskOverTarget = std::any_of(worker.tasks.begin(), worker.tasks.end(),
         [now](const Task* other) { return isPersistentlyOverTarget(*other, now); });
@@ -136,10 +149,11 @@
     const bool isThrottled = std::all_of(worker.tasks.begin(), worker.tasks.end(), [](const Task* other) {
         return !other->job->step(*other).leftover_processors() || other->speedPercent == 0;
     });
-    return speed == 0 && isThrottled && isBeyondThrottledWait(task, now) ? PlacementObstacle::None
-                                                                         : PlacementObstacle::Interference;
+    return terms.speed == 0 && isThrottled && terms.mayStartThrottledToZero ? PlacementObstacle::None
+                                                                            : PlacementObstacle::Interference;
 }
 
+// Long-running tasks that are at work on a quarantined worker show nothing about new ones.
 bool isBeingProbed(const Worker& worker)
 {
     return std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const Task* task) {
@@ -148,8 +162,17 @@
     });
 }
 
-PlacementObstacle findObstacle(
-    const Task& task, const Worker& worker, const InterferenceView& view, double speed, Utils::TimePoint now)
+} // namespace
+
+bool isProbeDue(const Worker& worker, Utils::TimePoint now)
+{
+    return now >= worker.quarantinedUntil && !isBeingProbed(worker);
+}
+
+namespace {
+
+PlacementObstacle findObstacle(const Task& task, const Worker& worker, const InterferenceView& view,
+    const SearchTerms& terms, Utils::TimePoint now)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     if (!worker.isUsable())
@@ -167,14 +190,11 @@
         return PlacementObstacle::Reserved;
     }
     if (step.leftover_processors()) {
-        const PlacementObstacle obstacle = obstacleToBestEffort(task, worker, view, speed, now);
+        const PlacementObstacle obstacle = obstacleToBestEffort(task, worker, view, terms, now);
         if (obstacle != PlacementObstacle::None)
             return obstacle;
     }
-    // A quarantined worker is probed with one task that has not failed yet. Long-running tasks that are at
-    // work there show nothing about new ones.
-    const bool isProbe = now >= worker.quarantinedUntil && !isBeingProbed(worker) && task.failures == 0;
-    if (worker.quarantineTime != Utils::Duration::zero() && !isProbe)
+    if (worker.quarantineTime != Utils::Duration::zero() && !(terms.mayProbe && isProbeDue(worker, now)))
         return PlacementObstacle::Quarantined;
     if (step.max_per_worker() > 0 && countTasksOfStep(task, worker) >= step.max_per_worker())
         return PlacementObstacle::SpreadLimit;
@@ -190,6 +210,8 @@
         - static_cast<double>(worker.unusedMilliProcessors()) / capacity;
     if (worker.info.id == task.avoidedWorker)
         cost += retryOnSameWorkerWeight;
+    if (task.failures > 0 && worker.quarantineTime != Utils::Duration::zero())
+        cost += quarantinedWorkerWeight;
     if (isSuspect(task)) {
         const bool hasCrashed
             = worker.info.id == task.avoidedWorker || worker.info.address == task.crashedAddress;
@@ -219,11 +241,11 @@
 Worker* chooseWorker(
     const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now)
 {
-    const double speed = startSpeed(task, workers, now);
+    const SearchTerms terms = searchTermsOf(task, workers, now);
     Worker* best = nullptr;
     double bestCost = 0;
     for (Worker* worker : workers) {
-        if (findObstacle(task, *worker, view, speed, now) != PlacementObstacle::None)
+        if (findObstacle(task, *worker, view, terms, now) != PlacementObstacle::None)
             continue;
         const double cost = costOf(task, *worker, countTasksOfStep(task, *worker), view);
         if (!best || cost < bestCost) {
@@ -238,9 +260,9 @@
     const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now)
 {
     std::array<std::size_t, placementObstacleCount> counts {};
-    const double speed = startSpeed(task, workers, now);
+    const SearchTerms terms = searchTermsOf(task, workers, now);
     for (const Worker* worker : workers)
-        ++counts[static_cast<std::size_t>(findObstacle(task, *worker, view, speed, now))];
+        ++counts[static_cast<std::size_t>(findObstacle(task, *worker, view, terms, now))];
     return counts;
 }
 
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -33,17 +33,21 @@
 /*! \return the name of an obstacle for logs. */
 std::string_view nameOf(PlacementObstacle obstacle);
 
-/*!
-    \return the speed, as a share of full speed, for which a worker must have headroom to start a best-effort
-        task.
-*/
-double startSpeed(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now);
+/*! What a task accepts in a worker, which depends on how long it has waited. */
+struct SearchTerms {
+    //! Share of full speed for which a worker must have headroom to start a best-effort task.
+    double speed = 1;
+    //! A best-effort task may start, throttled to zero, where latency-critical tasks are over their target.
+    bool mayStartThrottledToZero = false;
+    bool mayProbe
+        = true; //!< The task may be started on a quarantined worker to see whether that still fails.
+};
 
-/*!
-    \return whether a best-effort task has waited so long that it may start on a worker whose latency-critical
-        tasks are over their target, throttled to zero.
-*/
-bool isBeyondThrottledWait(const Task& task, Utils::TimePoint now);
+/*! \return what a task accepts in a worker at present. */
+SearchTerms searchTermsOf(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now);
+
+/*! \return whether a quarantined worker may be probed with a task. */
+bool isProbeDue(const Worker& worker, Utils::TimePoint now);
 
 /*!
     Chooses the worker of a task among those of a shard.
