--- a/src/libs/fleet/crashpolicy.cpp
+++ b/src/libs/fleet/crashpolicy.cpp
@@ -31,15 +31,22 @@
     return task.crashes > 0 && !task.isProven;
 }
 
+int isolationOf(const Task& task)
+{
+    if (!isSuspect(task))
+        return 0;
+    return task.crashes >= crashesToIsolation ? 2 : 1;
+}
+
 bool isKeptApart(const Task& task, const Worker& worker)
 {
-    const bool isRepeatedSuspect = task.crashes >= crashesToIsolation && isSuspect(task);
+    const int isolation = isolationOf(task);
     return std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const Task* other) {
         if (other->job == task.job || other->isProven)
             return false;
-        if (isSuspect(task) && isSuspect(*other))
+        if (isolation > 0 && isSuspect(*other))
             return true;
-        return isRepeatedSuspect || other->crashes >= crashesToIsolation;
+        return isolation == 2 || other->crashes >= crashesToIsolation;
     });
 }
 
--- a/src/libs/fleet/crashpolicy.h
+++ b/src/libs/fleet/crashpolicy.h
@@ -41,6 +41,9 @@
 */
 bool isSuspect(const Task& task);
 
+/*! \return how strictly isKeptApart() keeps the task from other tasks, from 0 (as any task) to 2. */
+int isolationOf(const Task& task);
+
 /*!
     \return whether the task must not join the worker's tasks, because if the worker crashed, the cause could
         be either the task or one of another job there.
--- a/src/libs/fleet/failedsearches.cpp
+++ b/src/libs/fleet/failedsearches.cpp
@@ -1,5 +1,6 @@
 #include "failedsearches.h"
 
+#include "crashpolicy.h"
 #include "job.h"
 #include "workercommitment.h"
 
@@ -12,6 +13,11 @@
 // Bounds the time of a lookup.
 constexpr std::size_t maxSearches = 64;
 
+bool isSibling(const Task& task, const Task& other)
+{
+    return task.job == other.job && task.occurrence == other.occurrence && task.step == other.step;
+}
+
 } // namespace
 
 // Whether the choice of a worker depends only on what isAtLeastAsDemanding() compares. Tasks of a job that
@@ -33,36 +39,59 @@
     return entry->second;
 }
 
+bool FailedSearches::acceptsNoMore(const SearchTerms& terms, const SearchTerms& failed)
+{
+    return terms.speed >= failed.speed && (failed.mayStartThrottledToZero || !terms.mayStartThrottledToZero)
+        && (failed.mayProbe || !terms.mayProbe);
+}
+
 bool FailedSearches::isAtLeastAsDemanding(const Search& search, const Search& failed)
 {
     const FleetSchema::StepSpec& step = search.task->job->step(*search.task);
     const FleetSchema::StepSpec& failedStep = failed.task->job->step(*failed.task);
     const bool isSameKind = step.leftover_processors() == failedStep.leftover_processors()
         && search.task->job->spec.service() == failed.task->job->spec.service()
-        && (failedStep.required_label().empty() || failedStep.required_label() == step.required_label())
-        && (failed.terms.mayProbe || !search.terms.mayProbe);
-    if (!isSameKind || !committedSize(failedStep).fitsIn(committedSize(step)))
+        && (failedStep.required_label().empty() || failedStep.required_label() == step.required_label());
+    if (!isSameKind || !committedSize(failedStep).fitsIn(committedSize(step))
+        || !acceptsNoMore(search.terms, failed.terms))
         return false;
-    if (!step.leftover_processors())
-        return true;
-    return step.image() == failedStep.image() && step.milli_processors() >= failedStep.milli_processors()
-        && search.terms.speed >= failed.terms.speed
-        && (failed.terms.mayStartThrottledToZero || !search.terms.mayStartThrottledToZero);
+    return !step.leftover_processors()
+        || (step.image() == failedStep.image() && step.milli_processors() >= failedStep.milli_processors());
+}
+
+// Tasks of one step differ only in what they have been through. One that failed or crashed its worker must
+// not keep the others from workers that only it has to avoid.
+bool FailedSearches::hasFailedSibling(const Search& search) const
+{
+    return std::any_of(siblings_.begin(), siblings_.end(), [&](const Search& failed) {
+        return isSibling(*search.task, *failed.task) && isolationOf(*search.task) >= isolationOf(*failed.task)
+            && acceptsNoMore(search.terms, failed.terms);
+    });
 }
 
 bool FailedSearches::includes(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now) const
 {
-    if (searches_.empty() || !isComparable(task))
+    const bool mayHaveFailedSibling = !siblings_.empty() && isSibling(task, *siblings_.front().task);
+    if (!mayHaveFailedSibling && (searches_.empty() || !isComparable(task)))
         return false;
     const Search search { &task, searchTermsOf(task, workers, now) };
-    return std::any_of(searches_.begin(), searches_.end(),
-        [&](const Search& failed) { return isAtLeastAsDemanding(search, failed); });
+    return hasFailedSibling(search)
+        || (isComparable(task) && std::any_of(searches_.begin(), searches_.end(), [&](const Search& failed) {
+               return isAtLeastAsDemanding(search, failed);
+           }));
 }
 
 void FailedSearches::add(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
+    // Each search for a long-running task has effects of its own.
+    if (task.job->step(task).lasting())
+        return;
+    if (!siblings_.empty() && !isSibling(task, *siblings_.front().task))
+        siblings_.clear();
+    const Search search { &task, searchTermsOf(task, workers, now) };
+    siblings_.push_back(search);
     if (searches_.size() < maxSearches && isComparable(task))
-        searches_.push_back({ &task, searchTermsOf(task, workers, now) });
+        searches_.push_back(search);
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/failedsearches.h
+++ b/src/libs/fleet/failedsearches.h
@@ -40,9 +40,12 @@
 
     bool isComparable(const Task& task) const;
     bool hasCrashes(const Job& job) const;
+    static bool acceptsNoMore(const SearchTerms& terms, const SearchTerms& failed);
     static bool isAtLeastAsDemanding(const Search& search, const Search& failed);
+    bool hasFailedSibling(const Search& search) const;
 
     std::vector<Search> searches_;
+    std::vector<Search> siblings_; //!< Those of the step that was searched for last.
     mutable std::unordered_map<const Job*, bool> jobsWithCrashes_; //!< Of the jobs examined so far.
 };
 
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -201,7 +201,6 @@
     FailedSearches& failedSearches)
 {
     std::vector<Worker*> workers;
-    bool isFull = false;
     const std::uint32_t count = job.spec.steps(static_cast<int>(step)).count();
     for (std::uint32_t index = 0; index < count; ++index) {
         Task& task = *job.findTask(occurrence, step, index);
@@ -213,10 +212,6 @@
         }
         if (awaitsCrashVerdict(task))
             continue;
-        if (isFull) {
-            markWaiting(task, now);
-            continue;
-        }
         if (workers.empty())
             workers = assignableWorkers(now);
         Worker* const worker = failedSearches.includes(task, workers, now)
@@ -231,8 +226,6 @@
         if (job.step(task).lasting()) {
             reserveWorker(task, workers);
             relocateFor(task, workers, now);
-        } else {
-            isFull = true;
         }
     }
 }
--- a/tests/auto/fleet/tst_quarantine.cpp
+++ b/tests/auto/fleet/tst_quarantine.cpp
@@ -155,3 +155,16 @@
     CHECK(std::all_of(fixture.running.begin(), fixture.running.end(),
         [](const Fleet::AttemptStart& start) { return start.worker == "busy"; }));
 }
+
+TEST_CASE("A task that has failed does not keep the others of its step from a quarantined worker")
+{
+    QuarantineFixture fixture(1);
+    fixture.submit("first", makeStep(1, 1000, 500));
+    fixture.submit("wide", makeStep(2, 20'000, 500));
+    // The first task of each job fails; the second one of the wide job has had no room yet.
+    fixture.finishAll(Ports::AttemptOutcome::Failed);
+    fixture.advance(1200ms);
+    REQUIRE_FALSE(fixture.output.starts.empty());
+    CHECK(fixture.output.starts.back().task.job == "wide");
+    CHECK(fixture.output.starts.back().task.index == 1);
+}
--- a/tests/auto/fleet/tst_schedulingpass.cpp
+++ b/tests/auto/fleet/tst_schedulingpass.cpp
@@ -200,3 +200,18 @@
     others.add(suspect, shard.pointers, shard.now);
     CHECK_FALSE(others.includes(failed, shard.pointers, shard.now));
 }
+
+TEST_CASE("A failed search says nothing about tasks of the step that have to avoid fewer workers")
+{
+    BusyShard shard(7);
+    shard.makeTask(makeStep(3, 4000, 1000));
+    std::vector<Fleet::Task>& tasks = shard.jobs.back()->tasks;
+    tasks[0].crashes = 2;
+    tasks[1].crashes = 2;
+    Fleet::FailedSearches failedSearches;
+    failedSearches.add(tasks[0], shard.pointers, shard.now);
+    CHECK(failedSearches.includes(tasks[1], shard.pointers, shard.now));
+    CHECK_FALSE(failedSearches.includes(tasks[2], shard.pointers, shard.now));
+    failedSearches.add(tasks[2], shard.pointers, shard.now);
+    CHECK(failedSearches.includes(tasks[1], shard.pointers, shard.now));
+}
