--- a/src/libs/fleet/shardload.cpp
+++ b/src/libs/fleet/shardload.cpp
@@ -2,6 +2,7 @@
 
 #include "shardscheduler.h"
 
+#include "workerchoice.h"
 #include "workercommitment.h"
 
 #include <algorithm>
@@ -23,14 +24,17 @@
     demand_.computeShares();
 }
 
-FleetSchema::ShardLoad ShardScheduler::load() const
+FleetSchema::ShardLoad ShardScheduler::load(Utils::TimePoint now) const
 {
     FleetSchema::ShardLoad load;
     load.set_shard(options_.shard);
     load.set_reports_results(true);
     *load.mutable_worker_kinds() = workerKinds_.worker_kinds();
     for (const auto& [id, worker] : workers_) {
-        if (worker->isUsable() && worker->quarantineTime == Utils::Duration::zero()) {
+        // A quarantined worker counts while it may be probed: if all were left out, no job would be accepted
+        // that could be the probe.
+        const bool isOpen = worker->quarantineTime == Utils::Duration::zero() || isProbeDue(*worker, now);
+        if (worker->isUsable() && isOpen) {
             load.set_capacity(load.capacity() + worker->info.milliProcessors);
             load.set_largest_worker(std::max(load.largest_worker(), worker->info.milliProcessors));
             load.set_lasting_room(std::max(load.lasting_room(),
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -254,7 +254,7 @@
     void onTick(Utils::TimePoint now, std::int64_t nowUnixMs);
 
     /*! \return the shard's load for other nodes. */
-    FleetSchema::ShardLoad load() const;
+    FleetSchema::ShardLoad load(Utils::TimePoint now) const;
 
     /*! \return whether changes wait to be stored. */
     bool hasChanges() const { return !dirtyJobs_.empty() || !expiredJobs_.empty(); }
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -477,7 +477,7 @@
 
 FleetSchema::ShardLoad ShardHost::load() const
 {
-    FleetSchema::ShardLoad load = scheduler_.load();
+    FleetSchema::ShardLoad load = scheduler_.load(context_.now());
     load.set_epoch(writer_.epoch());
     return load;
 }
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -79,7 +79,7 @@
 
 FleetSchema::ShardLoad EmulatedOwner::currentLoad() const
 {
-    FleetSchema::ShardLoad load = scheduler_->load();
+    FleetSchema::ShardLoad load = scheduler_->load(fleet_.time().now());
     load.set_epoch(epoch());
     return load;
 }
--- a/tests/auto/fleet/tst_quarantine.cpp
+++ b/tests/auto/fleet/tst_quarantine.cpp
@@ -168,3 +168,18 @@
     CHECK(fixture.output.starts.back().task.job == "wide");
     CHECK(fixture.output.starts.back().task.index == 1);
 }
+
+TEST_CASE("A shard whose workers are all quarantined accepts jobs again once they may be tried")
+{
+    QuarantineFixture fixture(2);
+    for (int number = 0; number < 3; ++number)
+        fixture.submit("job" + std::to_string(number), makeStep(1, 1000, 500), 3);
+    for (int round = 0; round < 200 && fixture.output.ended.size() < 3; ++round) {
+        fixture.finishAll(Ports::AttemptOutcome::Failed);
+        fixture.advance(100ms);
+    }
+    REQUIRE(fixture.output.ended.size() == 3);
+    fixture.advance(8s);
+    CHECK(fixture.scheduler.load(fixture.now).capacity() > 0);
+    CHECK(fixture.scheduler.load(fixture.now).service() == "service");
+}
--- a/tests/auto/fleet/tst_shardchooser.cpp
+++ b/tests/auto/fleet/tst_shardchooser.cpp
@@ -107,7 +107,7 @@
         makeJob("big", { makeLatencyCriticalStep(5, 10'000, "s") }), 1, fixture.now, testStartUnixMs);
     fixture.scheduleAndCommit();
     CHECK(fixture.output.starts.size() == 3);
-    CHECK(fixture.scheduler.load().committed() == 50'000);
+    CHECK(fixture.scheduler.load(fixture.now).committed() == 50'000);
 }
 
 TEST_CASE("A job larger than every worker has no shard and is not reported as overload")
@@ -231,7 +231,7 @@
         makeJob("lasting", { makeLatencyCriticalStep(1, 20'000, "s") }), 2, fixture.now, testStartUnixMs);
     fixture.scheduleAndCommit();
     REQUIRE(fixture.output.starts.size() == 1);
-    CHECK(fixture.scheduler.load().lasting_room() == 12'000);
+    CHECK(fixture.scheduler.load(fixture.now).lasting_room() == 12'000);
 }
 
 TEST_CASE("Many tasks leave a shard without workers at once, whatever the number of nodes")
--- a/tests/auto/fleet/tst_shardscheduler.cpp
+++ b/tests/auto/fleet/tst_shardscheduler.cpp
@@ -370,7 +370,7 @@
     CHECK(other.output.answers.size() == 3);
     REQUIRE(other.output.starts.size() == 1);
     CHECK(other.output.starts[0].attempt > origin.output.delegations[0].attempt());
-    CHECK(other.scheduler.load().pending().empty());
+    CHECK(other.scheduler.load(other.now).pending().empty());
 }
 
 TEST_CASE("The host shard is not called while the record of the delegation is not stored")
--- a/tests/auto/fleet/tst_suitableshards.cpp
+++ b/tests/auto/fleet/tst_suitableshards.cpp
@@ -135,12 +135,12 @@
 TEST_CASE("The load of a shard tells the kinds of its listed workers, whether they have room or not")
 {
     SchedulerFixture fixture(2);
-    FleetSchema::ShardLoad load = fixture.scheduler.load();
+    FleetSchema::ShardLoad load = fixture.scheduler.load(fixture.now);
     CHECK(Fleet::countSlots(makeLabelledStep("a"), load) == 32);
     CHECK(Fleet::countSlots(makeLabelledStep("r1"), load) == 32);
     CHECK(Fleet::countSlots(makeLabelledStep("c"), load) == 0);
     Ports::WorkerInfo draining = makeWorkerInfo("w0");
     draining.isDraining = true;
     fixture.scheduler.setWorkers({ draining }, fixture.now);
-    CHECK_FALSE(Fleet::canEverRun(makeLabelledStep("a"), fixture.scheduler.load()));
+    CHECK_FALSE(Fleet::canEverRun(makeLabelledStep("a"), fixture.scheduler.load(fixture.now)));
 }
--- a/tests/auto/fleet/tst_workercapacity.cpp
+++ b/tests/auto/fleet/tst_workercapacity.cpp
@@ -160,7 +160,7 @@
     CHECK(fixture.output.stops.empty());
     CHECK(fixture.countStarts("w0") == 1);
     CHECK(fixture.countStarts("w1") == 5);
-    CHECK(fixture.scheduler.load().capacity() == 40'000);
+    CHECK(fixture.scheduler.load(fixture.now).capacity() == 40'000);
     fixture.resize(0, 32'000);
     fixture.submit("later", makeStep(4, 1000, 500));
     fixture.scheduleAndCommit();
