Ask the origin shard before a new owner starts hosted tasks

The call that cancels hosted tasks is repeated every 0.6 s; a new owner took over at 83.15 s and started the task at 83.39 s, 0.14 s before the call came.

Change: after a takeover, tasks of a hosted job are started once its origin shard has told that the job is active, or after 1.5 s without an answer, within the 3 s that a task may wait beside free workers.

--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -34,6 +34,10 @@
     //! End of the job, or time at which this host shard last had a task of it; 0 if it still has one.
     std::int64_t endedUnixMs = 0;
     std::string originShard; //!< Shard that delegated tasks of the job to this one; empty if it is this one.
+    //! A former owner of this host shard may have missed that the origin shard has ended the job.
+    bool isOriginUnconfirmed = false;
+    Utils::TimePoint originAwaitedSince {}; //!< Since when tasks wait for the origin shard's answer.
+    Utils::TimePoint originQueriedAt {};
     Utils::TimePoint searchAllowedAt {}; //!< Earliest next search for a shard for a task that ends.
     bool hasTransfers = false; //!< Tasks of the job were delegated to or by this shard.
     Utils::TimePoint acceptedAt {};
--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -100,6 +100,12 @@
     */
     virtual void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) = 0;
 
+    /*!
+        Asks the shard that delegated tasks of a job for the job's state. The scheduler repeats the call until
+        onOriginState() is called or it waits no longer.
+    */
+    virtual void queryOrigin(const std::string& originShard, const std::string& job) = 0;
+
     /*! Reports that an attempt has ended, or is known not to run, for \p reason. */
     virtual void attemptEnded(
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -35,6 +35,7 @@
     const int count = std::min(record.tasks_size(), static_cast<int>(job->tasks.size()));
     for (int position = 0; position < count; ++position)
         restoreTask(job->tasks[static_cast<std::size_t>(position)], record.tasks(position), now);
+    job->isOriginUnconfirmed = job->isHosted() && job->isActive();
     jobs_[job->spec.id()] = std::move(job);
     isScheduleDue_ = true;
 }
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -161,6 +161,8 @@
     FailedSearches failedSearches;
     for (const Candidate& candidate : candidates) {
         Job& job = *candidate.job;
+        if (awaitsOrigin(job, now))
+            continue;
         for (std::uint32_t step = 0; step < job.stepOffsets.size(); ++step) {
             if (job.remainingTasks(candidate.occurrence, step) == 0
                 || !job.isStepReady(candidate.occurrence, step, nowUnixMs))
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -187,6 +187,9 @@
     */
     void onTaskResultStored(const FleetSchema::TaskResult& result, std::int64_t nowUnixMs);
 
+    /*! Processes the state of a job in the shard that delegated tasks of it to this one. */
+    void onOriginState(const std::string& job, FleetSchema::JobState state, std::int64_t nowUnixMs);
+
     /*! \return the stored state of a job, or nothing if the shard has not stored it. */
     std::optional<FleetSchema::JobState> state(std::string_view id) const;
 
@@ -296,6 +299,8 @@
         FailedSearches& failedSearches);
     void assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
     void markWaiting(Task& task, Utils::TimePoint now);
+    bool awaitsOrigin(Job& job, Utils::TimePoint now);
+    void queryOrigins(Utils::TimePoint now);
     void updateDemand();
     void improveGrouping(Utils::TimePoint now);
     InterferenceView interferenceView() const;
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -60,6 +60,7 @@
         if (job->isActive() && job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)
             isScheduleDue_ = true;
     }
+    queryOrigins(now);
     reviewWaits(now, nowUnixMs);
     std::erase_if(workers_, [now](const auto& entry) { return entry.second->isObsolete(now); });
 }
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -168,6 +168,7 @@
     void capacityChanged(const Fleet::CapacityChange& change) override;
     void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         std::uint32_t crashes) override;
+    void queryOrigin(const std::string& originShard, const std::string& job) override;
     void quarantineChanged(const std::string& worker, Utils::Duration time) override;
     void taskWaiting(const Fleet::WaitReport& report) override;
     void jobEnded(const Fleet::JobSummary& summary) override;
@@ -189,7 +190,8 @@
     Utils::TimePoint commandRightEnd() const;
     Utils::TimePoint renewalRightEnd() const;
     bool needsConfirmation() const;
-    void callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
+    void callOtherShard(const FleetSchema::PeerRequest& request,
+        std::function<void(const FleetSchema::PeerReply&)> onSuccess);
     void onLeaseReport(const FleetSchema::LeaseReport& report);
     void onTookOver(const Fleet::LeaseEnds& statedEnds);
     bool isOwnerGone(const FleetSchema::ShardRecord& former) const;
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -189,7 +189,9 @@
     FleetSchema::PeerRequest request;
     request.set_shard(shard);
     *request.mutable_adopt() = transfer;
-    callOtherShard(request, [this, transfer, shard] { scheduler_.onDelegationStored(transfer, shard); });
+    callOtherShard(request, [this, transfer, shard](const FleetSchema::PeerReply&) {
+        scheduler_.onDelegationStored(transfer, shard);
+    });
 }
 
 void ShardHost::sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result)
@@ -202,7 +204,7 @@
     FleetSchema::PeerRequest request;
     request.set_shard(originShard);
     *request.mutable_result() = result;
-    callOtherShard(request, [this, result] {
+    callOtherShard(request, [this, result](const FleetSchema::PeerReply&) {
         scheduler_.onTaskResultStored(result, NodeContext::nowUnixMs());
         requestRound();
     });
@@ -213,24 +215,37 @@
     FleetSchema::PeerRequest request;
     request.set_shard(shard);
     *request.mutable_cancel_part() = job;
-    callOtherShard(
-        request, [this, id = job.id(), shard] { scheduler_.onDelegatedTasksCancelled(id, shard); });
+    callOtherShard(request, [this, id = job.id(), shard](const FleetSchema::PeerReply&) {
+        scheduler_.onDelegatedTasksCancelled(id, shard);
+    });
+}
+
+void ShardHost::queryOrigin(const std::string& originShard, const std::string& job)
+{
+    FleetSchema::PeerRequest request;
+    request.set_shard(originShard);
+    request.set_query(job);
+    callOtherShard(request, [this, job](const FleetSchema::PeerReply& reply) {
+        scheduler_.onOriginState(job, reply.state(), NodeContext::nowUnixMs());
+        requestRound();
+    });
 }
 
 // Does not retry, because the scheduler repeats a call that is not made or gets no reply.
-void ShardHost::callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored)
+void ShardHost::callOtherShard(
+    const FleetSchema::PeerRequest& request, std::function<void(const FleetSchema::PeerReply&)> onSuccess)
 {
     if (!isOwnershipCertain())
         return;
     otherShards_.callOwner(request,
-        [this, weak = std::weak_ptr<bool>(alive_), onStored = std::move(onStored)](
+        [this, weak = std::weak_ptr<bool>(alive_), onSuccess = std::move(onSuccess)](
             const Utils::Result<FleetSchema::PeerReply>& result) {
             if (!weak.lock() || isClosed_)
                 return;
             if (!Utils::isOk(result))
                 return Utils::logError("neighbour-unanswered", Utils::error(result));
             if (Utils::value(result).outcome() == FleetSchema::PEER_OK)
-                onStored();
+                onSuccess(Utils::value(result));
         });
 }
 
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -371,6 +371,22 @@
         });
 }
 
+void EmulatedOwner::queryOrigin(const std::string& originShard, const std::string& job)
+{
+    fleet_.callShard(
+        node_, originShard,
+        [job](EmulatedOwner& owner, AnswerHandler handler) {
+            if (const auto state = owner.scheduler_->state(job))
+                handler({ FleetSchema::PEER_OK, *state, 0 });
+        },
+        [weak = weak_from_this(), job](const Fleet::JobAnswer& answer) {
+            if (const auto self = weak.lock(); self && answer.outcome == FleetSchema::PEER_OK)
+                self->runLater(0, [owner = self.get(), job, state = answer.state] {
+                    owner->scheduler_->onOriginState(job, state, owner->fleet_.nowMs());
+                });
+        });
+}
+
 void EmulatedOwner::attemptEnded(
     const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
 {
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -64,6 +64,10 @@
     {
         results.emplace_back(originShard, result);
     }
+    void queryOrigin(const std::string& originShard, const std::string& job) override
+    {
+        originQueries.emplace_back(originShard, job);
+    }
     void attemptEnded(const std::string&, const Ports::TaskKey&, std::uint32_t, std::string_view) override { }
     void capacityChanged(const Fleet::CapacityChange& change) override { capacityChanges.push_back(change); }
     void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t,
@@ -93,6 +97,7 @@
     std::vector<FleetSchema::TaskTransfer> delegations;
     std::vector<std::pair<std::string, std::string>> delegationCancels;
     std::vector<std::pair<std::string, FleetSchema::TaskResult>> results;
+    std::vector<std::pair<std::string, std::string>> originQueries;
     std::vector<Fleet::AttemptStart> starts;
     std::vector<Command> stops;
     std::vector<Command> throttles;
