--- a/src/libs/fleet/failedsearches.cpp
+++ b/src/libs/fleet/failedsearches.cpp
@@ -18,6 +18,12 @@
     return task.job == other.job && task.occurrence == other.occurrence && task.step == other.step;
 }
 
+bool hasSameHistory(const Task& task, const Task& other)
+{
+    return task.waitingSince == other.waitingSince && task.idleSince == other.idleSince
+        && (task.failures > 0) == (other.failures > 0) && isolationOf(task) == isolationOf(other);
+}
+
 } // namespace
 
 // Whether the choice of a worker depends only on what isAtLeastAsDemanding() compares. Tasks of a job that
@@ -69,28 +75,44 @@
     });
 }
 
+// Most tasks of a wide step are alike; what each of them accepts need not be determined.
+bool FailedSearches::hasFailedTwin(const Task& task) const
+{
+    return std::any_of(siblings_.begin(), siblings_.end(), [&](const Search& failed) {
+        return isSibling(task, *failed.task) && hasSameHistory(task, *failed.task);
+    });
+}
+
+bool FailedSearches::includesOtherStep(const Search& search) const
+{
+    return isComparable(*search.task)
+        && std::any_of(searches_.begin(), searches_.end(),
+            [&](const Search& failed) { return isAtLeastAsDemanding(search, failed); });
+}
+
 bool FailedSearches::includes(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now) const
 {
+    if (hasFailedTwin(task))
+        return true;
     const bool mayHaveFailedSibling = !siblings_.empty() && isSibling(task, *siblings_.front().task);
     if (!mayHaveFailedSibling && (searches_.empty() || !isComparable(task)))
         return false;
     const Search search { &task, searchTermsOf(task, workers, now) };
-    return hasFailedSibling(search)
-        || (isComparable(task) && std::any_of(searches_.begin(), searches_.end(), [&](const Search& failed) {
-               return isAtLeastAsDemanding(search, failed);
-           }));
+    return hasFailedSibling(search) || includesOtherStep(search);
 }
 
 void FailedSearches::add(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
     // Each search for a long-running task has effects of its own.
-    if (task.job->step(task).lasting())
+    if (task.job->step(task).lasting() || hasFailedTwin(task))
+        return;
+    const Search search { &task, searchTermsOf(task, workers, now) };
+    if (hasFailedSibling(search))
         return;
     if (!siblings_.empty() && !isSibling(task, *siblings_.front().task))
         siblings_.clear();
-    const Search search { &task, searchTermsOf(task, workers, now) };
     siblings_.push_back(search);
-    if (searches_.size() < maxSearches && isComparable(task))
+    if (searches_.size() < maxSearches && isComparable(task) && !includesOtherStep(search))
         searches_.push_back(search);
 }
 
--- a/src/libs/fleet/failedsearches.h
+++ b/src/libs/fleet/failedsearches.h
@@ -28,7 +28,7 @@
     /*! \return whether a search for the task is known to fail. */
     bool includes(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now) const;
 
-    /*! Adds a task for which no worker was found. */
+    /*! Adds a task for which no worker was found, unless searches for it are known to fail. */
     void add(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now);
 
 private:
@@ -43,6 +43,8 @@
     static bool acceptsNoMore(const SearchTerms& terms, const SearchTerms& failed);
     static bool isAtLeastAsDemanding(const Search& search, const Search& failed);
     bool hasFailedSibling(const Search& search) const;
+    bool hasFailedTwin(const Task& task) const;
+    bool includesOtherStep(const Search& search) const;
 
     std::vector<Search> searches_;
     std::vector<Search> siblings_; //!< Those of the step that was searched for last.
--- a/tests/auto/fleet/tst_schedulingpass.cpp
+++ b/tests/auto/fleet/tst_schedulingpass.cpp
@@ -145,6 +145,56 @@
     CHECK(skipped > 500);
 }
 
+TEST_CASE("A pass over steps of several tasks skips only tasks for which no worker would be found")
+{
+    std::size_t skipped = 0;
+    std::size_t placedAfterSibling = 0;
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        BusyShard shard(seed);
+        Fleet::FailedSearches failedSearches;
+        const Fleet::InterferenceView view { shard.model, shard.demand };
+        for (int number = 0; number < 60; ++number) {
+            FleetSchema::StepSpec step = shard.makeWaitingTask().job->spec.steps(0);
+            step.set_count(static_cast<std::uint32_t>(shard.pick(1, 6)));
+            shard.makeTask(step);
+            for (Fleet::Task& task : shard.jobs.back()->tasks) {
+                task.failures = shard.pick(0, 2) == 0 ? 1 : 0;
+                task.crashes = static_cast<std::uint32_t>(std::max(0, shard.pick(-8, 3)));
+                task.waitingSince = shard.now - shard.pick(0, 4) * 2500ms;
+            }
+            bool hasFailed = false;
+            for (Fleet::Task& task : shard.jobs.back()->tasks) {
+                Fleet::Worker* const expected = Fleet::chooseWorker(task, shard.pointers, view, shard.now);
+                if (failedSearches.includes(task, shard.pointers, shard.now)) {
+                    ++skipped;
+                    REQUIRE(expected == nullptr);
+                } else if (!expected) {
+                    failedSearches.add(task, shard.pointers, shard.now);
+                    hasFailed = true;
+                } else {
+                    placedAfterSibling += hasFailed ? 1 : 0;
+                    Fleet::addAttempt(task, *expected);
+                    task.worker = expected;
+                    task.phase = Fleet::TaskPhase::Recorded;
+                }
+            }
+        }
+    }
+    CHECK(placedAfterSibling > 50);
+    CHECK(skipped > 1000);
+}
+
+TEST_CASE("The tasks of one wide step do not use up the memory of a pass")
+{
+    BusyShard shard(8);
+    shard.makeTask(makeStep(200, 31'000, 1000));
+    Fleet::FailedSearches failedSearches;
+    for (const Fleet::Task& task : shard.jobs.back()->tasks)
+        failedSearches.add(task, shard.pointers, shard.now);
+    failedSearches.add(shard.makeTask(makeStep(1, 30'000, 1000)), shard.pointers, shard.now);
+    CHECK(failedSearches.includes(shard.makeTask(makeStep(1, 30'500, 1000)), shard.pointers, shard.now));
+}
+
 TEST_CASE("Cached estimates equal those of the model")
 {
     BusyShard shard(3);
