--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -153,10 +153,19 @@
                                                                             : PlacementObstacle::Interference;
 }
 
+// The members of a gang start together or not at all, so they are one probe.
+bool areOfOneGang(const Task& task, const Task& other)
+{
+    return task.job == other.job && task.occurrence == other.occurrence && task.step == other.step
+        && task.job->step(task).gang();
+}
+
 // Long-running tasks that are at work on a quarantined worker show nothing about new ones.
-bool isBeingProbed(const Worker& worker)
+bool isBeingProbed(const Worker& worker, const Task* probe)
 {
-    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const Task* task) {
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [probe](const Task* task) {
+        if (probe && areOfOneGang(*probe, *task))
+            return false;
         return !task->job->step(*task).lasting() || task->phase != TaskPhase::Running
             || task->progressPercent < 100;
     });
@@ -164,9 +173,9 @@
 
 } // namespace
 
-bool isProbeDue(const Worker& worker, Utils::TimePoint now)
+bool isProbeDue(const Worker& worker, Utils::TimePoint now, const Task* probe)
 {
-    return now >= worker.quarantinedUntil && !isBeingProbed(worker);
+    return now >= worker.quarantinedUntil && !isBeingProbed(worker, probe);
 }
 
 namespace {
@@ -194,7 +203,7 @@
         if (obstacle != PlacementObstacle::None)
             return obstacle;
     }
-    if (worker.quarantineTime != Utils::Duration::zero() && !(terms.mayProbe && isProbeDue(worker, now)))
+    if (worker.quarantineTime != Utils::Duration::zero() && !(terms.mayProbe && isProbeDue(worker, now, &task)))
         return PlacementObstacle::Quarantined;
     if (step.max_per_worker() > 0 && countTasksOfStep(task, worker) >= step.max_per_worker())
         return PlacementObstacle::SpreadLimit;
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -46,8 +46,12 @@
 /*! \return what a task accepts in a worker at present. */
 SearchTerms searchTermsOf(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now);
 
-/*! \return whether a quarantined worker may be probed with a task. */
-bool isProbeDue(const Worker& worker, Utils::TimePoint now);
+/*!
+    \return whether a quarantined worker may be probed with a task.
+
+    \param probe the task; null for any task that is not of a gang.
+*/
+bool isProbeDue(const Worker& worker, Utils::TimePoint now, const Task* probe = nullptr);
 
 /*!
     Chooses the worker of a task among those of a shard.
--- a/tests/auto/fleet/tst_quarantine.cpp
+++ b/tests/auto/fleet/tst_quarantine.cpp
@@ -183,3 +183,19 @@
     CHECK(fixture.scheduler.load(fixture.now).capacity() > 0);
     CHECK(fixture.scheduler.load(fixture.now).service() == "service");
 }
+
+TEST_CASE("A gang wider than the number of workers starts after all of them were quarantined")
+{
+    QuarantineFixture fixture(2);
+    FleetSchema::StepSpec gang = makeStep(4, 1000, 500);
+    gang.set_gang(true);
+    fixture.submit("gang", gang);
+    fixture.submit("first", makeStep(1, 1000, 500));
+    fixture.submit("second", makeStep(1, 1000, 500));
+    fixture.finishAll(Ports::AttemptOutcome::Failed);
+    // Without the others, only the gang can probe the workers.
+    fixture.scheduler.cancel("first", 1, testStartUnixMs);
+    fixture.scheduler.cancel("second", 1, testStartUnixMs);
+    REQUIRE(fixture.output.quarantines.size() >= 2);
+    CHECK(fixture.startsWithin("gang", waitBound));
+}
