--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -50,7 +50,7 @@
 
     int failureStreak = 0; //!< Consecutive failures of different jobs.
     std::string streakJob; //!< Job of the latest failure.
-    //! The worker gets no task until this time; afterwards one at a time until one succeeds.
+    //! The worker gets no task until this time; afterwards one at a time, at intervals, until one succeeds.
     Utils::TimePoint quarantinedUntil {};
     //! Length of the current quarantine, doubled when a probe task fails; 0 if the worker is not
     //! quarantined.
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -50,6 +50,8 @@
 // A task that has failed is a poor probe of a worker, so it waits this long for other workers. Where all of
 // them are quarantined and no other task waits, it is the only probe.
 constexpr std::chrono::milliseconds probeDelayOfFailedTask { 2200 };
+// Others need not wait for the end of a probe, which may take long or be throttled to zero.
+constexpr std::chrono::milliseconds probeInterval { 500 };
 
 bool isMostlyIdle(std::span<Worker* const> workers)
 {
@@ -160,14 +162,18 @@
         && task.job->step(task).gang();
 }
 
-// Long-running tasks that are at work on a quarantined worker show nothing about new ones.
-bool isBeingProbed(const Worker& worker, const Task* probe)
+// Tasks that have run for some time, and long-running ones at work, show nothing about new ones.
+bool isBeingProbed(const Worker& worker, const Task* probe, Utils::TimePoint now)
 {
-    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [probe](const Task* task) {
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const Task* task) {
         if (probe && areOfOneGang(*probe, *task))
             return false;
-        return !task->job->step(*task).lasting() || task->phase != TaskPhase::Running
-            || task->progressPercent < 100;
+        if (task->phase == TaskPhase::Recorded || task->phase == TaskPhase::Sent)
+            return true;
+        const bool isAtWork = task->job->step(*task).lasting() && task->phase == TaskPhase::Running
+            && task->progressPercent >= 100;
+        const bool isStartKnown = task->startedAt != Utils::TimePoint {};
+        return !isAtWork && !(isStartKnown && now - task->startedAt >= probeInterval);
     });
 }
 
@@ -175,7 +181,7 @@
 
 bool isProbeDue(const Worker& worker, Utils::TimePoint now, const Task* probe)
 {
-    return now >= worker.quarantinedUntil && !isBeingProbed(worker, probe);
+    return now >= worker.quarantinedUntil && !isBeingProbed(worker, probe, now);
 }
 
 namespace {
@@ -203,7 +209,8 @@
         if (obstacle != PlacementObstacle::None)
             return obstacle;
     }
-    if (worker.quarantineTime != Utils::Duration::zero() && !(terms.mayProbe && isProbeDue(worker, now, &task)))
+    if (worker.quarantineTime != Utils::Duration::zero()
+        && !(terms.mayProbe && isProbeDue(worker, now, &task)))
         return PlacementObstacle::Quarantined;
     if (step.max_per_worker() > 0 && countTasksOfStep(task, worker) >= step.max_per_worker())
         return PlacementObstacle::SpreadLimit;
--- a/tests/auto/fleet/tst_quarantine.cpp
+++ b/tests/auto/fleet/tst_quarantine.cpp
@@ -199,3 +199,59 @@
     REQUIRE(fixture.output.quarantines.size() >= 2);
     CHECK(fixture.startsWithin("gang", waitBound));
 }
+
+TEST_CASE("Tasks do not wait beside an idle worker for the end of a long probe")
+{
+    QuarantineFixture fixture(2);
+    for (int number = 0; number < 4; ++number)
+        fixture.submit("job" + std::to_string(number), makeStep(1, 1000, 20'000));
+    fixture.finishAll(Ports::AttemptOutcome::Failed);
+    fixture.advance(waitBound);
+    REQUIRE(fixture.running.size() >= 2);
+    fixture.advance(1s);
+    CHECK(fixture.running.size() == 4);
+    // New jobs are accepted beside the probes.
+    CHECK(fixture.scheduler.load(fixture.now).capacity() > 0);
+    fixture.submit("new", makeStep(1, 1000, 500));
+    fixture.advance(waitBound);
+    CHECK(fixture.running.size() == 5);
+}
+
+TEST_CASE("A task throttled to zero does not keep others from a quarantined worker")
+{
+    QuarantineFixture fixture(1);
+    fixture.submit("api", makeLatencyCriticalStep(1, 8000, "api"));
+    fixture.submit("fill", makeBestEffortStep(1, 1000, "hot"));
+    fixture.submit("first", makeStep(1, 1000, 500));
+    fixture.submit("second", makeStep(1, 1000, 500));
+    REQUIRE(fixture.running.size() == 4);
+    Ports::WorkerReport failures;
+    Ports::WorkerReport content;
+    for (const Fleet::AttemptStart& start : fixture.running) {
+        const bool isLasting = start.task.job == "api";
+        if (isLasting || start.task.job == "fill")
+            content.running.push_back(
+                { start.task, start.attempt, {}, isLasting ? 100 : 20, isLasting ? 100 : 0 });
+        else
+            failures.ended.push_back({ ++fixture.lastEndNumbers["w0"], start.task, start.attempt,
+                Ports::AttemptOutcome::Failed, {} });
+    }
+    failures.running = content.running;
+    fixture.report("w0", failures);
+    const auto passTime = [&](Utils::Duration duration) {
+        for (const Utils::TimePoint end = fixture.now + duration; fixture.now < end;) {
+            fixture.now += 100ms;
+            fixture.report("w0", content);
+            fixture.scheduler.onTick(fixture.now, testStartUnixMs);
+            fixture.scheduleAndCommit();
+        }
+    };
+    fixture.scheduler.cancel("first", 1, testStartUnixMs);
+    fixture.scheduler.cancel("second", 1, testStartUnixMs);
+    passTime(2500ms);
+    REQUIRE_FALSE(fixture.output.throttles.empty());
+    REQUIRE(fixture.output.throttles.back().number == 0);
+    fixture.submit("new", makeStep(1, 1000, 500));
+    passTime(waitBound);
+    CHECK(fixture.output.starts.back().task.job == "new");
+}
