--- a/src/libs/placement/placementengine.cpp
+++ b/src/libs/placement/placementengine.cpp
@@ -138,6 +138,8 @@
         private_->quarantine.onSuccess(ended->worker, known.job);
     if (worker.isInFleet && outcome == AttemptOutcome::Failed)
         private_->quarantine.onFailure(ended->worker, known.job, now);
+    if (worker.isInFleet && outcome == AttemptOutcome::Interrupted)
+        private_->quarantine.onInterrupted(ended->worker);
     if (outcome == AttemptOutcome::Succeeded) {
         const std::string& taskClass = private_->classNames.name(known.taskClass);
         private_->sizeEstimator.learnRunTime(taskClass, known.declaredRunTime, now - known.startedAt);
--- a/src/libs/placement/workerquarantine.cpp
+++ b/src/libs/placement/workerquarantine.cpp
@@ -99,4 +99,11 @@
         found->second.isProbing = true;
 }
 
+void WorkerQuarantine::onInterrupted(WorkerIndex worker)
+{
+    const auto found = workers_.find(worker);
+    if (found != workers_.end())
+        found->second.isProbing = false;
+}
+
 } // namespace Placement
--- a/src/libs/placement/workerquarantine.h
+++ b/src/libs/placement/workerquarantine.h
@@ -57,6 +57,9 @@
 
     void onProbeStarted(WorkerIndex worker);
 
+    /*! Records an attempt that was ended without a result, so that the worker can be probed again. */
+    void onInterrupted(WorkerIndex worker);
+
     std::size_t quarantinedCount() const { return quarantined_.size(); }
 
 private:
--- a/tests/auto/placement/tst_placementengine.cpp
+++ b/tests/auto/placement/tst_placementengine.cpp
@@ -172,3 +172,18 @@
     fleet.engine.onEnded(70, AttemptOutcome::Succeeded, start + 32s);
     CHECK_FALSE(fleet.engine.quarantine().isQuarantined(2));
 }
+
+TEST_CASE("A quarantined worker is probed again after its probe was evicted or lost")
+{
+    Fleet fleet(4);
+    for (AttemptId attempt = 0; attempt < 5; ++attempt) {
+        TaskRequest task = makeTask(attempt, TaskKind::Batch, 1000);
+        REQUIRE(Utils::isOk(fleet.engine.adopt(task, { 2, task.declaredSize }, start)));
+        fleet.engine.onEnded(attempt, AttemptOutcome::Failed, start);
+    }
+    REQUIRE(Utils::isOk(fleet.engine.place(makeTask(70, TaskKind::Batch, 1000), start + 31s, fleet.random)));
+    fleet.engine.onEnded(70, AttemptOutcome::Interrupted, start + 32s);
+    const auto probe = fleet.engine.place(makeTask(71, TaskKind::Batch, 1000), start + 40s, fleet.random);
+    REQUIRE(Utils::isOk(probe));
+    CHECK(Utils::value(probe).worker == 2);
+}
