--- a/src/libs/fleet/relocation.cpp
+++ b/src/libs/fleet/relocation.cpp
@@ -2,6 +2,7 @@
 
 #include "job.h"
 #include "worker.h"
+#include "workerchoice.h"
 #include "workercommitment.h"
 
 #include <algorithm>
@@ -21,7 +22,7 @@
         }));
 }
 
-bool isEligible(const Task& task, const Worker& worker)
+bool isEligible(const Task& task, const Worker& worker, bool isOpen)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     const auto& labels = worker.info.labels;
@@ -29,10 +30,28 @@
         || std::find(labels.begin(), labels.end(), step.required_label()) != labels.end();
     const bool respectsSpread
         = step.max_per_worker() == 0 || countOtherTasksOfStep(task, worker) < step.max_per_worker();
-    return worker.isUsable() && worker.quarantineTime == Utils::Duration::zero() && hasLabel && respectsSpread
+    return worker.isUsable() && isOpen && hasLabel && respectsSpread
         && worker.info.service == task.job->spec.service();
 }
 
+bool isQuarantined(const Worker& worker)
+{
+    return worker.quarantineTime != Utils::Duration::zero();
+}
+
+/*! What a plan may do. */
+struct PlanTerms {
+    Utils::Duration availabilityDelay {};
+    Utils::TimePoint now {};
+    bool mayProbe = false; //!< The plan may use quarantined workers that may be probed.
+
+    bool allows(const Task& task, const Worker& worker) const
+    {
+        return isEligible(
+            task, worker, !isQuarantined(worker) || (mayProbe && isProbeDue(worker, now, &task)));
+    }
+};
+
 /*! Moves that make enough free capacity on one worker. */
 struct RelocationPlan {
     Task* firstTask = nullptr; //!< Null if there is no such plan.
@@ -69,13 +88,13 @@
 // Each move takes a second or more. With more moves, the capacity freed first could be lost meanwhile.
 constexpr std::size_t maxMoves = 3;
 
-std::vector<Task*> movableTasks(const Worker& worker, Utils::Duration availabilityDelay, Utils::TimePoint now)
+std::vector<Task*> movableTasks(const Worker& worker, const PlanTerms& terms)
 {
     std::vector<Task*> movable;
     for (Task* task : worker.tasks) {
         const FleetSchema::StepSpec& step = task->job->step(*task);
         if (step.lasting() && !step.gang() && task->phase == TaskPhase::Running
-            && mayDisrupt(*task, availabilityDelay, now))
+            && mayDisrupt(*task, terms.availabilityDelay, terms.now))
             movable.push_back(task);
     }
     std::sort(movable.begin(), movable.end(), [](const Task* left, const Task* right) {
@@ -86,11 +105,11 @@
 
 // Reserves capacity for a task on another worker in \p freeCapacities. Returns false if it fits on none.
 bool reserveElsewhere(const Task& task, const Worker& source, std::span<Worker* const> workers,
-    std::map<const Worker*, Placement::Resources>& freeCapacities)
+    const PlanTerms& terms, std::map<const Worker*, Placement::Resources>& freeCapacities)
 {
     const Placement::Resources size = committedSize(task.job->step(task));
     for (const Worker* other : workers) {
-        if (other == &source || other->reservedMilliProcessors > 0 || !isEligible(task, *other))
+        if (other == &source || other->reservedMilliProcessors > 0 || !terms.allows(task, *other))
             continue;
         Placement::Resources& freeCapacity
             = freeCapacities.try_emplace(other, other->available()).first->second;
@@ -103,22 +122,23 @@
 }
 
 // Plans to move the smallest task that suffices, or else the largest ones until their capacity suffices.
-RelocationPlan planRelocation(const Task& waiting, const Worker& worker, std::span<Worker* const> workers,
-    Utils::Duration availabilityDelay, Utils::TimePoint now)
+RelocationPlan planRelocation(
+    const Task& waiting, const Worker& worker, std::span<Worker* const> workers, const PlanTerms& terms)
 {
     const Placement::Resources required = committedSize(waiting.job->step(waiting));
     Placement::Resources freeCapacity = capacityBesideLongRunningTasks(worker);
-    std::vector<Task*> movable = movableTasks(worker, availabilityDelay, now);
+    std::vector<Task*> movable = movableTasks(worker, terms);
     for (Task* task : movable) {
         const Placement::Resources size = committedSize(task->job->step(*task));
         std::map<const Worker*, Placement::Resources> freeCapacities;
-        if (required.fitsIn(freeCapacity + size) && reserveElsewhere(*task, worker, workers, freeCapacities))
+        if (required.fitsIn(freeCapacity + size)
+            && reserveElsewhere(*task, worker, workers, terms, freeCapacities))
             return { task, 1, size };
     }
     RelocationPlan plan;
     std::map<const Worker*, Placement::Resources> freeCapacities;
     for (auto task = movable.rbegin(); task != movable.rend() && plan.moveCount < maxMoves; ++task) {
-        if (!reserveElsewhere(**task, worker, workers, freeCapacities))
+        if (!reserveElsewhere(**task, worker, workers, terms, freeCapacities))
             continue;
         const Placement::Resources size = committedSize((*task)->job->step(**task));
         if (!plan.firstTask)
@@ -136,21 +156,29 @@
 
 bool isRelocationTarget(const Task& task, const Worker& worker)
 {
-    return isEligible(task, worker) && committedSize(task.job->step(task)).fitsIn(worker.available());
+    return isEligible(task, worker, !isQuarantined(worker))
+        && committedSize(task.job->step(task)).fitsIn(worker.available());
 }
 
 Task* chooseRelocation(const Task& waiting, std::span<Worker* const> workers,
     Utils::Duration availabilityDelay, Utils::TimePoint now)
 {
-    RelocationPlan best;
-    for (const Worker* worker : workers) {
-        if (!isEligible(waiting, *worker))
-            continue;
-        const RelocationPlan plan = planRelocation(waiting, *worker, workers, availabilityDelay, now);
-        if (plan.firstTask && (!best.firstTask || plan < best))
-            best = plan;
+    // A task that is at work rather stays than probes a worker. But if quarantined workers have no room for a
+    // task that could probe them, only a move makes it.
+    for (const bool mayProbe : { false, true }) {
+        const PlanTerms terms { availabilityDelay, now, mayProbe };
+        RelocationPlan best;
+        for (const Worker* worker : workers) {
+            if (!terms.allows(waiting, *worker))
+                continue;
+            const RelocationPlan plan = planRelocation(waiting, *worker, workers, terms);
+            if (plan.firstTask && (!best.firstTask || plan < best))
+                best = plan;
+        }
+        if (best.firstTask)
+            return best.firstTask;
     }
-    return best.firstTask;
+    return nullptr;
 }
 
 } // namespace Fleet
--- a/tests/auto/fleet/tst_quarantine.cpp
+++ b/tests/auto/fleet/tst_quarantine.cpp
@@ -255,3 +255,45 @@
     passTime(waitBound);
     CHECK(fixture.output.starts.back().task.job == "new");
 }
+
+TEST_CASE("A long-running task gets room by a move although all workers are quarantined")
+{
+    QuarantineFixture fixture(2);
+    for (const std::int64_t size : { 20'000, 8'000, 8'001 }) {
+        FleetSchema::StepSpec step = makeStep(1, size, 0);
+        step.set_lasting(true);
+        fixture.submit("lasting" + std::to_string(size), step);
+    }
+    REQUIRE(fixture.running.size() == 3);
+    const std::vector<Fleet::AttemptStart> atWork = fixture.running;
+    const auto passTime = [&](Utils::Duration duration) {
+        for (const Utils::TimePoint end = fixture.now + duration; fixture.now < end;) {
+            fixture.now += 100ms;
+            std::map<std::string, Ports::WorkerReport> reports;
+            for (const Fleet::AttemptStart& start : atWork)
+                reports[start.worker].running.push_back({ start.task, start.attempt, {}, 100, 0 });
+            for (const Fleet::AttemptStart& start : fixture.running) {
+                if (start.task.job.starts_with("failing"))
+                    reports[start.worker].ended.push_back({ ++fixture.lastEndNumbers[start.worker],
+                        start.task, start.attempt, Ports::AttemptOutcome::Failed, {} });
+            }
+            fixture.running.clear();
+            for (const auto& [worker, content] : reports)
+                fixture.report(worker, content);
+            fixture.schedule();
+        }
+    };
+    passTime(6s);
+    for (int number = 0; number < 4; ++number) {
+        fixture.submit("failing" + std::to_string(number), makeStep(1, 1000, 500), 1);
+        passTime(100ms);
+    }
+    REQUIRE(fixture.output.quarantines.size() == 2);
+    REQUIRE(fixture.output.stops.empty());
+    passTime(waitBound);
+    FleetSchema::StepSpec step = makeStep(1, 24'000, 0);
+    step.set_lasting(true);
+    fixture.submit("large", step);
+    passTime(waitBound);
+    CHECK_FALSE(fixture.output.stops.empty());
+}
