--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -84,8 +84,7 @@
             // the new one; the worker shortens it to the longest lease that it grants.
             worker->leaseUpperBound
                 = std::max(worker->leaseUpperBound, now + options_.workerLeaseLimit * 51 / 50);
-            worker->quarantineTime = {};
-            worker->failureStreak = 0;
+            endQuarantine(*worker);
         } else {
             // From this report on the worker rejects former owners.
             const Utils::Duration lease
@@ -146,7 +145,7 @@
     case Ports::AttemptOutcome::Done:
         if (task->worker) {
             recordRunTime(worker, *task, now);
-            recordSuccess(worker);
+            endQuarantine(worker);
         }
         if (job->step(*task).lasting())
             requeue(*task, now);
@@ -186,7 +185,7 @@
         = task->job->step(*task).lasting() && task->progressPercent < 100 && running.progressPercent >= 100;
     if (hasCompletedStartup && worker.quarantineTime != Utils::Duration::zero()
         && now >= worker.quarantinedUntil)
-        recordSuccess(worker);
+        endQuarantine(worker);
     if (running.progressPercent > task->progressPercent || task->reportableSince == Utils::TimePoint {})
         task->progressAt = now;
     task->progressPercent = running.progressPercent;
@@ -346,7 +345,7 @@
     worker.slowness += slownessGain * (ratio - worker.slowness);
 }
 
-void ShardScheduler::recordSuccess(Worker& worker)
+void ShardScheduler::endQuarantine(Worker& worker)
 {
     worker.failureStreak = 0;
     if (worker.quarantineTime == Utils::Duration::zero())
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -331,7 +331,7 @@
     void onListedAsRunning(Task& task, std::int64_t clockMs);
     void recordRunTime(Worker& worker, const Task& task, Utils::TimePoint now);
     void recordFailure(Worker& worker, const Task& task, Utils::TimePoint now);
-    void recordSuccess(Worker& worker);
+    void endQuarantine(Worker& worker);
     std::int64_t extendLease(Worker& worker, Utils::Duration lease, Utils::TimePoint now);
     static void suspectWorker(Worker& worker);
     void onJobCommitted(const BatchedJob& stored, Utils::TimePoint now);
--- a/tests/auto/fleet/tst_quarantine.cpp
+++ b/tests/auto/fleet/tst_quarantine.cpp
@@ -98,6 +98,20 @@
     CHECK(fixture.output.quarantines[1].second == Utils::Duration::zero());
 }
 
+TEST_CASE("The end of a quarantine by a restart of the worker is reported")
+{
+    QuarantineFixture fixture(1);
+    for (int number = 0; number < 2; ++number)
+        fixture.submit("job" + std::to_string(number), makeStep(1, 1000, 500));
+    fixture.finishAll(Ports::AttemptOutcome::Failed);
+    REQUIRE(fixture.output.quarantines.size() == 1);
+    Ports::WorkerReport restarted;
+    restarted.startedUnixMs = 8;
+    fixture.report("w0", restarted);
+    REQUIRE(fixture.output.quarantines.size() == 2);
+    CHECK(fixture.output.quarantines[1].second == Utils::Duration::zero());
+}
+
 TEST_CASE("A task that has failed starts again after all workers were quarantined")
 {
     QuarantineFixture fixture(3);
