--- a/tests/auto/fleet/tst_quarantine.cpp
+++ b/tests/auto/fleet/tst_quarantine.cpp
@@ -158,7 +158,7 @@
     fixture.submit("second", makeStep(1, 1000, 500));
     fixture.failAllUntilIdleFor(1s);
     // The idle workers are quarantined, and the third one has other tasks.
-    fixture.workers.push_back("busy");
+    fixture.workers.emplace_back("busy");
     std::vector<Ports::WorkerInfo> infos;
     for (const std::string& worker : fixture.workers)
         infos.push_back(makeWorkerInfo(worker));
