--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -177,7 +177,7 @@
     FleetSchema::JobRecord record;
     *record.mutable_spec() = job.isReduced ? reducedSpec(job.spec) : job.spec;
     record.set_state(job.state);
-    record.set_started(job.isStarted);
+    record.set_started(job.hasBegun);
     record.set_ended_unix_ms(job.endedUnixMs);
     record.set_origin_shard(job.originShard);
     if (job.isReduced)
--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -31,6 +31,9 @@
     bool isDirty = false; //!< The latest state is not stored yet.
     bool isReduced = false; //!< Only the outcome of the job is stored, because its record cannot be.
     bool isStarted = false; //!< An attempt has been recorded.
+    //! A worker has confirmed a start of a task. Always true in a host shard: only the origin shard counts
+    //! the job as pending.
+    bool hasBegun = false;
     //! End of the job, or time at which this host shard last had a task of it; 0 if it still has one.
     std::int64_t endedUnixMs = 0;
     std::string originShard; //!< Shard that delegated tasks of the job to this one; empty if it is this one.
--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -96,6 +96,7 @@
 void ShardScheduler::onListedAsRunning(Task& task, std::int64_t clockMs)
 {
     task.hasStarted = true;
+    task.job->hasBegun = true;
     if (task.workerBornMs != task.worker->bornMs) {
         task.workerBornMs = task.worker->bornMs;
         task.startClockMs = 0;
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -183,7 +183,8 @@
     hosted->originShard = originShard;
     hosted->hasTransfers = true;
     hosted->acceptedAt = now;
-    hosted->isStarted = true; // Only the origin shard may count the job as pending.
+    hosted->isStarted = true;
+    hosted->hasBegun = true;
     hosted->state = FleetSchema::JOB_RUNNING;
     for (Task& task : hosted->tasks)
         task.phase = TaskPhase::AtOrigin;
@@ -316,6 +317,9 @@
         task->crashes = result.crashes();
         task->checkpoint = result.checkpoint();
         job->isStarted = job->isStarted || task->attempt > 0;
+        // The host shard may have recorded the last attempt without a start. A failure or a crash shows one.
+        job->hasBegun = job->hasBegun || result.kind() == FleetSchema::TASK_COMPLETED || task->failures > 0
+            || task->crashes > 0;
         if (result.kind() == FleetSchema::TASK_COMPLETED) {
             finishTask(*task, now, nowUnixMs);
         } else {
--- a/src/libs/fleet/shardload.cpp
+++ b/src/libs/fleet/shardload.cpp
@@ -49,7 +49,7 @@
     for (const auto& [id, job] : jobs_) {
         if (!job->isActive())
             continue;
-        if (job->isCommitted && !job->isStarted && job->dueUnixMs(0) == 0)
+        if (job->isCommitted && !job->hasBegun && job->dueUnixMs(0) == 0)
             ++(*load.mutable_pending())[job->spec.queue()];
         for (const Task& task : job->tasks) {
             const FleetSchema::StepSpec& step = job->step(task);
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -139,6 +139,7 @@
     const bool wasPresumedLost = !task->isOpen() && end.outcome == Ports::AttemptOutcome::Done;
     if (!wasPresumedLost && task->worker != &worker)
         return;
+    job->hasBegun = true;
     output_.attemptEnded(worker.info.id, end.task, end.attempt, nameOf(end.outcome));
     if (isStorableCheckpoint(end.checkpoint))
         task->checkpoint = end.checkpoint;
@@ -309,6 +310,7 @@
         return;
     }
     task->hasStarted = true;
+    task->job->hasBegun = true;
     if (task->phase == TaskPhase::Sent) {
         task->phase = TaskPhase::Running;
         task->idleSince = {};
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -27,7 +27,7 @@
     job->state = record.state();
     job->committedState = record.state();
     job->isCommitted = true;
-    job->isStarted = record.started();
+    job->hasBegun = record.started();
     job->endedUnixMs = record.ended_unix_ms();
     job->originShard = record.origin_shard();
     job->storedParts.assign(record.part_count(), 0);
@@ -35,6 +35,9 @@
     const int count = std::min(record.tasks_size(), static_cast<int>(job->tasks.size()));
     for (int position = 0; position < count; ++position)
         restoreTask(job->tasks[static_cast<std::size_t>(position)], record.tasks(position), now);
+    job->isStarted = job->isHosted()
+        || std::any_of(
+            job->tasks.begin(), job->tasks.end(), [](const Task& task) { return task.attempt > 0; });
     jobs_[job->spec.id()] = std::move(job);
     isScheduleDue_ = true;
 }
@@ -141,6 +144,7 @@
         output_.attemptEnded(task->worker->info.id, keyOf(*task), task->attempt, "told-by-former-owner");
         task->attempt = end.attempt();
         task->failures = std::max(task->failures, end.failures());
+        job->hasBegun = job->hasBegun || end.done() || end.failures() > 0;
         restoreCrashes(*task, end.crashes(), end.presumed_crashes(), now);
         if (!end.checkpoint().empty())
             task->checkpoint = end.checkpoint();
