--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -285,10 +285,12 @@
             && (maxPerWorker == 0 || countTasksOfStep(task, *worker) < maxPerWorker);
         if (!isSuitable)
             continue;
-        const std::int64_t freeCapacity = capacityBesideLongRunningTasks(*worker).milliProcessors;
-        if (freeCapacity >= step.milli_processors() && (!best || freeCapacity > bestCapacity)) {
+        const Placement::Resources free = capacityBesideLongRunningTasks(*worker);
+        const bool hasRoom
+            = free.milliProcessors >= step.milli_processors() && committedSize(step).fitsIn(free);
+        if (hasRoom && (!best || free.milliProcessors > bestCapacity)) {
             best = worker;
-            bestCapacity = freeCapacity;
+            bestCapacity = free.milliProcessors;
         }
     }
     if (best)
--- /dev/null
+++ b/tests/auto/fleet/tst_waitbounds.cpp
@@ -0,0 +1,136 @@
+// Places where a task whose turn has come waits, each at the bound that docs/design/waits.md names.
+
+#include "fleetfixtures.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace std::chrono_literals;
+using namespace Testing;
+
+namespace {
+
+// The longest time for which nothing of a job may run while workers have room for it.
+constexpr Utils::Duration waitBound = 3s;
+constexpr Utils::Duration tickInterval = 100ms;
+
+/*! A shard whose workers answer polls and stops, and starts as the test demands. */
+struct WaitFixture : SchedulerFixture {
+    using SchedulerFixture::SchedulerFixture;
+
+    void submit(const std::string& job, const FleetSchema::StepSpec& step)
+    {
+        scheduler.submit(makeJob(job, { step }), 1, now, unixMs());
+        advance(tickInterval);
+    }
+
+    std::int64_t unixMs() const
+    {
+        return testStartUnixMs
+            + std::chrono::duration_cast<std::chrono::milliseconds>(now - testStart).count();
+    }
+
+    void advance(Utils::Duration duration)
+    {
+        for (const Utils::TimePoint end = now + duration; now < end;) {
+            now += std::min<Utils::Duration>(tickInterval, end - now);
+            for (const std::string& worker : workers)
+                reportRunning(worker);
+            scheduler.onTick(now, unixMs());
+            runRound();
+            // A node runs another one at once if the first one has changed something.
+            runRound();
+        }
+    }
+
+    /*! \return how long it takes until a task of the job runs; the limit if none does within it. */
+    Utils::Duration timeToRun(const std::string& job, Utils::Duration limit = 2 * waitBound)
+    {
+        const Utils::TimePoint start = now;
+        while (!isRunning(job) && now - start < limit)
+            advance(tickInterval);
+        return now - start;
+    }
+
+    bool isRunning(const std::string& job) const
+    {
+        return std::any_of(running.begin(), running.end(),
+            [&](const Fleet::AttemptStart& start) { return start.task.job == job; });
+    }
+
+    std::set<std::string> refusingWorkers;
+    std::set<std::string> unansweringWorkers; //!< Starts sent to them are lost.
+    std::set<std::string> unstoppingWorkers; //!< They answer stops and let the attempts run on.
+
+private:
+    void runRound()
+    {
+        scheduler.schedule(now, unixMs());
+        if (scheduler.beginCommit(unixMs()))
+            scheduler.onCommitted(now);
+        answerStarts();
+        answerStops();
+    }
+
+    void reportRunning(const std::string& worker)
+    {
+        Ports::WorkerReport content;
+        for (const Fleet::AttemptStart& attempt : running) {
+            if (attempt.worker == worker)
+                content.running.push_back({ attempt.task, attempt.attempt, {}, 100, 0 });
+        }
+        report(worker, content);
+    }
+
+    void answerStarts()
+    {
+        for (; confirmedStarts < output.starts.size(); ++confirmedStarts) {
+            const Fleet::AttemptStart start = output.starts[confirmedStarts];
+            if (unansweringWorkers.contains(start.worker))
+                continue;
+            Ports::CommandReply reply;
+            if (refusingWorkers.contains(start.worker))
+                reply.outcome = Ports::CommandOutcome::Rejected;
+            else
+                running.push_back(start);
+            scheduler.onStartReply(start.worker, start.task, start.attempt, reply, now);
+        }
+    }
+
+    void answerStops()
+    {
+        for (; answeredStops < output.stops.size(); ++answeredStops) {
+            const RecordingOutput::Command stop = output.stops[answeredStops];
+            if (!unstoppingWorkers.contains(stop.worker)) {
+                std::erase_if(running, [&](const Fleet::AttemptStart& start) {
+                    return start.worker == stop.worker && start.task == stop.task
+                        && start.attempt == stop.number;
+                });
+            }
+            scheduler.onStopReply(stop.worker, stop.task, stop.number, Ports::CommandReply {}, now);
+        }
+    }
+
+    std::size_t answeredStops = 0;
+};
+
+} // namespace
+
+TEST_CASE("A long-running task that fits on no worker keeps no worker free")
+{
+    FleetSchema::StepSpec lasting = makeLatencyCriticalStep(2, 30'000, "api");
+    SECTION("for want of accelerators")
+    {
+        lasting.set_accelerators(1);
+    }
+    SECTION("for want of memory")
+    {
+        lasting.set_memory_mb(200'000);
+    }
+    WaitFixture fixture(2);
+    fixture.submit("lasting", lasting);
+    fixture.submit("short", makeStep(1, 4000, 500));
+    CHECK(fixture.timeToRun("short") < waitBound);
+}
