--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -249,6 +249,14 @@
     worker.isResponsive = false;
 }
 
+// The worker may answer polls all the while, so another one is tried first.
+void ShardScheduler::giveUpStart(Task& task, Utils::TimePoint now)
+{
+    suspectWorker(*task.worker);
+    task.avoidedWorker = task.worker->info.id;
+    requestStop(task, now);
+}
+
 void ShardScheduler::onPollFailed(const std::string& id, bool isAbsent)
 {
     // A single failure may be caused by the connection; if a poll on a new connection fails as well, the
@@ -298,8 +306,7 @@
             task->avoidedWorker = id;
             requeue(*task, now + rejectionPause);
         } else if (task->phase == TaskPhase::Sent) {
-            suspectWorker(*task->worker);
-            requestStop(*task, now);
+            giveUpStart(*task, now);
         }
         return;
     }
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -334,6 +334,7 @@
     void recordSuccess(Worker& worker);
     std::int64_t extendLease(Worker& worker, Utils::Duration lease, Utils::TimePoint now);
     static void suspectWorker(Worker& worker);
+    void giveUpStart(Task& task, Utils::TimePoint now);
     void onJobCommitted(const BatchedJob& stored, Utils::TimePoint now);
     void sendRecorded(Task& task, Utils::TimePoint now);
     void sendStart(Task& task, Utils::TimePoint now);
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -120,8 +120,7 @@
     const Worker& worker = *task.worker;
     const FleetSchema::StepSpec& step = task.job->step(task);
     if (task.phase == TaskPhase::Sent && now - task.sentAt > options_.startTimeout) {
-        suspectWorker(*task.worker);
-        requestStop(task, now);
+        giveUpStart(task, now);
         return;
     }
     if (task.phase == TaskPhase::Stopping && now - task.stopSentAt > options_.stopRetryInterval) {
--- a/tests/auto/fleet/tst_waitbounds.cpp
+++ b/tests/auto/fleet/tst_waitbounds.cpp
@@ -134,3 +134,13 @@
     fixture.submit("short", makeStep(1, 4000, 500));
     CHECK(fixture.timeToRun("short") < waitBound);
 }
+
+TEST_CASE("A task whose start one worker does not answer runs on another one")
+{
+    WaitFixture fixture(2);
+    fixture.unansweringWorkers = { "w0" };
+    fixture.submit("first", makeStep(1, 4000, 500));
+    CHECK(fixture.timeToRun("first") < waitBound);
+    fixture.submit("second", makeStep(1, 1000, 500));
+    CHECK(fixture.timeToRun("second") < waitBound);
+}
