--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -13,7 +13,11 @@
     const Ports::WorkerInfo& worker = task.worker->info;
     output_.attemptEnded(worker.id, keyOf(task), task.attempt, reason);
     // A start that the worker never confirmed may have reached it only after the crash, or not at all.
-    if (evidence == CrashEvidence::None || !task.hasStarted || task.isProven) {
+    if (!task.hasStarted) {
+        requeue(task, now + pauseAfterLostStart(task, now));
+        return;
+    }
+    if (evidence == CrashEvidence::None || task.isProven) {
         requeue(task, now);
         return;
     }
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -213,6 +213,16 @@
         requestStop(*task, now);
 }
 
+// Returns the pause before the next attempt after a start that was not carried out. It is longer than the
+// time between two ticks once the task has waited for long, so that a tick can pass it to another shard.
+Utils::Duration ShardScheduler::pauseAfterLostStart(const Task& task, Utils::TimePoint now)
+{
+    constexpr milliseconds pause { 250 };
+    constexpr milliseconds longWait { 1000 };
+    const bool waitsLong = task.waitingSince != Utils::TimePoint {} && now - task.waitingSince > longWait;
+    return waitsLong ? pause : Utils::Duration::zero();
+}
+
 // Requeues the tasks of attempts that the report would list if they were running, but does not.
 void ShardScheduler::requeueMissingAttempts(Worker& worker, Utils::TimePoint sentAt,
     const Ports::WorkerReport& report, Utils::TimePoint now, std::int64_t nowUnixMs)
@@ -300,11 +310,13 @@
         return;
     // Pause before the next attempt after a start was rejected or could not be sent.
     constexpr milliseconds rejectionPause { 100 };
+    const auto retryAt
+        = [&] { return now + std::max<Utils::Duration>(rejectionPause, pauseAfterLostStart(*task, now)); };
     if (!Utils::isOk(reply)) {
         if (Utils::error(reply).code == Utils::ErrorCode::Unavailable) {
             output_.attemptEnded(id, key, attempt, "not-sent");
             task->avoidedWorker = id;
-            requeue(*task, now + rejectionPause);
+            requeue(*task, retryAt());
         } else if (task->phase == TaskPhase::Sent) {
             giveUpStart(*task, now);
         }
@@ -313,7 +325,7 @@
     if (isRejected(Utils::value(reply).outcome)) {
         output_.attemptEnded(id, key, attempt, "start-refused");
         task->avoidedWorker = id;
-        requeue(*task, now + rejectionPause);
+        requeue(*task, retryAt());
         return;
     }
     task->hasStarted = true;
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -134,6 +134,7 @@
         return;
     isScheduleDue_ = false;
     hasWaitingTasks_ = false;
+    hasPausedTasks_ = false;
     lastScheduledAt_ = now;
     struct Candidate {
         JobRank rank;
@@ -208,6 +209,7 @@
             continue;
         if (task.notBefore > now) {
             isScheduleDue_ = true;
+            hasPausedTasks_ = true;
             continue;
         }
         if (awaitsCrashVerdict(task))
@@ -336,6 +338,9 @@
 // must have ended or never have been sent.
 void ShardScheduler::requeue(Task& task, Utils::TimePoint retryAt)
 {
+    // An attempt that is not known to have run does not end the wait.
+    if (task.isOpen() && !task.hasStarted && task.waitingSince == Utils::TimePoint {})
+        task.waitingSince = task.sentAt;
     releaseWorker(task);
     task.phase = TaskPhase::Waiting;
     task.notBefore = retryAt;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -303,6 +303,7 @@
     void relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now);
     void releaseWorker(Task& task);
     void requeue(Task& task, Utils::TimePoint retryAt);
+    static Utils::Duration pauseAfterLostStart(const Task& task, Utils::TimePoint now);
     void finishTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
     void failTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
     void failJobIfExhausted(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
@@ -392,6 +393,7 @@
     std::set<Ports::TaskKey> tasksWithPresumedCrashes_; //!< May include others.
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
+    bool hasPausedTasks_ = false; //!< The last scheduling pass left out tasks that pause before a retry.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
 
     std::unique_ptr<InflightBatch> inflightBatch_;
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -55,7 +55,7 @@
     if (hasWaitingTasks_ && now - lastScheduledAt_ > waitingRetryInterval)
         isScheduleDue_ = true;
     for (const auto& [id, job] : jobs_) {
-        if (hasWaitingTasks_ || job->hasTransfers)
+        if (hasWaitingTasks_ || hasPausedTasks_ || job->hasTransfers)
             tickTransfers(*job, now);
         if (job->isActive() && job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)
             isScheduleDue_ = true;
--- a/tests/auto/fleet/tst_waitbounds.cpp
+++ b/tests/auto/fleet/tst_waitbounds.cpp
@@ -144,3 +144,20 @@
     fixture.submit("second", makeStep(1, 1000, 500));
     CHECK(fixture.timeToRun("second") < waitBound);
 }
+
+TEST_CASE("A task whose starts all workers of its shard refuse or lose moves to another shard")
+{
+    WaitFixture fixture(2);
+    SECTION("refuse")
+    {
+        fixture.refusingWorkers = { "w0", "w1" };
+    }
+    SECTION("lose")
+    {
+        fixture.unansweringWorkers = { "w0", "w1" };
+    }
+    fixture.output.shardWithCapacity = "host";
+    fixture.submit("job", makeStep(1, 1000, 500));
+    fixture.advance(waitBound);
+    CHECK_FALSE(fixture.output.delegations.empty());
+}
