--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -19,6 +19,9 @@
 // Time for which a task waits on its own shard before it is delegated. It lets short tasks end or a
 // relocation free capacity, and is well below the time for which a caller may find a task missing.
 constexpr milliseconds delegationDelay { 1800 };
+// A task that was returned waits longer each time, so that it does not move to and fro, but not beyond the
+// time for which nothing of a job may run while there is room.
+constexpr milliseconds maxDelegationDelay { 2700 };
 // Time for which a task that ends waits in its host shard before it is returned.
 constexpr milliseconds returnDelay { 3000 };
 // The same if no worker of this shard has the label or the size that the task needs. Long enough for the list
@@ -70,7 +73,9 @@
         return now - task.waitingSince > unsuitableShardDelay;
     if (job.isHosted() && !job.step(task).lasting())
         return now - task.waitingSince > returnDelay;
-    return now - task.waitingSince > (1 + task.returnCount) * delegationDelay;
+    const Utils::Duration delay
+        = std::min<Utils::Duration>((1 + task.returnCount) * delegationDelay, maxDelegationDelay);
+    return now - task.waitingSince > delay;
 }
 
 // A shard without a current list of workers may have suitable ones.
--- a/tests/auto/fleet/tst_waitbounds.cpp
+++ b/tests/auto/fleet/tst_waitbounds.cpp
@@ -161,3 +161,20 @@
     fixture.advance(waitBound);
     CHECK_FALSE(fixture.output.delegations.empty());
 }
+
+TEST_CASE("A task that other shards have returned is passed on within the same bound")
+{
+    WaitFixture fixture(0);
+    fixture.output.shardWithCapacity = "host";
+    fixture.submit("job", makeStep(1, 1000, 500));
+    for (std::uint32_t transfer = 1; transfer <= 6; ++transfer) {
+        fixture.advance(waitBound);
+        REQUIRE_FALSE(fixture.output.delegations.empty());
+        REQUIRE(fixture.output.delegations.back().transfer() == transfer);
+        FleetSchema::TaskResult result;
+        result.set_job("job");
+        result.set_transfer(transfer);
+        result.set_kind(FleetSchema::TASK_RETURNED);
+        fixture.scheduler.acceptTaskResult(result, 10 + transfer, fixture.now, fixture.unixMs());
+    }
+}
