--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -136,6 +136,7 @@
     hasWaitingTasks_ = false;
     hasPausedTasks_ = false;
     lastScheduledAt_ = now;
+    lastScheduledUnixMs_ = nowUnixMs;
     struct Candidate {
         JobRank rank;
         Job* job;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -383,6 +383,7 @@
     Utils::TimePoint groupingAllowedAt_ {};
     std::string lastGroupingSource_; //!< Worker last examined for a move of a latency-critical task.
     Utils::TimePoint lastScheduledAt_ {};
+    std::int64_t lastScheduledUnixMs_ = 0;
     FleetSchema::ShardLoad workerKinds_; //!< Only the kinds of the listed workers that do not drain.
     Utils::TimePoint workersReadAt_ {}; //!< When the latest list of workers started to be read.
     Utils::TimePoint waitsReviewedAt_ {};
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -57,7 +57,8 @@
     for (const auto& [id, job] : jobs_) {
         if (hasWaitingTasks_ || hasPausedTasks_ || job->hasTransfers)
             tickTransfers(*job, now);
-        if (job->isActive() && job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)
+        const bool hasBecomeDue = job->dueUnixMs(0) <= nowUnixMs && job->dueUnixMs(0) > lastScheduledUnixMs_;
+        if (job->isActive() && (hasBecomeDue || (job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)))
             isScheduleDue_ = true;
     }
     reviewWaits(now, nowUnixMs);
--- a/tests/auto/fleet/tst_waitbounds.cpp
+++ b/tests/auto/fleet/tst_waitbounds.cpp
@@ -178,3 +178,19 @@
         fixture.scheduler.acceptTaskResult(result, 10 + transfer, fixture.now, fixture.unixMs());
     }
 }
+
+TEST_CASE("A task starts at its time, whatever else happens in its shard")
+{
+    WaitFixture fixture(1);
+    for (const std::uint32_t occurrences : { 1U, 2U }) {
+        const std::string id = "job" + std::to_string(occurrences);
+        FleetSchema::JobSpec spec = makeJob(id, { makeStep(1, 1000, 60'000) });
+        spec.set_occurrences(occurrences);
+        spec.set_period_ms(60'000);
+        spec.set_first_start_unix_ms(fixture.unixMs() + 1000);
+        fixture.scheduler.submit(spec, 1, fixture.now, fixture.unixMs());
+        fixture.advance(900ms);
+        CHECK_FALSE(fixture.isRunning(id));
+        CHECK(fixture.timeToRun(id) <= 500ms);
+    }
+}
