--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -134,7 +134,6 @@
         return;
     isScheduleDue_ = false;
     hasWaitingTasks_ = false;
-    hasPausedTasks_ = false;
     lastScheduledAt_ = now;
     lastScheduledUnixMs_ = nowUnixMs;
     struct Candidate {
@@ -210,7 +209,6 @@
             continue;
         if (task.notBefore > now) {
             isScheduleDue_ = true;
-            hasPausedTasks_ = true;
             continue;
         }
         if (awaitsCrashVerdict(task))
@@ -345,6 +343,7 @@
     releaseWorker(task);
     task.phase = TaskPhase::Waiting;
     task.notBefore = retryAt;
+    latestRetryAt_ = std::max(latestRetryAt_, retryAt);
     task.progressPercent = 0;
     task.hasStarted = false;
     task.isProven = false;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -384,6 +384,7 @@
     std::string lastGroupingSource_; //!< Worker last examined for a move of a latency-critical task.
     Utils::TimePoint lastScheduledAt_ {};
     std::int64_t lastScheduledUnixMs_ = 0;
+    Utils::TimePoint latestRetryAt_ {}; //!< End of the latest pause before a retry.
     FleetSchema::ShardLoad workerKinds_; //!< Only the kinds of the listed workers that do not drain.
     Utils::TimePoint workersReadAt_ {}; //!< When the latest list of workers started to be read.
     Utils::TimePoint waitsReviewedAt_ {};
@@ -394,7 +395,6 @@
     std::set<Ports::TaskKey> tasksWithPresumedCrashes_; //!< May include others.
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
-    bool hasPausedTasks_ = false; //!< The last scheduling pass left out tasks that pause before a retry.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
 
     std::unique_ptr<InflightBatch> inflightBatch_;
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -51,11 +51,14 @@
         nowUnixMs);
     improveGrouping(now);
     interferenceCache_.reset();
+    // A pass before the end of a pause starts neither the task nor the other members of its gang.
+    if (lastScheduledAt_ < latestRetryAt_)
+        isScheduleDue_ = true;
     // Waiting tasks are reconsidered as time passes, not only when capacity becomes free.
     if (hasWaitingTasks_ && now - lastScheduledAt_ > waitingRetryInterval)
         isScheduleDue_ = true;
     for (const auto& [id, job] : jobs_) {
-        if (hasWaitingTasks_ || hasPausedTasks_ || job->hasTransfers)
+        if (hasWaitingTasks_ || now <= latestRetryAt_ || job->hasTransfers)
             tickTransfers(*job, now);
         const bool hasBecomeDue = job->dueUnixMs(0) <= nowUnixMs && job->dueUnixMs(0) > lastScheduledUnixMs_;
         if (job->isActive() && (hasBecomeDue || (job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)))
--- a/tests/auto/fleet/tst_waitbounds.cpp
+++ b/tests/auto/fleet/tst_waitbounds.cpp
@@ -116,6 +116,13 @@
     std::size_t answeredStops = 0;
 };
 
+FleetSchema::StepSpec makeGang(std::uint32_t count)
+{
+    FleetSchema::StepSpec step = makeStep(count, 1000, 500);
+    step.set_gang(true);
+    return step;
+}
+
 } // namespace
 
 TEST_CASE("A long-running task that fits on no worker keeps no worker free")
@@ -194,3 +201,24 @@
         CHECK(fixture.timeToRun(id) <= 500ms);
     }
 }
+
+TEST_CASE("A gang whose starts were refused once starts again without another event")
+{
+    WaitFixture fixture(2);
+    fixture.refusingWorkers = { "w0", "w1" };
+    fixture.submit("gang", makeGang(2));
+    REQUIRE(fixture.output.starts.size() == 2);
+    fixture.refusingWorkers.clear();
+    fixture.advance(tickInterval / 2);
+    CHECK(fixture.timeToRun("gang") < waitBound);
+}
+
+TEST_CASE("A gang whose starts are refused again and again moves to another shard")
+{
+    WaitFixture fixture(2);
+    fixture.refusingWorkers = { "w0", "w1" };
+    fixture.output.shardWithCapacity = "host";
+    fixture.submit("gang", makeGang(2));
+    fixture.advance(waitBound);
+    CHECK(fixture.output.delegations.size() >= 2);
+}
