--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -352,6 +352,9 @@
     const Ports::CommandOutcome outcome = Utils::value(reply).outcome;
     if (outcome == Ports::CommandOutcome::Rejected || outcome == Ports::CommandOutcome::Fenced)
         return;
+    // The first answer counts: from a stopLimit after it, a report without the attempt shows its end.
+    if (task->isStopAnswered)
+        return;
     task->isStopAnswered = true;
     task->stopAnsweredAt = now;
 }
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -129,7 +129,10 @@
     }
     if (task.phase == TaskPhase::Stopping && now - task.stopSentAt > options_.stopRetryInterval) {
         task.stopSentAt = now;
-        if (!task.isStopAnswered)
+        // A worker that took the stop would have ended the attempt by now.
+        const bool isOverdue = task.isStopAnswered
+            && now - task.stopAnsweredAt > options_.stopLimit + options_.stopRetryInterval;
+        if (!task.isStopAnswered || isOverdue)
             output_.stopAttempt(worker.info.id, keyOf(task), task.attempt);
         return;
     }
--- a/tests/auto/fleet/tst_waitbounds.cpp
+++ b/tests/auto/fleet/tst_waitbounds.cpp
@@ -222,3 +222,19 @@
     fixture.advance(waitBound);
     CHECK(fixture.output.delegations.size() >= 2);
 }
+
+TEST_CASE("A stop is repeated while the worker lists the attempt, though it answered")
+{
+    WaitFixture fixture(1);
+    fixture.submit("job", makeLatencyCriticalStep(1, 4000, "api"));
+    REQUIRE(fixture.isRunning("job"));
+    fixture.unstoppingWorkers = { "w0" };
+    fixture.scheduler.cancel("job", 2, fixture.unixMs());
+    fixture.advance(1s);
+    const std::size_t stopCount = fixture.output.stops.size();
+    REQUIRE(stopCount > 0);
+    fixture.unstoppingWorkers.clear();
+    fixture.advance(waitBound);
+    CHECK(fixture.output.stops.size() > stopCount);
+    CHECK_FALSE(fixture.isRunning("job"));
+}
