--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -19,6 +19,9 @@
 // Time for which a task waits on its own shard before it is delegated. It lets short tasks end or a
 // relocation free capacity, and is well below the time for which a caller may find a task missing.
 constexpr milliseconds delegationDelay { 1800 };
+// A task that was returned waits longer each time, so that it does not move to and fro, but not beyond the
+// time for which nothing of a job may run while there is room.
+constexpr milliseconds maxDelegationDelay { 2700 };
 // Time for which a task that ends waits in its host shard before it is returned.
 constexpr milliseconds returnDelay { 3000 };
 // The same if no worker of this shard has the label or the size that the task needs. Long enough for the list
@@ -70,7 +73,9 @@
         return now - task.waitingSince > unsuitableShardDelay;
     if (job.isHosted() && !job.step(task).lasting())
         return now - task.waitingSince > returnDelay;
-    return now - task.waitingSince > (1 + task.returnCount) * delegationDelay;
+    const Utils::Duration delay
+        = std::min<Utils::Duration>((1 + task.returnCount) * delegationDelay, maxDelegationDelay);
+    return now - task.waitingSince > delay;
 }
 
 // A shard without a current list of workers may have suitable ones.
@@ -183,7 +188,8 @@
     hosted->originShard = originShard;
     hosted->hasTransfers = true;
     hosted->acceptedAt = now;
-    hosted->isStarted = true; // Only the origin shard may count the job as pending.
+    hosted->isStarted = true;
+    hosted->hasBegun = true;
     hosted->state = FleetSchema::JOB_RUNNING;
     for (Task& task : hosted->tasks)
         task.phase = TaskPhase::AtOrigin;
@@ -316,6 +322,9 @@
         task->crashes = result.crashes();
         task->checkpoint = result.checkpoint();
         job->isStarted = job->isStarted || task->attempt > 0;
+        // The host shard may have recorded the last attempt without a start. A failure or a crash shows one.
+        job->hasBegun = job->hasBegun || result.kind() == FleetSchema::TASK_COMPLETED || task->failures > 0
+            || task->crashes > 0;
         if (result.kind() == FleetSchema::TASK_COMPLETED) {
             finishTask(*task, now, nowUnixMs);
         } else {
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -138,6 +138,7 @@
     const bool wasPresumedLost = !task->isOpen() && end.outcome == Ports::AttemptOutcome::Done;
     if (!wasPresumedLost && task->worker != &worker)
         return;
+    job->hasBegun = true;
     output_.attemptEnded(worker.info.id, end.task, end.attempt, nameOf(end.outcome));
     if (isStorableCheckpoint(end.checkpoint))
         task->checkpoint = end.checkpoint;
@@ -211,6 +212,16 @@
         requestStop(*task, now);
 }
 
+// Returns the pause before the next attempt after a start that was not carried out. It is longer than the
+// time between two ticks once the task has waited for long, so that a tick can pass it to another shard.
+Utils::Duration ShardScheduler::pauseAfterLostStart(const Task& task, Utils::TimePoint now)
+{
+    constexpr milliseconds pause { 250 };
+    constexpr milliseconds longWait { 1000 };
+    const bool waitsLong = task.waitingSince != Utils::TimePoint {} && now - task.waitingSince > longWait;
+    return waitsLong ? pause : Utils::Duration::zero();
+}
+
 // Requeues the tasks of attempts that the report would list if they were running, but does not.
 void ShardScheduler::requeueMissingAttempts(Worker& worker, Utils::TimePoint sentAt,
     const Ports::WorkerReport& report, Utils::TimePoint now, std::int64_t nowUnixMs)
@@ -247,6 +258,14 @@
     worker.isResponsive = false;
 }
 
+// The worker may answer polls all the while, so another one is tried first.
+void ShardScheduler::giveUpStart(Task& task, Utils::TimePoint now)
+{
+    suspectWorker(*task.worker);
+    task.avoidedWorker = task.worker->info.id;
+    requestStop(task, now);
+}
+
 void ShardScheduler::onPollFailed(const std::string& id, bool isAbsent)
 {
     // A single failure may be caused by the connection; if a poll on a new connection fails as well, the
@@ -290,24 +309,26 @@
         return;
     // Pause before the next attempt after a start was rejected or could not be sent.
     constexpr milliseconds rejectionPause { 100 };
+    const auto retryAt
+        = [&] { return now + std::max<Utils::Duration>(rejectionPause, pauseAfterLostStart(*task, now)); };
     if (!Utils::isOk(reply)) {
         if (Utils::error(reply).code == Utils::ErrorCode::Unavailable) {
             output_.attemptEnded(id, key, attempt, "not-sent");
             task->avoidedWorker = id;
-            requeue(*task, now + rejectionPause);
+            requeue(*task, retryAt());
         } else if (task->phase == TaskPhase::Sent) {
-            suspectWorker(*task->worker);
-            requestStop(*task, now);
+            giveUpStart(*task, now);
         }
         return;
     }
     if (isRejected(Utils::value(reply).outcome)) {
         output_.attemptEnded(id, key, attempt, "start-refused");
         task->avoidedWorker = id;
-        requeue(*task, now + rejectionPause);
+        requeue(*task, retryAt());
         return;
     }
     task->hasStarted = true;
+    task->job->hasBegun = true;
     if (task->phase == TaskPhase::Sent) {
         task->phase = TaskPhase::Running;
         task->idleSince = {};
@@ -330,6 +351,9 @@
     const Ports::CommandOutcome outcome = Utils::value(reply).outcome;
     if (outcome == Ports::CommandOutcome::Rejected || outcome == Ports::CommandOutcome::Fenced)
         return;
+    // The first answer counts: from a stopLimit after it, a report without the attempt shows its end.
+    if (task->isStopAnswered)
+        return;
     task->isStopAnswered = true;
     task->stopAnsweredAt = now;
 }
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -135,6 +135,7 @@
     isScheduleDue_ = false;
     hasWaitingTasks_ = false;
     lastScheduledAt_ = now;
+    lastScheduledUnixMs_ = nowUnixMs;
     struct Candidate {
         JobRank rank;
         Job* job;
@@ -338,9 +339,13 @@
 // must have ended or never have been sent.
 void ShardScheduler::requeue(Task& task, Utils::TimePoint retryAt)
 {
+    // An attempt that is not known to have run does not end the wait.
+    if (task.isOpen() && !task.hasStarted && task.waitingSince == Utils::TimePoint {})
+        task.waitingSince = task.sentAt;
     releaseWorker(task);
     task.phase = TaskPhase::Waiting;
     task.notBefore = retryAt;
+    latestRetryAt_ = std::max(latestRetryAt_, retryAt);
     task.progressPercent = 0;
     task.hasStarted = false;
     task.isProven = false;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -308,6 +308,7 @@
     void relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now);
     void releaseWorker(Task& task);
     void requeue(Task& task, Utils::TimePoint retryAt);
+    static Utils::Duration pauseAfterLostStart(const Task& task, Utils::TimePoint now);
     void finishTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
     void failTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
     void failJobIfExhausted(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
@@ -339,6 +340,7 @@
     void endQuarantine(Worker& worker);
     std::int64_t extendLease(Worker& worker, Utils::Duration lease, Utils::TimePoint now);
     static void suspectWorker(Worker& worker);
+    void giveUpStart(Task& task, Utils::TimePoint now);
     void onJobCommitted(const BatchedJob& stored, Utils::TimePoint now);
     void sendRecorded(Task& task, Utils::TimePoint now);
     void sendStart(Task& task, Utils::TimePoint now);
@@ -386,6 +388,8 @@
     Utils::TimePoint groupingAllowedAt_ {};
     std::string lastGroupingSource_; //!< Worker last examined for a move of a latency-critical task.
     Utils::TimePoint lastScheduledAt_ {};
+    std::int64_t lastScheduledUnixMs_ = 0;
+    Utils::TimePoint latestRetryAt_ {}; //!< End of the latest pause before a retry.
     FleetSchema::ShardLoad workerKinds_; //!< Only the kinds of the listed workers that do not drain.
     Utils::TimePoint workersReadAt_ {}; //!< When the latest list of workers started to be read.
     Utils::TimePoint waitsReviewedAt_ {};
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -51,13 +51,17 @@
         nowUnixMs);
     improveGrouping(now);
     interferenceCache_.reset();
+    // A pass before the end of a pause starts neither the task nor the other members of its gang.
+    if (lastScheduledAt_ < latestRetryAt_)
+        isScheduleDue_ = true;
     // Waiting tasks are reconsidered as time passes, not only when capacity becomes free.
     if (hasWaitingTasks_ && now - lastScheduledAt_ > waitingRetryInterval)
         isScheduleDue_ = true;
     for (const auto& [id, job] : jobs_) {
-        if (hasWaitingTasks_ || job->hasTransfers)
+        if (hasWaitingTasks_ || now <= latestRetryAt_ || job->hasTransfers)
             tickTransfers(*job, now);
-        if (job->isActive() && job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)
+        const bool hasBecomeDue = job->dueUnixMs(0) <= nowUnixMs && job->dueUnixMs(0) > lastScheduledUnixMs_;
+        if (job->isActive() && (hasBecomeDue || (job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)))
             isScheduleDue_ = true;
     }
     queryOrigins(now);
@@ -121,13 +125,15 @@
     const Worker& worker = *task.worker;
     const FleetSchema::StepSpec& step = task.job->step(task);
     if (task.phase == TaskPhase::Sent && now - task.sentAt > options_.startTimeout) {
-        suspectWorker(*task.worker);
-        requestStop(task, now);
+        giveUpStart(task, now);
         return;
     }
     if (task.phase == TaskPhase::Stopping && now - task.stopSentAt > options_.stopRetryInterval) {
         task.stopSentAt = now;
-        if (!task.isStopAnswered)
+        // A worker that took the stop would have ended the attempt by now.
+        const bool isOverdue = task.isStopAnswered
+            && now - task.stopAnsweredAt > options_.stopLimit + options_.stopRetryInterval;
+        if (!task.isStopAnswered || isOverdue)
             output_.stopAttempt(worker.info.id, keyOf(task), task.attempt);
         return;
     }
--- /dev/null
+++ b/tests/auto/fleet/tst_waitbounds.cpp
@@ -0,0 +1,240 @@
+// Places where a task whose turn has come waits, each at the bound that docs/design/waits.md names.
+
+#include "fleetfixtures.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace std::chrono_literals;
+using namespace Testing;
+
+namespace {
+
+// The longest time for which nothing of a job may run while workers have room for it.
+constexpr Utils::Duration waitBound = 3s;
+constexpr Utils::Duration tickInterval = 100ms;
+
+/*! A shard whose workers answer polls and stops, and starts as the test demands. */
+struct WaitFixture : SchedulerFixture {
+    using SchedulerFixture::SchedulerFixture;
+
+    void submit(const std::string& job, const FleetSchema::StepSpec& step)
+    {
+        scheduler.submit(makeJob(job, { step }), 1, now, unixMs());
+        advance(tickInterval);
+    }
+
+    std::int64_t unixMs() const
+    {
+        return testStartUnixMs
+            + std::chrono::duration_cast<std::chrono::milliseconds>(now - testStart).count();
+    }
+
+    void advance(Utils::Duration duration)
+    {
+        for (const Utils::TimePoint end = now + duration; now < end;) {
+            now += std::min<Utils::Duration>(tickInterval, end - now);
+            for (const std::string& worker : workers)
+                reportRunning(worker);
+            scheduler.onTick(now, unixMs());
+            runRound();
+            // A node runs another one at once if the first one has changed something.
+            runRound();
+        }
+    }
+
+    /*! \return how long it takes until a task of the job runs; the limit if none does within it. */
+    Utils::Duration timeToRun(const std::string& job, Utils::Duration limit = 2 * waitBound)
+    {
+        const Utils::TimePoint start = now;
+        while (!isRunning(job) && now - start < limit)
+            advance(tickInterval);
+        return now - start;
+    }
+
+    bool isRunning(const std::string& job) const
+    {
+        return std::any_of(running.begin(), running.end(),
+            [&](const Fleet::AttemptStart& start) { return start.task.job == job; });
+    }
+
+    std::set<std::string> refusingWorkers;
+    std::set<std::string> unansweringWorkers; //!< Starts sent to them are lost.
+    std::set<std::string> unstoppingWorkers; //!< They answer stops and let the attempts run on.
+
+private:
+    void runRound()
+    {
+        scheduler.schedule(now, unixMs());
+        if (scheduler.beginCommit(unixMs()))
+            scheduler.onCommitted(now);
+        answerStarts();
+        answerStops();
+    }
+
+    void reportRunning(const std::string& worker)
+    {
+        Ports::WorkerReport content;
+        for (const Fleet::AttemptStart& attempt : running) {
+            if (attempt.worker == worker)
+                content.running.push_back({ attempt.task, attempt.attempt, {}, 100, 0 });
+        }
+        report(worker, content);
+    }
+
+    void answerStarts()
+    {
+        for (; confirmedStarts < output.starts.size(); ++confirmedStarts) {
+            const Fleet::AttemptStart start = output.starts[confirmedStarts];
+            if (unansweringWorkers.contains(start.worker))
+                continue;
+            Ports::CommandReply reply;
+            if (refusingWorkers.contains(start.worker))
+                reply.outcome = Ports::CommandOutcome::Rejected;
+            else
+                running.push_back(start);
+            scheduler.onStartReply(start.worker, start.task, start.attempt, reply, now);
+        }
+    }
+
+    void answerStops()
+    {
+        for (; answeredStops < output.stops.size(); ++answeredStops) {
+            const RecordingOutput::Command stop = output.stops[answeredStops];
+            if (!unstoppingWorkers.contains(stop.worker)) {
+                std::erase_if(running, [&](const Fleet::AttemptStart& start) {
+                    return start.worker == stop.worker && start.task == stop.task
+                        && start.attempt == stop.number;
+                });
+            }
+            scheduler.onStopReply(stop.worker, stop.task, stop.number, Ports::CommandReply {}, now);
+        }
+    }
+
+    std::size_t answeredStops = 0;
+};
+
+FleetSchema::StepSpec makeGang(std::uint32_t count)
+{
+    FleetSchema::StepSpec step = makeStep(count, 1000, 500);
+    step.set_gang(true);
+    return step;
+}
+
+} // namespace
+
+TEST_CASE("A long-running task that fits on no worker keeps no worker free")
+{
+    FleetSchema::StepSpec lasting = makeLatencyCriticalStep(2, 30'000, "api");
+    SECTION("for want of accelerators")
+    {
+        lasting.set_accelerators(1);
+    }
+    SECTION("for want of memory")
+    {
+        lasting.set_memory_mb(200'000);
+    }
+    WaitFixture fixture(2);
+    fixture.submit("lasting", lasting);
+    fixture.submit("short", makeStep(1, 4000, 500));
+    CHECK(fixture.timeToRun("short") < waitBound);
+}
+
+TEST_CASE("A task whose start one worker does not answer runs on another one")
+{
+    WaitFixture fixture(2);
+    fixture.unansweringWorkers = { "w0" };
+    fixture.submit("first", makeStep(1, 4000, 500));
+    CHECK(fixture.timeToRun("first") < waitBound);
+    fixture.submit("second", makeStep(1, 1000, 500));
+    CHECK(fixture.timeToRun("second") < waitBound);
+}
+
+TEST_CASE("A task whose starts all workers of its shard refuse or lose moves to another shard")
+{
+    WaitFixture fixture(2);
+    SECTION("refuse")
+    {
+        fixture.refusingWorkers = { "w0", "w1" };
+    }
+    SECTION("lose")
+    {
+        fixture.unansweringWorkers = { "w0", "w1" };
+    }
+    fixture.output.shardWithCapacity = "host";
+    fixture.submit("job", makeStep(1, 1000, 500));
+    fixture.advance(waitBound);
+    CHECK_FALSE(fixture.output.delegations.empty());
+}
+
+TEST_CASE("A task that other shards have returned is passed on within the same bound")
+{
+    WaitFixture fixture(0);
+    fixture.output.shardWithCapacity = "host";
+    fixture.submit("job", makeStep(1, 1000, 500));
+    for (std::uint32_t transfer = 1; transfer <= 6; ++transfer) {
+        fixture.advance(waitBound);
+        REQUIRE_FALSE(fixture.output.delegations.empty());
+        REQUIRE(fixture.output.delegations.back().transfer() == transfer);
+        FleetSchema::TaskResult result;
+        result.set_job("job");
+        result.set_transfer(transfer);
+        result.set_kind(FleetSchema::TASK_RETURNED);
+        fixture.scheduler.acceptTaskResult(result, 10 + transfer, fixture.now, fixture.unixMs());
+    }
+}
+
+TEST_CASE("A task starts at its time, whatever else happens in its shard")
+{
+    WaitFixture fixture(1);
+    for (const std::uint32_t occurrences : { 1U, 2U }) {
+        const std::string id = "job" + std::to_string(occurrences);
+        FleetSchema::JobSpec spec = makeJob(id, { makeStep(1, 1000, 60'000) });
+        spec.set_occurrences(occurrences);
+        spec.set_period_ms(60'000);
+        spec.set_first_start_unix_ms(fixture.unixMs() + 1000);
+        fixture.scheduler.submit(spec, 1, fixture.now, fixture.unixMs());
+        fixture.advance(900ms);
+        CHECK_FALSE(fixture.isRunning(id));
+        CHECK(fixture.timeToRun(id) <= 500ms);
+    }
+}
+
+TEST_CASE("A gang whose starts were refused once starts again without another event")
+{
+    WaitFixture fixture(2);
+    fixture.refusingWorkers = { "w0", "w1" };
+    fixture.submit("gang", makeGang(2));
+    REQUIRE(fixture.output.starts.size() == 2);
+    fixture.refusingWorkers.clear();
+    fixture.advance(tickInterval / 2);
+    CHECK(fixture.timeToRun("gang") < waitBound);
+}
+
+TEST_CASE("A gang whose starts are refused again and again moves to another shard")
+{
+    WaitFixture fixture(2);
+    fixture.refusingWorkers = { "w0", "w1" };
+    fixture.output.shardWithCapacity = "host";
+    fixture.submit("gang", makeGang(2));
+    fixture.advance(waitBound);
+    CHECK(fixture.output.delegations.size() >= 2);
+}
+
+TEST_CASE("A stop is repeated while the worker lists the attempt, though it answered")
+{
+    WaitFixture fixture(1);
+    fixture.submit("job", makeLatencyCriticalStep(1, 4000, "api"));
+    REQUIRE(fixture.isRunning("job"));
+    fixture.unstoppingWorkers = { "w0" };
+    fixture.scheduler.cancel("job", 2, fixture.unixMs());
+    fixture.advance(1s);
+    const std::size_t stopCount = fixture.output.stops.size();
+    REQUIRE(stopCount > 0);
+    fixture.unstoppingWorkers.clear();
+    fixture.advance(waitBound);
+    CHECK(fixture.output.stops.size() > stopCount);
+    CHECK_FALSE(fixture.isRunning("job"));
+}
