--- a/src/libs/fleet/interference.cpp
+++ b/src/libs/fleet/interference.cpp
@@ -24,6 +24,9 @@
 // Time for which a latency-critical task may be over its target. After that, all best-effort tasks on its
 // worker are throttled to zero, whatever the model predicts.
 constexpr milliseconds overTargetTolerance { 2200 };
+// A task that was over its target counts as under it again when its tail latency is below this share of the
+// target. Reported tail latencies are rough and in whole milliseconds.
+constexpr double recoveredShare = 0.95;
 // Utilization below which the interference of a task is ignored; throttling the task would have no effect.
 constexpr double negligibleUtilization = 0.01;
 
@@ -100,9 +103,11 @@
         const double total = model.utilization(imageOf(*task), static_cast<double>(task->reportedLoad));
         const double own = std::max(0.0, total - model.addedUtilization(imageOf(*task), colocated));
         task->ownUtilization += ownUtilizationGain * (own - task->ownUtilization);
-        if (task->reportedLoad <= static_cast<std::int64_t>(task->job->step(*task).tail_target_ms()))
+        const double target = task->job->step(*task).tail_target_ms();
+        const double reported = static_cast<double>(task->reportedLoad);
+        if (reported <= target * recoveredShare)
             task->overTargetSince = {};
-        else if (task->overTargetSince == Utils::TimePoint {})
+        else if (reported > target && task->overTargetSince == Utils::TimePoint {})
             task->overTargetSince = now;
     }
 }
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -84,7 +84,8 @@
     bool wasThrottled = false; //!< The run time of the attempt is not representative.
     std::int64_t reportedLoad = 0; //!< As in Ports::RunningAttempt.
     double ownUtilization = 0.5; //!< Utilization of a latency-critical task without colocated tasks.
-    //! Since when the tail latency is over the target; the clock's epoch if it is not.
+    //! Since when the tail latency is over the target, or not clearly below it again; the clock's epoch if it
+    //! is not.
     Utils::TimePoint overTargetSince {};
 
     /*! \return the latest starts in a row after which the worker is known to have crashed. */
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -180,6 +180,28 @@
     CHECK(changes[0].speedPercent == 0);
 }
 
+TEST_CASE("A tail latency that varies around the target counts as over it until it is clearly below")
+{
+    Fleet::TailLatencyModel model;
+    WorkerPool fleet(1);
+    Fleet::Worker& worker = *fleet.workers[0];
+    Fleet::Task& critical = fleet.runTask(makeLatencyCriticalStep(1, 6000, "serving"), worker);
+    critical.progressPercent = 100;
+    const auto target = static_cast<std::int64_t>(critical.job->step(critical).tail_target_ms());
+    const auto report = [&](std::int64_t tailLatencyMs, Utils::Duration later) {
+        critical.reportedLoad = tailLatencyMs;
+        Fleet::processTailLatencies(worker, model, testStart + later);
+        return Fleet::isPersistentlyOverTarget(critical, testStart + later);
+    };
+    CHECK_FALSE(report(target, 0s));
+    CHECK_FALSE(report(target + 1, 100ms));
+    CHECK_FALSE(report(target, 1s));
+    CHECK_FALSE(report(target + 1, 2s));
+    CHECK(report(target, 2500ms));
+    CHECK_FALSE(report(target * 9 / 10, 3s));
+    CHECK_FALSE(report(target + 1, 3500ms));
+}
+
 TEST_CASE("Best-effort tasks beyond the unused processors wait instead of slowing down running ones")
 {
     const Fleet::TailLatencyModel model;
