--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -319,6 +319,8 @@
         task->startClockMs = Utils::value(reply).clockMs;
         if (!task->job->isActive())
             requestStop(*task, now);
+        else if (task->job->step(*task).leftover_processors())
+            adjustSpeeds(*task->worker, now);
     }
 }
 
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -36,7 +36,7 @@
 constexpr double crashedWorkerWeight = 2000.0;
 
 // A task that interferes with every latency-critical task in reach waits this long for a worker that allows
-// full speed. Then, if no other task of its job runs, it starts throttled to the speed that the
+// full speed. Then, if no other task of its job is at work, it starts throttled to the speed that the
 // latency-critical tasks tolerate.
 constexpr std::chrono::milliseconds fullSpeedWaitLimit { 5000 };
 constexpr double starvedSpeed = 0.25;
@@ -47,11 +47,18 @@
 // waits only for idleFleetWaitLimit.
 constexpr double idleDemandShare = 0.5;
 constexpr std::chrono::milliseconds idleFleetWaitLimit { 1200 };
+// A job must not go without a run for 3 s where less than half of the processors is committed. Best-effort
+// tasks commit none. This leaves a second to find a worker, store the attempt and start it.
+constexpr std::chrono::milliseconds starvedWaitLimit { 2000 };
+// Reported tail latencies are those of the last half second.
+constexpr std::chrono::milliseconds settlingTime { 600 };
 // A task that has failed is a poor probe of a worker, so it waits this long for other workers. Where all of
 // them are quarantined and no other task waits, it is the only probe.
 constexpr std::chrono::milliseconds probeDelayOfFailedTask { 2200 };
 
-bool isMostlyIdle(std::span<Worker* const> workers)
+enum class BestEffortDemand { Counts, IsIgnored };
+
+bool isMostlyIdle(std::span<Worker* const> workers, BestEffortDemand bestEffortDemand)
 {
     std::int64_t capacity = 0;
     std::int64_t requested = 0; // Latency-critical tasks count by their assumed use, others by their request.
@@ -60,6 +67,8 @@
             continue;
         capacity += worker->info.milliProcessors;
         requested += worker->info.milliProcessors - worker->unusedMilliProcessors();
+        if (bestEffortDemand == BestEffortDemand::IsIgnored)
+            requested -= worker->bestEffortMilliProcessors;
     }
     return static_cast<double>(requested) < idleDemandShare * static_cast<double>(capacity);
 }
@@ -73,30 +82,37 @@
     return now - (isIdleLonger ? task.idleSince : task.waitingSince);
 }
 
-} // namespace
-
-namespace {
+// Whether the task runs or is about to. One on a worker that does not answer may have been lost with it.
+bool isAtWork(const Task& task)
+{
+    return task.isOpen() && task.phase != TaskPhase::Unverified && task.worker->isResponsive;
+}
 
-double startSpeed(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
+// Whether the task may start throttled because nothing of its job has run for long.
+bool mayStartThrottled(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
-    if (!task.job->step(task).leftover_processors() || waitOf(task, now) < idleFleetWaitLimit)
-        return 1;
+    const Utils::Duration wait = waitOf(task, now);
+    if (!task.job->step(task).leftover_processors() || wait < idleFleetWaitLimit)
+        return false;
     const std::vector<Task>& tasks = task.job->tasks;
-    if (std::any_of(tasks.begin(), tasks.end(), [](const Task& other) { return other.isOpen(); }))
-        return 1;
-    if (isMostlyIdle(workers) || waitOf(task, now) >= throttledWaitLimit)
-        return 0;
-    return waitOf(task, now) < fullSpeedWaitLimit ? 1 : starvedSpeed;
+    if (std::any_of(tasks.begin(), tasks.end(), isAtWork))
+        return false;
+    return wait >= fullSpeedWaitLimit || isMostlyIdle(workers, BestEffortDemand::Counts)
+        || (wait >= starvedWaitLimit && isMostlyIdle(workers, BestEffortDemand::IsIgnored));
 }
 
 } // namespace
 
 SearchTerms searchTermsOf(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
+    const Utils::Duration wait = waitOf(task, now);
     SearchTerms terms;
-    terms.speed = startSpeed(task, workers, now);
-    terms.mayStartThrottledToZero = waitOf(task, now) >= throttledWaitLimit;
-    terms.mayProbe = task.failures == 0 || waitOf(task, now) >= probeDelayOfFailedTask;
+    terms.mayProbe = task.failures == 0 || wait >= probeDelayOfFailedTask;
+    if (!mayStartThrottled(task, workers, now))
+        return terms;
+    const bool isIdle = isMostlyIdle(workers, BestEffortDemand::IsIgnored);
+    terms.speed = isIdle || wait >= throttledWaitLimit ? 0 : starvedSpeed;
+    terms.mayStartThrottledToZero = wait >= (isIdle ? starvedWaitLimit : throttledWaitLimit);
     return terms;
 }
 
@@ -130,27 +146,57 @@
                       : maxAddedUtilization(worker, step, view.model);
 }
 
+std::int64_t throttledMilliProcessors(const Worker& worker)
+{
+    std::int64_t throttled = 0;
+    for (const Task* task : worker.tasks) {
+        const FleetSchema::StepSpec& step = task->job->step(*task);
+        if (step.leftover_processors())
+            throttled += step.milli_processors() * (100 - task->speedPercent) / 100;
+    }
+    return throttled;
+}
+
+// Tasks that are throttled now need their processors later, so only a starved task may use them.
+std::int64_t processorsFor(const Worker& worker, const SearchTerms& terms)
+{
+    return worker.unusedMilliProcessors() + (terms.speed < 1 ? throttledMilliProcessors(worker) : 0);
+}
+
+bool hasTaskOverTarget(const Worker& worker, Utils::TimePoint now)
+{
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(),
+        [now](const Task* task) { return isPersistentlyOverTarget(*task, now); });
+}
+
+// Returns whether the tasks over their target have stayed there although nothing beside them has been at work
+// for settlingTime.
+bool isOverTargetByItself(const Worker& worker, Utils::TimePoint now)
+{
+    return std::all_of(worker.tasks.begin(), worker.tasks.end(), [now](const Task* task) {
+        if (task->job->step(*task).leftover_processors())
+            return task->speedPercent == 0 && now - task->throttledSince >= settlingTime;
+        return !isPersistentlyOverTarget(*task, now) || isPersistentlyOverTarget(*task, now - settlingTime);
+    });
+}
+
 // Best-effort tasks commit no processors, so whether one fits depends on what the others use.
 PlacementObstacle obstacleToBestEffort(const Task& task, const Worker& worker, const InterferenceView& view,
     const SearchTerms& terms, Utils::TimePoint now)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     // A task larger than its worker would wait forever, so a worker without best-effort tasks accepts it.
-    if (worker.bestEffortMilliProcessors > 0 && step.milli_processors() > worker.unusedMilliProcessors())
+    if (worker.bestEffortMilliProcessors > 0 && step.milli_processors() > processorsFor(worker, terms))
         return PlacementObstacle::Full;
     if (headroomFor(step, worker, view, terms.speed) < 0)
         return PlacementObstacle::Interference;
-    const bool hasTaskOverTarget = std::any_of(worker.tasks.begin(), worker.tasks.end(),
-        [now](const Task* other) { return isPersistentlyOverTarget(*other, now); });
-    if (!hasTaskOverTarget)
+    if (!hasTaskOverTarget(worker, now))
         return PlacementObstacle::None;
-    // A task started on such a worker would interfere at least until the worker's next report, and so would
-    // each task started after it. One that has waited for long may start once the others there are throttled.
-    const bool isThrottled = std::all_of(worker.tasks.begin(), worker.tasks.end(), [](const Task* other) {
-        return !other->job->step(*other).leftover_processors() || other->speedPercent == 0;
-    });
-    return terms.speed == 0 && isThrottled && terms.mayStartThrottledToZero ? PlacementObstacle::None
-                                                                            : PlacementObstacle::Interference;
+    // A task started on such a worker interferes until it is throttled, and so would each task started after
+    // it. One that has waited for long may start once it is certain that the others there are not the cause.
+    const bool canBeThrottled = terms.speed == 0 && terms.mayStartThrottledToZero;
+    return canBeThrottled && isOverTargetByItself(worker, now) ? PlacementObstacle::None
+                                                               : PlacementObstacle::Interference;
 }
 
 // Long-running tasks that are at work on a quarantined worker show nothing about new ones.
--- a/tests/auto/fleet/tst_interference.cpp
+++ b/tests/auto/fleet/tst_interference.cpp
@@ -18,6 +18,10 @@
 constexpr double baseTailLatencyMs = 4;
 constexpr double highPressure = 1.5;
 constexpr double lowPressure = 0.15;
+// Under half of the capacity in use, a job must not go without a run for 3 s. The rest is for storing the
+// attempt and starting it.
+constexpr Utils::Duration waitBound = 3s;
+constexpr Utils::Duration searchBound = waitBound - 500ms;
 
 // Trains a model with tail latencies as workers report them, in whole milliseconds, of a queue whose own
 // load varies.
@@ -274,6 +278,8 @@
     critical.overTargetSince = testStart;
     Fleet::Task& mild = fleet.makeTask(makeBestEffortStep(1, 1000, "mild"));
     mild.waitingSince = testStart;
+    // In a shard of which more than half is in use.
+    fleet.runTask(makeStep(1, 14'000, 1000), worker);
     CHECK(Fleet::chooseWorker(mild, fleet.workerPointers, { model }, testStart + 6s) == nullptr);
     CHECK(Fleet::chooseWorker(mild, fleet.workerPointers, { model }, testStart + 8s) == &worker);
     fleet.runTask(makeBestEffortStep(1, 1000, "mild"), worker);
@@ -282,6 +288,114 @@
     CHECK(changes[0].speedPercent == 0);
 }
 
+TEST_CASE("In an idle shard, a job without a run starts beside a task that stays over its target")
+{
+    const Fleet::TailLatencyModel model = trainedModel(18);
+    WorkerPool fleet(1);
+    Fleet::Worker& worker = *fleet.workers[0];
+    Fleet::Task& critical = fleet.runTask(makeLatencyCriticalStep(1, 6000, "serving"), worker);
+    critical.ownUtilization = 0.9;
+    critical.overTargetSince = testStart - 10s;
+    Fleet::Task& mild = fleet.makeTask(makeBestEffortStep(1, 1000, "mild"));
+    mild.waitingSince = testStart;
+    CHECK(Fleet::chooseWorker(mild, fleet.workerPointers, { model }, testStart + 1s) == nullptr);
+    CHECK(Fleet::chooseWorker(mild, fleet.workerPointers, { model }, testStart + searchBound) == &worker);
+    // A task at work that is not throttled yet might be what keeps the other over its target.
+    Fleet::Task& other = fleet.runTask(makeBestEffortStep(1, 1000, "mild"), worker);
+    CHECK(Fleet::chooseWorker(mild, fleet.workerPointers, { model }, testStart + searchBound) == nullptr);
+    other.speedPercent = 0;
+    other.throttledSince = testStart + searchBound - 100ms;
+    CHECK(Fleet::chooseWorker(mild, fleet.workerPointers, { model }, testStart + searchBound) == nullptr);
+    other.throttledSince = testStart;
+    CHECK(Fleet::chooseWorker(mild, fleet.workerPointers, { model }, testStart + searchBound) == &worker);
+}
+
+TEST_CASE("Best-effort tasks, which commit no processors, do not make a job without a run wait for longer")
+{
+    const Fleet::TailLatencyModel model = trainedModel(17);
+    WorkerPool fleet(1);
+    Fleet::Worker& worker = *fleet.workers[0];
+    fleet.runTask(makeLatencyCriticalStep(1, 6000, "serving"), worker).ownUtilization = 0.55;
+    for (int number = 0; number < 4; ++number)
+        fleet.runTask(makeBestEffortStep(1, 4000, "mild"), worker);
+    Fleet::Task& hot = fleet.makeTask(makeBestEffortStep(1, 4000, "hot"));
+    hot.waitingSince = testStart;
+    CHECK(Fleet::chooseWorker(hot, fleet.workerPointers, { model }, testStart + 1s) == nullptr);
+    CHECK(Fleet::chooseWorker(hot, fleet.workerPointers, { model }, testStart + searchBound) == &worker);
+}
+
+TEST_CASE("A job without a run may use the processors of tasks that are throttled, and no others")
+{
+    const Fleet::TailLatencyModel model = trainedModel(17);
+    WorkerPool fleet(1);
+    Fleet::Worker& worker = *fleet.workers[0];
+    for (int number = 0; number < 8; ++number)
+        fleet.runTask(makeBestEffortStep(1, 4000, "mild"), worker);
+    Fleet::Task& task = fleet.makeTask(makeBestEffortStep(1, 4000, "mild"));
+    task.waitingSince = testStart;
+    CHECK(Fleet::chooseWorker(task, fleet.workerPointers, { model }, testStart + searchBound) == nullptr);
+    for (Fleet::Task* running : worker.tasks)
+        running->speedPercent = 0;
+    CHECK(Fleet::chooseWorker(task, fleet.workerPointers, { model }, testStart + 1s) == nullptr);
+    CHECK(Fleet::chooseWorker(task, fleet.workerPointers, { model }, testStart + searchBound) == &worker);
+}
+
+TEST_CASE("A task on a worker that does not answer does not make the others of its job wait")
+{
+    const Fleet::TailLatencyModel model = trainedModel(17);
+    WorkerPool fleet(2);
+    Fleet::Worker& worker = *fleet.workers[0];
+    Fleet::Worker& silent = *fleet.workers[1];
+    fleet.runTask(makeLatencyCriticalStep(1, 6000, "serving"), worker).ownUtilization = 0.55;
+    Fleet::Task& lost = fleet.makeTask(makeBestEffortStep(2, 4000, "hot"));
+    Fleet::Task& waiting = lost.job->tasks[1];
+    Fleet::addAttempt(lost, silent);
+    lost.worker = &silent;
+    waiting.waitingSince = testStart;
+    const auto choose = [&](Fleet::TaskPhase phase, bool isResponsive) {
+        lost.phase = phase;
+        silent.isResponsive = isResponsive;
+        // No task can be started there.
+        silent.info.isDraining = true;
+        return Fleet::chooseWorker(waiting, fleet.workerPointers, { model }, testStart + searchBound);
+    };
+    CHECK(choose(Fleet::TaskPhase::Running, true) == nullptr);
+    CHECK(choose(Fleet::TaskPhase::Running, false) == &worker);
+    CHECK(choose(Fleet::TaskPhase::Stopping, false) == &worker);
+    CHECK(choose(Fleet::TaskPhase::Unverified, false) == &worker);
+}
+
+TEST_CASE("A task that starts beside one over its target is throttled as soon as it is known to run")
+{
+    SchedulerFixture fixture(1);
+    fixture.scheduler.submit(
+        makeJob("serving", { makeLatencyCriticalStep(1, 6000, "serving") }), 1, fixture.now, testStartUnixMs);
+    fixture.scheduleAndCommit();
+    fixture.confirmStarts();
+    REQUIRE(fixture.running.size() == 1);
+    const Fleet::AttemptStart serving = fixture.running[0];
+    const auto advance = [&](Utils::Duration duration, std::size_t startCount) {
+        for (const Utils::TimePoint end = fixture.now + duration;
+             fixture.now < end && fixture.output.starts.size() < startCount;) {
+            fixture.now += 100ms;
+            Ports::WorkerReport content;
+            content.running.push_back({ serving.task, serving.attempt, {}, 100, 500 });
+            fixture.report("w0", content);
+            fixture.scheduler.onTick(fixture.now, testStartUnixMs);
+            fixture.scheduleAndCommit();
+        }
+    };
+    advance(4s, 2);
+    fixture.scheduler.submit(
+        makeJob("filling", { makeBestEffortStep(1, 1000, "mild") }), 2, fixture.now, testStartUnixMs);
+    advance(searchBound, 2);
+    REQUIRE(fixture.output.starts.size() == 2);
+    fixture.confirmStarts();
+    REQUIRE(fixture.output.throttles.size() == 1);
+    CHECK(fixture.output.throttles[0].task.job == "filling");
+    CHECK(fixture.output.throttles[0].number == 0);
+}
+
 TEST_CASE("Workers that cannot be used do not make a fleet seem idle")
 {
     const Fleet::TailLatencyModel model = trainedModel(17);
