--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -127,7 +127,8 @@
     /*!
         Reports that a worker is quarantined because tasks fail there, or is not any more.
 
-        \param time time for which it gets no task; 0 if a task has shown that it works again, or it has restarted.
+        \param time time for which it gets no task; 0 if a task has shown that it works again, or it has
+       restarted.
     */
     virtual void quarantineChanged(const std::string& worker, Utils::Duration time) = 0;
 
