--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gangshare.h"
 #include "waitreport.h"
 
 #include "placement/resources.h"
@@ -12,6 +13,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Fleet {
 
@@ -82,6 +84,30 @@
         Utils::Duration waited, std::span<const std::string> returnedBy)
         = 0;
 
+    /*!
+        Divides a gang that no single shard can run.
+
+        \param waited how long the gang has waited in this shard.
+        \param returnedBy shards that have returned the gang.
+        \return the shares of at least two shards, among which may be this one; empty if the shards together
+            have no free capacity, or one shard that has not returned the gang has it.
+    */
+    virtual std::vector<GangShare> divideGang(const FleetSchema::JobSpec& spec, std::uint32_t step,
+        Utils::Duration waited, std::span<const std::string> returnedBy)
+        = 0;
+
+    /*!
+        Tells the origin shard that this shard holds capacity for a part of a gang. Repeated while it does;
+       the answer is passed to onPartReadyAnswered().
+    */
+    virtual void sendPartReady(const std::string& originShard, const FleetSchema::GangPart& part) = 0;
+
+    /*!
+        Calls a host shard to start its part of a gang. The scheduler repeats the call until
+        onPartStartAnswered() is called.
+    */
+    virtual void startPart(const std::string& hostShard, const FleetSchema::GangPart& part) = 0;
+
     /*!
         Delegates a task to another shard, whose owner has to store it. The scheduler repeats the
         call until onDelegationStored() is called.
--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -1,5 +1,6 @@
 #include "shardchooser.h"
 
+#include "job.h"
 #include "workerkinds.h"
 
 #include <xxhash.h>
@@ -277,6 +278,53 @@
     return best;
 }
 
+std::uint32_t ShardChooser::countFreeSlots(const std::string& shard, const ShardOwnerInfo& owner,
+    const FleetSchema::StepSpec& step, std::size_t assigningNodes) const
+{
+    const FleetSchema::ShardLoad& load = owner.load;
+    if (load.capacity() <= 0 || !canHostPart(step, load) || isUnresponsive(shard, owner))
+        return 0;
+    const auto assigned = assigned_.find(shard);
+    const std::int64_t committed = load.committed()
+        + (assigned == assigned_.end()
+                ? 0
+                : static_cast<std::int64_t>(assigningNodes) * assigned->second.committed);
+    const double freeShare
+        = std::max(0.0, 1 - static_cast<double>(committed) / static_cast<double>(load.capacity()));
+    const auto slots = std::min<std::uint64_t>(countSlots(step, load), maxTasksPerJob);
+    return static_cast<std::uint32_t>(freeShare * static_cast<double>(slots));
+}
+
+std::vector<GangShare> ShardChooser::divideGang(
+    const FleetSchema::JobSpec& spec, std::uint32_t step, std::size_t assigningNodes) const
+{
+    const FleetSchema::StepSpec& stepSpec = spec.steps(static_cast<int>(step));
+    std::map<std::string, std::uint32_t> freeSlots;
+    std::uint32_t sum = 0;
+    for (const auto& [shard, owner] : owners_) {
+        const std::uint32_t slots = owner.load.service() == spec.service()
+            ? countFreeSlots(shard, owner, stepSpec, assigningNodes)
+            : 0;
+        if (slots == 0)
+            continue;
+        freeSlots[shard] = slots;
+        sum += slots;
+    }
+    if (sum < stepSpec.count())
+        return {};
+    // In proportion to the free slots, so that each shard has some left: not all of them need be usable.
+    std::vector<GangShare> shares;
+    std::uint32_t remaining = stepSpec.count();
+    for (const auto& [shard, slots] : freeSlots) {
+        const std::uint32_t count = std::min(slots, (remaining * slots + sum - 1) / sum);
+        remaining -= count;
+        sum -= slots;
+        if (count > 0)
+            shares.push_back({ shard, count });
+    }
+    return shares.size() < 2 ? std::vector<GangShare>() : shares;
+}
+
 void ShardChooser::countDelegation(
     const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step)
 {
--- a/src/libs/fleet/shardchooser.h
+++ b/src/libs/fleet/shardchooser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gangshare.h"
 #include "memberview.h"
 
 #include <fleet.pb.h>
@@ -7,6 +8,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace Fleet {
 
@@ -67,6 +69,16 @@
         std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes,
         std::span<const std::string> returnedBy = {});
 
+    /*!
+        Divides a gang among the shards of its service in proportion to their free capacity.
+
+        \param assigningNodes as for choose().
+        \return the shares; empty if the free capacity of all shards is too small, or that of one shard is
+       all.
+    */
+    std::vector<GangShare> divideGang(
+        const FleetSchema::JobSpec& spec, std::uint32_t step, std::size_t assigningNodes) const;
+
     /*! Counts a task as delegated to \p shard. */
     void countDelegation(const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step);
 
@@ -89,6 +101,8 @@
         const AssignedWork& assigned, std::size_t assigningNodes) const;
 
     bool isRunnable(const FleetSchema::JobSpec& spec) const;
+    std::uint32_t countFreeSlots(const std::string& shard, const ShardOwnerInfo& owner,
+        const FleetSchema::StepSpec& step, std::size_t assigningNodes) const;
     double delegationCostLimit(const std::string& originShard, const FleetSchema::JobSpec& spec,
         std::uint32_t step, Utils::Duration waited) const;
     bool mustLeave(const std::string& originShard, Utils::Duration waited) const;
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -51,7 +51,7 @@
 }
 
 // Returns why recorded attempts cannot be sent together; empty if they can.
-std::string_view findSendObstacle(const std::vector<Task*>& tasks)
+std::string_view findSendObstacle(std::span<Task* const> tasks)
 {
     std::map<const Worker*, Placement::Resources> sizes;
     for (const Task* task : tasks) {
@@ -255,8 +255,22 @@
     }
 }
 
+// Returns why recorded attempts must not be sent together; empty if they may.
+std::string_view ShardScheduler::findStartObstacle(std::span<Task* const> tasks, Utils::TimePoint now) const
+{
+    if (isWorkerListOutdated(now))
+        return "worker-list-outdated";
+    if (const std::string_view obstacle = findSendObstacle(tasks); !obstacle.empty())
+        return obstacle;
+    // A successor may have taken the shard over since the answer of the store was sent.
+    if (now > startRightEnd_)
+        return "ownership-unconfirmed";
+    const auto mayStart = [&](const Task* task) { return mayLease(*task->worker, startLease(), now); };
+    return std::all_of(tasks.begin(), tasks.end(), mayStart) ? "" : "worker-leaving";
+}
+
 // Sends a recorded attempt, or gives it up if its worker has changed meanwhile. The members of a gang are
-// sent together or not at all.
+// sent together or not at all; those of a part wait until all parts are ready.
 void ShardScheduler::sendRecorded(Task& task, Utils::TimePoint now)
 {
     Job& job = *task.job;
@@ -269,13 +283,9 @@
                 tasks.push_back(member);
         }
     }
-    std::string_view obstacle = isWorkerListOutdated(now) ? "worker-list-outdated" : findSendObstacle(tasks);
-    const auto mayStart = [&](const Task* member) { return mayLease(*member->worker, startLease(), now); };
-    // A successor may have taken the shard over since the answer of the store was sent.
-    if (obstacle.empty() && now > startRightEnd_)
-        obstacle = "ownership-unconfirmed";
-    if (obstacle.empty() && !std::all_of(tasks.begin(), tasks.end(), mayStart))
-        obstacle = "worker-leaving";
+    const std::string_view obstacle = findStartObstacle(tasks, now);
+    if (obstacle.empty() && task.part.size > 0)
+        return holdPart(tasks, now);
     for (Task* recorded : tasks) {
         if (obstacle.empty()) {
             sendStart(*recorded, now);
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -45,8 +45,12 @@
             return mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval;
         }))
         return cancelUnacknowledged(job, now);
+    sendPartStarts(job, now);
     for (Task& task : job.tasks) {
-        if (task.phase == TaskPhase::Delegated) {
+        const bool isWaitingForPart = task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Held;
+        if (task.part.size > 0 && isWaitingForPart) {
+            tickPart(task, now);
+        } else if (task.phase == TaskPhase::Delegated) {
             if (mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval)
                 sendDelegation(task, now);
         } else if (task.phase == TaskPhase::Resolved) {
@@ -61,6 +65,8 @@
 bool ShardScheduler::isStarved(const Task& task, Utils::TimePoint now) const
 {
     const Job& job = *task.job;
+    if (task.part.size > 0)
+        return false;
     if (task.phase != TaskPhase::Waiting || task.waitingSince == Utils::TimePoint {} || !job.isActive())
         return false;
     // Only the shard of the workers learns whether they have crashed.
@@ -101,6 +107,10 @@
         return;
     const std::string shard
         = output_.findShardWithCapacity(job.spec, task.step, now - task.waitingSince, task.returnedBy);
+    const bool hasReturned
+        = std::find(task.returnedBy.begin(), task.returnedBy.end(), shard) != task.returnedBy.end();
+    if (job.step(task).gang() && (shard.empty() || hasReturned) && divideGang(tasks, now))
+        return;
     if (shard.empty()) {
         if (!job.step(task).lasting())
             job.searchAllowedAt = now + searchInterval;
@@ -148,6 +158,7 @@
     transfer.set_failures(task.failures);
     transfer.set_crashes(task.provedCrashes());
     transfer.set_waited_ms(idleMs(task, now));
+    transfer.set_part_size(task.part.size);
     transfer.set_origin_shard(task.job->isHosted() ? task.job->originShard : options_.shard);
     output_.delegateTask(task.hostShard, transfer);
 }
@@ -216,6 +227,7 @@
         task->waitingSince = {};
         task->idleSince = now - milliseconds(transfer.waited_ms());
         task->notBefore = {};
+        task->part = { transfer.part_size(), transfer.attempt() + 1, now };
         job.hasTransfers = true;
         if (job.isHosted()) {
             job.markPredecessorsDone(task->occurrence, task->step);
@@ -248,25 +260,28 @@
 void ShardScheduler::resolveTask(Task& task, FleetSchema::TaskResultKind result)
 {
     Job& job = *task.job;
-    const auto resolve = [&](Task& resolved) {
-        releaseWorker(resolved);
-        forgetPresumedCrashes(resolved);
-        resolved.phase = TaskPhase::Resolved;
-        resolved.result = result;
-        resolved.isResultStored = false;
-        resolved.resultSentAt = {};
-    };
-    resolve(task);
+    resolveAlone(task, result);
     if (job.step(task).gang() && result != FleetSchema::TASK_FAILED) {
         // When one member completes, the whole gang counts as complete, and a member alone cannot run.
         for (std::uint32_t index = 0; index < job.step(task).count(); ++index) {
             Task& member = *job.findTask(task.occurrence, task.step, index);
             const bool isComplete = result == FleetSchema::TASK_COMPLETED && member.isOpen();
             if (isComplete || member.phase == TaskPhase::Waiting)
-                resolve(member);
+                resolveAlone(member, result);
         }
     }
-    markDirty(job);
+}
+
+void ShardScheduler::resolveAlone(Task& task, FleetSchema::TaskResultKind result)
+{
+    releaseWorker(task);
+    forgetPresumedCrashes(task);
+    task.phase = TaskPhase::Resolved;
+    task.result = result;
+    task.isResultStored = false;
+    task.resultSentAt = {};
+    task.part = {};
+    markDirty(*task.job);
 }
 
 void ShardScheduler::sendResult(Task& task, Utils::TimePoint now)
@@ -316,6 +331,7 @@
         task->crashes = result.crashes();
         task->checkpoint = result.checkpoint();
         job->isStarted = job->isStarted || task->attempt > 0;
+        task->part = {};
         if (result.kind() == FleetSchema::TASK_COMPLETED) {
             finishTask(*task, now, nowUnixMs);
         } else {
--- a/src/libs/fleet/shardload.cpp
+++ b/src/libs/fleet/shardload.cpp
@@ -29,6 +29,7 @@
     FleetSchema::ShardLoad load;
     load.set_shard(options_.shard);
     load.set_reports_results(true);
+    load.set_hosts_gang_parts(true);
     *load.mutable_worker_kinds() = workerKinds_.worker_kinds();
     for (const auto& [id, worker] : workers_) {
         // A quarantined worker counts while it may be probed: if all were left out, no job would be accepted
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -257,46 +257,6 @@
     requestStop(*moved, now);
 }
 
-// Assigns all members of a gang or none: some members alone would occupy capacity without making progress.
-void ShardScheduler::assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now)
-{
-    const std::uint32_t count = job.spec.steps(static_cast<int>(step)).count();
-    std::uint32_t attempt = 0;
-    for (std::uint32_t index = 0; index < count; ++index) {
-        const Task& task = *job.findTask(occurrence, step, index);
-        if (task.phase != TaskPhase::Waiting || task.notBefore > now || awaitsCrashVerdict(task))
-            return;
-        attempt = std::max(attempt, task.attempt);
-    }
-    const std::vector<Worker*> workers = assignableWorkers(now);
-    std::vector<std::pair<Task*, Worker*>> chosen;
-    for (std::uint32_t index = 0; index < count; ++index) {
-        Task& task = *job.findTask(occurrence, step, index);
-        Worker* worker = chooseWorker(task, workers, interferenceView(), now);
-        if (!worker)
-            break;
-        addAttempt(task, *worker);
-        onTasksChanged(*worker);
-        chosen.emplace_back(&task, worker);
-    }
-    for (const auto& [task, worker] : chosen) {
-        removeAttempt(*task, *worker);
-        onTasksChanged(*worker);
-    }
-    if (chosen.size() != count) {
-        for (std::uint32_t index = 0; index < count; ++index)
-            markWaiting(*job.findTask(occurrence, step, index), now);
-        return;
-    }
-    // All members of the gang continue from the same checkpoint.
-    const std::string checkpoint = job.findTask(occurrence, step, 0)->checkpoint;
-    for (const auto& [task, worker] : chosen) {
-        task->attempt = attempt;
-        task->checkpoint = checkpoint;
-        assign(*task, *worker, now);
-    }
-}
-
 void ShardScheduler::assign(Task& task, Worker& worker, Utils::TimePoint now)
 {
     Job& job = *task.job;
@@ -428,6 +388,8 @@
     for (Task& task : job.tasks) {
         if (task.phase == TaskPhase::Sent || task.phase == TaskPhase::Running)
             requestStop(task, now);
+        else if (task.phase == TaskPhase::Held)
+            requeue(task, now);
     }
 }
 
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -187,6 +188,27 @@
     */
     void onTaskResultStored(const FleetSchema::TaskResult& result, std::int64_t nowUnixMs);
 
+    /*!
+        Processes the news that a host shard holds capacity for its part of a gang.
+
+        \return PEER_OK, or PEER_REFUSED if the part is not to be started and must be returned.
+    */
+    FleetSchema::PeerOutcome acceptPartReady(const FleetSchema::GangPart& part, Utils::TimePoint now);
+
+    /*!
+        Starts the part of a gang for which this shard holds capacity. Repeated calls start it once.
+
+        \return PEER_OK if the part is started, or PEER_REFUSED if capacity is not held for it any more.
+    */
+    FleetSchema::PeerOutcome acceptPartStart(const FleetSchema::GangPart& part, Utils::TimePoint now);
+
+    /*! Processes the origin shard's answer to SchedulerOutput::sendPartReady(). */
+    void onPartReadyAnswered(
+        const FleetSchema::GangPart& part, FleetSchema::PeerOutcome outcome, Utils::TimePoint now);
+
+    /*! Processes the host shard's answer to SchedulerOutput::startPart(). */
+    void onPartStartAnswered(const FleetSchema::GangPart& part, FleetSchema::PeerOutcome outcome);
+
     /*! \return the stored state of a job, or nothing if the shard has not stored it. */
     std::optional<FleetSchema::JobState> state(std::string_view id) const;
 
@@ -295,6 +317,18 @@
     void assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now,
         FailedSearches& failedSearches);
     void assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
+    bool assignTogether(std::span<Task* const> tasks, Utils::TimePoint now);
+    void assignPart(std::span<Task* const> part, Utils::TimePoint now);
+    std::vector<Task*> findGang(const FleetSchema::GangPart& part);
+    bool divideGang(std::span<Task* const> gang, Utils::TimePoint now);
+    void holdPart(std::span<Task* const> part, Utils::TimePoint now);
+    void releasePart(std::span<Task* const> part, std::string_view reason, Utils::TimePoint now);
+    void leavePart(Task& task);
+    void tickPart(Task& task, Utils::TimePoint now);
+    void startIfReady(std::span<Task* const> gang, Utils::TimePoint now);
+    void sendPartReady(Task& task, Utils::TimePoint now);
+    void sendPartStarts(Job& job, Utils::TimePoint now);
+    std::string_view findStartObstacle(std::span<Task* const> tasks, Utils::TimePoint now) const;
     void markWaiting(Task& task, Utils::TimePoint now);
     void updateDemand();
     void improveGrouping(Utils::TimePoint now);
@@ -307,6 +341,7 @@
     void failTask(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
     void failJobIfExhausted(Task& task, Utils::TimePoint now, std::int64_t nowUnixMs);
     void resolveTask(Task& task, FleetSchema::TaskResultKind result);
+    void resolveAlone(Task& task, FleetSchema::TaskResultKind result);
     void endJob(Job& job, FleetSchema::JobState state, std::int64_t nowUnixMs);
     void requestStop(Task& task, Utils::TimePoint now);
     void stopOpenTasks(Job& job, Utils::TimePoint now);
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -25,7 +25,7 @@
 std::string_view nameOf(TaskPhase phase)
 {
     static constexpr std::string_view names[] = { "waiting", "recorded", "sent", "running", "unverified",
-        "stopping", "done", "lent", "at-origin", "resolved" };
+        "stopping", "done", "lent", "at-origin", "resolved", "held" };
     return names[static_cast<std::size_t>(phase)];
 }
 
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gangpartstate.h"
 #include "presumedcrash.h"
 
 #include "utils/clock.h"
@@ -27,6 +28,7 @@
     Delegated, //!< Another shard runs the task.
     AtOrigin, //!< The origin shard, which delegated other tasks of the job, runs the task.
     Resolved, //!< The task is over in this host shard; the origin shard has not stored the result yet.
+    Held, //!< An attempt of a gang's part is recorded and has capacity; it is sent once all parts are ready.
 };
 
 /*! A task with its latest attempt. */
@@ -55,6 +57,7 @@
     FleetSchema::TaskResultKind result = FleetSchema::TASK_RETURNED; //!< Valid in the phase Resolved.
     bool isResultStored = false; //!< The result under this transfer number is stored.
     Utils::TimePoint resultSentAt {};
+    GangPartState part;
     //! Worker where the task failed or from which it was moved; used only if no other fits.
     std::string avoidedWorker;
     std::string crashedAddress; //!< Address of the worker that crashed last; empty if there is none.
--- a/src/libs/fleet/workercommitment.cpp
+++ b/src/libs/fleet/workercommitment.cpp
@@ -41,7 +41,7 @@
 {
     Placement::Resources size;
     for (const Task* task : worker.tasks) {
-        if (task->phase == TaskPhase::Recorded)
+        if (task->phase == TaskPhase::Recorded || task->phase == TaskPhase::Held)
             size += committedSize(task->job->step(*task));
     }
     return size;
--- a/src/libs/fleet/workerkinds.cpp
+++ b/src/libs/fleet/workerkinds.cpp
@@ -73,6 +73,11 @@
     return found == kinds.end() ? 0 : found->workers() * slotsOnWorker(step, *found);
 }
 
+bool canHostPart(const FleetSchema::StepSpec& step, const FleetSchema::ShardLoad& load)
+{
+    return step.gang() && !step.lasting() && load.hosts_gang_parts() && countSlots(step, load) > 0;
+}
+
 bool canEverRun(const FleetSchema::StepSpec& step, const FleetSchema::ShardLoad& load)
 {
     return countSlots(step, load) >= (step.gang() ? step.count() : 1);
--- a/src/libs/fleet/workerkinds.h
+++ b/src/libs/fleet/workerkinds.h
@@ -23,4 +23,7 @@
 /*! \return whether the workers of a shard can ever run a task of a step; all tasks of it if it is a gang. */
 bool canEverRun(const FleetSchema::StepSpec& step, const FleetSchema::ShardLoad& load);
 
+/*! \return whether the workers of a shard can ever run a part of a gang. */
+bool canHostPart(const FleetSchema::StepSpec& step, const FleetSchema::ShardLoad& load);
+
 } // namespace Fleet
--- a/src/libs/fleetnode/delegationtargets.h
+++ b/src/libs/fleetnode/delegationtargets.h
@@ -2,6 +2,8 @@
 
 #include "nodecontext.h"
 
+#include "fleet/gangshare.h"
+
 #include <fleet.pb.h>
 
 #include <functional>
@@ -10,6 +12,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace Fleet {
 class ShardChooser;
@@ -42,7 +45,18 @@
     std::string find(const std::string& originShard, const FleetSchema::JobSpec& spec, std::uint32_t step,
         Utils::Duration waited, std::size_t assigningNodes, std::span<const std::string> returnedBy = {});
 
+    /*!
+        Divides a gang and counts its members as delegated. Arguments are as for find().
+
+        \return as for Fleet::SchedulerOutput::divideGang(); also empty if owners have not confirmed yet that
+            they can store tasks. They are asked, and a call shortly afterwards may succeed.
+    */
+    std::vector<Fleet::GangShare> divide(const std::string& originShard, const FleetSchema::JobSpec& spec,
+        std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes,
+        std::span<const std::string> returnedBy);
+
 private:
+    bool isConfirmed(const std::string& shard);
     void checkOwner(const std::string& shard);
 
     NodeContext& context_;
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -381,6 +381,12 @@
     return std::min(membership_.endFor(writer_.confirmedAt()), renewalRightEnd());
 }
 
+// A successor relies on no start being sent once the shard is released.
+Utils::TimePoint ShardHost::startRightEnd() const
+{
+    return isReleaseSent_ ? Utils::TimePoint::min() : commandRightEnd();
+}
+
 // Successors expect leases to be renewed until this time.
 Utils::TimePoint ShardHost::renewalRightEnd() const
 {
@@ -402,7 +408,7 @@
 {
     if (!isLoaded_ || isClosed_)
         return;
-    scheduler_.setStartRightEnd(commandRightEnd());
+    scheduler_.setStartRightEnd(startRightEnd());
     if (hasUnconfirmedAttempts())
         formerOwnerInquiry_.tick();
     scheduler_.onTick(context_.now(), NodeContext::nowUnixMs());
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -43,6 +43,16 @@
         std::uint32_t step, Utils::Duration waited, std::span<const std::string> returnedBy)
         = 0;
 
+    /*!
+        Divides a gang of the requesting shard. Arguments are as for findShardWithCapacity().
+
+        \return as for Fleet::SchedulerOutput::divideGang().
+    */
+    virtual std::vector<Fleet::GangShare> divideGang(const std::string& shard,
+        const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited,
+        std::span<const std::string> returnedBy)
+        = 0;
+
     /*! Calls the owner of the shard that the request names. */
     virtual void callOwner(const FleetSchema::PeerRequest& request,
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler)
@@ -118,6 +128,18 @@
     */
     void cancelHostedTasks(const FleetSchema::JobSpec& job, JobAnswerHandler handler);
 
+    /*!
+        Processes the news that another shard holds capacity for its part of a gang.
+        \return as for Fleet::ShardScheduler::acceptPartReady(); PEER_UNAVAILABLE if nothing may be started.
+    */
+    FleetSchema::PeerOutcome acceptPartReady(const FleetSchema::GangPart& part);
+
+    /*!
+        Starts the part of a gang for which this shard holds capacity.
+        \return as for Fleet::ShardScheduler::acceptPartStart(); PEER_UNAVAILABLE if nothing may be started.
+    */
+    FleetSchema::PeerOutcome acceptPartStart(const FleetSchema::GangPart& part);
+
     /*! Cancels a job. \param handler called once the cancellation is stored. */
     void cancel(const std::string& job, JobAnswerHandler handler);
 
@@ -160,6 +182,10 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
     std::string findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
         Utils::Duration waited, std::span<const std::string> returnedBy) override;
+    std::vector<Fleet::GangShare> divideGang(const FleetSchema::JobSpec& spec, std::uint32_t step,
+        Utils::Duration waited, std::span<const std::string> returnedBy) override;
+    void sendPartReady(const std::string& originShard, const FleetSchema::GangPart& part) override;
+    void startPart(const std::string& hostShard, const FleetSchema::GangPart& part) override;
     void delegateTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer) override;
     void cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job) override;
     void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) override;
@@ -189,7 +215,11 @@
     Utils::TimePoint commandRightEnd() const;
     Utils::TimePoint renewalRightEnd() const;
     bool needsConfirmation() const;
-    void callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
+    Utils::TimePoint startRightEnd() const;
+    bool isStartPossible() const { return isServing() && !isReleasing_ && isOwnershipCertain(); }
+    void callOtherShard(
+        const FleetSchema::PeerRequest& request, std::function<void(FleetSchema::PeerOutcome)> onAnswer);
+    void callUntilStored(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
     void onLeaseReport(const FleetSchema::LeaseReport& report);
     void onTookOver(const Fleet::LeaseEnds& statedEnds);
     bool isOwnerGone(const FleetSchema::ShardRecord& former) const;
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -189,7 +189,7 @@
     FleetSchema::PeerRequest request;
     request.set_shard(shard);
     *request.mutable_adopt() = transfer;
-    callOtherShard(request, [this, transfer, shard] { scheduler_.onDelegationStored(transfer, shard); });
+    callUntilStored(request, [this, transfer, shard] { scheduler_.onDelegationStored(transfer, shard); });
 }
 
 void ShardHost::sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result)
@@ -202,7 +202,7 @@
     FleetSchema::PeerRequest request;
     request.set_shard(originShard);
     *request.mutable_result() = result;
-    callOtherShard(request, [this, result] {
+    callUntilStored(request, [this, result] {
         scheduler_.onTaskResultStored(result, NodeContext::nowUnixMs());
         requestRound();
     });
@@ -213,25 +213,33 @@
     FleetSchema::PeerRequest request;
     request.set_shard(shard);
     *request.mutable_cancel_part() = job;
-    callOtherShard(
+    callUntilStored(
         request, [this, id = job.id(), shard] { scheduler_.onDelegatedTasksCancelled(id, shard); });
 }
 
 // Does not retry, because the scheduler repeats a call that is not made or gets no reply.
-void ShardHost::callOtherShard(const FleetSchema::PeerRequest& request, std::function<void()> onStored)
+void ShardHost::callOtherShard(
+    const FleetSchema::PeerRequest& request, std::function<void(FleetSchema::PeerOutcome)> onAnswer)
 {
     if (!isOwnershipCertain())
         return;
     otherShards_.callOwner(request,
-        [this, weak = std::weak_ptr<bool>(alive_), onStored = std::move(onStored)](
+        [this, weak = std::weak_ptr<bool>(alive_), onAnswer = std::move(onAnswer)](
             const Utils::Result<FleetSchema::PeerReply>& result) {
             if (!weak.lock() || isClosed_)
                 return;
             if (!Utils::isOk(result))
                 return Utils::logError("neighbour-unanswered", Utils::error(result));
-            if (Utils::value(result).outcome() == FleetSchema::PEER_OK)
-                onStored();
+            onAnswer(Utils::value(result).outcome());
         });
 }
 
+void ShardHost::callUntilStored(const FleetSchema::PeerRequest& request, std::function<void()> onStored)
+{
+    callOtherShard(request, [onStored = std::move(onStored)](FleetSchema::PeerOutcome outcome) {
+        if (outcome == FleetSchema::PEER_OK)
+            onStored();
+    });
+}
+
 } // namespace FleetNode
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -434,6 +434,13 @@
     return delegationTargets_.find(shard, spec, step, waited, members_.aliveNodes().size(), returnedBy);
 }
 
+std::vector<Fleet::GangShare> ShardOwnership::divideGang(const std::string& shard,
+    const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration waited,
+    std::span<const std::string> returnedBy)
+{
+    return delegationTargets_.divide(shard, spec, step, waited, members_.aliveNodes().size(), returnedBy);
+}
+
 void ShardOwnership::callOwner(const FleetSchema::PeerRequest& request,
     std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler)
 {
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -78,6 +78,8 @@
 private:
     std::string findShardWithCapacity(const std::string& shard, const FleetSchema::JobSpec& spec,
         std::uint32_t step, Utils::Duration waited, std::span<const std::string> returnedBy) override;
+    std::vector<Fleet::GangShare> divideGang(const std::string& shard, const FleetSchema::JobSpec& spec,
+        std::uint32_t step, Utils::Duration waited, std::span<const std::string> returnedBy) override;
     void callOwner(const FleetSchema::PeerRequest& request,
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)> handler) override;
     void callNode(const std::string& name, const FleetSchema::PeerRequest& request,
--- a/src/libs/fleetnode/shardownershipcalls.cpp
+++ b/src/libs/fleetnode/shardownershipcalls.cpp
@@ -95,6 +95,10 @@
     }
     if (request.has_result())
         return host.acceptTaskResult(request.result(), onAnswer);
+    if (request.has_part_ready())
+        return onAnswer({ host.acceptPartReady(request.part_ready()), FleetSchema::JOB_QUEUED, 0 });
+    if (request.has_part_start())
+        return onAnswer({ host.acceptPartStart(request.part_start()), FleetSchema::JOB_QUEUED, 0 });
     if (request.has_cancel())
         return host.cancel(request.cancel(), onAnswer);
     FleetSchema::PeerReply reply;
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -130,6 +130,8 @@
         return;
     isCommitting_ = true;
     isReleaseSent_ = isLast;
+    if (isLast)
+        scheduler_->setStartRightEnd(Utils::TimePoint::min());
     nextRoundMs_ = nowMs + minCommitIntervalMs;
     row_.prepare(isLast ? scheduler_->leaseEnds() : scheduler_->stateLeaseEnds(now), isLast, now);
     firstSentMs_ = nowMs;
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -52,6 +52,8 @@
     void acceptDelegatedTask(const FleetSchema::TaskTransfer& transfer, AnswerHandler handler);
     void acceptTaskResult(const FleetSchema::TaskResult& result, AnswerHandler handler);
     void cancelHostedTasks(const FleetSchema::JobSpec& spec, AnswerHandler handler);
+    void acceptPartReady(const FleetSchema::GangPart& part, const AnswerHandler& handler);
+    void acceptPartStart(const FleetSchema::GangPart& part, const AnswerHandler& handler);
 
     /*! \return until when attempts can run on workers; empty before the end of an ownership that served. */
     const std::optional<Fleet::LeaseEnds>& finalLeaseEnds() const { return finalLeaseEnds_; }
@@ -77,6 +79,10 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
     std::string findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
         Utils::Duration waited, std::span<const std::string> returnedBy) override;
+    std::vector<Fleet::GangShare> divideGang(const FleetSchema::JobSpec& spec, std::uint32_t step,
+        Utils::Duration waited, std::span<const std::string> returnedBy) override;
+    void sendPartReady(const std::string& originShard, const FleetSchema::GangPart& part) override;
+    void startPart(const std::string& hostShard, const FleetSchema::GangPart& part) override;
     void delegateTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer) override;
     void cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job) override;
     void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) override;
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -42,6 +42,13 @@
     {
         return {};
     }
+    std::vector<Fleet::GangShare> divideGang(
+        const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration, std::span<const std::string>) override
+    {
+        return {};
+    }
+    void sendPartReady(const std::string&, const FleetSchema::GangPart&) override { }
+    void startPart(const std::string&, const FleetSchema::GangPart&) override { }
     void delegateTask(const std::string&, const FleetSchema::TaskTransfer&) override { }
     void cancelDelegatedTasks(const std::string&, const FleetSchema::JobSpec&) override { }
     void sendTaskResult(const std::string&, const FleetSchema::TaskResult&) override { }
--- a/tests/auto/fleet/fleetfixtures.cpp
+++ b/tests/auto/fleet/fleetfixtures.cpp
@@ -6,10 +6,10 @@
 
 using namespace std::chrono_literals;
 
-Fleet::SchedulerOptions makeOptions(Utils::Duration workerListLimit)
+Fleet::SchedulerOptions makeOptions(Utils::Duration workerListLimit, const std::string& shard)
 {
     Fleet::SchedulerOptions options;
-    options.shard = "shard";
+    options.shard = shard;
     options.workerLease = 5s;
     options.workerLeaseLimit = 10s;
     options.orphanGrace = 12s;
@@ -86,8 +86,9 @@
     return info;
 }
 
-SchedulerFixture::SchedulerFixture(std::size_t workerCount, Utils::Duration workerListLimit)
-    : scheduler(makeOptions(workerListLimit), output, tailLatencyModel)
+SchedulerFixture::SchedulerFixture(
+    std::size_t workerCount, Utils::Duration workerListLimit, const std::string& shard)
+    : scheduler(makeOptions(workerListLimit, shard), output, tailLatencyModel)
 {
     std::vector<Ports::WorkerInfo> infos;
     for (std::size_t number = 0; number < workerCount; ++number) {
@@ -110,8 +111,11 @@
 bool SchedulerFixture::scheduleAndCommit()
 {
     scheduler.schedule(now, testStartUnixMs);
-    if (!scheduler.beginCommit(testStartUnixMs))
+    const auto batch = scheduler.beginCommit(testStartUnixMs);
+    if (!batch)
         return false;
+    for (const Fleet::JobRow& row : batch->puts)
+        rows[row.key] = row.value;
     scheduler.onCommitted(now);
     return true;
 }
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -52,8 +52,22 @@
         latestReturnedBy.assign(returnedBy.begin(), returnedBy.end());
         return shardWithCapacity;
     }
-    void delegateTask(const std::string&, const FleetSchema::TaskTransfer& transfer) override
+    std::vector<Fleet::GangShare> divideGang(
+        const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration, std::span<const std::string>) override
     {
+        return gangShares;
+    }
+    void sendPartReady(const std::string&, const FleetSchema::GangPart& part) override
+    {
+        readyParts.push_back(part);
+    }
+    void startPart(const std::string& shard, const FleetSchema::GangPart& part) override
+    {
+        partStarts.emplace_back(shard, part);
+    }
+    void delegateTask(const std::string& shard, const FleetSchema::TaskTransfer& transfer) override
+    {
+        hostShards.push_back(shard);
         delegations.push_back(transfer);
     }
     void cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job) override
@@ -90,7 +104,11 @@
 
     std::string shardWithCapacity; //!< Result of findShardWithCapacity().
     std::vector<std::string> latestReturnedBy; //!< Passed to its latest call.
+    std::vector<Fleet::GangShare> gangShares; //!< Result of divideGang().
+    std::vector<FleetSchema::GangPart> readyParts;
+    std::vector<std::pair<std::string, FleetSchema::GangPart>> partStarts; //!< With the called shard.
     std::vector<FleetSchema::TaskTransfer> delegations;
+    std::vector<std::string> hostShards; //!< Called with each of the delegations.
     std::vector<std::pair<std::string, std::string>> delegationCancels;
     std::vector<std::pair<std::string, FleetSchema::TaskResult>> results;
     std::vector<Fleet::AttemptStart> starts;
@@ -106,7 +124,8 @@
 
 /*! A scheduler with workers that have reported once. */
 struct SchedulerFixture {
-    explicit SchedulerFixture(std::size_t workers, Utils::Duration workerListLimit = Utils::Duration::max());
+    explicit SchedulerFixture(std::size_t workers, Utils::Duration workerListLimit = Utils::Duration::max(),
+        const std::string& shard = "shard");
 
     /*! Delivers a report of a worker. */
     void report(const std::string& worker, const Ports::WorkerReport& report);
@@ -131,6 +150,7 @@
     Fleet::TailLatencyModel tailLatencyModel;
     Fleet::ShardScheduler scheduler;
     Utils::TimePoint now = testStart;
+    std::map<std::string, std::string> rows; //!< Stored rows by key.
     std::vector<std::string> workers;
     std::vector<Fleet::AttemptStart> running;
     std::size_t confirmedStarts = 0;
--- a/tests/auto/fleetnode/shardhostfixture.h
+++ b/tests/auto/fleetnode/shardhostfixture.h
@@ -86,6 +86,11 @@
     {
         return {};
     }
+    std::vector<Fleet::GangShare> divideGang(const std::string&, const FleetSchema::JobSpec&, std::uint32_t,
+        Utils::Duration, std::span<const std::string>) override
+    {
+        return {};
+    }
     void callOwner(const FleetSchema::PeerRequest& request,
         std::function<void(const Utils::Result<FleetSchema::PeerReply>&)>) override
     {
