--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -37,10 +37,14 @@
 constexpr double maxRelativeDelegationCost = 0.8;
 constexpr std::chrono::milliseconds overdueWait { 2200 };
 
+// Returns a measure of the part of a job that the workers of a shard can ever run. A step counts twice,
+// unless it is a gang that has to be divided.
 std::size_t countRunnableSteps(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
 {
-    return static_cast<std::size_t>(std::count_if(spec.steps().begin(), spec.steps().end(),
-        [&](const FleetSchema::StepSpec& step) { return canEverRun(step, load); }));
+    std::size_t count = 0;
+    for (const FleetSchema::StepSpec& step : spec.steps())
+        count += canEverRun(step, load) ? 2 : canHostPart(step, load) ? 1 : 0;
+    return count;
 }
 
 /*! A shard that may accept a job. */
@@ -48,7 +52,7 @@
     std::string shard;
     double sample = 0; //!< Smaller samples are compared first.
     double cost = 0;
-    std::size_t runnableSteps = 0; //!< Steps of the job that its workers can ever run.
+    std::size_t runnableSteps = 0; //!< Result of countRunnableSteps().
     bool isUnresponsive = false; //!< Its owner did not answer lately.
 };
 
@@ -156,17 +160,23 @@
     return owner.isSilent || unresponsiveUpdates_.contains(shard);
 }
 
-// The tasks of a step may run on several shards, but a gang needs one for all its tasks.
+// The tasks of a step may run on several shards. A gang needs one for all its tasks, or several that can host
+// parts.
 bool ShardChooser::isRunnable(const FleetSchema::JobSpec& spec) const
 {
     return std::all_of(spec.steps().begin(), spec.steps().end(), [&](const FleetSchema::StepSpec& step) {
         std::uint64_t slots = 0;
+        std::uint64_t partSlots = 0;
         for (const auto& [shard, owner] : owners_) {
-            if (owner.load.service() == spec.service() && canEverRun(step, owner.load))
+            if (owner.load.service() != spec.service())
+                continue;
+            if (canEverRun(step, owner.load))
                 slots += countSlots(step, owner.load);
+            if (canHostPart(step, owner.load))
+                partSlots += countSlots(step, owner.load);
         }
         // The tasks of a step that ends can run one after the other.
-        return slots >= (step.lasting() ? step.count() : 1);
+        return slots >= (step.lasting() ? step.count() : 1) || (step.gang() && partSlots >= step.count());
     });
 }
 
--- a/tests/auto/fleet/tst_dividedgangs.cpp
+++ b/tests/auto/fleet/tst_dividedgangs.cpp
@@ -184,6 +184,24 @@
 
 } // namespace
 
+TEST_CASE("A gang is accepted if shards that can host parts can run it together, and rejected otherwise")
+{
+    std::map<std::string, Fleet::ShardOwnerInfo> owners { { "1", makeOwner("1") }, { "2", makeOwner("2") } };
+    Fleet::ShardChooser chooser;
+    chooser.update(owners);
+    CHECK_FALSE(chooser.choose(makeGang(8), 1).shard.empty());
+    CHECK_FALSE(chooser.choose(makeGang(16), 1).shard.empty());
+    CHECK(chooser.choose(makeGang(17), 1).shard.empty());
+    FleetSchema::JobSpec lasting = makeGang(16);
+    lasting.mutable_steps(0)->set_lasting(true);
+    CHECK(chooser.choose(lasting, 1).shard.empty());
+    // An owner of an earlier version does not know parts.
+    owners["2"].load.set_hosts_gang_parts(false);
+    chooser.update(owners);
+    CHECK(chooser.choose(makeGang(9), 1).shard.empty());
+    CHECK_FALSE(chooser.choose(makeGang(8), 1).shard.empty());
+}
+
 TEST_CASE("A gang is divided in proportion to the free slots of the shards that can host parts")
 {
     std::map<std::string, Fleet::ShardOwnerInfo> owners;
