--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -1,5 +1,6 @@
 #include "shardchooser.h"
 
+#include "job.h"
 #include "workerkinds.h"
 
 #include <xxhash.h>
@@ -36,10 +37,14 @@
 constexpr double maxRelativeDelegationCost = 0.8;
 constexpr std::chrono::milliseconds overdueWait { 2200 };
 
+// Returns a measure of the part of a job that the workers of a shard can ever run. A step counts twice,
+// unless it is a gang that has to be divided.
 std::size_t countRunnableSteps(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
 {
-    return static_cast<std::size_t>(std::count_if(spec.steps().begin(), spec.steps().end(),
-        [&](const FleetSchema::StepSpec& step) { return canEverRun(step, load); }));
+    std::size_t count = 0;
+    for (const FleetSchema::StepSpec& step : spec.steps())
+        count += canEverRun(step, load) ? 2 : canHostPart(step, load) ? 1 : 0;
+    return count;
 }
 
 /*! A shard that may accept a job. */
@@ -47,7 +52,7 @@
     std::string shard;
     double sample = 0; //!< Smaller samples are compared first.
     double cost = 0;
-    std::size_t runnableSteps = 0; //!< Steps of the job that its workers can ever run.
+    std::size_t runnableSteps = 0; //!< Result of countRunnableSteps().
     bool isUnresponsive = false; //!< Its owner did not answer lately.
 };
 
@@ -155,17 +160,23 @@
     return owner.isSilent || unresponsiveUpdates_.contains(shard);
 }
 
-// The tasks of a step may run on several shards, but a gang needs one for all its tasks.
+// The tasks of a step may run on several shards. A gang needs one for all its tasks, or several that can host
+// parts.
 bool ShardChooser::isRunnable(const FleetSchema::JobSpec& spec) const
 {
     return std::all_of(spec.steps().begin(), spec.steps().end(), [&](const FleetSchema::StepSpec& step) {
         std::uint64_t slots = 0;
+        std::uint64_t partSlots = 0;
         for (const auto& [shard, owner] : owners_) {
-            if (owner.load.service() == spec.service() && canEverRun(step, owner.load))
+            if (owner.load.service() != spec.service())
+                continue;
+            if (canEverRun(step, owner.load))
                 slots += countSlots(step, owner.load);
+            if (canHostPart(step, owner.load))
+                partSlots += countSlots(step, owner.load);
         }
         // The tasks of a step that ends can run one after the other.
-        return slots >= (step.lasting() ? step.count() : 1);
+        return slots >= (step.lasting() ? step.count() : 1) || (step.gang() && partSlots >= step.count());
     });
 }
 
@@ -277,6 +288,53 @@
     return best;
 }
 
+std::uint32_t ShardChooser::countFreeSlots(const std::string& shard, const ShardOwnerInfo& owner,
+    const FleetSchema::StepSpec& step, std::size_t assigningNodes) const
+{
+    const FleetSchema::ShardLoad& load = owner.load;
+    if (load.capacity() <= 0 || !canHostPart(step, load) || isUnresponsive(shard, owner))
+        return 0;
+    const auto assigned = assigned_.find(shard);
+    const std::int64_t committed = load.committed()
+        + (assigned == assigned_.end()
+                ? 0
+                : static_cast<std::int64_t>(assigningNodes) * assigned->second.committed);
+    const double freeShare
+        = std::max(0.0, 1 - static_cast<double>(committed) / static_cast<double>(load.capacity()));
+    const auto slots = std::min<std::uint64_t>(countSlots(step, load), maxTasksPerJob);
+    return static_cast<std::uint32_t>(freeShare * static_cast<double>(slots));
+}
+
+std::vector<GangShare> ShardChooser::divideGang(
+    const FleetSchema::JobSpec& spec, std::uint32_t step, std::size_t assigningNodes) const
+{
+    const FleetSchema::StepSpec& stepSpec = spec.steps(static_cast<int>(step));
+    std::map<std::string, std::uint32_t> freeSlots;
+    std::uint32_t sum = 0;
+    for (const auto& [shard, owner] : owners_) {
+        const std::uint32_t slots = owner.load.service() == spec.service()
+            ? countFreeSlots(shard, owner, stepSpec, assigningNodes)
+            : 0;
+        if (slots == 0)
+            continue;
+        freeSlots[shard] = slots;
+        sum += slots;
+    }
+    if (sum < stepSpec.count())
+        return {};
+    // In proportion to the free slots, so that each shard has some left: not all of them need be usable.
+    std::vector<GangShare> shares;
+    std::uint32_t remaining = stepSpec.count();
+    for (const auto& [shard, slots] : freeSlots) {
+        const std::uint32_t count = std::min(slots, (remaining * slots + sum - 1) / sum);
+        remaining -= count;
+        sum -= slots;
+        if (count > 0)
+            shares.push_back({ shard, count });
+    }
+    return shares.size() < 2 ? std::vector<GangShare>() : shares;
+}
+
 void ShardChooser::countDelegation(
     const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step)
 {
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -189,9 +189,7 @@
     FleetSchema::PeerRequest request;
     request.set_shard(shard);
     *request.mutable_adopt() = transfer;
-    callOtherShard(request, [this, transfer, shard](const FleetSchema::PeerReply&) {
-        scheduler_.onDelegationStored(transfer, shard);
-    });
+    callUntilStored(request, [this, transfer, shard] { scheduler_.onDelegationStored(transfer, shard); });
 }
 
 void ShardHost::sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result)
@@ -204,7 +202,7 @@
     FleetSchema::PeerRequest request;
     request.set_shard(originShard);
     *request.mutable_result() = result;
-    callOtherShard(request, [this, result](const FleetSchema::PeerReply&) {
+    callUntilStored(request, [this, result] {
         scheduler_.onTaskResultStored(result, NodeContext::nowUnixMs());
         requestRound();
     });
@@ -215,9 +213,8 @@
     FleetSchema::PeerRequest request;
     request.set_shard(shard);
     *request.mutable_cancel_part() = job;
-    callOtherShard(request, [this, id = job.id(), shard](const FleetSchema::PeerReply&) {
-        scheduler_.onDelegatedTasksCancelled(id, shard);
-    });
+    callUntilStored(
+        request, [this, id = job.id(), shard] { scheduler_.onDelegatedTasksCancelled(id, shard); });
 }
 
 void ShardHost::queryOrigin(const std::string& originShard, const std::string& job)
@@ -226,6 +223,8 @@
     request.set_shard(originShard);
     request.set_query(job);
     callOtherShard(request, [this, job](const FleetSchema::PeerReply& reply) {
+        if (reply.outcome() != FleetSchema::PEER_OK)
+            return;
         scheduler_.onOriginState(job, reply.state(), NodeContext::nowUnixMs());
         requestRound();
     });
@@ -233,20 +232,27 @@
 
 // Does not retry, because the scheduler repeats a call that is not made or gets no reply.
 void ShardHost::callOtherShard(
-    const FleetSchema::PeerRequest& request, std::function<void(const FleetSchema::PeerReply&)> onSuccess)
+    const FleetSchema::PeerRequest& request, std::function<void(const FleetSchema::PeerReply&)> onAnswer)
 {
     if (!isOwnershipCertain())
         return;
     otherShards_.callOwner(request,
-        [this, weak = std::weak_ptr<bool>(alive_), onSuccess = std::move(onSuccess)](
+        [this, weak = std::weak_ptr<bool>(alive_), onAnswer = std::move(onAnswer)](
             const Utils::Result<FleetSchema::PeerReply>& result) {
             if (!weak.lock() || isClosed_)
                 return;
             if (!Utils::isOk(result))
                 return Utils::logError("neighbour-unanswered", Utils::error(result));
-            if (Utils::value(result).outcome() == FleetSchema::PEER_OK)
-                onSuccess(Utils::value(result));
+            onAnswer(Utils::value(result));
         });
 }
 
+void ShardHost::callUntilStored(const FleetSchema::PeerRequest& request, std::function<void()> onStored)
+{
+    callOtherShard(request, [onStored = std::move(onStored)](const FleetSchema::PeerReply& reply) {
+        if (reply.outcome() == FleetSchema::PEER_OK)
+            onStored();
+    });
+}
+
 } // namespace FleetNode
