--- a/src/libs/fleet/crashpolicy.h
+++ b/src/libs/fleet/crashpolicy.h
@@ -41,7 +41,11 @@
 */
 bool isSuspect(const Task& task);
 
-/*! \return how strictly isKeptApart() keeps the task from other tasks, from 0 (as any task) to 2. */
+/*! Value of isolationOf() of a task that shares a worker only with tasks of its job and proven ones. */
+inline constexpr int fullIsolation = 2;
+
+/*! \return how strictly isKeptApart() keeps the task from other tasks, from 0 (as any task) to fullIsolation.
+ */
 int isolationOf(const Task& task);
 
 /*!
--- a/src/libs/fleet/failedsearches.cpp
+++ b/src/libs/fleet/failedsearches.cpp
@@ -64,7 +64,7 @@
 bool FailedSearches::hasFailedSibling(const Search& search) const
 {
     return std::any_of(siblings_.begin(), siblings_.end(), [&](const Search& failed) {
-        return isSibling(*search.task, *failed.task) && isolationOf(*search.task) >= isolationOf(*failed.task)
+        return isSibling(*search.task, *failed.task) && isolationOf(*search.task) == isolationOf(*failed.task)
             && acceptsNoMore(search.terms, failed.terms);
     });
 }
--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -3,6 +3,9 @@
 
 #include "crashpolicy.h"
 #include "shardscheduler.h"
+#include "workerchoice.h"
+
+#include <utility>
 
 namespace Fleet {
 
@@ -97,6 +100,28 @@
     task.presumedCrashes.clear();
 }
 
+// Tasks that start everywhere all the time would keep a fully isolated task from every worker. Those on a
+// worker that is kept empty end or turn out harmless soon.
+void ShardScheduler::keepWorkersEmpty(Utils::TimePoint now)
+{
+    // Share of the workers, so that the crashes of many tasks do not keep the others from starting.
+    constexpr std::size_t workersToOneEmpty = 4;
+    const std::vector<Worker*> workers = assignableWorkers(now);
+    for (const auto& [id, worker] : workers_) {
+        worker->reservedMilliProcessors = 0;
+        worker->isKeptEmpty = false;
+    }
+    std::size_t remaining = std::max<std::size_t>(1, workers.size() / workersToOneEmpty);
+    for (const Ports::TaskKey& key : std::exchange(isolatedTasks_, {})) {
+        Job* const job = findJob(key.job);
+        const Task* const task = job ? job->findTask(key.occurrence, key.step, key.index) : nullptr;
+        const bool isIsolated = task && task->phase == TaskPhase::Waiting && job->isActive()
+            && isolationOf(*task) == fullIsolation;
+        if (remaining > 0 && isIsolated && keepWorkerEmpty(*task, workers))
+            --remaining;
+    }
+}
+
 void ShardScheduler::onListedAsRunning(Task& task, std::int64_t clockMs)
 {
     task.hasStarted = true;
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -141,8 +141,7 @@
         Job* job;
         std::uint32_t occurrence;
     };
-    for (auto& [id, worker] : workers_)
-        worker->reservedMilliProcessors = 0;
+    keepWorkersEmpty(now);
     updateDemand();
     interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
     for (auto& [id, worker] : workers_)
@@ -224,10 +223,12 @@
         }
         failedSearches.add(task, workers, now);
         markWaiting(task, now);
-        if (job.step(task).lasting()) {
+        if (isolationOf(task) == fullIsolation)
+            isolatedTasks_.push_back(keyOf(task));
+        else if (job.step(task).lasting())
             reserveWorker(task, workers);
+        if (job.step(task).lasting())
             relocateFor(task, workers, now);
-        }
     }
 }
 
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -325,6 +325,7 @@
     void confirmPresumedCrashes(const std::function<bool(const PresumedCrash&)>& condition,
         Utils::TimePoint now, std::int64_t nowUnixMs);
     void confirmCrash(Task& task, const PresumedCrash& crash, Utils::TimePoint now, std::int64_t nowUnixMs);
+    void keepWorkersEmpty(Utils::TimePoint now);
     static void forgetPresumedCrashes(Task& task);
     void restoreCrashes(Task& task, std::uint32_t provedCount,
         const google::protobuf::RepeatedPtrField<FleetSchema::PresumedWorkerCrash>& presumed,
@@ -393,6 +394,7 @@
     Utils::TimePoint startRightEnd_ = Utils::TimePoint::max(); //!< Until when attempts may be started.
     StatedLeaseEnds statedLeaseEnds_;
     std::set<Ports::TaskKey> tasksWithPresumedCrashes_; //!< May include others.
+    std::vector<Ports::TaskKey> isolatedTasks_; //!< Fully isolated tasks without a worker in the last pass.
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -28,6 +28,8 @@
     double criticalUseShare = 0.45;
     //! Milli-processors kept free for a waiting long-running task; valid for one scheduling pass.
     std::int64_t reservedMilliProcessors = 0;
+    //! Only fully isolated tasks may start here; valid for one scheduling pass.
+    bool isKeptEmpty = false;
     //! Share of the best-effort demand that the worker's tasks tolerate, 0 to 1; valid for one scheduling
     //! pass.
     double toleratedDemand = 1;
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -181,6 +181,8 @@
         return PlacementObstacle::Ineligible;
     if (isKeptApart(task, worker))
         return PlacementObstacle::Isolated;
+    if (worker.isKeptEmpty && isolationOf(task) < fullIsolation)
+        return PlacementObstacle::Reserved;
     if (!committedSize(step).fitsIn(worker.available())) {
         return committedSize(step).fitsIn(worker.capacity()) ? PlacementObstacle::Full
                                                              : PlacementObstacle::TooSmall;
@@ -273,7 +275,10 @@
     return names[static_cast<std::size_t>(obstacle)];
 }
 
-void reserveWorker(const Task& task, std::span<Worker* const> workers)
+namespace {
+
+// Returns the worker with the most room beside long-running tasks; null if the task fits on none.
+Worker* chooseWorkerToReserve(const Task& task, std::span<Worker* const> workers)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     const std::uint32_t maxPerWorker = step.max_per_worker();
@@ -281,7 +286,8 @@
     std::int64_t bestCapacity = 0;
     for (Worker* worker : workers) {
         const bool isSuitable = worker->isUsable() && worker->info.service == task.job->spec.service()
-            && worker->reservedMilliProcessors == 0 && hasLabel(*worker, step.required_label())
+            && worker->reservedMilliProcessors == 0 && !worker->isKeptEmpty
+            && hasLabel(*worker, step.required_label())
             && (maxPerWorker == 0 || countTasksOfStep(task, *worker) < maxPerWorker);
         if (!isSuitable)
             continue;
@@ -293,8 +299,23 @@
             bestCapacity = free.milliProcessors;
         }
     }
-    if (best)
-        best->reservedMilliProcessors = step.milli_processors();
+    return best;
+}
+
+} // namespace
+
+void reserveWorker(const Task& task, std::span<Worker* const> workers)
+{
+    if (Worker* const worker = chooseWorkerToReserve(task, workers))
+        worker->reservedMilliProcessors = task.job->step(task).milli_processors();
+}
+
+bool keepWorkerEmpty(const Task& task, std::span<Worker* const> workers)
+{
+    Worker* const worker = chooseWorkerToReserve(task, workers);
+    if (worker)
+        worker->isKeptEmpty = true;
+    return worker != nullptr;
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -84,4 +84,11 @@
 */
 void reserveWorker(const Task& task, std::span<Worker* const> workers);
 
+/*!
+    Keeps a worker empty for a fully isolated task, so that only such tasks may start there.
+
+    \return whether there is a worker for the task.
+*/
+bool keepWorkerEmpty(const Task& task, std::span<Worker* const> workers);
+
 } // namespace Fleet
--- a/tests/auto/fleet/tst_waitbounds.cpp
+++ b/tests/auto/fleet/tst_waitbounds.cpp
@@ -238,3 +238,35 @@
     CHECK(fixture.output.stops.size() > stopCount);
     CHECK_FALSE(fixture.isRunning("job"));
 }
+
+TEST_CASE("A task under which two workers have crashed starts beside a stream of short tasks of other jobs")
+{
+    FleetSchema::StepSpec step = makeLatencyCriticalStep(1, 4000, "api");
+    SECTION("a long-running task") { }
+    SECTION("a task that ends")
+    {
+        step = makeStep(1, 4000, 500);
+    }
+    WaitFixture fixture(2);
+    fixture.submit("suspect", step);
+    for (int crash = 0; crash < 2; ++crash) {
+        while (!fixture.isRunning("suspect"))
+            fixture.advance(tickInterval);
+        const std::string worker = fixture.running.back().worker;
+        fixture.running.clear();
+        fixture.scheduler.onWorkerReplaced(worker, fixture.now, fixture.unixMs());
+    }
+    const Utils::TimePoint crashedAt = fixture.now;
+    int count = 0;
+    while (!fixture.isRunning("suspect") && fixture.now - crashedAt < 2 * waitBound) {
+        for (int number = 0; number < 2; ++number)
+            fixture.scheduler.submit(makeJob("short" + std::to_string(++count), { makeStep(1, 2000, 200) }),
+                1, fixture.now, fixture.unixMs());
+        fixture.advance(tickInterval);
+        // Each short task runs for two ticks, so that a younger one is on each worker when it ends.
+        if (fixture.running.size() > 4)
+            fixture.finishAttempts(2, Ports::AttemptOutcome::Done);
+    }
+    // After the second crash a task pauses for 500 ms.
+    CHECK(fixture.now - crashedAt < waitBound);
+}
