--- a/src/tools/gqemulate/emulatedfleet.cpp
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -11,7 +11,6 @@
 constexpr std::size_t nodeCount = 5;
 constexpr std::size_t workersPerShard = 8;
 constexpr std::int64_t tickMs = 10;
-constexpr std::int64_t submissionEndMs = 66'000;
 constexpr std::int64_t heartbeatIntervalMs = 700;
 constexpr std::int64_t planningIntervalMs = 100;
 constexpr std::int64_t checkIntervalMs = 100;
@@ -36,7 +35,7 @@
     : scenario_(scenario)
     , time_(scenario.seed * 7919 + 13)
     , platform_(time_, shardCount, workersPerShard, scenario.variant != FleetVariant::NoEpochFencing)
-    , workload_(time_, scenario.hasDeadlyTasks)
+    , workload_(time_, scenario.hasDeadlyTasks, scenario.hasHopelessTasks)
     , waitChecker_(platform_)
     , nodes_(nodeCount)
     , shards_(shardCount)
@@ -255,8 +254,10 @@
     if (!worker || !worker->answers())
         return std::nullopt;
     const bool wasRunning = worker->simulated.running().contains(command.task);
-    const Ports::CommandReply reply
-        = worker->simulated.start(command, workload_.behavior(command.task), nowMs());
+    TaskBehavior behavior = workload_.behavior(command.task);
+    if (worker->isFailing(nowMs()) && time_.happens(worker->failurePercent))
+        behavior.alwaysFails = true;
+    const Ports::CommandReply reply = worker->simulated.start(command, behavior, nowMs());
     // Calls that cancel a job in a host shard take longer while there are faults.
     const bool isHosted = !shards_[shard].rows.contains(command.task.job)
         || !shards_[shard].rows.at(command.task.job).origin_shard().empty();
@@ -275,7 +276,7 @@
 {
     constexpr std::int64_t ticksPerJob = 30;
     constexpr std::int64_t jobsPerCancel = 10;
-    if (nowMs() < 1500 || nowMs() > submissionEndMs || time_.random(ticksPerJob) != 0)
+    if (nowMs() < 1500 || nowMs() > fleetSubmissionEndMs || time_.random(ticksPerJob) != 0)
         return;
     const FleetSchema::JobSpec spec = workload_.makeJob();
     const std::size_t node = static_cast<std::size_t>(time_.random(nodeCount));
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -260,6 +260,10 @@
                     worker, command.task, command.attempt, reply, owner->fleet_.time().now());
             });
     };
+    if (isForbiddenProbe(start))
+        return runLater(0, [onReply] {
+            onReply(Ports::CommandReply { Ports::CommandOutcome::Rejected, 0 });
+        });
     if (!nextPollMs_.contains(start.worker)) {
         return runLater(0, [onReply, worker = start.worker] {
             onReply(Utils::Error { Utils::ErrorCode::Unavailable, "start", worker, "no connection" });
@@ -276,6 +280,21 @@
         });
 }
 
+// For FleetVariant::NoProbesByFailedTasks.
+bool EmulatedOwner::isForbiddenProbe(const Fleet::AttemptStart& start) const
+{
+    return fleet_.scenario().variant == FleetVariant::NoProbesByFailedTasks
+        && quarantinedWorkers_.contains(start.worker) && failedTasks_.contains(start.task);
+}
+
+void EmulatedOwner::quarantineChanged(const std::string& worker, Utils::Duration time)
+{
+    if (time == Utils::Duration::zero())
+        quarantinedWorkers_.erase(worker);
+    else
+        quarantinedWorkers_.insert(worker);
+}
+
 void EmulatedOwner::stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt)
 {
     trace(task, "stop of attempt " + std::to_string(attempt) + " ordered at " + worker);
@@ -375,6 +394,8 @@
     const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
 {
     trace(task, "attempt " + std::to_string(attempt) + " at " + worker + " over: " + std::string(reason));
+    if (reason == "failed")
+        failedTasks_.insert(task);
 }
 
 void EmulatedOwner::workerCrashed(
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -85,11 +85,12 @@
     void capacityChanged(const Fleet::CapacityChange&) override { }
     void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         std::uint32_t crashes) override;
-    void quarantineChanged(const std::string&, Utils::Duration) override { }
+    void quarantineChanged(const std::string& worker, Utils::Duration time) override;
     void taskWaiting(const Fleet::WaitReport& report) override;
     void jobEnded(const Fleet::JobSummary& summary) override;
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override;
 
+    bool isForbiddenProbe(const Fleet::AttemptStart& start) const;
     void runLater(std::int64_t delayMs, std::function<void()> function);
     void restoreJobs();
     Fleet::FormerLeases formerLeases() const;
@@ -127,6 +128,8 @@
     std::int64_t nextQuestionMs_ = 0; //!< To the former owner.
     std::int64_t firstSentMs_ = 0; //!< Of the transaction in progress.
     std::int64_t confirmedMs_ = 0; //!< Time at which the latest stored transaction was sent.
+    std::set<std::string> quarantinedWorkers_;
+    std::set<Ports::TaskKey> failedTasks_;
     std::map<std::string, std::int64_t> leaseLeadMs_; //!< Lease in a worker's clock less virtual time.
     std::int64_t nextRoundMs_ = 0;
 };
--- a/src/tools/gqemulate/emulatedplatform.cpp
+++ b/src/tools/gqemulate/emulatedplatform.cpp
@@ -103,6 +103,8 @@
         return replaceWorkers(fault, isActive);
     if (fault.kind == FleetFaultKind::WorkersCutOff)
         return isActive ? cutOffWorkers(fault) : void();
+    if (fault.kind == FleetFaultKind::WorkersFailing)
+        return isActive ? failWorkers(fault) : void();
     if (fault.kind == FleetFaultKind::WorkerCrashes || fault.kind == FleetFaultKind::CapacityShrink) {
         if (!isActive)
             return;
@@ -254,6 +256,18 @@
     }
 }
 
+void EmulatedPlatform::failWorkers(const FleetFault& fault)
+{
+    for (std::size_t shard = 0; shard < shardCount_; ++shard) {
+        for (FleetWorker* worker : stableWorkers(shard)) {
+            if (!time_.happens(fault.workerPercent))
+                continue;
+            worker->failsUntilMs = std::max(worker->failsUntilMs, time_.nowMs() + fault.durationMs);
+            worker->failurePercent = fault.failurePercent;
+        }
+    }
+}
+
 void EmulatedPlatform::advance()
 {
     const std::int64_t nowMs = time_.nowMs();
--- a/src/tools/gqemulate/emulatedplatform.h
+++ b/src/tools/gqemulate/emulatedplatform.h
@@ -28,6 +28,10 @@
     bool isSilent = false; //!< Its host is gone, so that calls to it are not refused.
     bool hasCrashed = false; //!< It has crashed and has not started again.
     bool isCutOff = false; //!< It runs, but calls to it are refused.
+    std::int64_t failsUntilMs = -1; //!< Time until which it fails what it starts.
+    int failurePercent = 0; //!< Probability with which it does so.
+
+    bool isFailing(std::int64_t nowMs) const { return simulated.failsAllTasks || nowMs < failsUntilMs; }
 
     /*! \return whether the worker carries out commands. */
     bool answers() const { return simulated.isUp && simulated.isReachable && !isCutOff; }
@@ -38,7 +42,7 @@
     /*! \return whether new attempts may be expected to run on the worker. */
     bool isUsable(std::int64_t nowMs) const
     {
-        return answers() && drainMs < 0 && !simulated.failsAllTasks && isListed(nowMs);
+        return answers() && drainMs < 0 && !isFailing(nowMs) && isListed(nowMs);
     }
 
     bool isListed(std::int64_t nowMs) const
@@ -85,6 +89,7 @@
     void crashWorkers(const FleetFault& fault);
     void shrinkCapacities(const FleetFault& fault);
     void cutOffWorkers(const FleetFault& fault);
+    void failWorkers(const FleetFault& fault);
     void replaceWorkers(const FleetFault& fault, bool isActive);
     void setWorkerFaultActive(FleetWorker& worker, FleetFaultKind kind, bool isActive);
     std::vector<FleetWorker*> stableWorkers(std::size_t shard);
--- a/src/tools/gqemulate/fleetscenario.cpp
+++ b/src/tools/gqemulate/fleetscenario.cpp
@@ -40,6 +40,8 @@
 constexpr FaultProfile storeDown { FleetFaultKind::StoreDown, 1, 3000, 12'000 };
 constexpr FaultProfile workerCrashes { FleetFaultKind::WorkerCrashes, 1, 300, 4000 };
 constexpr FaultProfile workersCutOff { FleetFaultKind::WorkersCutOff, 1, 2500, 9000 };
+constexpr FaultProfile workersFailing { FleetFaultKind::WorkersFailing, 1, 1000, 9000 };
+constexpr FaultProfile lateWorkersFailing { FleetFaultKind::WorkersFailing, 1, 3000, 12'000 };
 constexpr FaultProfile capacityShrink { FleetFaultKind::CapacityShrink, 1, 2000, 20'000 };
 
 const FaultProfile& randomProfile(std::mt19937_64& random)
@@ -127,6 +129,23 @@
         scenario.faults.push_back(randomFault(workersCutOff, random));
 }
 
+void addWorkerFailures(FleetScenario& scenario)
+{
+    std::mt19937_64 random(scenario.seed * 86'028'121 + 23);
+    scenario.hasHopelessTasks = true;
+    constexpr std::array<int, 5> workerShares { 30, 60, 90, 100, 100 };
+    const std::size_t count = 1 + random() % 3;
+    for (std::size_t number = 0; number <= count; ++number) {
+        FleetFault fault = randomFault(number == 0 ? lateWorkersFailing : workersFailing, random);
+        // The first one lasts until no more jobs are handed in.
+        if (number == 0)
+            fault.startMs = fleetSubmissionEndMs - fault.durationMs / 2;
+        fault.workerPercent = workerShares[random() % workerShares.size()];
+        fault.failurePercent = static_cast<int>(50 + random() % 51);
+        scenario.faults.push_back(fault);
+    }
+}
+
 FleetScenario ownerLossScenario(std::uint64_t seed)
 {
     std::mt19937_64 random(seed * 32'452'843 + 11);
@@ -193,15 +212,16 @@
 
 std::string describe(const FleetFault& fault)
 {
-    static constexpr const char* names[]
-        = { "node killed", "owner's node frozen", "shard released", "node cut off from the store",
-              "calls between nodes lost", "workers replaced", "shard without workers",
-              "worker's entry absent", "worker crashes", "worker cut off", "worker fails everything",
-              "store down", "workers crash", "capacities shrink", "workers cut off with refusals" };
+    static constexpr const char* names[] = { "node killed", "owner's node frozen", "shard released",
+        "node cut off from the store", "calls between nodes lost", "workers replaced",
+        "shard without workers", "worker's entry absent", "worker crashes", "worker cut off",
+        "worker fails everything", "store down", "workers crash", "capacities shrink",
+        "workers cut off with refusals", "workers fail what they start" };
     return std::string(names[static_cast<std::size_t>(fault.kind)]) + " at " + std::to_string(fault.startMs)
         + " ms for " + std::to_string(fault.durationMs) + " ms (target " + std::to_string(fault.target)
         + ", count " + std::to_string(fault.count) + ", capacity " + std::to_string(fault.capacityPercent)
-        + "%)";
+        + "%, workers " + std::to_string(fault.workerPercent) + "%, failures "
+        + std::to_string(fault.failurePercent) + "%)";
 }
 
 } // namespace Emulate
--- a/src/tools/gqemulate/fleetscenario.h
+++ b/src/tools/gqemulate/fleetscenario.h
@@ -24,6 +24,7 @@
     WorkerCrashes, //!< Several workers of a shard crash at the same moment.
     CapacityShrink, //!< Workers of a shard offer a share of their capacity only.
     WorkersCutOff, //!< Workers of a shard run on, while calls to them are refused and their entries lapse.
+    WorkersFailing, //!< Some workers of all shards fail what they start, with a probability.
 };
 
 /*! A fault injected into a fleet scenario. */
@@ -34,6 +35,8 @@
     std::size_t target = 0; //!< Node, shard or worker, modulo their number.
     std::size_t count = 1; //!< Number of workers, for faults that affect several.
     int capacityPercent = 100; //!< For a capacity that shrinks.
+    int workerPercent = 100; //!< Share of the workers, for faults that affect all shards.
+    int failurePercent = 100; //!< Probability with which a failing worker fails what it starts.
 };
 
 /*! Protocol variants of a fleet that lack a protection, to show that the checkers detect the lack. */
@@ -45,8 +48,12 @@
     RestartOfDelegatedTasks, //!< A successor starts the tasks that its predecessor delegated.
     LeaseWaitFromTakeover, //!< A successor does not know when and what the former owner last wrote.
     IgnoredLeaseStatement, //!< An owner renews leases beyond the ends that it has stated.
+    NoProbesByFailedTasks, //!< Tasks that have failed do not start on quarantined workers.
 };
 
+//! Time after which no more jobs are handed in.
+inline constexpr std::int64_t fleetSubmissionEndMs = 66'000;
+
 /*! Input of the emulation of a fleet of several shards. */
 struct FleetScenario {
     std::uint64_t seed = 1;
@@ -54,6 +61,7 @@
     std::vector<FleetFault> faults;
     bool hasWorkerDisturbances = false; //!< Stops take time, and the list of workers is read less often.
     bool hasDeadlyTasks = false; //!< Some jobs have a task that crashes each worker that starts it.
+    bool hasHopelessTasks = false; //!< More tasks fail always, and more failures are allowed.
     bool hasSilentDepartures = false; //!< Calls to workers that have left are not refused.
     std::string traceJob; //!< Job whose events are printed; empty: none.
 };
@@ -100,6 +108,14 @@
 */
 void addWorkerCuts(FleetScenario& scenario);
 
+/*!
+    Adds times in which workers of all shards fail what they start, one of them when no more jobs are handed
+   in, and tasks that fail always.
+
+    The draws depend on the seed only, and not on those of the other functions.
+*/
+void addWorkerFailures(FleetScenario& scenario);
+
 /*!
     Creates a scenario in which the store is away for 8 to 13 s while workers of a shard drain and leave, and
     the node of the shard's owner is killed or, if the seed is odd, cut off from the store for longer than the
--- a/src/tools/gqemulate/fleetworkload.cpp
+++ b/src/tools/gqemulate/fleetworkload.cpp
@@ -10,7 +10,7 @@
     spec.set_id("j" + std::to_string(nextNumber_++));
     spec.set_service("service");
     spec.set_occurrences(1);
-    spec.set_max_failures(static_cast<std::uint32_t>(2 + time_.random(3)));
+    spec.set_max_failures(static_cast<std::uint32_t>(2 + time_.random(hasHopelessTasks_ ? 7 : 3)));
     spec.set_slack_factor(2);
     spec.set_target_ms(500);
     spec.set_priority(static_cast<std::int32_t>(time_.random(3)));
@@ -95,7 +95,7 @@
     behavior.gangSize = step.gang() ? step.count() : 0;
     behavior.tailTargetMs = step.tail_target_ms();
     // Some tasks always fail.
-    constexpr std::size_t tasksPerAlwaysFailing = 120;
+    const std::size_t tasksPerAlwaysFailing = hasHopelessTasks_ ? 40 : 120;
     behavior.alwaysFails = !step.lasting()
         && std::hash<std::string> {}(task.job + std::to_string(task.index)) % tasksPerAlwaysFailing == 0;
     constexpr std::size_t jobsPerDeadlyTask = 40;
--- a/src/tools/gqemulate/fleetworkload.h
+++ b/src/tools/gqemulate/fleetworkload.h
@@ -13,10 +13,14 @@
 /*! Creates random jobs and knows how their tasks behave on workers. */
 class FleetWorkload {
 public:
-    /*! \param hasDeadlyTasks whether some jobs have a task that crashes each worker that starts it. */
-    FleetWorkload(VirtualTime& time, bool hasDeadlyTasks)
+    /*!
+        \param hasDeadlyTasks whether some jobs have a task that crashes each worker that starts it.
+        \param hasHopelessTasks whether more tasks fail always, and more failures are allowed.
+    */
+    FleetWorkload(VirtualTime& time, bool hasDeadlyTasks, bool hasHopelessTasks)
         : time_(time)
         , hasDeadlyTasks_(hasDeadlyTasks)
+        , hasHopelessTasks_(hasHopelessTasks)
         , longRunningShare_(1 + time.random(4))
         , bestEffortShare_(2 + time.random(6))
     {
@@ -38,6 +42,7 @@
 
     VirtualTime& time_;
     bool hasDeadlyTasks_;
+    bool hasHopelessTasks_;
     std::int64_t longRunningShare_; //!< Share of long-running jobs, in 1/20.
     std::int64_t bestEffortShare_; //!< Share of best-effort jobs, in 1/20.
     std::uint64_t nextNumber_ = 1;
--- a/src/tools/gqemulate/main.cpp
+++ b/src/tools/gqemulate/main.cpp
@@ -23,6 +23,7 @@
     bool hasWorkerDisturbances = true;
     bool hasDeadlyTasks = true;
     bool hasCuts = false;
+    bool hasFailures = false;
     Emulate::FleetVariant variant = Emulate::FleetVariant::Complete;
     std::string traceJob;
 };
@@ -35,6 +36,7 @@
     { "restart-delegated", Emulate::FleetVariant::RestartOfDelegatedTasks },
     { "wait-from-takeover", Emulate::FleetVariant::LeaseWaitFromTakeover },
     { "ignored-statement", Emulate::FleetVariant::IgnoredLeaseStatement },
+    { "no-failed-probes", Emulate::FleetVariant::NoProbesByFailedTasks },
 };
 
 /*! Sums over several days. */
@@ -54,7 +56,8 @@
     stream
         << "Usage: gqemulate [--fleet] [--waves] [--owner-loss] [--stated-lease]\n"
         << "                 [--variant NAME] [--seed N] [--days N] [--calm]\n"
-        << "                 [--no-deadly] [--no-crashes] [--cuts] [--trace JOB]\n"
+        << "                 [--no-deadly] [--no-crashes] [--cuts] [--failures]\n"
+        << "                 [--trace JOB]\n"
         << "Plays days of a shard in virtual time with the real scheduler and judges what its workers did.\n"
         << "  --fleet      days of several shards with worker replacement, instead of one shard\n"
         << "  --waves      fleet days with no faults but many replaced workers\n"
@@ -62,7 +65,7 @@
         << "  --stated-lease  fleet days with an owner lost that has stated the end of a lease\n"
         << "  --variant V  fleet that lacks a protection: no-fencing, no-lease-wait, no-delegation,\n"
         << "               restart-delegated, wait-from-takeover,\n"
-        << "               ignored-statement\n"
+        << "               ignored-statement, no-failed-probes\n"
         << "  --seed N     seed of the first day (1)\n"
         << "  --days N     number of days with seeds from there on (1)\n"
         << "  --calm       days without faults\n"
@@ -70,6 +73,9 @@
         << "  --no-crashes days without tasks that crash workers, workers that crash together, and\n"
         << "               capacities that shrink\n"
         << "  --cuts       fleet days on which workers run on while they are cut off\n"
+        << "  --failures   fleet days on which workers of all shards fail what they start, and more tasks "
+           "fail\n"
+        << "               always\n"
         << "  --trace JOB  print the orders for one job; in a fleet, all: for every job\n"
         << "Exit codes: 0 no promise was broken, 1 one was, 2 wrong command line.\n";
 }
@@ -87,13 +93,14 @@
 
 bool parseOptions(int argc, char** argv, Options& options)
 {
-    static const option flags[] = { { "seed", required_argument, nullptr, 's' },
-        { "days", required_argument, nullptr, 'd' }, { "calm", no_argument, nullptr, 'c' },
-        { "trace", required_argument, nullptr, 't' }, { "fleet", no_argument, nullptr, 'f' },
-        { "waves", no_argument, nullptr, 'w' }, { "owner-loss", no_argument, nullptr, 'o' },
-        { "stated-lease", no_argument, nullptr, 'l' }, { "variant", required_argument, nullptr, 'v' },
-        { "no-crashes", no_argument, nullptr, 'n' }, { "no-deadly", no_argument, nullptr, 'D' },
-        { "cuts", no_argument, nullptr, 'C' }, { nullptr, 0, nullptr, 0 } };
+    static const option flags[]
+        = { { "seed", required_argument, nullptr, 's' }, { "days", required_argument, nullptr, 'd' },
+              { "calm", no_argument, nullptr, 'c' }, { "trace", required_argument, nullptr, 't' },
+              { "fleet", no_argument, nullptr, 'f' }, { "waves", no_argument, nullptr, 'w' },
+              { "owner-loss", no_argument, nullptr, 'o' }, { "stated-lease", no_argument, nullptr, 'l' },
+              { "variant", required_argument, nullptr, 'v' }, { "no-crashes", no_argument, nullptr, 'n' },
+              { "no-deadly", no_argument, nullptr, 'D' }, { "cuts", no_argument, nullptr, 'C' },
+              { "failures", no_argument, nullptr, 'F' }, { nullptr, 0, nullptr, 0 } };
     for (int flag = 0; (flag = getopt_long(argc, argv, "", flags, nullptr)) != -1;) {
         switch (flag) {
         case 's':
@@ -126,6 +133,9 @@
         case 'C':
             options.hasCuts = true;
             break;
+        case 'F':
+            options.hasFailures = true;
+            break;
         case 'f':
             options.isFleet = true;
             break;
@@ -187,6 +197,8 @@
         Emulate::addWorkerDisturbances(scenario);
     if (options.hasCuts)
         Emulate::addWorkerCuts(scenario);
+    if (options.hasFailures)
+        Emulate::addWorkerFailures(scenario);
     return scenario;
 }
 
--- a/tests/auto/fleet/tst_emulatedfleet.cpp
+++ b/tests/auto/fleet/tst_emulatedfleet.cpp
@@ -34,6 +34,13 @@
     return scenario;
 }
 
+Emulate::FleetScenario scenarioWithFailures(std::uint64_t seed)
+{
+    Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, Emulate::FaultMix::All);
+    Emulate::addWorkerFailures(scenario);
+    return scenario;
+}
+
 // Returns the number of violations of rules whose names start with \p rule.
 std::size_t countOf(const Emulate::FleetResult& result, const std::string& rule)
 {
@@ -91,6 +98,18 @@
     }
 }
 
+// Guards against tasks that wait for workers that are never tried again after they have failed what they
+// started.
+TEST_CASE("Fleets whose workers fail what they start for a while violate no invariant")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const Emulate::FleetResult result = Emulate::runFleetScenario(scenarioWithFailures(seed));
+        INFO("seed " << seed << (result.violations.empty() ? "" : ": " + result.violations.front()));
+        CHECK(result.violations.empty());
+        CHECK(result.unfinished == 0);
+    }
+}
+
 TEST_CASE("No start in a fleet is beyond a capacity that has shrunk")
 {
     CHECK(countOf(Emulate::runFleetScenario(scenarioWithCrashes(17, false)), "started beyond the capacity")
@@ -143,6 +162,16 @@
     CHECK(countOf(Emulate::runFleetScenario(scenario), "started after its end") > 0);
 }
 
+TEST_CASE("The wait check detects that tasks that have failed do not start on quarantined workers")
+{
+    for (const std::uint64_t seed : { 27, 42 }) {
+        Emulate::FleetScenario scenario = scenarioWithFailures(seed);
+        CHECK(countOf(Emulate::runFleetScenario(scenario), "job with nothing running") == 0);
+        scenario.variant = FleetVariant::NoProbesByFailedTasks;
+        CHECK(countOf(Emulate::runFleetScenario(scenario), "job with nothing running") > 0);
+    }
+}
+
 TEST_CASE("A change of owner while a worker's entry is absent does not delay its tasks")
 {
     CHECK(countViolations(FleetVariant::Complete, 5428, 5428, "job with nothing running") == 0);
