--- a/tests/auto/usersplatform/soak/faultinjector.py
+++ b/tests/auto/usersplatform/soak/faultinjector.py
@@ -5,6 +5,7 @@
 import time
 
 FAULT_MODES = ("delay", "one_way", "silent", "unconnectable", "reset")
+FAILING_SHARES = (0.3, 0.7, 1, 1)
 # Bounds the length of a series.
 MAX_NODES_IN_TURN = 5
 
@@ -160,15 +161,37 @@
         random = self.soak.cuts
         while time.monotonic() < deadline:
             await asyncio.sleep(random.uniform(0.5, 4))
-            if self.is_storm or self.soak.has_only_cuts:
+            if self.is_storm or self.soak.has_only_cuts or self.soak.has_only_failures:
                 self.soak.keep([asyncio.create_task(self.soak.pool.cut_off_several())])
 
+    async def fail_workers(self, deadline):
+        """Lets workers fail what they start, in storms and, all of them, until after the end of the load, by a random
+        stream of its own, so that the other faults of a seed stay the same."""
+        random, pool = self.soak.failures, self.soak.pool
+        last_at = deadline - random.uniform(1, 3)
+        while True:
+            pause = random.uniform(1, 6)
+            if time.monotonic() + pause >= last_at:
+                break
+            await asyncio.sleep(pause)
+            if self.is_storm or self.soak.has_only_failures:
+                series = pool.fail_several(random.choice(FAILING_SHARES), random.uniform(1, 5))
+                self.soak.keep([asyncio.create_task(series)])
+        await asyncio.sleep(max(0, last_at - time.monotonic()))
+        await pool.fail_several(1, deadline - last_at + random.uniform(5, 8))
+        if random.random() < 0.5:
+            await asyncio.sleep(random.uniform(0.1, 1))
+            await pool.fail_several(1, random.uniform(1, 3))
+
     async def run(self, deadline):
         while self.soak.has_only_freezes and time.monotonic() < deadline:
             await self.freeze_while_writing()
             await asyncio.sleep(0.2)
         if self.soak.has_only_cuts:
             return
+        if self.soak.has_only_failures:
+            kinds = (self.inject_node_fault, self.reload_settings, self.inject_link_fault, self.inject_worker_fault)
+            return await self.inject(kinds, deadline, 3)
         pool = self.soak.pool
         planned = (self.replace_worker, pool.run_wave, pool.empty_group, self.reload_settings,
                    self.inject_configuration_change)
--- a/tests/auto/usersplatform/soak/soak.py
+++ b/tests/auto/usersplatform/soak/soak.py
@@ -3,8 +3,8 @@
 against what callers and workers observe.
 
     soak.py --program PATH [--seed N] [--seeds COUNT] [--seconds S] [--logs FOLDER] [--large]
-            [--only-freezes] [--only-cuts] [--no-crashes] [--no-cuts]
-            [--size NAME]
+            [--only-freezes] [--only-cuts] [--only-failures] [--no-crashes] [--no-cuts]
+            [--no-failures] [--size NAME]
 
 Exits with 0 if no invariant was violated; else the logs of the failed seeds are kept. A seed determines the injected
 faults and their times; the timing of the processes still varies. With --large, 100 processes and 60 workers run: by
@@ -43,6 +43,10 @@
 NARROW_BYTES = 4096
 # Share of the jobs in storms with a task that crashes each worker that starts it.
 DEADLY_SHARE = 0.08
+# Time at the end of the load without big jobs, whose many tasks would try the workers that fail again and again.
+SECONDS_WITHOUT_BIG_JOBS = 8
+# Share of the jobs with a task that fails always.
+HOPELESS_SHARE = 0.03
 LARGE_REQUEST_BYTES = 65536
 
 
@@ -74,13 +78,16 @@
     """One run of the soak test with one seed."""
 
     def __init__(self, program, seed, seconds, folder, size, has_only_freezes=False, has_crashes=True,
-                 has_cuts=True, has_only_cuts=False):
+                 has_cuts=True, has_only_cuts=False, has_failures=True, has_only_failures=False):
         self.program = program
         self.random = random.Random(seed)
         self.disturbances = random.Random("disturbances %d" % seed)
         self.cuts = random.Random("cuts %d" % seed)
+        self.failures = random.Random("failures %d" % seed)
+        self.has_only_failures = has_only_failures
+        self.has_failures = has_failures and not has_only_freezes and not has_only_cuts
         self.has_only_cuts = has_only_cuts
-        self.has_crashes = has_crashes and not has_only_freezes and not has_only_cuts
+        self.has_crashes = has_crashes and not (has_only_freezes or has_only_cuts or has_only_failures)
         self.has_cuts = has_cuts and not has_only_freezes
         self.seconds = seconds
         self.folder = folder
@@ -93,14 +100,15 @@
         self.unplanned = FaultClock(self.faults)
         self.checker = InvariantChecker(self.faults, self.log_event)
         self.store = Store(self.random)
-        self.pool = WorkerPool(self.random, self.disturbances, self.cuts, self.store, self.checker, self.unplanned,
-                               self.log_event, size)
+        self.pool = WorkerPool(self.random, self.disturbances, self.cuts, self.failures, self.store, self.checker,
+                               self.unplanned, self.log_event, size)
         self.progress = ProgressChecker(self.checker, self.faults, self.pool, folder)
         self.jobs = self.progress.jobs  # id -> TrackedJob
         self.nodes = []
         self.kept_tasks = []
         self.configuration_version = 1
         self.big_jobs = 0
+        self.last_big_job_at = float("inf")
         self.injector = FaultInjector(self)
         self.answer_count = 0
         self.broken_count = 0
@@ -170,6 +178,9 @@
                      and self.disturbances.random() < DEADLY_SHARE)
         if is_deadly:
             shape["deadly"] = "%d.%d" % (self.disturbances.randrange(len(phases)), self.disturbances.randrange(count))
+        if (self.has_failures and not is_deadly and not is_big and not is_long_running
+                and self.failures.random() < HOPELESS_SHARE):
+            shape["hopeless"] = "%d.%d" % (self.failures.randrange(len(phases)), self.failures.randrange(count))
         spec = json.dumps(shape)
         if is_big:
             spec = json.dumps(dict(shape, pad="x" * (MAX_SPEC_BYTES - len(spec) - len(', "pad": ""'))))
@@ -199,7 +210,7 @@
     async def submit_job(self, is_long_running=False, is_big=False, pause=0.0, node=None):
         """Submits a job, its request in two halves if `pause` is not 0, and attends to it. With `node`, a large request
         is first sent to that node."""
-        if is_big and self.big_jobs >= MAX_BIG_JOBS:
+        if is_big and (self.big_jobs >= MAX_BIG_JOBS or time.monotonic() > self.last_big_job_at):
             return
         self.big_jobs += 1 if is_big else 0
         try:
@@ -302,10 +313,14 @@
         try:
             await asyncio.sleep(4)
             deadline = time.monotonic() + self.seconds
+            if self.has_only_failures:
+                self.last_big_job_at = deadline - SECONDS_WITHOUT_BIG_JOBS
             clients = [ConnectionClient(self, number) for number in range(self.size.connections)]
             disturbances = [self.injector.disturb_workers(deadline)] if self.has_crashes else []
             if self.has_cuts:
                 disturbances.append(self.injector.cut_workers(deadline))
+            if self.has_failures:
+                disturbances.append(self.injector.fail_workers(deadline))
             await asyncio.gather(self.generate_load(deadline), self.injector.run(deadline), *disturbances,
                                  *[client.run(deadline) for client in clients])
             await self.settle()
@@ -339,7 +354,8 @@
     else:
         folder = tempfile.mkdtemp(prefix="soak-seed-%d-" % seed)
     soak = Soak(options.program, seed, options.seconds, folder, SIZES["large" if options.large else options.size],
-                options.only_freezes, not options.no_crashes, not options.no_cuts, options.only_cuts)
+                options.only_freezes, not options.no_crashes, not options.no_cuts, options.only_cuts,
+                not options.no_failures, options.only_failures)
     checker = asyncio.run(soak.run())
     print("seed %d: %s" % (seed, soak.summary()), flush=True)
     is_good = not checker.violations and bool(checker.completed)
@@ -369,8 +385,13 @@
                         help="no tasks that crash workers, workers that crash together or capacities that change")
     parser.add_argument("--no-cuts", action="store_true",
                         help="no workers that run on while they are cut off from the nodes and from the store")
+    parser.add_argument("--no-failures", action="store_true",
+                        help="no workers that fail what they start, and no tasks that fail always")
     parser.add_argument("--only-cuts", action="store_true",
                         help="no fault but workers that run on while they are cut off from the nodes and from the store")
+    parser.add_argument("--only-failures", action="store_true",
+                        help="no workers that come, leave or crash, but workers that fail what they start beside signals to "
+                             "nodes, restarts, broken links and cuts")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # So that the nodes are ended, too.
     results = [run_seed(options, seed) for seed in range(options.seed, options.seed + options.seeds)]
--- a/tests/auto/usersplatform/soak/standinplatform.py
+++ b/tests/auto/usersplatform/soak/standinplatform.py
@@ -15,6 +15,8 @@
 CAPACITY_NOTICE_SECONDS = 4.0 + 1.5
 # Time from the start of a task that crashes workers to the crash.
 CRASH_SECONDS = 0.01
+# Time after which a long-running task fails on a worker that fails what it starts.
+FAILURE_MS = 300
 MAX_CONNECTIONS = 4096
 
 
@@ -191,6 +193,7 @@
         self.crash = None  # Called when a task crashes the worker.
         self.is_down = False
         self.is_silent = False
+        self.active_failures = 0  # Times, which may overlap, in which it fails what it starts.
         self.is_cut_off = False  # It runs on, but neither the nodes nor the store are in touch with it.
         self.proxy = None
         self.is_listed = False
@@ -252,7 +255,8 @@
 
     def sample_room(self, now, settle_seconds, kept_seconds):
         """Records the room that new tasks could have used: none while nodes need not know of the worker yet."""
-        is_usable = (self.is_listed and not self.is_down and not self.is_cut_off and now - self.listed_since >= settle_seconds and not self.is_replaced
+        is_usable = (self.is_listed and not self.is_down and not self.is_cut_off and not self.active_failures
+                     and now - self.listed_since >= settle_seconds and not self.is_replaced
                      and self.proxy.mode is None and (unix_ms() - self.started_unix_ms) / 1000 >= settle_seconds)
         self.free_samples.append((now, self.lowest_free if is_usable else 0))
         self.lowest_free = self.free_processors()
@@ -282,7 +286,7 @@
             elif run["stop_at"] and now > run["stop_at"]:
                 self.end_attempt(task, "stopped")
             elif run["done_at"] and now > run["done_at"]:
-                self.end_attempt(task, "failed" if self.random.random() < 0.02 else "done")
+                self.end_attempt(task, "failed" if run["fails"] or self.random.random() < 0.02 else "done")
 
     def extend_lease(self, until_ms):
         if time.monotonic() > self.lease_until:
@@ -323,10 +327,13 @@
             return 409, dict(fields, reason="late")
         shape = json.loads(call["spec"])
         is_long_running = shape.get("lasts", False)
-        is_deadly = shape.get("deadly") == task.split(".", 2)[2]
+        position = task.split(".", 2)[2]
+        is_deadly = shape.get("deadly") == position
+        fails = self.active_failures > 0 or shape.get("hopeless") == position
+        run_ms = FAILURE_MS if fails and is_long_running else shape["ms"]
         self.runs[task] = {"attempt": attempt, "stop_at": None, "started": time.monotonic(), "cpu": shape["cpu"],
-                           "ms": shape["ms"], "is_deadly": is_deadly,
-                           "done_at": None if is_long_running else time.monotonic() + shape["ms"] / 1000}
+                           "ms": run_ms, "is_deadly": is_deadly, "fails": fails,
+                           "done_at": None if is_long_running and not fails else time.monotonic() + run_ms / 1000}
         self.lowest_free = min(self.lowest_free, self.free_processors())
         self.checker.on_attempt_started(self, task, attempt)
         if is_deadly:
--- a/tests/auto/usersplatform/soak/workerpool.py
+++ b/tests/auto/usersplatform/soak/workerpool.py
@@ -17,10 +17,11 @@
 class WorkerPool:
     """Starts workers, lets them leave with and without a report, and lists them in the store."""
 
-    def __init__(self, random, disturbances, cuts, store, checker, faults, log_event, size):
+    def __init__(self, random, disturbances, cuts, failures, store, checker, faults, log_event, size):
         self.random = random
         self.disturbances = disturbances  # Random numbers for crashes and capacities.
         self.cuts = cuts  # Random numbers for cuts.
+        self.failures = failures  # Random numbers for workers that fail what they start.
         self.kept_tasks = []
         self.store = store
         self.checker = checker
@@ -33,6 +34,7 @@
         self.workers = []
         self.count = 0
         self.is_ending = False
+        self.failing_fleets = []  # Workers of each time in which all fail what they start.
 
     def base_capacity(self):
         return len(self.zones) * self.racks_per_zone * self.workers_per_rack * BASE_CAPACITY
@@ -52,6 +54,9 @@
         worker.proxy = FaultProxy(worker.port)
         await worker.proxy.start()
         self.workers.append(worker)
+        for fleet in self.failing_fleets:
+            fleet.append(worker)
+            worker.active_failures += 1
         self.list(worker)
         return worker
 
@@ -243,6 +248,20 @@
         chosen = self.cuts.sample(self.workers, max(1, int(len(self.workers) * CUT_SHARE)))
         await asyncio.gather(*[self.cut_off(worker, kind, seconds) for worker in chosen])
 
+    async def fail_several(self, share, seconds):
+        """Lets a share of the workers fail what they start; if it is 1, new workers, too."""
+        chosen = self.failures.sample(self.workers, max(1, int(len(self.workers) * share)))
+        if share == 1:
+            self.failing_fleets.append(chosen)
+        self.log_event("%d workers fail what they start for %.1f s" % (len(chosen), seconds))
+        with self.faults:
+            for worker in chosen:
+                worker.active_failures += 1
+            await asyncio.sleep(seconds)
+            self.failing_fleets = [fleet for fleet in self.failing_fleets if fleet is not chosen]
+            for worker in chosen:
+                worker.active_failures -= 1
+
     async def crash_several(self):
         """Lets one worker, 30% of a zone's workers or all of a rack crash at the same moment."""
         model = self.disturbances.choice(self.workers)
