--- a/src/libs/fleetnode/shardhostgangs.cpp
+++ b/src/libs/fleetnode/shardhostgangs.cpp
@@ -21,8 +21,7 @@
 std::vector<Fleet::GangShare> ShardHost::divideGang(const FleetSchema::JobSpec& spec, std::uint32_t step,
     Utils::Duration waited, std::span<const std::string> returnedBy)
 {
-    const std::vector<Fleet::GangShare> shares
-        = otherShards_.divideGang(shard_, spec, step, waited, returnedBy);
+    std::vector<Fleet::GangShare> shares = otherShards_.divideGang(shard_, spec, step, waited, returnedBy);
     std::string parts;
     for (const Fleet::GangShare& share : shares)
         parts += (parts.empty() ? "" : ", ") + share.shard + ": " + std::to_string(share.count);
--- a/src/tools/gqemulate/emulatedownergangs.cpp
+++ b/src/tools/gqemulate/emulatedownergangs.cpp
@@ -15,7 +15,7 @@
         EmulatedFleet::shardName(shard_), spec, step, waited, fleet_.countAliveNodes(), returnedBy);
     if (!single.empty() && std::find(returnedBy.begin(), returnedBy.end(), single) == returnedBy.end())
         return {};
-    const std::vector<Fleet::GangShare> shares = chooser.divideGang(spec, step, 1);
+    std::vector<Fleet::GangShare> shares = chooser.divideGang(spec, step, 1);
     trace({ spec.id(), 0, step, 0 }, "gang divided among " + std::to_string(shares.size()) + " shards");
     return shares;
 }
