--- a/src/libs/fleet/shardgangs.cpp
+++ b/src/libs/fleet/shardgangs.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds partHoldLimit { 3000 };
 // No gang is started if the capacity of a part is held for less than this: the call to start could be late.
 constexpr milliseconds minRemainingHold { 1000 };
+// Time after the end of a member within which the others usually end by themselves, or are known to be done.
+constexpr milliseconds brokenGangDelay { 1000 };
 constexpr milliseconds readyInterval { 300 };
 constexpr milliseconds startInterval { 200 };
 // Time from the search for workers to the next division of a gang. A part of it differs between gangs, so
@@ -109,11 +111,29 @@
             for (Task* member : whole)
                 markWaiting(*member, now);
         }
-        return;
+        return stopBrokenGang(gang, now);
     }
     assignTogether(gang, now);
 }
 
+// Once a member has ended without result, the others make no progress, and the gang cannot start again before
+// they end.
+void ShardScheduler::stopBrokenGang(std::span<Task* const> gang, Utils::TimePoint now)
+{
+    const auto ended = std::find_if(gang.begin(), gang.end(),
+        [](const Task* member) { return member->phase == TaskPhase::Waiting && member->attempt > 0; });
+    if (ended == gang.end() || (*ended)->job->step(**ended).lasting())
+        return;
+    for (Task* member : gang) {
+        if (member->phase != TaskPhase::Running || member->attempt != (*ended)->attempt)
+            continue;
+        if (now - (*ended)->notBefore >= brokenGangDelay)
+            requestStop(*member, now);
+        else
+            hasWaitingTasks_ = true;
+    }
+}
+
 // Assigns all of the tasks or none: some members alone would occupy capacity without making progress.
 bool ShardScheduler::assignTogether(std::span<Task* const> tasks, Utils::TimePoint now)
 {
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -319,6 +319,7 @@
     void assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now,
         FailedSearches& failedSearches);
     void assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
+    void stopBrokenGang(std::span<Task* const> gang, Utils::TimePoint now);
     bool assignTogether(std::span<Task* const> tasks, Utils::TimePoint now);
     void assignPart(std::span<Task* const> part, Utils::TimePoint now);
     std::vector<Task*> findGang(const FleetSchema::GangPart& part);
--- a/tests/auto/fleet/tst_dividedgangs.cpp
+++ b/tests/auto/fleet/tst_dividedgangs.cpp
@@ -31,6 +31,27 @@
     CHECK(fixture.origin().output.ended.size() == 1);
 }
 
+TEST_CASE(
+    "The rest of a gang that has lost a member is stopped, unless it ends by itself, and the gang restarts")
+{
+    GangFixture fixture(4);
+    SchedulerFixture& origin = fixture.origin();
+    REQUIRE(fixture.countRunning() == Counts { 8, 0, 0 });
+    for (const char* worker : { "w2", "w3" }) {
+        origin.scheduler.onWorkerReplaced(worker, origin.now, testStartUnixMs);
+        std::erase_if(origin.running, [&](const auto& attempt) { return attempt.worker == worker; });
+    }
+    origin.scheduler.setWorkers({ makeWorkerInfo("w0"), makeWorkerInfo("w1") }, origin.now);
+    fixture.advance(800ms);
+    CHECK(origin.output.stops.empty());
+    fixture.advance(700ms);
+    REQUIRE(origin.output.stops.size() == 4);
+    origin.finishAll(Ports::AttemptOutcome::Stopped);
+    fixture.advance(3s);
+    CHECK(fixture.countRunning() == Counts { 2, 3, 3 });
+    CHECK(fixture.runningAttempts() == std::set<std::uint32_t> { 2 });
+}
+
 TEST_CASE("A gang that is wider than each shard runs")
 {
     GangFixture fixture(2);
@@ -44,7 +65,12 @@
 {
     GangFixture fixture(2);
     fixture.shards["host2"]->scheduler.setWorkers({ makeWorkerInfo("w0") }, fixture.origin().now);
-    fixture.advance(4s);
+    fixture.advance(2s);
+    CHECK(fixture.committed() == Sizes { 24'000, 36'000, 0 });
+    // The capacity is free again before it was held for 3 s.
+    fixture.advance(1200ms);
+    CHECK(fixture.committed() == Sizes { 0, 0, 0 });
+    fixture.advance(800ms);
     CHECK(fixture.countRunning() == Counts { 0, 0, 0 });
     CHECK_FALSE(fixture.shards["host2"]->output.results.empty());
     CHECK_FALSE(fixture.shards["host1"]->output.results.empty());
@@ -73,6 +99,7 @@
     CHECK(fixture.countRunning() == Counts { 0, 4, 0 });
     // The other part is released when its time is over.
     fixture.advance(3s);
+    CHECK(fixture.committed()[2] == 0);
     Fleet::ShardScheduler& second = fixture.shards["host2"]->scheduler;
     CHECK(second.acceptPartStart(calls[1].second, fixture.origin().now) == FleetSchema::PEER_REFUSED);
     CHECK(fixture.countRunning()[2] == 0);
