--- a/tests/auto/fleet/tst_waitbounds.cpp
+++ b/tests/auto/fleet/tst_waitbounds.cpp
@@ -101,8 +101,8 @@
 
     void answerStops()
     {
-        for (; answeredStops < output.stops.size(); ++answeredStops) {
-            const RecordingOutput::Command stop = output.stops[answeredStops];
+        for (; answeredStops_ < output.stops.size(); ++answeredStops_) {
+            const RecordingOutput::Command stop = output.stops[answeredStops_];
             if (!unstoppingWorkers.contains(stop.worker)) {
                 std::erase_if(running, [&](const Fleet::AttemptStart& start) {
                     return start.worker == stop.worker && start.task == stop.task
@@ -113,7 +113,7 @@
         }
     }
 
-    std::size_t answeredStops = 0;
+    std::size_t answeredStops_ = 0;
 };
 
 FleetSchema::StepSpec makeGang(std::uint32_t count)
@@ -270,3 +270,33 @@
     // After the second crash a task pauses for 500 ms.
     CHECK(fixture.now - crashedAt < waitBound);
 }
+
+TEST_CASE("A task that must not share a worker with another one of its step moves to another shard")
+{
+    for (const bool isLongRunning : { false, true }) {
+        FleetSchema::StepSpec step = makeStep(2, 4000, 60'000);
+        step.set_lasting(isLongRunning);
+        step.set_max_per_worker(1);
+        WaitFixture fixture(1);
+        fixture.output.shardWithCapacity = "host";
+        fixture.submit("job", step);
+        fixture.advance(waitBound);
+        CHECK(fixture.running.size() == 1);
+        CHECK_FALSE(fixture.output.delegations.empty());
+    }
+}
+
+TEST_CASE("Long-running tasks for which others must be relocated all run or move within the same bound")
+{
+    WaitFixture fixture(4);
+    fixture.output.shardWithCapacity = "host";
+    // Each worker has 12 processors left, and a waiting task needs 20.
+    fixture.submit("small", makeLatencyCriticalStep(8, 10'000, "small"));
+    REQUIRE(fixture.running.size() == 8);
+    fixture.submit("large", makeLatencyCriticalStep(3, 20'000, "large"));
+    fixture.advance(waitBound);
+    const auto isLarge = [](const Fleet::AttemptStart& start) { return start.task.job == "large"; };
+    const auto runningCount
+        = static_cast<std::size_t>(std::count_if(fixture.running.begin(), fixture.running.end(), isLarge));
+    CHECK(runningCount + fixture.output.delegations.size() >= 3);
+}
