--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -1,5 +1,7 @@
 #include "shardhost.h"
 
+#include "leaserenewal.h"
+
 #include "utils/log/log.h"
 
 #include <boost/asio/post.hpp>
@@ -15,7 +17,7 @@
 
 // Minimum time between transactions of a shard; lets a transaction combine several decisions.
 constexpr milliseconds minCommitInterval { 40 };
-// An idle owner renews its ownership this often, well within the orphan grace period.
+// An idle owner renews its ownership this often, well within the time for which it renews leases.
 constexpr milliseconds ownershipRenewalInterval { 2000 };
 // Delay before a failed read of the jobs is repeated.
 constexpr milliseconds loadRetryPause { 200 };
@@ -384,7 +386,7 @@
 // Successors expect leases to be renewed until this time.
 Utils::TimePoint ShardHost::renewalRightEnd() const
 {
-    return writer_.confirmedAt() + milliseconds(context_.settings.dispatch().orphan_grace_ms());
+    return writer_.confirmedAt() + renewalTime(context_.settings.dispatch());
 }
 
 bool ShardHost::isOwnershipCertain() const
--- a/src/libs/fleetnode/shardwriter.cpp
+++ b/src/libs/fleetnode/shardwriter.cpp
@@ -1,5 +1,7 @@
 #include "shardwriter.h"
 
+#include "leaserenewal.h"
+
 #include "utils/log/log.h"
 
 #include <algorithm>
@@ -62,7 +64,8 @@
         return static_cast<std::uint32_t>(
             std::max<std::int64_t>(0, std::chrono::ceil<milliseconds>(end - now).count()));
     };
-    record_.set_renewal_ms(context_.settings.dispatch().orphan_grace_ms());
+    const auto renewal = std::chrono::ceil<milliseconds>(renewalTime(context_.settings.dispatch()));
+    record_.set_renewal_ms(static_cast<std::uint32_t>(renewal.count()));
     record_.set_lease_ms(longestLeaseMs());
     record_.set_earlier_renewal_ms(remainingMs(earlierRenewalEnd_));
     record_.clear_lease_remaining_ms();
--- a/tests/auto/fleetnode/scriptedrowstore.h
+++ b/tests/auto/fleetnode/scriptedrowstore.h
@@ -148,6 +148,7 @@
     {
         settings.mutable_node()->set_name("node-1");
         settings.mutable_table()->set_row_bytes(65'536);
+        settings.mutable_dispatch()->set_finish_ms(14'000);
     }
 
     boost::asio::io_context io { 1 };
--- a/tests/auto/fleetnode/tst_shardwriter.cpp
+++ b/tests/auto/fleetnode/tst_shardwriter.cpp
@@ -60,6 +60,19 @@
     CHECK_FALSE(fixture.isLost);
 }
 
+TEST_CASE("The owner row states a time of renewal after which tasks can start again within 3 s of finish_ms")
+{
+    WriterFixture fixture;
+    Schema::DispatchSettings& dispatch = *fixture.settings.mutable_dispatch();
+    dispatch.set_worker_lease_ms(5000);
+    dispatch.set_worker_lease_limit_ms(10'000);
+    dispatch.set_orphan_grace_ms(12'000);
+    REQUIRE(fixture.write("a", "1"));
+    // Both times pass on clocks that may be 2% slow. A second is for the start.
+    const FleetSchema::ShardRecord row = fixture.ownerRow();
+    CHECK((row.renewal_ms() + row.lease_ms()) * 51 / 50 + 1000 <= dispatch.finish_ms() + 3000);
+}
+
 TEST_CASE("A transaction whose answer was lost is applied exactly once")
 {
     WriterFixture fixture;
