--- a/src/tools/gqemulate/emulatedplatform.h
+++ b/src/tools/gqemulate/emulatedplatform.h
@@ -31,7 +31,7 @@
     std::int64_t failsUntilMs = -1; //!< Time until which it fails what it starts.
     int failurePercent = 0; //!< Probability with which it does so.
 
-    bool isFailing(std::int64_t nowMs) const { return simulated.failsAllTasks || nowMs < failsUntilMs; }
+    bool isFailing(std::int64_t nowMs) const { return nowMs < failsUntilMs; }
 
     /*! \return whether the worker carries out commands. */
     bool answers() const { return simulated.isUp && simulated.isReachable && !isCutOff; }
@@ -42,7 +42,7 @@
     /*! \return whether new attempts may be expected to run on the worker. */
     bool isUsable(std::int64_t nowMs) const
     {
-        return answers() && drainMs < 0 && !isFailing(nowMs) && isListed(nowMs);
+        return answers() && drainMs < 0 && !simulated.failsAllTasks && !isFailing(nowMs) && isListed(nowMs);
     }
 
     bool isListed(std::int64_t nowMs) const
