--- a/tests/auto/usersplatform/soak/faultinjector.py
+++ b/tests/auto/usersplatform/soak/faultinjector.py
@@ -178,7 +178,7 @@
                 series = pool.fail_several(random.choice(FAILING_SHARES), random.uniform(1, 5))
                 self.soak.keep([asyncio.create_task(series)])
         await asyncio.sleep(max(0, last_at - time.monotonic()))
-        await pool.fail_several(1, deadline - last_at + random.uniform(5, 8))
+        await pool.fail_several(1, deadline - last_at + random.uniform(9, 12))
         if random.random() < 0.5:
             await asyncio.sleep(random.uniform(0.1, 1))
             await pool.fail_several(1, random.uniform(1, 3))
