--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -160,22 +160,25 @@
         [](const Candidate& left, const Candidate& right) { return left.rank < right.rank; });
     FailedSearches failedSearches;
     for (const Candidate& candidate : candidates) {
-        Job& job = *candidate.job;
-        if (awaitsOrigin(job, now))
-            continue;
-        for (std::uint32_t step = 0; step < job.stepOffsets.size(); ++step) {
-            if (job.remainingTasks(candidate.occurrence, step) == 0
-                || !job.isStepReady(candidate.occurrence, step, nowUnixMs))
-                continue;
-            if (job.spec.steps(static_cast<int>(step)).gang())
-                assignGang(job, candidate.occurrence, step, now);
-            else
-                assignStep(job, candidate.occurrence, step, now, failedSearches);
-        }
+        if (!awaitsOrigin(*candidate.job, now))
+            assignOccurrence(*candidate.job, candidate.occurrence, now, nowUnixMs, failedSearches);
     }
     interferenceCache_.reset();
 }
 
+void ShardScheduler::assignOccurrence(Job& job, std::uint32_t occurrence, Utils::TimePoint now,
+    std::int64_t nowUnixMs, FailedSearches& failedSearches)
+{
+    for (std::uint32_t step = 0; step < job.stepOffsets.size(); ++step) {
+        if (job.remainingTasks(occurrence, step) == 0 || !job.isStepReady(occurrence, step, nowUnixMs))
+            continue;
+        if (job.spec.steps(static_cast<int>(step)).gang())
+            assignGang(job, occurrence, step, now);
+        else
+            assignStep(job, occurrence, step, now, failedSearches);
+    }
+}
+
 void ShardScheduler::onTasksChanged(const Worker& worker)
 {
     if (interferenceCache_)
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -316,6 +316,8 @@
     Task* findOpenTask(const std::string& worker, const Ports::TaskKey& key, std::uint32_t attempt);
     void markDirty(Job& job);
     void assign(Task& task, Worker& worker, Utils::TimePoint now);
+    void assignOccurrence(Job& job, std::uint32_t occurrence, Utils::TimePoint now, std::int64_t nowUnixMs,
+        FailedSearches& failedSearches);
     void assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now,
         FailedSearches& failedSearches);
     void assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -396,7 +396,7 @@
 {
     fleet_.callShard(
         node_, originShard,
-        [job](EmulatedOwner& owner, AnswerHandler handler) {
+        [job](EmulatedOwner& owner, const AnswerHandler& handler) {
             if (const auto state = owner.scheduler_->state(job))
                 handler({ FleetSchema::PEER_OK, *state, 0 });
         },
