--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -39,8 +39,8 @@
     double speed = 1;
     //! A best-effort task may start, throttled to zero, where latency-critical tasks are over their target.
     bool mayStartThrottledToZero = false;
-    bool mayProbe
-        = true; //!< The task may be started on a quarantined worker to see whether that still fails.
+    //! The task may be started on a quarantined worker to see whether that still fails.
+    bool mayProbe = true;
 };
 
 /*! \return what a task accepts in a worker at present. */
