--- a/src/libs/fleet/interferenceview.h
+++ b/src/libs/fleet/interferenceview.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "stepbudget.h"
+
+#include <cstddef>
 #include <span>
 
 namespace Fleet {
@@ -17,6 +20,14 @@
     //! Shares of the images in the best-effort demand, which add up to 1; empty if there is none.
     std::span<const ImageShare> demand {};
     InterferenceCache* cache = nullptr; //!< Estimates of the model; may be null.
+    StepBudget* steps = nullptr; //!< Counts what is examined; may be null.
+    StepKind stepKind = StepKind::Search; //!< What it is examined for.
+
+    void spend(std::size_t count) const
+    {
+        if (steps)
+            steps->spend(stepKind, count);
+    }
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/relocation.cpp
+++ b/src/libs/fleet/relocation.cpp
@@ -1,6 +1,7 @@
 #include "relocation.h"
 
 #include "job.h"
+#include "stepbudget.h"
 #include "worker.h"
 #include "workerchoice.h"
 #include "workercommitment.h"
@@ -44,9 +45,11 @@
     Utils::Duration availabilityDelay {};
     Utils::TimePoint now {};
     bool mayProbe = false; //!< The plan may use quarantined workers that may be probed.
+    StepBudget& steps;
 
     bool allows(const Task& task, const Worker& worker) const
     {
+        steps.spend(StepKind::Relocation, 1 + worker.tasks.size());
         return isEligible(
             task, worker, !isQuarantined(worker) || (mayProbe && isProbeDue(worker, now, &task)));
     }
@@ -93,6 +96,7 @@
     std::vector<Task*> movable;
     for (Task* task : worker.tasks) {
         const FleetSchema::StepSpec& step = task->job->step(*task);
+        terms.steps.spend(StepKind::Relocation, step.has_disruption_budget() ? step.count() : 1);
         if (step.lasting() && !step.gang() && task->phase == TaskPhase::Running
             && mayDisrupt(*task, terms.availabilityDelay, terms.now))
             movable.push_back(task);
@@ -161,12 +165,12 @@
 }
 
 Task* chooseRelocation(const Task& waiting, std::span<Worker* const> workers,
-    Utils::Duration availabilityDelay, Utils::TimePoint now)
+    Utils::Duration availabilityDelay, Utils::TimePoint now, StepBudget& steps)
 {
     // A task that is at work rather stays than probes a worker. But if quarantined workers have no room for a
     // task that could probe them, only a move makes it.
     for (const bool mayProbe : { false, true }) {
-        const PlanTerms terms { availabilityDelay, now, mayProbe };
+        const PlanTerms terms { availabilityDelay, now, mayProbe, steps };
         RelocationPlan best;
         for (const Worker* worker : workers) {
             if (!terms.allows(waiting, *worker))
--- a/src/libs/fleet/relocation.h
+++ b/src/libs/fleet/relocation.h
@@ -6,6 +6,7 @@
 
 namespace Fleet {
 
+class StepBudget;
 struct Task;
 struct Worker;
 
@@ -20,11 +21,12 @@
 
     \param waiting the task that does not fit on any worker.
     \param availabilityDelay time for which a long-running task must have been running to count as available.
+    \param steps counts the workers and tasks examined.
     \return the task to stop, or nullptr if no relocation helps or each one would exceed a step's disruption
         budget.
 */
 Task* chooseRelocation(const Task& waiting, std::span<Worker* const> workers,
-    Utils::Duration availabilityDelay, Utils::TimePoint now);
+    Utils::Duration availabilityDelay, Utils::TimePoint now, StepBudget& steps);
 
 /*! \return whether a task may be relocated to \p worker, which is not its own one, and fits there at once. */
 bool isRelocationTarget(const Task& task, const Worker& worker);
--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -117,7 +117,7 @@
         const Task* const task = job ? job->findTask(key.occurrence, key.step, key.index) : nullptr;
         const bool isIsolated = task && task->phase == TaskPhase::Waiting && job->isActive()
             && isolationOf(*task) == fullIsolation;
-        if (remaining > 0 && isIsolated && keepWorkerEmpty(*task, workers))
+        if (remaining > 0 && isIsolated && keepWorkerEmpty(*task, workers, *steps_))
             --remaining;
     }
 }
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -49,6 +49,7 @@
         }))
         return cancelUnacknowledged(job, now);
     sendPartStarts(job, now);
+    steps_->spend(StepKind::Transfers, job.tasks.size());
     for (Task& task : job.tasks) {
         const bool isWaitingForPart = task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Held;
         if (task.part.size > 0 && isWaitingForPart) {
--- a/src/libs/fleet/shardgangs.cpp
+++ b/src/libs/fleet/shardgangs.cpp
@@ -146,7 +146,7 @@
     const std::vector<Worker*> workers = assignableWorkers(now);
     std::vector<std::pair<Task*, Worker*>> chosen;
     for (Task* task : tasks) {
-        Worker* worker = chooseWorker(*task, workers, interferenceView(), now);
+        Worker* worker = chooseWorker(*task, workers, interferenceView(StepKind::Search), now);
         if (!worker)
             break;
         addAttempt(*task, *worker);
--- a/src/libs/fleet/shardload.cpp
+++ b/src/libs/fleet/shardload.cpp
@@ -15,6 +15,7 @@
     for (const auto& [id, job] : jobs_) {
         if (!job->isActive())
             continue;
+        steps_->spend(StepKind::Preparation, job->tasks.size());
         for (const Task& task : job->tasks) {
             const FleetSchema::StepSpec& step = job->step(task);
             if (step.leftover_processors() && (task.isOpen() || task.phase == TaskPhase::Waiting))
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -51,6 +51,7 @@
     : options_(std::move(options))
     , output_(output)
     , tailLatencyModel_(tailLatencyModel)
+    , steps_(std::make_unique<StepBudget>())
 {
 }
 
@@ -130,6 +131,7 @@
 
 void ShardScheduler::schedule(Utils::TimePoint now, std::int64_t nowUnixMs)
 {
+    steps_ = std::make_unique<StepBudget>();
     if (!isScheduleDue_)
         return;
     isScheduleDue_ = false;
@@ -144,8 +146,9 @@
     keepWorkersEmpty(now);
     updateDemand();
     interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
+    steps_->spend(StepKind::Preparation, workers_.size() + jobs_.size());
     for (auto& [id, worker] : workers_)
-        worker->toleratedDemand = toleratedDemandShare(*worker, interferenceView());
+        worker->toleratedDemand = toleratedDemandShare(*worker, interferenceView(StepKind::Preparation));
     std::vector<Candidate> candidates;
     for (const auto& [id, job] : jobs_) {
         if (!job->isActive() || job->remainingTaskCount == 0)
@@ -191,6 +194,16 @@
     return now - workersReadAt_ > options_.workerListLimit;
 }
 
+std::optional<Utils::Duration> ShardScheduler::shortestLease(Utils::TimePoint now) const
+{
+    std::optional<Utils::Duration> shortest;
+    for (const auto& [id, worker] : workers_) {
+        if (worker->isResponsive && !worker->tasks.empty())
+            shortest = std::min(shortest.value_or(Utils::Duration::max()), worker->leaseUpperBound - now);
+    }
+    return shortest;
+}
+
 // Without workers, tasks are marked as waiting, so that another shard can run them.
 std::vector<Worker*> ShardScheduler::assignableWorkers(Utils::TimePoint now) const
 {
@@ -217,11 +230,12 @@
         }
         if (awaitsCrashVerdict(task))
             continue;
+        steps_->spend(StepKind::Search, 1);
         if (workers.empty())
             workers = assignableWorkers(now);
         Worker* const worker = failedSearches.includes(task, workers, now)
             ? nullptr
-            : chooseWorker(task, workers, interferenceView(), now);
+            : chooseWorker(task, workers, interferenceView(StepKind::Search), now);
         if (worker) {
             assign(task, *worker, now);
             continue;
@@ -231,7 +245,7 @@
         if (isolationOf(task) == fullIsolation)
             isolatedTasks_.push_back(keyOf(task));
         else if (job.step(task).lasting())
-            reserveWorker(task, workers);
+            reserveWorker(task, workers, *steps_);
         if (job.step(task).lasting())
             relocateFor(task, workers, now);
     }
@@ -255,7 +269,7 @@
     constexpr milliseconds relocationInterval { 1500 };
     if (now - task.waitingSince < relocationDelay || now < relocationAllowedAt_)
         return;
-    Task* const moved = chooseRelocation(task, workers, options_.availabilityDelay, now);
+    Task* const moved = chooseRelocation(task, workers, options_.availabilityDelay, now, *steps_);
     if (!moved)
         return;
     relocationAllowedAt_ = now + relocationInterval;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -8,6 +8,7 @@
 #include "scheduleroptions.h"
 #include "scheduleroutput.h"
 #include "statedleaseends.h"
+#include "stepbudget.h"
 #include "worker.h"
 
 #include "ports/workeragent.h"
@@ -277,6 +278,18 @@
     /*! Handles timeouts and other changes that depend only on time. */
     void onTick(Utils::TimePoint now, std::int64_t nowUnixMs);
 
+    /*! \return the steps of the latest schedule() or onTick(). */
+    const StepBudget& latestPass() const { return *steps_; }
+
+    /*!
+        \return for how long the lease of each worker that answers and has tasks lasts at least; nothing if
+            there is no such worker.
+    */
+    std::optional<Utils::Duration> shortestLease(Utils::TimePoint now) const;
+
+    /*! \return the age of the list of workers. */
+    Utils::Duration workerListAge(Utils::TimePoint now) const { return now - workersReadAt_; }
+
     /*! \return the shard's load for other nodes. */
     FleetSchema::ShardLoad load(Utils::TimePoint now) const;
 
@@ -339,7 +352,7 @@
     void queryOrigins(Utils::TimePoint now);
     void updateDemand();
     void improveGrouping(Utils::TimePoint now);
-    InterferenceView interferenceView() const;
+    InterferenceView interferenceView(StepKind kind) const;
     void onTasksChanged(const Worker& worker);
     void relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now);
     void releaseWorker(Task& task);
@@ -419,6 +432,7 @@
     std::map<std::string, std::unique_ptr<Worker>, std::less<>> workers_;
     TailLatencyModel& tailLatencyModel_;
     std::unique_ptr<InterferenceCache> interferenceCache_; //!< Null outside schedule() and onTick().
+    std::unique_ptr<StepBudget> steps_; //!< Steps of the current pass, or the latest one.
     ImageDemand demand_;
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expiredJobs_; //!< Jobs to remove from the store.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -43,6 +43,7 @@
 
 void ShardScheduler::onTick(Utils::TimePoint now, std::int64_t nowUnixMs)
 {
+    steps_ = std::make_unique<StepBudget>();
     interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
     for (auto& [id, worker] : workers_)
         tickWorker(*worker, now, nowUnixMs);
@@ -69,9 +70,9 @@
     std::erase_if(workers_, [now](const auto& entry) { return entry.second->isObsolete(now); });
 }
 
-InterferenceView ShardScheduler::interferenceView() const
+InterferenceView ShardScheduler::interferenceView(StepKind kind) const
 {
-    return { tailLatencyModel_, demand_.shares(), interferenceCache_.get() };
+    return { tailLatencyModel_, demand_.shares(), interferenceCache_.get(), steps_.get(), kind };
 }
 
 // Examines one worker per tick and makes one move at a time, to bound both the processor time and the
@@ -88,10 +89,10 @@
     std::vector<Worker*> workers;
     for (const auto& [id, worker] : workers_)
         workers.push_back(worker.get());
-    TaskMove move
-        = chooseGroupingMove(*source->second, workers, interferenceView(), options_.availabilityDelay, now);
+    const InterferenceView view = interferenceView(StepKind::Grouping);
+    TaskMove move = chooseGroupingMove(*source->second, workers, view, options_.availabilityDelay, now);
     if (!move.task && hasWaitingTasks_)
-        move = chooseConsolidationMove(workers, interferenceView(), options_.availabilityDelay, now);
+        move = chooseConsolidationMove(workers, view, options_.availabilityDelay, now);
     if (!move.task)
         return;
     groupingAllowedAt_ = now + groupingInterval;
@@ -105,6 +106,7 @@
         && worker.tasks.empty())
         isScheduleDue_ = true;
     const std::vector<Task*> tasks = worker.tasks;
+    steps_->spend(StepKind::Attempts, 1 + tasks.size());
     // A worker whose lease has expired may still report attempts that ended before. The wait for that is no
     // longer than the longest lease.
     const Utils::Duration reportTimeout
@@ -172,7 +174,7 @@
         if (worker.get() != task.worker)
             others.push_back(worker.get());
     }
-    return chooseWorker(task, others, interferenceView(), now) != nullptr;
+    return chooseWorker(task, others, interferenceView(StepKind::Slowness), now) != nullptr;
 }
 
 void ShardScheduler::adjustSpeeds(Worker& worker, Utils::TimePoint now)
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -99,6 +99,7 @@
 {
     Task* longest = nullptr;
     std::uint32_t waitingCount = 0;
+    steps_->spend(StepKind::Waits, job.spec.steps(static_cast<int>(step)).count());
     for (std::uint32_t index = 0; index < job.spec.steps(static_cast<int>(step)).count(); ++index) {
         Task& task = *job.findTask(occurrence, step, index);
         if (!canWait(task)) {
@@ -147,7 +148,7 @@
     if (awaitsCrashVerdict(task)) {
         report.obstacles = "verdict on crashes";
     } else if (task.phase == TaskPhase::Waiting) {
-        const auto counts = countObstacles(task, workers, interferenceView(), now);
+        const auto counts = countObstacles(task, workers, interferenceView(StepKind::Waits), now);
         for (std::size_t obstacle = 0; obstacle < counts.size(); ++obstacle) {
             if (counts[obstacle] > 0) {
                 report.obstacles += std::string(report.obstacles.empty() ? "" : ", ")
--- a/src/libs/fleet/taskgrouping.cpp
+++ b/src/libs/fleet/taskgrouping.cpp
@@ -156,6 +156,7 @@
         if (currentDistance <= bestGain || !mayDisrupt(*task, availabilityDelay, now))
             continue;
         for (Worker* worker : workers) {
+            view.spend(1 + worker->tasks.size());
             if (worker == &source || worker->reservedMilliProcessors > 0
                 || !isRelocationTarget(*task, *worker))
                 continue;
@@ -181,6 +182,7 @@
         if (!isMovable(*task) || !mayDisrupt(*task, availabilityDelay, now))
             continue;
         for (Worker* worker : workers) {
+            view.spend(1 + worker->tasks.size());
             if (worker == source || worker->criticalTaskCount == 0 || worker->reservedMilliProcessors > 0
                 || criticalShare(*worker) <= criticalShare(*source) || !isRelocationTarget(*task, *worker))
                 continue;
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -309,6 +309,7 @@
     Worker* best = nullptr;
     double bestCost = 0;
     for (Worker* worker : workers) {
+        view.spend(1 + worker->tasks.size());
         if (findObstacle(task, *worker, view, terms, now) != PlacementObstacle::None)
             continue;
         const double cost = costOf(task, *worker, countTasksOfStep(task, *worker), view);
@@ -325,8 +326,10 @@
 {
     std::array<std::size_t, placementObstacleCount> counts {};
     const SearchTerms terms = searchTermsOf(task, workers, now);
-    for (const Worker* worker : workers)
+    for (const Worker* worker : workers) {
+        view.spend(1 + worker->tasks.size());
         ++counts[static_cast<std::size_t>(findObstacle(task, *worker, view, terms, now))];
+    }
     return counts;
 }
 
@@ -340,13 +343,15 @@
 namespace {
 
 // Returns the worker with the most room beside long-running tasks; null if the task fits on none.
-Worker* chooseWorkerToReserve(const Task& task, std::span<Worker* const> workers)
+Worker* chooseWorkerToReserve(
+    const Task& task, std::span<Worker* const> workers, StepKind kind, StepBudget& steps)
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
     const std::uint32_t maxPerWorker = step.max_per_worker();
     Worker* best = nullptr;
     std::int64_t bestCapacity = 0;
     for (Worker* worker : workers) {
+        steps.spend(kind, 1 + worker->tasks.size());
         const bool isSuitable = worker->isUsable() && worker->info.service == task.job->spec.service()
             && worker->reservedMilliProcessors == 0 && !worker->isKeptEmpty
             && hasLabel(*worker, step.required_label())
@@ -366,15 +371,15 @@
 
 } // namespace
 
-void reserveWorker(const Task& task, std::span<Worker* const> workers)
+void reserveWorker(const Task& task, std::span<Worker* const> workers, StepBudget& steps)
 {
-    if (Worker* const worker = chooseWorkerToReserve(task, workers))
+    if (Worker* const worker = chooseWorkerToReserve(task, workers, StepKind::Reservation, steps))
         worker->reservedMilliProcessors = task.job->step(task).milli_processors();
 }
 
-bool keepWorkerEmpty(const Task& task, std::span<Worker* const> workers)
+bool keepWorkerEmpty(const Task& task, std::span<Worker* const> workers, StepBudget& steps)
 {
-    Worker* const worker = chooseWorkerToReserve(task, workers);
+    Worker* const worker = chooseWorkerToReserve(task, workers, StepKind::Preparation, steps);
     if (worker)
         worker->isKeptEmpty = true;
     return worker != nullptr;
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -10,6 +10,7 @@
 namespace Fleet {
 
 struct InterferenceView;
+class StepBudget;
 struct Task;
 struct Worker;
 
@@ -86,13 +87,13 @@
     Reserves a worker for a long-running task that does not fit anywhere, so that it gets no more short
     tasks. Chooses the worker whose long-running tasks leave the most processors free.
 */
-void reserveWorker(const Task& task, std::span<Worker* const> workers);
+void reserveWorker(const Task& task, std::span<Worker* const> workers, StepBudget& steps);
 
 /*!
     Keeps a worker empty for a fully isolated task, so that only such tasks may start there.
 
     \return whether there is a worker for the task.
 */
-bool keepWorkerEmpty(const Task& task, std::span<Worker* const> workers);
+bool keepWorkerEmpty(const Task& task, std::span<Worker* const> workers, StepBudget& steps);
 
 } // namespace Fleet
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -15,10 +15,6 @@
 
 using std::chrono::milliseconds;
 
-// Minimum time between transactions of a shard; lets a transaction combine several decisions.
-constexpr milliseconds minCommitInterval { 40 };
-// An idle owner renews its ownership this often, well within the time for which it renews leases.
-constexpr milliseconds ownershipRenewalInterval { 2000 };
 // Delay before a failed read of the jobs is repeated.
 constexpr milliseconds loadRetryPause { 200 };
 // How long a worker with tasks may delay its report; short enough to detect interference within a second.
@@ -67,6 +63,7 @@
     , membership_(membership)
     , onClosed_(std::move(onClosed))
     , scheduler_(schedulerOptions(context, shard_), *this, tailLatencyModel)
+    , passMonitor_(context, shard_)
     , writer_(
           context, shard_, [this] { close("taken-over"); }, [this] { onBatchRejected(); })
     , formerOwnerInquiry_(context, otherShards, shard_)
@@ -319,64 +316,6 @@
     requestRound();
 }
 
-void ShardHost::requestRound()
-{
-    if (!isLoaded_ || isClosed_ || writer_.isBusy() || roundTimer_.isSet())
-        return;
-    const Utils::Duration delay = std::max(Utils::Duration::zero(), nextRoundAllowedAt_ - context_.now());
-    roundTimer_.start(delay, [this] { runRound(); });
-}
-
-// Runs one scheduling pass and stores its decisions.
-void ShardHost::runRound()
-{
-    if (isClosed_ || writer_.isBusy())
-        return;
-    const Utils::TimePoint now = context_.now();
-    scheduler_.setStartRightEnd(commandRightEnd());
-    if (!isReleasing_)
-        scheduler_.schedule(now, NodeContext::nowUnixMs());
-    const std::optional<Fleet::RecordBatch> batch = scheduler_.beginCommit(NodeContext::nowUnixMs());
-    // Starts are sent once their batch is stored, which must be before the release.
-    const bool isLast = isReleasing_ && !scheduler_.hasChanges() && !(batch && batch->hasStarts);
-    if (!batch && !isLast && !scheduler_.isLeaseStatementDue(now) && !needsConfirmation()
-        && now - writer_.confirmedAt() < ownershipRenewalInterval) {
-        for (const auto& [worker, connection] : connections_)
-            connection->resumePolling();
-        return;
-    }
-    nextRoundAllowedAt_ = now + minCommitInterval;
-    isReleaseSent_ = isLast;
-    // After a release is sent, no lease is renewed and no start is sent, so the ends of the leases hold for
-    // all that this owner has sent, also for calls in flight: a lease ends at a time on the worker's clock,
-    // whenever the call arrives. The transaction is repeated until it is applied or another node owns the
-    // shard, so this owner never goes on after it.
-    writer_.write(
-        batch.value_or(Fleet::RecordBatch()), isLast,
-        [this, isLast] {
-            onBatchStored();
-            if (isLast)
-                close("released");
-        },
-        isLast ? scheduler_.leaseEnds() : scheduler_.stateLeaseEnds(now));
-}
-
-void ShardHost::onBatchStored()
-{
-    scheduler_.setStartRightEnd(commandRightEnd());
-    scheduler_.onCommitted(context_.now());
-    for (const auto& [worker, connection] : connections_)
-        connection->resumePolling();
-    if (scheduler_.hasChanges() || isReleasing_ || scheduler_.isScheduleDue())
-        requestRound();
-}
-
-void ShardHost::onBatchRejected()
-{
-    scheduler_.onBatchRejected(context_.now(), NodeContext::nowUnixMs());
-    requestRound();
-}
-
 // Starts and stops, and calls to other shards, must not follow those of a successor.
 Utils::TimePoint ShardHost::commandRightEnd() const
 {
@@ -406,22 +345,6 @@
     return !isOwnershipCertain() && context_.now() < membership_.end();
 }
 
-void ShardHost::tick()
-{
-    if (!isLoaded_ || isClosed_)
-        return;
-    scheduler_.setStartRightEnd(startRightEnd());
-    if (hasUnconfirmedAttempts())
-        formerOwnerInquiry_.tick();
-    scheduler_.onTick(context_.now(), NodeContext::nowUnixMs());
-    std::erase_if(connections_, [this](const auto& entry) { return !scheduler_.knowsWorker(entry.first); });
-    if (scheduler_.hasChanges() || scheduler_.isScheduleDue()
-        || scheduler_.isLeaseStatementDue(context_.now()) || needsConfirmation()
-        || context_.now() - writer_.confirmedAt() > ownershipRenewalInterval) {
-        requestRound();
-    }
-}
-
 void ShardHost::close(const char* reason)
 {
     if (isClosed_)
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -2,6 +2,7 @@
 
 #include "formerownerinquiry.h"
 #include "nodecontext.h"
+#include "passmonitor.h"
 #include "shardwriter.h"
 #include "timer.h"
 #include "workerconnection.h"
@@ -235,6 +236,7 @@
     void close(const char* reason);
     void applyWorkers();
     void logWorkerCount();
+    void runPass(std::string_view name, const std::function<void(Utils::TimePoint)>& pass);
     void connect(const Ports::WorkerInfo& info);
     void checkFencing(const Utils::Result<Ports::CommandReply>& reply);
     WorkerConnection* findConnection(const std::string& worker);
@@ -245,6 +247,7 @@
     const Fleet::MembershipLease& membership_;
     std::function<void()> onClosed_;
     Fleet::ShardScheduler scheduler_;
+    PassMonitor passMonitor_;
     ShardWriter writer_;
     FleetSchema::ShardRecord formerOwner_; //!< Owner row before the takeover.
     Utils::TimePoint formerRenewalEnd_ {}; //!< Until when former owners may renew leases.
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -51,6 +51,7 @@
     , startedAt_(context.now())
     , heartbeatTimer_(context.io)
     , tickTimer_(context.io)
+    , loopMonitor_(context)
 {
 }
 
@@ -59,6 +60,7 @@
 void ShardOwnership::start()
 {
     heartbeat();
+    tickDueAt_ = context_.now() + tickInterval;
     tickTimer_.start(tickInterval, [this] { tick(); });
 }
 
@@ -396,6 +398,8 @@
 
 void ShardOwnership::tick()
 {
+    loopMonitor_.onTick(tickDueAt_, context_.now() - heartbeatSentAt_);
+    tickDueAt_ = context_.now() + tickInterval;
     tickTimer_.start(tickInterval, [this] { tick(); });
     bool hasNewShards = false;
     bool isStoreBack = false;
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -2,6 +2,7 @@
 
 #include "delegationtargets.h"
 #include "jobrouter.h"
+#include "loopmonitor.h"
 #include "memberreader.h"
 #include "nodecontext.h"
 #include "rackdirectory.h"
@@ -149,6 +150,8 @@
     std::function<void()> onLeft_;
     Timer heartbeatTimer_;
     Timer tickTimer_;
+    Utils::TimePoint tickDueAt_ {};
+    LoopMonitor loopMonitor_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
