--- a/src/libs/fleet/relocation.h
+++ b/src/libs/fleet/relocation.h
@@ -2,40 +2,37 @@
 
 #include "utils/clock.h"
 
-#include <span>
+#include <cstdint>
 
 namespace Fleet {
 
-class StepBudget;
+struct Job;
 struct Task;
 struct Worker;
 
 /*!
-    Chooses a long-running task to relocate so that another one finds free capacity.
-
-    In a fleet full of long-running tasks, the free capacity is spread over many workers, with too
-    little on each, or is only on workers where the step must not have another task. The function picks
-    the smallest task whose capacity, together with what is free and what short tasks will free,
-    suffices, and that fits on another worker at once. If there is none, it picks the first of up to
-    three tasks that suffice together.
-
-    \param waiting the task that does not fit on any worker.
-    \param availabilityDelay time for which a long-running task must have been running to count as available.
-    \param steps counts the workers and tasks examined.
-    \return the task to stop, or nullptr if no relocation helps or each one would exceed a step's disruption
-        budget.
+    \return whether a worker could run a task that is on another worker now or on none, whatever capacity it
+        has.
+
+    \param mayProbe whether a quarantined worker counts if it may be probed.
 */
-Task* chooseRelocation(const Task& waiting, std::span<Worker* const> workers,
-    Utils::Duration availabilityDelay, Utils::TimePoint now, StepBudget& steps);
+bool isEligible(const Task& task, const Worker& worker, bool mayProbe, Utils::TimePoint now);
 
 /*! \return whether a task may be relocated to \p worker, which is not its own one, and fits there at once. */
 bool isRelocationTarget(const Task& task, const Worker& worker);
 
 /*!
-    \return whether the scheduler may stop a task without exceeding the disruption budget of its step.
+    \return whether a task of a step counts as available.
 
     \param availabilityDelay time for which a task must have been running to count as available.
 */
+bool isAvailable(const Task& task, Utils::Duration availabilityDelay, Utils::TimePoint now);
+
+/*! \return the number of tasks of a step that do not count as available. */
+std::uint32_t countUnavailable(Job& job, std::uint32_t occurrence, std::uint32_t step,
+    Utils::Duration availabilityDelay, Utils::TimePoint now);
+
+/*! \return whether the scheduler may stop a task without exceeding the disruption budget of its step. */
 bool mayDisrupt(const Task& task, Utils::Duration availabilityDelay, Utils::TimePoint now);
 
 } // namespace Fleet
--- a/src/libs/fleet/scheduleroptions.h
+++ b/src/libs/fleet/scheduleroptions.h
@@ -28,6 +28,8 @@
     Utils::Duration interferenceLimit {}; //!< Time for which a latency-critical task may miss its target.
     //! Time for which a long-running task must have been running to count as available.
     Utils::Duration availabilityDelay {};
+    //! Steps of a pass after which the search for a task to relocate is left.
+    std::size_t relocationStepLimit = 25'000;
     //! Timeout after which an unanswered start is stopped; longer than the round trip to a worker of
     //! another region.
     Utils::Duration startTimeout = std::chrono::milliseconds(700);
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -6,7 +6,6 @@
 #include "interferencecache.h"
 #include "interferenceview.h"
 #include "jobrank.h"
-#include "relocation.h"
 #include "taillatencymodel.h"
 #include "workerchoice.h"
 #include "workercommitment.h"
@@ -22,6 +21,8 @@
 
 using std::chrono::milliseconds;
 
+// Short tasks often free enough capacity for a long-running one within this time.
+constexpr milliseconds relocationDelay { 800 };
 // Lower bound on the objective. Jobs with neither target nor estimates get it, so they are ordered by age.
 constexpr milliseconds minObjective { 100 };
 
@@ -166,6 +167,7 @@
         if (!awaitsOrigin(*candidate.job, now))
             assignOccurrence(*candidate.job, candidate.occurrence, now, nowUnixMs, failedSearches);
     }
+    relocate(now);
     interferenceCache_.reset();
 }
 
@@ -246,8 +248,10 @@
             isolatedTasks_.push_back(keyOf(task));
         else if (job.step(task).lasting())
             reserveWorker(task, workers, *steps_);
-        if (job.step(task).lasting())
-            relocateFor(task, workers, now);
+        const bool isOfNextStep = relocatable_.empty() || relocatable_.back()->job != &job
+            || relocatable_.back()->occurrence != occurrence || relocatable_.back()->step != step;
+        if (job.step(task).lasting() && isOfNextStep && now - task.waitingSince >= relocationDelay)
+            relocatable_.push_back(&task);
     }
 }
 
@@ -261,15 +265,25 @@
 }
 
 // Relocates at most one task at a time, so that a full shard does not keep moving tasks around.
-void ShardScheduler::relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now)
+void ShardScheduler::relocate(Utils::TimePoint now)
 {
-    // Short tasks often free enough capacity within this time.
-    constexpr milliseconds relocationDelay { 800 };
     // Shortest time between two relocations; after it, a relocated task is running again.
     constexpr milliseconds relocationInterval { 1500 };
-    if (now - task.waitingSince < relocationDelay || now < relocationAllowedAt_)
+    std::vector<Task*> waiting;
+    if (const auto key = relocationSearch_.current()) {
+        Job* const job = findJob(key->job);
+        Task* const task = job ? job->findTask(key->occurrence, key->step, key->index) : nullptr;
+        if (task && task->phase == TaskPhase::Waiting && job->isActive())
+            waiting.push_back(task);
+    }
+    waiting.insert(waiting.end(), relocatable_.begin(), relocatable_.end());
+    relocatable_.clear();
+    const std::vector<Worker*> workers = assignableWorkers(now);
+    if (now < relocationAllowedAt_ || waiting.empty() || workers.empty())
         return;
-    Task* const moved = chooseRelocation(task, workers, options_.availabilityDelay, now, *steps_);
+    StepBudget steps(options_.relocationStepLimit);
+    Task* const moved = relocationSearch_.search(waiting, workers, options_.availabilityDelay, now, steps);
+    steps_->spend(StepKind::Relocation, steps.spent());
     if (!moved)
         return;
     relocationAllowedAt_ = now + relocationInterval;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -5,6 +5,7 @@
 #include "job.h"
 #include "jobrows.h"
 #include "presumedcrash.h"
+#include "relocationsearch.h"
 #include "scheduleroptions.h"
 #include "scheduleroutput.h"
 #include "statedleaseends.h"
@@ -354,7 +355,7 @@
     void improveGrouping(Utils::TimePoint now);
     InterferenceView interferenceView(StepKind kind) const;
     void onTasksChanged(const Worker& worker);
-    void relocateFor(Task& task, const std::vector<Worker*>& workers, Utils::TimePoint now);
+    void relocate(Utils::TimePoint now);
     void releaseWorker(Task& task);
     void requeue(Task& task, Utils::TimePoint retryAt);
     static Utils::Duration pauseAfterLostStart(const Task& task, Utils::TimePoint now);
@@ -436,6 +437,8 @@
     ImageDemand demand_;
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expiredJobs_; //!< Jobs to remove from the store.
+    std::vector<Task*> relocatable_; //!< Long-running tasks without a worker in this pass, one of each step.
+    RelocationSearch relocationSearch_;
     Utils::TimePoint relocationAllowedAt_ {};
     Utils::TimePoint groupingAllowedAt_ {};
     std::string lastGroupingSource_; //!< Worker last examined for a move of a latency-critical task.
