--- a/src/libs/fleet/failedsearches.cpp
+++ b/src/libs/fleet/failedsearches.cpp
@@ -2,6 +2,7 @@
 
 #include "crashpolicy.h"
 #include "job.h"
+#include "stepbudget.h"
 #include "workercommitment.h"
 
 #include <algorithm>
@@ -31,7 +32,7 @@
 bool FailedSearches::isComparable(const Task& task) const
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
-    return !step.lasting() && !step.gang() && step.max_per_worker() == 0 && !hasCrashes(*task.job);
+    return !step.gang() && step.max_per_worker() == 0 && !hasCrashes(*task.job);
 }
 
 // Examines all tasks of a job once, as a job may have as many steps as tasks.
@@ -39,6 +40,8 @@
 {
     const auto [entry, isNew] = jobsWithCrashes_.try_emplace(&job, false);
     if (isNew) {
+        if (steps_)
+            steps_->spend(StepKind::Search, job.tasks.size());
         entry->second = std::any_of(
             job.tasks.begin(), job.tasks.end(), [](const Task& task) { return task.crashes > 0; });
     }
@@ -55,7 +58,9 @@
 {
     const FleetSchema::StepSpec& step = search.task->job->step(*search.task);
     const FleetSchema::StepSpec& failedStep = failed.task->job->step(*failed.task);
-    const bool isSameKind = step.leftover_processors() == failedStep.leftover_processors()
+    // Capacity that is reserved for long-running tasks is not free for others.
+    const bool mayUseAsMuch = !step.lasting() || failedStep.lasting();
+    const bool isSameKind = mayUseAsMuch && step.leftover_processors() == failedStep.leftover_processors()
         && search.task->job->spec.service() == failed.task->job->spec.service()
         && (failedStep.required_label().empty() || failedStep.required_label() == step.required_label());
     if (!isSameKind || !committedSize(failedStep).fitsIn(committedSize(step))
@@ -97,16 +102,15 @@
     const bool mayHaveFailedSibling = !siblings_.empty() && isSibling(task, *siblings_.front().task);
     if (!mayHaveFailedSibling && (searches_.empty() || !isComparable(task)))
         return false;
-    const Search search { &task, searchTermsOf(task, workers, now) };
+    const Search search { &task, searchTermsOf(task, workers, now, steps_) };
     return hasFailedSibling(search) || includesOtherStep(search);
 }
 
 void FailedSearches::add(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
 {
-    // Each search for a long-running task has effects of its own.
-    if (task.job->step(task).lasting() || hasFailedTwin(task))
+    if (hasFailedTwin(task))
         return;
-    const Search search { &task, searchTermsOf(task, workers, now) };
+    const Search search { &task, searchTermsOf(task, workers, now, steps_) };
     if (hasFailedSibling(search))
         return;
     if (!siblings_.empty() && !isSibling(task, *siblings_.front().task))
--- a/src/libs/fleet/failedsearches.h
+++ b/src/libs/fleet/failedsearches.h
@@ -11,6 +11,7 @@
 
 namespace Fleet {
 
+class StepBudget;
 struct Job;
 struct Task;
 struct Worker;
@@ -25,6 +26,12 @@
 */
 class FailedSearches {
 public:
+    /*! \param steps counts the workers and tasks examined; may be null, else it must outlive the object. */
+    explicit FailedSearches(StepBudget* steps = nullptr)
+        : steps_(steps)
+    {
+    }
+
     /*! \return whether a search for the task is known to fail. */
     bool includes(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now) const;
 
@@ -46,6 +53,7 @@
     bool hasFailedTwin(const Task& task) const;
     bool includesOtherStep(const Search& search) const;
 
+    StepBudget* steps_ = nullptr;
     std::vector<Search> searches_;
     std::vector<Search> siblings_; //!< Those of the step that was searched for last.
     mutable std::unordered_map<const Job*, bool> jobsWithCrashes_; //!< Of the jobs examined so far.
--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -21,6 +21,16 @@
     bool arePredecessorsMarked = false; //!< Job::markPredecessorsDone() has visited the step.
 };
 
+/*! How far a sweep over the waiting tasks has come in one occurrence. */
+struct SweepProgress {
+    std::uint64_t sweep = 0;
+    std::uint32_t step = 0; //!< The next step to visit, and its next task.
+    std::uint32_t index = 0;
+    bool isComplete = false;
+
+    bool isCompleteIn(std::uint64_t number) const { return sweep == number && isComplete; }
+};
+
 /*! A job with its tasks, ordered by occurrence, step and index. */
 struct Job {
     FleetSchema::JobSpec spec;
@@ -49,6 +59,7 @@
     std::vector<Task> tasks;
     std::vector<std::uint32_t> stepOffsets; //!< Offset of each step's first task within an occurrence.
     std::vector<StepProgress> stepProgress; //!< By occurrence and step.
+    std::vector<SweepProgress> sweepProgress; //!< By occurrence.
     std::vector<std::int64_t> criticalPathsMs; //!< By occurrence; -1: not computed since a step was done.
     std::int64_t longestChainMs = 0; //!< Longest chain of estimated run times through all steps.
     std::uint32_t tasksPerOccurrence = 0;
--- a/src/libs/fleet/scheduleroptions.h
+++ b/src/libs/fleet/scheduleroptions.h
@@ -28,8 +28,10 @@
     Utils::Duration interferenceLimit {}; //!< Time for which a latency-critical task may miss its target.
     //! Time for which a long-running task must have been running to count as available.
     Utils::Duration availabilityDelay {};
-    //! Steps of a pass after which the search for a task to relocate is left.
-    std::size_t relocationStepLimit = 25'000;
+    //! Steps of a search for workers after which a scheduling pass is left. With the other limits, a pass
+    //! takes less than a tick of 100 ms on a node with 0.07 processors if a step takes 60 ns.
+    std::size_t searchStepLimit = 75'000;
+    std::size_t relocationStepLimit = 25'000; //!< The same for the tasks that could be relocated.
     //! Timeout after which an unanswered start is stopped; longer than the round trip to a worker of
     //! another region.
     Utils::Duration startTimeout = std::chrono::milliseconds(700);
--- a/src/libs/fleet/shardgangs.cpp
+++ b/src/libs/fleet/shardgangs.cpp
@@ -12,6 +12,7 @@
 #include "interferenceview.h"
 #include "workerchoice.h"
 #include "workercommitment.h"
+#include "workerranking.h"
 
 #include <xxhash.h>
 
@@ -143,14 +144,15 @@
             return false;
         attempt = std::max(attempt, task->attempt);
     }
-    const std::vector<Worker*> workers = assignableWorkers(now);
+    WorkerRanking ranking(passWorkers_);
     std::vector<std::pair<Task*, Worker*>> chosen;
     for (Task* task : tasks) {
-        Worker* worker = chooseWorker(*task, workers, interferenceView(StepKind::Search), now);
+        Worker* worker = ranking.choose(*task, interferenceView(StepKind::Search), now);
         if (!worker)
             break;
         addAttempt(*task, *worker);
         onTasksChanged(*worker);
+        ranking.onTasksChanged(*worker);
         chosen.emplace_back(task, worker);
     }
     for (const auto& [task, worker] : chosen) {
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -1,47 +1,18 @@
 #include "shardscheduler.h"
 
 #include "crashpolicy.h"
-#include "failedsearches.h"
 #include "inflightbatch.h"
 #include "interferencecache.h"
 #include "interferenceview.h"
-#include "jobrank.h"
 #include "taillatencymodel.h"
 #include "workerchoice.h"
 #include "workercommitment.h"
 #include "workerkinds.h"
 
-#include "taskgrouping.h"
-
 #include <algorithm>
 
 namespace Fleet {
 
-namespace {
-
-using std::chrono::milliseconds;
-
-// Short tasks often free enough capacity for a long-running one within this time.
-constexpr milliseconds relocationDelay { 800 };
-// Lower bound on the objective. Jobs with neither target nor estimates get it, so they are ordered by age.
-constexpr milliseconds minObjective { 100 };
-
-JobUrgency urgencyOf(Job& job, std::uint32_t occurrence, Utils::TimePoint now, std::int64_t nowUnixMs)
-{
-    JobUrgency urgency;
-    urgency.priority = job.spec.priority();
-    urgency.isLongRunning = job.spec.steps(0).lasting();
-    urgency.isStarted = job.isStarted;
-    const std::int64_t due = job.dueUnixMs(occurrence);
-    urgency.age = due > 0 ? std::max<Utils::Duration>(Utils::Duration::zero(), milliseconds(nowUnixMs - due))
-                          : now - job.acceptedAt;
-    urgency.remainingWork = milliseconds(job.remainingCriticalPathMs(occurrence));
-    urgency.objective = std::max<Utils::Duration>(minObjective, milliseconds(objectiveMs(job)));
-    return urgency;
-}
-
-} // namespace
-
 Ports::TaskKey keyOf(const Task& task)
 {
     return { task.job->spec.id(), task.occurrence, task.step, task.index };
@@ -130,60 +101,6 @@
     startRightEnd_ = end;
 }
 
-void ShardScheduler::schedule(Utils::TimePoint now, std::int64_t nowUnixMs)
-{
-    steps_ = std::make_unique<StepBudget>();
-    if (!isScheduleDue_)
-        return;
-    isScheduleDue_ = false;
-    hasWaitingTasks_ = false;
-    lastScheduledAt_ = now;
-    lastScheduledUnixMs_ = nowUnixMs;
-    struct Candidate {
-        JobRank rank;
-        Job* job;
-        std::uint32_t occurrence;
-    };
-    keepWorkersEmpty(now);
-    updateDemand();
-    interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
-    steps_->spend(StepKind::Preparation, workers_.size() + jobs_.size());
-    for (auto& [id, worker] : workers_)
-        worker->toleratedDemand = toleratedDemandShare(*worker, interferenceView(StepKind::Preparation));
-    std::vector<Candidate> candidates;
-    for (const auto& [id, job] : jobs_) {
-        if (!job->isActive() || job->remainingTaskCount == 0)
-            continue;
-        for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence) {
-            if (job->dueUnixMs(occurrence) <= nowUnixMs)
-                candidates.push_back(
-                    { rankJob(urgencyOf(*job, occurrence, now, nowUnixMs)), job.get(), occurrence });
-        }
-    }
-    std::sort(candidates.begin(), candidates.end(),
-        [](const Candidate& left, const Candidate& right) { return left.rank < right.rank; });
-    FailedSearches failedSearches;
-    for (const Candidate& candidate : candidates) {
-        if (!awaitsOrigin(*candidate.job, now))
-            assignOccurrence(*candidate.job, candidate.occurrence, now, nowUnixMs, failedSearches);
-    }
-    relocate(now);
-    interferenceCache_.reset();
-}
-
-void ShardScheduler::assignOccurrence(Job& job, std::uint32_t occurrence, Utils::TimePoint now,
-    std::int64_t nowUnixMs, FailedSearches& failedSearches)
-{
-    for (std::uint32_t step = 0; step < job.stepOffsets.size(); ++step) {
-        if (job.remainingTasks(occurrence, step) == 0 || !job.isStepReady(occurrence, step, nowUnixMs))
-            continue;
-        if (job.spec.steps(static_cast<int>(step)).gang())
-            assignGang(job, occurrence, step, now);
-        else
-            assignStep(job, occurrence, step, now, failedSearches);
-    }
-}
-
 void ShardScheduler::onTasksChanged(const Worker& worker)
 {
     if (interferenceCache_)
@@ -217,81 +134,6 @@
     return workers;
 }
 
-void ShardScheduler::assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now,
-    FailedSearches& failedSearches)
-{
-    std::vector<Worker*> workers;
-    const std::uint32_t count = job.spec.steps(static_cast<int>(step)).count();
-    for (std::uint32_t index = 0; index < count; ++index) {
-        Task& task = *job.findTask(occurrence, step, index);
-        if (task.phase != TaskPhase::Waiting)
-            continue;
-        if (task.notBefore > now) {
-            isScheduleDue_ = true;
-            continue;
-        }
-        if (awaitsCrashVerdict(task))
-            continue;
-        steps_->spend(StepKind::Search, 1);
-        if (workers.empty())
-            workers = assignableWorkers(now);
-        Worker* const worker = failedSearches.includes(task, workers, now)
-            ? nullptr
-            : chooseWorker(task, workers, interferenceView(StepKind::Search), now);
-        if (worker) {
-            assign(task, *worker, now);
-            continue;
-        }
-        failedSearches.add(task, workers, now);
-        markWaiting(task, now);
-        if (isolationOf(task) == fullIsolation)
-            isolatedTasks_.push_back(keyOf(task));
-        else if (job.step(task).lasting())
-            reserveWorker(task, workers, *steps_);
-        const bool isOfNextStep = relocatable_.empty() || relocatable_.back()->job != &job
-            || relocatable_.back()->occurrence != occurrence || relocatable_.back()->step != step;
-        if (job.step(task).lasting() && isOfNextStep && now - task.waitingSince >= relocationDelay)
-            relocatable_.push_back(&task);
-    }
-}
-
-void ShardScheduler::markWaiting(Task& task, Utils::TimePoint now)
-{
-    hasWaitingTasks_ = true;
-    if (task.waitingSince == Utils::TimePoint {})
-        task.waitingSince = now;
-    if (task.idleSince == Utils::TimePoint {})
-        task.idleSince = now;
-}
-
-// Relocates at most one task at a time, so that a full shard does not keep moving tasks around.
-void ShardScheduler::relocate(Utils::TimePoint now)
-{
-    // Shortest time between two relocations; after it, a relocated task is running again.
-    constexpr milliseconds relocationInterval { 1500 };
-    std::vector<Task*> waiting;
-    if (const auto key = relocationSearch_.current()) {
-        Job* const job = findJob(key->job);
-        Task* const task = job ? job->findTask(key->occurrence, key->step, key->index) : nullptr;
-        if (task && task->phase == TaskPhase::Waiting && job->isActive())
-            waiting.push_back(task);
-    }
-    waiting.insert(waiting.end(), relocatable_.begin(), relocatable_.end());
-    relocatable_.clear();
-    const std::vector<Worker*> workers = assignableWorkers(now);
-    if (now < relocationAllowedAt_ || waiting.empty() || workers.empty())
-        return;
-    StepBudget steps(options_.relocationStepLimit);
-    Task* const moved = relocationSearch_.search(waiting, workers, options_.availabilityDelay, now, steps);
-    steps_->spend(StepKind::Relocation, steps.spent());
-    if (!moved)
-        return;
-    relocationAllowedAt_ = now + relocationInterval;
-    // Without this, the task could be placed again on the worker that it was stopped on to free capacity.
-    moved->avoidedWorker = moved->worker->info.id;
-    requestStop(*moved, now);
-}
-
 void ShardScheduler::assign(Task& task, Worker& worker, Utils::TimePoint now)
 {
     Job& job = *task.job;
@@ -375,7 +217,7 @@
 {
     // A failed long-running task is restarted without limit; the pause keeps one that always fails from
     // using up workers.
-    constexpr milliseconds longRunningRetryPause { 200 };
+    constexpr std::chrono::milliseconds longRunningRetryPause { 200 };
     Job& job = *task.job;
     const bool isLongRunning = job.step(task).lasting();
     ++task.failures;
@@ -409,7 +251,8 @@
     summary.objectiveMs = objectiveMs(job);
     if (job.firstStartAt != Utils::TimePoint {})
         summary.firstStartMs
-            = std::chrono::duration_cast<milliseconds>(job.firstStartAt - job.acceptedAt).count();
+            = std::chrono::duration_cast<std::chrono::milliseconds>(job.firstStartAt - job.acceptedAt)
+                  .count();
     summary.taskCount = static_cast<std::uint32_t>(job.tasks.size());
     for (const Task& task : job.tasks) {
         summary.attemptCount += task.attempt;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -31,7 +31,6 @@
 namespace Fleet {
 
 struct InterferenceView;
-class FailedSearches;
 class InterferenceCache;
 class TailLatencyModel;
 enum class CrashEvidence;
@@ -301,7 +300,10 @@
     bool knowsJob(std::string_view id) const { return jobs_.contains(id); }
 
     /*! \return whether work or free capacity may have changed since the last schedule(). */
-    bool isScheduleDue() const { return isScheduleDue_; }
+    bool isScheduleDue() const { return isScheduleDue_ || isSweepUnfinished_; }
+
+    /*! \return whether the last pass was left before it had visited all waiting tasks. */
+    bool isSweepUnfinished() const { return isSweepUnfinished_; }
 
     /*! \return the workers with open attempts that the platform does not list, with their last known
      * addresses. */
@@ -317,8 +319,10 @@
     bool knowsWorker(const std::string& worker) const { return workers_.contains(worker); }
 
 private:
-    struct InflightBatch;
     struct BatchedJob;
+    struct Candidate;
+    struct InflightBatch;
+    struct Pass;
 
     void restoreTask(Task& task, const FleetSchema::TaskRecord& stored, Utils::TimePoint now);
     void restoreAttempt(Task& task, const FleetSchema::TaskRecord& stored, Utils::TimePoint now);
@@ -330,10 +334,13 @@
     Task* findOpenTask(const std::string& worker, const Ports::TaskKey& key, std::uint32_t attempt);
     void markDirty(Job& job);
     void assign(Task& task, Worker& worker, Utils::TimePoint now);
-    void assignOccurrence(Job& job, std::uint32_t occurrence, Utils::TimePoint now, std::int64_t nowUnixMs,
-        FailedSearches& failedSearches);
-    void assignStep(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now,
-        FailedSearches& failedSearches);
+    void beginSweep(Utils::TimePoint now);
+    std::vector<Candidate> rankCandidates(Utils::TimePoint now, std::int64_t nowUnixMs);
+    bool assignOccurrence(
+        Job& job, std::uint32_t occurrence, Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass);
+    bool assignStep(
+        Job& job, std::uint32_t occurrence, SweepProgress& progress, Utils::TimePoint now, Pass& pass);
+    void assignTask(Task& task, Utils::TimePoint now, Pass& pass);
     void assignGang(Job& job, std::uint32_t occurrence, std::uint32_t step, Utils::TimePoint now);
     void stopBrokenGang(std::span<Task* const> gang, Utils::TimePoint now);
     bool assignTogether(std::span<Task* const> tasks, Utils::TimePoint now);
@@ -355,7 +362,7 @@
     void improveGrouping(Utils::TimePoint now);
     InterferenceView interferenceView(StepKind kind) const;
     void onTasksChanged(const Worker& worker);
-    void relocate(Utils::TimePoint now);
+    void relocate(Pass& pass, Utils::TimePoint now);
     void releaseWorker(Task& task);
     void requeue(Task& task, Utils::TimePoint retryAt);
     static Utils::Duration pauseAfterLostStart(const Task& task, Utils::TimePoint now);
@@ -437,7 +444,6 @@
     ImageDemand demand_;
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expiredJobs_; //!< Jobs to remove from the store.
-    std::vector<Task*> relocatable_; //!< Long-running tasks without a worker in this pass, one of each step.
     RelocationSearch relocationSearch_;
     Utils::TimePoint relocationAllowedAt_ {};
     Utils::TimePoint groupingAllowedAt_ {};
@@ -455,8 +461,12 @@
     std::set<Ports::TaskKey> tasksWithPresumedCrashes_; //!< May include others.
     std::vector<Ports::TaskKey> isolatedTasks_; //!< Fully isolated tasks without a worker in the last pass.
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
-    bool hasWaitingTasks_ = false; //!< The last scheduling pass left tasks without a worker.
-    bool isScheduleDue_ = false; //!< Work or free capacity has changed since the last scheduling pass.
+    std::vector<Worker*> passWorkers_; //!< Workers that may get tasks; empty outside schedule().
+    std::uint64_t sweep_ = 0; //!< Number of the latest sweep over the waiting tasks.
+    Utils::TimePoint sweepStartedAt_ {};
+    bool isSweepUnfinished_ = false;
+    bool hasWaitingTasks_ = false; //!< The latest sweep has left tasks without a worker.
+    bool isScheduleDue_ = false; //!< Work or free capacity has changed since the latest sweep began.
 
     std::unique_ptr<InflightBatch> inflightBatch_;
     std::size_t batchJobLimit_ = std::numeric_limits<std::size_t>::max(); //!< Most jobs in the next batch.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -53,7 +53,7 @@
     improveGrouping(now);
     interferenceCache_.reset();
     // A pass before the end of a pause starts neither the task nor the other members of its gang.
-    if (lastScheduledAt_ < latestRetryAt_)
+    if (sweepStartedAt_ < latestRetryAt_)
         isScheduleDue_ = true;
     // Waiting tasks are reconsidered as time passes, not only when capacity becomes free.
     if (hasWaitingTasks_ && now - lastScheduledAt_ > waitingRetryInterval)
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -16,6 +16,7 @@
     Ports::WorkerInfo info;
     bool isListed = false;
     Placement::Resources committed; //!< Resources committed to open attempts.
+    Placement::Resources shortCommitted; //!< The part of them that is committed to tasks that end.
     //! Resources of attempts that the latest report lists though they are not open here: given up, but not
     //! ended yet.
     Placement::Resources givenUp;
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -105,12 +105,16 @@
 
 } // namespace
 
-SearchTerms searchTermsOf(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now)
+SearchTerms searchTermsOf(
+    const Task& task, std::span<Worker* const> workers, Utils::TimePoint now, StepBudget* steps)
 {
     const Utils::Duration wait = waitOf(task, now);
     SearchTerms terms;
     terms.mayProbe = task.failures == 0 || wait >= probeDelayOfFailedTask;
-    if (!mayStartThrottled(task, workers, now))
+    const bool mayHaveWaited = task.job->step(task).leftover_processors() && wait >= idleFleetWaitLimit;
+    if (steps && mayHaveWaited)
+        steps->spend(StepKind::Search, task.job->tasks.size() + 2 * workers.size());
+    if (!mayHaveWaited || !mayStartThrottled(task, workers, now))
         return terms;
     const bool isIdle = isMostlyIdle(workers, BestEffortDemand::IsIgnored);
     terms.speed = isIdle || wait >= throttledWaitLimit ? 0 : starvedSpeed;
@@ -302,18 +306,28 @@
 
 } // namespace
 
+std::optional<double> placementCost(const Task& task, const Worker& worker, const InterferenceView& view,
+    const SearchTerms& terms, Utils::TimePoint now)
+{
+    view.spend(1);
+    // In a full shard, few workers need a closer look.
+    if (!committedSize(task.job->step(task)).fitsIn(worker.available()))
+        return std::nullopt;
+    view.spend(worker.tasks.size());
+    if (findObstacle(task, worker, view, terms, now) != PlacementObstacle::None)
+        return std::nullopt;
+    return costOf(task, worker, countTasksOfStep(task, worker), view);
+}
+
 Worker* chooseWorker(
     const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now)
 {
-    const SearchTerms terms = searchTermsOf(task, workers, now);
+    const SearchTerms terms = searchTermsOf(task, workers, now, view.steps);
     Worker* best = nullptr;
-    double bestCost = 0;
+    std::optional<double> bestCost;
     for (Worker* worker : workers) {
-        view.spend(1 + worker->tasks.size());
-        if (findObstacle(task, *worker, view, terms, now) != PlacementObstacle::None)
-            continue;
-        const double cost = costOf(task, *worker, countTasksOfStep(task, *worker), view);
-        if (!best || cost < bestCost) {
+        const std::optional<double> cost = placementCost(task, *worker, view, terms, now);
+        if (cost && (!bestCost || *cost < *bestCost)) {
             best = worker;
             bestCost = cost;
         }
@@ -351,7 +365,7 @@
     Worker* best = nullptr;
     std::int64_t bestCapacity = 0;
     for (Worker* worker : workers) {
-        steps.spend(kind, 1 + worker->tasks.size());
+        steps.spend(kind, maxPerWorker == 0 ? 1 : 1 + worker->tasks.size());
         const bool isSuitable = worker->isUsable() && worker->info.service == task.job->spec.service()
             && worker->reservedMilliProcessors == 0 && !worker->isKeptEmpty
             && hasLabel(*worker, step.required_label())
@@ -371,10 +385,12 @@
 
 } // namespace
 
-void reserveWorker(const Task& task, std::span<Worker* const> workers, StepBudget& steps)
+bool reserveWorker(const Task& task, std::span<Worker* const> workers, StepBudget& steps)
 {
-    if (Worker* const worker = chooseWorkerToReserve(task, workers, StepKind::Reservation, steps))
+    Worker* const worker = chooseWorkerToReserve(task, workers, StepKind::Reservation, steps);
+    if (worker)
         worker->reservedMilliProcessors = task.job->step(task).milli_processors();
+    return worker != nullptr;
 }
 
 bool keepWorkerEmpty(const Task& task, std::span<Worker* const> workers, StepBudget& steps)
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -42,10 +43,17 @@
     bool mayStartThrottledToZero = false;
     //! The task may be started on a quarantined worker to see whether that still fails.
     bool mayProbe = true;
+
+    bool operator==(const SearchTerms&) const = default;
 };
 
-/*! \return what a task accepts in a worker at present. */
-SearchTerms searchTermsOf(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now);
+/*!
+    \return what a task accepts in a worker at present.
+
+    \param steps counts the workers and tasks examined; may be null.
+*/
+SearchTerms searchTermsOf(
+    const Task& task, std::span<Worker* const> workers, Utils::TimePoint now, StepBudget* steps = nullptr);
 
 /*!
     \return whether a quarantined worker may be probed with a task.
@@ -79,6 +87,13 @@
 Worker* chooseWorker(
     const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now);
 
+/*!
+    \return the cost of running a task on a worker, the lowest of which chooseWorker() chooses; nothing if the
+        worker does not fit.
+*/
+std::optional<double> placementCost(const Task& task, const Worker& worker, const InterferenceView& view,
+    const SearchTerms& terms, Utils::TimePoint now);
+
 /*! \return the number of workers by obstacle to running the task, indexed by PlacementObstacle. */
 std::array<std::size_t, placementObstacleCount> countObstacles(
     const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now);
@@ -86,8 +101,10 @@
 /*!
     Reserves a worker for a long-running task that does not fit anywhere, so that it gets no more short
     tasks. Chooses the worker whose long-running tasks leave the most processors free.
+
+    \return whether there is a worker for the task.
 */
-void reserveWorker(const Task& task, std::span<Worker* const> workers, StepBudget& steps);
+bool reserveWorker(const Task& task, std::span<Worker* const> workers, StepBudget& steps);
 
 /*!
     Keeps a worker empty for a fully isolated task, so that only such tasks may start there.
--- a/src/libs/fleet/workercommitment.cpp
+++ b/src/libs/fleet/workercommitment.cpp
@@ -16,6 +16,8 @@
     const FleetSchema::StepSpec& step = task.job->step(task);
     worker.tasks.push_back(&task);
     worker.committed += committedSize(step);
+    if (!step.lasting())
+        worker.shortCommitted += committedSize(step);
     if (step.leftover_processors())
         worker.bestEffortMilliProcessors += step.milli_processors();
     if (step.tail_target_ms() > 0) {
@@ -29,6 +31,8 @@
     const FleetSchema::StepSpec& step = task.job->step(task);
     std::erase(worker.tasks, &task);
     worker.committed -= committedSize(step);
+    if (!step.lasting())
+        worker.shortCommitted -= committedSize(step);
     if (step.leftover_processors())
         worker.bestEffortMilliProcessors -= step.milli_processors();
     if (step.tail_target_ms() > 0) {
@@ -49,13 +53,7 @@
 
 Placement::Resources capacityBesideLongRunningTasks(const Worker& worker)
 {
-    Placement::Resources free = worker.available();
-    for (const Task* task : worker.tasks) {
-        const FleetSchema::StepSpec& step = task->job->step(*task);
-        if (!step.lasting())
-            free += committedSize(step);
-    }
-    return free;
+    return worker.available() + worker.shortCommitted;
 }
 
 } // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/workerranking.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "workerchoice.h"
+
+#include "utils/clock.h"
+
+#include <cstddef>
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Fleet {
+
+struct InterferenceView;
+struct Task;
+struct Worker;
+
+/*!
+    Ranks workers for a series of like tasks, such as those of one step.
+
+    Choosing a worker for the first task examines all workers; for each further one, only those to which an
+    attempt was added. The choices are those of chooseWorker().
+*/
+class WorkerRanking {
+public:
+    /*! \param workers must outlive the ranking. */
+    explicit WorkerRanking(std::span<Worker* const> workers);
+
+    /*! \return the worker that chooseWorker() would choose. */
+    Worker* choose(const Task& task, const InterferenceView& view, Utils::TimePoint now);
+
+    /*! Must be called after an attempt was added to or removed from a worker. */
+    void onTasksChanged(const Worker& worker);
+
+private:
+    using Rank = std::pair<double, std::size_t>; //!< Cost and position among the workers.
+
+    bool isLikeRanked(const Task& task, const SearchTerms& terms) const;
+    void rank(const Task& task, std::size_t position, const InterferenceView& view, Utils::TimePoint now);
+
+    std::span<Worker* const> workers_;
+    const Task* ranked_ = nullptr; //!< Task for which the workers are ranked.
+    SearchTerms terms_;
+    std::set<Rank> ranking_;
+    std::vector<std::optional<double>> costs_; //!< By position; empty: the worker does not fit.
+    std::unordered_map<const Worker*, std::size_t> positions_;
+    std::vector<std::size_t> changed_; //!< Positions of workers to examine again.
+};
+
+} // namespace Fleet
--- a/src/libs/fleetnode/passmonitor.cpp
+++ b/src/libs/fleetnode/passmonitor.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 // A pass is long if it keeps the owner's other work waiting for a noticeable part of a tick.
-constexpr std::size_t longPassSteps = 50'000;
+constexpr std::size_t longPassSteps = 100'000;
 constexpr milliseconds longPassTime { 50 };
 
 std::string toMilliseconds(Utils::Duration duration)
--- a/src/libs/fleetnode/passmonitor.h
+++ b/src/libs/fleetnode/passmonitor.h
@@ -30,7 +30,7 @@
     PassMonitor(NodeContext& context, std::string shard);
 
     /*!
-        Adds a pass to the metrics, and logs it if it made more than 50,000 steps or took more than 50 ms.
+        Adds a pass to the metrics, and logs it if it made more than 100,000 steps or took more than 50 ms.
 
         \param pass "schedule" or "tick".
         \param steps what the pass has examined.
--- a/src/libs/fleetnode/shardhostrounds.cpp
+++ b/src/libs/fleetnode/shardhostrounds.cpp
@@ -52,6 +52,10 @@
         && now - writer_.confirmedAt() < ownershipRenewalInterval) {
         for (const auto& [worker, connection] : connections_)
             connection->resumePolling();
+        if (scheduler_.isSweepUnfinished()) {
+            nextRoundAllowedAt_ = now + minCommitInterval;
+            requestRound();
+        }
         return;
     }
     nextRoundAllowedAt_ = now + minCommitInterval;
--- a/tests/auto/fleet/tst_jobrows.cpp
+++ b/tests/auto/fleet/tst_jobrows.cpp
@@ -84,13 +84,15 @@
     std::size_t commitAll()
     {
         std::size_t bytes = 0;
-        scheduler.schedule(now, testStartUnixMs);
-        while (const auto batch = scheduler.beginCommit(testStartUnixMs)) {
-            rows.apply(*batch);
-            for (const Fleet::JobRow& row : batch->puts)
-                bytes += row.value.size();
-            scheduler.onCommitted(now);
-        }
+        do {
+            scheduler.schedule(now, testStartUnixMs);
+            while (const auto batch = scheduler.beginCommit(testStartUnixMs)) {
+                rows.apply(*batch);
+                for (const Fleet::JobRow& row : batch->puts)
+                    bytes += row.value.size();
+                scheduler.onCommitted(now);
+            }
+        } while (scheduler.isSweepUnfinished());
         return bytes;
     }
 
--- a/tests/auto/fleet/tst_schedulingpass.cpp
+++ b/tests/auto/fleet/tst_schedulingpass.cpp
@@ -9,6 +9,7 @@
 #include <fleet/taskgrouping.h>
 #include <fleet/workerchoice.h>
 #include <fleet/workercommitment.h>
+#include <fleet/workerranking.h>
 
 #include <catch2/catch.hpp>
 
@@ -184,6 +185,77 @@
     CHECK(skipped > 1000);
 }
 
+TEST_CASE("A pass that also has long-running tasks skips only those for which no worker would be found")
+{
+    std::size_t skipped = 0;
+    std::size_t placed = 0;
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        BusyShard shard(seed);
+        for (Fleet::Worker* worker : shard.pointers)
+            worker->reservedMilliProcessors = shard.pick(0, 2) == 0 ? 1000 * shard.pick(1, 12) : 0;
+        Fleet::FailedSearches failedSearches;
+        const Fleet::InterferenceView view { shard.model, shard.demand };
+        for (int number = 0; number < 100; ++number) {
+            FleetSchema::StepSpec step = shard.makeWaitingTask().job->spec.steps(0);
+            step.set_count(static_cast<std::uint32_t>(shard.pick(1, 3)));
+            if (!step.leftover_processors())
+                step.set_lasting(shard.pick(0, 1) == 0);
+            shard.makeTask(step);
+            for (Fleet::Task& task : shard.jobs.back()->tasks) {
+                Fleet::Worker* const expected = Fleet::chooseWorker(task, shard.pointers, view, shard.now);
+                if (failedSearches.includes(task, shard.pointers, shard.now)) {
+                    ++skipped;
+                    REQUIRE(expected == nullptr);
+                } else if (!expected) {
+                    failedSearches.add(task, shard.pointers, shard.now);
+                } else {
+                    ++placed;
+                    Fleet::addAttempt(task, *expected);
+                    task.worker = expected;
+                    task.phase = Fleet::TaskPhase::Recorded;
+                }
+            }
+        }
+    }
+    CHECK(placed > 500);
+    CHECK(skipped > 1000);
+}
+
+TEST_CASE("Ranked workers are those that separate searches choose")
+{
+    std::size_t placed = 0;
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        BusyShard shard(seed);
+        Fleet::InterferenceCache cache(shard.model);
+        const Fleet::InterferenceView view { shard.model, shard.demand, &cache };
+        Fleet::WorkerRanking ranking(shard.pointers);
+        for (int number = 0; number < 40; ++number) {
+            FleetSchema::StepSpec step = shard.makeWaitingTask().job->spec.steps(0);
+            step.set_count(static_cast<std::uint32_t>(shard.pick(1, 12)));
+            step.set_gang(shard.pick(0, 3) == 0);
+            shard.makeTask(step);
+            for (Fleet::Task& task : shard.jobs.back()->tasks) {
+                task.failures = shard.pick(0, 4) == 0 ? 1 : 0;
+                task.crashes = static_cast<std::uint32_t>(std::max(0, shard.pick(-9, 2)));
+                task.waitingSince = shard.now - shard.pick(0, 1) * 2500ms;
+                if (shard.pick(0, 5) == 0)
+                    task.avoidedWorker = "w" + std::to_string(shard.pick(0, 23));
+                Fleet::Worker* const expected = Fleet::chooseWorker(task, shard.pointers, view, shard.now);
+                REQUIRE(ranking.choose(task, view, shard.now) == expected);
+                if (!expected)
+                    continue;
+                ++placed;
+                Fleet::addAttempt(task, *expected);
+                cache.invalidate(*expected);
+                ranking.onTasksChanged(*expected);
+                task.worker = expected;
+                task.phase = Fleet::TaskPhase::Recorded;
+            }
+        }
+    }
+    CHECK(placed > 1000);
+}
+
 TEST_CASE("The tasks of one wide step do not use up the memory of a pass")
 {
     BusyShard shard(8);
