--- a/src/libs/fleet/interferenceview.h
+++ b/src/libs/fleet/interferenceview.h
@@ -28,6 +28,9 @@
         if (steps)
             steps->spend(stepKind, count);
     }
+
+    /*! \return whether the search is to be left. */
+    bool isSpent() const { return steps && steps->isSpent(); }
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/scheduleroptions.h
+++ b/src/libs/fleet/scheduleroptions.h
@@ -32,6 +32,7 @@
     //! takes less than a tick of 100 ms on a node with 0.07 processors if a step takes 60 ns.
     std::size_t searchStepLimit = 75'000;
     std::size_t relocationStepLimit = 25'000; //!< The same for the tasks that could be relocated.
+    std::size_t tickStepLimit = 25'000; //!< The same for each kind of search in a tick.
     //! Timeout after which an unanswered start is stopped; longer than the round trip to a worker of
     //! another region.
     Utils::Duration startTimeout = std::chrono::milliseconds(700);
--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -117,7 +117,9 @@
         const Task* const task = job ? job->findTask(key.occurrence, key.step, key.index) : nullptr;
         const bool isIsolated = task && task->phase == TaskPhase::Waiting && job->isActive()
             && isolationOf(*task) == fullIsolation;
-        if (remaining > 0 && isIsolated && keepWorkerEmpty(*task, workers, *steps_))
+        const bool mayContinue
+            = remaining > 0 && !steps_->isSpent(StepKind::Preparation, options_.tickStepLimit);
+        if (mayContinue && isIsolated && keepWorkerEmpty(*task, workers, *steps_))
             --remaining;
     }
 }
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds transferRetryInterval { 600 };
 // Time after an unsuccessful search for a shard for a task that ends. Loads change with each heartbeat.
 constexpr milliseconds searchInterval { 200 };
+constexpr milliseconds lastingSearchInterval { 50 };
+// Bounds the searches of one tick, each of which examines all shards.
+constexpr std::size_t maxShardSearches = 32;
 
 std::uint32_t idleMs(const Task& task, Utils::TimePoint now)
 {
@@ -40,6 +43,22 @@
 
 } // namespace
 
+void ShardScheduler::tickTransfers(Utils::TimePoint now)
+{
+    // The job that was left without a search in the last tick comes first.
+    const auto first = jobs_.lower_bound(nextSearchingJob_);
+    nextSearchingJob_.clear();
+    shardSearchCount_ = 0;
+    const auto tickJobs = [&](auto begin, auto end) {
+        for (auto job = begin; job != end; ++job) {
+            if (hasWaitingTasks_ || now <= latestRetryAt_ || job->second->hasTransfers)
+                tickTransfers(*job->second, now);
+        }
+    };
+    tickJobs(first, jobs_.end());
+    tickJobs(jobs_.begin(), first);
+}
+
 void ShardScheduler::tickTransfers(Job& job, Utils::TimePoint now)
 {
     if (!job.isCommitted)
@@ -109,8 +128,14 @@
         }
     }
     // Under overload, many tasks wait and no shard has capacity.
-    if (!job.step(task).lasting() && now < job.searchAllowedAt)
+    if (now < job.searchAllowedAt)
+        return;
+    if (++shardSearchCount_ > maxShardSearches) {
+        if (nextSearchingJob_.empty())
+            nextSearchingJob_ = job.spec.id();
         return;
+    }
+    steps_->spend(StepKind::Transfers, 1);
     const std::string shard
         = output_.findShardWithCapacity(job.spec, task.step, now - task.waitingSince, task.returnedBy);
     const bool hasReturned
@@ -118,8 +143,8 @@
     if (job.step(task).gang() && (shard.empty() || hasReturned) && divideGang(tasks, now))
         return;
     if (shard.empty()) {
-        if (!job.step(task).lasting())
-            job.searchAllowedAt = now + searchInterval;
+        // A search for another task of the job would fail too.
+        job.searchAllowedAt = now + (job.step(task).lasting() ? lastingSearchInterval : searchInterval);
         return;
     }
     for (Task* delegated : tasks)
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -404,6 +404,7 @@
     void sendRecorded(Task& task, Utils::TimePoint now);
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
+    void tickTransfers(Utils::TimePoint now);
     void tickTransfers(Job& job, Utils::TimePoint now);
     void answerOnceStored(Job& job, std::uint64_t ticket);
     bool isStarved(const Task& task, Utils::TimePoint now) const;
@@ -422,7 +423,8 @@
     bool mayLease(const Worker& worker, Utils::Duration lease, Utils::TimePoint now) const;
     bool isWorkerListOutdated(Utils::TimePoint now) const;
     std::vector<Worker*> assignableWorkers(Utils::TimePoint now) const;
-    bool shouldRelocate(const Task& task, Utils::TimePoint now) const;
+    void relocateThrottledTasks(Utils::TimePoint now);
+    bool shouldRelocate(const Task& task, std::span<Worker* const> workers, Utils::TimePoint now) const;
     void adjustSpeeds(Worker& worker, Utils::TimePoint now);
     void collectExpiredJobs(std::int64_t nowUnixMs);
     std::size_t addDirtyJobs(RecordBatch& batch);
@@ -448,6 +450,12 @@
     Utils::TimePoint relocationAllowedAt_ {};
     Utils::TimePoint groupingAllowedAt_ {};
     std::string lastGroupingSource_; //!< Worker last examined for a move of a latency-critical task.
+    std::size_t firstGroupingTarget_ = 0; //!< Position of the worker to examine first as its target.
+    std::string
+        nextThrottledSource_; //!< Worker whose throttled tasks are examined next; empty: the first one.
+    std::string
+        nextSearchingJob_; //!< Job for which a shard is searched first in the next tick; may be empty.
+    std::size_t shardSearchCount_ = 0; //!< Searches for shards in this tick.
     Utils::TimePoint lastScheduledAt_ {};
     std::int64_t lastScheduledUnixMs_ = 0;
     Utils::TimePoint latestRetryAt_ {}; //!< End of the latest pause before a retry.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -47,6 +47,7 @@
     interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
     for (auto& [id, worker] : workers_)
         tickWorker(*worker, now, nowUnixMs);
+    relocateThrottledTasks(now);
     confirmPresumedCrashes(
         [now](const PresumedCrash& crash) { return now - crash.presumedAt > crashVerdictDelay; }, now,
         nowUnixMs);
@@ -58,9 +59,8 @@
     // Waiting tasks are reconsidered as time passes, not only when capacity becomes free.
     if (hasWaitingTasks_ && now - lastScheduledAt_ > waitingRetryInterval)
         isScheduleDue_ = true;
+    tickTransfers(now);
     for (const auto& [id, job] : jobs_) {
-        if (hasWaitingTasks_ || now <= latestRetryAt_ || job->hasTransfers)
-            tickTransfers(*job, now);
         const bool hasBecomeDue = job->dueUnixMs(0) <= nowUnixMs && job->dueUnixMs(0) > lastScheduledUnixMs_;
         if (job->isActive() && (hasBecomeDue || (job->occurrences() > 1 && job->dueUnixMs(0) <= nowUnixMs)))
             isScheduleDue_ = true;
@@ -89,10 +89,17 @@
     std::vector<Worker*> workers;
     for (const auto& [id, worker] : workers_)
         workers.push_back(worker.get());
-    const InterferenceView view = interferenceView(StepKind::Grouping);
+    const std::size_t firstTarget = firstGroupingTarget_ % workers.size();
+    std::rotate(workers.begin(), workers.begin() + static_cast<std::ptrdiff_t>(firstTarget), workers.end());
+    StepBudget steps(options_.tickStepLimit);
+    InterferenceView view = interferenceView(StepKind::Grouping);
+    view.steps = &steps;
     TaskMove move = chooseGroupingMove(*source->second, workers, view, options_.availabilityDelay, now);
     if (!move.task && hasWaitingTasks_)
         move = chooseConsolidationMove(workers, view, options_.availabilityDelay, now);
+    steps_->spend(StepKind::Grouping, steps.spent());
+    // If there were too many targets, the next tick begins with others.
+    firstGroupingTarget_ = steps.isSpent() ? firstTarget + workers.size() / 3 + 1 : 0;
     if (!move.task)
         return;
     groupingAllowedAt_ = now + groupingInterval;
@@ -148,10 +155,6 @@
             requestStop(task, now);
         return;
     }
-    if (shouldRelocate(task, now)) {
-        requestStop(task, now);
-        return;
-    }
     const auto allowedRunTime
         = milliseconds(static_cast<std::int64_t>(stalledRunTimeFactor * step.estimate_ms())) + stallTimeout;
     if (!step.lasting() && task.speedPercent == 100 && worker.isResponsive
@@ -160,21 +163,45 @@
     }
 }
 
+// Stops throttled tasks that other workers can run. Where there are too many for one tick, the next one goes
+// on with the next worker.
+void ShardScheduler::relocateThrottledTasks(Utils::TimePoint now)
+{
+    if (isWorkerListOutdated(now))
+        return;
+    std::vector<Worker*> workers;
+    for (const auto& [id, worker] : workers_)
+        workers.push_back(worker.get());
+    const auto next = std::lower_bound(workers.begin(), workers.end(), nextThrottledSource_,
+        [](const Worker* worker, const std::string& id) { return worker->info.id < id; });
+    const auto first = static_cast<std::size_t>(next - workers.begin());
+    for (std::size_t number = 0; number < workers.size(); ++number) {
+        Worker& worker = *workers[(first + number) % workers.size()];
+        if (steps_->isSpent(StepKind::Slowness, options_.tickStepLimit)) {
+            nextThrottledSource_ = worker.info.id;
+            return;
+        }
+        for (Task* task : worker.tasks) {
+            if (shouldRelocate(*task, workers, now))
+                requestStop(*task, now);
+        }
+    }
+    nextThrottledSource_.clear();
+}
+
 // Returns whether another worker can run a throttled task and little of its progress would be lost.
-bool ShardScheduler::shouldRelocate(const Task& task, Utils::TimePoint now) const
+bool ShardScheduler::shouldRelocate(
+    const Task& task, std::span<Worker* const> workers, Utils::TimePoint now) const
 {
     const FleetSchema::StepSpec& step = task.job->step(task);
-    if (task.speedPercent > relocationSpeedPercent || now - task.throttledSince < throttledRelocationDelay
-        || step.gang() || isWorkerListOutdated(now))
+    if (task.phase != TaskPhase::Running || task.speedPercent > relocationSpeedPercent
+        || now - task.throttledSince < throttledRelocationDelay || step.gang())
         return false;
+    if (task.worker->info.isDraining && task.worker->isListed)
+        return false; // tickTask() decides.
     if (!step.checkpointed() && task.progressPercent > maxLostProgressPercent)
         return false;
-    std::vector<Worker*> others;
-    for (const auto& [id, worker] : workers_) {
-        if (worker.get() != task.worker)
-            others.push_back(worker.get());
-    }
-    return chooseWorker(task, others, interferenceView(StepKind::Slowness), now) != nullptr;
+    return fitsElsewhere(task, workers, interferenceView(StepKind::Slowness), now);
 }
 
 void ShardScheduler::adjustSpeeds(Worker& worker, Utils::TimePoint now)
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -78,7 +78,11 @@
     if (now - waitsReviewedAt_ < reviewInterval)
         return;
     waitsReviewedAt_ = now;
-    std::size_t reportLimit = maxReportsPerReview;
+    std::size_t reportSteps = 1;
+    for (const auto& [id, worker] : workers_)
+        reportSteps += 1 + worker->tasks.size();
+    std::size_t reportLimit
+        = std::clamp<std::size_t>(options_.tickStepLimit / reportSteps, 1, maxReportsPerReview);
     for (const auto& [id, job] : jobs_) {
         if (!job->isActive())
             continue;
--- a/src/libs/fleet/stepbudget.h
+++ b/src/libs/fleet/stepbudget.h
@@ -50,6 +50,9 @@
     /*! \return the steps of one kind made so far. */
     std::size_t spent(StepKind kind) const { return byKind_[static_cast<std::size_t>(kind)]; }
 
+    /*! \return whether \p limit steps of one kind are spent. */
+    bool isSpent(StepKind kind, std::size_t limit) const { return spent(kind) >= limit; }
+
     /*! \return whether the pass is to be left. */
     bool isSpent() const { return total_ >= limit_; }
 
--- a/src/libs/fleet/taskgrouping.cpp
+++ b/src/libs/fleet/taskgrouping.cpp
@@ -153,9 +153,14 @@
         if (!isMovable(*task))
             continue;
         const double currentDistance = totalSensitivityDistance(*task, source, view);
-        if (currentDistance <= bestGain || !mayDisrupt(*task, availabilityDelay, now))
+        if (currentDistance <= bestGain)
+            continue;
+        view.spend(task->job->step(*task).count());
+        if (!mayDisrupt(*task, availabilityDelay, now))
             continue;
         for (Worker* worker : workers) {
+            if (view.isSpent())
+                return best;
             view.spend(1 + worker->tasks.size());
             if (worker == &source || worker->reservedMilliProcessors > 0
                 || !isRelocationTarget(*task, *worker))
@@ -174,14 +179,20 @@
     Utils::Duration availabilityDelay, Utils::TimePoint now)
 {
     TaskMove best;
+    view.spend(workers.size());
     const Worker* const source = leastCriticalWorker(workers);
     if (!source || view.demand.empty() || toleratedDemandShare(*source, view) > maxToleratedDemand)
         return best;
     double bestDistance = 0;
     for (Task* task : source->tasks) {
-        if (!isMovable(*task) || !mayDisrupt(*task, availabilityDelay, now))
+        if (!isMovable(*task))
+            continue;
+        view.spend(task->job->step(*task).count());
+        if (!mayDisrupt(*task, availabilityDelay, now))
             continue;
         for (Worker* worker : workers) {
+            if (view.isSpent())
+                return best;
             view.spend(1 + worker->tasks.size());
             if (worker == source || worker->criticalTaskCount == 0 || worker->reservedMilliProcessors > 0
                 || criticalShare(*worker) <= criticalShare(*source) || !isRelocationTarget(*task, *worker))
--- a/src/libs/fleet/taskgrouping.h
+++ b/src/libs/fleet/taskgrouping.h
@@ -41,7 +41,7 @@
 
     \param source worker from which a task may be moved.
     \param availabilityDelay time for which a long-running task must have been running to count as available.
-    \return the move with the greatest gain.
+    \return the move with the greatest gain among the workers examined before the steps of \p view are spent.
 */
 TaskMove chooseGroupingMove(const Worker& source, std::span<Worker* const> workers,
     const InterferenceView& view, Utils::Duration availabilityDelay, Utils::TimePoint now);
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -335,6 +335,15 @@
     return best;
 }
 
+bool fitsElsewhere(
+    const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now)
+{
+    const SearchTerms terms = searchTermsOf(task, workers, now, view.steps);
+    return std::any_of(workers.begin(), workers.end(), [&](const Worker* worker) {
+        return worker != task.worker && placementCost(task, *worker, view, terms, now).has_value();
+    });
+}
+
 std::array<std::size_t, placementObstacleCount> countObstacles(
     const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now)
 {
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -94,6 +94,10 @@
 std::optional<double> placementCost(const Task& task, const Worker& worker, const InterferenceView& view,
     const SearchTerms& terms, Utils::TimePoint now);
 
+/*! \return whether a task that is on a worker could be started on another one. */
+bool fitsElsewhere(
+    const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now);
+
 /*! \return the number of workers by obstacle to running the task, indexed by PlacementObstacle. */
 std::array<std::size_t, placementObstacleCount> countObstacles(
     const Task& task, std::span<Worker* const> workers, const InterferenceView& view, Utils::TimePoint now);
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -6,6 +6,7 @@
 #include <fleet/worker.h>
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,11 +47,13 @@
     {
         throttles.push_back({ worker, task, static_cast<std::uint32_t>(percent) });
     }
-    std::string findShardWithCapacity(const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration,
+    std::string findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step, Utils::Duration,
         std::span<const std::string> returnedBy) override
     {
         latestReturnedBy.assign(returnedBy.begin(), returnedBy.end());
-        return shardWithCapacity;
+        shardSearches.push_back(spec.id());
+        const auto found = shardsBySize.find(spec.steps(static_cast<int>(step)).milli_processors());
+        return found == shardsBySize.end() ? shardWithCapacity : found->second;
     }
     std::vector<Fleet::GangShare> divideGang(
         const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration, std::span<const std::string>) override
@@ -107,6 +110,8 @@
     };
 
     std::string shardWithCapacity; //!< Result of findShardWithCapacity().
+    std::map<std::int64_t, std::string> shardsBySize; //!< The same for tasks of some numbers of processors.
+    std::vector<std::string> shardSearches; //!< Jobs for which it was called.
     std::vector<std::string> latestReturnedBy; //!< Passed to its latest call.
     std::vector<Fleet::GangShare> gangShares; //!< Result of divideGang().
     std::vector<FleetSchema::GangPart> readyParts;
