--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -19,6 +19,7 @@
     std::uint32_t remainingTasks = 0; //!< Tasks that are not done.
     std::uint32_t donePredecessors = 0; //!< The first ones of StepSpec::after that are known to be done.
     bool arePredecessorsMarked = false; //!< Job::markPredecessorsDone() has visited the step.
+    Utils::TimePoint searchAllowedAt {}; //!< Earliest next search for a shard for a task of the step.
 };
 
 /*! How far a sweep over the waiting tasks has come in one occurrence. */
@@ -51,7 +52,6 @@
     bool isOriginUnconfirmed = false;
     Utils::TimePoint originAwaitedSince {}; //!< Since when tasks wait for the origin shard's answer.
     Utils::TimePoint originQueriedAt {};
-    Utils::TimePoint searchAllowedAt {}; //!< Earliest next search for a shard for a task that ends.
     bool hasTransfers = false; //!< Tasks of the job were delegated to or by this shard.
     Utils::TimePoint acceptedAt {};
     //! Time of the first decision to start an attempt; the clock's epoch if unknown.
@@ -101,6 +101,12 @@
         return progressOf(occurrence, step).remainingTasks;
     }
 
+    /*! \return the earliest time of the next search for a shard for tasks of a step. */
+    Utils::TimePoint& searchAllowedAt(std::uint32_t occurrence, std::uint32_t step)
+    {
+        return progressOf(occurrence, step).searchAllowedAt;
+    }
+
     /*! Counts a task of a step as done. */
     void countDoneTask(std::uint32_t occurrence, std::uint32_t step);
 
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -128,7 +128,8 @@
         }
     }
     // Under overload, many tasks wait and no shard has capacity.
-    if (now < job.searchAllowedAt)
+    Utils::TimePoint& searchAllowedAt = job.searchAllowedAt(task.occurrence, task.step);
+    if (now < searchAllowedAt)
         return;
     if (++shardSearchCount_ > maxShardSearches) {
         if (nextSearchingJob_.empty())
@@ -143,8 +144,8 @@
     if (job.step(task).gang() && (shard.empty() || hasReturned) && divideGang(tasks, now))
         return;
     if (shard.empty()) {
-        // A search for another task of the job would fail too.
-        job.searchAllowedAt = now + (job.step(task).lasting() ? lastingSearchInterval : searchInterval);
+        // A search for another task of the step would fail too.
+        searchAllowedAt = now + (job.step(task).lasting() ? lastingSearchInterval : searchInterval);
         return;
     }
     for (Task* delegated : tasks)
--- a/tests/auto/fleet/tst_passsteps.cpp
+++ b/tests/auto/fleet/tst_passsteps.cpp
@@ -215,6 +215,28 @@
     CHECK(jobs.size() == 200);
 }
 
+TEST_CASE("A step that finds no shard does not keep another step of its job from being searched for")
+{
+    SchedulerFixture fixture(1);
+    FleetSchema::StepSpec large = makeStep(1, 31'000, 1000);
+    FleetSchema::StepSpec small = makeStep(1, 30'000, 1000);
+    fixture.scheduler.submit(makeJob("full", { large }), 1, fixture.now, testStartUnixMs);
+    fixture.scheduleAndCommit();
+    fixture.confirmStarts();
+    FleetSchema::JobSpec job = makeJob("job", { large, small });
+    job.mutable_steps(1)->clear_after();
+    fixture.scheduler.submit(job, 2, fixture.now, testStartUnixMs);
+    fixture.output.shardsBySize[30'000] = "other";
+    for (int tick = 0; tick < 30; ++tick) {
+        fixture.now += 100ms;
+        fixture.finishAttempts(0, Ports::AttemptOutcome::Done);
+        fixture.scheduler.onTick(fixture.now, testStartUnixMs);
+        fixture.scheduleAndCommit();
+    }
+    REQUIRE_FALSE(fixture.output.delegations.empty());
+    CHECK(fixture.output.delegations.front().step() == 1);
+}
+
 namespace {
 
 /*! A shard in which each worker has a latency-critical task over its target beside best-effort tasks. */
