--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -228,12 +228,12 @@
 {
     if (report.isTruncated)
         return;
+    std::set<std::pair<Ports::TaskKey, std::uint32_t>> listed;
+    for (const Ports::RunningAttempt& running : report.running)
+        listed.emplace(running.task, running.attempt);
     std::vector<Task*> missing;
     for (Task* task : worker.tasks) {
-        const bool isListed = std::any_of(
-            report.running.begin(), report.running.end(), [&](const Ports::RunningAttempt& running) {
-                return running.attempt == task->attempt && running.task == keyOf(*task);
-            });
+        const bool isListed = listed.contains({ keyOf(*task), task->attempt });
         if (isListed)
             continue;
         const bool hasEnded = (task->phase == TaskPhase::Unverified && sentAt >= task->reportableSince)
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -221,6 +221,7 @@
     if (worker.info.address.empty())
         worker.info.address = stored.worker_address();
     task.phase = TaskPhase::Unverified;
+    unconfirmedTasks_.push_back(keyOf(task));
     task.hasStarted = true;
     task.worker = &worker;
     task.workerBornMs = stored.worker_born();
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -310,7 +310,7 @@
     std::vector<Ports::WorkerInfo> unlistedWorkers() const;
 
     /*! \return the number of attempts that a former owner recorded and no worker has reported yet. */
-    std::size_t countUnconfirmedAttempts() const;
+    std::size_t countUnconfirmedAttempts();
 
     /*! \return the number of open attempts on workers that the platform does not list. */
     std::size_t countAttemptsOnUnlistedWorkers() const;
@@ -467,6 +467,7 @@
     Utils::TimePoint startRightEnd_ = Utils::TimePoint::max(); //!< Until when attempts may be started.
     StatedLeaseEnds statedLeaseEnds_;
     std::set<Ports::TaskKey> tasksWithPresumedCrashes_; //!< May include others.
+    std::vector<Ports::TaskKey> unconfirmedTasks_; //!< In the phase Unverified; may include others.
     std::vector<Ports::TaskKey> isolatedTasks_; //!< Fully isolated tasks without a worker in the last pass.
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
     std::vector<Worker*> passWorkers_; //!< Workers that may get tasks; empty outside schedule().
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -44,14 +44,14 @@
 
 } // namespace
 
-std::size_t ShardScheduler::countUnconfirmedAttempts() const
+std::size_t ShardScheduler::countUnconfirmedAttempts()
 {
-    std::size_t count = 0;
-    for (const auto& [id, worker] : workers_) {
-        count += static_cast<std::size_t>(std::count_if(worker->tasks.begin(), worker->tasks.end(),
-            [](const Task* task) { return task->phase == TaskPhase::Unverified; }));
-    }
-    return count;
+    std::erase_if(unconfirmedTasks_, [this](const Ports::TaskKey& key) {
+        Job* const job = findJob(key.job);
+        const Task* const task = job ? job->findTask(key.occurrence, key.step, key.index) : nullptr;
+        return !task || task->phase != TaskPhase::Unverified;
+    });
+    return unconfirmedTasks_.size();
 }
 
 std::vector<Ports::WorkerInfo> ShardScheduler::unlistedWorkers() const
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -406,11 +406,17 @@
     scheduler_.onPollFailed(worker, error.isPeerAbsent);
 }
 
-FleetSchema::ShardLoad ShardHost::load() const
+const FleetSchema::ShardLoad& ShardHost::load()
 {
-    FleetSchema::ShardLoad load = scheduler_.load(context_.now());
-    load.set_epoch(writer_.epoch());
-    return load;
+    // Each call of a caller for the state of a queue asks for it.
+    constexpr milliseconds lifetime { 100 };
+    const Utils::TimePoint now = context_.now();
+    if (loadComputedAt_ == Utils::TimePoint {} || now - loadComputedAt_ >= lifetime) {
+        loadComputedAt_ = now;
+        load_ = scheduler_.load(now);
+    }
+    load_.set_epoch(writer_.epoch());
+    return load_;
 }
 
 } // namespace FleetNode
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -169,10 +169,10 @@
     void tick();
 
     /*! \return whether attempts of former owners may run on workers that have not reported to this one. */
-    bool hasUnconfirmedAttempts() const { return !isLoaded_ || scheduler_.countUnconfirmedAttempts() > 0; }
+    bool hasUnconfirmedAttempts() { return !isLoaded_ || scheduler_.countUnconfirmedAttempts() > 0; }
 
-    /*! \return the shard's load as reported to other nodes. */
-    FleetSchema::ShardLoad load() const;
+    /*! \return the shard's load as reported to other nodes, computed at most once a tick. */
+    const FleetSchema::ShardLoad& load();
 
     const std::string& shard() const { return shard_; }
 
@@ -262,6 +262,8 @@
     std::uint64_t nextRequestId_ = 1;
     Utils::TimePoint nextRoundAllowedAt_ {};
     Utils::TimePoint fencedAt_ {};
+    FleetSchema::ShardLoad load_;
+    Utils::TimePoint loadComputedAt_ {};
     bool isLoaded_ = false;
     bool isReleasing_ = false;
     bool isReleaseSent_
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -474,7 +474,7 @@
     for (const auto& [shard, ownerInfo] : shardOwners_) {
         const auto host = hosts_.find(shard);
         const bool isOwn = host != hosts_.end() && host->second->isServing();
-        const FleetSchema::ShardLoad load = isOwn ? host->second->load() : ownerInfo.load;
+        const FleetSchema::ShardLoad& load = isOwn ? host->second->load() : ownerInfo.load;
         const auto found = load.pending().find(queue);
         if (found != load.pending().end())
             sum += found->second;
