--- a/src/libs/fleet/shardpass.cpp
+++ b/src/libs/fleet/shardpass.cpp
@@ -66,7 +66,7 @@
 
 void ShardScheduler::schedule(Utils::TimePoint now, std::int64_t nowUnixMs)
 {
-    steps_ = std::make_unique<StepBudget>(options_.searchStepLimit);
+    steps_ = std::make_unique<StepBudget>();
     if (!isScheduleDue())
         return;
     interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
@@ -77,7 +77,10 @@
     lastScheduledUnixMs_ = nowUnixMs;
     passWorkers_ = assignableWorkers(now);
     Pass pass { FailedSearches(steps_.get()), FailedSearches(steps_.get()), WorkerRanking(passWorkers_), {} };
-    for (const Candidate& candidate : rankCandidates(now, nowUnixMs)) {
+    const std::vector<Candidate> candidates = rankCandidates(now, nowUnixMs);
+    // However long the preparation is, each pass visits some tasks.
+    steps_->limitFurther(options_.searchStepLimit);
+    for (const Candidate& candidate : candidates) {
         if (steps_->isSpent()
             || !assignOccurrence(*candidate.job, candidate.occurrence, now, nowUnixMs, pass)) {
             isSweepUnfinished_ = true;
--- a/src/libs/fleet/stepbudget.h
+++ b/src/libs/fleet/stepbudget.h
@@ -38,6 +38,9 @@
     {
     }
 
+    /*! Limits the pass to \p steps further ones. */
+    void limitFurther(std::size_t steps) { limit_ = total_ + steps; }
+
     void spend(StepKind kind, std::size_t steps)
     {
         byKind_[static_cast<std::size_t>(kind)] += steps;
--- a/tests/auto/fleet/tst_passsteps.cpp
+++ b/tests/auto/fleet/tst_passsteps.cpp
@@ -335,3 +335,21 @@
         CHECK(mostSteps <= 25'000 + 2 * workerCount);
     }
 }
+
+TEST_CASE("An owner that knows many occurrences of jobs still visits the tasks that wait")
+{
+    SchedulerFixture shard(4);
+    for (int number = 0; number < 80; ++number) {
+        FleetSchema::JobSpec job
+            = makeJob("periodic-" + std::to_string(number), { makeStep(1, 1'000, 1000) });
+        job.set_occurrences(1000);
+        job.set_first_start_unix_ms(testStartUnixMs + 3'600'000);
+        job.set_period_ms(60'000);
+        shard.scheduler.submit(job, 1, shard.now, testStartUnixMs);
+    }
+    shard.scheduler.submit(makeJob("small", { makeStep(1, 3'000, 1000) }), 1, shard.now, testStartUnixMs);
+    while (shard.scheduleAndCommit())
+        shard.confirmStarts();
+    CHECK(shard.running.size() == 1);
+    CHECK_FALSE(shard.scheduler.isSweepUnfinished());
+}
