--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Fleet {
 
@@ -45,21 +46,31 @@
 
 void ShardScheduler::tickTransfers(Utils::TimePoint now)
 {
-    // The job that was left without a search in the last tick comes first.
-    const auto first = jobs_.lower_bound(nextSearchingJob_);
-    nextSearchingJob_.clear();
+    // The task that was left without a search in the last tick comes first, and those of its job before it
+    // last. Otherwise a job with many steps would use up all searches of each tick.
+    const std::string resumedJob = std::exchange(nextSearchingJob_, {});
+    const std::size_t resumedTask = std::exchange(nextSearchingTask_, 0);
+    const auto first = jobs_.lower_bound(resumedJob);
+    const bool isResumed
+        = first != jobs_.end() && first->first == resumedJob && resumedTask < first->second->tasks.size();
     shardSearchCount_ = 0;
+    const auto tickTasks = [&](Job& job, std::size_t begin, std::size_t end) {
+        if (hasWaitingTasks_ || now <= latestRetryAt_ || job.hasTransfers)
+            tickTransfers(job, std::span(job.tasks).subspan(begin, end - begin), now);
+    };
     const auto tickJobs = [&](auto begin, auto end) {
-        for (auto job = begin; job != end; ++job) {
-            if (hasWaitingTasks_ || now <= latestRetryAt_ || job->second->hasTransfers)
-                tickTransfers(*job->second, now);
-        }
+        for (auto job = begin; job != end; ++job)
+            tickTasks(*job->second, 0, job->second->tasks.size());
     };
-    tickJobs(first, jobs_.end());
+    if (isResumed)
+        tickTasks(*first->second, resumedTask, first->second->tasks.size());
+    tickJobs(isResumed ? std::next(first) : first, jobs_.end());
     tickJobs(jobs_.begin(), first);
+    if (isResumed)
+        tickTasks(*first->second, 0, resumedTask);
 }
 
-void ShardScheduler::tickTransfers(Job& job, Utils::TimePoint now)
+void ShardScheduler::tickTransfers(Job& job, std::span<Task> tasks, Utils::TimePoint now)
 {
     if (!job.isCommitted)
         return;
@@ -68,8 +79,8 @@
         }))
         return cancelUnacknowledged(job, now);
     sendPartStarts(job, now);
-    steps_->spend(StepKind::Transfers, job.tasks.size());
-    for (Task& task : job.tasks) {
+    steps_->spend(StepKind::Transfers, tasks.size());
+    for (Task& task : tasks) {
         const bool isWaitingForPart = task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Held;
         if (task.part.size > 0 && isWaitingForPart) {
             tickPart(task, now);
@@ -132,8 +143,10 @@
     if (now < searchAllowedAt)
         return;
     if (++shardSearchCount_ > maxShardSearches) {
-        if (nextSearchingJob_.empty())
+        if (nextSearchingJob_.empty()) {
             nextSearchingJob_ = job.spec.id();
+            nextSearchingTask_ = static_cast<std::size_t>(&task - job.tasks.data());
+        }
         return;
     }
     steps_->spend(StepKind::Transfers, 1);
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -405,7 +405,7 @@
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
     void tickTransfers(Utils::TimePoint now);
-    void tickTransfers(Job& job, Utils::TimePoint now);
+    void tickTransfers(Job& job, std::span<Task> tasks, Utils::TimePoint now);
     void answerOnceStored(Job& job, std::uint64_t ticket);
     bool isStarved(const Task& task, Utils::TimePoint now) const;
     bool canEverRunHere(const FleetSchema::StepSpec& step, Utils::TimePoint now) const;
@@ -455,6 +455,7 @@
         nextThrottledSource_; //!< Worker whose throttled tasks are examined next; empty: the first one.
     std::string
         nextSearchingJob_; //!< Job for which a shard is searched first in the next tick; may be empty.
+    std::size_t nextSearchingTask_ = 0; //!< Its task that is left; only if nextSearchingJob_ is not empty.
     std::size_t shardSearchCount_ = 0; //!< Searches for shards in this tick.
     Utils::TimePoint lastScheduledAt_ {};
     std::int64_t lastScheduledUnixMs_ = 0;
--- a/tests/auto/fleet/tst_passsteps.cpp
+++ b/tests/auto/fleet/tst_passsteps.cpp
@@ -353,3 +353,24 @@
     CHECK(shard.running.size() == 1);
     CHECK_FALSE(shard.scheduler.isSweepUnfinished());
 }
+
+TEST_CASE("Many steps that find no shard do not keep others from being searched for")
+{
+    for (const bool areLasting : { true, false }) {
+        FullShard shard(90);
+        FleetSchema::JobSpec wide = makeJob("a-wide", {});
+        for (int number = 0; number < 100; ++number) {
+            *wide.add_steps() = makeStep(1, 9'000 + number, 1000);
+            wide.mutable_steps(number)->set_lasting(areLasting);
+        }
+        shard.scheduler.submit(wide, 1, shard.now, testStartUnixMs);
+        shard.submit("other", makeStep(1, 8'000, 1000));
+        shard.output.shardsBySize[9'099] = "host";
+        shard.advance(3s);
+        INFO((areLasting ? "lasting" : "ending"));
+        const auto& searches = shard.output.shardSearches;
+        CHECK(std::find(searches.begin(), searches.end(), "other") != searches.end());
+        REQUIRE_FALSE(shard.output.delegations.empty());
+        CHECK(shard.output.delegations.front().step() == 99);
+    }
+}
