--- a/src/libs/fleet/relocationsearch.cpp
+++ b/src/libs/fleet/relocationsearch.cpp
@@ -59,6 +59,17 @@
         == std::tie(right.job, right.occurrence, right.step);
 }
 
+// Whether another task of the step may run beside the task.
+bool hasRoomForSibling(const Task& task, const Worker& worker)
+{
+    const std::uint32_t limit = task.job->step(task).max_per_worker();
+    const auto isOfStep = [&task](const Task* other) {
+        return other->job == task.job && other->occurrence == task.occurrence && other->step == task.step;
+    };
+    const auto count = std::count_if(worker.tasks.begin(), worker.tasks.end(), isOfStep);
+    return limit == 0 || static_cast<std::uint32_t>(count) < limit;
+}
+
 /*! Plans moves; what holds for all tasks of a step is determined once. */
 class RelocationPlanner {
 public:
@@ -161,7 +172,9 @@
             continue;
         hasRoomSomewhere = true;
         spend(worker.tasks.size());
-        if (isEligible(task, worker, mayProbe, now_))
+        // The targets are also those of other tasks of the step, for which this one counts in its spread.
+        if (isEligible(task, worker, mayProbe, now_)
+            && (task.worker != &worker || hasRoomForSibling(task, worker)))
             targets.push_back(&worker);
     }
     if (!hasRoomSomewhere && examined == workers_.size())
--- a/tests/auto/fleet/tst_passsteps.cpp
+++ b/tests/auto/fleet/tst_passsteps.cpp
@@ -374,3 +374,46 @@
         CHECK(shard.output.delegations.front().step() == 99);
     }
 }
+
+TEST_CASE("A task does not move to a worker that has another task of its step, if only one is allowed there")
+{
+    SchedulerFixture shard(2);
+    const auto submitLasting = [&](const std::string& job, std::uint32_t count, std::int64_t size) {
+        FleetSchema::StepSpec step = makeStep(count, size, 1000);
+        step.set_lasting(true);
+        step.set_max_per_worker(1);
+        shard.scheduler.submit(makeJob(job, { step }), 1, shard.now, testStartUnixMs);
+        shard.scheduleAndCommit();
+        shard.confirmStarts();
+    };
+    submitLasting("blocker", 1, 22'000);
+    submitLasting("filler", 1, 7'000);
+    submitLasting("apart", 2, 10'000);
+    REQUIRE(shard.running.size() == 4);
+    REQUIRE(shard.running[1].worker == "w1");
+    // Only the filling task and one of those apart are left on w1, the other one on w0.
+    shard.now += 100ms;
+    shard.scheduler.cancel("blocker", 2, testStartUnixMs);
+    shard.scheduleAndCommit();
+    shard.output.stops.clear();
+    Ports::WorkerReport report;
+    for (const Fleet::AttemptStart& attempt : shard.running) {
+        if (attempt.worker == "w0" && attempt.task.job != "blocker")
+            report.running.push_back({ attempt.task, attempt.attempt, {}, 100, 5 });
+        if (attempt.task.job == "blocker")
+            report.ended.push_back({ ++shard.lastEndNumbers["w0"], attempt.task, attempt.attempt,
+                Ports::AttemptOutcome::Stopped, {} });
+    }
+    shard.report("w0", report);
+    std::erase_if(
+        shard.running, [](const Fleet::AttemptStart& start) { return start.task.job == "blocker"; });
+    submitLasting("waiting", 1, 25'000);
+    REQUIRE(shard.running.size() == 3);
+    for (int tick = 0; tick < 30; ++tick) {
+        shard.now += 100ms;
+        shard.finishAttempts(0, Ports::AttemptOutcome::Done);
+        shard.scheduler.onTick(shard.now, testStartUnixMs);
+        shard.scheduleAndCommit();
+    }
+    CHECK(shard.output.stops.empty());
+}
