--- a/src/libs/fleet/workerranking.h
+++ b/src/libs/fleet/workerranking.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -22,7 +23,7 @@
     Ranks workers for a series of like tasks, such as those of one step.
 
     Choosing a worker for the first task examines all workers; for each further one, only those to which an
-    attempt was added. The choices are those of chooseWorker().
+    attempt was added, and those that only one of the tasks avoids. The choices are those of chooseWorker().
 */
 class WorkerRanking {
 public:
@@ -38,15 +39,20 @@
 private:
     using Rank = std::pair<double, std::size_t>; //!< Cost and position among the workers.
 
+    using Positions = std::unordered_multimap<std::string_view, std::size_t>;
+
     bool isLikeRanked(const Task& task, const SearchTerms& terms) const;
+    void notePositions();
+    void onAvoidedChanged(const Task& task);
     void rank(const Task& task, std::size_t position, const InterferenceView& view, Utils::TimePoint now);
 
     std::span<Worker* const> workers_;
-    const Task* ranked_ = nullptr; //!< Task for which the workers are ranked.
+    const Task* ranked_ = nullptr; //!< Task for which the workers are ranked, but for those in changed_.
     SearchTerms terms_;
     std::set<Rank> ranking_;
     std::vector<std::optional<double>> costs_; //!< By position; empty: the worker does not fit.
-    std::unordered_map<const Worker*, std::size_t> positions_;
+    Positions positionsById_; //!< Empty until needed, as the next one.
+    Positions positionsByAddress_;
     std::vector<std::size_t> changed_; //!< Positions of workers to examine again.
 };
 
--- a/tests/auto/fleet/tst_passsteps.cpp
+++ b/tests/auto/fleet/tst_passsteps.cpp
@@ -417,3 +417,38 @@
     }
     CHECK(shard.output.stops.empty());
 }
+
+TEST_CASE("An owner is not starved by a gang whose members avoid different workers")
+{
+    for (const std::size_t workerCount : shardSizes) {
+        FullShard shard(workerCount);
+        const std::size_t memberCount = std::min(workerCount, maxTasks);
+        FleetSchema::StepSpec gang = makeStep(static_cast<std::uint32_t>(memberCount), 3'000, 1000);
+        gang.set_gang(true);
+        shard.submit("gang", gang);
+        const std::size_t first = shard.output.starts.size();
+        while (shard.scheduleAndCommit()) { }
+        REQUIRE(shard.output.starts.size() == first + memberCount);
+        for (std::size_t number = first; number < shard.output.starts.size(); ++number) {
+            const Fleet::AttemptStart& start = shard.output.starts[number];
+            Ports::CommandReply reply;
+            reply.outcome = Ports::CommandOutcome::Rejected;
+            shard.scheduler.onStartReply(start.worker, start.task, start.attempt, reply, shard.now);
+        }
+        shard.confirmedStarts = shard.output.starts.size();
+        // There is no room for all members any more.
+        FleetSchema::StepSpec small = makeStep(static_cast<std::uint32_t>(memberCount), 4'000, 1000);
+        small.set_count(static_cast<std::uint32_t>(std::min<std::size_t>(maxTasks, workerCount / 20 + 1)));
+        small.set_lasting(true);
+        for (std::size_t room = workerCount - memberCount + small.count(); room > 0;) {
+            small.set_count(static_cast<std::uint32_t>(std::min(room, maxTasks)));
+            shard.submit("small-" + std::to_string(room), small);
+            room -= small.count();
+        }
+        shard.runPass();
+        shard.mostSteps = 0;
+        shard.advance(500ms);
+        INFO(workerCount << " workers");
+        CHECK(shard.mostSteps <= passLimit + shard.searchSteps());
+    }
+}
--- a/tests/auto/fleet/tst_schedulingpass.cpp
+++ b/tests/auto/fleet/tst_schedulingpass.cpp
@@ -50,6 +50,7 @@
             workers.push_back(std::make_unique<Fleet::Worker>());
             Fleet::Worker& worker = *workers.back();
             worker.info = makeWorkerInfo("w" + std::to_string(number));
+            worker.info.address = "127.0.0.1:" + std::to_string(number / 2);
             worker.isListed = true;
             worker.isResponsive = true;
             worker.clockMs = 1;
@@ -240,6 +241,9 @@
                 task.waitingSince = shard.now - shard.pick(0, 1) * 2500ms;
                 if (shard.pick(0, 5) == 0)
                     task.avoidedWorker = "w" + std::to_string(shard.pick(0, 23));
+                if (task.crashes > 0)
+                    task.crashedAddress
+                        = shard.pointers[static_cast<std::size_t>(shard.pick(0, 23))]->info.address;
                 Fleet::Worker* const expected = Fleet::chooseWorker(task, shard.pointers, view, shard.now);
                 REQUIRE(ranking.choose(task, view, shard.now) == expected);
                 if (!expected)
