--- a/src/libs/fleet/workerranking.cpp
+++ b/src/libs/fleet/workerranking.cpp
@@ -4,15 +4,68 @@
 #include "job.h"
 #include "worker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Fleet {
 
+namespace {
+
+// More kinds of histories in one step are rare; the oldest ranks are dropped.
+constexpr std::size_t maxTables = 16;
+
+bool areOfOneStep(const Task& left, const Task& right)
+{
+    return left.job == right.job && left.occurrence == right.occurrence && left.step == right.step;
+}
+
+} // namespace
+
 WorkerRanking::WorkerRanking(std::span<Worker* const> workers)
     : workers_(workers)
 {
 }
 
+// Whether the choice for the task depends on the same properties with the same values, but for the workers
+// that it avoids.
+bool WorkerRanking::isFor(const Table& table, const Task& task, const SearchTerms& terms)
+{
+    return table.terms == terms && (table.task->failures > 0) == (task.failures > 0)
+        && table.task->crashes == task.crashes && table.task->isProven == task.isProven;
+}
+
+Worker* WorkerRanking::choose(const Task& task, const InterferenceView& view, Utils::TimePoint now)
+{
+    const SearchTerms terms = searchTermsOf(task, workers_, now, view.steps);
+    if (!tables_.empty() && !areOfOneStep(*tables_.front().task, task))
+        tables_.clear();
+    const auto known = std::find_if(
+        tables_.begin(), tables_.end(), [&](const Table& table) { return isFor(table, task, terms); });
+    Table& table = known == tables_.end() ? addTable(task, terms, view, now) : *known;
+    noteAvoided(table, task);
+    table.task = &task;
+    for (const std::size_t position : std::exchange(table.changed, {})) {
+        if (table.costs[position])
+            table.ranking.erase({ *table.costs[position], position });
+        rank(table, position, view, now);
+    }
+    return table.ranking.empty() ? nullptr : workers_[table.ranking.begin()->second];
+}
+
+WorkerRanking::Table& WorkerRanking::addTable(
+    const Task& task, const SearchTerms& terms, const InterferenceView& view, Utils::TimePoint now)
+{
+    if (tables_.size() >= maxTables)
+        tables_.erase(tables_.begin());
+    Table& table = tables_.emplace_back();
+    table.task = &task;
+    table.terms = terms;
+    table.costs.resize(workers_.size());
+    for (std::size_t position = 0; position < workers_.size(); ++position)
+        rank(table, position, view, now);
+    return table;
+}
+
 void WorkerRanking::notePositions()
 {
     if (!positionsById_.empty())
@@ -23,74 +76,47 @@
     }
 }
 
-// Whether the choice for the task depends on the same properties with the same values.
-bool WorkerRanking::isLikeRanked(const Task& task, const SearchTerms& terms) const
-{
-    return ranked_ && ranked_->job == task.job && ranked_->occurrence == task.occurrence
-        && ranked_->step == task.step && terms_ == terms && (ranked_->failures > 0) == (task.failures > 0)
-        && ranked_->crashes == task.crashes && ranked_->isProven == task.isProven;
-}
-
 // Workers that only one of the tasks avoids cost another amount for the other one.
-void WorkerRanking::onAvoidedChanged(const Task& task)
+void WorkerRanking::noteAvoided(Table& table, const Task& task)
 {
-    const bool avoidsOthers = ranked_->avoidedWorker != task.avoidedWorker;
+    const Task& ranked = *table.task;
+    const bool avoidsOthers = ranked.avoidedWorker != task.avoidedWorker;
     // Only after a crash.
-    const bool avoidsOtherAddress = task.crashes > 0 && ranked_->crashedAddress != task.crashedAddress;
+    const bool avoidsOtherAddress = task.crashes > 0 && ranked.crashedAddress != task.crashedAddress;
     if (!avoidsOthers && !avoidsOtherAddress)
         return;
     notePositions();
-    const auto examineAgain = [this](const Positions& positions, const std::string& key) {
+    const auto examineAgain = [&table](const Positions& positions, const std::string& key) {
         const auto [begin, end] = positions.equal_range(key);
         for (auto entry = begin; entry != end; ++entry)
-            changed_.push_back(entry->second);
+            table.changed.push_back(entry->second);
     };
     if (avoidsOthers) {
-        examineAgain(positionsById_, ranked_->avoidedWorker);
+        examineAgain(positionsById_, ranked.avoidedWorker);
         examineAgain(positionsById_, task.avoidedWorker);
     }
     if (avoidsOtherAddress) {
-        examineAgain(positionsByAddress_, ranked_->crashedAddress);
+        examineAgain(positionsByAddress_, ranked.crashedAddress);
         examineAgain(positionsByAddress_, task.crashedAddress);
     }
 }
 
-Worker* WorkerRanking::choose(const Task& task, const InterferenceView& view, Utils::TimePoint now)
-{
-    const SearchTerms terms = searchTermsOf(task, workers_, now, view.steps);
-    if (isLikeRanked(task, terms)) {
-        onAvoidedChanged(task);
-        ranked_ = &task;
-        for (const std::size_t position : std::exchange(changed_, {})) {
-            if (costs_[position])
-                ranking_.erase({ *costs_[position], position });
-            rank(task, position, view, now);
-        }
-    } else {
-        ranked_ = &task;
-        terms_ = terms;
-        ranking_.clear();
-        changed_.clear();
-        costs_.assign(workers_.size(), std::nullopt);
-        for (std::size_t position = 0; position < workers_.size(); ++position)
-            rank(task, position, view, now);
-    }
-    return ranking_.empty() ? nullptr : workers_[ranking_.begin()->second];
-}
-
 void WorkerRanking::rank(
-    const Task& task, std::size_t position, const InterferenceView& view, Utils::TimePoint now)
+    Table& table, std::size_t position, const InterferenceView& view, Utils::TimePoint now) const
 {
-    costs_[position] = placementCost(task, *workers_[position], view, terms_, now);
-    if (costs_[position])
-        ranking_.insert({ *costs_[position], position });
+    table.costs[position] = placementCost(*table.task, *workers_[position], view, table.terms, now);
+    if (table.costs[position])
+        table.ranking.insert({ *table.costs[position], position });
 }
 
 void WorkerRanking::onTasksChanged(const Worker& worker)
 {
     notePositions();
-    if (const auto found = positionsById_.find(worker.info.id); found != positionsById_.end())
-        changed_.push_back(found->second);
+    const auto found = positionsById_.find(worker.info.id);
+    if (found == positionsById_.end())
+        return;
+    for (Table& table : tables_)
+        table.changed.push_back(found->second);
 }
 
 } // namespace Fleet
--- a/tests/auto/fleet/tst_passsteps.cpp
+++ b/tests/auto/fleet/tst_passsteps.cpp
@@ -452,3 +452,51 @@
         CHECK(shard.mostSteps <= passLimit + shard.searchSteps());
     }
 }
+
+TEST_CASE("An owner is not starved by a gang some of whose members have crashed their workers")
+{
+    for (const std::size_t workerCount : shardSizes) {
+        FullShard shard(workerCount);
+        const std::size_t memberCount = std::min(workerCount, maxTasks);
+        FleetSchema::StepSpec gang = makeStep(static_cast<std::uint32_t>(memberCount), 3'000, 1000);
+        gang.set_gang(true);
+        shard.submit("gang", gang);
+        while (shard.scheduleAndCommit()) { }
+        shard.confirmStarts();
+        // Each second worker of the gang crashes.
+        std::map<std::string, Ports::WorkerReport> reports;
+        std::size_t number = 0;
+        std::set<std::string> crashed;
+        for (const Fleet::AttemptStart& start : shard.running) {
+            if (start.task.job == "gang" && ++number % 2 == 0)
+                crashed.insert(start.worker);
+        }
+        shard.now += 50ms;
+        shard.finishAttempts(0, Ports::AttemptOutcome::Done);
+        shard.now += 50ms;
+        for (const std::string& worker : crashed) {
+            Ports::WorkerReport report;
+            report.startedUnixMs = 8;
+            shard.report(worker, report);
+        }
+        std::erase_if(shard.running, [&](const Fleet::AttemptStart& start) {
+            return start.task.job == "gang" || crashed.contains(start.worker);
+        });
+        CHECK_FALSE(shard.output.crashes.empty());
+        // The other members end.
+        for (const Fleet::AttemptStart& start : shard.output.starts) {
+            if (start.task.job == "gang" && !crashed.contains(start.worker))
+                reports[start.worker].ended.push_back({ ++shard.lastEndNumbers[start.worker], start.task,
+                    start.attempt, Ports::AttemptOutcome::GangBroken, {} });
+        }
+        for (const Fleet::AttemptStart& attempt : shard.running)
+            reports[attempt.worker].running.push_back({ attempt.task, attempt.attempt, {}, 50, 1000 });
+        for (const auto& [worker, report] : reports)
+            shard.report(worker, report);
+        shard.mostSteps = 0;
+        shard.advance(500ms);
+        INFO(workerCount << " workers");
+        CHECK(shard.mostSteps > 1000);
+        CHECK(shard.mostSteps <= passLimit + shard.searchSteps());
+    }
+}
