--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -4,6 +4,7 @@
 // call until it is answered. A task that ends is over in the host shard once its result is stored there; the
 // host shard repeats the result until the origin shard has stored it too.
 
+#include "gangvisit.h"
 #include "inflightbatch.h"
 #include "workerkinds.h"
 
@@ -69,10 +70,11 @@
         return cancelUnacknowledged(job, now);
     sendPartStarts(job, now);
     steps_->spend(StepKind::Transfers, job.tasks.size());
+    GangVisit visit;
     for (Task& task : job.tasks) {
         const bool isWaitingForPart = task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Held;
         if (task.part.size > 0 && isWaitingForPart) {
-            tickPart(task, now);
+            tickPart(task, visit, now);
         } else if (task.phase == TaskPhase::Delegated) {
             if (mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval)
                 sendDelegation(task, now);
--- a/src/libs/fleet/shardgangs.cpp
+++ b/src/libs/fleet/shardgangs.cpp
@@ -9,6 +9,7 @@
 #include "shardscheduler.h"
 
 #include "crashpolicy.h"
+#include "gangvisit.h"
 #include "interferenceview.h"
 #include "workerchoice.h"
 #include "workercommitment.h"
@@ -17,6 +18,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Fleet {
 
@@ -261,24 +263,35 @@
     isScheduleDue_ = true;
 }
 
-void ShardScheduler::tickPart(Task& task, Utils::TimePoint now)
+// Visits a member of a part. A tick visits the members of a gang one after the other and examines the gang as
+// a whole twice: when it visits the first member, and for all that are held.
+void ShardScheduler::tickPart(Task& task, GangVisit& visit, Utils::TimePoint now)
 {
     const Job& job = *task.job;
-    const std::vector<Task*> gang = gangOf(task);
-    const bool isOver = !job.isHosted() && isDivisionOver(gang);
+    const Task* const first = task.job->findTask(task.occurrence, task.step, 0);
+    if (visit.first != first) {
+        const std::vector<Task*> gang = gangOf(task);
+        steps_->spend(StepKind::Transfers, gang.size());
+        visit = { first, !job.isHosted() && isDivisionOver(gang), false };
+    }
     if (task.phase == TaskPhase::Waiting) {
         // Only the shard of the workers learns whether they have crashed.
         const bool mayLeave = job.isActive() && task.presumedCrashes.empty();
         if (mayLeave
-            && (isOver || task.attempt >= task.part.attempt || now - task.part.since > partSearchLimit))
+            && (visit.isOver || task.attempt >= task.part.attempt
+                || now - task.part.since > partSearchLimit)) {
             leavePart(task);
+            visit.isOver = !job.isHosted();
+        }
         return;
     }
-    const std::vector<Task*> held = heldMembers(gang);
-    if (held.front() != &task)
+    if (std::exchange(visit.hasHeld, true))
         return;
+    const std::vector<Task*> gang = gangOf(task);
+    steps_->spend(StepKind::Transfers, gang.size());
+    const std::vector<Task*> held = heldMembers(gang);
     std::string_view obstacle = findStartObstacle(held, now);
-    if (isOver || !job.isActive())
+    if (visit.isOver || !job.isActive())
         obstacle = "gang-part-over";
     else if (now >= task.part.heldUntil)
         obstacle = "gang-part-lapsed";
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -30,6 +30,7 @@
 
 namespace Fleet {
 
+struct GangVisit;
 struct InterferenceView;
 class InterferenceCache;
 class TailLatencyModel;
@@ -350,7 +351,7 @@
     void holdPart(std::span<Task* const> part, Utils::TimePoint now);
     void releasePart(std::span<Task* const> part, std::string_view reason, Utils::TimePoint now);
     void leavePart(Task& task);
-    void tickPart(Task& task, Utils::TimePoint now);
+    void tickPart(Task& task, GangVisit& visit, Utils::TimePoint now);
     void startIfReady(std::span<Task* const> gang, Utils::TimePoint now);
     void sendPartReady(Task& task, Utils::TimePoint now);
     void sendPartStarts(Job& job, Utils::TimePoint now);
