--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -52,7 +52,9 @@
     bool isOriginUnconfirmed = false;
     Utils::TimePoint originAwaitedSince {}; //!< Since when tasks wait for the origin shard's answer.
     Utils::TimePoint originQueriedAt {};
-    bool hasTransfers = false; //!< Tasks of the job were delegated to or by this shard.
+    //! Tasks of the job were delegated to or by this shard, and if the job has ended, its end is not known
+    //! there.
+    bool hasTransfers = false;
     Utils::TimePoint acceptedAt {};
     //! Time of the first decision to start an attempt; the clock's epoch if unknown.
     Utils::TimePoint firstStartAt {};
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -52,6 +52,7 @@
     shardSearchCount_ = 0;
     const auto tickJobs = [&](auto begin, auto end) {
         for (auto job = begin; job != end; ++job) {
+            steps_->spend(StepKind::Transfers, 1);
             if (hasWaitingTasks_ || now <= latestRetryAt_ || job->second->hasTransfers)
                 tickTransfers(*job->second, now);
         }
@@ -62,12 +63,20 @@
 
 void ShardScheduler::tickTransfers(Job& job, Utils::TimePoint now)
 {
-    if (!job.isCommitted)
+    // The shard keeps jobs that have ended for a long time, and their tasks wait for nothing.
+    if (!job.isCommitted || (!job.isActive() && !job.hasTransfers))
         return;
-    if (!job.isActive() && std::any_of(job.tasks.begin(), job.tasks.end(), [now](const Task& task) {
-            return mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval;
-        }))
-        return cancelUnacknowledged(job, now);
+    if (!job.isActive()) {
+        steps_->spend(StepKind::Transfers, job.tasks.size());
+        if (std::any_of(job.tasks.begin(), job.tasks.end(), [now](const Task& task) {
+                return mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval;
+            }))
+            return cancelUnacknowledged(job, now);
+        job.hasTransfers = std::any_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) {
+            return task.phase == TaskPhase::Held
+                || (task.phase == TaskPhase::Delegated && !task.isDelegationAcknowledged);
+        });
+    }
     sendPartStarts(job, now);
     steps_->spend(StepKind::Transfers, job.tasks.size());
     GangVisit visit;
@@ -201,8 +210,10 @@
 // One call a shard covers all tasks there.
 void ShardScheduler::cancelAtHostShards(Job& job, Utils::TimePoint now)
 {
-    for (Task& task : job.tasks)
+    for (Task& task : job.tasks) {
         task.isDelegationAcknowledged = false;
+        job.hasTransfers = job.hasTransfers || task.phase == TaskPhase::Delegated;
+    }
     cancelUnacknowledged(job, now);
 }
 
--- a/tests/auto/fleet/tst_ticksteps.cpp
+++ b/tests/auto/fleet/tst_ticksteps.cpp
@@ -78,3 +78,79 @@
         CHECK(shard.output.readyParts.size() > 2);
     }
 }
+
+namespace {
+
+/*! A shard that keeps jobs that have ended, ten tasks for each worker, beside one task that waits. */
+struct ShardWithEndedJobs : SchedulerFixture {
+    explicit ShardWithEndedJobs(std::size_t workerCount)
+        : SchedulerFixture(workerCount)
+    {
+        for (std::size_t number = 0; number < workerCount; ++number)
+            scheduler.submit(makeJob("ended-" + std::to_string(number), { makeStep(10, 3'000, 1000) }), 1,
+                now, testStartUnixMs);
+        while (scheduleAndCommit())
+            confirmStarts();
+        REQUIRE(running.size() == 10 * workerCount);
+        finishAll(Ports::AttemptOutcome::Done);
+        scheduler.submit(makeJob("waiting", { makeStep(1, 40'000, 1000) }), 1, now, testStartUnixMs);
+        while (scheduleAndCommit())
+            confirmStarts();
+    }
+};
+
+} // namespace
+
+TEST_CASE("A tick does not search the tasks of jobs that have ended for transfers")
+{
+    for (const std::size_t workerCount : shardSizes) {
+        ShardWithEndedJobs shard(workerCount);
+        INFO(workerCount << " workers");
+        for (int tick = 0; tick < 30; ++tick) {
+            shard.now += 100ms;
+            shard.scheduler.onTick(shard.now, testStartUnixMs);
+            // One for each job, and some for the task that waits.
+            CHECK(shard.scheduler.latestPass().spent(Fleet::StepKind::Transfers) <= workerCount + 10);
+        }
+        CHECK_FALSE(shard.output.shardSearches.empty());
+    }
+}
+
+TEST_CASE(
+    "A tick examines the delegated tasks of a cancelled job only until the host shard has stored the end")
+{
+    for (const std::size_t workerCount : shardSizes) {
+        SchedulerFixture shard(1);
+        shard.output.shardWithCapacity = "host";
+        const std::size_t count = std::min(workerCount, maxTasks);
+        FleetSchema::StepSpec step = makeStep(static_cast<std::uint32_t>(count), 40'000, 1000);
+        step.set_lasting(true);
+        shard.scheduler.submit(makeJob("job", { step }), 1, shard.now, testStartUnixMs);
+        const auto advance = [&] {
+            shard.now += 100ms;
+            shard.scheduler.onTick(shard.now, testStartUnixMs);
+            shard.scheduleAndCommit();
+        };
+        for (int tick = 0; tick < 60 && shard.output.delegations.size() < count; ++tick)
+            advance();
+        REQUIRE(shard.output.delegations.size() >= count);
+        shard.scheduler.cancel("job", 2, testStartUnixMs);
+        shard.scheduleAndCommit();
+        const std::size_t cancelCount = shard.output.delegationCancels.size();
+        CHECK(cancelCount == 1);
+        for (int tick = 0; tick < 10; ++tick)
+            advance();
+        // The call is repeated until it is answered.
+        CHECK(shard.output.delegationCancels.size() > cancelCount);
+        shard.scheduler.onDelegatedTasksCancelled("job", "host");
+        // Something that waits keeps ticks looking for transfers.
+        shard.scheduler.submit(
+            makeJob("waiting", { makeStep(1, 40'000, 1000) }), 3, shard.now, testStartUnixMs);
+        for (int tick = 0; tick < 2; ++tick)
+            advance();
+        INFO(workerCount << " workers");
+        shard.now += 100ms;
+        shard.scheduler.onTick(shard.now, testStartUnixMs);
+        CHECK(shard.scheduler.latestPass().spent(Fleet::StepKind::Transfers) <= 10);
+    }
+}
