--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -11,10 +11,15 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // The store accepts 100 rows and 1 MB in a transaction, including the row of the shard's owner.
 // Changes beyond these lower limits wait for the next transaction.
 constexpr std::size_t maxBatchRows = 90;
 constexpr std::size_t maxBatchBytes = 600'000;
+// Time between two searches for jobs that need not be kept any more; short beside the time for which they
+// are.
+constexpr std::int64_t expirySearchIntervalMs = 1000;
 
 /*! Changes of the rows of one job. */
 struct JobRowChanges {
@@ -50,6 +55,17 @@
     return changes;
 }
 
+// Whether a job that ended before \p endedBeforeMs need not be kept any more.
+bool hasExpired(const Job& job, std::int64_t endedBeforeMs)
+{
+    const bool hasEndedBefore = job.endedUnixMs > 0 && job.endedUnixMs < endedBeforeMs;
+    if (!hasEndedBefore || !job.isCommitted || job.isDirty || (job.isActive() && !job.isHandedBack()))
+        return false;
+    return std::none_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) {
+        return task.isOpen() || (task.phase == TaskPhase::Delegated && !task.isDelegationAcknowledged);
+    });
+}
+
 // Returns why recorded attempts cannot be sent together; empty if they can.
 std::string_view findSendObstacle(std::span<Task* const> tasks)
 {
@@ -72,8 +88,10 @@
 
 std::optional<RecordBatch> ShardScheduler::beginCommit(std::int64_t nowUnixMs)
 {
+    commitSteps_ = StepBudget();
     collectExpiredJobs(nowUnixMs);
     if (!hasChanges()) {
+        commitSteps_.spend(StepKind::Records, workers_.size());
         // Ends that changed no job need not be stored, so they can be acknowledged at once.
         for (auto& [id, worker] : workers_)
             worker->lastAcknowledgedEnd = worker->lastSeenEnd;
@@ -84,6 +102,7 @@
     const std::size_t rowCount = addDirtyJobs(batch);
     batch.hasStarts = !inflightBatch_->starts.empty();
     if (dirtyJobs_.empty()) {
+        commitSteps_.spend(StepKind::Records, workers_.size());
         for (const auto& [id, worker] : workers_)
             inflightBatch_->acknowledgements.push_back({ id, worker->bornMs, worker->lastSeenEnd });
     }
@@ -99,6 +118,7 @@
     std::size_t batchedCount = 0;
     for (; batchedCount < std::min(dirtyJobs_.size(), batchJobLimit_); ++batchedCount) {
         Job& job = *dirtyJobs_[batchedCount];
+        commitSteps_.spend(StepKind::Records, job.tasks.size());
         JobRowChanges changes = findRowChanges(job, options_.maxRowBytes);
         const bool hasRoom
             = rowCount + changes.count() <= maxBatchRows && bytes + changes.bytes() <= maxBatchBytes;
@@ -315,21 +335,26 @@
     output_.startAttempt(start);
 }
 
+// Looks through the jobs from time to time only: there may be many, and a job is kept for long. Those that
+// were found before remain until a transaction has room for them.
 void ShardScheduler::collectExpiredJobs(std::int64_t nowUnixMs)
 {
-    const std::int64_t retentionMs
-        = std::chrono::duration_cast<std::chrono::milliseconds>(options_.retention).count();
+    const std::int64_t endedBeforeMs
+        = nowUnixMs - std::chrono::duration_cast<milliseconds>(options_.retention).count();
+    const std::int64_t sinceSearchMs = nowUnixMs - expirySearchedUnixMs_;
+    if (sinceSearchMs >= 0 && sinceSearchMs < expirySearchIntervalMs) {
+        commitSteps_.spend(StepKind::Records, expiredJobs_.size());
+        std::erase_if(expiredJobs_, [&](const std::string& id) {
+            const Job* const job = findJob(id);
+            return !job || !hasExpired(*job, endedBeforeMs);
+        });
+        return;
+    }
+    expirySearchedUnixMs_ = nowUnixMs;
+    commitSteps_.spend(StepKind::Records, jobs_.size());
     expiredJobs_.clear();
     for (const auto& [id, job] : jobs_) {
-        const bool isOver = !job->isActive() || job->isHandedBack();
-        const bool hasExpired = isOver && job->isCommitted && !job->isDirty && job->endedUnixMs > 0
-            && job->endedUnixMs + retentionMs < nowUnixMs;
-        const bool hasOpenTasks
-            = hasExpired && std::any_of(job->tasks.begin(), job->tasks.end(), [](const Task& task) {
-                  return task.isOpen()
-                      || (task.phase == TaskPhase::Delegated && !task.isDelegationAcknowledged);
-              });
-        if (hasExpired && !hasOpenTasks)
+        if (hasExpired(*job, endedBeforeMs))
             expiredJobs_.push_back(id);
     }
 }
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -282,6 +282,9 @@
     /*! \return the steps of the latest schedule() or onTick(). */
     const StepBudget& latestPass() const { return *steps_; }
 
+    /*! \return the steps of the latest beginCommit(). */
+    const StepBudget& latestCommit() const { return commitSteps_; }
+
     /*!
         \return for how long the lease of each worker that answers and has tasks lasts at least; nothing if
             there is no such worker.
@@ -444,9 +447,11 @@
     TailLatencyModel& tailLatencyModel_;
     std::unique_ptr<InterferenceCache> interferenceCache_; //!< Null outside schedule() and onTick().
     std::unique_ptr<StepBudget> steps_; //!< Steps of the current pass, or the latest one.
+    StepBudget commitSteps_; //!< Steps of the latest beginCommit().
     ImageDemand demand_;
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expiredJobs_; //!< Jobs to remove from the store.
+    std::int64_t expirySearchedUnixMs_ = 0; //!< Time of the latest search for them.
     RelocationSearch relocationSearch_;
     Utils::TimePoint relocationAllowedAt_ {};
     Utils::TimePoint groupingAllowedAt_ {};
--- a/src/libs/fleet/stepbudget.h
+++ b/src/libs/fleet/stepbudget.h
@@ -18,10 +18,11 @@
     Attempts, //!< Timeouts of open attempts.
     Transfers, //!< Tasks that are delegated or could be.
     Waits, //!< Reports on waiting tasks.
+    Records, //!< Jobs, tasks and workers of a transaction.
 };
 
 /*! Number of values of StepKind. */
-inline constexpr std::size_t stepKindCount = 9;
+inline constexpr std::size_t stepKindCount = 10;
 
 /*! \return the name of a kind for logs and metrics. */
 std::string_view nameOf(StepKind kind);
--- a/tests/auto/fleet/tst_ticksteps.cpp
+++ b/tests/auto/fleet/tst_ticksteps.cpp
@@ -154,3 +154,59 @@
         CHECK(shard.scheduler.latestPass().spent(Fleet::StepKind::Transfers) <= 10);
     }
 }
+
+namespace {
+
+std::size_t commitSteps(const SchedulerFixture& shard)
+{
+    return shard.scheduler.latestCommit().spent(Fleet::StepKind::Records);
+}
+
+} // namespace
+
+TEST_CASE("A transaction does not examine all jobs that have ended, which are looked through once a second")
+{
+    for (const std::size_t workerCount : shardSizes) {
+        ShardWithEndedJobs shard(workerCount);
+        INFO(workerCount << " workers");
+        std::size_t searches = 0;
+        for (std::int64_t elapsedMs = 100; elapsedMs <= 3000; elapsedMs += 100) {
+            shard.scheduler.beginCommit(testStartUnixMs + elapsedMs);
+            searches += commitSteps(shard) > workerCount ? 1 : 0;
+            CHECK(commitSteps(shard) <= 2 * workerCount + 1);
+        }
+        CHECK(searches >= 2);
+        CHECK(searches <= 4);
+        // The jobs are removed one second after their time at the latest, a transaction after the other.
+        std::size_t batchCount = 0;
+        std::size_t removedCount = 0;
+        while (const auto batch = shard.scheduler.beginCommit(testStartUnixMs + 121'001)) {
+            ++batchCount;
+            removedCount += batch->removals.size();
+            CHECK(commitSteps(shard) <= 3 * workerCount + 2);
+            shard.scheduler.onCommitted(shard.now);
+        }
+        CHECK(removedCount == workerCount);
+        CHECK(batchCount <= workerCount / 90 + 1);
+    }
+}
+
+TEST_CASE("A transaction does not examine the tasks of jobs that are hosted for other shards")
+{
+    for (const std::size_t workerCount : shardSizes) {
+        SchedulerFixture shard(1);
+        FleetSchema::TaskTransfer transfer;
+        transfer.set_transfer(1);
+        transfer.set_origin_shard("origin");
+        for (std::size_t number = 0; number < workerCount; ++number) {
+            *transfer.mutable_job()
+                = makeJob("hosted-" + std::to_string(number), { makeStep(10, 40'000, 1000) });
+            transfer.set_index(9);
+            shard.scheduler.acceptDelegatedTask(transfer, number, shard.now);
+        }
+        while (shard.scheduleAndCommit()) { }
+        INFO(workerCount << " workers");
+        shard.scheduler.beginCommit(testStartUnixMs + 1000);
+        CHECK(commitSteps(shard) <= workerCount + 1);
+    }
+}
