--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -115,9 +115,14 @@
 {
     std::size_t bytes = 0;
     std::size_t rowCount = 0;
+    std::size_t taskCount = 0;
     std::size_t batchedCount = 0;
     for (; batchedCount < std::min(dirtyJobs_.size(), batchJobLimit_); ++batchedCount) {
         Job& job = *dirtyJobs_[batchedCount];
+        // All tasks of a job are examined, however few rows have changed.
+        taskCount += job.tasks.size();
+        if (batchedCount > 0 && taskCount > options_.tickStepLimit)
+            break;
         commitSteps_.spend(StepKind::Records, job.tasks.size());
         JobRowChanges changes = findRowChanges(job, options_.maxRowBytes);
         const bool hasRoom
--- a/tests/auto/fleet/tst_ticksteps.cpp
+++ b/tests/auto/fleet/tst_ticksteps.cpp
@@ -210,3 +210,25 @@
         CHECK(commitSteps(shard) <= workerCount + 1);
     }
 }
+
+TEST_CASE("A transaction holds a bounded number of tasks, and those that follow hold the others")
+{
+    for (const std::size_t workerCount : shardSizes) {
+        SchedulerFixture shard(workerCount);
+        // Ten tasks for each worker, in jobs as wide as possible, and more than a transaction may hold.
+        const std::size_t jobCount = std::max<std::size_t>(10 * workerCount / maxTasks, 60);
+        for (std::size_t number = 0; number < jobCount; ++number)
+            shard.scheduler.submit(
+                makeJob("job-" + std::to_string(number), { makeStep(maxTasks, 40'000, 1000) }), number,
+                shard.now, testStartUnixMs);
+        INFO(workerCount << " workers");
+        std::size_t batchCount = 0;
+        while (const auto batch = shard.scheduler.beginCommit(testStartUnixMs)) {
+            ++batchCount;
+            CHECK(commitSteps(shard) <= 25'000 + workerCount + jobCount);
+            shard.scheduler.onCommitted(shard.now);
+        }
+        CHECK(batchCount <= jobCount * maxTasks / 25'000 + 1);
+        CHECK(shard.output.answers.size() == jobCount);
+    }
+}
