--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -4,6 +4,7 @@
 // call until it is answered. A task that ends is over in the host shard once its result is stored there; the
 // host shard repeats the result until the origin shard has stored it too.
 
+#include "gangvisit.h"
 #include "inflightbatch.h"
 #include "workerkinds.h"
 
@@ -55,6 +56,7 @@
         = first != jobs_.end() && first->first == resumedJob && resumedTask < first->second->tasks.size();
     shardSearchCount_ = 0;
     const auto tickTasks = [&](Job& job, std::size_t begin, std::size_t end) {
+        steps_->spend(StepKind::Transfers, 1);
         if (hasWaitingTasks_ || now <= latestRetryAt_ || job.hasTransfers)
             tickTransfers(job, std::span(job.tasks).subspan(begin, end - begin), now);
     };
@@ -72,18 +74,28 @@
 
 void ShardScheduler::tickTransfers(Job& job, std::span<Task> tasks, Utils::TimePoint now)
 {
-    if (!job.isCommitted)
+    // The shard keeps jobs that have ended for a long time, and their tasks wait for nothing.
+    if (!job.isCommitted || (!job.isActive() && !job.hasTransfers))
         return;
-    if (!job.isActive() && std::any_of(job.tasks.begin(), job.tasks.end(), [now](const Task& task) {
-            return mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval;
-        }))
-        return cancelUnacknowledged(job, now);
+    if (!job.isActive()) {
+        steps_->spend(StepKind::Transfers, job.tasks.size());
+        if (std::any_of(job.tasks.begin(), job.tasks.end(), [now](const Task& task) {
+                return mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval;
+            }))
+            return cancelUnacknowledged(job, now);
+        job.hasTransfers = std::any_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) {
+            return task.phase == TaskPhase::Held
+                || (task.phase == TaskPhase::Delegated && !task.isDelegationAcknowledged);
+        });
+    }
     sendPartStarts(job, now);
     steps_->spend(StepKind::Transfers, tasks.size());
+    // A gang is not split between two calls: only its first member searches a shard.
+    GangVisit visit;
     for (Task& task : tasks) {
         const bool isWaitingForPart = task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Held;
         if (task.part.size > 0 && isWaitingForPart) {
-            tickPart(task, now);
+            tickPart(task, visit, now);
         } else if (task.phase == TaskPhase::Delegated) {
             if (mayCallHostShard(task) && now - task.delegationSentAt > transferRetryInterval)
                 sendDelegation(task, now);
@@ -212,8 +224,10 @@
 // One call a shard covers all tasks there.
 void ShardScheduler::cancelAtHostShards(Job& job, Utils::TimePoint now)
 {
-    for (Task& task : job.tasks)
+    for (Task& task : job.tasks) {
         task.isDelegationAcknowledged = false;
+        job.hasTransfers = job.hasTransfers || task.phase == TaskPhase::Delegated;
+    }
     cancelUnacknowledged(job, now);
 }
 
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -30,6 +30,7 @@
 
 namespace Fleet {
 
+struct GangVisit;
 struct InterferenceView;
 class InterferenceCache;
 class TailLatencyModel;
@@ -281,6 +282,9 @@
     /*! \return the steps of the latest schedule() or onTick(). */
     const StepBudget& latestPass() const { return *steps_; }
 
+    /*! \return the steps of the latest beginCommit(). */
+    const StepBudget& latestCommit() const { return commitSteps_; }
+
     /*!
         \return for how long the lease of each worker that answers and has tasks lasts at least; nothing if
             there is no such worker.
@@ -350,7 +354,7 @@
     void holdPart(std::span<Task* const> part, Utils::TimePoint now);
     void releasePart(std::span<Task* const> part, std::string_view reason, Utils::TimePoint now);
     void leavePart(Task& task);
-    void tickPart(Task& task, Utils::TimePoint now);
+    void tickPart(Task& task, GangVisit& visit, Utils::TimePoint now);
     void startIfReady(std::span<Task* const> gang, Utils::TimePoint now);
     void sendPartReady(Task& task, Utils::TimePoint now);
     void sendPartStarts(Job& job, Utils::TimePoint now);
@@ -443,9 +447,11 @@
     TailLatencyModel& tailLatencyModel_;
     std::unique_ptr<InterferenceCache> interferenceCache_; //!< Null outside schedule() and onTick().
     std::unique_ptr<StepBudget> steps_; //!< Steps of the current pass, or the latest one.
+    StepBudget commitSteps_; //!< Steps of the latest beginCommit().
     ImageDemand demand_;
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expiredJobs_; //!< Jobs to remove from the store.
+    std::int64_t expirySearchedUnixMs_ = 0; //!< Time of the latest search for them.
     RelocationSearch relocationSearch_;
     Utils::TimePoint relocationAllowedAt_ {};
     Utils::TimePoint groupingAllowedAt_ {};
