--- a/src/libs/fleet/relocationsearch.cpp
+++ b/src/libs/fleet/relocationsearch.cpp
@@ -32,6 +32,7 @@
     Task* firstTask = nullptr; //!< Null if there is no such plan.
     std::size_t moveCount = 0;
     Placement::Resources size; //!< Total size of the moved tasks.
+    bool isInterrupted = false; //!< The steps were spent before all tasks of the source were examined.
 
     friend bool operator<(const RelocationPlan& left, const RelocationPlan& right)
     {
@@ -204,6 +205,8 @@
 RelocationPlan RelocationPlanner::plan(const Task& waiting, std::size_t source, bool mayProbe)
 {
     const Worker& worker = *workers_[source];
+    RelocationPlan interrupted;
+    interrupted.isInterrupted = true;
     spend(1 + worker.tasks.size());
     if (!isEligible(waiting, worker, mayProbe, now_))
         return {};
@@ -218,13 +221,13 @@
             && reserveTarget(*task, source, mayProbe, freeCapacities))
             return { task, 1, sizeOf(*task) };
         if (steps_.isSpent())
-            return {};
+            return interrupted;
     }
     RelocationPlan plan;
     FreeCapacities freeCapacities;
     for (auto task = movable.rbegin(); task != movable.rend() && plan.moveCount < maxMoves; ++task) {
         if (steps_.isSpent())
-            return {};
+            return interrupted;
         if (!reserveTarget(**task, source, mayProbe, freeCapacities))
             continue;
         if (!plan.firstTask)
@@ -239,14 +242,21 @@
 }
 
 // Examines workers from the cursor on, until the steps are spent. Returns the first move of the best plan.
+// If all steps of the call are for this search, it examines at least one worker as far as they suffice.
 Task* searchFrom(RelocationSearch::Cursor& cursor, const Task& waiting, std::span<Worker* const> workers,
-    RelocationPlanner& planner, StepBudget& steps)
+    RelocationPlanner& planner, bool hasAllSteps, StepBudget& steps)
 {
     const auto next = std::lower_bound(workers.begin(), workers.end(), cursor.nextSource,
         [](const Worker* worker, const std::string& id) { return worker->info.id < id; });
     RelocationPlan best;
-    for (auto source = static_cast<std::size_t>(next - workers.begin()); source < workers.size(); ++source) {
+    const auto first = static_cast<std::size_t>(next - workers.begin());
+    for (std::size_t source = first; source < workers.size(); ++source) {
         const RelocationPlan plan = planner.plan(waiting, source, cursor.mayProbe);
+        // The next call has more steps for this worker.
+        if (plan.isInterrupted && (source > first || !hasAllSteps)) {
+            cursor.nextSource = workers[source]->info.id;
+            return best.firstTask;
+        }
         if (plan.firstTask && (!best.firstTask || plan < best))
             best = plan;
         if (steps.isSpent() && source + 1 < workers.size()) {
@@ -273,6 +283,7 @@
     const bool hasQuarantined = std::any_of(workers.begin(), workers.end(),
         [](const Worker* worker) { return worker->quarantineTime != Utils::Duration::zero(); });
     RelocationPlanner planner(workers, availabilityDelay, now, steps);
+    bool hasAllSteps = true;
     for (Task* task : waiting) {
         if (steps.isSpent())
             return nullptr;
@@ -283,11 +294,12 @@
             cursor_ = Cursor { keyOf(*task), {}, false, false };
         // A task that is at work rather stays than probes a worker. But if quarantined workers have no room
         // for a task that could probe them, only a move makes it.
-        Task* moved = searchFrom(*cursor_, *task, workers, planner, steps);
+        Task* moved = searchFrom(*cursor_, *task, workers, planner, hasAllSteps, steps);
+        hasAllSteps = false;
         if (!moved && cursor_->isAtEnd && !cursor_->mayProbe && hasQuarantined) {
             cursor_ = Cursor { keyOf(*task), {}, true, false };
             if (!steps.isSpent())
-                moved = searchFrom(*cursor_, *task, workers, planner, steps);
+                moved = searchFrom(*cursor_, *task, workers, planner, hasAllSteps, steps);
         }
         if (!moved && !cursor_->isAtEnd)
             return nullptr;
--- a/tests/auto/fleet/tst_schedulingpass.cpp
+++ b/tests/auto/fleet/tst_schedulingpass.cpp
@@ -6,6 +6,8 @@
 #include <fleet/interference.h>
 #include <fleet/interferencecache.h>
 #include <fleet/interferenceview.h>
+#include <fleet/relocationsearch.h>
+#include <fleet/stepbudget.h>
 #include <fleet/taskgrouping.h>
 #include <fleet/workerchoice.h>
 #include <fleet/workercommitment.h>
@@ -341,3 +343,67 @@
     failedSearches.add(tasks[2], shard.pointers, shard.now);
     CHECK(failedSearches.includes(tasks[1], shard.pointers, shard.now));
 }
+
+TEST_CASE("A move that helps is found wherever the limit on the steps interrupts the search for it")
+{
+    BusyShard shard(1);
+    const auto runLasting = [&](std::int64_t size, Fleet::Worker& worker) {
+        FleetSchema::StepSpec step = makeStep(1, size, 0);
+        step.set_lasting(true);
+        Fleet::Task& task = shard.makeTask(step);
+        Fleet::addAttempt(task, worker);
+        task.worker = &worker;
+        task.phase = Fleet::TaskPhase::Running;
+        return &task;
+    };
+    // Only the largest task of one worker can move, and only to the last worker.
+    for (Fleet::Worker* worker : shard.pointers) {
+        worker->quarantineTime = {};
+        for (Fleet::Task* task : std::vector<Fleet::Task*>(worker->tasks))
+            Fleet::removeAttempt(*task, *worker);
+    }
+    std::sort(shard.pointers.begin(), shard.pointers.end(),
+        [](const Fleet::Worker* left, const Fleet::Worker* right) { return left->info.id < right->info.id; });
+    // Beside the first worker, the search for another task takes most of the steps of the first call.
+    const std::size_t sourcePosition = GENERATE(std::size_t { 0 }, std::size_t { 11 });
+    Fleet::Task* expected = nullptr;
+    for (std::size_t position = 0; position < shard.pointers.size(); ++position) {
+        Fleet::Worker& worker = *shard.pointers[position];
+        const bool isSource = position == sourcePosition;
+        for (int number = 0; number < (isSource ? 6 : 8); ++number)
+            runLasting(4'000, worker)->phase
+                = isSource ? Fleet::TaskPhase::Running : Fleet::TaskPhase::Stopping;
+        if (isSource)
+            expected = runLasting(8'000, worker);
+    }
+    Fleet::Worker& target = *shard.pointers.back();
+    for (int number = 0; number < 2; ++number)
+        Fleet::removeAttempt(*target.tasks.back(), target);
+    FleetSchema::StepSpec step = makeStep(1, 6'000, 0);
+    step.set_lasting(true);
+    step.set_max_per_worker(1);
+    // It may not run on the target.
+    step.set_required_label("special");
+    for (std::size_t position = 0; position + 1 < shard.pointers.size(); ++position)
+        shard.pointers[position]->info.labels.push_back("special");
+    std::vector<Fleet::Task*> waiting { &shard.makeTask(step) };
+    if (sourcePosition == 0) {
+        step.set_milli_processors(40'000);
+        waiting.insert(waiting.begin(), &shard.makeTask(step));
+    }
+    for (std::size_t limit = 60; limit <= 500; ++limit) {
+        Fleet::RelocationSearch search;
+        Fleet::Task* moved = nullptr;
+        for (int call = 0; call < 40 && !moved; ++call) {
+            Fleet::StepBudget steps(limit);
+            // That of the current task comes first, as in a pass.
+            std::vector<Fleet::Task*> ordered = waiting;
+            if (const auto current = search.current())
+                std::stable_partition(ordered.begin(), ordered.end(),
+                    [&](const Fleet::Task* task) { return Fleet::keyOf(*task) == *current; });
+            moved = search.search(ordered, shard.pointers, 0s, shard.now, steps);
+        }
+        INFO(limit << " steps");
+        CHECK(moved == expected);
+    }
+}
