--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -32,8 +32,10 @@
 // Time after an unsuccessful search for a shard for a task that ends. Loads change with each heartbeat.
 constexpr milliseconds searchInterval { 200 };
 constexpr milliseconds lastingSearchInterval { 50 };
-// Bounds the searches of one tick, each of which examines all shards.
-constexpr std::size_t maxShardSearches = 32;
+// Bounds the searches of one tick, each of which examines all shards. Tasks for which there is a shard must
+// not wait for long, however many they are.
+constexpr std::size_t maxFailedShardSearches = 32;
+constexpr std::size_t maxShardSearches = 256;
 
 std::uint32_t idleMs(const Task& task, Utils::TimePoint now)
 {
@@ -54,6 +56,7 @@
     const bool isResumed
         = first != jobs_.end() && first->first == resumedJob && resumedTask < first->second->tasks.size();
     shardSearchCount_ = 0;
+    failedShardSearchCount_ = 0;
     const auto tickTasks = [&](Job& job, std::size_t begin, std::size_t end) {
         if (hasWaitingTasks_ || now <= latestRetryAt_ || job.hasTransfers)
             tickTransfers(job, std::span(job.tasks).subspan(begin, end - begin), now);
@@ -142,13 +145,14 @@
     Utils::TimePoint& searchAllowedAt = job.searchAllowedAt(task.occurrence, task.step);
     if (now < searchAllowedAt)
         return;
-    if (++shardSearchCount_ > maxShardSearches) {
+    if (failedShardSearchCount_ >= maxFailedShardSearches || shardSearchCount_ >= maxShardSearches) {
         if (nextSearchingJob_.empty()) {
             nextSearchingJob_ = job.spec.id();
             nextSearchingTask_ = static_cast<std::size_t>(&task - job.tasks.data());
         }
         return;
     }
+    ++shardSearchCount_;
     steps_->spend(StepKind::Transfers, 1);
     const std::string shard
         = output_.findShardWithCapacity(job.spec, task.step, now - task.waitingSince, task.returnedBy);
@@ -157,6 +161,7 @@
     if (job.step(task).gang() && (shard.empty() || hasReturned) && divideGang(tasks, now))
         return;
     if (shard.empty()) {
+        ++failedShardSearchCount_;
         // A search for another task of the step would fail too.
         searchAllowedAt = now + (job.step(task).lasting() ? lastingSearchInterval : searchInterval);
         return;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -457,6 +457,7 @@
         nextSearchingJob_; //!< Job for which a shard is searched first in the next tick; may be empty.
     std::size_t nextSearchingTask_ = 0; //!< Its task that is left; only if nextSearchingJob_ is not empty.
     std::size_t shardSearchCount_ = 0; //!< Searches for shards in this tick.
+    std::size_t failedShardSearchCount_ = 0; //!< Those of them that found none.
     Utils::TimePoint lastScheduledAt_ {};
     std::int64_t lastScheduledUnixMs_ = 0;
     Utils::TimePoint latestRetryAt_ {}; //!< End of the latest pause before a retry.
--- a/tests/auto/fleet/tst_passsteps.cpp
+++ b/tests/auto/fleet/tst_passsteps.cpp
@@ -500,3 +500,15 @@
         CHECK(shard.mostSteps <= passLimit + shard.searchSteps());
     }
 }
+
+TEST_CASE("Many tasks for which another shard has room are passed on before they have waited for long")
+{
+    FullShard shard(90);
+    FleetSchema::StepSpec lasting = makeStep(maxTasks, 9'000, 1000);
+    lasting.set_lasting(true);
+    shard.submit("lasting", lasting);
+    shard.output.shardWithCapacity = "host";
+    // A task that lasts may wait for 3 s, the start in the other shard included.
+    shard.advance(2500ms);
+    CHECK(shard.output.delegations.size() == maxTasks);
+}
