--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -133,6 +133,7 @@
         }
     }
     job.sweepProgress.resize(job.occurrences());
+    job.repeatedVisits.resize(job.occurrences());
     job.criticalPathsMs.assign(job.occurrences(), -1);
     // No task is done yet.
     job.longestChainMs = job.remainingCriticalPathMs(0);
--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -28,8 +28,10 @@
     std::uint32_t step = 0; //!< The next step to visit, and its next task.
     std::uint32_t index = 0;
     bool isComplete = false;
+    bool isDueAgain = false; //!< Another visit is to follow this one.
 
     bool isCompleteIn(std::uint64_t number) const { return sweep == number && isComplete; }
+    bool isBegunIn(std::uint64_t number) const { return sweep == number && !isComplete; }
 };
 
 /*! A job with its tasks, ordered by occurrence, step and index. */
@@ -60,6 +62,7 @@
     std::vector<std::uint32_t> stepOffsets; //!< Offset of each step's first task within an occurrence.
     std::vector<StepProgress> stepProgress; //!< By occurrence and step.
     std::vector<SweepProgress> sweepProgress; //!< By occurrence.
+    std::vector<SweepProgress> repeatedVisits; //!< By occurrence; see ShardScheduler::visitAgain().
     std::vector<std::int64_t> criticalPathsMs; //!< By occurrence; -1: not computed since a step was done.
     std::int64_t longestChainMs = 0; //!< Longest chain of estimated run times through all steps.
     std::uint32_t tasksPerOccurrence = 0;
--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -49,6 +49,7 @@
             continue;
         }
         --task->crashes;
+        visitAgain(*task->job, task->occurrence);
         markDirty(*task->job);
         isScheduleDue_ = true;
     }
@@ -112,7 +113,10 @@
         worker->isKeptEmpty = false;
     }
     std::size_t remaining = std::max<std::size_t>(1, workers.size() / workersToOneEmpty);
+    std::set<Ports::TaskKey> visited; // A sweep may visit a task twice.
     for (const Ports::TaskKey& key : std::exchange(isolatedTasks_, {})) {
+        if (!visited.insert(key).second)
+            continue;
         Job* const job = findJob(key.job);
         const Task* const task = job ? job->findTask(key.occurrence, key.step, key.index) : nullptr;
         const bool isIsolated = task && task->phase == TaskPhase::Waiting && job->isActive()
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -286,6 +286,7 @@
                 job.endedUnixMs = 0;
         }
         markDirty(job);
+        visitAgain(job, task->occurrence);
         isScheduleDue_ = true;
     }
     answerOnceStored(job, ticket);
--- a/src/libs/fleet/shardgangs.cpp
+++ b/src/libs/fleet/shardgangs.cpp
@@ -140,6 +140,8 @@
 {
     std::uint32_t attempt = 0;
     for (const Task* task : tasks) {
+        if (task->notBefore > now)
+            visitAgain(*task->job, task->occurrence);
         if (task->notBefore > now || awaitsCrashVerdict(*task))
             return false;
         attempt = std::max(attempt, task->attempt);
@@ -225,6 +227,7 @@
         }
     }
     markDirty(*first.job);
+    visitAgain(*first.job, first.occurrence);
     isScheduleDue_ = true;
     return true;
 }
@@ -258,6 +261,7 @@
         return resolveAlone(task, FleetSchema::TASK_RETURNED);
     task.part = {};
     task.waitingSince = {};
+    visitAgain(*task.job, task.occurrence);
     isScheduleDue_ = true;
 }
 
--- a/src/libs/fleet/shardorigin.cpp
+++ b/src/libs/fleet/shardorigin.cpp
@@ -50,6 +50,8 @@
     if (!job || !job->isOriginUnconfirmed)
         return;
     job->isOriginUnconfirmed = false;
+    for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence)
+        visitAgain(*job, occurrence);
     isScheduleDue_ = true;
     const bool isOriginActive = state == FleetSchema::JOB_QUEUED || state == FleetSchema::JOB_RUNNING;
     if (job->isActive() && !isOriginActive)
--- a/src/libs/fleet/shardpass.cpp
+++ b/src/libs/fleet/shardpass.cpp
@@ -1,6 +1,7 @@
 // Scheduling pass of ShardScheduler. A sweep visits each task whose turn has come once. A pass is left after
 // a bounded number of steps, so that renewals, heartbeats and stops do not wait for it, and the next pass
-// goes on with the sweep. Jobs that arrive meanwhile take part in it by their rank.
+// goes on with the sweep. Jobs that arrive meanwhile take part in it by their rank. Occurrences in which
+// tasks begin to wait meanwhile are visited again: a sweep may last for seconds.
 
 #include "shardscheduler.h"
 
@@ -15,6 +16,7 @@
 #include "workerranking.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Fleet {
 
@@ -70,19 +72,26 @@
     if (!isScheduleDue())
         return;
     interferenceCache_ = std::make_unique<InterferenceCache>(tailLatencyModel_);
-    if (!isSweepUnfinished_)
+    const bool isContinued = std::exchange(isSweepUnfinished_, false);
+    if (!isContinued)
         beginSweep(now);
-    isSweepUnfinished_ = false;
     lastScheduledAt_ = now;
     lastScheduledUnixMs_ = nowUnixMs;
     passWorkers_ = assignableWorkers(now);
     Pass pass { FailedSearches(steps_.get()), FailedSearches(steps_.get()), WorkerRanking(passWorkers_), {} };
     const std::vector<Candidate> candidates = rankCandidates(now, nowUnixMs);
     // However long the preparation is, each pass visits some tasks.
-    steps_->limitFurther(options_.searchStepLimit);
+    const std::size_t repetitionLimit = isContinued ? options_.searchStepLimit / 3 : 0;
+    steps_->limitFurther(repetitionLimit);
+    repeatVisits(candidates, now, nowUnixMs, pass);
+    steps_->limitFurther(options_.searchStepLimit - repetitionLimit);
     for (const Candidate& candidate : candidates) {
-        if (steps_->isSpent()
-            || !assignOccurrence(*candidate.job, candidate.occurrence, now, nowUnixMs, pass)) {
+        SweepProgress& progress = candidate.job->sweepProgress[candidate.occurrence];
+        if (progress.isCompleteIn(sweep_))
+            continue;
+        if (progress.sweep != sweep_)
+            progress = { sweep_ };
+        if (steps_->isSpent() || !assignOccurrence(candidate, progress, now, nowUnixMs, pass)) {
             isSweepUnfinished_ = true;
             break;
         }
@@ -105,7 +114,34 @@
         worker->toleratedDemand = toleratedDemandShare(*worker, interferenceView(StepKind::Preparation));
 }
 
-// Returns the occurrences that the sweep has not visited completely, the most urgent first.
+// Visits occurrences again in which tasks have begun to wait since their visit. The rest of the sweep has its
+// own steps, so that it ends also if tasks begin to wait all the time.
+void ShardScheduler::repeatVisits(
+    std::span<const Candidate> candidates, Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass)
+{
+    for (const Candidate& candidate : candidates) {
+        if (steps_->isSpent())
+            return;
+        SweepProgress& visit = candidate.job->repeatedVisits[candidate.occurrence];
+        if (!visit.isBegunIn(sweep_) || !assignOccurrence(candidate, visit, now, nowUnixMs, pass))
+            continue;
+        if (visit.isDueAgain)
+            visit = { sweep_ };
+    }
+}
+
+// Must be called when a task of the occurrence begins to wait, or could not be visited before some time.
+void ShardScheduler::visitAgain(Job& job, std::uint32_t occurrence) const
+{
+    SweepProgress& visit = job.repeatedVisits[occurrence];
+    if (visit.isBegunIn(sweep_))
+        visit.isDueAgain = true;
+    else
+        visit = { sweep_ };
+}
+
+// Returns the occurrences that the sweep has not visited completely or is to visit again, the most urgent
+// first.
 std::vector<ShardScheduler::Candidate> ShardScheduler::rankCandidates(
     Utils::TimePoint now, std::int64_t nowUnixMs)
 {
@@ -116,7 +152,8 @@
             continue;
         for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence) {
             steps_->spend(StepKind::Preparation, 1);
-            const bool isVisited = job->sweepProgress[occurrence].isCompleteIn(sweep_);
+            const bool isVisited = job->sweepProgress[occurrence].isCompleteIn(sweep_)
+                && !job->repeatedVisits[occurrence].isBegunIn(sweep_);
             if (!isVisited && job->dueUnixMs(occurrence) <= nowUnixMs)
                 candidates.push_back(
                     { rankJob(urgencyOf(*job, occurrence, now, nowUnixMs)), job.get(), occurrence });
@@ -128,13 +165,14 @@
 }
 
 // Returns whether all steps of the occurrence were visited.
-bool ShardScheduler::assignOccurrence(
-    Job& job, std::uint32_t occurrence, Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass)
+bool ShardScheduler::assignOccurrence(const Candidate& candidate, SweepProgress& progress,
+    Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass)
 {
-    SweepProgress& progress = job.sweepProgress[occurrence];
-    if (progress.sweep != sweep_)
-        progress = { sweep_ };
+    Job& job = *candidate.job;
+    const std::uint32_t occurrence = candidate.occurrence;
     const bool isAwaitingOrigin = awaitsOrigin(job, now);
+    if (isAwaitingOrigin)
+        visitAgain(job, occurrence);
     const auto stepCount = static_cast<std::uint32_t>(job.stepOffsets.size());
     for (; !isAwaitingOrigin && progress.step < stepCount; ++progress.step, progress.index = 0) {
         const std::uint32_t step = progress.step;
@@ -165,6 +203,7 @@
             continue;
         if (task.notBefore > now) {
             isScheduleDue_ = true;
+            visitAgain(job, occurrence);
             continue;
         }
         if (!awaitsCrashVerdict(task))
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -183,6 +183,7 @@
     task.progressPercent = 0;
     task.hasStarted = false;
     task.isProven = false;
+    visitAgain(*task.job, task.occurrence);
     markDirty(*task.job);
 }
 
@@ -208,6 +209,9 @@
             --job.remainingTaskCount;
         }
     }
+    // Another step may be ready.
+    if (job.remainingTasks(task.occurrence, task.step) == 0)
+        visitAgain(job, task.occurrence);
     if (job.remainingTaskCount == 0 && job.isActive())
         endJob(job, FleetSchema::JOB_COMPLETED, nowUnixMs);
     (void)now;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -336,8 +336,11 @@
     void assign(Task& task, Worker& worker, Utils::TimePoint now);
     void beginSweep(Utils::TimePoint now);
     std::vector<Candidate> rankCandidates(Utils::TimePoint now, std::int64_t nowUnixMs);
-    bool assignOccurrence(
-        Job& job, std::uint32_t occurrence, Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass);
+    void repeatVisits(
+        std::span<const Candidate> candidates, Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass);
+    void visitAgain(Job& job, std::uint32_t occurrence) const;
+    bool assignOccurrence(const Candidate& candidate, SweepProgress& progress, Utils::TimePoint now,
+        std::int64_t nowUnixMs, Pass& pass);
     bool assignStep(
         Job& job, std::uint32_t occurrence, SweepProgress& progress, Utils::TimePoint now, Pass& pass);
     void assignTask(Task& task, Utils::TimePoint now, Pass& pass);
--- a/tests/auto/fleet/tst_passsteps.cpp
+++ b/tests/auto/fleet/tst_passsteps.cpp
@@ -512,3 +512,53 @@
     shard.advance(2500ms);
     CHECK(shard.output.delegations.size() == maxTasks);
 }
+
+TEST_CASE(
+    "A task that is lost while a sweep is unfinished is visited before the sweep has visited all others")
+{
+    FullShard shard(540);
+    FleetSchema::StepSpec lasting = makeStep(1, 3'000, 1000);
+    lasting.set_lasting(true);
+    shard.submit("lasting", lasting);
+    while (shard.scheduleAndCommit())
+        shard.confirmStarts();
+    REQUIRE(shard.isRunning("lasting"));
+    shard.submitShrinkingTasks(2000);
+    while (shard.scheduler.beginCommit(testStartUnixMs))
+        shard.scheduler.onCommitted(shard.now);
+    shard.runPass();
+    REQUIRE(shard.scheduler.isSweepUnfinished());
+    std::erase_if(
+        shard.running, [](const Fleet::AttemptStart& start) { return start.task.job == "lasting"; });
+    shard.now += 10ms;
+    shard.finishAttempts(0, Ports::AttemptOutcome::Done);
+    int passCount = 0;
+    for (; !shard.isRunning("lasting") && passCount < 100; ++passCount)
+        shard.runPass();
+    CHECK(passCount <= 3);
+}
+
+TEST_CASE(
+    "A step that gets ready while a sweep is unfinished is visited before the sweep has visited all others")
+{
+    FullShard shard(540);
+    shard.scheduler.submit(makeJob("steps", { makeStep(1, 2'000, 1000), makeStep(1, 3'000, 1000) }), 1,
+        shard.now, testStartUnixMs);
+    while (shard.scheduleAndCommit())
+        shard.confirmStarts();
+    REQUIRE(shard.isRunning("steps"));
+    shard.submitShrinkingTasks(2000);
+    while (shard.scheduler.beginCommit(testStartUnixMs))
+        shard.scheduler.onCommitted(shard.now);
+    shard.runPass();
+    REQUIRE(shard.scheduler.isSweepUnfinished());
+    const auto first = std::find_if(shard.running.begin(), shard.running.end(),
+        [](const Fleet::AttemptStart& start) { return start.task.job == "steps"; });
+    std::iter_swap(shard.running.begin(), first);
+    shard.now += 10ms;
+    shard.finishAttempts(1, Ports::AttemptOutcome::Done);
+    int passCount = 0;
+    for (; !shard.isRunning("steps") && passCount < 100; ++passCount)
+        shard.runPass();
+    CHECK(passCount <= 3);
+}
