--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -340,8 +340,11 @@
     void assign(Task& task, Worker& worker, Utils::TimePoint now);
     void beginSweep(Utils::TimePoint now);
     std::vector<Candidate> rankCandidates(Utils::TimePoint now, std::int64_t nowUnixMs);
-    bool assignOccurrence(
-        Job& job, std::uint32_t occurrence, Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass);
+    void repeatVisits(
+        std::span<const Candidate> candidates, Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass);
+    void visitAgain(Job& job, std::uint32_t occurrence) const;
+    bool assignOccurrence(const Candidate& candidate, SweepProgress& progress, Utils::TimePoint now,
+        std::int64_t nowUnixMs, Pass& pass);
     bool assignStep(
         Job& job, std::uint32_t occurrence, SweepProgress& progress, Utils::TimePoint now, Pass& pass);
     void assignTask(Task& task, Utils::TimePoint now, Pass& pass);
@@ -463,6 +466,7 @@
         nextSearchingJob_; //!< Job for which a shard is searched first in the next tick; may be empty.
     std::size_t nextSearchingTask_ = 0; //!< Its task that is left; only if nextSearchingJob_ is not empty.
     std::size_t shardSearchCount_ = 0; //!< Searches for shards in this tick.
+    std::size_t failedShardSearchCount_ = 0; //!< Those of them that found none.
     Utils::TimePoint lastScheduledAt_ {};
     std::int64_t lastScheduledUnixMs_ = 0;
     Utils::TimePoint latestRetryAt_ {}; //!< End of the latest pause before a retry.
