--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -88,10 +88,10 @@
 
 std::optional<RecordBatch> ShardScheduler::beginCommit(std::int64_t nowUnixMs)
 {
-    commitSteps_ = StepBudget();
+    callSteps_ = StepBudget();
     collectExpiredJobs(nowUnixMs);
     if (!hasChanges()) {
-        commitSteps_.spend(StepKind::Records, workers_.size());
+        callSteps_.spend(StepKind::Calls, workers_.size());
         // Ends that changed no job need not be stored, so they can be acknowledged at once.
         for (auto& [id, worker] : workers_)
             worker->lastAcknowledgedEnd = worker->lastSeenEnd;
@@ -102,7 +102,7 @@
     const std::size_t rowCount = addDirtyJobs(batch);
     batch.hasStarts = !inflightBatch_->starts.empty();
     if (dirtyJobs_.empty()) {
-        commitSteps_.spend(StepKind::Records, workers_.size());
+        callSteps_.spend(StepKind::Calls, workers_.size());
         for (const auto& [id, worker] : workers_)
             inflightBatch_->acknowledgements.push_back({ id, worker->bornMs, worker->lastSeenEnd });
     }
@@ -123,7 +123,7 @@
         taskCount += job.tasks.size();
         if (batchedCount > 0 && taskCount > options_.tickStepLimit)
             break;
-        commitSteps_.spend(StepKind::Records, job.tasks.size());
+        callSteps_.spend(StepKind::Calls, job.tasks.size());
         JobRowChanges changes = findRowChanges(job, options_.maxRowBytes);
         const bool hasRoom
             = rowCount + changes.count() <= maxBatchRows && bytes + changes.bytes() <= maxBatchBytes;
@@ -348,7 +348,7 @@
         = nowUnixMs - std::chrono::duration_cast<milliseconds>(options_.retention).count();
     const std::int64_t sinceSearchMs = nowUnixMs - expirySearchedUnixMs_;
     if (sinceSearchMs >= 0 && sinceSearchMs < expirySearchIntervalMs) {
-        commitSteps_.spend(StepKind::Records, expiredJobs_.size());
+        callSteps_.spend(StepKind::Calls, expiredJobs_.size());
         std::erase_if(expiredJobs_, [&](const std::string& id) {
             const Job* const job = findJob(id);
             return !job || !hasExpired(*job, endedBeforeMs);
@@ -356,7 +356,7 @@
         return;
     }
     expirySearchedUnixMs_ = nowUnixMs;
-    commitSteps_.spend(StepKind::Records, jobs_.size());
+    callSteps_.spend(StepKind::Calls, jobs_.size());
     expiredJobs_.clear();
     for (const auto& [id, job] : jobs_) {
         if (hasExpired(*job, endedBeforeMs))
--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -32,7 +32,7 @@
     } else {
         task.presumedCrashes.push_back({ worker.id, task.workerBornMs, task.attempt, now });
         task.worker->watchedUntil = now + crashVerdictDelay;
-        tasksWithPresumedCrashes_.insert(keyOf(task));
+        presumedCrashes_[worker.id].insert(keyOf(task));
     }
     requeue(task, now + pauseAfterCrash(task.crashes));
     if (task.job->isActive())
@@ -42,8 +42,8 @@
 // A worker that still lives had been cut off.
 void ShardScheduler::judgePresumedCrashes(const Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
-    const auto isOfWorker = [&](const PresumedCrash& crash) { return crash.worker == worker.info.id; };
-    for (const auto& [task, crash] : takePresumedCrashes(isOfWorker)) {
+    const auto isAny = [](const PresumedCrash&) { return true; };
+    for (const auto& [task, crash] : takePresumedCrashes(worker.info.id, isAny)) {
         if (crash.workerBornMs != 0 && crash.workerBornMs != worker.bornMs) {
             confirmCrash(*task, crash, now, nowUnixMs);
             continue;
@@ -54,34 +54,59 @@
     }
 }
 
-// Removes the presumed crashes that meet the condition from their tasks and returns them.
+// Removes the presumed crashes of a worker that meet the condition from their tasks and returns them.
 std::vector<std::pair<Task*, PresumedCrash>> ShardScheduler::takePresumedCrashes(
-    const std::function<bool(const PresumedCrash&)>& condition)
+    const std::string& worker, const std::function<bool(const PresumedCrash&)>& condition)
 {
     std::vector<std::pair<Task*, PresumedCrash>> taken;
-    std::erase_if(tasksWithPresumedCrashes_, [&](const Ports::TaskKey& key) {
+    const auto found = presumedCrashes_.find(worker);
+    if (found == presumedCrashes_.end())
+        return taken;
+    callSteps_.spend(StepKind::Calls, found->second.size());
+    std::erase_if(found->second, [&](const Ports::TaskKey& key) {
         Job* const job = findJob(key.job);
         Task* const task = job ? job->findTask(key.occurrence, key.step, key.index) : nullptr;
         if (!task)
             return true;
+        bool isAnyLeft = false;
         std::erase_if(task->presumedCrashes, [&](const PresumedCrash& crash) {
-            if (!condition(crash))
+            if (crash.worker != worker)
                 return false;
+            if (!condition(crash)) {
+                isAnyLeft = true;
+                return false;
+            }
             taken.emplace_back(task, crash);
             return true;
         });
-        return task->presumedCrashes.empty();
+        return !isAnyLeft;
     });
+    if (found->second.empty())
+        presumedCrashes_.erase(found);
     return taken;
 }
 
-void ShardScheduler::confirmPresumedCrashes(
+void ShardScheduler::confirmPresumedCrashes(const std::string& worker,
     const std::function<bool(const PresumedCrash&)>& condition, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
-    for (const auto& [task, crash] : takePresumedCrashes(condition))
+    for (const auto& [task, crash] : takePresumedCrashes(worker, condition))
         confirmCrash(*task, crash, now, nowUnixMs);
 }
 
+// Confirms the crashes of workers that have stayed away.
+void ShardScheduler::confirmOldCrashes(Utils::TimePoint now, std::int64_t nowUnixMs)
+{
+    std::vector<std::string> workers;
+    for (const auto& [worker, tasks] : presumedCrashes_)
+        workers.push_back(worker);
+    const auto isOld
+        = [now](const PresumedCrash& crash) { return now - crash.presumedAt > crashVerdictDelay; };
+    for (const std::string& worker : workers) {
+        steps_->spend(StepKind::Attempts, presumedCrashes_[worker].size());
+        confirmPresumedCrashes(worker, isOld, now, nowUnixMs);
+    }
+}
+
 void ShardScheduler::confirmCrash(
     Task& task, const PresumedCrash& crash, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -75,6 +75,8 @@
     Worker* worker = findWorker(id);
     if (!worker)
         return;
+    callSteps_ = StepBudget();
+    callSteps_.spend(StepKind::Calls, 1 + report.ended.size() + report.running.size() + worker->tasks.size());
     const bool isBack = !worker->isResponsive || report.startedUnixMs != worker->bornMs;
     if (report.startedUnixMs != worker->bornMs) {
         if (worker->bornMs != 0) {
@@ -285,7 +287,8 @@
     if (!worker)
         return;
     worker->isResponsive = false;
-    confirmPresumedCrashes([&id](const PresumedCrash& crash) { return crash.worker == id; }, now, nowUnixMs);
+    confirmPresumedCrashes(
+        id, [](const PresumedCrash&) { return true; }, now, nowUnixMs);
     requeueAttempts(*worker, "worker-replaced",
         worker->info.isDraining ? CrashEvidence::None : CrashEvidence::Proved, now, nowUnixMs);
 }
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -208,11 +208,11 @@
     Utils::TimePoint now)
 {
     task.presumedCrashes.clear();
-    for (const FleetSchema::PresumedWorkerCrash& crash : presumed)
+    for (const FleetSchema::PresumedWorkerCrash& crash : presumed) {
         task.presumedCrashes.push_back({ crash.worker(), crash.worker_born(), task.attempt, now });
+        presumedCrashes_[crash.worker()].insert(keyOf(task));
+    }
     task.crashes = provedCount + static_cast<std::uint32_t>(task.presumedCrashes.size());
-    if (!task.presumedCrashes.empty())
-        tasksWithPresumedCrashes_.insert(keyOf(task));
 }
 
 void ShardScheduler::restoreAttempt(Task& task, const FleetSchema::TaskRecord& stored, Utils::TimePoint now)
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -32,10 +32,13 @@
 void ShardScheduler::setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint now,
     std::optional<Utils::TimePoint> readAt)
 {
+    callSteps_ = StepBudget();
+    callSteps_.spend(StepKind::Calls, 2 * workers_.size());
     for (auto& [id, worker] : workers_)
         worker->isListed = false;
     workerKinds_.Clear();
     for (const Ports::WorkerInfo& info : workers) {
+        callSteps_.spend(StepKind::Calls, 1);
         Worker& worker = ensureWorker(info.id, now);
         const Placement::Resources former = worker.capacity();
         worker.info = info;
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -282,8 +282,8 @@
     /*! \return the steps of the latest schedule() or onTick(). */
     const StepBudget& latestPass() const { return *steps_; }
 
-    /*! \return the steps of the latest beginCommit(). */
-    const StepBudget& latestCommit() const { return commitSteps_; }
+    /*! \return the steps of the latest beginCommit(), onReport(), setWorkers() or load(). */
+    const StepBudget& latestCall() const { return callSteps_; }
 
     /*!
         \return for how long the lease of each worker that answers and has tasks lasts at least; nothing if
@@ -388,9 +388,11 @@
         std::int64_t nowUnixMs);
     void judgePresumedCrashes(const Worker& worker, Utils::TimePoint now, std::int64_t nowUnixMs);
     std::vector<std::pair<Task*, PresumedCrash>> takePresumedCrashes(
-        const std::function<bool(const PresumedCrash&)>& condition);
-    void confirmPresumedCrashes(const std::function<bool(const PresumedCrash&)>& condition,
-        Utils::TimePoint now, std::int64_t nowUnixMs);
+        const std::string& worker, const std::function<bool(const PresumedCrash&)>& condition);
+    void confirmOldCrashes(Utils::TimePoint now, std::int64_t nowUnixMs);
+    void confirmPresumedCrashes(const std::string& worker,
+        const std::function<bool(const PresumedCrash&)>& condition, Utils::TimePoint now,
+        std::int64_t nowUnixMs);
     void confirmCrash(Task& task, const PresumedCrash& crash, Utils::TimePoint now, std::int64_t nowUnixMs);
     void keepWorkersEmpty(Utils::TimePoint now);
     static void forgetPresumedCrashes(Task& task);
@@ -447,7 +449,7 @@
     TailLatencyModel& tailLatencyModel_;
     std::unique_ptr<InterferenceCache> interferenceCache_; //!< Null outside schedule() and onTick().
     std::unique_ptr<StepBudget> steps_; //!< Steps of the current pass, or the latest one.
-    StepBudget commitSteps_; //!< Steps of the latest beginCommit().
+    mutable StepBudget callSteps_; //!< As in latestCall().
     ImageDemand demand_;
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expiredJobs_; //!< Jobs to remove from the store.
@@ -472,7 +474,8 @@
     std::optional<Utils::Duration> formerLease_; //!< Empty: SchedulerOptions::workerLeaseLimit.
     Utils::TimePoint startRightEnd_ = Utils::TimePoint::max(); //!< Until when attempts may be started.
     StatedLeaseEnds statedLeaseEnds_;
-    std::set<Ports::TaskKey> tasksWithPresumedCrashes_; //!< May include others.
+    //! Tasks with presumed crashes, by worker; may include others.
+    std::map<std::string, std::set<Ports::TaskKey>> presumedCrashes_;
     std::vector<Ports::TaskKey> unconfirmedTasks_; //!< In the phase Unverified; may include others.
     std::vector<Ports::TaskKey> isolatedTasks_; //!< Fully isolated tasks without a worker in the last pass.
     LeaseEnds formerLeaseEnds_; //!< Of workers with attempts that the owner before this one left open.
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -48,9 +48,7 @@
     for (auto& [id, worker] : workers_)
         tickWorker(*worker, now, nowUnixMs);
     relocateThrottledTasks(now);
-    confirmPresumedCrashes(
-        [now](const PresumedCrash& crash) { return now - crash.presumedAt > crashVerdictDelay; }, now,
-        nowUnixMs);
+    confirmOldCrashes(now, nowUnixMs);
     improveGrouping(now);
     interferenceCache_.reset();
     // A pass before the end of a pause starts neither the task nor the other members of its gang.
--- a/src/libs/fleet/stepbudget.cpp
+++ b/src/libs/fleet/stepbudget.cpp
@@ -5,7 +5,7 @@
 std::string_view nameOf(StepKind kind)
 {
     static constexpr std::string_view names[stepKindCount] = { "preparation", "search", "reservation",
-        "relocation", "grouping", "slowness", "attempts", "transfers", "waits", "records" };
+        "relocation", "grouping", "slowness", "attempts", "transfers", "waits", "calls" };
     return names[static_cast<std::size_t>(kind)];
 }
 
--- a/src/libs/fleet/stepbudget.h
+++ b/src/libs/fleet/stepbudget.h
@@ -18,7 +18,7 @@
     Attempts, //!< Timeouts of open attempts.
     Transfers, //!< Tasks that are delegated or could be.
     Waits, //!< Reports on waiting tasks.
-    Records, //!< Jobs, tasks and workers of a transaction.
+    Calls, //!< What a transaction, a report, a list of workers or a load covers.
 };
 
 /*! Number of values of StepKind. */
--- a/tests/auto/fleet/tst_ticksteps.cpp
+++ b/tests/auto/fleet/tst_ticksteps.cpp
@@ -157,9 +157,9 @@
 
 namespace {
 
-std::size_t commitSteps(const SchedulerFixture& shard)
+std::size_t callSteps(const SchedulerFixture& shard)
 {
-    return shard.scheduler.latestCommit().spent(Fleet::StepKind::Records);
+    return shard.scheduler.latestCall().spent(Fleet::StepKind::Calls);
 }
 
 } // namespace
@@ -172,8 +172,8 @@
         std::size_t searches = 0;
         for (std::int64_t elapsedMs = 100; elapsedMs <= 3000; elapsedMs += 100) {
             shard.scheduler.beginCommit(testStartUnixMs + elapsedMs);
-            searches += commitSteps(shard) > workerCount ? 1 : 0;
-            CHECK(commitSteps(shard) <= 2 * workerCount + 1);
+            searches += callSteps(shard) > workerCount ? 1 : 0;
+            CHECK(callSteps(shard) <= 2 * workerCount + 1);
         }
         CHECK(searches >= 2);
         CHECK(searches <= 4);
@@ -183,7 +183,7 @@
         while (const auto batch = shard.scheduler.beginCommit(testStartUnixMs + 121'001)) {
             ++batchCount;
             removedCount += batch->removals.size();
-            CHECK(commitSteps(shard) <= 3 * workerCount + 2);
+            CHECK(callSteps(shard) <= 3 * workerCount + 2);
             shard.scheduler.onCommitted(shard.now);
         }
         CHECK(removedCount == workerCount);
@@ -207,7 +207,7 @@
         while (shard.scheduleAndCommit()) { }
         INFO(workerCount << " workers");
         shard.scheduler.beginCommit(testStartUnixMs + 1000);
-        CHECK(commitSteps(shard) <= workerCount + 1);
+        CHECK(callSteps(shard) <= workerCount + 1);
     }
 }
 
@@ -225,10 +225,92 @@
         std::size_t batchCount = 0;
         while (const auto batch = shard.scheduler.beginCommit(testStartUnixMs)) {
             ++batchCount;
-            CHECK(commitSteps(shard) <= 25'000 + workerCount + jobCount);
+            CHECK(callSteps(shard) <= 25'000 + workerCount + jobCount);
             shard.scheduler.onCommitted(shard.now);
         }
         CHECK(batchCount <= jobCount * maxTasks / 25'000 + 1);
         CHECK(shard.output.answers.size() == jobCount);
     }
 }
+
+namespace {
+
+constexpr std::size_t tasksPerWorker = 10;
+
+/*! A shard whose workers have ten tasks each, with an owner that took them over. */
+struct TakenOverShard {
+    explicit TakenOverShard(std::size_t workerCount)
+        : former(workerCount)
+        , owner(workerCount)
+    {
+        for (std::size_t number = 0; number < workerCount; ++number)
+            former.scheduler.submit(
+                makeJob("job-" + std::to_string(number), { makeStep(tasksPerWorker, 3'000, 60'000) }), 1,
+                former.now, testStartUnixMs);
+        while (former.scheduleAndCommit())
+            former.confirmStarts();
+        REQUIRE(former.running.size() == tasksPerWorker * workerCount);
+        for (const auto& [key, value] : former.rows) {
+            FleetSchema::JobRecord record;
+            REQUIRE(record.ParseFromString(value));
+            owner.scheduler.restore(record, owner.now, testStartUnixMs);
+        }
+        for (const Fleet::AttemptStart& attempt : former.running)
+            reports[attempt.worker].running.push_back({ attempt.task, attempt.attempt, {}, 50, 1000 });
+    }
+
+    SchedulerFixture former;
+    SchedulerFixture owner;
+    std::map<std::string, Ports::WorkerReport> reports; //!< Of the workers with all their tasks.
+};
+
+} // namespace
+
+TEST_CASE("The report of a worker that is back does not examine the tasks that other workers have lost")
+{
+    for (const std::size_t workerCount : shardSizes) {
+        TakenOverShard shard(workerCount);
+        SchedulerFixture& owner = shard.owner;
+        for (int poll = 0; poll < 2; ++poll) {
+            for (const std::string& worker : owner.workers)
+                owner.scheduler.onPollFailed(worker, true);
+        }
+        owner.now += 30s;
+        owner.scheduler.onTick(owner.now, testStartUnixMs);
+        std::size_t mostSteps = 0;
+        for (const auto& [worker, content] : shard.reports) {
+            owner.report(worker, content);
+            mostSteps = std::max(mostSteps, callSteps(owner));
+        }
+        INFO(workerCount << " workers");
+        CHECK(mostSteps > 0);
+        CHECK(mostSteps <= 1 + 4 * tasksPerWorker);
+        // All of them were found to have been cut off.
+        owner.now += 3s;
+        owner.scheduler.onTick(owner.now, testStartUnixMs);
+        CHECK(owner.output.crashes.empty());
+    }
+}
+
+TEST_CASE("Reports, lists of workers, loads and transactions examine each worker and task a few times")
+{
+    for (const std::size_t workerCount : shardSizes) {
+        TakenOverShard shard(workerCount);
+        SchedulerFixture& owner = shard.owner;
+        INFO(workerCount << " workers");
+        const std::size_t taskCount = tasksPerWorker * workerCount;
+        for (const auto& [worker, content] : shard.reports) {
+            owner.report(worker, content);
+            CHECK(callSteps(owner) <= 1 + 4 * tasksPerWorker);
+        }
+        std::vector<Ports::WorkerInfo> infos;
+        for (const std::string& worker : owner.workers)
+            infos.push_back(makeWorkerInfo(worker));
+        owner.scheduler.setWorkers(infos, owner.now);
+        CHECK(callSteps(owner) <= 4 * workerCount);
+        owner.scheduler.load(owner.now);
+        CHECK(callSteps(owner) <= 2 * workerCount + taskCount);
+        owner.scheduler.beginCommit(testStartUnixMs);
+        CHECK(callSteps(owner) <= 2 * workerCount + taskCount);
+    }
+}
