--- a/src/libs/fleet/interferencecache.cpp
+++ b/src/libs/fleet/interferencecache.cpp
@@ -61,6 +61,16 @@
     return tasks;
 }
 
+std::vector<std::size_t> InterferenceCache::criticalImagesOf(const Worker& worker)
+{
+    std::vector<std::size_t> images;
+    for (const CriticalTask& task : criticalTasksOf(worker))
+        images.push_back(task.image);
+    std::sort(images.begin(), images.end());
+    images.erase(std::unique(images.begin(), images.end()), images.end());
+    return images;
+}
+
 double InterferenceCache::headroomAfterAdding(
     const Worker& worker, const FleetSchema::StepSpec& step, double speed)
 {
--- a/src/libs/fleet/interferencecache.h
+++ b/src/libs/fleet/interferencecache.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -61,6 +62,18 @@
     /*! \return the greatest pressure of a colocated image on latency-critical tasks of the worker. */
     double maxPressure(const Worker& worker, std::string_view colocated);
 
+    /*!
+        \return the result of \p compute for the latency-critical images on a worker, which is called only for
+       the first worker with these images.
+    */
+    template <typename Compute> double toleratedDemand(const Worker& worker, Compute compute)
+    {
+        const auto [entry, isNew] = toleratedDemands_.try_emplace(criticalImagesOf(worker));
+        if (isNew)
+            entry->second = compute();
+        return entry->second;
+    }
+
     /*! Must be called after an attempt on the worker was added or removed. */
     void invalidate(const Worker& worker) { criticalTasks_.erase(&worker); }
 
@@ -77,12 +90,15 @@
     const PressureRow& pressuresOf(std::string_view colocated);
     const std::vector<CriticalTask>& criticalTasksOf(const Worker& worker);
 
+    std::vector<std::size_t> criticalImagesOf(const Worker& worker);
+
     const TailLatencyModel& model_;
     std::vector<std::string> criticalImages_;
     std::unordered_map<std::string, std::size_t> indexByCriticalImage_;
     std::unordered_map<std::string, PressureRow> pressures_; //!< By colocated image.
     std::unordered_map<const Worker*, std::vector<CriticalTask>> criticalTasks_;
     std::unordered_map<std::uint64_t, double> distances_; //!< By the indexes of two images.
+    std::map<std::vector<std::size_t>, double> toleratedDemands_; //!< By the indexes of the images, in order.
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/taskgrouping.cpp
+++ b/src/libs/fleet/taskgrouping.cpp
@@ -137,11 +137,14 @@
 {
     if (worker.criticalTaskCount == 0)
         return 1;
-    double tolerated = 0;
-    for (const ImageShare& part : view.demand) {
-        tolerated += part.share * std::max(0.0, 1 - maxPressureOn(worker, part.image, view));
-    }
-    return tolerated;
+    const auto compute = [&] {
+        view.spend(view.demand.size());
+        double tolerated = 0;
+        for (const ImageShare& part : view.demand)
+            tolerated += part.share * std::max(0.0, 1 - maxPressureOn(worker, part.image, view));
+        return tolerated;
+    };
+    return view.cache ? view.cache->toleratedDemand(worker, compute) : compute();
 }
 
 TaskMove chooseGroupingMove(const Worker& source, std::span<Worker* const> workers,
--- a/tests/auto/fleet/tst_ticksteps.cpp
+++ b/tests/auto/fleet/tst_ticksteps.cpp
@@ -314,3 +314,34 @@
         CHECK(callSteps(owner) <= 2 * workerCount + taskCount);
     }
 }
+
+TEST_CASE("A sweep weighs the demand once for each combination of latency-critical images on a worker")
+{
+    constexpr std::size_t criticalImageCount = 8;
+    constexpr std::size_t fillingImageCount = 40;
+    for (const std::size_t workerCount : shardSizes) {
+        SchedulerFixture shard(workerCount);
+        // One task on each worker.
+        for (std::size_t image = 0; image < criticalImageCount; ++image) {
+            const std::size_t count = (workerCount + image) / criticalImageCount;
+            const std::string name = "serving-" + std::to_string(image);
+            shard.scheduler.submit(
+                makeJob(name, { makeLatencyCriticalStep(static_cast<std::uint32_t>(count), 20'000, name) }),
+                1, shard.now, testStartUnixMs);
+        }
+        while (shard.scheduleAndCommit() || shard.scheduler.isSweepUnfinished())
+            shard.confirmStarts();
+        REQUIRE(shard.running.size() == workerCount);
+        for (std::size_t image = 0; image < fillingImageCount; ++image) {
+            const std::string name = "filling-" + std::to_string(image);
+            shard.scheduler.submit(
+                makeJob(name, { makeBestEffortStep(1, 40'000, name) }), 1, shard.now, testStartUnixMs);
+        }
+        shard.scheduler.schedule(shard.now, testStartUnixMs);
+        INFO(workerCount << " workers");
+        const std::size_t taskCount = workerCount + fillingImageCount;
+        const std::size_t jobCount = criticalImageCount + fillingImageCount;
+        CHECK(shard.scheduler.latestPass().spent(Fleet::StepKind::Preparation)
+            <= workerCount + taskCount + 2 * jobCount + criticalImageCount * fillingImageCount);
+    }
+}
