--- a/src/libs/fleet/interferencecache.h
+++ b/src/libs/fleet/interferencecache.h
@@ -64,7 +64,7 @@
 
     /*!
         \return the result of \p compute for the latency-critical images on a worker, which is called only for
-       the first worker with these images.
+       the first worker with these images. It must depend on nothing else that changes.
     */
     template <typename Compute> double toleratedDemand(const Worker& worker, Compute compute)
     {
--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -1,6 +1,7 @@
 #include "shardchooser.h"
 
 #include "job.h"
+#include "workercommitment.h"
 #include "workerkinds.h"
 
 #include <xxhash.h>
@@ -8,6 +9,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
+#include <span>
 #include <tuple>
 #include <vector>
 
@@ -37,13 +40,39 @@
 constexpr double maxRelativeDelegationCost = 0.8;
 constexpr std::chrono::milliseconds overdueWait { 2200 };
 
+/*! Steps of a job that the same workers can run. */
+struct StepGroup {
+    const FleetSchema::StepSpec* step = nullptr; //!< One of them.
+    std::size_t count = 0;
+};
+
+std::vector<StepGroup> groupSteps(const FleetSchema::JobSpec& spec)
+{
+    const auto needsOf = [](const FleetSchema::StepSpec& step) {
+        const Placement::Resources size = committedSize(step);
+        const bool needsAllTasks = step.gang() || step.lasting();
+        return std::tuple(size.milliProcessors, size.memoryMb, size.accelerators, step.required_label(),
+            step.max_per_worker(), step.gang(), step.lasting(), needsAllTasks ? step.count() : 0);
+    };
+    std::map<decltype(needsOf(spec.steps(0))), StepGroup> groups;
+    for (const FleetSchema::StepSpec& step : spec.steps()) {
+        StepGroup& group = groups[needsOf(step)];
+        group.step = &step;
+        ++group.count;
+    }
+    std::vector<StepGroup> result;
+    for (const auto& [needs, group] : groups)
+        result.push_back(group);
+    return result;
+}
+
 // Returns a measure of the part of a job that the workers of a shard can ever run. A step counts twice,
 // unless it is a gang that has to be divided.
-std::size_t countRunnableSteps(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load)
+std::size_t countRunnableSteps(std::span<const StepGroup> groups, const FleetSchema::ShardLoad& load)
 {
     std::size_t count = 0;
-    for (const FleetSchema::StepSpec& step : spec.steps())
-        count += canEverRun(step, load) ? 2 : canHostPart(step, load) ? 1 : 0;
+    for (const StepGroup& group : groups)
+        count += group.count * (canEverRun(*group.step, load) ? 2 : canHostPart(*group.step, load) ? 1 : 0);
     return count;
 }
 
@@ -83,6 +112,26 @@
         [](const FleetSchema::StepSpec& step) { return step.leftover_processors(); });
 }
 
+// The tasks of a step may run on several shards. A gang needs one for all its tasks, or several that can host
+// parts.
+bool isRunnable(const FleetSchema::StepSpec& step, const std::string& service,
+    const std::map<std::string, ShardOwnerInfo>& owners, std::size_t& steps)
+{
+    steps += owners.size();
+    std::uint64_t slots = 0;
+    std::uint64_t partSlots = 0;
+    for (const auto& [shard, owner] : owners) {
+        if (owner.load.service() != service)
+            continue;
+        if (canEverRun(step, owner.load))
+            slots += countSlots(step, owner.load);
+        if (canHostPart(step, owner.load))
+            partSlots += countSlots(step, owner.load);
+    }
+    // The tasks of a step that ends can run one after the other.
+    return slots >= (step.lasting() ? step.count() : 1) || (step.gang() && partSlots >= step.count());
+}
+
 } // namespace
 
 std::int64_t peakMilliProcessors(const FleetSchema::JobSpec& spec)
@@ -117,11 +166,11 @@
     owners_ = owners;
 }
 
-double ShardChooser::costOf(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
+double ShardChooser::costOf(bool isForLeftOver, const FleetSchema::ShardLoad& load,
     const AssignedWork& assigned, std::size_t assigningNodes) const
 {
     const std::int64_t nodeCount = static_cast<std::int64_t>(assigningNodes);
-    if (isBestEffort(spec)) {
+    if (isForLeftOver) {
         const double unused = static_cast<double>(load.capacity() - load.committed())
             + (1 - peakCriticalUseShare) * static_cast<double>(load.serving());
         const double freeProcessors = std::max(1.0, unused);
@@ -134,13 +183,13 @@
         / static_cast<double>(load.capacity());
 }
 
-bool ShardChooser::hasCapacity(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
-    const AssignedWork& assigned, std::size_t assigningNodes) const
+bool ShardChooser::hasCapacity(const FleetSchema::JobSpec& spec, std::int64_t peak,
+    const FleetSchema::ShardLoad& load, const AssignedWork& assigned, std::size_t assigningNodes) const
 {
     if (spec.steps_size() == 0 || !spec.steps(0).lasting())
         return true;
-    const std::int64_t committed = load.committed()
-        + static_cast<std::int64_t>(assigningNodes) * assigned.committed + peakMilliProcessors(spec);
+    const std::int64_t committed
+        = load.committed() + static_cast<std::int64_t>(assigningNodes) * assigned.committed + peak;
     return static_cast<double>(committed) <= maxCommittedShare * static_cast<double>(load.capacity());
 }
 
@@ -160,44 +209,31 @@
     return owner.isSilent || unresponsiveUpdates_.contains(shard);
 }
 
-// The tasks of a step may run on several shards. A gang needs one for all its tasks, or several that can host
-// parts.
-bool ShardChooser::isRunnable(const FleetSchema::JobSpec& spec) const
-{
-    return std::all_of(spec.steps().begin(), spec.steps().end(), [&](const FleetSchema::StepSpec& step) {
-        std::uint64_t slots = 0;
-        std::uint64_t partSlots = 0;
-        for (const auto& [shard, owner] : owners_) {
-            if (owner.load.service() != spec.service())
-                continue;
-            if (canEverRun(step, owner.load))
-                slots += countSlots(step, owner.load);
-            if (canHostPart(step, owner.load))
-                partSlots += countSlots(step, owner.load);
-        }
-        // The tasks of a step that ends can run one after the other.
-        return slots >= (step.lasting() ? step.count() : 1) || (step.gang() && partSlots >= step.count());
-    });
-}
-
 ShardChoice ShardChooser::choose(const FleetSchema::JobSpec& spec, std::size_t assigningNodes)
 {
+    const std::vector<StepGroup> groups = groupSteps(spec);
+    const bool isForLeftOver = isBestEffort(spec);
+    const std::int64_t peak = peakMilliProcessors(spec);
+    latestSteps_ = static_cast<std::size_t>(spec.steps_size());
     ShardChoice choice;
-    if (!isRunnable(spec))
+    if (!std::all_of(groups.begin(), groups.end(), [&](const StepGroup& group) {
+            return isRunnable(*group.step, spec.service(), owners_, latestSteps_);
+        }))
         return choice;
     std::vector<Candidate> candidates;
     for (const auto& [shard, owner] : owners_) {
         const FleetSchema::ShardLoad& load = owner.load;
-        const std::size_t runnableSteps = countRunnableSteps(spec, load);
+        latestSteps_ += groups.size();
+        const std::size_t runnableSteps = countRunnableSteps(groups, load);
         if (load.service() != spec.service() || load.capacity() <= 0 || runnableSteps == 0)
             continue;
-        if (!hasCapacity(spec, load, assigned_[shard], assigningNodes)) {
+        if (!hasCapacity(spec, peak, load, assigned_[shard], assigningNodes)) {
             choice.isOverloaded = true;
             continue;
         }
         candidates.push_back({ shard,
             exponentialSample(spec.id(), shard) / freeMilliProcessors(load, assigned_[shard], assigningNodes),
-            costOf(spec, load, assigned_[shard], assigningNodes), runnableSteps,
+            costOf(isForLeftOver, load, assigned_[shard], assigningNodes), runnableSteps,
             isUnresponsive(shard, owner) });
     }
     // Tasks of the other steps have to move to another shard.
@@ -211,7 +247,7 @@
     if (!candidates.empty()) {
         choice = { lessLoadedOfTwo(candidates).shard, false };
         AssignedWork& assigned = assigned_[choice.shard];
-        (isBestEffort(spec) ? assigned.bestEffort : assigned.committed) += peakMilliProcessors(spec);
+        (isForLeftOver ? assigned.bestEffort : assigned.committed) += peak;
     }
     return choice;
 }
@@ -226,7 +262,7 @@
     if (mustLeave(originShard, waited))
         return maxDelegationCost;
     const FleetSchema::ShardLoad& load = owners_.at(originShard).load;
-    return std::min(maxDelegationCost, maxRelativeDelegationCost * costOf(spec, load, {}, 1));
+    return std::min(maxDelegationCost, maxRelativeDelegationCost * costOf(isBestEffort(spec), load, {}, 1));
 }
 
 bool ShardChooser::mustLeave(const std::string& originShard, Utils::Duration waited) const
@@ -249,6 +285,8 @@
 {
     const FleetSchema::StepSpec& stepSpec = spec.steps(static_cast<int>(step));
     const std::int64_t size = stepSpec.milli_processors();
+    const bool isForLeftOver = isBestEffort(spec);
+    latestSteps_ = static_cast<std::size_t>(spec.steps_size());
     std::string best;
     bool hasBestRoom = false;
     std::size_t bestReturnOrder = 0;
@@ -259,6 +297,7 @@
         = stepSpec.lasting() ? maxDelegationShare : delegationCostLimit(originShard, spec, step, waited);
     double bestCost = limit;
     for (const auto& [shard, owner] : owners_) {
+        ++latestSteps_;
         const FleetSchema::ShardLoad& load = owner.load;
         if (shard == originShard || load.service() != spec.service() || !mayHost(shard, owner, stepSpec))
             continue;
@@ -267,7 +306,7 @@
         const double cost = stepSpec.lasting()
             ? static_cast<double>(load.lasting() + delegated_[shard] + size)
                 / static_cast<double>(load.capacity())
-            : costOf(spec, load, assigned_[shard], assigningNodes);
+            : costOf(isForLeftOver, load, assigned_[shard], assigningNodes);
         // A shard in which one worker has room needs no relocation. Further tasks delegated to it before its
         // next report may take that room.
         const bool hasRoom = stepSpec.lasting() && size + delegated_[shard] <= load.lasting_room();
--- a/src/libs/fleet/shardchooser.h
+++ b/src/libs/fleet/shardchooser.h
@@ -87,20 +87,23 @@
         std::uint32_t step, Utils::Duration waited, std::size_t assigningNodes,
         std::span<const std::string> returnedBy = {});
 
+    /*! \return what the latest choose() or findForTask() has examined: steps of the job, and shards for them.
+     */
+    std::size_t latestSteps() const { return latestSteps_; }
+
 private:
     struct AssignedWork {
         std::int64_t committed = 0; //!< Milli-processors.
         std::int64_t bestEffort = 0; //!< Milli-processors.
     };
 
-    bool hasCapacity(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
+    bool hasCapacity(const FleetSchema::JobSpec& spec, std::int64_t peak, const FleetSchema::ShardLoad& load,
         const AssignedWork& assigned, std::size_t assigningNodes) const;
     static double freeMilliProcessors(
         const FleetSchema::ShardLoad& load, const AssignedWork& assigned, std::size_t assigningNodes);
-    double costOf(const FleetSchema::JobSpec& spec, const FleetSchema::ShardLoad& load,
-        const AssignedWork& assigned, std::size_t assigningNodes) const;
+    double costOf(bool isForLeftOver, const FleetSchema::ShardLoad& load, const AssignedWork& assigned,
+        std::size_t assigningNodes) const;
 
-    bool isRunnable(const FleetSchema::JobSpec& spec) const;
     std::uint32_t countFreeSlots(const std::string& shard, const ShardOwnerInfo& owner,
         const FleetSchema::StepSpec& step, std::size_t assigningNodes) const;
     double delegationCostLimit(const std::string& originShard, const FleetSchema::JobSpec& spec,
@@ -110,6 +113,7 @@
     bool mayHost(
         const std::string& shard, const ShardOwnerInfo& owner, const FleetSchema::StepSpec& step) const;
 
+    std::size_t latestSteps_ = 0;
     std::map<std::string, ShardOwnerInfo> owners_;
     //! Milli-processors of tasks delegated since the shard's load last changed.
     std::map<std::string, std::int64_t> delegated_;
--- a/tests/auto/fleet/tst_shardchooser.cpp
+++ b/tests/auto/fleet/tst_shardchooser.cpp
@@ -274,3 +274,25 @@
     chooser.update(owners);
     CHECK_FALSE(chooser.choose(spec, 1).shard.empty());
 }
+
+TEST_CASE("A choice examines each shard once for the steps of a job that need the same workers")
+{
+    constexpr std::size_t shardCount = 100;
+    std::map<std::string, Fleet::ShardOwnerInfo> owners;
+    for (std::size_t number = 0; number < shardCount; ++number) {
+        const std::string shard = "shard-" + std::to_string(number);
+        owners[shard] = ownerInfo(shard, 100'000);
+        owners[shard].load.set_reports_results(true);
+    }
+    Fleet::ShardChooser chooser;
+    chooser.update(owners);
+    // As many steps as a job can have, of two sizes.
+    std::vector<FleetSchema::StepSpec> steps;
+    for (std::uint32_t step = 0; step < Fleet::maxTasksPerJob; ++step)
+        steps.push_back(makeStep(1, step % 2 == 0 ? 2000 : 3000, 100 + step));
+    const FleetSchema::JobSpec job = makeJob("job", steps);
+    CHECK_FALSE(chooser.choose(job, 1).shard.empty());
+    CHECK(chooser.latestSteps() <= Fleet::maxTasksPerJob + 4 * shardCount);
+    CHECK_FALSE(chooser.findForTask("shard-0", job, 0, std::chrono::seconds(3), 1).empty());
+    CHECK(chooser.latestSteps() <= Fleet::maxTasksPerJob + 4 * shardCount);
+}
