--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -105,6 +105,7 @@
     void requestTakeOver(const std::string& shard, const std::string& successor);
     void announceOwnership();
     void updateShardOwners();
+    void requestOwnersUpdate();
     void tick();
     FleetSchema::NodeRecord makeNodeRecord() const;
     std::vector<Fleet::ShardInfo> shardInfos() const;
@@ -145,6 +146,7 @@
     bool hasReclaimedShards_ = false;
     bool isLeaving_ = false;
     bool isStoreLost_ = false;
+    bool isOwnersUpdateRequested_ = false;
     bool isWorkerListCurrent_ = false; //!< The list was read after this node last started to need it.
     std::function<void()> requestWorkerList_;
     std::function<void()> onLeft_;
--- a/src/libs/fleetnode/shardownershipcalls.cpp
+++ b/src/libs/fleetnode/shardownershipcalls.cpp
@@ -4,7 +4,10 @@
 
 #include "utils/log/log.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
+#include <utility>
 
 namespace FleetNode {
 
@@ -16,7 +19,7 @@
             claim(request.shard());
         else
             members_.updateRecord(request.heartbeat());
-        updateShardOwners();
+        requestOwnersUpdate();
         return handler({});
     }
     if (request.has_members())
@@ -40,6 +43,20 @@
     dispatchToHost(*host->second, request, handler);
 }
 
+// When a node is lost, all others announce the shards that they take over, at about the same time. An update
+// examines all nodes and shards, so it follows the calls that have arrived together.
+void ShardOwnership::requestOwnersUpdate()
+{
+    if (std::exchange(isOwnersUpdateRequested_, true))
+        return;
+    boost::asio::post(context_.io, [this, weak = std::weak_ptr<bool>(alive_)] {
+        if (!weak.lock())
+            return;
+        isOwnersUpdateRequested_ = false;
+        updateShardOwners();
+    });
+}
+
 FleetSchema::LeaseReport ShardOwnership::reportLeases(
     const std::string& shard, const FleetSchema::LeaseInquiry& inquiry)
 {
--- a/tests/auto/fleetnode/tst_shardownership.cpp
+++ b/tests/auto/fleetnode/tst_shardownership.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 namespace {
 
 /*! Settings with intervals and timeouts that never expire during a test. */
@@ -115,3 +117,45 @@
     CHECK(fixture.askForLeases("shard-1", "node-1", incarnation, 1).is_known());
     CHECK_FALSE(fixture.askForLeases("shard-2", "node-1", incarnation, 1).is_known());
 }
+
+TEST_CASE("Announcements that arrive together count as one view of the owners")
+{
+    OwnershipFixture fixture;
+    FleetSchema::PeerRequest request;
+    FleetSchema::NodeRecord& node = *request.mutable_heartbeat();
+    node.set_name("node-0");
+    node.set_address("127.0.0.1:1");
+    for (const char* shard : { "shard-1", "shard-2" }) {
+        FleetSchema::ShardLoad& load = *node.add_shards();
+        load.set_shard(shard);
+        load.set_epoch(1);
+        load.set_service("service");
+        load.set_capacity(500'000);
+        load.set_largest_worker(32'000);
+    }
+    const auto announce = [&](int count) {
+        for (int number = 0; number < count; ++number)
+            fixture.ownership.serve(request, [](const FleetSchema::PeerReply&) {});
+        fixture.runReady();
+    };
+    announce(1);
+    REQUIRE(fixture.ownership.ownerAddress("shard-1") == "127.0.0.1:1");
+    // A shard whose owner doesn't answer gets no jobs for three views.
+    fixture.ownership.setOwnerResponsive("shard-1", false);
+    announce(100);
+    FleetSchema::JobSpec job;
+    job.set_service("service");
+    job.add_steps()->set_count(1);
+    for (int number = 0; number < 50; ++number) {
+        job.set_id("job-" + std::to_string(number));
+        CHECK(fixture.ownership.chooseShard(job).shard == "shard-2");
+    }
+    announce(1);
+    announce(1);
+    std::set<std::string> chosen;
+    for (int number = 0; number < 50; ++number) {
+        job.set_id("later-" + std::to_string(number));
+        chosen.insert(fixture.ownership.chooseShard(job).shard);
+    }
+    CHECK(chosen.size() == 2);
+}
