--- a/src/libs/fleet/shardpass.cpp
+++ b/src/libs/fleet/shardpass.cpp
@@ -81,10 +81,14 @@
     Pass pass { FailedSearches(steps_.get()), FailedSearches(steps_.get()), WorkerRanking(passWorkers_), {} };
     const std::vector<Candidate> candidates = rankCandidates(now, nowUnixMs);
     // However long the preparation is, each pass visits some tasks.
-    const std::size_t repetitionLimit = isContinued ? options_.searchStepLimit / 3 : 0;
+    const std::size_t repetitionLimit = isContinued ? options_.searchStepLimit / 6 : 0;
+    steps_->limitFurther(repetitionLimit);
+    if (isContinued && isCapacityFreed_)
+        visitMostUrgent(candidates, now, nowUnixMs, pass);
+    isCapacityFreed_ = false;
     steps_->limitFurther(repetitionLimit);
     repeatVisits(candidates, now, nowUnixMs, pass);
-    steps_->limitFurther(options_.searchStepLimit - repetitionLimit);
+    steps_->limitFurther(options_.searchStepLimit - 2 * repetitionLimit);
     for (const Candidate& candidate : candidates) {
         SweepProgress& progress = candidate.job->sweepProgress[candidate.occurrence];
         if (progress.isCompleteIn(sweep_))
@@ -114,6 +118,18 @@
         worker->toleratedDemand = toleratedDemandShare(*worker, interferenceView(StepKind::Preparation));
 }
 
+// Visits the most urgent occurrences again after capacity has become free, so that it is not left to less
+// urgent ones that the sweep has yet to visit.
+void ShardScheduler::visitMostUrgent(
+    std::span<const Candidate> candidates, Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass)
+{
+    for (const Candidate& candidate : candidates) {
+        SweepProgress visit { sweep_ };
+        if (steps_->isSpent() || !assignOccurrence(candidate, visit, now, nowUnixMs, pass))
+            return;
+    }
+}
+
 // Visits occurrences again in which tasks have begun to wait since their visit. The rest of the sweep has its
 // own steps, so that it ends also if tasks begin to wait all the time.
 void ShardScheduler::repeatVisits(
@@ -141,7 +157,7 @@
 }
 
 // Returns the occurrences that the sweep has not visited completely or is to visit again, the most urgent
-// first.
+// first; all of them if capacity has become free.
 std::vector<ShardScheduler::Candidate> ShardScheduler::rankCandidates(
     Utils::TimePoint now, std::int64_t nowUnixMs)
 {
@@ -152,7 +168,7 @@
             continue;
         for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence) {
             steps_->spend(StepKind::Preparation, 1);
-            const bool isVisited = job->sweepProgress[occurrence].isCompleteIn(sweep_)
+            const bool isVisited = !isCapacityFreed_ && job->sweepProgress[occurrence].isCompleteIn(sweep_)
                 && !job->repeatedVisits[occurrence].isBegunIn(sweep_);
             if (!isVisited && job->dueUnixMs(occurrence) <= nowUnixMs)
                 candidates.push_back(
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -46,6 +46,7 @@
             output_.capacityChanged({ info.id, former, worker.capacity(), worker.committed });
     }
     workersReadAt_ = readAt.value_or(now);
+    isCapacityFreed_ = true;
     std::erase_if(workers_, [now](const auto& entry) { return entry.second->isObsolete(now); });
     isScheduleDue_ = true;
 }
@@ -166,6 +167,7 @@
     removeAttempt(task, *task.worker);
     onTasksChanged(*task.worker);
     task.worker = nullptr;
+    isCapacityFreed_ = true;
     isScheduleDue_ = true;
 }
 
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -336,6 +336,8 @@
     void assign(Task& task, Worker& worker, Utils::TimePoint now);
     void beginSweep(Utils::TimePoint now);
     std::vector<Candidate> rankCandidates(Utils::TimePoint now, std::int64_t nowUnixMs);
+    void visitMostUrgent(
+        std::span<const Candidate> candidates, Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass);
     void repeatVisits(
         std::span<const Candidate> candidates, Utils::TimePoint now, std::int64_t nowUnixMs, Pass& pass);
     void visitAgain(Job& job, std::uint32_t occurrence) const;
@@ -479,6 +481,7 @@
     std::uint64_t sweep_ = 0; //!< Number of the latest sweep over the waiting tasks.
     Utils::TimePoint sweepStartedAt_ {};
     bool isSweepUnfinished_ = false;
+    bool isCapacityFreed_ = false; //!< Since the latest pass.
     bool hasWaitingTasks_ = false; //!< The latest sweep has left tasks without a worker.
     bool isScheduleDue_ = false; //!< Work or free capacity has changed since the latest sweep began.
 
