--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -61,6 +61,7 @@
         ++group.count;
     }
     std::vector<StepGroup> result;
+    result.reserve(groups.size());
     for (const auto& [needs, group] : groups)
         result.push_back(group);
     return result;
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -88,7 +88,7 @@
 
 std::optional<RecordBatch> ShardScheduler::beginCommit(std::int64_t nowUnixMs)
 {
-    callSteps_ = StepBudget();
+    beginCall(0);
     collectExpiredJobs(nowUnixMs);
     if (!hasChanges()) {
         callSteps_.spend(StepKind::Calls, workers_.size());
--- a/src/libs/fleet/shardload.cpp
+++ b/src/libs/fleet/shardload.cpp
@@ -32,8 +32,7 @@
     load.set_reports_results(true);
     load.set_hosts_gang_parts(true);
     *load.mutable_worker_kinds() = workerKinds_.worker_kinds();
-    callSteps_ = StepBudget();
-    callSteps_.spend(StepKind::Calls, workers_.size() + jobs_.size());
+    beginCall(workers_.size() + jobs_.size());
     for (const auto& [id, worker] : workers_) {
         // A quarantined worker counts while it may be probed: if all were left out, no job would be accepted
         // that could be the probe.
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -75,8 +75,7 @@
     Worker* worker = findWorker(id);
     if (!worker)
         return;
-    callSteps_ = StepBudget();
-    callSteps_.spend(StepKind::Calls, 1 + report.ended.size() + report.running.size() + worker->tasks.size());
+    beginCall(1 + report.ended.size() + report.running.size() + worker->tasks.size());
     const bool isBack = !worker->isResponsive || report.startedUnixMs != worker->bornMs;
     if (report.startedUnixMs != worker->bornMs) {
         if (worker->bornMs != 0) {
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -32,8 +32,7 @@
 void ShardScheduler::setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint now,
     std::optional<Utils::TimePoint> readAt)
 {
-    callSteps_ = StepBudget();
-    callSteps_.spend(StepKind::Calls, 2 * workers_.size());
+    beginCall(2 * workers_.size());
     for (auto& [id, worker] : workers_)
         worker->isListed = false;
     workerKinds_.Clear();
@@ -286,6 +285,13 @@
     output_.stopAttempt(task.worker->info.id, keyOf(task), task.attempt);
 }
 
+// Begins to count the steps of a call.
+void ShardScheduler::beginCall(std::size_t steps) const
+{
+    callSteps_ = StepBudget();
+    callSteps_.spend(StepKind::Calls, steps);
+}
+
 Job* ShardScheduler::findJob(std::string_view id)
 {
     const auto found = jobs_.find(id);
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -330,6 +330,7 @@
 
     void restoreTask(Task& task, const FleetSchema::TaskRecord& stored, Utils::TimePoint now);
     void restoreAttempt(Task& task, const FleetSchema::TaskRecord& stored, Utils::TimePoint now);
+    void beginCall(std::size_t steps) const;
     Job* findJob(std::string_view id);
     Job& ensureHostedJob(
         const FleetSchema::JobSpec& spec, const std::string& originShard, Utils::TimePoint now);
