--- a/src/tools/gqemulate/emulatedfleet.cpp
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -7,16 +7,12 @@
 
 namespace {
 
-constexpr std::size_t shardCount = 3;
 constexpr std::size_t nodeCount = 5;
-constexpr std::size_t workersPerShard = 8;
-constexpr std::int64_t tickMs = 10;
 constexpr std::int64_t heartbeatIntervalMs = 700;
 constexpr std::int64_t planningIntervalMs = 100;
 constexpr std::int64_t checkIntervalMs = 100;
 constexpr std::int64_t callTimeoutMs = 1000;
 constexpr std::int64_t callerRetryMs = 300;
-constexpr int callerAttempts = 60;
 constexpr int callLossPercent = 1;
 constexpr int faultyCallLossPercent = 40;
 constexpr std::int64_t maxStopDurationMs = 180;
@@ -26,7 +22,8 @@
 bool isNormalOperation(FleetFaultKind kind)
 {
     return kind == FleetFaultKind::Replacement || kind == FleetFaultKind::ShardLoss
-        || kind == FleetFaultKind::EntryLapse || kind == FleetFaultKind::CapacityShrink;
+        || kind == FleetFaultKind::EntryLapse || kind == FleetFaultKind::CapacityShrink
+        || kind == FleetFaultKind::Departure;
 }
 
 } // namespace
@@ -34,17 +31,18 @@
 EmulatedFleet::EmulatedFleet(const FleetScenario& scenario)
     : scenario_(scenario)
     , time_(scenario.seed * 7919 + 13)
-    , platform_(time_, shardCount, workersPerShard, scenario.variant != FleetVariant::NoEpochFencing)
+    , platform_(time_, scenario.shardCount, scenario.workersPerShard,
+          scenario.variant != FleetVariant::NoEpochFencing)
     , workload_(time_, scenario.hasDeadlyTasks, scenario.hasHopelessTasks)
     , waitChecker_(platform_)
     , nodes_(nodeCount)
-    , shards_(shardCount)
+    , shards_(scenario.shardCount)
 {
     if (scenario.hasWorkerDisturbances)
         platform_.setStopDurationLimit(maxStopDurationMs);
     if (scenario.hasSilentDepartures)
         platform_.setSilentDepartures();
-    for (std::size_t shard = 0; shard < shardCount; ++shard) {
+    for (std::size_t shard = 0; shard < shards_.size(); ++shard) {
         shards_[shard].record = EmulatedOwnerRow::releasedRow();
         claim(shard, shard);
     }
@@ -78,19 +76,30 @@
         checker_.onCrashedUnder(worker->simulated.newlyCrashedUnder);
         worker->simulated.newlyCrashedUnder.clear();
         checker_.onEnded(worker->simulated.newlyEnded);
+        checkLeases(*worker);
         worker->simulated.newlyEnded.clear();
         checker_.onAcknowledged(worker->simulated.newlyAcknowledged);
         worker->simulated.newlyAcknowledged.clear();
         workers.push_back(&worker->simulated);
     }
     submitJobs();
+    submitFullLoad();
     for (std::size_t node = 0; node < nodeCount; ++node) {
         if ((nowMs + static_cast<std::int64_t>(node) * 130) % heartbeatIntervalMs == 0)
+            nodes_[node].isHeartbeatDue = true;
+        if (nodes_[node].isHeartbeatDue && nodes_[node].busyMs(nowMs) == 0) {
+            nodes_[node].isHeartbeatDue = false;
             heartbeat(node);
+        }
     }
     if (nowMs % planningIntervalMs == 0)
         planOwnership();
-    const std::vector<std::shared_ptr<EmulatedOwner>> owners = owners_;
+    std::vector<std::shared_ptr<EmulatedOwner>> owners = owners_;
+    // Owners of one node take turns.
+    if (scenario_.processor.isCharged() && !owners.empty()) {
+        const auto first = (nowMs / tickMs) % static_cast<std::int64_t>(owners.size());
+        std::rotate(owners.begin(), owners.begin() + first, owners.end());
+    }
     for (const auto& owner : owners)
         owner->advance();
     std::erase_if(owners_, [](const auto& owner) { return owner->isClosed(); });
@@ -118,7 +127,7 @@
         activeFaults_ += isActive ? 1 : -1;
         lastFaultMs_ = nowMs();
     }
-    const std::size_t shard = fault.target % shardCount;
+    const std::size_t shard = fault.target % shards_.size();
     const std::shared_ptr<EmulatedOwner> owner = shards_[shard].owner;
     switch (fault.kind) {
     case FleetFaultKind::NodeKill: {
@@ -227,17 +236,19 @@
             const std::shared_ptr<EmulatedOwner> owner = ownerKnownTo(node, shard);
             if (!owner)
                 return;
-            deliver(*owner, [this, node, shard, isAnswered, onAnswer](const Fleet::JobAnswer& answer) {
-                if (isCallLost())
-                    return;
-                time_.schedule(time_.latencyMs(), [this, node, shard, isAnswered, onAnswer, answer] {
-                    if (*isAnswered)
-                        return;
-                    *isAnswered = true;
-                    nodes_[node].chooser.setOwnerResponsive(shard, true);
-                    onAnswer(answer);
-                });
-            });
+            const auto answerCall
+                = [this, node, shard, isAnswered, onAnswer](const Fleet::JobAnswer& answer) {
+                      if (isCallLost())
+                          return;
+                      time_.schedule(time_.latencyMs(), [this, node, shard, isAnswered, onAnswer, answer] {
+                          if (*isAnswered)
+                              return;
+                          *isAnswered = true;
+                          nodes_[node].chooser.setOwnerResponsive(shard, true);
+                          onAnswer(answer);
+                      });
+                  };
+            owner->runWhenFree([called = owner.get(), deliver, answerCall] { deliver(*called, answerCall); });
         });
 }
 
@@ -276,7 +287,7 @@
 {
     constexpr std::int64_t ticksPerJob = 30;
     constexpr std::int64_t jobsPerCancel = 10;
-    if (nowMs() < 1500 || nowMs() > fleetSubmissionEndMs || time_.random(ticksPerJob) != 0)
+    if (nowMs() < 1500 || nowMs() > scenario_.submissionEndMs || time_.random(ticksPerJob) != 0)
         return;
     const FleetSchema::JobSpec spec = workload_.makeJob();
     const std::size_t node = static_cast<std::size_t>(time_.random(nodeCount));
@@ -347,7 +358,7 @@
     updateShardStates();
     std::vector<WaitChecker::ShardState> states;
     std::vector<WaitChecker::JobView> jobs;
-    for (std::size_t number = 0; number < shardCount; ++number) {
+    for (std::size_t number = 0; number < shards_.size(); ++number) {
         states.push_back(
             { shards_[number].ableSinceMs >= 0, &shards_[number].changes, &shards_[number].rows });
         for (const auto& [id, record] : shards_[number].rows) {
@@ -362,7 +373,7 @@
 
 void EmulatedFleet::checkEnd()
 {
-    for (std::size_t number = 0; number < shardCount; ++number) {
+    for (std::size_t number = 0; number < shards_.size(); ++number) {
         for (const auto& [id, record] : shards_[number].rows) {
             const bool isActive
                 = record.state() == FleetSchema::JOB_QUEUED || record.state() == FleetSchema::JOB_RUNNING;
@@ -379,6 +390,9 @@
     result.violations = checker_.violations();
     const auto& waits = waitChecker_.violations();
     result.violations.insert(result.violations.end(), waits.begin(), waits.end());
+    result.violations.insert(result.violations.end(), ownerViolations_.begin(), ownerViolations_.end());
+    result.mostWaiting = waitChecker_.mostWaiting();
+    result.longestPassSteps = longestPassSteps_;
     result.excusedWaits = waitChecker_.excusedCount();
     result.longestExcused = waitChecker_.longestExcused();
     result.unfinished = waitChecker_.unfinishedCount();
--- a/src/tools/gqemulate/emulatedfleet.h
+++ b/src/tools/gqemulate/emulatedfleet.h
@@ -11,6 +11,7 @@
 
 #include "fleet/scheduleroutput.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -18,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Emulate {
@@ -110,6 +112,9 @@
     std::optional<Ports::CommandReply> startOnWorker(
         const std::string& worker, const Ports::StartCommand& command, std::size_t shard);
 
+    /*! Records the steps of a pass or tick. */
+    void onPass(std::size_t steps) { longestPassSteps_ = std::max(longestPassSteps_, steps); }
+
     void countDelegation() { ++delegationCount_; }
 
     static std::string shardName(std::size_t shard) { return "shard" + std::to_string(shard); }
@@ -120,6 +125,17 @@
     // The store's clock must not start at 0, which stands for an unknown time.
     static constexpr std::int64_t storeClockOriginMs = 1'000'000;
 
+    static constexpr std::int64_t tickMs = 10;
+    static constexpr int callerAttempts = 60;
+
+    /*! Requested or offered resources. */
+    struct Demand {
+        std::int64_t milliProcessors = 0;
+        std::int64_t memoryMb = 0;
+
+        void add(const FleetSchema::StepSpec& step, std::int64_t factor);
+    };
+
     struct StoredShard {
         std::map<std::string, FleetSchema::JobRecord> rows;
         FleetSchema::ShardRecord record; //!< The owner row.
@@ -140,6 +156,12 @@
     bool canAct(std::size_t node) const;
     std::shared_ptr<EmulatedOwner> ownerKnownTo(std::size_t node, const std::string& shard) const;
     void submitJobs();
+    void submitFullLoad();
+    void cancelExcess();
+    Demand usableCapacity() const;
+    bool isJudgingOwners() const;
+    void checkLeases(const FleetWorker& worker);
+    void checkTakeover(const EmulatedOwner& former);
     void forwardSubmission(const FleetSchema::JobSpec& spec, const std::string& shard, int attempts);
     void cancelLater(const std::string& job, const std::string& shard, std::int64_t delayMs);
     void checkWaits();
@@ -155,6 +177,10 @@
     std::vector<EmulatedNode> nodes_;
     std::vector<StoredShard> shards_;
     std::vector<std::shared_ptr<EmulatedOwner>> owners_; //!< All owners that have not closed.
+    std::vector<std::pair<FleetSchema::JobSpec, std::string>> fullLoadJobs_; //!< With their shards.
+    Demand fullLoad_; //!< Of these jobs.
+    std::vector<std::string> ownerViolations_;
+    std::size_t longestPassSteps_ = 0;
     std::set<std::string> accepted_; //!< Jobs whose acceptance was answered.
     std::set<std::string> cancelled_; //!< Jobs whose cancellation was requested.
     std::int64_t lastFaultMs_ = -100'000; //!< Latest time at which a fault was active.
--- a/src/tools/gqemulate/emulatednode.h
+++ b/src/tools/gqemulate/emulatednode.h
@@ -3,6 +3,7 @@
 #include "fleet/shardchooser.h"
 #include "fleet/taillatencymodel.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -18,9 +19,26 @@
     std::vector<FleetSchema::ShardLoad> heartbeat; //!< Loads in the node's row of the store.
     std::int64_t heartbeatMs = 0; //!< Time of the latest heartbeat.
     std::int64_t frozenUntilMs = 0;
+    std::int64_t busyUntilNs = 0; //!< End of the passes that occupy its event loop.
+    bool isHeartbeatDue = false;
     std::uint64_t incarnation = 1; //!< Number of the node's process.
     bool isUp = true;
     bool isStoreReachable = true;
+
+    /*! Occupies the event loop from \p nowMs, or from the end of what occupies it then. */
+    void occupy(std::int64_t timeNs, std::int64_t nowMs)
+    {
+        busyUntilNs = std::max(busyUntilNs, nowMs * nsPerMs) + timeNs;
+    }
+
+    /*! \return the whole milliseconds for which the event loop is occupied. */
+    std::int64_t busyMs(std::int64_t nowMs) const
+    {
+        return std::max<std::int64_t>(0, (busyUntilNs - nowMs * nsPerMs) / nsPerMs);
+    }
+
+private:
+    static constexpr std::int64_t nsPerMs = 1'000'000;
 };
 
 } // namespace Emulate
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -3,6 +3,7 @@
 #include "emulatedfleet.h"
 
 #include <iostream>
+#include <limits>
 
 namespace Emulate {
 
@@ -13,11 +14,6 @@
 constexpr std::int64_t pollIntervalMs = 250;
 constexpr std::int64_t pollRetryDelayMs = 300;
 constexpr std::int64_t workerTimeoutMs = 700;
-constexpr std::int64_t housekeepingIntervalMs = 100;
-// Interval in which the list of workers is read in scenarios with worker disturbances.
-constexpr std::int64_t listIntervalMs = 800;
-constexpr std::int64_t minCommitIntervalMs = 40;
-constexpr std::int64_t ownershipRenewalMs = 2000;
 
 Fleet::SchedulerOptions optionsFor(FleetVariant variant, std::size_t shard)
 {
@@ -31,6 +27,11 @@
     options.interferenceLimit = milliseconds(4000);
     options.availabilityDelay = milliseconds(5500);
     options.workerListLimit = milliseconds(3500);
+    if (variant == FleetVariant::UnboundedSearches) {
+        options.searchStepLimit = std::numeric_limits<std::size_t>::max();
+        options.relocationStepLimit = std::numeric_limits<std::size_t>::max();
+        options.tickStepLimit = std::numeric_limits<std::size_t>::max();
+    }
     if (variant == FleetVariant::NoLeaseWait) {
         options.orphanGrace = {};
         options.workerLeaseLimit = {};
@@ -52,20 +53,35 @@
 
 EmulatedOwner::~EmulatedOwner() = default;
 
-// Runs the function unless the ownership has ended; a frozen node runs it when it thaws.
+// Runs the function unless the ownership has ended; a frozen node runs it when it thaws, and one whose event
+// loop is occupied by a pass after that.
 void EmulatedOwner::runLater(std::int64_t delayMs, std::function<void()> function)
 {
     fleet_.time().schedule(delayMs, [weak = weak_from_this(), function = std::move(function)] {
         const auto self = weak.lock();
         if (!self || self->isClosed_)
             return;
-        const std::int64_t frozenMs = self->fleet_.node(self->node_).frozenUntilMs - self->fleet_.nowMs();
-        if (frozenMs > 0)
-            return self->runLater(frozenMs, function);
+        const std::int64_t nowMs = self->fleet_.nowMs();
+        const EmulatedNode& node = self->fleet_.node(self->node_);
+        const std::int64_t waitMs = std::max(node.frozenUntilMs - nowMs, node.busyMs(nowMs));
+        if (waitMs > 0)
+            return self->runLater(waitMs, function);
         function();
     });
 }
 
+void EmulatedOwner::runWhenFree(std::function<void()> function)
+{
+    if (!isBusy())
+        return function();
+    runLater(fleet_.node(node_).busyMs(fleet_.nowMs()), std::move(function));
+}
+
+bool EmulatedOwner::isBusy() const
+{
+    return fleet_.node(node_).busyMs(fleet_.nowMs()) > 0;
+}
+
 void EmulatedOwner::close()
 {
     if (isClosed_)
@@ -84,102 +100,6 @@
     return load;
 }
 
-void EmulatedOwner::advance()
-{
-    const std::int64_t nowMs = fleet_.nowMs();
-    if (!isServing() || fleet_.node(node_).frozenUntilMs > nowMs)
-        return;
-    if (nowMs % housekeepingIntervalMs == 0) {
-        if (fleet_.isStoreReachable(node_))
-            readWorkerList();
-        if (scheduler_->countUnconfirmedAttempts() > 0)
-            askFormerOwner();
-        scheduler_->onTick(fleet_.time().now(), nowMs);
-        std::erase_if(
-            nextPollMs_, [this](const auto& entry) { return !scheduler_->knowsWorker(entry.first); });
-    }
-    pollWorkers();
-    if (!isCommitting_ && nowMs >= nextRoundMs_)
-        commit();
-}
-
-void EmulatedOwner::readWorkerList()
-{
-    const std::int64_t nowMs = fleet_.nowMs();
-    if (fleet_.scenario().hasWorkerDisturbances && listReadMs_ >= 0 && nowMs - listReadMs_ < listIntervalMs)
-        return;
-    listReadMs_ = nowMs;
-    const std::vector<Ports::WorkerInfo> listed = fleet_.platform().listWorkers(shard_);
-    scheduler_->setWorkers(listed, fleet_.time().now());
-    for (const Ports::WorkerInfo& info : listed)
-        nextPollMs_.try_emplace(info.id, nowMs);
-    for (const Ports::WorkerInfo& info : scheduler_->unlistedWorkers())
-        nextPollMs_.try_emplace(info.id, nowMs);
-}
-
-void EmulatedOwner::commit()
-{
-    const std::int64_t nowMs = fleet_.nowMs();
-    if (!isReleasing_)
-        scheduler_->schedule(fleet_.time().now(), nowMs);
-    std::optional<Fleet::RecordBatch> batch = scheduler_->beginCommit(nowMs);
-    const bool isLast = isReleasing_ && !scheduler_->hasChanges() && !(batch && batch->hasStarts);
-    const Utils::TimePoint now = fleet_.time().now();
-    if (!batch && !isLast && !scheduler_->isLeaseStatementDue(now)
-        && nowMs - confirmedMs_ < ownershipRenewalMs)
-        return;
-    isCommitting_ = true;
-    isReleaseSent_ = isLast;
-    if (isLast)
-        scheduler_->setStartRightEnd(Utils::TimePoint::min());
-    nextRoundMs_ = nowMs + minCommitIntervalMs;
-    row_.prepare(isLast ? scheduler_->leaseEnds() : scheduler_->stateLeaseEnds(now), isLast, now);
-    firstSentMs_ = nowMs;
-    auto shared = std::make_shared<Fleet::RecordBatch>(batch.value_or(Fleet::RecordBatch()));
-    storeBatch(shared, isLast);
-}
-
-// A transaction that cannot reach the store, or whose answer is lost, is repeated until its outcome is known.
-// The row states the time at which it was sent, so that a repeated one states a later time.
-void EmulatedOwner::storeBatch(const std::shared_ptr<Fleet::RecordBatch>& batch, bool isLast)
-{
-    const std::int64_t sentMs = fleet_.nowMs();
-    const Utils::TimePoint sentAt = fleet_.time().now();
-    const auto record = std::make_shared<FleetSchema::ShardRecord>(row_.dated(sentAt));
-    const auto retry = [this, batch, isLast] { storeBatch(batch, isLast); };
-    runLater(4 + fleet_.time().random(10), [this, batch, isLast, sentMs, sentAt, record, retry] {
-        if (!fleet_.isStoreReachable(node_))
-            return runLater(storeRetryMs, retry);
-        const EmulatedFleet::StoreOutcome outcome = fleet_.store(shard_, *record, *batch);
-        if (outcome == EmulatedFleet::StoreOutcome::TakenOver)
-            return close();
-        const std::int64_t storeMs = fleet_.storeMs();
-        // Which copy was stored is unknown after a lost answer.
-        const std::int64_t confirmedMs
-            = outcome == EmulatedFleet::StoreOutcome::Stored ? sentMs : firstSentMs_;
-        runLater(2 + fleet_.time().random(10), [this, isLast, confirmedMs, storeMs, sentAt, retry] {
-            if (!fleet_.isStoreReachable(node_))
-                return runLater(storeRetryMs, retry);
-            row_.onAnswer(storeMs, sentAt, fleet_.time().now());
-            onStored(isLast, confirmedMs);
-        });
-    });
-}
-
-void EmulatedOwner::onStored(bool isLast, std::int64_t confirmedMs)
-{
-    isCommitting_ = false;
-    confirmedMs_ = confirmedMs;
-    const Utils::TimePoint now = fleet_.time().now();
-    scheduler_->setStartRightEnd(
-        now + milliseconds(confirmedMs + EmulatedOwnerRow::renewalMs - fleet_.nowMs()));
-    scheduler_->onCommitted(now);
-    if (isLast) {
-        close();
-        fleet_.onReleased(shard_, node_);
-    }
-}
-
 void EmulatedOwner::pollWorkers()
 {
     for (auto& [id, nextMs] : nextPollMs_) {
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -46,6 +46,9 @@
     /*! Ends this ownership without further effects. */
     void close();
 
+    /*! Runs a function, which ends with the ownership, once the node's event loop is free. */
+    void runWhenFree(std::function<void()> function);
+
     /*! Answers with the outcome of a call; \p handler runs once the change is stored. */
     void submit(const FleetSchema::JobSpec& spec, AnswerHandler handler);
     void cancel(const std::string& job, AnswerHandler handler);
@@ -105,7 +108,11 @@
     void readWorkerList();
     void pollWorkers();
     void poll(const std::string& id);
+    void tick();
+    void chargePass();
+    bool isBusy() const;
     void commit();
+    void sendCommit();
     void storeBatch(const std::shared_ptr<Fleet::RecordBatch>& batch, bool isLast);
     void onStored(bool isLast, std::int64_t confirmedMs);
     std::int64_t ignoredStatementLease(const std::string& worker, const Fleet::PollPlan& plan);
@@ -130,6 +137,7 @@
     bool isReleasing_ = false;
     bool isReleaseSent_ = false;
     bool isCommitting_ = false;
+    bool isTickDue_ = false;
     std::int64_t loadedMs_ = 0;
     std::int64_t listReadMs_ = -1; //!< Time at which the list of workers was last read; -1: never.
     std::int64_t nextQuestionMs_ = 0; //!< To the former owner.
--- a/src/tools/gqemulate/emulatedplatform.cpp
+++ b/src/tools/gqemulate/emulatedplatform.cpp
@@ -105,6 +105,8 @@
         return isActive ? cutOffWorkers(fault) : void();
     if (fault.kind == FleetFaultKind::WorkersFailing)
         return isActive ? failWorkers(fault) : void();
+    if (fault.kind == FleetFaultKind::Departure)
+        return isActive ? drainWorkers(fault) : void();
     if (fault.kind == FleetFaultKind::WorkerCrashes || fault.kind == FleetFaultKind::CapacityShrink) {
         if (!isActive)
             return;
@@ -268,6 +270,16 @@
     }
 }
 
+void EmulatedPlatform::drainWorkers(const FleetFault& fault)
+{
+    for (std::size_t shard = 0; shard < shardCount_; ++shard) {
+        for (FleetWorker* worker : stableWorkers(shard)) {
+            if (time_.happens(fault.workerPercent))
+                drain(*worker);
+        }
+    }
+}
+
 void EmulatedPlatform::advance()
 {
     const std::int64_t nowMs = time_.nowMs();
--- a/src/tools/gqemulate/emulatedplatform.h
+++ b/src/tools/gqemulate/emulatedplatform.h
@@ -90,6 +90,7 @@
     void shrinkCapacities(const FleetFault& fault);
     void cutOffWorkers(const FleetFault& fault);
     void failWorkers(const FleetFault& fault);
+    void drainWorkers(const FleetFault& fault);
     void replaceWorkers(const FleetFault& fault, bool isActive);
     void setWorkerFaultActive(FleetWorker& worker, FleetFaultKind kind, bool isActive);
     std::vector<FleetWorker*> stableWorkers(std::size_t shard);
--- a/src/tools/gqemulate/emulatedtakeovers.cpp
+++ b/src/tools/gqemulate/emulatedtakeovers.cpp
@@ -45,6 +45,8 @@
         for (std::size_t offset = 0; offset < nodes_.size(); ++offset) {
             const std::size_t node = (first + offset) % nodes_.size();
             if (canAct(node) && (!owner || owner->node() != node || owner->isClosed())) {
+                if (owner)
+                    checkTakeover(*owner);
                 claim(shard, node);
                 break;
             }
@@ -110,7 +112,8 @@
     // The question makes a former owner give up the shard, which fencing does as well.
     if (isCallLost() || scenario_.variant == FleetVariant::NoEpochFencing)
         return;
-    time_.schedule(time_.latencyMs(), [this, former, onAnswer = std::move(onAnswer)] {
+    const std::int64_t busyMs = nodes_[former->node()].busyMs(nowMs());
+    time_.schedule(time_.latencyMs() + busyMs, [this, former, onAnswer = std::move(onAnswer)] {
         const EmulatedNode& node = nodes_[former->node()];
         if (!node.isUp || node.frozenUntilMs > nowMs())
             return;
--- a/src/tools/gqemulate/fleetscenario.cpp
+++ b/src/tools/gqemulate/fleetscenario.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::int64_t dayMs = 100'000;
 constexpr std::int64_t faultEndMs = 68'000;
 constexpr std::int64_t tickMs = 10;
 
@@ -190,7 +189,7 @@
 FleetResult runFleetScenario(const FleetScenario& scenario)
 {
     EmulatedFleet fleet(scenario);
-    for (std::int64_t nowMs = tickMs; nowMs < dayMs; nowMs += tickMs)
+    for (std::int64_t nowMs = tickMs; nowMs < scenario.dayMs; nowMs += tickMs)
         fleet.advance(nowMs);
     fleet.checkEnd();
     return fleet.result();
@@ -216,7 +215,7 @@
         "node cut off from the store", "calls between nodes lost", "workers replaced",
         "shard without workers", "worker's entry absent", "worker crashes", "worker cut off",
         "worker fails everything", "store down", "workers crash", "capacities shrink",
-        "workers cut off with refusals", "workers fail what they start" };
+        "workers cut off with refusals", "workers fail what they start", "workers leave" };
     return std::string(names[static_cast<std::size_t>(fault.kind)]) + " at " + std::to_string(fault.startMs)
         + " ms for " + std::to_string(fault.durationMs) + " ms (target " + std::to_string(fault.target)
         + ", count " + std::to_string(fault.count) + ", capacity " + std::to_string(fault.capacityPercent)
--- a/src/tools/gqemulate/fleetscenario.h
+++ b/src/tools/gqemulate/fleetscenario.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ownerprocessor.h"
 #include "scenario.h"
 
 #include <cstdint>
@@ -25,6 +26,7 @@
     CapacityShrink, //!< Workers of a shard offer a share of their capacity only.
     WorkersCutOff, //!< Workers of a shard run on, while calls to them are refused and their entries lapse.
     WorkersFailing, //!< Some workers of all shards fail what they start, with a probability.
+    Departure, //!< Some workers of all shards drain and leave, and no others start.
 };
 
 /*! A fault injected into a fleet scenario. */
@@ -49,6 +51,7 @@
     LeaseWaitFromTakeover, //!< A successor does not know when and what the former owner last wrote.
     IgnoredLeaseStatement, //!< An owner renews leases beyond the ends that it has stated.
     NoProbesByFailedTasks, //!< Tasks that have failed do not start on quarantined workers.
+    UnboundedSearches, //!< No number of steps ends a search.
 };
 
 //! Time after which no more jobs are handed in.
@@ -63,6 +66,13 @@
     bool hasDeadlyTasks = false; //!< Some jobs have a task that crashes each worker that starts it.
     bool hasHopelessTasks = false; //!< More tasks fail always, and more failures are allowed.
     bool hasSilentDepartures = false; //!< Calls to workers that have left are not refused.
+    OwnerProcessor processor; //!< Processor time of the passes of owners.
+    std::size_t shardCount = 3;
+    std::size_t workersPerShard = 8;
+    //! Long-running tasks that are handed in at the start, in percent of the capacity; 0: none.
+    int longRunningLoadPercent = 0;
+    std::int64_t submissionEndMs = fleetSubmissionEndMs;
+    std::int64_t dayMs = 100'000;
     std::string traceJob; //!< Job whose events are printed; empty: none.
 };
 
@@ -81,6 +91,8 @@
     std::size_t starts = 0;
     std::size_t delegations = 0; //!< Calls that delegate a task, with repeated ones.
     std::size_t unfinished = 0;
+    std::size_t longestPassSteps = 0; //!< Steps of the longest pass or tick of an owner.
+    std::int64_t mostWaiting = 0; //!< Greatest number of long-running tasks that waited at one moment.
     std::size_t excusedWaits = 0; //!< Waits beyond the bound that the rules allow.
     ExcusedWait longestExcused;
 };
--- a/src/tools/gqemulate/fleetworkload.cpp
+++ b/src/tools/gqemulate/fleetworkload.cpp
@@ -2,9 +2,11 @@
 
 #include "deadlytask.h"
 
+#include <array>
+
 namespace Emulate {
 
-FleetSchema::JobSpec FleetWorkload::makeJob()
+FleetSchema::JobSpec FleetWorkload::makeEmptyJob()
 {
     FleetSchema::JobSpec spec;
     spec.set_id("j" + std::to_string(nextNumber_++));
@@ -14,6 +16,26 @@
     spec.set_slack_factor(2);
     spec.set_target_ms(500);
     spec.set_priority(static_cast<std::int32_t>(time_.random(3)));
+    return spec;
+}
+
+FleetSchema::JobSpec FleetWorkload::makeLongRunningJob()
+{
+    constexpr std::array<std::int64_t, 6> sizes { 500, 1000, 1500, 3000, 5000, 8000 };
+    FleetSchema::JobSpec spec = makeEmptyJob();
+    addLongRunningStep(spec);
+    FleetSchema::StepSpec& step = *spec.mutable_steps(0);
+    // Few steps request the same, so that a search says nothing about other steps.
+    step.set_milli_processors(
+        sizes[static_cast<std::size_t>(time_.random(sizes.size()))] + 10 * time_.random(50));
+    step.set_memory_mb(step.milli_processors() * (1 + time_.random(4)));
+    specs_[spec.id()] = spec;
+    return spec;
+}
+
+FleetSchema::JobSpec FleetWorkload::makeJob()
+{
+    FleetSchema::JobSpec spec = makeEmptyJob();
     const std::int64_t kind = time_.random(20);
     if (kind < longRunningShare_)
         addLongRunningStep(spec);
--- a/src/tools/gqemulate/fleetworkload.h
+++ b/src/tools/gqemulate/fleetworkload.h
@@ -29,6 +29,9 @@
     /*! \return a new job of a random kind. */
     FleetSchema::JobSpec makeJob();
 
+    /*! \return a new job of long-running tasks of a random size. */
+    FleetSchema::JobSpec makeLongRunningJob();
+
     /*! \return the job with this identifier, which must exist. */
     const FleetSchema::JobSpec& spec(const std::string& job) const { return specs_.at(job); }
 
@@ -36,6 +39,7 @@
     TaskBehavior behavior(const Ports::TaskKey& task) const;
 
 private:
+    FleetSchema::JobSpec makeEmptyJob();
     void addLongRunningStep(FleetSchema::JobSpec& spec);
     void addBestEffortStep(FleetSchema::JobSpec& spec);
     void addSteps(FleetSchema::JobSpec& spec);
--- a/src/tools/gqemulate/main.cpp
+++ b/src/tools/gqemulate/main.cpp
@@ -1,4 +1,5 @@
 #include "fleetscenario.h"
+#include "fullshardscenario.h"
 #include "scenario.h"
 
 #include <getopt.h>
@@ -24,6 +25,12 @@
     bool hasDeadlyTasks = true;
     bool hasCuts = false;
     bool hasFailures = false;
+    bool hasFullShards = false;
+    std::int64_t stepNs = Emulate::OwnerProcessor::defaultStepNs;
+    double processorShare = 0; //!< 0: as drawn for the day.
+    std::size_t shardCount = 0; //!< 0: as usual.
+    std::size_t workersPerShard = 0; //!< 0: as drawn for the day.
+    int loadPercent = 0; //!< 0: as drawn for the day.
     Emulate::FleetVariant variant = Emulate::FleetVariant::Complete;
     std::string traceJob;
 };
@@ -37,6 +44,7 @@
     { "wait-from-takeover", Emulate::FleetVariant::LeaseWaitFromTakeover },
     { "ignored-statement", Emulate::FleetVariant::IgnoredLeaseStatement },
     { "no-failed-probes", Emulate::FleetVariant::NoProbesByFailedTasks },
+    { "unbounded-searches", Emulate::FleetVariant::UnboundedSearches },
 };
 
 /*! Sums over several days. */
@@ -48,6 +56,8 @@
     std::size_t excusedWaits = 0;
     Emulate::ExcusedWait longestExcused;
     std::uint64_t longestExcusedSeed = 0;
+    std::size_t longestPassSteps = 0;
+    std::int64_t mostWaiting = 0;
     std::size_t violatedScenarios = 0;
 };
 
@@ -57,6 +67,8 @@
         << "Usage: gqemulate [--fleet] [--waves] [--owner-loss] [--stated-lease]\n"
         << "                 [--variant NAME] [--seed N] [--days N] [--calm]\n"
         << "                 [--no-deadly] [--no-crashes] [--cuts] [--failures]\n"
+        << "                 [--full-shards] [--step-ns N] [--share S] [--shards N]\n"
+        << "                 [--workers N] [--load P]\n"
         << "                 [--trace JOB]\n"
         << "Plays days of a shard in virtual time with the real scheduler and judges what its workers did.\n"
         << "  --fleet      days of several shards with worker replacement, instead of one shard\n"
@@ -65,7 +77,7 @@
         << "  --stated-lease  fleet days with an owner lost that has stated the end of a lease\n"
         << "  --variant V  fleet that lacks a protection: no-fencing, no-lease-wait, no-delegation,\n"
         << "               restart-delegated, wait-from-takeover,\n"
-        << "               ignored-statement, no-failed-probes\n"
+        << "               ignored-statement, no-failed-probes, unbounded-searches\n"
         << "  --seed N     seed of the first day (1)\n"
         << "  --days N     number of days with seeds from there on (1)\n"
         << "  --calm       days without faults\n"
@@ -76,6 +88,13 @@
         << "  --failures   fleet days on which workers of all shards fail what they start, and more tasks "
            "fail\n"
         << "               always\n"
+        << "  --full-shards  fleet days of long-running tasks that fill the shards, while workers leave;\n"
+        << "               passes take processor time, of which nodes have a share of 0.07 to 0.5\n"
+        << "  --step-ns N  time of a step of a pass on a whole processor on such days, in ns (10)\n"
+        << "  --share S    share of a processor that nodes have on such days, instead of a random one\n"
+        << "  --shards N   number of shards on such days (3)\n"
+        << "  --workers N  number of workers of a shard on such days, instead of a random one\n"
+        << "  --load P     long-running tasks handed in on such days, in percent of the capacity\n"
         << "  --trace JOB  print the orders for one job; in a fleet, all: for every job\n"
         << "Exit codes: 0 no promise was broken, 1 one was, 2 wrong command line.\n";
 }
@@ -100,7 +119,10 @@
               { "owner-loss", no_argument, nullptr, 'o' }, { "stated-lease", no_argument, nullptr, 'l' },
               { "variant", required_argument, nullptr, 'v' }, { "no-crashes", no_argument, nullptr, 'n' },
               { "no-deadly", no_argument, nullptr, 'D' }, { "cuts", no_argument, nullptr, 'C' },
-              { "failures", no_argument, nullptr, 'F' }, { nullptr, 0, nullptr, 0 } };
+              { "failures", no_argument, nullptr, 'F' }, { "full-shards", no_argument, nullptr, 'S' },
+              { "step-ns", required_argument, nullptr, 'p' }, { "share", required_argument, nullptr, 'P' },
+              { "workers", required_argument, nullptr, 'W' }, { "load", required_argument, nullptr, 'L' },
+              { "shards", required_argument, nullptr, 'H' }, { nullptr, 0, nullptr, 0 } };
     for (int flag = 0; (flag = getopt_long(argc, argv, "", flags, nullptr)) != -1;) {
         switch (flag) {
         case 's':
@@ -136,6 +158,24 @@
         case 'F':
             options.hasFailures = true;
             break;
+        case 'S':
+            options.hasFullShards = true;
+            break;
+        case 'p':
+            options.stepNs = std::strtoll(optarg, nullptr, 10);
+            break;
+        case 'P':
+            options.processorShare = std::strtod(optarg, nullptr);
+            break;
+        case 'W':
+            options.workersPerShard = std::strtoull(optarg, nullptr, 10);
+            break;
+        case 'L':
+            options.loadPercent = std::atoi(optarg);
+            break;
+        case 'H':
+            options.shardCount = std::strtoull(optarg, nullptr, 10);
+            break;
         case 'f':
             options.isFleet = true;
             break;
@@ -192,6 +232,19 @@
         return Emulate::ownerLossScenario(seed);
     if (options.hasStatedLease)
         return Emulate::statedLeaseScenario(seed);
+    if (options.hasFullShards) {
+        Emulate::FleetScenario scenario = Emulate::fullShardScenario(seed);
+        scenario.processor.stepNs = options.stepNs;
+        if (options.processorShare > 0)
+            scenario.processor.share = options.processorShare;
+        if (options.shardCount > 0)
+            scenario.shardCount = options.shardCount;
+        if (options.workersPerShard > 0)
+            scenario.workersPerShard = options.workersPerShard;
+        if (options.loadPercent > 0)
+            scenario.longRunningLoadPercent = options.loadPercent;
+        return scenario;
+    }
     Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, faultMix(options));
     if (options.hasWorkerDisturbances && faultMix(options) == Emulate::FaultMix::All)
         Emulate::addWorkerDisturbances(scenario);
@@ -218,6 +271,8 @@
     totals.unfinished += result.unfinished;
     totals.delegations += result.delegations;
     totals.excusedWaits += result.excusedWaits;
+    totals.mostWaiting = std::max(totals.mostWaiting, result.mostWaiting);
+    totals.longestPassSteps = std::max(totals.longestPassSteps, result.longestPassSteps);
     if (result.longestExcused.idleMs > totals.longestExcused.idleMs) {
         totals.longestExcused = result.longestExcused;
         totals.longestExcusedSeed = seed;
@@ -255,7 +310,9 @@
     if (options.isFleet)
         std::cout << totals.delegations << " delegations, " << totals.excusedWaits
                   << " excused waits (longest " << totals.longestExcused.idleMs << " ms, seed "
-                  << totals.longestExcusedSeed << ", job " << totals.longestExcused.job << "), ";
+                  << totals.longestExcusedSeed << ", job " << totals.longestExcused.job << "), longest pass "
+                  << totals.longestPassSteps << " steps, at most " << totals.mostWaiting
+                  << " long-running tasks waiting, ";
     std::cout << totals.unfinished << " jobs unfinished, " << totals.violatedScenarios
               << " days with a broken promise, " << seconds << " s\n";
     return totals.violatedScenarios == 0 ? 0 : 1;
--- a/src/tools/gqemulate/waitchecker.cpp
+++ b/src/tools/gqemulate/waitchecker.cpp
@@ -228,6 +228,7 @@
         else
             checkOther(job, areCallsLost, nowMs);
     }
+    mostWaiting_ = std::max(mostWaiting_, missingLongRunning_);
 }
 
 void WaitChecker::addUnfinished(const std::string& job, std::int64_t nowMs)
--- a/src/tools/gqemulate/waitchecker.h
+++ b/src/tools/gqemulate/waitchecker.h
@@ -71,6 +71,8 @@
     std::size_t excusedCount() const { return excused_.size(); }
     /*! \return the longest excused wait; the job is empty if there was none. */
     const ExcusedWait& longestExcused() const { return longestExcused_; }
+    /*! \return the greatest number of long-running tasks that waited at one check. */
+    std::int64_t mostWaiting() const { return mostWaiting_; }
     std::size_t unfinishedCount() const { return unfinishedCount_; }
 
 private:
@@ -112,6 +114,7 @@
     std::vector<ShardState> shards_;
     double useShare_ = 0; //!< Share of the usable workers' processors that running tasks request.
     std::int64_t missingLongRunning_ = 0; //!< Long-running tasks that waited at the last check.
+    std::int64_t mostWaiting_ = 0;
     std::set<std::string> reported_;
     std::set<Ports::TaskKey> excused_; //!< Tasks that waited beyond the tolerance with an excuse.
     ExcusedWait longestExcused_;
