--- a/tests/auto/fleet/tst_emulatedfleet.cpp
+++ b/tests/auto/fleet/tst_emulatedfleet.cpp
@@ -1,8 +1,10 @@
 #include <fleetscenario.h>
+#include <fullshardscenario.h>
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 
 using Emulate::FleetVariant;
@@ -41,6 +43,18 @@
     return scenario;
 }
 
+// A large shard, a small share of a processor, and steps that take 40 times the default time: searches
+// without a bound keep an owner from everything else for seconds.
+Emulate::FleetScenario largeFullShardScenario()
+{
+    Emulate::FleetScenario scenario = Emulate::fullShardScenario(1);
+    scenario.shardCount = 1;
+    scenario.workersPerShard = 400;
+    scenario.processor = { 400, 0.07 };
+    scenario.dayMs = 14'000;
+    return scenario;
+}
+
 // Returns the number of violations of rules whose names start with \p rule.
 std::size_t countOf(const Emulate::FleetResult& result, const std::string& rule)
 {
@@ -233,3 +247,46 @@
     }
     CHECK(violated > 0);
 }
+
+TEST_CASE("Fleets of full shards whose owners have a small share of a processor violate no invariant")
+{
+    for (const std::uint64_t seed : { 2, 4, 8 }) {
+        Emulate::FleetScenario scenario = Emulate::fullShardScenario(seed);
+        scenario.processor.share = 0.07;
+        const Emulate::FleetResult result = Emulate::runFleetScenario(scenario);
+        INFO("seed " << seed << (result.violations.empty() ? "" : ": " + result.violations.front()));
+        CHECK(result.violations.empty());
+        CHECK(result.unfinished == 0);
+        CHECK(result.mostWaiting > 10);
+    }
+}
+
+TEST_CASE("An owner of a large full shard keeps its shard and its workers' leases")
+{
+    const Emulate::FleetResult result = Emulate::runFleetScenario(largeFullShardScenario());
+    CHECK(countOf(result, "shard taken over although its owner runs") == 0);
+    CHECK(countOf(result, "lease lost of a worker that answers") == 0);
+    CHECK(countOf(result, "long-running task without a run") == 0);
+    CHECK(result.mostWaiting > 100);
+}
+
+TEST_CASE("The checkers detect an owner that is starved by its own searches")
+{
+    Emulate::FleetScenario scenario = largeFullShardScenario();
+    scenario.variant = FleetVariant::UnboundedSearches;
+    const Emulate::FleetResult result = Emulate::runFleetScenario(scenario);
+    CHECK(countOf(result, "shard taken over although its owner runs") > 0);
+    CHECK(countOf(result, "lease lost of a worker that answers") > 0);
+}
+
+TEST_CASE("Without a share of a processor, the passes of owners take no time")
+{
+    Emulate::FleetScenario scenario = Emulate::randomFleetScenario(42, Emulate::FaultMix::All);
+    const Emulate::FleetResult usual = Emulate::runFleetScenario(scenario);
+    scenario.processor.stepNs = 1'000'000;
+    const Emulate::FleetResult uncharged = Emulate::runFleetScenario(scenario);
+    CHECK(uncharged.starts == usual.starts);
+    CHECK(uncharged.completed == usual.completed);
+    scenario.processor.share = 0.07;
+    CHECK(Emulate::runFleetScenario(scenario).starts != usual.starts);
+}
