--- a/tests/auto/usersplatform/soak/invariantchecker.py
+++ b/tests/auto/usersplatform/soak/invariantchecker.py
@@ -10,6 +10,8 @@
 # before are calm.
 DRAIN_SECONDS = 2.5
 DRAIN_CALM_SECONDS = 4.0
+# A lease is at most this long.
+LAPSE_CALM_SECONDS = 10.0
 # A task may be given up after the first number of crashes under it. The start of the third number after the second
 # number of crashes breaks the users' rule.
 MIN_CRASHES_OF_FAILED_JOB = 2
@@ -34,6 +36,7 @@
         self.start_count = 0
         self.crashes = {}  # task that crashes workers -> number of crashes
         self.starts_after_crashes = {}
+        self.calm_lapses = 0  # Runs whose lease was not renewed although no fault was near.
         self.failures = {}  # task -> number of failed attempts
 
     def report_violation(self, text):
@@ -78,6 +81,8 @@
     def on_attempt_ended(self, worker, task, attempt, outcome):
         self.log_event("%s ends attempt %d on %s: %s" % (task, attempt, worker.identity, outcome), is_short=False)
         self.running_attempts.get(task, set()).discard((worker.identity, attempt))
+        if outcome == "lapsed" and self.faults.calm_seconds() > LAPSE_CALM_SECONDS:
+            self.calm_lapses += 1
         if outcome == "done":
             self.finished_tasks.add(task)
         if outcome == "failed":
--- a/tests/auto/usersplatform/soak/soak.py
+++ b/tests/auto/usersplatform/soak/soak.py
@@ -48,6 +48,8 @@
 # Share of the jobs with a task that fails always.
 HOPELESS_SHARE = 0.03
 LARGE_REQUEST_BYTES = 65536
+PASS_METRICS = ("geraniumquay_pass_steps", "geraniumquay_pass_seconds")
+LOOP_METRIC = "geraniumquay_loop_late_seconds"
 
 
 class Size:
@@ -326,6 +328,7 @@
             await self.settle()
             if ticks.done():
                 await ticks
+            await self.check_metrics()
             self.peak_memory_mb = sum(node.peak_memory_mb() for node in self.nodes)
             await asyncio.gather(*[node.stop() for node in self.nodes])
         finally:
@@ -336,14 +339,34 @@
             self.event_log.close()
         return self.checker
 
+    async def check_metrics(self):
+        """Checks that each node tells how late its event loop is, and owners tell of their passes."""
+        names = await asyncio.gather(*[node.metric_names() for node in self.nodes])
+        for node, found in zip(self.nodes, names):
+            if LOOP_METRIC + "_count" not in found:
+                self.checker.report_violation("%s has no metric %s" % (node.name, LOOP_METRIC))
+        for metric in PASS_METRICS:
+            if not any(metric + "_count" in found for found in names):
+                self.checker.report_violation("no node has a metric " + metric)
+
+    def owner_summary(self):
+        """Returns how often the nodes told that a pass was long or their event loop late, and how old an owner's list of
+        workers was when a task waited."""
+        passes = [int(line["steps"]) for node in self.nodes for line in node.events("pass-long")]
+        late = [int(line["late_ms"]) for node in self.nodes for line in node.events("loop-late")]
+        ages = [int(line["list_age_ms"]) for node in self.nodes for line in node.events("task-waiting")]
+        return "%d long passes (up to %d steps), %d late ticks (up to %d ms), oldest list of workers %d ms" % (
+            len(passes), max(passes, default=0), len(late), max(late, default=0), max(ages, default=0))
+
     def summary(self):
         longest = self.progress.longest_calm_wait
         return ("%d jobs accepted, %d rejected, %d completed, %d starts, %d answers on open connections, %d broken, "
-                "longest wait beside room in calm times %.1f s (long-running %.1f s), %.0f MB, lag %.2f s, "
-                "%d invariant violations"
+                "longest wait beside room in calm times %.1f s (long-running %.1f s), %d runs lapsed in calm times, %s, "
+                "%.0f MB, lag %.2f s, %d invariant violations"
                 % (len(self.checker.accepted), len(self.checker.rejected), len(self.checker.completed),
                    self.checker.start_count, self.answer_count, self.broken_count, longest[False], longest[True],
-                   self.peak_memory_mb, self.progress.longest_lag, len(self.checker.violations)))
+                   self.checker.calm_lapses, self.owner_summary(), self.peak_memory_mb, self.progress.longest_lag,
+                   len(self.checker.violations)))
 
 
 def run_seed(options, seed):
--- a/tests/auto/usersplatform/soak/soaknode.py
+++ b/tests/auto/usersplatform/soak/soaknode.py
@@ -1,6 +1,7 @@
 """A geraniumquayd process of the soak test."""
 
 import asyncio
+import json
 import os
 import random
 import signal
@@ -68,6 +69,7 @@
         self.settings = os.path.join(folder, self.name + ".ini")
         self.log = os.path.join(folder, self.name + ".log")
         self.callers_port = ports[0]
+        self.metrics_port = ports[3]
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(name=self.name, zone=zone, callers=ports[0], readiness=ports[1],
                                        peers=ports[2], metrics=ports[3], store=proxy.port,
@@ -142,6 +144,23 @@
             self.checker.report_violation("%s has not ended %d s after SIGTERM" % (self.name, STOP_GRACE_SECONDS))
             await self.kill()
 
+    async def metric_names(self):
+        """Returns the names in the node's metrics; none if it does not answer."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.metrics_port)
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n")
+            text = (await asyncio.wait_for(reader.read(), 3)).decode("utf-8", "replace")
+            writer.close()
+        except (OSError, asyncio.TimeoutError):
+            return set()
+        return {line.split("{")[0].split(" ")[0] for line in text.splitlines()}
+
+    def events(self, name):
+        """Returns the lines of an event in the log."""
+        needle = '"event":"%s"' % name
+        with open(self.log, encoding="utf-8", errors="replace") as file:
+            return [json.loads(line) for line in file if needle in line and line.endswith("}\n")]
+
     def peak_memory_mb(self):
         with open("/proc/%d/status" % self.process.pid, encoding="utf-8") as file:
             return next((int(line.split()[1]) / 1024 for line in file if line.startswith("VmHWM")), 0)
