--- a/tests/auto/usersplatform/soak/faultinjector.py
+++ b/tests/auto/usersplatform/soak/faultinjector.py
@@ -4,10 +4,18 @@
 import signal
 import time
 
+from soaknode import slow_down
+
 FAULT_MODES = ("delay", "one_way", "silent", "unconnectable", "reset")
 FAILING_SHARES = (0.3, 0.7, 1, 1)
 # Bounds the length of a series.
 MAX_NODES_IN_TURN = 5
+# Slow nodes run and pause in this many groups, each at times of its own.
+SLOW_GROUPS = 8
+SLOW_SHARES = (0.1, 0.1, 0.2, 0.3)
+EMPTIED_SHARE = 1 / 3
+SLOW_SEED_SHARE = 0.3
+SECONDS_OF_SLOW_SERIES = (18, 24)
 
 
 class FaultInjector:
@@ -183,13 +191,44 @@
             await asyncio.sleep(random.uniform(0.1, 1))
             await pool.fail_several(1, random.uniform(1, 3))
 
+    async def slow_nodes(self, deadline):
+        """Gives nodes a small share of the processor, by a random stream of its own, so that the other faults of a seed
+        stay the same. Beside other faults, it is one series in a part of the seeds."""
+        random = self.soak.slowness
+        if not self.soak.has_only_slow_nodes and random.random() >= SLOW_SEED_SHARE:
+            return
+        while time.monotonic() < deadline:
+            await asyncio.sleep(random.uniform(0, 2))
+            await self.slow_nodes_with_full_shards(random)
+            if not self.soak.has_only_slow_nodes:
+                return
+
+    async def slow_nodes_with_full_shards(self, random):
+        """Slows nodes down while more tasks that last are asked for than fit, a third of the workers is emptied and leaves,
+        and room is made again by cancellations and new workers."""
+        seconds = random.uniform(*SECONDS_OF_SLOW_SERIES)
+        nodes = self.soak.nodes
+        nodes = random.sample(nodes, len(nodes) if random.random() < 0.5 else random.randint(1, len(nodes)))
+        groups = [nodes[first::SLOW_GROUPS] for first in range(min(SLOW_GROUPS, len(nodes)))]
+        share = random.choice(SLOW_SHARES)
+        self.log_event("%d nodes have %d%% of a processor for %.1f s" % (len(nodes), round(100 * share), seconds))
+        fillers = asyncio.create_task(self.soak.fill_shards(random, seconds))
+        slow = [asyncio.create_task(self.slow_group(group, share, random.uniform(0, 1), seconds)) for group in groups]
+        await asyncio.sleep(random.uniform(2, 4))
+        await self.soak.pool.empty_share(EMPTIED_SHARE, random, random.uniform(2, 4))
+        await asyncio.gather(fillers, *slow)
+
+    async def slow_group(self, nodes, share, delay, seconds):
+        await asyncio.sleep(delay)
+        await slow_down(nodes, share, seconds)
+
     async def run(self, deadline):
         while self.soak.has_only_freezes and time.monotonic() < deadline:
             await self.freeze_while_writing()
             await asyncio.sleep(0.2)
-        if self.soak.has_only_cuts:
+        if self.soak.has_only_cuts or self.soak.is_calm_beside_slow_nodes:
             return
-        if self.soak.has_only_failures:
+        if self.soak.has_only_failures or self.soak.has_only_slow_nodes:
             kinds = (self.inject_node_fault, self.reload_settings, self.inject_link_fault, self.inject_worker_fault)
             return await self.inject(kinds, deadline, 3)
         pool = self.soak.pool
--- a/tests/auto/usersplatform/soak/soak.py
+++ b/tests/auto/usersplatform/soak/soak.py
@@ -3,8 +3,8 @@
 against what callers and workers observe.
 
     soak.py --program PATH [--seed N] [--seeds COUNT] [--seconds S] [--logs FOLDER] [--large]
-            [--only-freezes] [--only-cuts] [--only-failures] [--no-crashes] [--no-cuts]
-            [--no-failures] [--size NAME]
+            [--only-freezes] [--only-cuts] [--only-failures] [--only-slow-nodes] [--no-crashes]
+            [--no-cuts] [--no-failures] [--no-slow-nodes] [--size NAME]
 
 Exits with 0 if no invariant was violated; else the logs of the failed seeds are kept. A seed determines the injected
 faults and their times; the timing of the processes still varies. With --large, 100 processes and 60 workers run: by
@@ -48,6 +48,12 @@
 # Share of the jobs with a task that fails always.
 HOPELESS_SHARE = 0.03
 LARGE_REQUEST_BYTES = 65536
+# Tasks that last and fill shards: their processors (thousandths), the share of all processors that they ask for, and when
+# they come, as shares of the time. The large ones have no room until some of the small ones are cancelled, and never all.
+FILLERS = (((200, 300, 600, 1000), 1.0, 0.0), ((2500, 6000, 8000), 1.0, 0.1), ((200, 300, 600), 0.05, 0.45))
+CANCELLED_AT = (0.25, 0.45)
+MAX_FILLER_TASKS = 6
+CANCELLED_FILLERS = 0.04
 PASS_METRICS = ("geraniumquay_pass_steps", "geraniumquay_pass_seconds")
 LOOP_METRIC = "geraniumquay_loop_late_seconds"
 
@@ -71,6 +77,7 @@
 SIZES = {
     "small": Size(("zone-a", "zone-b"), 3, 2, 4, 6, 0.25),
     "large": Size(THREE_ZONES, 100, 4, 5, 40, 0.15),
+    "crowded": Size(("zone-a", "zone-b"), 3, 4, 20, 6, 0.25),
     "regional-7": Size(THREE_ZONES, 7, 2, 8, 10, 0.12, longest_task_ms=4000),
     "regional-8": Size(THREE_ZONES, 8, 2, 11, 10, 0.12, lease_limit_ms=6000, longest_task_ms=4000),
 }
@@ -80,17 +87,24 @@
     """One run of the soak test with one seed."""
 
     def __init__(self, program, seed, seconds, folder, size, has_only_freezes=False, has_crashes=True,
-                 has_cuts=True, has_only_cuts=False, has_failures=True, has_only_failures=False):
+                 has_cuts=True, has_only_cuts=False, has_failures=True, has_only_failures=False,
+                 has_slow_nodes=True, has_only_slow_nodes=False):
         self.program = program
         self.random = random.Random(seed)
         self.disturbances = random.Random("disturbances %d" % seed)
         self.cuts = random.Random("cuts %d" % seed)
         self.failures = random.Random("failures %d" % seed)
+        self.slowness = random.Random("slow nodes %d" % seed)
         self.has_only_failures = has_only_failures
-        self.has_failures = has_failures and not has_only_freezes and not has_only_cuts
+        self.has_only_slow_nodes = has_only_slow_nodes
+        self.has_slow_nodes = has_slow_nodes and not (has_only_freezes or has_only_cuts or has_only_failures)
+        # Without other faults nothing that waits is excused.
+        self.is_calm_beside_slow_nodes = has_only_slow_nodes and self.slowness.random() < 0.5
+        self.has_failures = has_failures and not (has_only_freezes or has_only_cuts or has_only_slow_nodes)
         self.has_only_cuts = has_only_cuts
-        self.has_crashes = has_crashes and not (has_only_freezes or has_only_cuts or has_only_failures)
-        self.has_cuts = has_cuts and not has_only_freezes
+        self.has_crashes = has_crashes and not (has_only_freezes or has_only_cuts or has_only_failures
+                                                or has_only_slow_nodes)
+        self.has_cuts = has_cuts and not has_only_freezes and not has_only_slow_nodes
         self.seconds = seconds
         self.folder = folder
         self.size = size
@@ -186,13 +200,47 @@
         spec = json.dumps(shape)
         if is_big:
             spec = json.dumps(dict(shape, pad="x" * (MAX_SPEC_BYTES - len(spec) - len(', "pad": ""'))))
-        steps = [(["%s.0.%d.%d" % (name, step, index) for index in range(count)], phase.get("after", []))
-                 for step, phase in enumerate(phases)]
-        job = TrackedJob(name, {"spec": spec, "phases": phases}, steps, shape["cpu"], is_long_running)
+        job = self.track_job(name, spec, phases, shape["cpu"], is_long_running)
         job.is_deadly = is_deadly
+        return job
+
+    def track_job(self, name, spec, phases, processors, is_long_running):
+        steps = [(["%s.0.%d.%d" % (name, step, index) for index in range(phase["count"])], phase.get("after", []))
+                 for step, phase in enumerate(phases)]
+        job = TrackedJob(name, {"spec": spec, "phases": phases}, steps, processors, is_long_running)
         self.jobs[name] = job
         return job
 
+    def make_filler(self, random, processors):
+        """Makes a job of tasks that last."""
+        phase = {"count": random.randint(1, MAX_FILLER_TASKS), "cpu": processors, "mem_mb": 100, "estimate_ms": 1000,
+                 "long_running": True}
+        spec = json.dumps({"cpu": processors, "ms": 1000, "lasts": True})
+        return self.track_job("%016x" % random.getrandbits(64), spec, [phase], processors, True)
+
+    async def fill_shards(self, random, seconds):
+        """Asks for more tasks that last than fit, cancels a part of them in between and the rest in the end."""
+        started_at = time.monotonic()
+
+        async def wait_until(share):
+            await asyncio.sleep(max(0, started_at + share * seconds - time.monotonic()))
+
+        async def attend(job, cancelled_at):
+            if await self.submit(job, random):
+                await wait_until(cancelled_at)
+                await self.cancel(job)
+        tasks = []
+        for sizes, filled_share, begins_at in FILLERS:
+            await wait_until(begins_at)
+            missing = filled_share * self.pool.base_capacity()
+            while missing > 0:
+                job = self.make_filler(random, random.choice(sizes))
+                is_cancelled_early = begins_at == 0 and random.random() < CANCELLED_FILLERS
+                tasks.append(asyncio.create_task(attend(job, random.uniform(*CANCELLED_AT) if is_cancelled_early else 1)))
+                missing -= job.processors * len(job.tasks)
+                await asyncio.sleep(0.005)
+        await asyncio.gather(*tasks)
+
     def on_accepted(self, job):
         self.checker.accepted[job.name] = time.monotonic()
         self.log_event("%s is accepted" % job.name, is_short=False)
@@ -220,24 +268,26 @@
         finally:
             self.big_jobs -= 1 if is_big else 0
 
-    async def submit_and_attend(self, job, pause, node):
+    async def submit(self, job, random, pause=0.0, node=None):
+        """Returns whether the job was accepted."""
         may_have_run = False
         for number in range(4):
-            target = node if node and number == 0 else self.random.choice(self.nodes)
+            target = node if node and number == 0 else random.choice(self.nodes)
             status, _ = await call(target.callers_port, "POST", "/jobs/" + job.name, job.body, pause=pause,
                                    least_bytes=LARGE_REQUEST_BYTES if node else 0)
             if status == 200:
-                self.on_accepted(job)
-                break
+                return self.on_accepted(job)
             if status in (429, 503):
                 if not may_have_run:
                     self.checker.rejected.add(job.name)
-                job.is_cancelling = True
-                return
+                break
             may_have_run = True
             await asyncio.sleep(0.3)
-        else:
-            job.is_cancelling = True
+        job.is_cancelling = True
+        return False
+
+    async def submit_and_attend(self, job, pause, node):
+        if not await self.submit(job, self.random, pause, node):
             return
         if self.random.random() < (0.4 if job.is_long_running else 0.1):
             await asyncio.sleep(self.random.uniform(0.2, 5))
@@ -323,6 +373,8 @@
                 disturbances.append(self.injector.cut_workers(deadline))
             if self.has_failures:
                 disturbances.append(self.injector.fail_workers(deadline))
+            if self.has_slow_nodes:
+                disturbances.append(self.injector.slow_nodes(deadline))
             await asyncio.gather(self.generate_load(deadline), self.injector.run(deadline), *disturbances,
                                  *[client.run(deadline) for client in clients])
             await self.settle()
@@ -378,7 +430,7 @@
         folder = tempfile.mkdtemp(prefix="soak-seed-%d-" % seed)
     soak = Soak(options.program, seed, options.seconds, folder, SIZES["large" if options.large else options.size],
                 options.only_freezes, not options.no_crashes, not options.no_cuts, options.only_cuts,
-                not options.no_failures, options.only_failures)
+                not options.no_failures, options.only_failures, not options.no_slow_nodes, options.only_slow_nodes)
     checker = asyncio.run(soak.run())
     print("seed %d: %s" % (seed, soak.summary()), flush=True)
     is_good = not checker.violations and bool(checker.completed)
@@ -401,7 +453,8 @@
     parser.add_argument("--logs", default=None, help="folder in which to keep the settings and logs of each seed")
     parser.add_argument("--large", action="store_true", help="100 processes and 60 workers")
     parser.add_argument("--size", choices=sorted(SIZES), default="small",
-                        help="regional-7 and regional-8: the processes, workers and longest leases of ojalunch-sched and ldc-geranium")
+                        help="regional-7 and regional-8: the processes, workers and longest leases of ojalunch-sched and "
+                             "ldc-geranium; crowded: 80 workers to an owner")
     parser.add_argument("--only-freezes", action="store_true",
                         help="no fault but pauses of nodes that connect or write to the store")
     parser.add_argument("--no-crashes", action="store_true",
@@ -410,11 +463,16 @@
                         help="no workers that run on while they are cut off from the nodes and from the store")
     parser.add_argument("--no-failures", action="store_true",
                         help="no workers that fail what they start, and no tasks that fail always")
+    parser.add_argument("--no-slow-nodes", action="store_true",
+                        help="no nodes with a small share of the processor beside shards full of tasks that last")
     parser.add_argument("--only-cuts", action="store_true",
                         help="no fault but workers that run on while they are cut off from the nodes and from the store")
     parser.add_argument("--only-failures", action="store_true",
                         help="no workers that come, leave or crash, but workers that fail what they start beside signals to "
                              "nodes, restarts, broken links and cuts")
+    parser.add_argument("--only-slow-nodes", action="store_true",
+                        help="no fault but nodes with a small share of the processor beside shards full of tasks that last; "
+                             "in half of the seeds signals to nodes, restarts and broken links, too")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # So that the nodes are ended, too.
     results = [run_seed(options, seed) for seed in range(options.seed, options.seed + options.seeds)]
--- a/tests/auto/usersplatform/soak/soaknode.py
+++ b/tests/auto/usersplatform/soak/soaknode.py
@@ -9,6 +9,10 @@
 import time
 
 STOP_GRACE_SECONDS = 6
+# Time in which a slow node runs for its share once.
+CYCLE_SECONDS = 0.1
+# A pause of a slow node that becomes longer than this, as the soak itself is late, counts as a freeze.
+MAX_CYCLE_PAUSE_SECONDS = 0.5
 
 SETTINGS = """\
 [node]
@@ -55,6 +59,30 @@
     return ports
 
 
+async def slow_down(nodes, share, seconds):
+    """Lets processes run for a share of each 100 ms only, by short pauses. A process that is started meanwhile is slow,
+    too. It is no fault to the checks: no pause is near the bounds of any of them."""
+    nodes = [node for node in nodes if not node.is_slow]
+    ends_at = time.monotonic() + seconds
+    for node in nodes:
+        node.is_slow = True
+    try:
+        while nodes and time.monotonic() < ends_at:
+            paused_at = time.monotonic()
+            for node in nodes:
+                node.signal(signal.SIGSTOP)
+            await asyncio.sleep(CYCLE_SECONDS * (1 - share))
+            for node in nodes:
+                node.continue_unless_frozen()
+            if time.monotonic() - paused_at > MAX_CYCLE_PAUSE_SECONDS:
+                nodes[0].unplanned.note()
+            await asyncio.sleep(CYCLE_SECONDS * share)
+    finally:
+        for node in nodes:
+            node.is_slow = False
+            node.continue_unless_frozen()
+
+
 class Node:
     """One geraniumquayd process with its settings and its fault proxy to the store.
 
@@ -77,6 +105,8 @@
         self.process = None
         self.is_end_expected = False
         self.is_busy = False  # A fault is currently injected into the process.
+        self.is_frozen = False
+        self.is_slow = False
         self.unplanned = unplanned  # Faults but planned stops.
         self.watcher = None
 
@@ -120,8 +150,10 @@
     async def pause(self, seconds):
         self.is_busy = True
         with self.unplanned:
+            self.is_frozen = True
             self.signal(signal.SIGSTOP)
             await asyncio.sleep(seconds)
+            self.is_frozen = False
             self.signal(signal.SIGCONT)
         self.is_busy = False
 
@@ -144,6 +176,10 @@
             self.checker.report_violation("%s has not ended %d s after SIGTERM" % (self.name, STOP_GRACE_SECONDS))
             await self.kill()
 
+    def continue_unless_frozen(self):
+        if not self.is_frozen:
+            self.signal(signal.SIGCONT)
+
     async def metric_names(self):
         """Returns the names in the node's metrics; none if it does not answer."""
         try:
--- a/tests/auto/usersplatform/soak/workerpool.py
+++ b/tests/auto/usersplatform/soak/workerpool.py
@@ -75,16 +75,17 @@
     def replaceable(self):
         return [worker for worker in self.workers if not worker.is_replaced]
 
-    async def take_away(self, worker, report=None):
+    async def take_away(self, worker, report=None, random=None):
         """Lets a worker drain and leave. Its report may come late or never."""
         if worker.is_replaced:
             return
         worker.is_replaced = True
-        report = report or self.random.choice(REPORTS)
-        serve_seconds = self.random.uniform(0.2, 3) if self.random.random() < 0.7 else self.random.uniform(3, 12)
-        late_seconds = self.random.uniform(0.5, 12)
-        is_entry_removed = self.random.random() < 0.5
-        lapse_seconds = self.random.uniform(1, 6)
+        random = random or self.random
+        report = report or random.choice(REPORTS)
+        serve_seconds = random.uniform(0.2, 3) if random.random() < 0.7 else random.uniform(3, 12)
+        late_seconds = random.uniform(0.5, 12)
+        is_entry_removed = random.random() < 0.5
+        lapse_seconds = random.uniform(1, 6)
         self.log_event("%s leaves, report %s" % (worker.identity, report))
         if report == "never":
             await asyncio.sleep(serve_seconds)
@@ -153,6 +154,18 @@
             await asyncio.sleep(self.random.uniform(0, 0.5))
         await asyncio.gather(*leaving)
 
+    async def empty_share(self, share, random, pause):
+        """Lets a share of the workers drain and leave at once, as planned work; new ones come after a pause."""
+        candidates = self.replaceable()
+        chosen = random.sample(candidates, int(len(candidates) * share))
+        self.log_event("%d of %d workers are emptied" % (len(chosen), len(candidates)))
+        leaving = [asyncio.create_task(self.take_away(worker, "at once", random)) for worker in chosen]
+        await asyncio.sleep(pause)
+        for worker in chosen:
+            await self.add(worker.zone, worker.rack)
+            await asyncio.sleep(random.uniform(0, 0.1))
+        await asyncio.gather(*leaving)
+
     async def lapse(self):
         """Removes the entry of a worker that lives, and puts it back."""
         worker = self.random.choice(self.replaceable())
