--- a/tests/auto/usersplatform/soak/soaknode.py
+++ b/tests/auto/usersplatform/soak/soaknode.py
@@ -1,6 +1,7 @@
 """A geraniumquayd process of the soak test."""
 
 import asyncio
+import json
 import os
 import random
 import signal
@@ -8,6 +9,10 @@
 import time
 
 STOP_GRACE_SECONDS = 6
+# Time in which a slow node runs for its share once.
+CYCLE_SECONDS = 0.1
+# A pause of a slow node that becomes longer than this, as the soak itself is late, counts as a freeze.
+MAX_CYCLE_PAUSE_SECONDS = 0.5
 
 SETTINGS = """\
 [node]
@@ -54,6 +59,30 @@
     return ports
 
 
+async def slow_down(nodes, share, seconds):
+    """Lets processes run for a share of each 100 ms only, by short pauses. A process that is started meanwhile is slow,
+    too. It is no fault to the checks: no pause is near the bounds of any of them."""
+    nodes = [node for node in nodes if not node.is_slow]
+    ends_at = time.monotonic() + seconds
+    for node in nodes:
+        node.is_slow = True
+    try:
+        while nodes and time.monotonic() < ends_at:
+            paused_at = time.monotonic()
+            for node in nodes:
+                node.signal(signal.SIGSTOP)
+            await asyncio.sleep(CYCLE_SECONDS * (1 - share))
+            for node in nodes:
+                node.continue_unless_frozen()
+            if time.monotonic() - paused_at > MAX_CYCLE_PAUSE_SECONDS:
+                nodes[0].unplanned.note()
+            await asyncio.sleep(CYCLE_SECONDS * share)
+    finally:
+        for node in nodes:
+            node.is_slow = False
+            node.continue_unless_frozen()
+
+
 class Node:
     """One geraniumquayd process with its settings and its fault proxy to the store.
 
@@ -68,6 +97,7 @@
         self.settings = os.path.join(folder, self.name + ".ini")
         self.log = os.path.join(folder, self.name + ".log")
         self.callers_port = ports[0]
+        self.metrics_port = ports[3]
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(name=self.name, zone=zone, callers=ports[0], readiness=ports[1],
                                        peers=ports[2], metrics=ports[3], store=proxy.port,
@@ -75,6 +105,8 @@
         self.process = None
         self.is_end_expected = False
         self.is_busy = False  # A fault is currently injected into the process.
+        self.is_frozen = False
+        self.is_slow = False
         self.unplanned = unplanned  # Faults but planned stops.
         self.watcher = None
 
@@ -118,8 +150,10 @@
     async def pause(self, seconds):
         self.is_busy = True
         with self.unplanned:
+            self.is_frozen = True
             self.signal(signal.SIGSTOP)
             await asyncio.sleep(seconds)
+            self.is_frozen = False
             self.signal(signal.SIGCONT)
         self.is_busy = False
 
@@ -142,6 +176,27 @@
             self.checker.report_violation("%s has not ended %d s after SIGTERM" % (self.name, STOP_GRACE_SECONDS))
             await self.kill()
 
+    def continue_unless_frozen(self):
+        if not self.is_frozen:
+            self.signal(signal.SIGCONT)
+
+    async def metric_names(self):
+        """Returns the names in the node's metrics; none if it does not answer."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.metrics_port)
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n")
+            text = (await asyncio.wait_for(reader.read(), 3)).decode("utf-8", "replace")
+            writer.close()
+        except (OSError, asyncio.TimeoutError):
+            return set()
+        return {line.split("{")[0].split(" ")[0] for line in text.splitlines()}
+
+    def events(self, name):
+        """Returns the lines of an event in the log."""
+        needle = '"event":"%s"' % name
+        with open(self.log, encoding="utf-8", errors="replace") as file:
+            return [json.loads(line) for line in file if needle in line and line.endswith("}\n")]
+
     def peak_memory_mb(self):
         with open("/proc/%d/status" % self.process.pid, encoding="utf-8") as file:
             return next((int(line.split()[1]) / 1024 for line in file if line.startswith("VmHWM")), 0)
