--- a/src/libs/fleetnode/shardhostrounds.cpp
+++ b/src/libs/fleetnode/shardhostrounds.cpp
@@ -53,12 +53,12 @@
         for (const auto& [worker, connection] : connections_)
             connection->resumePolling();
         if (scheduler_.isSweepUnfinished()) {
-            nextRoundAllowedAt_ = now + minCommitInterval;
+            nextRoundAllowedAt_ = context_.now() + minCommitInterval;
             requestRound();
         }
         return;
     }
-    nextRoundAllowedAt_ = now + minCommitInterval;
+    nextRoundAllowedAt_ = context_.now() + minCommitInterval;
     isReleaseSent_ = isLast;
     // After a release is sent, no lease is renewed and no start is sent, so the ends of the leases hold for
     // all that this owner has sent, also for calls in flight: a lease ends at a time on the worker's clock,
