--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -4,6 +4,7 @@
 #include "imagedemand.h"
 #include "job.h"
 #include "jobrows.h"
+#include "pollplan.h"
 #include "presumedcrash.h"
 #include "relocationsearch.h"
 #include "scheduleroptions.h"
@@ -43,14 +44,6 @@
     bool hasStarts = false; //!< Starts are sent once the batch is stored.
 };
 
-/*! Content of the next poll of a worker. */
-struct PollPlan {
-    std::int64_t leaseUntilMs = 0; //!< In the worker's clock; 0: do not renew.
-    std::uint64_t acknowledged = 0; //!< Number of the latest end whose record is committed.
-    bool isWorkerResponsive = false; //!< The worker has reported and answers polls.
-    bool hasTasks = false; //!< The worker has open attempts.
-};
-
 /*!
     Schedules the jobs and workers of one shard while this node owns it; does no I/O.
 
