--- a/src/tools/gqemulate/emulatedfleet.cpp
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -373,8 +373,8 @@
 
 void EmulatedFleet::checkEnd()
 {
-    for (std::size_t number = 0; number < shards_.size(); ++number) {
-        for (const auto& [id, record] : shards_[number].rows) {
+    for (const auto& shard : shards_) {
+        for (const auto& [id, record] : shard.rows) {
             const bool isActive
                 = record.state() == FleetSchema::JOB_QUEUED || record.state() == FleetSchema::JOB_RUNNING;
             if (record.origin_shard().empty() && isActive && record.spec().steps_size() > 0
--- a/src/tools/gqemulate/main.cpp
+++ b/src/tools/gqemulate/main.cpp
@@ -110,6 +110,65 @@
     return false;
 }
 
+/*! Option without a value. */
+struct Switch {
+    int flag = 0;
+    bool Options::*member = nullptr;
+    bool value = true;
+};
+
+constexpr Switch switches[] = { { 'c', &Options::withoutFaults }, { 'f', &Options::isFleet },
+    { 'w', &Options::hasWaves }, { 'o', &Options::hasOwnerLoss }, { 'l', &Options::hasStatedLease },
+    { 'n', &Options::hasWorkerDisturbances, false }, { 'D', &Options::hasDeadlyTasks, false },
+    { 'C', &Options::hasCuts }, { 'F', &Options::hasFailures }, { 'S', &Options::hasFullShards } };
+
+// Returns whether the option has no value.
+bool applySwitch(int flag, Options& options)
+{
+    for (const Switch& known : switches) {
+        if (known.flag == flag) {
+            options.*known.member = known.value;
+            return true;
+        }
+    }
+    return false;
+}
+
+// Returns whether the option has a value and this one is allowed.
+bool applyValue(int flag, const char* value, Options& options)
+{
+    switch (flag) {
+    case 's':
+        options.seed = std::strtoull(value, nullptr, 10);
+        return true;
+    case 'd':
+        options.scenarioCount = std::strtoull(value, nullptr, 10);
+        return true;
+    case 't':
+        options.traceJob = value;
+        return true;
+    case 'p':
+        options.stepNs = std::strtoll(value, nullptr, 10);
+        return true;
+    case 'P':
+        options.processorShare = std::strtod(value, nullptr);
+        return true;
+    case 'W':
+        options.workersPerShard = std::strtoull(value, nullptr, 10);
+        return true;
+    case 'L':
+        options.loadPercent = std::atoi(value);
+        return true;
+    case 'H':
+        options.shardCount = std::strtoull(value, nullptr, 10);
+        return true;
+    case 'v':
+        return parseVariant(value, options.variant);
+    default:
+        return false;
+    }
+}
+
 bool parseOptions(int argc, char** argv, Options& options)
 {
     static const option flags[]
@@ -124,68 +183,8 @@
               { "workers", required_argument, nullptr, 'W' }, { "load", required_argument, nullptr, 'L' },
               { "shards", required_argument, nullptr, 'H' }, { nullptr, 0, nullptr, 0 } };
     for (int flag = 0; (flag = getopt_long(argc, argv, "", flags, nullptr)) != -1;) {
-        switch (flag) {
-        case 's':
-            options.seed = std::strtoull(optarg, nullptr, 10);
-            break;
-        case 'd':
-            options.scenarioCount = std::strtoull(optarg, nullptr, 10);
-            break;
-        case 'c':
-            options.withoutFaults = true;
-            break;
-        case 't':
-            options.traceJob = optarg;
-            break;
-        case 'w':
-            options.hasWaves = true;
-            break;
-        case 'o':
-            options.hasOwnerLoss = true;
-            break;
-        case 'l':
-            options.hasStatedLease = true;
-            break;
-        case 'n':
-            options.hasWorkerDisturbances = false;
-            break;
-        case 'D':
-            options.hasDeadlyTasks = false;
-            break;
-        case 'C':
-            options.hasCuts = true;
-            break;
-        case 'F':
-            options.hasFailures = true;
-            break;
-        case 'S':
-            options.hasFullShards = true;
-            break;
-        case 'p':
-            options.stepNs = std::strtoll(optarg, nullptr, 10);
-            break;
-        case 'P':
-            options.processorShare = std::strtod(optarg, nullptr);
-            break;
-        case 'W':
-            options.workersPerShard = std::strtoull(optarg, nullptr, 10);
-            break;
-        case 'L':
-            options.loadPercent = std::atoi(optarg);
-            break;
-        case 'H':
-            options.shardCount = std::strtoull(optarg, nullptr, 10);
-            break;
-        case 'f':
-            options.isFleet = true;
-            break;
-        case 'v':
-            if (!parseVariant(optarg, options.variant))
-                return false;
-            break;
-        default:
+        if (!applySwitch(flag, options) && !applyValue(flag, optarg, options))
             return false;
-        }
     }
     return optind == argc;
 }
