--- a/tests/auto/fleet/tst_schedulingpass.cpp
+++ b/tests/auto/fleet/tst_schedulingpass.cpp
@@ -385,7 +385,7 @@
     // It may not run on the target.
     step.set_required_label("special");
     for (std::size_t position = 0; position + 1 < shard.pointers.size(); ++position)
-        shard.pointers[position]->info.labels.push_back("special");
+        shard.pointers[position]->info.labels.emplace_back("special");
     std::vector<Fleet::Task*> waiting { &shard.makeTask(step) };
     if (sourcePosition == 0) {
         step.set_milli_processors(40'000);
