--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -2,6 +2,7 @@
 
 #include "gangshare.h"
 #include "waitreport.h"
+#include "workerloss.h"
 
 #include "placement/resources.h"
 #include "ports/taskkey.h"
@@ -137,6 +138,9 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
         = 0;
 
+    /*! Reports that attempts are about to be ended without being listed as ended by their worker. */
+    virtual void workerLost(const WorkerLoss& loss) = 0;
+
     /*! Reports that the capacity of a worker has changed; once a list of workers. */
     virtual void capacityChanged(const CapacityChange& change) = 0;
 
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -336,7 +336,7 @@
     start.attempt = task.attempt;
     start.payload = task.job->spec.payload();
     start.checkpoint = task.checkpoint;
-    start.leaseUntilMs = extendLease(worker, startLease(), now);
+    start.leaseUntilMs = extendLease(worker, startLease(), LeaseSource::Start, now);
     output_.startAttempt(start);
 }
 
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -6,6 +6,7 @@
 #include "interference.h"
 #include "taillatencymodel.h"
 #include "workercommitment.h"
+#include "workerloss.h"
 
 #include <algorithm>
 
@@ -40,13 +41,14 @@
 
 } // namespace
 
-std::int64_t ShardScheduler::extendLease(Worker& worker, Utils::Duration lease, Utils::TimePoint now)
+std::int64_t ShardScheduler::extendLease(
+    Worker& worker, Utils::Duration lease, LeaseSource source, Utils::TimePoint now)
 {
     // The worker's clock may run up to 2% slow. The lease must not be longer for that: a successor counts on
     // its length.
     const Utils::Duration elapsed = (now - worker.clockSeenAt) * 50 / 51;
     const Utils::Duration fromSeen = elapsed + lease;
-    worker.leaseUpperBound = std::max(worker.leaseUpperBound, now + lease * 51 / 50);
+    worker.lease.extend(now + lease * 51 / 50, source);
     return worker.clockMs + std::chrono::duration_cast<milliseconds>(fromSeen).count();
 }
 
@@ -65,7 +67,7 @@
     // needs no lease, and if a start is lost there, the task can soon be started elsewhere.
     if (mayRenew && worker->clockMs != 0 && worker->isResponsive && plan.hasTasks
         && mayLease(*worker, options_.workerLease, now))
-        plan.leaseUntilMs = extendLease(*worker, options_.workerLease, now);
+        plan.leaseUntilMs = extendLease(*worker, options_.workerLease, LeaseSource::Poll, now);
     return plan;
 }
 
@@ -83,14 +85,13 @@
             worker->lastAcknowledgedEnd = 0;
             // A lease that was requested in the clock of the former incarnation may be far in the future of
             // the new one; the worker shortens it to the longest lease that it grants.
-            worker->leaseUpperBound
-                = std::max(worker->leaseUpperBound, now + options_.workerLeaseLimit * 51 / 50);
+            worker->lease.extend(now + options_.workerLeaseLimit * 51 / 50, LeaseSource::Restart);
             endQuarantine(*worker);
         } else {
             // From this report on the worker rejects former owners.
             const Utils::Duration lease
                 = std::max(options_.workerLease, formerLease_.value_or(Utils::Duration::zero()));
-            worker->leaseUpperBound = now + lease * 51 / 50;
+            worker->lease.set(now + lease * 51 / 50, LeaseSource::FormerOwner);
         }
         worker->bornMs = report.startedUnixMs;
         worker->clockMs = 0;
@@ -246,6 +247,8 @@
         else if (task->phase == TaskPhase::Sent && task->workerBornMs != worker.bornMs)
             requestStop(*task, now);
     }
+    if (!missing.empty())
+        output_.workerLost(describeLoss(worker, "missing-from-report", missing.size(), now));
     for (Task* task : missing) {
         const bool hasRestarted = task->workerBornMs != 0 && task->workerBornMs != worker.bornMs;
         endLostAttempt(*task, "missing-from-report",
@@ -296,11 +299,12 @@
 void ShardScheduler::requeueAttempts(Worker& worker, std::string_view reason, CrashEvidence evidence,
     Utils::TimePoint now, std::int64_t nowUnixMs)
 {
-    const std::vector<Task*> tasks = worker.tasks;
-    for (Task* task : tasks) {
-        if (task->phase != TaskPhase::Recorded)
-            endLostAttempt(*task, reason, evidence, now, nowUnixMs);
-    }
+    std::vector<Task*> tasks = worker.tasks;
+    std::erase_if(tasks, [](const Task* task) { return task->phase == TaskPhase::Recorded; });
+    if (!tasks.empty())
+        output_.workerLost(describeLoss(worker, reason, tasks.size(), now));
+    for (Task* task : tasks)
+        endLostAttempt(*task, reason, evidence, now, nowUnixMs);
 }
 
 void ShardScheduler::onStartReply(const std::string& id, const Ports::TaskKey& key, std::uint32_t attempt,
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -49,8 +49,7 @@
         if (worker->bornMs != 0)
             continue;
         const auto end = ends.find(id);
-        worker->leaseUpperBound
-            = std::min(worker->leaseUpperBound, end == ends.end() ? otherEnd : end->second);
+        worker->lease.limit(end == ends.end() ? otherEnd : end->second);
     }
 }
 
@@ -59,7 +58,7 @@
     LeaseEnds ends;
     for (const auto& [id, worker] : workers_) {
         if (!worker->tasks.empty())
-            ends[id] = worker->leaseUpperBound;
+            ends[id] = worker->lease.end();
     }
     return ends;
 }
@@ -73,7 +72,7 @@
     for (const auto& [id, worker] : workers_) {
         if (worker->tasks.empty() || !isLeaving(*worker))
             continue;
-        ends[id] = worker->leaseUpperBound;
+        ends[id] = worker->lease.end();
         if (worker->isResponsive)
             ends[id] = std::max(ends[id], now + leavingRenewal + options_.workerLease * 51 / 50);
     }
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -121,7 +121,7 @@
     std::optional<Utils::Duration> shortest;
     for (const auto& [id, worker] : workers_) {
         if (worker->isResponsive && !worker->tasks.empty())
-            shortest = std::min(shortest.value_or(Utils::Duration::max()), worker->leaseUpperBound - now);
+            shortest = std::min(shortest.value_or(Utils::Duration::max()), worker->lease.end() - now);
     }
     return shortest;
 }
@@ -319,11 +319,11 @@
         // A former owner may have renewed the lease until its grace time ended.
         const FormerLeases former { formerRenewal_.value_or(options_.orphanGrace),
             formerLease_.value_or(options_.workerLeaseLimit), {} };
-        worker->leaseUpperBound = now + former.longestWait();
+        worker->lease.set(now + former.longestWait(), LeaseSource::FormerOwner);
         worker->addedAt = now;
         // A former owner's bound holds for the attempts that it left open, not for later ones.
         if (const auto end = formerLeaseEnds_.extract(id))
-            worker->leaseUpperBound = std::min(worker->leaseUpperBound, end.mapped());
+            worker->lease.limit(end.mapped());
     }
     return *worker;
 }
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -402,7 +402,7 @@
     void recordRunTime(Worker& worker, const Task& task, Utils::TimePoint now);
     void recordFailure(Worker& worker, const Task& task, Utils::TimePoint now);
     void endQuarantine(Worker& worker);
-    std::int64_t extendLease(Worker& worker, Utils::Duration lease, Utils::TimePoint now);
+    std::int64_t extendLease(Worker& worker, Utils::Duration lease, LeaseSource source, Utils::TimePoint now);
     static void suspectWorker(Worker& worker);
     void giveUpStart(Task& task, Utils::TimePoint now);
     void onJobCommitted(const BatchedJob& stored, Utils::TimePoint now);
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -170,7 +170,7 @@
         report.isWorkerResponsive = worker->isResponsive;
         report.reportAgeMs
             = worker->clockSeenAt == Utils::TimePoint {} ? -1 : toMs(now - worker->clockSeenAt);
-        report.leaseRemainingMs = toMs(worker->leaseUpperBound - now);
+        report.leaseRemainingMs = toMs(worker->lease.end() - now);
     }
     output_.taskWaiting(report);
 }
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "workerlease.h"
+
 #include "placement/resources.h"
 #include "ports/workerinfo.h"
 #include "utils/clock.h"
@@ -43,8 +45,7 @@
     bool isResponsive = false; //!< The worker answers polls.
     int failedPolls = 0; //!< Consecutive unanswered polls.
     int absentPolls = 0; //!< Consecutive polls that found nothing listening at the worker's address.
-    //! No attempt runs on the worker after this time unless the lease is renewed.
-    Utils::TimePoint leaseUpperBound {};
+    WorkerLease lease;
     Utils::TimePoint addedAt {}; //!< When this owner got to know the worker.
     //! Until when the worker is polled without tasks and an entry, as it may have crashed or be cut off.
     Utils::TimePoint watchedUntil {};
--- /dev/null
+++ b/src/libs/fleet/workerloss.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "utils/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Fleet {
+
+struct Worker;
+
+/*! Attempts that were ended together without being listed as ended by their worker, and what showed it. */
+struct WorkerLoss {
+    std::string worker;
+    std::string_view reason; //!< As in SchedulerOutput::attemptEnded().
+    std::size_t attemptCount = 0;
+    bool isWorkerListed = false;
+    std::int64_t reportAgeMs = -1; //!< Age of the worker's latest report; -1 if there is none.
+    std::int64_t sinceLeaseEndMs = 0; //!< Time since the lease has certainly ended; negative if it may last.
+    std::string_view leaseSource; //!< What granted the lease, as nameOf(LeaseSource).
+};
+
+/*! \return the loss of \p attemptCount attempts on the worker at \p now. */
+WorkerLoss describeLoss(
+    const Worker& worker, std::string_view reason, std::size_t attemptCount, Utils::TimePoint now);
+
+} // namespace Fleet
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -198,6 +198,7 @@
     void queryOrigin(const std::string& originShard, const std::string& job) override;
     void quarantineChanged(const std::string& worker, Utils::Duration time) override;
     void taskWaiting(const Fleet::WaitReport& report) override;
+    void workerLost(const Fleet::WorkerLoss& loss) override;
     void jobEnded(const Fleet::JobSummary& summary) override;
     void answer(std::uint64_t requestId, const Fleet::JobAnswer& answer) override;
     Ports::PollRequest planPoll(const std::string& worker) override;
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -113,6 +113,18 @@
             { "worker", worker }, { "how", std::string(how) } });
 }
 
+void ShardHost::workerLost(const Fleet::WorkerLoss& loss)
+{
+    context_.metrics.add("geraniumquay_worker_losses_total", Telemetry::label("reason", loss.reason));
+    Utils::log(Utils::LogLevel::Warning, "worker-lost",
+        { { "worker", loss.worker }, { "shard", shard_ }, { "epoch", std::to_string(writer_.epoch()) },
+            { "reason", std::string(loss.reason) }, { "attempts", std::to_string(loss.attemptCount) },
+            { "worker_listed", loss.isWorkerListed ? "true" : "false" },
+            { "report_age_ms", std::to_string(loss.reportAgeMs) },
+            { "since_lease_end_ms", std::to_string(loss.sinceLeaseEndMs) },
+            { "lease_source", std::string(loss.leaseSource) } });
+}
+
 void ShardHost::capacityChanged(const Fleet::CapacityChange& change)
 {
     const bool isOvercommitted = !change.committed.fitsIn(change.current);
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -97,6 +97,7 @@
         std::uint32_t crashes) override;
     void quarantineChanged(const std::string& worker, Utils::Duration time) override;
     void taskWaiting(const Fleet::WaitReport& report) override;
+    void workerLost(const Fleet::WorkerLoss&) override { }
     void jobEnded(const Fleet::JobSummary& summary) override;
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override;
 
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -97,6 +97,7 @@
         quarantines.emplace_back(worker, time);
     }
     void taskWaiting(const Fleet::WaitReport& report) override { waits.push_back(report); }
+    void workerLost(const Fleet::WorkerLoss& loss) override { losses.push_back(loss); }
     void jobEnded(const Fleet::JobSummary& summary) override { ended.push_back(summary); }
     void answer(std::uint64_t ticket, const Fleet::JobAnswer& answer) override
     {
@@ -128,6 +129,7 @@
     std::vector<Command> crashes; //!< With the number of crashes in a row.
     std::vector<std::pair<std::string, Utils::Duration>> quarantines;
     std::vector<Fleet::WaitReport> waits;
+    std::vector<Fleet::WorkerLoss> losses;
     std::vector<Fleet::JobSummary> ended;
     std::vector<std::pair<std::uint64_t, Fleet::JobAnswer>> answers;
 };
--- a/tests/auto/fleet/tst_workerlease.cpp
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -310,3 +310,36 @@
     CHECK(successor.startsUntil(owner.now + 6500ms) == 0);
     CHECK(successor.startsUntil(owner.now + 6800ms) == 1);
 }
+
+TEST_CASE("The loss of a worker tells what showed it, and the lease that the owner counted on")
+{
+    LeaseFixture fixture;
+    fixture.confirmStarts();
+    fixture.now += 1s;
+    fixture.scheduler.planPoll(fixture.firstWorker(), fixture.now, true);
+    for (int poll = 0; poll < 2; ++poll)
+        fixture.scheduler.onPollFailed(fixture.firstWorker(), true);
+    fixture.advance(5s);
+    CHECK(fixture.output.losses.empty());
+    fixture.advance(1s);
+    REQUIRE(fixture.output.losses.size() == 1);
+    const Fleet::WorkerLoss& loss = fixture.output.losses[0];
+    CHECK(loss.worker == fixture.firstWorker());
+    CHECK(loss.reason == "worker-silent-beyond-lease");
+    CHECK(loss.attemptCount == 1);
+    CHECK(loss.isWorkerListed);
+    CHECK(loss.reportAgeMs == 1000 + 5100 + loss.sinceLeaseEndMs);
+    CHECK(loss.sinceLeaseEndMs > 0);
+    CHECK(loss.leaseSource == "poll");
+}
+
+TEST_CASE("A loss that is known before the lease is over tells so")
+{
+    LeaseFixture fixture;
+    fixture.confirmStarts();
+    fixture.scheduler.onWorkerReplaced(fixture.firstWorker(), fixture.now, testStartUnixMs);
+    REQUIRE(fixture.output.losses.size() == 1);
+    CHECK(fixture.output.losses[0].reason == "worker-replaced");
+    CHECK(fixture.output.losses[0].sinceLeaseEndMs == -3060);
+    CHECK(fixture.output.losses[0].leaseSource == "start");
+}
