--- a/tests/auto/usersplatform/soak/faultproxy.py
+++ b/tests/auto/usersplatform/soak/faultproxy.py
@@ -5,6 +5,8 @@
 import struct
 import time
 
+from soaknode import PROXY_PORTS, free_ports
+
 BACKLOG = 1024
 LINGER_OFF = struct.pack("ii", 1, 0)
 
@@ -57,9 +59,10 @@
         self.listener.setblocking(False)
         if self.receive_bytes:
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
+        # The kernel releases a port that it chose itself when the listener is shut down.
+        self.port = self.port or free_ports(1, PROXY_PORTS)[0]
         self.listener.bind(("127.0.0.1", self.port))
         self.listener.listen(BACKLOG)
-        self.port = self.listener.getsockname()[1]
         self.acceptor = asyncio.create_task(self.accept_connections())
 
     def close(self):
--- a/tests/auto/usersplatform/soak/soaknode.py
+++ b/tests/auto/usersplatform/soak/soaknode.py
@@ -43,11 +43,12 @@
 
 # Below the range of ephemeral ports, so that no outgoing connection can occupy the port of a node that is down.
 PORTS = range(18000, 32000)
+PROXY_PORTS = range(10000, 18000)
 
 
-def free_ports(count):
+def free_ports(count, candidates=PORTS):
     ports = []
-    for port in random.Random(os.getpid() * 1000003 + time.monotonic_ns()).sample(PORTS, len(PORTS)):
+    for port in random.Random(os.getpid() * 1000003 + time.monotonic_ns()).sample(candidates, len(candidates)):
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
