--- a/src/tools/gqemulate/emulatedfleet.cpp
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -262,7 +262,7 @@
     const std::string& id, const Ports::StartCommand& command, std::size_t shard)
 {
     FleetWorker* const worker = platform_.findWorker(id);
-    if (!worker || !worker->answers())
+    if (!worker || !worker->carriesOutCalls())
         return std::nullopt;
     const bool wasRunning = worker->simulated.running().contains(command.task);
     TaskBehavior behavior = workload_.behavior(command.task);
@@ -280,7 +280,7 @@
         if (command.authority.epoch == shards_[shard].record.epoch())
             checker_.onStartedByOwner(command.task, nowMs());
     }
-    return reply;
+    return worker->answers() ? std::optional(reply) : std::nullopt;
 }
 
 void EmulatedFleet::submitJobs()
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -123,10 +123,13 @@
     fleet_.time().schedule(fleet_.time().latencyMs(),
         [weak = weak_from_this(), &fleet = fleet_, id, request, sentAt = fleet_.time().now()] {
             FleetWorker* const worker = fleet.platform().findWorker(id);
+            const bool isCarriedOut = worker && worker->carriesOutCalls();
             const bool isAnswered = worker && worker->answers();
             const bool isAbsent = !worker || worker->refusesCalls();
             const bool isFenced = isAnswered && worker->simulated.rejectsEpoch(request.authority.epoch);
-            const auto report = isAnswered ? worker->simulated.poll(request, fleet.nowMs()) : std::nullopt;
+            auto report = isCarriedOut ? worker->simulated.poll(request, fleet.nowMs()) : std::nullopt;
+            if (!isAnswered)
+                report.reset();
             const auto self = weak.lock();
             if (!self)
                 return;
@@ -225,10 +228,10 @@
     fleet_.time().schedule(fleet_.time().latencyMs(),
         [weak = weak_from_this(), &fleet = fleet_, worker, task, attempt, epoch = epoch()] {
             FleetWorker* const target = fleet.platform().findWorker(worker);
-            if (!target || !target->answers())
+            if (!target || !target->carriesOutCalls())
                 return;
             const Ports::CommandReply reply = target->simulated.stop(task, attempt, epoch, fleet.nowMs());
-            if (const auto self = weak.lock())
+            if (const auto self = target->answers() ? weak.lock() : nullptr)
                 self->runLater(0, [owner = self.get(), worker, task, attempt, reply] {
                     owner->scheduler_->onStopReply(worker, task, attempt, reply, owner->fleet_.time().now());
                 });
@@ -242,7 +245,7 @@
     fleet_.time().schedule(
         fleet_.time().latencyMs(), [&fleet = fleet_, worker, task, attempt, percent, epoch = epoch()] {
             FleetWorker* const target = fleet.platform().findWorker(worker);
-            if (target && target->answers())
+            if (target && target->carriesOutCalls())
                 target->simulated.throttle(task, attempt, percent, epoch);
         });
 }
--- a/src/tools/gqemulate/emulatedplatform.cpp
+++ b/src/tools/gqemulate/emulatedplatform.cpp
@@ -247,6 +247,7 @@
         if (worker.isCutOff || worker.unlistedFromMs >= 0)
             continue;
         worker.isCutOff = true;
+        worker.losesAnswersOnly = fault.losesAnswersOnly;
         worker.unlistedFromMs
             = time_.nowMs() + minEntryRemovalMs + time_.random(maxEntryRemovalMs - minEntryRemovalMs);
         worker.unlistedUntilMs = time_.nowMs() + fault.durationMs + time_.random(maxListDelayMs);
--- a/src/tools/gqemulate/emulatedplatform.h
+++ b/src/tools/gqemulate/emulatedplatform.h
@@ -27,17 +27,24 @@
 
     bool isSilent = false; //!< Its host is gone, so that calls to it are not refused.
     bool hasCrashed = false; //!< It has crashed and has not started again.
-    bool isCutOff = false; //!< It runs, but calls to it are refused.
+    bool isCutOff = false; //!< It runs, but calls to it are refused, or their answers are lost.
+    bool losesAnswersOnly = false; //!< While it is cut off, it carries out calls.
     std::int64_t failsUntilMs = -1; //!< Time until which it fails what it starts.
     int failurePercent = 0; //!< Probability with which it does so.
 
     bool isFailing(std::int64_t nowMs) const { return nowMs < failsUntilMs; }
 
-    /*! \return whether the worker carries out commands. */
-    bool answers() const { return simulated.isUp && simulated.isReachable && !isCutOff; }
+    /*! \return whether the worker carries out calls. */
+    bool carriesOutCalls() const
+    {
+        return simulated.isUp && simulated.isReachable && (!isCutOff || losesAnswersOnly);
+    }
+
+    /*! \return whether callers get its answers. */
+    bool answers() const { return carriesOutCalls() && !isCutOff; }
 
     /*! \return whether calls to the worker are refused. */
-    bool refusesCalls() const { return isCutOff || (!simulated.isUp && !isSilent); }
+    bool refusesCalls() const { return (isCutOff && !losesAnswersOnly) || (!simulated.isUp && !isSilent); }
 
     /*! \return whether new attempts may be expected to run on the worker. */
     bool isUsable(std::int64_t nowMs) const
--- a/src/tools/gqemulate/fleetscenario.h
+++ b/src/tools/gqemulate/fleetscenario.h
@@ -39,6 +39,7 @@
     int capacityPercent = 100; //!< For a capacity that shrinks.
     int workerPercent = 100; //!< Share of the workers, for faults that affect all shards.
     int failurePercent = 100; //!< Probability with which a failing worker fails what it starts.
+    bool losesAnswersOnly = false; //!< Workers that are cut off carry out calls, and their answers are lost.
 };
 
 /*! Protocol variants of a fleet that lack a protection, to show that the checkers detect the lack. */
--- a/src/tools/gqemulate/simulatedworker.cpp
+++ b/src/tools/gqemulate/simulatedworker.cpp
@@ -38,7 +38,7 @@
         return { Ports::CommandOutcome::Superseded, clockMs(nowMs) };
     highestAttempt_[command.task] = command.attempt;
     leaseUntilMs_ = std::max(leaseUntilMs_, std::min(command.leaseUntilMs, clockMs(nowMs) + maxLeaseMs));
-    running_[command.task] = { command.attempt, behavior, nowMs, 100, 0, -1 };
+    running_[command.task] = { command.attempt, behavior, nowMs, 100, 0, -1, -1 };
     return { Ports::CommandOutcome::Done, clockMs(nowMs) };
 }
 
@@ -109,7 +109,9 @@
         // A failing task fails halfway through its run time.
         const bool isFailing
             = (failsAllTasks || attempt.behavior.alwaysFails) && ranMs >= attempt.behavior.runTimeMs / 2;
-        if (isLeaseLapsed)
+        if (isLeaseLapsed && attempt.lapseAtMs < 0)
+            attempt.lapseAtMs = nowMs + stopDurationMs;
+        if (attempt.lapseAtMs >= 0 && attempt.lapseAtMs <= nowMs)
             ends.emplace_back(task, Ports::AttemptOutcome::LeaseLapsed);
         else if (attempt.stopAtMs >= 0 && attempt.stopAtMs <= nowMs)
             ends.emplace_back(task, Ports::AttemptOutcome::Stopped);
--- a/src/tools/gqemulate/simulatedworker.h
+++ b/src/tools/gqemulate/simulatedworker.h
@@ -79,6 +79,7 @@
         int speedPercent = 100;
         std::int64_t lostMs = 0; //!< Run time lost by limits on the speed.
         std::int64_t stopAtMs = -1; //!< Time at which an ordered stop is complete; -1: none is ordered.
+        std::int64_t lapseAtMs = -1; //!< The same for the end of the lease; -1: it has lasted so far.
     };
 
     /*! Limits the speed of an attempt. */
@@ -107,7 +108,8 @@
     bool isReachable = true;
     bool failsAllTasks = false;
     int slowness = 1; //!< Factor on run times.
-    std::int64_t stopDurationMs = 0; //!< Time that a stop takes, during which the attempt keeps its capacity.
+    //! Time that a stop takes, also after the end of the lease; the attempt keeps its capacity during it.
+    std::int64_t stopDurationMs = 0;
 
 private:
     /*! A change of the capacity. */
--- a/tests/auto/fleet/tst_emulatedfleet.cpp
+++ b/tests/auto/fleet/tst_emulatedfleet.cpp
@@ -112,6 +112,22 @@
     }
 }
 
+TEST_CASE(
+    "Tasks of a fleet do not run twice while workers that are cut off end their runs after their leases")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, Emulate::FaultMix::None);
+        scenario.hasWorkerDisturbances = true;
+        Emulate::addWorkerCuts(scenario);
+        for (Emulate::FleetFault& cut : scenario.faults)
+            cut.losesAnswersOnly = true;
+        const Emulate::FleetResult result = Emulate::runFleetScenario(scenario);
+        INFO("seed " << seed << (result.violations.empty() ? "" : ": " + result.violations.front()));
+        CHECK(result.violations.empty());
+        CHECK(result.unfinished == 0);
+    }
+}
+
 // Guards against tasks that wait for workers that are never tried again after they have failed what they
 // started.
 TEST_CASE("Fleets whose workers fail what they start for a while violate no invariant")
--- a/tests/auto/fleet/tst_workerlease.cpp
+++ b/tests/auto/fleet/tst_workerlease.cpp
@@ -311,6 +311,58 @@
     CHECK(successor.startsUntil(owner.now + 6800ms) == 1);
 }
 
+// A worker may take as long to end its runs when their lease is over as when it is told to stop them.
+TEST_CASE("A task does not run twice while a silent worker ends its runs after their lease")
+{
+    constexpr Utils::Duration stopLimit = 200ms; // As set by the fixture.
+    constexpr Utils::Duration tick = 100ms;
+    SECTION("with a lease granted by a start or by a poll")
+    {
+        for (const bool isPolled : { false, true }) {
+            CAPTURE(isPolled);
+            LeaseFixture fixture;
+            fixture.confirmStarts();
+            if (isPolled)
+                fixture.scheduler.planPoll(fixture.firstWorker(), fixture.now, true);
+            for (int poll = 0; poll < 2; ++poll)
+                fixture.scheduler.onPollFailed(fixture.firstWorker());
+            const Utils::TimePoint end = fixture.scheduler.leaseEnds().at(fixture.firstWorker()) + stopLimit;
+            fixture.advance(end - fixture.now - tick);
+            CHECK(fixture.output.starts.size() == 1);
+            fixture.advance(2 * tick);
+            CHECK(fixture.output.starts.size() == 2);
+        }
+    }
+    SECTION("with a lease in the clock of a former life")
+    {
+        LeaseFixture fixture;
+        fixture.confirmStarts();
+        Ports::WorkerReport restarted;
+        restarted.startedUnixMs = 8;
+        const Fleet::AttemptStart& start = fixture.output.starts[0];
+        restarted.running.push_back({ start.task, start.attempt, {}, 0, 0 });
+        fixture.report(fixture.firstWorker(), restarted);
+        const Utils::TimePoint end = fixture.now + 10'200ms + stopLimit;
+        for (int poll = 0; poll < 2; ++poll)
+            fixture.scheduler.onPollFailed(fixture.firstWorker());
+        fixture.advance(end - fixture.now - tick);
+        CHECK(fixture.output.starts.size() == 1);
+        fixture.advance(2 * tick);
+        CHECK(fixture.output.starts.size() == 2);
+    }
+    SECTION("with a lease granted by a former owner")
+    {
+        LeaseFixture owner;
+        owner.confirmStarts();
+        owner.scheduler.planPoll(owner.firstWorker(), owner.now, true);
+        const Fleet::LeaseEnds ends = owner.scheduler.leaseEnds();
+        SuccessorFixture successor(owner.now, owner.record(), ends);
+        const Utils::TimePoint end = ends.at(owner.firstWorker()) + stopLimit;
+        CHECK(successor.startsUntil(end) == 0);
+        CHECK(successor.startsUntil(end + tick) == 1);
+    }
+}
+
 TEST_CASE("The loss of a worker tells what showed it, and the lease that the owner counted on")
 {
     LeaseFixture fixture;
--- a/tests/auto/usersplatform/soak/soak.py
+++ b/tests/auto/usersplatform/soak/soak.py
@@ -62,7 +62,7 @@
     """Numbers of processes, workers and clients."""
 
     def __init__(self, zones, nodes, racks_per_zone, workers_per_rack, connections, mean_pause, lease_limit_ms=10000,
-                 longest_task_ms=900):
+                 longest_task_ms=900, stop_ms=200):
         self.zones = zones
         self.nodes = nodes
         self.racks_per_zone = racks_per_zone
@@ -71,6 +71,7 @@
         self.mean_pause = mean_pause  # Seconds between two submissions.
         self.lease_limit_ms = lease_limit_ms  # Longest lease that a worker grants.
         self.longest_task_ms = longest_task_ms
+        self.stop_ms = stop_ms  # Longest time that a worker takes to end a run.
 
 
 THREE_ZONES = ("zone-a", "zone-b", "zone-c")
@@ -79,7 +80,8 @@
     "large": Size(THREE_ZONES, 100, 4, 5, 40, 0.15),
     "crowded": Size(("zone-a", "zone-b"), 3, 4, 20, 6, 0.25),
     "regional-7": Size(THREE_ZONES, 7, 2, 8, 10, 0.12, longest_task_ms=4000),
-    "regional-8": Size(THREE_ZONES, 8, 2, 11, 10, 0.12, lease_limit_ms=6000, longest_task_ms=4000),
+    "regional-8": Size(THREE_ZONES, 8, 2, 11, 10, 0.12, lease_limit_ms=6000, longest_task_ms=4000,
+                       stop_ms=400),
 }
 
 
@@ -95,6 +97,7 @@
         self.cuts = random.Random("cuts %d" % seed)
         self.failures = random.Random("failures %d" % seed)
         self.slowness = random.Random("slow nodes %d" % seed)
+        self.timing = random.Random("timing %d" % seed)
         self.has_only_failures = has_only_failures
         self.has_only_slow_nodes = has_only_slow_nodes
         self.has_slow_nodes = has_slow_nodes and not (has_only_freezes or has_only_cuts or has_only_failures)
@@ -116,8 +119,8 @@
         self.unplanned = FaultClock(self.faults)
         self.checker = InvariantChecker(self.faults, self.log_event)
         self.store = Store(self.random)
-        self.pool = WorkerPool(self.random, self.disturbances, self.cuts, self.failures, self.store, self.checker,
-                               self.unplanned, self.log_event, size)
+        self.pool = WorkerPool(self.random, self.disturbances, self.cuts, self.failures, self.timing, self.store,
+                               self.checker, self.unplanned, self.log_event, size)
         self.progress = ProgressChecker(self.checker, self.faults, self.pool, folder)
         self.jobs = self.progress.jobs  # id -> TrackedJob
         self.nodes = []
@@ -154,7 +157,7 @@
             await proxy.start()
             zone = self.size.zones[number % len(self.size.zones)]
             self.nodes.append(Node(number, zone, self.program, self.folder, proxy, ports[4 * number:4 * number + 4],
-                                   self.checker, self.unplanned, self.size.lease_limit_ms))
+                                   self.checker, self.unplanned, self.size))
         for node in self.nodes:
             await node.start()
         self.unplanned.note()
--- a/tests/auto/usersplatform/soak/soaknode.py
+++ b/tests/auto/usersplatform/soak/soaknode.py
@@ -31,7 +31,7 @@
 processor_share = 1
 processors = 1
 worker_lease_limit_ms = {lease_limit_ms}
-stop_ms = 200
+stop_ms = {stop_ms}
 drain_ms = 2500
 grace_ms = 6000
 retention_s = 120
@@ -90,7 +90,7 @@
     A process that ends without having been told to is a violation.
     """
 
-    def __init__(self, number, zone, program, folder, proxy, ports, checker, unplanned, lease_limit_ms):
+    def __init__(self, number, zone, program, folder, proxy, ports, checker, unplanned, size):
         self.name = "node-%d" % number
         self.program = program
         self.proxy = proxy
@@ -102,7 +102,7 @@
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(name=self.name, zone=zone, callers=ports[0], readiness=ports[1],
                                        peers=ports[2], metrics=ports[3], store=proxy.port,
-                                       lease_limit_ms=lease_limit_ms))
+                                       lease_limit_ms=size.lease_limit_ms, stop_ms=size.stop_ms))
         self.process = None
         self.is_end_expected = False
         self.is_busy = False  # A fault is currently injected into the process.
--- a/tests/auto/usersplatform/soak/standinplatform.py
+++ b/tests/auto/usersplatform/soak/standinplatform.py
@@ -179,9 +179,11 @@
 class Worker(HttpServer):
     """Runs tasks under a lease and reports each start and end to the invariant checker."""
 
-    def __init__(self, identity, zone, rack, checker, random, lease_limit_ms):
+    def __init__(self, identity, zone, rack, checker, random, lease_limit_ms, clock_rate=1.0, end_seconds=STOP_SECONDS):
         super().__init__()
         self.lease_limit_ms = lease_limit_ms
+        self.clock_rate = clock_rate
+        self.end_seconds = end_seconds  # Time that a run takes to end once it is stopped or its lease is over.
         self.identity = identity
         self.zone = zone
         self.rack = rack
@@ -221,7 +223,7 @@
         self.attempt_ended = asyncio.Event()
 
     def clock_ms(self):
-        return unix_ms() - self.started_unix_ms
+        return int((unix_ms() - self.started_unix_ms) * self.clock_rate)
 
     def set_capacity(self, capacity):
         self.capacity_changes.append((time.monotonic(), self.capacity))
@@ -281,7 +283,9 @@
     def tick(self):
         now = time.monotonic()
         for task, run in list(self.runs.items()):
-            if now > self.lease_until:
+            if now > self.lease_until and run["lapse_at"] is None:
+                run["lapse_at"] = self.lease_until + self.end_seconds
+            if run["lapse_at"] and now > run["lapse_at"]:
                 self.end_attempt(task, "lapsed")
             elif run["stop_at"] and now > run["stop_at"]:
                 self.end_attempt(task, "stopped")
@@ -291,7 +295,7 @@
     def extend_lease(self, until_ms):
         if time.monotonic() > self.lease_until:
             self.lapsed_at = time.monotonic()
-        deadline = time.monotonic() + min(until_ms - self.clock_ms(), self.lease_limit_ms) / 1000
+        deadline = time.monotonic() + min(until_ms - self.clock_ms(), self.lease_limit_ms) / 1000 / self.clock_rate
         self.lease_until = max(self.lease_until, deadline)
 
     async def handle(self, method, target, headers, body):
@@ -309,7 +313,7 @@
             run = self.runs.get(call["task"])
             self.refused_attempts[call["task"]] = max(self.refused_attempts.get(call["task"], 0), call["attempt"])
             if run and run["attempt"] <= call["attempt"] and not run["stop_at"]:
-                run["stop_at"] = time.monotonic() + STOP_SECONDS
+                run["stop_at"] = time.monotonic() + self.end_seconds
         if target == "/hold":
             return await self.poll(call)
         return 200, {"wall_clock_ms": self.clock_ms(), "born": self.started_unix_ms}
@@ -331,7 +335,7 @@
         is_deadly = shape.get("deadly") == position
         fails = self.active_failures > 0 or shape.get("hopeless") == position
         run_ms = FAILURE_MS if fails and is_long_running else shape["ms"]
-        self.runs[task] = {"attempt": attempt, "stop_at": None, "started": time.monotonic(), "cpu": shape["cpu"],
+        self.runs[task] = {"attempt": attempt, "stop_at": None, "lapse_at": None, "started": time.monotonic(), "cpu": shape["cpu"],
                            "ms": run_ms, "is_deadly": is_deadly, "fails": fails,
                            "done_at": None if is_long_running and not fails else time.monotonic() + run_ms / 1000}
         self.lowest_free = min(self.lowest_free, self.free_processors())
--- a/tests/auto/usersplatform/soak/workerpool.py
+++ b/tests/auto/usersplatform/soak/workerpool.py
@@ -4,7 +4,7 @@
 import time
 
 from faultproxy import FaultProxy
-from standinplatform import BASE_CAPACITY, DRAIN_MS, Worker
+from standinplatform import BASE_CAPACITY, DRAIN_MS, STOP_SECONDS, Worker
 
 CUT_KINDS = ("refused", "refused", "reset", "reset_answers", "one_way")
 # A worker's entry is removed after this many heartbeats were missed.
@@ -12,16 +12,21 @@
 CUT_SHARE = 0.17
 REPORTS = ("at once", "at once", "at once", "late", "never")
 HEARTBEAT_SECONDS = 1.5
+# The users' bound on clocks of workers.
+SLOWEST_CLOCK = 0.98
+# Time in which a run surely ends less the time between two looks at it.
+END_MARGIN_SECONDS = 0.05
 
 
 class WorkerPool:
     """Starts workers, lets them leave with and without a report, and lists them in the store."""
 
-    def __init__(self, random, disturbances, cuts, failures, store, checker, faults, log_event, size):
+    def __init__(self, random, disturbances, cuts, failures, timing, store, checker, faults, log_event, size):
         self.random = random
         self.disturbances = disturbances  # Random numbers for crashes and capacities.
         self.cuts = cuts  # Random numbers for cuts.
         self.failures = failures  # Random numbers for workers that fail what they start.
+        self.timing = timing  # Random numbers for clocks and the time in which runs end.
         self.kept_tasks = []
         self.store = store
         self.checker = checker
@@ -31,6 +36,7 @@
         self.racks_per_zone = size.racks_per_zone
         self.workers_per_rack = size.workers_per_rack
         self.lease_limit_ms = size.lease_limit_ms
+        self.longest_end_seconds = size.stop_ms / 1000 - END_MARGIN_SECONDS
         self.workers = []
         self.count = 0
         self.is_ending = False
@@ -47,7 +53,8 @@
 
     async def add(self, zone, rack):
         worker = Worker("w%03d-%s" % (self.count, rack), zone, rack, self.checker, self.random,
-                        self.lease_limit_ms)
+                        self.lease_limit_ms, self.timing.choice((1.0, SLOWEST_CLOCK)),
+                        self.timing.uniform(STOP_SECONDS, self.longest_end_seconds))
         self.count += 1
         await worker.start()
         worker.crash = self.crash
