--- a/src/libs/fleet/scheduleroptions.h
+++ b/src/libs/fleet/scheduleroptions.h
@@ -18,7 +18,8 @@
     Utils::Duration workerLeaseLimit {}; //!< Longest lease that a worker grants.
     //! Time for which an owner that cannot write to the store still renews leases.
     Utils::Duration orphanGrace {};
-    Utils::Duration stopLimit {}; //!< Longest time that a worker takes to stop a task.
+    //! Longest time that a worker takes to end a run, once it is told to or the lease is over.
+    Utils::Duration stopLimit {};
     //! Age beyond which the list of workers is too old for new starts; longer than the time between two
     //! reads.
     Utils::Duration workerListLimit = Utils::Duration::max();
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -52,6 +52,12 @@
     return worker.clockMs + std::chrono::duration_cast<milliseconds>(fromSeen).count();
 }
 
+// A worker takes as long to end its runs when their lease is over as when it is told to stop them.
+Utils::TimePoint ShardScheduler::latestRunEnd(const Worker& worker) const
+{
+    return worker.lease.end() + options_.stopLimit;
+}
+
 PollPlan ShardScheduler::planPoll(const std::string& id, Utils::TimePoint now, bool mayRenew)
 {
     Worker* worker = findWorker(id);
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -54,7 +54,7 @@
 
     A task with an open attempt is started again only when the attempt is known to have ended: by a
     reported end, by a report that must list the attempt and does not, by a rejection, or because the
-    worker's lease has certainly expired.
+    worker's lease has certainly expired and the worker has had time to end it.
 */
 class ShardScheduler {
 public:
@@ -425,6 +425,7 @@
     void requeueAttempts(Worker& worker, std::string_view reason, CrashEvidence evidence,
         Utils::TimePoint now, std::int64_t nowUnixMs);
     Utils::Duration startLease() const { return std::min(options_.startLease, options_.workerLease); }
+    Utils::TimePoint latestRunEnd(const Worker& worker) const;
     bool mayLease(const Worker& worker, Utils::Duration lease, Utils::TimePoint now) const;
     bool isWorkerListOutdated(Utils::TimePoint now) const;
     std::vector<Worker*> assignableWorkers(Utils::TimePoint now) const;
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -117,7 +117,7 @@
     const Utils::Duration reportTimeout
         = std::min<Utils::Duration>(firstReportTimeout, options_.workerLeaseLimit);
     const bool couldReport = worker.bornMs != 0 || now - worker.addedAt >= reportTimeout;
-    if (!worker.isResponsive && couldReport && now > worker.lease.end()) {
+    if (!worker.isResponsive && couldReport && now > latestRunEnd(worker)) {
         const bool mayHaveCrashed = isAbsent(worker) && !worker.info.isDraining;
         requeueAttempts(worker, "worker-silent-beyond-lease",
             mayHaveCrashed ? CrashEvidence::Presumed : CrashEvidence::None, now, nowUnixMs);
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -35,6 +35,7 @@
     if (variant == FleetVariant::NoLeaseWait) {
         options.orphanGrace = {};
         options.workerLeaseLimit = {};
+        options.stopLimit = {};
     }
     return options;
 }
