Heed the operator's evacuations of failure domains

Change: each node follows these rows with the configuration. Entries pass the domain's shards over, the owner of a shard starts nothing there and delegates what waits, and long-running tasks leave one at a time within their disruption budget while other domains have room. An owner whose copy of the rows is too old starts nothing.

--- a/src/app/geraniumquayd/main.cpp
+++ b/src/app/geraniumquayd/main.cpp
@@ -23,6 +23,7 @@
     Ports::PlatformBinding binding;
     binding.operatorTable = UsersPlatform::operatorTable;
     binding.configurationKey = UsersPlatform::configurationKey;
+    binding.evacuationKeyPrefix = UsersPlatform::evacuationKeyPrefix;
     binding.workerTable = UsersPlatform::workerTable;
     binding.decodeConfiguration = UsersPlatform::decodeConfiguration;
     binding.decodeWorker = UsersPlatform::decodeWorker;
--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -87,6 +87,9 @@
         Utils::Duration waited, std::span<const std::string> returnedBy)
         = 0;
 
+    /*! \return whether another shard has a worker with room for a long-running task of \p step now. */
+    virtual bool hasShardWithRoom(const FleetSchema::JobSpec& spec, std::uint32_t step) = 0;
+
     /*!
         Divides a gang that no single shard can run.
 
--- a/src/libs/fleet/shardchooser.cpp
+++ b/src/libs/fleet/shardchooser.cpp
@@ -226,7 +226,8 @@
         const FleetSchema::ShardLoad& load = owner.load;
         latestSteps_ += groups.size();
         const std::size_t runnableSteps = countRunnableSteps(groups, load);
-        if (load.service() != spec.service() || load.capacity() <= 0 || runnableSteps == 0)
+        if (load.service() != spec.service() || load.capacity() <= 0 || runnableSteps == 0
+            || closedShards_.contains(shard))
             continue;
         if (!hasCapacity(spec, peak, load, assigned_[shard], assigningNodes)) {
             choice.isOverloaded = true;
@@ -258,6 +259,8 @@
 {
     const auto origin = owners_.find(originShard);
     // It has to wait in another shard, however loaded.
+    if (closedShards_.contains(originShard))
+        return std::numeric_limits<double>::max();
     if (origin != owners_.end() && !canEverRun(spec.steps(static_cast<int>(step)), origin->second.load))
         return std::numeric_limits<double>::max();
     if (mustLeave(originShard, waited))
@@ -277,7 +280,7 @@
 {
     const FleetSchema::ShardLoad& load = owner.load;
     return load.capacity() > 0 && canEverRun(step, load) && !isUnresponsive(shard, owner)
-        && (step.lasting() || load.reports_results());
+        && !closedShards_.contains(shard) && (step.lasting() || load.reports_results());
 }
 
 std::string ShardChooser::findForTask(const std::string& originShard, const FleetSchema::JobSpec& spec,
@@ -328,11 +331,26 @@
     return best;
 }
 
+bool ShardChooser::hasRoomElsewhere(
+    const std::string& originShard, const FleetSchema::JobSpec& spec, std::uint32_t step) const
+{
+    const FleetSchema::StepSpec& stepSpec = spec.steps(static_cast<int>(step));
+    return std::any_of(owners_.begin(), owners_.end(), [&](const auto& entry) {
+        const auto& [shard, owner] = entry;
+        const auto delegated = delegated_.find(shard);
+        const std::int64_t needed
+            = stepSpec.milli_processors() + (delegated == delegated_.end() ? 0 : delegated->second);
+        return shard != originShard && owner.load.service() == spec.service()
+            && mayHost(shard, owner, stepSpec) && needed <= owner.load.lasting_room();
+    });
+}
+
 std::uint32_t ShardChooser::countFreeSlots(const std::string& shard, const ShardOwnerInfo& owner,
     const FleetSchema::StepSpec& step, std::size_t assigningNodes) const
 {
     const FleetSchema::ShardLoad& load = owner.load;
-    if (load.capacity() <= 0 || !canHostPart(step, load) || isUnresponsive(shard, owner))
+    if (load.capacity() <= 0 || !canHostPart(step, load) || isUnresponsive(shard, owner)
+        || closedShards_.contains(shard))
         return 0;
     const auto assigned = assigned_.find(shard);
     const std::int64_t committed = load.committed()
--- a/src/libs/fleet/shardchooser.h
+++ b/src/libs/fleet/shardchooser.h
@@ -6,8 +6,10 @@
 #include <fleet.pb.h>
 
 #include <map>
+#include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Fleet {
@@ -41,6 +43,15 @@
     /*! Updates the owners and their loads, by shard. */
     void update(const std::map<std::string, ShardOwnerInfo>& owners);
 
+    /*! Sets the shards whose workers get no new attempts, whatever their owners report. */
+    void setClosedShards(std::set<std::string> shards) { closedShards_ = std::move(shards); }
+
+    /*!
+        \return whether a shard other than \p originShard has a worker with room for a long-running task.
+    */
+    bool hasRoomElsewhere(
+        const std::string& originShard, const FleetSchema::JobSpec& spec, std::uint32_t step) const;
+
     /*!
         Records whether a shard's owner answered a call. The shard of an unresponsive owner gets no
         new jobs for some updates, unless all owners are unresponsive: the owner's successor is not
@@ -115,6 +126,7 @@
 
     std::size_t latestSteps_ = 0;
     std::map<std::string, ShardOwnerInfo> owners_;
+    std::set<std::string> closedShards_; //!< As in setClosedShards().
     //! Milli-processors of tasks delegated since the shard's load last changed.
     std::map<std::string, std::int64_t> delegated_;
     std::map<std::string, int> unresponsiveUpdates_; //!< Updates for which the shard still gets no new jobs.
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -285,6 +285,8 @@
 {
     if (isWorkerListOutdated(now))
         return "worker-list-outdated";
+    if (evacuation_.isRequested())
+        return "domain-evacuated";
     if (const std::string_view obstacle = findSendObstacle(tasks); !obstacle.empty())
         return obstacle;
     // A successor may have taken the shard over since the answer of the store was sent.
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -121,6 +121,8 @@
     // Only the shard of the workers learns whether they have crashed.
     if (!task.presumedCrashes.empty())
         return false;
+    if (evacuation_.isRequested())
+        return true;
     if (!canEverRunHere(job.step(task), now))
         return now - task.waitingSince > unsuitableShardDelay;
     if (job.isHosted() && !job.step(task).lasting())
--- a/src/libs/fleet/shardload.cpp
+++ b/src/libs/fleet/shardload.cpp
@@ -37,7 +37,7 @@
         // A quarantined worker counts while it may be probed: if all were left out, no job would be accepted
         // that could be the probe.
         const bool isOpen = worker->quarantineTime == Utils::Duration::zero() || isProbeDue(*worker, now);
-        if (worker->isUsable() && isOpen) {
+        if (worker->isUsable() && isOpen && !evacuation_.isRequested()) {
             load.set_capacity(load.capacity() + worker->info.milliProcessors);
             load.set_largest_worker(std::max(load.largest_worker(), worker->info.milliProcessors));
             load.set_lasting_room(std::max(load.lasting_room(),
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -130,7 +130,7 @@
 std::vector<Worker*> ShardScheduler::assignableWorkers(Utils::TimePoint now) const
 {
     std::vector<Worker*> workers;
-    if (isWorkerListOutdated(now) || now > startRightEnd_)
+    if (isWorkerListOutdated(now) || now > startRightEnd_ || evacuation_.isRequested())
         return workers;
     for (const auto& [id, worker] : workers_)
         workers.push_back(worker.get());
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "domainevacuation.h"
 #include "formerleases.h"
 #include "imagedemand.h"
 #include "job.h"
@@ -153,10 +154,7 @@
     */
     void onDelegationStored(const FleetSchema::TaskTransfer& transfer, const std::string& shard);
 
-    /*!
-        Notifies the scheduler that another shard has stored the cancellation of the tasks that were
-        delegated to it.
-    */
+    /*! Notifies the scheduler that another shard has stored the cancellation of the tasks delegated to it. */
     void onDelegatedTasksCancelled(const std::string& job, const std::string& shard);
 
     /*!
@@ -199,6 +197,9 @@
     /*! \return the stored state of a job, or nothing if the shard has not stored it. */
     std::optional<FleetSchema::JobState> state(std::string_view id) const;
 
+    /*! Sets whether the shard's failure domain is evacuated. Then no attempt starts, and tasks move away. */
+    void setEvacuated(bool isEvacuated);
+
     /*! Assigns waiting tasks to workers. */
     void schedule(Utils::TimePoint now, std::int64_t nowUnixMs);
 
@@ -238,11 +239,7 @@
     void onReport(const std::string& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report,
         Utils::TimePoint now, std::int64_t nowUnixMs);
 
-    /*!
-        Notifies the scheduler that a poll was not answered.
-
-        \param isAbsent whether the worker's host answered that nothing listens at the worker's address.
-    */
+    /*! Notifies the scheduler that a poll was not answered. \param isAbsent whether nothing listens there. */
     void onPollFailed(const std::string& worker, bool isAbsent = false);
 
     /*!
@@ -268,10 +265,7 @@
     /*! \return the steps of the latest beginCommit(), onReport(), setWorkers() or load(). */
     const StepBudget& latestCall() const { return callSteps_; }
 
-    /*!
-        \return for how long the lease of each worker that answers and has tasks lasts at least; nothing if
-            there is no such worker.
-    */
+    /*! \return for how long the leases of answering workers with tasks last; nothing if there are none. */
     std::optional<Utils::Duration> shortestLease(Utils::TimePoint now) const;
 
     /*! \return the age of the list of workers. */
@@ -292,8 +286,7 @@
     /*! \return whether the last pass was left before it had visited all waiting tasks. */
     bool isSweepUnfinished() const { return isSweepUnfinished_; }
 
-    /*! \return the workers with open attempts that the platform does not list, with their last known
-     * addresses. */
+    /*! \return the unlisted workers with open attempts, with their last known addresses. */
     std::vector<Ports::WorkerInfo> unlistedWorkers() const;
 
     /*! \return the number of attempts that a former owner recorded and no worker has reported yet. */
@@ -302,6 +295,9 @@
     /*! \return the number of open attempts on workers that the platform does not list. */
     std::size_t countAttemptsOnUnlistedWorkers() const;
 
+    /*! \return the number of open attempts. */
+    std::size_t countOpenAttempts() const;
+
     /*! \return whether the worker is listed or has open attempts. */
     bool knowsWorker(const std::string& worker) const { return workers_.contains(worker); }
 
@@ -407,6 +403,7 @@
     void sendRecorded(Task& task, Utils::TimePoint now);
     void sendStart(Task& task, Utils::TimePoint now);
     void tickTask(Task& task, Utils::TimePoint now);
+    void moveFromEvacuatedDomain(Utils::TimePoint now);
     void tickTransfers(Utils::TimePoint now);
     void tickTransfers(Job& job, std::span<Task> tasks, Utils::TimePoint now);
     void answerOnceStored(Job& job, std::uint64_t ticket);
@@ -455,6 +452,7 @@
     std::vector<Job*> dirtyJobs_;
     std::vector<std::string> expiredJobs_; //!< Jobs to remove from the store.
     std::int64_t expirySearchedUnixMs_ = 0; //!< Time of the latest search for them.
+    DomainEvacuation evacuation_;
     RelocationSearch relocationSearch_;
     Utils::TimePoint relocationAllowedAt_ {};
     Utils::TimePoint groupingAllowedAt_ {};
--- a/src/libs/fleet/shardticks.cpp
+++ b/src/libs/fleet/shardticks.cpp
@@ -50,6 +50,7 @@
     relocateThrottledTasks(now);
     confirmOldCrashes(now, nowUnixMs);
     improveGrouping(now);
+    moveFromEvacuatedDomain(now);
     interferenceCache_.reset();
     // A pass before the end of a pause starts neither the task nor the other members of its gang.
     if (sweepStartedAt_ < latestRetryAt_)
@@ -78,7 +79,8 @@
 void ShardScheduler::improveGrouping(Utils::TimePoint now)
 {
     // A moved task could not be started on the other worker.
-    if (now < groupingAllowedAt_ || workers_.empty() || isWorkerListOutdated(now))
+    if (now < groupingAllowedAt_ || workers_.empty() || isWorkerListOutdated(now)
+        || evacuation_.isRequested())
         return;
     auto source = workers_.upper_bound(lastGroupingSource_);
     if (source == workers_.end())
@@ -171,7 +173,7 @@
 // on with the next worker.
 void ShardScheduler::relocateThrottledTasks(Utils::TimePoint now)
 {
-    if (isWorkerListOutdated(now))
+    if (isWorkerListOutdated(now) || evacuation_.isRequested())
         return;
     std::vector<Worker*> workers;
     for (const auto& [id, worker] : workers_)
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -168,7 +168,9 @@
         report.listedWorkers += worker->isListed ? 1 : 0;
         report.usableWorkers += worker->isUsable() ? 1 : 0;
     }
-    if (awaitsCrashVerdict(task)) {
+    if (evacuation_.isRequested() && task.phase == TaskPhase::Waiting) {
+        report.obstacles = "domain evacuated";
+    } else if (awaitsCrashVerdict(task)) {
         report.obstacles = "verdict on crashes";
     } else if (task.phase == TaskPhase::Waiting) {
         const auto counts = countObstacles(task, workers, interferenceView(StepKind::Waits), now);
--- a/src/libs/fleetnode/node.cpp
+++ b/src/libs/fleetnode/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "callerservice.h"
+#include "evacuationrequests.h"
 #include "jobrouter.h"
 #include "peerclient.h"
 #include "shardownership.h"
@@ -77,6 +78,7 @@
     PeerClient handoverPeerClient_;
     TailLatencyExchange tailLatencyExchange_;
     ShardOwnership ownership_;
+    EvacuationRequests evacuationRequests_;
     JobRouter jobRouter_;
     CallerService callerService_;
     TableWatcher configurationWatcher_;
@@ -97,6 +99,7 @@
     , handoverPeerClient_(context)
     , tailLatencyExchange_(context)
     , ownership_(context, handoverPeerClient_, tailLatencyExchange_.model())
+    , evacuationRequests_(context)
     , jobRouter_(context, ownership_)
     , callerService_(context, queues_, jobRouter_, ownership_)
     , configurationWatcher_(context, context.platform.operatorTable, TableWatcher::Mode::Follow,
@@ -142,6 +145,10 @@
         tailLatencyExchange_.setNeeded(true);
         workerWatcher_.pollNow();
     });
+    ownership_.setEvacuationSource([this] {
+        return ShardOwnership::Evacuations { evacuationRequests_.domains(),
+            evacuationRequests_.knownUntil(configurationWatcher_.currentAt()) };
+    });
     configurationWatcher_.start();
     ownership_.start();
     return Utils::success();
@@ -149,6 +156,8 @@
 
 void Node::Private::onConfiguration(const TableWatcher::Rows& rows)
 {
+    evacuationRequests_.update(rows);
+    ownership_.applyEvacuations();
     const auto row = rows.find(context_.platform.configurationKey);
     if (row == rows.end())
         return;
@@ -183,6 +192,7 @@
     }
     decodedWorkers_ = std::move(decoded);
     ownership_.setWorkers(workers, workerWatcher_.readStartedAt());
+    evacuationRequests_.reportUnknown(ownership_.knownDomains());
     // A node that neither owns or claims a shard nor maintains the rack map needs no list of workers; it
     // reads the list at once when that changes.
     workerWatcher_.setPause(
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -276,6 +276,11 @@
     requestRound();
 }
 
+bool ShardHost::hasShardWithRoom(const FleetSchema::JobSpec& spec, std::uint32_t step)
+{
+    return otherShards_.hasShardWithRoom(shard_, spec, step);
+}
+
 std::string ShardHost::findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
     Utils::Duration waited, std::span<const std::string> returnedBy)
 {
@@ -339,7 +344,14 @@
 {
     if (isReleaseSent_)
         return Utils::TimePoint::min();
-    return std::min(commandRightEnd(), writer_.firstSentAt() + startTime());
+    return std::min(passRightEnd(), writer_.firstSentAt() + startTime());
+}
+
+// A pass assigns no worker once the operator may have evacuated the failure domain without this node's
+// knowledge.
+Utils::TimePoint ShardHost::passRightEnd() const
+{
+    return std::min(commandRightEnd(), evacuationKnownUntil_);
 }
 
 // Successors expect leases to be renewed until this time.
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -44,6 +44,14 @@
         std::uint32_t step, Utils::Duration waited, std::span<const std::string> returnedBy)
         = 0;
 
+    /*!
+        \return whether another shard than \p shard has a worker with room for a long-running task of the
+            step now.
+    */
+    virtual bool hasShardWithRoom(
+        const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step)
+        = 0;
+
     /*!
         Divides a gang of the requesting shard. Arguments are as for findShardWithCapacity().
 
@@ -91,6 +99,17 @@
     /*! Replaces the list of the shard's workers. \param readAt when the list started to be read. */
     void setWorkers(std::vector<Ports::WorkerInfo> workers, Utils::TimePoint readAt);
 
+    /*!
+        Sets whether the operator has evacuated the shard's failure domain. Must be called after each read of
+        the operator's requests, and before the shard is taken over unless they never matter.
+
+        \param knownUntil until when starts may rely on this.
+    */
+    void setEvacuated(bool isEvacuated, Utils::TimePoint knownUntil);
+
+    /*! \return whether the operator has evacuated the shard's failure domain. */
+    bool isEvacuated() const { return isEvacuated_; }
+
     /*! \return whether the shard's jobs are loaded and it accepts requests. */
     bool isServing() const { return isLoaded_ && !isClosed_; }
 
@@ -183,6 +202,7 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
     std::string findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
         Utils::Duration waited, std::span<const std::string> returnedBy) override;
+    bool hasShardWithRoom(const FleetSchema::JobSpec& spec, std::uint32_t step) override;
     std::vector<Fleet::GangShare> divideGang(const FleetSchema::JobSpec& spec, std::uint32_t step,
         Utils::Duration waited, std::span<const std::string> returnedBy) override;
     void sendPartReady(const std::string& originShard, const FleetSchema::GangPart& part) override;
@@ -219,6 +239,8 @@
 
     Utils::TimePoint commandRightEnd() const;
     Utils::TimePoint renewalRightEnd() const;
+    Utils::TimePoint passRightEnd() const;
+    void reportEvacuation();
     bool needsConfirmation() const;
     Utils::TimePoint startRightEnd() const;
     bool isStartPossible() const { return isServing() && !isReleasing_ && isOwnershipCertain(); }
@@ -264,6 +286,9 @@
     std::vector<Ports::WorkerInfo> workers_;
     Utils::TimePoint workersReadAt_ {}; //!< When workers_ started to be read.
     WorkerCount workerCount_;
+    bool isEvacuated_ = false;
+    bool isEmptied_ = false; //!< No attempt has been open since the evacuation began.
+    Utils::TimePoint evacuationKnownUntil_ = Utils::TimePoint::max(); //!< As in setEvacuated().
     std::map<std::string, std::unique_ptr<WorkerConnection>> connections_;
     std::map<std::uint64_t, JobAnswerHandler> answerHandlers_;
     std::uint64_t nextRequestId_ = 1;
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -61,7 +61,7 @@
     command.leaseUntilMs = start.leaseUntilMs;
     command.workerStartUnixMs = start.workerBornMs;
     command.authority
-        = { tokenFor(start.worker), std::min(commandRightEnd(), workersReadAt_ + workerListLimit) };
+        = { tokenFor(start.worker), std::min(passRightEnd(), workersReadAt_ + workerListLimit) };
     connection->agent().start(command, onReply);
 }
 
--- a/src/libs/fleetnode/shardhostrounds.cpp
+++ b/src/libs/fleetnode/shardhostrounds.cpp
@@ -41,7 +41,7 @@
     if (isClosed_ || writer_.isBusy())
         return;
     const Utils::TimePoint now = context_.now();
-    scheduler_.setStartRightEnd(commandRightEnd());
+    scheduler_.setStartRightEnd(passRightEnd());
     if (!isReleasing_)
         runPass("schedule",
             [this](Utils::TimePoint start) { scheduler_.schedule(start, NodeContext::nowUnixMs()); });
@@ -99,6 +99,7 @@
     if (hasUnconfirmedAttempts())
         formerOwnerInquiry_.tick();
     runPass("tick", [this](Utils::TimePoint start) { scheduler_.onTick(start, NodeContext::nowUnixMs()); });
+    reportEvacuation();
     std::erase_if(connections_, [this](const auto& entry) { return !scheduler_.knowsWorker(entry.first); });
     if (scheduler_.hasChanges() || scheduler_.isScheduleDue()
         || scheduler_.isLeaseStatementDue(context_.now()) || needsConfirmation()
--- a/src/libs/fleetnode/shardownership.cpp
+++ b/src/libs/fleetnode/shardownership.cpp
@@ -269,6 +269,7 @@
     clock.onAnswer(Utils::value(result).storeMs, sentAt, context_.now());
     host->takeOver(former, version, clock);
     hosts_[shard] = std::move(host);
+    applyEvacuations();
 }
 
 void ShardOwnership::setWorkers(const std::vector<Ports::WorkerInfo>& workers, Utils::TimePoint readAt)
@@ -401,6 +402,7 @@
     loopMonitor_.onTick(tickDueAt_, context_.now() - heartbeatSentAt_);
     tickDueAt_ = context_.now() + tickInterval;
     tickTimer_.start(tickInterval, [this] { tick(); });
+    applyEvacuations();
     bool hasNewShards = false;
     bool isStoreBack = false;
     for (const auto& [shard, host] : hosts_) {
--- a/src/libs/fleetnode/shardownership.h
+++ b/src/libs/fleetnode/shardownership.h
@@ -53,6 +53,21 @@
         requestWorkerList_ = std::move(requestWorkerList);
     }
 
+    /*! The operator's evacuations as this node knows them. */
+    struct Evacuations {
+        const std::set<std::string>& domains;
+        Utils::TimePoint knownUntil {}; //!< Until when starts may rely on them.
+    };
+
+    /*! Sets the function that tells the evacuations; without it, there are none. */
+    void setEvacuationSource(std::function<Evacuations()> source) { evacuationSource_ = std::move(source); }
+
+    /*! Must be called when the evacuations have changed. */
+    void applyEvacuations();
+
+    /*! \return the failure domains of all known nodes and workers. */
+    std::set<std::string> knownDomains() const;
+
     /*! Hands all shards over to other nodes. \param done called once when this node owns no shard. */
     void leave(std::function<void()> done);
 
@@ -79,6 +94,8 @@
 private:
     std::string findShardWithCapacity(const std::string& shard, const FleetSchema::JobSpec& spec,
         std::uint32_t step, Utils::Duration waited, std::span<const std::string> returnedBy) override;
+    bool hasShardWithRoom(
+        const std::string& shard, const FleetSchema::JobSpec& spec, std::uint32_t step) override;
     std::vector<Fleet::GangShare> divideGang(const std::string& shard, const FleetSchema::JobSpec& spec,
         std::uint32_t step, Utils::Duration waited, std::span<const std::string> returnedBy) override;
     void callOwner(const FleetSchema::PeerRequest& request,
@@ -149,6 +166,7 @@
     bool isOwnersUpdateRequested_ = false;
     bool isWorkerListCurrent_ = false; //!< The list was read after this node last started to need it.
     std::function<void()> requestWorkerList_;
+    std::function<Evacuations()> evacuationSource_; //!< Empty: there are none.
     std::function<void()> onLeft_;
     Timer heartbeatTimer_;
     Timer tickTimer_;
--- a/src/libs/fleetnode/shardownershipcalls.cpp
+++ b/src/libs/fleetnode/shardownershipcalls.cpp
@@ -35,8 +35,8 @@
         return handler(reply);
     }
     if (request.has_host_check()) {
-        const bool canHost
-            = host->second->canHostTasks() && isStoreReachable() && !isStoreLost_ && !isLeaving_;
+        const bool canHost = host->second->canHostTasks() && isStoreReachable() && !isStoreLost_
+            && !isLeaving_ && !host->second->isEvacuated();
         reply.set_outcome(canHost ? FleetSchema::PEER_OK : FleetSchema::PEER_UNAVAILABLE);
         return handler(reply);
     }
--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -112,7 +112,9 @@
 void TableWatcher::follow()
 {
     callSentAt_ = context_.now();
-    context_.store.follow(table_, version_, longPollWait,
+    // After a failure, the copy is old already, and what has changed meanwhile must not wait for a change.
+    const Utils::Duration wait = isFailing_ ? Utils::Duration::zero() : Utils::Duration(longPollWait);
+    context_.store.follow(table_, version_, wait,
         [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
                 onChanges(result);
--- a/src/libs/ports/platformbinding.h
+++ b/src/libs/ports/platformbinding.h
@@ -20,6 +20,9 @@
 struct PlatformBinding {
     std::string operatorTable; //!< Table that the operator writes.
     std::string configurationKey; //!< Key of the configuration's row in operatorTable.
+    //! Key prefix of the rows in operatorTable with which the operator evacuates failure domains; the rest of
+    //! the key is the domain's name.
+    std::string evacuationKeyPrefix;
     std::string workerTable; //!< Table in which workers register themselves.
 
     std::function<Utils::Result<QueueConfiguration>(std::string_view)> decodeConfiguration;
--- a/src/tools/gqemulate/emulatedfleet.cpp
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -25,7 +25,7 @@
 {
     return kind == FleetFaultKind::Replacement || kind == FleetFaultKind::ShardLoss
         || kind == FleetFaultKind::EntryLapse || kind == FleetFaultKind::CapacityShrink
-        || kind == FleetFaultKind::Departure;
+        || kind == FleetFaultKind::Departure || kind == FleetFaultKind::Evacuation;
 }
 
 } // namespace
@@ -35,6 +35,7 @@
     , time_(scenario.seed * 7919 + 13)
     , platform_(time_, scenario.shardCount, scenario.workersPerShard,
           scenario.variant != FleetVariant::NoEpochFencing)
+    , evacuations_(time_, scenario.shardCount, nodeCount)
     , workload_(time_, scenario.hasDeadlyTasks, scenario.hasHopelessTasks)
     , waitChecker_(platform_)
     , nodes_(nodeCount)
@@ -102,6 +103,7 @@
         const auto first = (nowMs / tickMs) % static_cast<std::int64_t>(owners.size());
         std::rotate(owners.begin(), owners.begin() + first, owners.end());
     }
+    readEvacuations();
     for (const auto& owner : owners)
         owner->advance();
     std::erase_if(owners_, [](const auto& owner) { return owner->isClosed(); });
@@ -151,6 +153,9 @@
         for (EmulatedNode& node : nodes_)
             node.isStoreReachable = !isActive;
         return;
+    case FleetFaultKind::Evacuation:
+        evacuations_.setRequested(shard, isActive);
+        return platform_.setEvacuated(shard, evacuations_.isRequested(shard));
     case FleetFaultKind::CallLoss:
         activeCallLosses_ += isActive ? 1 : -1;
         return;
@@ -160,6 +165,24 @@
     }
 }
 
+// Starts must heed the evacuations also on a node that has been frozen or cut off.
+void EmulatedFleet::readEvacuations()
+{
+    if (!scenario_.hasEvacuations || scenario_.variant == FleetVariant::IgnoredEvacuations)
+        return;
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        if (!nodes_[node].isUp)
+            evacuations_.forget(node);
+        if (!canAct(node) || nodes_[node].busyMs(nowMs()) > 0 || !evacuations_.isReadDue(node))
+            continue;
+        evacuations_.read(node);
+        nodes_[node].chooser.setClosedShards(evacuations_.knownShards(node));
+    }
+    for (const auto& owner : owners_)
+        owner->setEvacuated(
+            evacuations_.isKnown(owner->node(), owner->shard()), evacuations_.knownUntil(owner->node()));
+}
+
 // Writes the node's row and reads those of the others.
 void EmulatedFleet::heartbeat(std::size_t number)
 {
@@ -318,6 +341,9 @@
         checker_.onCapacityUsed(worker.simulated, command.task, nowMs());
         if (isByOwner && !isRepeated)
             checker_.onStartedByOwner(command.task, nowMs());
+        if (!isRepeated && evacuations_.isInForce(shard))
+            ownerViolations_.push_back("start in an evacuated domain: " + command.task.job + " in "
+                + shardName(shard) + " at " + std::to_string(nowMs()) + " ms");
     }
     return reply;
 }
--- a/src/tools/gqemulate/emulatedfleet.h
+++ b/src/tools/gqemulate/emulatedfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "emulatedevacuations.h"
 #include "emulatednode.h"
 #include "emulatedowner.h"
 #include "emulatedplatform.h"
@@ -175,10 +176,12 @@
     void checkWaits();
     void updateShardStates();
     bool isCallLost();
+    void readEvacuations();
 
     FleetScenario scenario_;
     VirtualTime time_;
     EmulatedPlatform platform_;
+    EmulatedEvacuations evacuations_;
     FleetWorkload workload_;
     InvariantChecker checker_;
     WaitChecker waitChecker_;
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -306,6 +306,11 @@
         });
 }
 
+bool EmulatedOwner::hasShardWithRoom(const FleetSchema::JobSpec& spec, std::uint32_t step)
+{
+    return fleet_.node(node_).chooser.hasRoomElsewhere(EmulatedFleet::shardName(shard_), spec, step);
+}
+
 std::string EmulatedOwner::findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
     Utils::Duration waited, std::span<const std::string> returnedBy)
 {
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -73,6 +73,9 @@
     std::int64_t loadedMs() const { return loadedMs_; } //!< Valid if the owner serves.
     FleetSchema::ShardLoad currentLoad() const;
 
+    /*! Sets what the node knows of the evacuation of the shard's domain, and until when it may rely on it. */
+    void setEvacuated(bool isEvacuated, Utils::TimePoint knownUntil);
+
 private:
     static constexpr std::int64_t storeRetryMs = 200;
 
@@ -82,6 +85,7 @@
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, int percent) override;
     std::string findShardWithCapacity(const FleetSchema::JobSpec& spec, std::uint32_t step,
         Utils::Duration waited, std::span<const std::string> returnedBy) override;
+    bool hasShardWithRoom(const FleetSchema::JobSpec& spec, std::uint32_t step) override;
     std::vector<Fleet::GangShare> divideGang(const FleetSchema::JobSpec& spec, std::uint32_t step,
         Utils::Duration waited, std::span<const std::string> returnedBy) override;
     void sendPartReady(const std::string& originShard, const FleetSchema::GangPart& part) override;
@@ -157,6 +161,9 @@
     std::int64_t loadedMs_ = 0;
     std::int64_t listReadMs_ = -1; //!< Time at which the list of workers was last read; -1: never.
     std::int64_t nextQuestionMs_ = 0; //!< To the former owner.
+    Utils::TimePoint startRightEnd_
+        = Utils::TimePoint::max(); //!< As far as it does not depend on evacuations.
+    Utils::TimePoint evacuationKnownUntil_ = Utils::TimePoint::max();
     std::int64_t firstSentMs_ = 0; //!< Of the transaction in progress.
     std::int64_t confirmedMs_ = 0; //!< Time at which the latest stored transaction was sent.
     std::set<std::string> quarantinedWorkers_;
--- a/src/tools/gqemulate/emulatedownerpass.cpp
+++ b/src/tools/gqemulate/emulatedownerpass.cpp
@@ -97,7 +97,7 @@
     isCommitting_ = true;
     isReleaseSent_ = isLast;
     if (isLast)
-        scheduler_->setStartRightEnd(Utils::TimePoint::min());
+        scheduler_->setStartRightEnd(startRightEnd_ = Utils::TimePoint::min());
     nextRoundMs_ = nowMs + minCommitIntervalMs;
     row_.setHeldLeaseEnd(scheduler_->heldLeaseEnd());
     row_.prepare(isLast ? scheduler_->leaseEnds() : scheduler_->stateLeaseEnds(now), isLast, now);
@@ -133,13 +133,20 @@
     });
 }
 
+void EmulatedOwner::setEvacuated(bool isEvacuated, Utils::TimePoint knownUntil)
+{
+    evacuationKnownUntil_ = knownUntil;
+    scheduler_->setEvacuated(isEvacuated);
+    scheduler_->setStartRightEnd(std::min(startRightEnd_, evacuationKnownUntil_));
+}
+
 void EmulatedOwner::onStored(bool isLast, std::int64_t confirmedMs)
 {
     isCommitting_ = false;
     confirmedMs_ = confirmedMs;
     const Utils::TimePoint now = fleet_.time().now();
-    scheduler_->setStartRightEnd(
-        now + milliseconds(confirmedMs + EmulatedOwnerRow::renewalMs - fleet_.nowMs()));
+    startRightEnd_ = now + milliseconds(confirmedMs + EmulatedOwnerRow::renewalMs - fleet_.nowMs());
+    scheduler_->setStartRightEnd(std::min(startRightEnd_, evacuationKnownUntil_));
     scheduler_->onCommitted(now);
     if (isLast) {
         close();
--- a/src/tools/gqemulate/emulatedplatform.cpp
+++ b/src/tools/gqemulate/emulatedplatform.cpp
@@ -54,6 +54,7 @@
     info.startedUnixMs = time_.nowMs() + 1;
     workers_[info.id]
         = std::make_unique<FleetWorker>(FleetWorker { SimulatedWorker(info, honorsEpochs_), shard });
+    workers_[info.id]->isEvacuated = evacuatedShards_.contains(shard);
     workers_[info.id]->simulated.hasSlowClock = nextNumber_ % slowClockInterval == 0;
     if (stopDurationLimitMs_ > 0)
         workers_[info.id]->simulated.stopDurationMs = time_.random(stopDurationLimitMs_);
@@ -312,6 +313,20 @@
     }
 }
 
+void EmulatedPlatform::setEvacuated(std::size_t shard, bool isEvacuated)
+{
+    if (evacuatedShards_.contains(shard) == isEvacuated)
+        return;
+    if (isEvacuated)
+        evacuatedShards_.insert(shard);
+    else
+        evacuatedShards_.erase(shard);
+    for (const auto& [id, worker] : workers_) {
+        if (worker->shard == shard)
+            worker->isEvacuated = isEvacuated;
+    }
+}
+
 void EmulatedPlatform::advance()
 {
     const std::int64_t nowMs = time_.nowMs();
--- a/src/tools/gqemulate/emulatedplatform.h
+++ b/src/tools/gqemulate/emulatedplatform.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,7 @@
     bool hasCrashed = false; //!< It has crashed and has not started again.
     bool isCutOff = false; //!< It runs, but calls to it are refused, or their answers are lost.
     bool losesAnswersOnly = false; //!< While it is cut off, it carries out calls.
+    bool isEvacuated = false; //!< The operator has evacuated its failure domain.
     std::int64_t failsUntilMs = -1; //!< Time until which it fails what it starts.
     int failurePercent = 0; //!< Probability with which it does so.
 
@@ -49,7 +51,8 @@
     /*! \return whether new attempts may be expected to run on the worker. */
     bool isUsable(std::int64_t nowMs) const
     {
-        return answers() && drainMs < 0 && !simulated.failsAllTasks && !isFailing(nowMs) && isListed(nowMs);
+        return answers() && drainMs < 0 && !isEvacuated && !simulated.failsAllTasks && !isFailing(nowMs)
+            && isListed(nowMs);
     }
 
     bool isListed(std::int64_t nowMs) const
@@ -69,6 +72,9 @@
     /*! Applies a fault of a worker or of a shard's workers. */
     void setFaultActive(const FleetFault& fault, bool isActive);
 
+    /*! Sets whether the workers of a shard are evacuated, so that they count as unusable. */
+    void setEvacuated(std::size_t shard, bool isEvacuated);
+
     /*! Advances all workers to the present time. */
     void advance();
 
@@ -109,6 +115,7 @@
     VirtualTime& time_;
     std::size_t shardCount_;
     bool honorsEpochs_;
+    std::set<std::size_t> evacuatedShards_;
     std::int64_t stopDurationLimitMs_ = 0;
     bool hasSilentDepartures_ = false;
     std::size_t nextNumber_ = 0;
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -42,6 +42,7 @@
     {
         return {};
     }
+    bool hasShardWithRoom(const FleetSchema::JobSpec&, std::uint32_t) override { return false; }
     std::vector<Fleet::GangShare> divideGang(
         const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration, std::span<const std::string>) override
     {
--- a/src/tools/gqemulate/fleetscenario.cpp
+++ b/src/tools/gqemulate/fleetscenario.cpp
@@ -154,6 +154,40 @@
     }
 }
 
+void addEvacuations(FleetScenario& scenario)
+{
+    constexpr std::array companions { FleetFaultKind::NodeKill, FleetFaultKind::NodeFreeze,
+        FleetFaultKind::StoreOutage, FleetFaultKind::StoreDown, FleetFaultKind::ShardRelease };
+    std::mt19937_64 random(scenario.seed * 49'979'687 + 31);
+    const auto draw = [&random](std::int64_t minMs, std::int64_t maxMs) {
+        return minMs + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(maxMs - minMs));
+    };
+    scenario.hasEvacuations = true;
+    const std::size_t count = 2 + random() % 3;
+    for (std::size_t number = 0; number < count; ++number) {
+        FleetFault fault;
+        fault.kind = FleetFaultKind::Evacuation;
+        fault.startMs = draw(4000, fleetSubmissionEndMs);
+        fault.durationMs = random() % 4 == 0 ? draw(50, 1500) : draw(6000, 16'000);
+        fault.target = random();
+        scenario.faults.push_back(fault);
+        if (random() % 4 == 0) {
+            fault.target += 1;
+            fault.startMs += draw(0, 3000);
+            scenario.faults.push_back(fault);
+        }
+        if (random() % 2 == 0)
+            continue;
+        // Without other faults, the node of a shard's number owns it.
+        FleetFault companion;
+        companion.kind = companions[random() % companions.size()];
+        companion.startMs = fault.startMs + draw(-1500, 4000);
+        companion.durationMs = draw(300, 5000);
+        companion.target = fault.target % scenario.shardCount;
+        scenario.faults.push_back(companion);
+    }
+}
+
 void drawConnections(FleetScenario& scenario)
 {
     constexpr std::array kinds { ConnectionKind::EndWithAnswer, ConnectionKind::Outlive, ConnectionKind::Held,
@@ -244,12 +278,12 @@
 
 std::string describe(const FleetFault& fault)
 {
-    static constexpr const char* names[]
-        = { "node killed", "owner's node frozen", "shard released", "node cut off from the store",
-              "calls between nodes lost", "workers replaced", "shard without workers",
-              "worker's entry absent", "worker crashes", "worker cut off", "worker fails everything",
-              "store down", "workers crash", "capacities shrink", "workers cut off with refusals",
-              "workers fail what they start", "workers leave", "workers restart and are cut off" };
+    static constexpr const char* names[] = { "node killed", "owner's node frozen", "shard released",
+        "node cut off from the store", "calls between nodes lost", "workers replaced",
+        "shard without workers", "worker's entry absent", "worker crashes", "worker cut off",
+        "worker fails everything", "store down", "workers crash", "capacities shrink",
+        "workers cut off with refusals", "workers fail what they start", "workers leave", "domain evacuated",
+        "workers restart and are cut off" };
     return std::string(names[static_cast<std::size_t>(fault.kind)]) + " at " + std::to_string(fault.startMs)
         + " ms for " + std::to_string(fault.durationMs) + " ms (target " + std::to_string(fault.target)
         + ", count " + std::to_string(fault.count) + ", capacity " + std::to_string(fault.capacityPercent)
--- a/src/tools/gqemulate/fleetscenario.h
+++ b/src/tools/gqemulate/fleetscenario.h
@@ -27,6 +27,7 @@
     WorkersCutOff, //!< Workers of a shard run on, while calls to them are refused and their entries lapse.
     WorkersFailing, //!< Some workers of all shards fail what they start, with a probability.
     Departure, //!< Some workers of all shards drain and leave, and no others start.
+    Evacuation, //!< The operator evacuates the failure domain of a shard.
     WorkersRestart, //!< Workers of a shard start again under their identifiers and are cut off soon after.
 };
 
@@ -56,6 +57,7 @@
     IgnoredLeaseStatement, //!< An owner renews leases beyond the ends that it has stated.
     NoProbesByFailedTasks, //!< Tasks that have failed do not start on quarantined workers.
     UnboundedSearches, //!< No number of steps ends a search.
+    IgnoredEvacuations, //!< Owners start tasks in evacuated failure domains.
     CallsToAnyIncarnation, //!< A restarted worker takes calls for its former incarnation, which no owner
                            //!< expects.
 };
@@ -78,6 +80,7 @@
     FleetVariant variant = FleetVariant::Complete;
     std::vector<FleetFault> faults;
     bool hasWorkerDisturbances = false; //!< Stops take time, and the list of workers is read less often.
+    bool hasEvacuations = false; //!< Nodes read the operator's evacuations.
     bool hasDeadlyTasks = false; //!< Some jobs have a task that crashes each worker that starts it.
     bool hasHopelessTasks = false; //!< More tasks fail always, and more failures are allowed.
     bool hasSilentDepartures = false; //!< Calls to workers that have left are not refused.
@@ -144,6 +147,14 @@
 */
 void addWorkerRestarts(FleetScenario& scenario);
 
+/*!
+    Adds evacuations of one or two failure domains, beside some of which the owner's node is killed, frozen or
+    cut off from the store, or the evacuation is withdrawn at once.
+
+    The draws depend on the seed only, and not on those of the other functions.
+*/
+void addEvacuations(FleetScenario& scenario);
+
 /*!
     Draws how connections to workers end.
 
--- a/src/tools/gqemulate/main.cpp
+++ b/src/tools/gqemulate/main.cpp
@@ -27,6 +27,7 @@
     bool hasFailures = false;
     bool hasRestarts = false;
     bool hasConnections = false;
+    bool hasEvacuations = false;
     bool hasFullShards = false;
     std::int64_t stepNs = Emulate::OwnerProcessor::defaultStepNs;
     double processorShare = 0; //!< 0: as drawn for the day.
@@ -47,6 +48,7 @@
     { "ignored-statement", Emulate::FleetVariant::IgnoredLeaseStatement },
     { "no-failed-probes", Emulate::FleetVariant::NoProbesByFailedTasks },
     { "unbounded-searches", Emulate::FleetVariant::UnboundedSearches },
+    { "ignored-evacuations", Emulate::FleetVariant::IgnoredEvacuations },
     { "any-incarnation", Emulate::FleetVariant::CallsToAnyIncarnation },
 };
 
@@ -70,7 +72,7 @@
         << "Usage: gqemulate [--fleet] [--waves] [--owner-loss] [--stated-lease]\n"
         << "                 [--variant NAME] [--seed N] [--days N] [--calm]\n"
         << "                 [--no-deadly] [--no-crashes] [--cuts] [--failures] [--restarts]\n"
-        << "                 [--connections]\n"
+        << "                 [--connections] [--evacuations]\n"
         << "                 [--full-shards] [--step-ns N] [--share S] [--shards N]\n"
         << "                 [--workers N] [--load P]\n"
         << "                 [--trace JOB]\n"
@@ -90,6 +92,7 @@
         << "  --no-crashes days without tasks that crash workers, workers that crash together, and\n"
         << "               capacities that shrink\n"
         << "  --cuts       fleet days on which workers run on while they are cut off\n"
+        << "  --evacuations  fleet days on which the operator evacuates failure domains and takes them back\n"
         << "  --connections  fleet days on which connections to workers end after each answer, or go on\n"
         << "               over a restart; by seed\n"
         << "  --restarts   fleet days on which workers restart under their identifiers and are cut off soon\n"
@@ -130,7 +133,7 @@
     { 'w', &Options::hasWaves }, { 'o', &Options::hasOwnerLoss }, { 'l', &Options::hasStatedLease },
     { 'n', &Options::hasWorkerDisturbances, false }, { 'D', &Options::hasDeadlyTasks, false },
     { 'C', &Options::hasCuts }, { 'F', &Options::hasFailures }, { 'S', &Options::hasFullShards },
-    { 'R', &Options::hasRestarts }, { 'N', &Options::hasConnections } };
+    { 'R', &Options::hasRestarts }, { 'N', &Options::hasConnections }, { 'E', &Options::hasEvacuations } };
 
 // Returns whether the option has no value.
 bool applySwitch(int flag, Options& options)
@@ -181,18 +184,18 @@
 
 bool parseOptions(int argc, char** argv, Options& options)
 {
-    static const option flags[]
-        = { { "seed", required_argument, nullptr, 's' }, { "days", required_argument, nullptr, 'd' },
-              { "calm", no_argument, nullptr, 'c' }, { "trace", required_argument, nullptr, 't' },
-              { "fleet", no_argument, nullptr, 'f' }, { "waves", no_argument, nullptr, 'w' },
-              { "owner-loss", no_argument, nullptr, 'o' }, { "stated-lease", no_argument, nullptr, 'l' },
-              { "variant", required_argument, nullptr, 'v' }, { "no-crashes", no_argument, nullptr, 'n' },
-              { "no-deadly", no_argument, nullptr, 'D' }, { "cuts", no_argument, nullptr, 'C' },
-              { "failures", no_argument, nullptr, 'F' }, { "restarts", no_argument, nullptr, 'R' },
-              { "connections", no_argument, nullptr, 'N' }, { "full-shards", no_argument, nullptr, 'S' },
-              { "step-ns", required_argument, nullptr, 'p' }, { "share", required_argument, nullptr, 'P' },
-              { "workers", required_argument, nullptr, 'W' }, { "load", required_argument, nullptr, 'L' },
-              { "shards", required_argument, nullptr, 'H' }, { nullptr, 0, nullptr, 0 } };
+    static const option flags[] = { { "seed", required_argument, nullptr, 's' },
+        { "days", required_argument, nullptr, 'd' }, { "calm", no_argument, nullptr, 'c' },
+        { "trace", required_argument, nullptr, 't' }, { "fleet", no_argument, nullptr, 'f' },
+        { "waves", no_argument, nullptr, 'w' }, { "owner-loss", no_argument, nullptr, 'o' },
+        { "stated-lease", no_argument, nullptr, 'l' }, { "variant", required_argument, nullptr, 'v' },
+        { "no-crashes", no_argument, nullptr, 'n' }, { "no-deadly", no_argument, nullptr, 'D' },
+        { "cuts", no_argument, nullptr, 'C' }, { "failures", no_argument, nullptr, 'F' },
+        { "restarts", no_argument, nullptr, 'R' }, { "connections", no_argument, nullptr, 'N' },
+        { "full-shards", no_argument, nullptr, 'S' }, { "step-ns", required_argument, nullptr, 'p' },
+        { "share", required_argument, nullptr, 'P' }, { "workers", required_argument, nullptr, 'W' },
+        { "load", required_argument, nullptr, 'L' }, { "shards", required_argument, nullptr, 'H' },
+        { "evacuations", no_argument, nullptr, 'E' }, { nullptr, 0, nullptr, 0 } };
     for (int flag = 0; (flag = getopt_long(argc, argv, "", flags, nullptr)) != -1;) {
         if (!applySwitch(flag, options) && !applyValue(flag, optarg, options))
             return false;
@@ -266,6 +269,8 @@
         Emulate::addWorkerRestarts(scenario);
     if (options.hasConnections)
         Emulate::drawConnections(scenario);
+    if (options.hasEvacuations)
+        Emulate::addEvacuations(scenario);
     return scenario;
 }
 
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -55,6 +55,10 @@
         const auto found = shardsBySize.find(spec.steps(static_cast<int>(step)).milli_processors());
         return found == shardsBySize.end() ? shardWithCapacity : found->second;
     }
+    bool hasShardWithRoom(const FleetSchema::JobSpec&, std::uint32_t) override
+    {
+        return !shardWithCapacity.empty();
+    }
     std::vector<Fleet::GangShare> divideGang(
         const FleetSchema::JobSpec&, std::uint32_t, Utils::Duration, std::span<const std::string>) override
     {
--- a/tests/auto/fleet/tst_emulatedfleet.cpp
+++ b/tests/auto/fleet/tst_emulatedfleet.cpp
@@ -51,6 +51,20 @@
     return scenario;
 }
 
+Emulate::FleetResult runWithEvacuations(std::uint64_t seed, Emulate::FaultMix mix, FleetVariant variant)
+{
+    Emulate::FleetScenario scenario = Emulate::randomFleetScenario(seed, mix);
+    Emulate::addEvacuations(scenario);
+    scenario.variant = variant;
+    return Emulate::runFleetScenario(scenario);
+}
+
+std::size_t countStartsInEvacuatedDomains(const Emulate::FleetResult& result)
+{
+    return static_cast<std::size_t>(std::count_if(result.violations.begin(), result.violations.end(),
+        [](const std::string& violation) { return violation.starts_with("start in an evacuated domain"); }));
+}
+
 // A large shard, a small share of a processor, and steps that take 40 times the default time: searches
 // without a bound keep an owner from everything else for seconds.
 Emulate::FleetScenario largeFullShardScenario()
@@ -211,6 +225,32 @@
     }
 }
 
+TEST_CASE("Evacuations keep every promise of a fleet, and its tasks run in the other failure domains")
+{
+    const std::uint64_t seed = GENERATE(range(1U, 9U));
+    INFO("seed " << seed);
+    const Emulate::FleetResult result
+        = runWithEvacuations(seed, Emulate::FaultMix::None, FleetVariant::Complete);
+    CHECK(result.violations.empty());
+    CHECK(result.unfinished == 0);
+}
+
+TEST_CASE("No task starts in an evacuated failure domain while owners change, freeze or are cut off")
+{
+    const std::uint64_t seed = GENERATE(range(100U, 112U));
+    INFO("seed " << seed);
+    CHECK(countStartsInEvacuatedDomains(
+              runWithEvacuations(seed, Emulate::FaultMix::All, FleetVariant::Complete))
+        == 0);
+}
+
+TEST_CASE("The check of a fleet detects owners that start tasks in an evacuated failure domain")
+{
+    CHECK(countStartsInEvacuatedDomains(
+              runWithEvacuations(1, Emulate::FaultMix::None, FleetVariant::IgnoredEvacuations))
+        > 0);
+}
+
 TEST_CASE("A fleet scenario is deterministic")
 {
     const auto first = Emulate::runFleetScenario(Emulate::randomFleetScenario(42, Emulate::FaultMix::All));
--- a/tests/auto/fleetnode/shardhostfixture.h
+++ b/tests/auto/fleetnode/shardhostfixture.h
@@ -86,6 +86,10 @@
     {
         return {};
     }
+    bool hasShardWithRoom(const std::string&, const FleetSchema::JobSpec&, std::uint32_t) override
+    {
+        return false;
+    }
     std::vector<Fleet::GangShare> divideGang(const std::string&, const FleetSchema::JobSpec&, std::uint32_t,
         Utils::Duration, std::span<const std::string>) override
     {
--- a/tests/auto/usersplatform/soak/invariantchecker.py
+++ b/tests/auto/usersplatform/soak/invariantchecker.py
@@ -38,6 +38,7 @@
         self.starts_after_crashes = {}
         self.calm_lapses = 0  # Runs whose lease was not renewed although no fault was near.
         self.failures = {}  # task -> number of failed attempts
+        self.evacuations = None  # The operator's evacuations, if there are any.
 
     def report_violation(self, text):
         self.violations.append(self.log_event("VIOLATION " + text))
@@ -62,6 +63,8 @@
         if drained > DRAIN_SECONDS and self.faults.calm_seconds() > DRAIN_SECONDS + DRAIN_CALM_SECONDS:
             self.report_violation("task %s is started on %s, which drains since %.1f s"
                                   % (task, worker.identity, drained))
+        if self.evacuations:
+            self.evacuations.check_start(worker, task)
         used = sum(run["cpu"] for run in worker.runs.values())
         # A start may be carried out late if the link to the worker was disturbed.
         is_late = worker.proxy.mode or time.monotonic() - worker.proxy.disturbed_at < CAPACITY_NOTICE_SECONDS
