Bound what connections, requests and responses take of the VM

Cause: Beast's buffer had no largest size, so trailers and chunk extensions without end were kept whole; bodies below the limit had no bound on their sum, connections none on their number, and responses were read in the same way.

Change: requests are put together by RequestReader with a bounded buffer. ConnectionTable decides, without I/O, which connections of all listeners are closed when there are too many or they hold too much; complete requests are never given up, and one that cannot be held is answered 503 before anything looks at it. Responses have a bound each and one together, and exceeding it leaves the outcome unknown. Section [limits] states the bounds, with a counter and a bounded log line.

--- a/src/app/geraniumquayd/main.cpp
+++ b/src/app/geraniumquayd/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/application.h"
 #include "fleetnode/node.h"
+#include "fleetnode/nodelimits.h"
 #include "http/clientconnection.h"
 #include "platform/callercodec.h"
 #include "platform/names.h"
@@ -18,7 +19,8 @@
 
 namespace {
 
-Ports::PlatformBinding bindPlatform(boost::asio::io_context& io)
+Ports::PlatformBinding bindPlatform(
+    boost::asio::io_context& io, const std::shared_ptr<Http::ByteBudget>& responseBudget)
 {
     Ports::PlatformBinding binding;
     binding.operatorTable = UsersPlatform::operatorTable;
@@ -29,11 +31,12 @@
     binding.decodeWorker = UsersPlatform::decodeWorker;
     binding.decodeRequest = UsersPlatform::decodeRequest;
     binding.encodeResponse = UsersPlatform::encodeResponse;
-    binding.makeWorkerAgent = [&io](const Ports::WorkerInfo& worker) -> std::unique_ptr<Ports::WorkerAgent> {
+    binding.makeWorkerAgent
+        = [&io, responseBudget](const Ports::WorkerInfo& worker) -> std::unique_ptr<Ports::WorkerAgent> {
         // Entries with an invalid address have already been ignored when the worker list was read.
         const auto endpoint = Http::parseEndpoint(worker.address);
         return std::make_unique<UsersPlatform::WorkerClient>(
-            io, Utils::isOk(endpoint) ? Utils::value(endpoint) : Http::Endpoint(), worker.id);
+            io, Utils::isOk(endpoint) ? Utils::value(endpoint) : Http::Endpoint(), worker.id, responseBudget);
     };
     return binding;
 }
@@ -64,11 +67,12 @@
         Utils::logError("settings-refused", Utils::error(endpoint));
         return Daemon::ExitUsage;
     }
+    const std::shared_ptr<Http::ByteBudget> responseBudget = FleetNode::makeResponseBudget(settings.limits());
     UsersPlatform::TableStore store(
-        io, Utils::value(endpoint), std::chrono::milliseconds(settings.table().timeout_ms()));
-    const Ports::PlatformBinding platform = bindPlatform(io);
+        io, Utils::value(endpoint), std::chrono::milliseconds(settings.table().timeout_ms()), responseBudget);
+    const Ports::PlatformBinding platform = bindPlatform(io, responseBudget);
     FleetNode::NodeContext context { io, clock, store, platform, settings, metrics,
-        static_cast<std::uint64_t>(FleetNode::NodeContext::nowUnixMs()) };
+        static_cast<std::uint64_t>(FleetNode::NodeContext::nowUnixMs()), responseBudget };
     FleetNode::Node node(context);
     const Utils::Status status = node.start();
     if (!Utils::isOk(status)) {
--- a/src/libs/fleetnode/node.cpp
+++ b/src/libs/fleetnode/node.cpp
@@ -1,8 +1,10 @@
 #include "node.h"
 
 #include "callerservice.h"
+#include "connectionmonitor.h"
 #include "evacuationrequests.h"
 #include "jobrouter.h"
+#include "nodelimits.h"
 #include "peerclient.h"
 #include "shardownership.h"
 #include "tablewatcher.h"
@@ -10,6 +12,7 @@
 
 #include "fleet/queuetable.h"
 #include "http/clientconnection.h"
+#include "http/connectionregistry.h"
 #include "http/headers.h"
 #include "http/server.h"
 #include "utils/log/log.h"
@@ -22,9 +25,6 @@
 
 using std::chrono::milliseconds;
 
-// Maximum size of a request body on every server of the node. The configuration may set a lower limit for
-// callers; a message from a peer holds a single job.
-constexpr std::uint64_t maxBodyBytes = 1U << 20U;
 // The list of workers is read this many times within the drain time, so that a draining worker is noticed
 // before it stops, even if one read fails.
 constexpr int pollsPerDrain = 3;
@@ -38,16 +38,23 @@
     return milliseconds(context.settings.dispatch().drain_ms()) / pollsPerDrain;
 }
 
-Http::ServerOptions serverOptions(const std::string& endpoint)
+// The configuration may set a lower limit on the bodies of callers; a message from a peer holds a single job.
+Http::ServerOptions serverOptions(const char* name, const std::string& endpoint, const NodeLimits& limits,
+    std::size_t maxConnections, std::shared_ptr<Http::ConnectionRegistry> registry)
 {
     Http::ServerOptions options;
+    options.name = name;
+    options.connections = std::move(registry);
+    options.maxConnections = maxConnections;
+    options.maxBodyBytes = limits.bodyBytes;
+    options.maxBufferBytes = limits.bufferBytes;
+    options.idleTimeout = limits.requestTime;
     const auto parsed = Http::parseEndpoint(endpoint);
     // The settings have been validated with the same parser.
     if (Utils::isOk(parsed)) {
         options.address = Utils::value(parsed).address;
         options.port = Utils::value(parsed).port;
     }
-    options.maxBodyBytes = maxBodyBytes;
     return options;
 }
 
@@ -74,6 +81,9 @@
     void completeStopStep();
 
     NodeContext& context_;
+    NodeLimits limits_;
+    ConnectionMonitor connectionMonitor_;
+    std::shared_ptr<Http::ConnectionRegistry> connections_;
     Fleet::QueueTable queues_;
     PeerClient handoverPeerClient_;
     TailLatencyExchange tailLatencyExchange_;
@@ -96,6 +106,12 @@
 
 Node::Private::Private(NodeContext& context)
     : context_(context)
+    , limits_(parseNodeLimits(context.settings.limits()))
+    , connectionMonitor_(context)
+    , connections_(std::make_shared<Http::ConnectionRegistry>(Http::ConnectionLimits { limits_.requestBytes },
+          [this](std::string_view listener, std::string_view reason, std::size_t count) {
+              connectionMonitor_.onExcess(listener, reason, count);
+          }))
     , handoverPeerClient_(context)
     , tailLatencyExchange_(context)
     , ownership_(context, handoverPeerClient_, tailLatencyExchange_.model())
@@ -106,15 +122,21 @@
           configurationBatchPause, [this](const auto& rows) { onConfiguration(rows); })
     , workerWatcher_(context, context.platform.workerTable, TableWatcher::Mode::Poll,
           workerPollInterval(context), [this](const auto& rows) { onWorkers(rows); })
-    , callerServer_(context.io, serverOptions(context.settings.endpoints().callers()),
+    , callerServer_(context.io,
+          serverOptions("callers", context.settings.endpoints().callers(), limits_, limits_.callerConnections,
+              connections_),
           [this](const Http::Request& request, const Http::Responder& respond) {
               callerService_.handle(request, respond);
           })
-    , peerServer_(context.io, serverOptions(context.settings.endpoints().peers()),
+    , peerServer_(context.io,
+          serverOptions(
+              "peers", context.settings.endpoints().peers(), limits_, limits_.peerConnections, connections_),
           [this](const Http::Request& request, const Http::Responder& respond) {
               onPeerRequest(request, respond);
           })
-    , readinessServer_(context.io, serverOptions(context.settings.endpoints().readiness()),
+    , readinessServer_(context.io,
+          serverOptions("readiness", context.settings.endpoints().readiness(), limits_,
+              limits_.monitoringConnections, connections_),
           [this](const Http::Request& request, const Http::Responder& respond) {
               onMonitoringRequest(request, respond);
           })
@@ -122,7 +144,8 @@
 {
     if (!context.settings.endpoints().metrics().empty()) {
         metricsServer_ = std::make_unique<Http::Server>(context.io,
-            serverOptions(context.settings.endpoints().metrics()),
+            serverOptions("metrics", context.settings.endpoints().metrics(), limits_,
+                limits_.monitoringConnections, connections_),
             [this](const Http::Request& request, const Http::Responder& respond) {
                 onMonitoringRequest(request, respond);
             });
--- a/src/libs/fleetnode/nodecontext.h
+++ b/src/libs/fleetnode/nodecontext.h
@@ -7,11 +7,16 @@
 #include <settings.pb.h>
 
 #include <cstdint>
+#include <memory>
 
 namespace boost::asio {
 class io_context;
 }
 
+namespace Http {
+class ByteBudget;
+}
+
 namespace FleetNode {
 
 /*! Dependencies shared by the components of a node; must outlive them all. */
@@ -23,6 +28,7 @@
     const Schema::NodeDaemonSettings& settings;
     Telemetry::Metrics& metrics;
     std::uint64_t incarnation = 0; //!< Incarnation of this process; increases with each start.
+    std::shared_ptr<Http::ByteBudget> responseBudget {}; //!< Of all responses received; null: no bound.
 
     /*! \return the current monotonic time. */
     Utils::TimePoint now() const { return clock.now(); }
--- a/src/libs/fleetnode/peerclient.cpp
+++ b/src/libs/fleetnode/peerclient.cpp
@@ -9,6 +9,8 @@
 
 // A call lasts until the owner's transaction is committed, so a burst needs several connections.
 constexpr std::size_t maxConnections = 8;
+// A relay's reply has the rows of all nodes, each of which is at most 64 KB.
+constexpr std::uint64_t maxReplyBytes = 16U << 20U;
 constexpr unsigned statusOk = 200;
 
 } // namespace
@@ -28,7 +30,8 @@
             return boost::asio::post(context_.io,
                 [handler = std::move(handler), error = Utils::error(endpoint)] { handler(error); });
         }
-        client = std::make_unique<Http::Client>(context_.io, Utils::value(endpoint), maxConnections);
+        client = std::make_unique<Http::Client>(context_.io, Utils::value(endpoint), maxConnections, nullptr,
+            Http::ClientLimits { maxReplyBytes, context_.responseBudget });
     }
     Http::Request message;
     message.method = "POST";
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -51,7 +51,8 @@
 
     Strand strand_;
     boost::beast::tcp_stream stream_;
-    boost::beast::flat_buffer buffer_;
+    //! Bounds what is parsed as one piece: the header, the trailers or the header of a chunk.
+    boost::beast::flat_buffer buffer_ { 64U << 10U };
     Utils::TimePoint lastReceived_ {};
     bool reusable_ = false;
 };
--- a/src/libs/http/blockingclient.cpp
+++ b/src/libs/http/blockingclient.cpp
@@ -22,6 +22,8 @@
 constexpr auto maxIdleTime = std::chrono::seconds(5);
 constexpr std::size_t maxIdleConnections = 16;
 constexpr std::uint64_t maxBodyBytes = 256U << 20U;
+// Greatest size of what is parsed as one piece: the header, the trailers or the header of a chunk.
+constexpr std::size_t maxBufferBytes = 64U << 10U;
 
 // A connection with its own io_context, which is run by the calling thread.
 class Connection {
@@ -72,7 +74,7 @@
 
     Asio::io_context context_ { 1 };
     Beast::tcp_stream stream_ { context_ };
-    Beast::flat_buffer buffer_;
+    Beast::flat_buffer buffer_ { maxBufferBytes };
     std::optional<Beast::http::response_parser<Beast::http::string_body>> parser_;
     std::chrono::steady_clock::time_point lastUseTime_;
 };
--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -35,11 +35,12 @@
 class Client::Private : public std::enable_shared_from_this<Client::Private> {
 public:
     Private(Asio::io_context& context, Endpoint endpoint, std::size_t maxConnections,
-        std::shared_ptr<const PeerCheck> check)
+        std::shared_ptr<const PeerCheck> check, ClientLimits limits)
         : context_(context)
         , endpoint_(std::move(endpoint))
         , maxConnections_(maxConnections)
         , check_(std::move(check))
+        , responseLimits_(std::move(limits))
     {
     }
 
@@ -78,7 +79,8 @@
         }
         if (connections_.size() >= maxConnections_)
             return nullptr;
-        connections_.push_back(std::make_shared<ClientConnection>(context_, endpoint_, check_));
+        connections_.push_back(
+            std::make_shared<ClientConnection>(context_, endpoint_, check_, responseLimits_));
         return connections_.back();
     }
 
@@ -131,13 +133,15 @@
     Endpoint endpoint_;
     std::size_t maxConnections_;
     std::shared_ptr<const PeerCheck> check_;
+    ClientLimits responseLimits_;
     std::vector<std::shared_ptr<ClientConnection>> connections_;
     std::deque<std::shared_ptr<QueuedRequest>> queue_;
 };
 
 Client::Client(boost::asio::io_context& context, Endpoint endpoint, std::size_t maxConnections,
-    std::shared_ptr<const PeerCheck> check)
-    : d_(std::make_shared<Private>(context, std::move(endpoint), maxConnections, std::move(check)))
+    std::shared_ptr<const PeerCheck> check, ClientLimits limits)
+    : d_(std::make_shared<Private>(
+        context, std::move(endpoint), maxConnections, std::move(check), std::move(limits)))
 {
 }
 
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -16,9 +16,10 @@
         \param context runs the operations; must outlive the client.
         \param maxConnections maximum number of connections, at least 1.
         \param check as for ClientConnection.
+        \param limits bounds on responses.
     */
     Client(boost::asio::io_context& context, Endpoint endpoint, std::size_t maxConnections,
-        std::shared_ptr<const PeerCheck> check = nullptr);
+        std::shared_ptr<const PeerCheck> check = nullptr, ClientLimits limits = {});
     ~Client();
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -24,8 +24,8 @@
 
 namespace {
 
-// A larger response fails the exchange; the platform splits such responses into pages.
-constexpr std::uint64_t maxResponseBytes = 16U << 20U;
+// Greatest size of what is parsed as one piece: the header, the trailers or the header of a chunk.
+constexpr std::size_t maxBufferBytes = 64U << 10U;
 
 // Receives the result, the connection if it can be used again, and whether the server has closed a reused
 // connection without a response.
@@ -51,7 +51,8 @@
 // exchange.
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
-    Exchange(asio::io_context& context, Endpoint endpoint, Request&& request, EndHandler handler)
+    Exchange(asio::io_context& context, Endpoint endpoint, Request&& request, const ClientLimits& limits,
+        EndHandler handler)
         : endpoint_(std::move(endpoint))
         , timer_(context)
         , socket_(context)
@@ -59,12 +60,23 @@
         , bodyOnNewConnection_(std::move(request.bodyOnNewConnection))
         , isIdempotent_(request.isIdempotent)
         , message_(toMessage(std::move(request), endpoint_))
+        , buffer_(maxBufferBytes)
+        , budget_(limits.total)
         , handler_(std::move(handler))
     {
-        parser_.body_limit(maxResponseBytes);
+        parser_.body_limit(limits.maxResponseBytes);
         parser_.eager(true);
     }
 
+    ~Exchange()
+    {
+        if (budget_)
+            budget_->release(chargedBytes_);
+    }
+
+    Exchange(const Exchange&) = delete;
+    Exchange& operator=(const Exchange&) = delete;
+
     void start(std::optional<tcp::socket> socket, const TimeLimits& limits, bool mayConnect)
     {
         const auto now = asio::steady_timer::clock_type::now();
@@ -159,6 +171,8 @@
                     return;
                 if (errorCode)
                     return self->onConnectionLost(errorCode);
+                if (!self->chargeBody())
+                    return self->fail("the responses that are being received are too large together");
                 if (self->parser_.is_done())
                     return self->succeed();
                 self->receivedAt_ = asio::steady_timer::clock_type::now();
@@ -166,6 +180,16 @@
             });
     }
 
+    // Returns whether the budget of all responses holds with what has been received of this one.
+    bool chargeBody()
+    {
+        const std::size_t bytes = parser_.get().body().size();
+        if (!budget_ || bytes <= chargedBytes_)
+            return true;
+        const std::size_t added = bytes - std::exchange(chargedBytes_, bytes);
+        return budget_->acquire(added);
+    }
+
     // A server may close a connection between two requests, which the client may see only after it has sent
     // the next one.
     void onConnectionLost(boost::system::error_code errorCode)
@@ -228,6 +252,8 @@
     bool isIdempotent_; //!< As in Request.
     bhttp::request<bhttp::string_body> message_;
     beast::flat_buffer buffer_;
+    std::shared_ptr<ByteBudget> budget_; //!< Null: no bound.
+    std::size_t chargedBytes_ = 0;
     bhttp::response_parser<bhttp::string_body> parser_;
     EndHandler handler_; //!< Empty once the exchange has ended.
     bool isNewConnection_ = false;
@@ -240,10 +266,12 @@
 
 class ClientConnection::Private : public std::enable_shared_from_this<ClientConnection::Private> {
 public:
-    Private(asio::io_context& context, Endpoint endpoint, std::shared_ptr<const PeerCheck> check)
+    Private(asio::io_context& context, Endpoint endpoint, std::shared_ptr<const PeerCheck> check,
+        ClientLimits limits)
         : context_(context)
         , endpoint_(std::move(endpoint))
         , check_(std::move(check))
+        , limits_(std::move(limits))
     {
     }
 
@@ -297,7 +325,7 @@
 
     void run(Request request, const TimeLimits& limits, bool mayConnect, ResultHandler handler)
     {
-        const auto exchange = std::make_shared<Exchange>(context_, endpoint_, std::move(request),
+        const auto exchange = std::make_shared<Exchange>(context_, endpoint_, std::move(request), limits_,
             [self = shared_from_this(), handler = std::move(handler)](Utils::Result<Response> result,
                 std::optional<tcp::socket> socket, bool isUnanswered) mutable {
                 self->exchange_ = nullptr;
@@ -344,14 +372,15 @@
     asio::io_context& context_;
     Endpoint endpoint_;
     std::shared_ptr<const PeerCheck> check_;
+    ClientLimits limits_;
     std::optional<tcp::socket> idleSocket_; //!< Open connection between two exchanges.
     std::int64_t peerProcess_ = 0; //!< Process at its other end; 0 if unknown.
     std::shared_ptr<Exchange> exchange_; //!< Null unless an exchange is in progress.
 };
 
 ClientConnection::ClientConnection(
-    asio::io_context& context, Endpoint endpoint, std::shared_ptr<const PeerCheck> check)
-    : d_(std::make_shared<Private>(context, std::move(endpoint), std::move(check)))
+    asio::io_context& context, Endpoint endpoint, std::shared_ptr<const PeerCheck> check, ClientLimits limits)
+    : d_(std::make_shared<Private>(context, std::move(endpoint), std::move(check), std::move(limits)))
 {
 }
 
--- a/src/libs/http/clientconnection.h
+++ b/src/libs/http/clientconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientlimits.h"
 #include "endpoint.h"
 #include "message.h"
 #include "timelimits.h"
@@ -36,9 +37,10 @@
         \param context runs the operations; must outlive the connection.
         \param check sent on a new connection before the first request that is meant for one process; may be
             null if there are none.
+        \param limits bounds on responses.
     */
-    ClientConnection(
-        boost::asio::io_context& context, Endpoint endpoint, std::shared_ptr<const PeerCheck> check);
+    ClientConnection(boost::asio::io_context& context, Endpoint endpoint,
+        std::shared_ptr<const PeerCheck> check, ClientLimits limits = {});
     ~ClientConnection();
     ClientConnection(const ClientConnection&) = delete;
     ClientConnection& operator=(const ClientConnection&) = delete;
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -1,7 +1,9 @@
 #include "server.h"
 
 #include "beastmessage.h"
+#include "connectionregistry.h"
 #include "headers.h"
+#include "requestreader.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -25,7 +27,6 @@
 using Tcp = Asio::ip::tcp;
 
 constexpr std::uint32_t maxHeaderBytes = 32U << 10U;
-constexpr std::size_t firstReadBytes = 4U << 10U;
 constexpr auto writeTimeout = std::chrono::seconds(30);
 constexpr auto drainTimeout = std::chrono::seconds(2);
 constexpr std::size_t drainChunkBytes = 64U << 10U;
@@ -54,6 +55,15 @@
     return std::nullopt;
 }
 
+// The request has not been handled, so the caller may send it again.
+Response overloadResponse(std::uint32_t retryAfterS)
+{
+    Response response = jsonResponse(
+        503, R"({"error":"overloaded","step":"http.read","peer":"","message":"too much is being received"})");
+    response.headers.push_back({ "Retry-After", std::to_string(retryAfterS) });
+    return response;
+}
+
 } // namespace
 
 class Server::Private : public std::enable_shared_from_this<Server::Private> {
@@ -63,6 +73,9 @@
         , handler_(std::move(handler))
         , context_(context)
         , acceptor_(Asio::make_strand(context))
+        , listener_(options_.connections
+                  ? options_.connections->addListener(options_.name, options_.maxConnections)
+                  : 0)
     {
     }
 
@@ -75,19 +88,35 @@
     using Stream = Beast::tcp_stream;
 
     struct Connection {
+        explicit Connection(const Stream::executor_type& executor)
+            : stream(executor)
+        {
+        }
+
         Stream stream;
         bool isWaitingForRequest = false; // True while waitForRequest() waits; used on the strand.
+        std::optional<ConnectionTable::Id> id; // Its number in the registry.
+        ConnectionPhase phase = ConnectionPhase::Waiting; // As in the registry; used on the strand.
+        bool isExcess = false; // To be closed, but for a complete request; used on the strand.
     };
 
     void acceptConnections(const Asio::yield_context& yield);
     void serveConnection(const std::shared_ptr<Connection>& connection, const Asio::yield_context& yield);
-    bool waitForRequest(Connection& connection, Beast::flat_buffer& buffer, const Asio::yield_context& yield);
-    bool serveRequest(Connection& connection, Beast::flat_buffer& buffer, const Asio::yield_context& yield);
+    bool waitForRequest(
+        Connection& connection, Internal::RequestReader& reader, const Asio::yield_context& yield);
+    bool serveRequest(
+        Connection& connection, Internal::RequestReader& reader, const Asio::yield_context& yield);
+    boost::system::error_code readRequest(
+        Connection& connection, Internal::RequestReader& reader, const Asio::yield_context& yield);
+    bool refuse(Connection& connection, Response response, const Asio::yield_context& yield);
+    static void closeUnlessServing(Connection& connection);
+    void setPhase(Connection& connection, ConnectionPhase phase) const;
+    void setBytes(const Connection& connection, std::size_t bytes) const;
     Response handle(Request request, const Asio::yield_context& yield);
     bool write(Stream& stream, Response response, bool keepAlive, const Asio::yield_context& yield);
     static void drain(Stream& stream, const Asio::yield_context& yield);
     Utils::Duration readTimeout() const;
-    void addConnection(const std::shared_ptr<Connection>& connection);
+    bool addConnection(const std::shared_ptr<Connection>& connection);
     void removeConnection(const std::shared_ptr<Connection>& connection);
     void closeIdleConnections();
 
@@ -95,6 +124,7 @@
     Handler handler_;
     Asio::io_context& context_;
     Tcp::acceptor acceptor_;
+    std::size_t listener_; // Its number in the registry.
     std::uint16_t port_ = 0;
     std::atomic<bool> stopping_ = false;
     std::atomic<std::size_t> requestsInProgress_ = 0;
@@ -133,7 +163,7 @@
     while (!stopping_) {
         boost::system::error_code errorCode;
         auto strand = Asio::make_strand(context_);
-        auto connection = std::make_shared<Connection>(Connection { Stream(strand) });
+        auto connection = std::make_shared<Connection>(strand);
         acceptor_.async_accept(connection->stream.socket(), yield[errorCode]);
         if (errorCode == Asio::error::operation_aborted || errorCode == Asio::error::bad_descriptor)
             return;
@@ -143,7 +173,8 @@
             retryTimer.async_wait(yield[errorCode]);
             continue;
         }
-        addConnection(connection);
+        if (!addConnection(connection))
+            continue;
         Asio::spawn(
             strand,
             [self = shared_from_this(), connection](const Asio::yield_context& connectionYield) {
@@ -159,8 +190,8 @@
     boost::system::error_code ignored;
     Stream& stream = connection->stream;
     stream.socket().set_option(Tcp::no_delay(true), ignored);
-    Beast::flat_buffer buffer;
-    while (serveRequest(*connection, buffer, yield)) { }
+    Internal::RequestReader reader({ maxHeaderBytes, options_.maxBodyBytes, options_.maxBufferBytes });
+    while (serveRequest(*connection, reader, yield)) { }
     stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     stream.close();
     removeConnection(connection);
@@ -168,47 +199,95 @@
 
 // Waits for the first byte of a request; false if the connection ends, times out or is canceled before.
 bool Server::Private::waitForRequest(
-    Connection& connection, Beast::flat_buffer& buffer, const Asio::yield_context& yield)
+    Connection& connection, Internal::RequestReader& reader, const Asio::yield_context& yield)
 {
-    if (buffer.size() > 0)
+    if (reader.hasInput())
         return true;
     boost::system::error_code errorCode;
+    setPhase(connection, ConnectionPhase::Waiting);
+    setBytes(connection, 0);
     connection.stream.expires_after(readTimeout());
     connection.isWaitingForRequest = true;
-    const std::size_t bytesRead
-        = connection.stream.async_read_some(buffer.prepare(firstReadBytes), yield[errorCode]);
+    const std::size_t bytesRead = connection.stream.async_read_some(reader.prepare(), yield[errorCode]);
     connection.isWaitingForRequest = false;
-    buffer.commit(bytesRead);
+    reader.commit(bytesRead);
     return !errorCode;
 }
 
 // Returns false if the connection must be closed.
 bool Server::Private::serveRequest(
-    Connection& connection, Beast::flat_buffer& buffer, const Asio::yield_context& yield)
+    Connection& connection, Internal::RequestReader& reader, const Asio::yield_context& yield)
 {
-    if (!waitForRequest(connection, buffer, yield))
+    if (!waitForRequest(connection, reader, yield))
         return false;
     Stream& stream = connection.stream;
-    Beast::http::request_parser<Beast::http::string_body> parser;
-    parser.body_limit(options_.maxBodyBytes);
-    parser.header_limit(maxHeaderBytes);
-    boost::system::error_code errorCode;
-    stream.expires_after(options_.idleTimeout);
-    Beast::http::async_read(stream, buffer, parser, yield[errorCode]);
+    setPhase(connection, ConnectionPhase::Receiving);
+    boost::system::error_code errorCode = readRequest(connection, reader, yield);
     if (errorCode) {
         auto errorResponse = readErrorResponse(errorCode);
-        if (errorResponse) {
-            write(stream, std::move(*errorResponse), false, yield);
-            drain(stream, yield);
-        }
-        return false;
+        return errorResponse && refuse(connection, std::move(*errorResponse), yield);
     }
     stream.expires_never();
-    const bool keepAlive = parser.get().keep_alive();
-    Request request = Internal::fromBeast(parser.release());
+    setPhase(connection, ConnectionPhase::Serving);
+    if (connection.id && !options_.connections->mayServe(*connection.id))
+        return refuse(connection, overloadResponse(options_.refusalRetryAfterS), yield);
+    const bool keepAlive = reader.isKeptAlive();
+    Request request = reader.release();
     request.peer = stream.socket().remote_endpoint(errorCode).address().to_string();
     Response response = handle(std::move(request), yield);
-    return write(stream, std::move(response), keepAlive, yield);
+    setBytes(connection, response.body.size());
+    return write(stream, std::move(response), keepAlive && !connection.isExcess, yield);
+}
+
+// Reads piece by piece, so that what has been received counts before the request is complete.
+boost::system::error_code Server::Private::readRequest(
+    Connection& connection, Internal::RequestReader& reader, const Asio::yield_context& yield)
+{
+    reader.begin();
+    connection.stream.expires_after(options_.idleTimeout);
+    for (;;) {
+        boost::system::error_code errorCode = reader.parse();
+        if (errorCode)
+            return errorCode;
+        setBytes(connection, reader.heldBytes());
+        if (reader.isComplete())
+            return {};
+        reader.commit(connection.stream.async_read_some(reader.prepare(), yield[errorCode]));
+        if (errorCode)
+            return errorCode;
+    }
+}
+
+// Sends a response to a request that has not been handled; always returns false, as the connection must be
+// closed.
+bool Server::Private::refuse(Connection& connection, Response response, const Asio::yield_context& yield)
+{
+    setPhase(connection, ConnectionPhase::Receiving);
+    setBytes(connection, 0);
+    write(connection.stream, std::move(response), false, yield);
+    drain(connection.stream, yield);
+    return false;
+}
+
+// A complete request may have arrived since the connection was chosen, and must be answered.
+void Server::Private::closeUnlessServing(Connection& connection)
+{
+    connection.isExcess = true;
+    if (connection.phase != ConnectionPhase::Serving)
+        connection.stream.close();
+}
+
+void Server::Private::setPhase(Connection& connection, ConnectionPhase phase) const
+{
+    connection.phase = phase;
+    if (connection.id)
+        options_.connections->setPhase(*connection.id, phase);
+}
+
+void Server::Private::setBytes(const Connection& connection, std::size_t bytes) const
+{
+    if (connection.id)
+        options_.connections->setBytes(*connection.id, bytes);
 }
 
 Response Server::Private::handle(Request request, const Asio::yield_context& yield)
@@ -259,14 +338,26 @@
     return stopping_ ? options_.stopGracePeriod : options_.idleTimeout;
 }
 
-void Server::Private::addConnection(const std::shared_ptr<Connection>& connection)
+// Returns whether the connection may be served; otherwise it is closed.
+bool Server::Private::addConnection(const std::shared_ptr<Connection>& connection)
 {
+    if (options_.connections) {
+        connection->id = options_.connections->add(listener_, [weak = std::weak_ptr(connection)] {
+            if (const auto excess = weak.lock())
+                Asio::post(excess->stream.get_executor(), [excess] { closeUnlessServing(*excess); });
+        });
+        if (!connection->id)
+            return false;
+    }
     const std::lock_guard<std::mutex> guard(mutex_);
     connections_.insert(connection);
+    return true;
 }
 
 void Server::Private::removeConnection(const std::shared_ptr<Connection>& connection)
 {
+    if (connection->id)
+        options_.connections->remove(*connection->id);
     std::function<void()> done;
     {
         const std::lock_guard<std::mutex> guard(mutex_);
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -16,6 +16,8 @@
 
 namespace Http {
 
+class ConnectionRegistry;
+
 /*! Sends the response to a request. Must be called exactly once; may be called from any thread. */
 using Responder = std::function<void(Response)>;
 
@@ -27,10 +29,17 @@
     std::string address = "127.0.0.1"; //!< IP address to listen on.
     std::uint16_t port = 0; //!< 0 lets the operating system choose.
     std::uint64_t maxBodyBytes = 8U << 20U; //!< Requests with a larger body are rejected with status 413.
-    Utils::Duration idleTimeout
-        = std::chrono::seconds(60); //!< A connection that is idle for longer is closed.
+    //! Greatest size of what is parsed as one piece: the header, the trailers or the header of a chunk.
+    std::size_t maxBufferBytes = 64U << 10U;
+    //! A connection that is idle for longer is closed, also one whose request takes longer to arrive.
+    Utils::Duration idleTimeout = std::chrono::seconds(60);
     Utils::Duration stopGracePeriod = std::chrono::milliseconds(
         500); //!< A stopping server still accepts requests on open connections for this time.
+    std::string name; //!< For the registry's observer.
+    //! Bounds the connections of all servers of the process; null: no bound.
+    std::shared_ptr<ConnectionRegistry> connections;
+    std::size_t maxConnections = 0; //!< Of this server; valid if there is a registry.
+    std::uint32_t refusalRetryAfterS = 1; //!< Retry-After of a request that is refused for want of memory.
 };
 
 /*!
