Tell the load of latency-critical tasks from what runs beside them by the other tasks of their step

Change: the tasks of a step show each other's own load at the moment of a report, so each figure tells the pressure of what runs beside it. Overloads, backlogs and ended tasks are left out. Placement and speeds allow for the variation of pressures, a task that has waited for 0.6 s only for their mean. Figures over the target are counted by cause.

--- a/src/libs/fleet/interference.cpp
+++ b/src/libs/fleet/interference.cpp
@@ -21,6 +21,8 @@
 constexpr double throttlingMargin = 0.05;
 // Speeds change in steps of this size, so that small changes of the load cause no commands.
 constexpr int speedStepPercent = 25;
+// Utilization kept free beside a task whose own utilization is known: figures are in whole milliseconds.
+constexpr double sharedLoadMargin = 0.02;
 // Time for which a latency-critical task may be over its target. After that, all best-effort tasks on its
 // worker are throttled to zero, whatever the model predicts.
 constexpr milliseconds overTargetTolerance { 2200 };
@@ -50,7 +52,8 @@
     return model.utilizationLimit(imageOf(task), task.job->step(task).tail_target_ms());
 }
 
-// Shares of the worker's processors that its running best-effort tasks use, as last reported.
+} // namespace
+
 std::vector<ImageShare> reportedShares(const Worker& worker)
 {
     std::vector<ImageShare> shares;
@@ -63,8 +66,6 @@
     return shares;
 }
 
-} // namespace
-
 double shareOf(const FleetSchema::StepSpec& step, const Worker& worker)
 {
     return static_cast<double>(step.milli_processors())
@@ -82,8 +83,10 @@
     return shares;
 }
 
-double marginAtSpeed(double speed)
+double marginAtSpeed(const Task& critical, double speed, double variation)
 {
+    if (critical.sharesLoad)
+        return sharedLoadMargin + variation;
     return speed < 1 ? throttlingMargin : placementMargin;
 }
 
@@ -103,32 +106,38 @@
         const double total = model.utilization(imageOf(*task), static_cast<double>(task->reportedLoad));
         const double own = std::max(0.0, total - model.addedUtilization(imageOf(*task), colocated));
         task->ownUtilization += ownUtilizationGain * (own - task->ownUtilization);
-        const double target = task->job->step(*task).tail_target_ms();
-        const double reported = static_cast<double>(task->reportedLoad);
-        if (reported <= target * recoveredShare)
-            task->overTargetSince = {};
-        else if (reported > target && task->overTargetSince == Utils::TimePoint {})
-            task->overTargetSince = now;
+        noteTarget(*task, now);
     }
 }
 
-double headroomAfterAdding(
-    const Worker& worker, const FleetSchema::StepSpec& step, const TailLatencyModel& model, double speed)
+void noteTarget(Task& task, Utils::TimePoint now)
+{
+    const double target = task.job->step(task).tail_target_ms();
+    const double reported = static_cast<double>(task.reportedLoad);
+    if (reported <= target * recoveredShare)
+        task.overTargetSince = {};
+    else if (reported > target && task.overTargetSince == Utils::TimePoint {})
+        task.overTargetSince = now;
+}
+
+double headroomAfterAdding(const Worker& worker, const FleetSchema::StepSpec& step,
+    const TailLatencyModel& model, double speed, double variation)
 {
     if (worker.criticalTaskCount == 0)
         return 1;
     const std::vector<ImageShare> colocated = commandedShares(worker);
     const double share = shareOf(step, worker) * speed;
-    const double margin = marginAtSpeed(speed);
     double minHeadroom = 1;
     for (const Task* task : worker.tasks) {
         if (!isLatencyCritical(*task))
             continue;
         const double added = share * model.pressure(imageOf(*task), step.image());
-        const double headroom = utilizationLimitOf(*task, model) - margin - task->ownUtilization
-            - model.addedUtilization(imageOf(*task), colocated) - added;
-        if (isNoticeable(added))
-            minHeadroom = std::min(minHeadroom, headroom);
+        if (!isNoticeable(added))
+            continue;
+        const double total = model.addedUtilization(imageOf(*task), colocated) + added;
+        minHeadroom = std::min(minHeadroom,
+            utilizationLimitOf(*task, model) - marginAtSpeed(*task, speed, variation * total)
+                - task->ownUtilization - total);
     }
     return minHeadroom;
 }
@@ -162,15 +171,18 @@
     for (const Task* critical : worker.tasks) {
         if (!isLatencyCritical(*critical) || critical->phase != TaskPhase::Running)
             continue;
+        const double variation = critical->sharesLoad ? 1 + pressureVariation : 1;
         const auto contribution = [&](const SpeedChange& change) {
-            return shareOf(change.task->job->step(*change.task), worker)
+            return variation * shareOf(change.task->job->step(*change.task), worker)
                 * model.pressure(imageOf(*critical), imageOf(*change.task));
         };
         std::sort(changes.begin(), changes.end(), [&](const SpeedChange& left, const SpeedChange& right) {
             return contribution(left) > contribution(right);
         });
         const bool mustThrottleToZero = isPersistentlyOverTarget(*critical, now);
-        double excess = critical->ownUtilization - utilizationLimitOf(*critical, model) + throttlingMargin;
+        double excess = critical->sharesLoad ? critical->ownUtilizationSoon + sharedLoadMargin
+                                             : critical->ownUtilization + throttlingMargin;
+        excess -= utilizationLimitOf(*critical, model);
         for (const SpeedChange& change : changes)
             excess += contribution(change) * change.speedPercent / 100;
         for (SpeedChange& change : changes) {
--- a/src/libs/fleet/interference.h
+++ b/src/libs/fleet/interference.h
@@ -29,6 +29,18 @@
 */
 void processTailLatencies(Worker& worker, TailLatencyModel& model, Utils::TimePoint now);
 
+/*!
+    Share by which what best-effort tasks add to the utilization of a latency-critical task with a known own
+    utilization varies within seconds.
+*/
+inline constexpr double pressureVariation = 0.5;
+
+/*! Updates since when a latency-critical task has been over its target from its reported tail latency. */
+void noteTarget(Task& task, Utils::TimePoint now);
+
+/*! \return the shares of the worker's processors that its running best-effort tasks use, as last reported. */
+std::vector<ImageShare> reportedShares(const Worker& worker);
+
 /*! \return the share of the worker's processors that a task of the step requests. */
 double shareOf(const FleetSchema::StepSpec& step, const Worker& worker);
 
@@ -36,10 +48,13 @@
 std::vector<ImageShare> commandedShares(const Worker& worker);
 
 /*!
+    \param critical latency-critical task beside which a task is added.
+    \param variation utilization by which what best-effort tasks add may rise; left out of account unless the
+           critical task's own utilization is known.
     \return the utilization to keep free when a task is added. A task that starts throttled has its speed
         adjusted to the load from its start, so a smaller margin suffices.
 */
-double marginAtSpeed(double speed);
+double marginAtSpeed(const Task& critical, double speed, double variation);
 
 /*!
     \return whether added utilization limits a latency-critical task's headroom. If tasks that add almost none
@@ -53,11 +68,12 @@
 
     \param step step of the task to be added.
     \param speed share of its full speed at which the task would run, 0 to 1.
+    \param variation share by which what best-effort tasks add may rise; see marginAtSpeed().
     \return 1 if no latency-critical task of the worker would be affected noticeably; negative if a target
         would be missed or the margin below it used up.
 */
-double headroomAfterAdding(
-    const Worker& worker, const FleetSchema::StepSpec& step, const TailLatencyModel& model, double speed = 1);
+double headroomAfterAdding(const Worker& worker, const FleetSchema::StepSpec& step,
+    const TailLatencyModel& model, double speed = 1, double variation = 0);
 
 /*!
     \return whether a latency-critical task has been over its target for so long that all best-effort tasks
--- a/src/libs/fleet/interferencecache.cpp
+++ b/src/libs/fleet/interferencecache.cpp
@@ -54,9 +54,11 @@
             continue;
         const std::size_t image = indexOf(step.image());
         double headroom = model_.utilizationLimit(step.image(), step.tail_target_ms()) - task->ownUtilization;
+        double added = 0;
         for (const ImageShare& part : colocated)
-            headroom -= part.share * pressuresOf(part.image)[image].value;
-        tasks.push_back({ image, headroom });
+            added += part.share * pressuresOf(part.image)[image].value;
+        headroom -= added;
+        tasks.push_back({ image, headroom, added, task });
     }
     return tasks;
 }
@@ -72,7 +74,7 @@
 }
 
 double InterferenceCache::headroomAfterAdding(
-    const Worker& worker, const FleetSchema::StepSpec& step, double speed)
+    const Worker& worker, const FleetSchema::StepSpec& step, double speed, double variation)
 {
     double minHeadroom = 1;
     if (worker.criticalTaskCount == 0)
@@ -82,8 +84,10 @@
     const double share = shareOf(step, worker) * speed;
     for (const CriticalTask& task : tasks) {
         const double added = share * pressures[task.image].value;
-        if (isNoticeable(added))
-            minHeadroom = std::min(minHeadroom, task.headroom - marginAtSpeed(speed) - added);
+        if (!isNoticeable(added))
+            continue;
+        const double margin = marginAtSpeed(*task.task, speed, variation * (task.added + added));
+        minHeadroom = std::min(minHeadroom, task.headroom - margin - added);
     }
     return minHeadroom;
 }
--- a/src/libs/fleet/interferencecache.h
+++ b/src/libs/fleet/interferencecache.h
@@ -15,6 +15,7 @@
 namespace Fleet {
 
 class TailLatencyModel;
+struct Task;
 struct Worker;
 
 /*!
@@ -40,7 +41,8 @@
     Pressure pressure(const std::string& criticalImage, std::string_view colocated);
 
     /*! \return the same as Fleet::headroomAfterAdding(). */
-    double headroomAfterAdding(const Worker& worker, const FleetSchema::StepSpec& step, double speed = 1);
+    double headroomAfterAdding(
+        const Worker& worker, const FleetSchema::StepSpec& step, double speed = 1, double variation = 0);
 
     /*! \return the same as Fleet::maxAddedUtilization(). */
     double maxAddedUtilization(const Worker& worker, const FleetSchema::StepSpec& step);
@@ -82,6 +84,8 @@
     struct CriticalTask {
         std::size_t image = 0; //!< Index of its image.
         double headroom = 0; //!< Below the limit, without a margin and without an added task.
+        double added = 0; //!< What the best-effort tasks on the worker add.
+        const Task* task = nullptr;
     };
 
     using PressureRow = std::vector<Pressure>; //!< By index of the latency-critical image.
--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "stepload.h"
 #include "task.h"
 
 #include <fleet.pb.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -61,6 +63,7 @@
     //! Time of the first decision to start an attempt; the clock's epoch if unknown.
     Utils::TimePoint firstStartAt {};
     std::vector<Task> tasks;
+    std::map<std::uint32_t, StepLoad> stepLoads; //!< Of latency-critical steps, by step.
     std::vector<std::uint32_t> stepOffsets; //!< Offset of each step's first task within an occurrence.
     std::vector<StepProgress> stepProgress; //!< By occurrence and step.
     std::vector<SweepProgress> sweepProgress; //!< By occurrence.
--- a/src/libs/fleet/scheduleroptions.h
+++ b/src/libs/fleet/scheduleroptions.h
@@ -26,6 +26,9 @@
     //! Greatest size of a row's value in the store.
     std::size_t maxRowBytes = std::numeric_limits<std::size_t>::max();
     Utils::Duration retention {}; //!< Time for which an ended job is kept.
+    //! Number of workers of a shard from which the tasks of a latency-critical step are taken to share their
+    //! load; 0: never.
+    std::size_t sharedLoadMinWorkers = 0;
     Utils::Duration interferenceLimit {}; //!< Time for which a latency-critical task may miss its target.
     //! Time for which a long-running task must have been running to count as available.
     Utils::Duration availabilityDelay {};
--- a/src/libs/fleet/shardpass.cpp
+++ b/src/libs/fleet/shardpass.cpp
@@ -114,8 +114,10 @@
     keepWorkersEmpty(now);
     updateDemand();
     steps_->spend(StepKind::Preparation, workers_.size());
-    for (auto& [id, worker] : workers_)
+    for (auto& [id, worker] : workers_) {
+        worker->isOwnUtilizationKnown = tailLatencyModel_.isOwnUtilizationKnown();
         worker->toleratedDemand = toleratedDemandShare(*worker, interferenceView(StepKind::Preparation));
+    }
 }
 
 // Visits the most urgent occurrences again after capacity has become free, so that it is not left to less
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -4,6 +4,7 @@
 
 #include "crashpolicy.h"
 #include "interference.h"
+#include "sharedload.h"
 #include "taillatencymodel.h"
 #include "workercommitment.h"
 #include "workerloss.h"
@@ -94,7 +95,12 @@
     if (ranGivenUp)
         isScheduleDue_ = true;
     requeueMissingAttempts(*worker, sentAt, report, now, nowUnixMs);
-    processTailLatencies(*worker, tailLatencyModel_, now);
+    if (options_.sharedLoadMinWorkers > 0 && workers_.size() >= options_.sharedLoadMinWorkers)
+        tailLatencyModel_.setOwnUtilizationKnown();
+    if (tailLatencyModel_.isOwnUtilizationKnown())
+        processSharedLoads(*worker, tailLatencyModel_, now);
+    else
+        processTailLatencies(*worker, tailLatencyModel_, now);
     adjustSpeeds(*worker, now);
 }
 
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -149,6 +149,11 @@
     task.speedPercent = 100;
     task.wasThrottled = false;
     task.ownUtilization = Task().ownUtilization;
+    task.ownUtilizationSoon = Task().ownUtilizationSoon;
+    task.sharesLoad = false;
+    task.totalUtilization = 0;
+    task.addedUtilization = 0;
+    task.figureAt = {};
     task.overTargetSince = {};
     task.isStopAnswered = false;
     task.isConfirmed = false;
--- a/src/libs/fleet/taillatencymodel.cpp
+++ b/src/libs/fleet/taillatencymodel.cpp
@@ -3,6 +3,7 @@
 #include <fleet.pb.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Fleet {
 
@@ -14,16 +15,26 @@
 constexpr double priorPressure = 0.5;
 // Utilization limit before the first sample; a target is about four times the tail latency without load.
 constexpr double priorLimit = 0.75;
-// Variance of a coefficient before the first sample, in units of a sample's variance.
-constexpr double priorVariance = 10;
+// Variance of a coefficient before the first sample, in units of a sample's variance. With a known own
+// utilization, a sample's standard deviation is about 0.045, and the pressure of an unknown pair may be
+// several times the prior.
+constexpr double priorVarianceOfMix = 10;
+constexpr double priorVarianceOfPressure = 180;
 // Factor by which each new sample reduces the weight of the earlier ones; about three thousand samples are
 // remembered.
 constexpr double forgettingFactor = 0.9997;
 // Upper bound on the variance, so that coefficients without samples stay close to their value.
-constexpr double maxVariance = 50;
+constexpr double maxVarianceOfMix = 50;
+constexpr double maxVarianceOfPressure = 200;
 // Weight from which a pressure counts as known: that of a hundred samples in which the image used a tenth of
 // the processors.
-constexpr double minKnownWeight = 1;
+constexpr double minKnownWeightOfMix = 1;
+// The same with a known own utilization: a standard deviation of 0.14.
+constexpr double minKnownWeightOfPressure = 0.1;
+// Limits the effect of a sample that an unnoticed backlog or end of a task has spoiled.
+constexpr double maxPressureDeviation = 0.3;
+// Images whose pressure is higher must not meet, however much higher it is.
+constexpr double maxComparablePressure = 1;
 // Lower bound on the variance, which bounds the weight of one node's estimate.
 constexpr double minVariance = 1e-4;
 // Greatest number of colocated images that are distinguished for one latency-critical image; others keep the
@@ -32,7 +43,17 @@
 
 } // namespace
 
-std::size_t TailLatencyModel::coefficientIndex(Estimate& estimate, std::string_view image)
+double TailLatencyModel::priorVariance() const
+{
+    return isOwnUtilizationKnown_ ? priorVarianceOfPressure : priorVarianceOfMix;
+}
+
+double TailLatencyModel::minKnownWeight() const
+{
+    return isOwnUtilizationKnown_ ? minKnownWeightOfPressure : minKnownWeightOfMix;
+}
+
+std::size_t TailLatencyModel::coefficientIndex(Estimate& estimate, std::string_view image) const
 {
     const auto found = estimate.indexByImage.find(image);
     if (found != estimate.indexByImage.end())
@@ -45,25 +66,38 @@
         for (std::size_t column = 0; column < size; ++column)
             covariance[row * (size + 1) + column] = estimate.covariance[row * size + column];
     }
-    covariance[size * (size + 1) + size] = priorVariance;
+    covariance[size * (size + 1) + size] = priorVariance();
     estimate.covariance = std::move(covariance);
     estimate.coefficients.push_back(priorPressure);
     estimate.indexByImage.emplace(std::string(image), size);
     return size;
 }
 
-void TailLatencyModel::addSample(
-    const std::string& criticalImage, std::span<const ImageShare> colocated, double tailLatencyMs)
+TailLatencyModel::Estimate& TailLatencyModel::estimateOf(
+    const std::string& criticalImage, double tailLatencyMs)
 {
-    if (tailLatencyMs <= 0)
-        return;
     Estimate& estimate = estimates_[criticalImage];
     if (estimate.coefficients.empty()) {
         estimate.coefficients = { priorOwnUtilization };
-        estimate.covariance = { priorVariance };
+        estimate.covariance = { priorVariance() };
         estimate.minTailLatencyMs = tailLatencyMs;
     }
     estimate.minTailLatencyMs = std::min(estimate.minTailLatencyMs, tailLatencyMs);
+    return estimate;
+}
+
+void TailLatencyModel::addTailLatency(const std::string& criticalImage, double tailLatencyMs)
+{
+    if (tailLatencyMs > 0)
+        estimateOf(criticalImage, tailLatencyMs);
+}
+
+void TailLatencyModel::addSample(
+    const std::string& criticalImage, std::span<const ImageShare> colocated, double tailLatencyMs)
+{
+    if (tailLatencyMs <= 0)
+        return;
+    Estimate& estimate = estimateOf(criticalImage, tailLatencyMs);
     std::vector<std::pair<std::size_t, double>> parts;
     for (const ImageShare& part : colocated)
         parts.emplace_back(coefficientIndex(estimate, part.image), part.share);
@@ -76,9 +110,30 @@
     update(estimate, features, utilization(criticalImage, tailLatencyMs));
 }
 
-void TailLatencyModel::update(Estimate& estimate, std::span<const double> features, double measured)
+void TailLatencyModel::addColocationSample(const std::string& criticalImage,
+    std::span<const ImageShare> colocated, double addedUtilization, double weight)
+{
+    const auto found = estimates_.find(criticalImage);
+    if (found == estimates_.end())
+        return;
+    Estimate& estimate = found->second;
+    std::vector<std::pair<std::size_t, double>> shares;
+    for (const ImageShare& part : colocated)
+        shares.emplace_back(coefficientIndex(estimate, part.image), part.share);
+    // The first coefficient, which is not learned here, also stands for images beyond the greatest number.
+    const double scale = std::sqrt(weight);
+    std::vector<double> features(estimate.coefficients.size(), 0);
+    for (const auto& [index, share] : shares) {
+        if (index > 0)
+            features[index] += scale * share;
+    }
+    update(estimate, features, scale * addedUtilization);
+}
+
+void TailLatencyModel::update(Estimate& estimate, std::span<const double> features, double measured) const
 {
     const std::size_t size = features.size();
+    const double maxVariance = isOwnUtilizationKnown_ ? maxVarianceOfPressure : maxVarianceOfMix;
     std::vector<double> gain(size, 0);
     double norm = forgettingFactor;
     double predicted = 0;
@@ -88,8 +143,11 @@
         norm += gain[row] * features[row];
         predicted += estimate.coefficients[row] * features[row];
     }
+    double deviation = measured - predicted;
+    if (isOwnUtilizationKnown_)
+        deviation = std::clamp(deviation, -maxPressureDeviation, maxPressureDeviation);
     for (std::size_t row = 0; row < size; ++row)
-        estimate.coefficients[row] += gain[row] / norm * (measured - predicted);
+        estimate.coefficients[row] += gain[row] / norm * deviation;
     for (std::size_t row = 0; row < size; ++row) {
         for (std::size_t column = 0; column < size; ++column) {
             double& cell = estimate.covariance[row * size + column];
@@ -153,7 +211,19 @@
 
 bool TailLatencyModel::isPressureKnown(const std::string& criticalImage, std::string_view colocated) const
 {
-    return combinedPressure(criticalImage, colocated).weight >= minKnownWeight;
+    return combinedPressure(criticalImage, colocated).weight >= minKnownWeight();
+}
+
+void TailLatencyModel::count(std::optional<OverTargetCause> cause)
+{
+    ++account_.figures;
+    if (cause)
+        ++account_.overTarget[static_cast<std::size_t>(*cause)];
+}
+
+double TailLatencyModel::comparablePressure(double pressure) const
+{
+    return isOwnUtilizationKnown_ ? std::min(pressure, maxComparablePressure) : pressure;
 }
 
 double TailLatencyModel::addedUtilization(
@@ -195,7 +265,7 @@
             continue;
         Estimate& estimate = estimates_[known.image()];
         estimate.coefficients = { priorOwnUtilization };
-        estimate.covariance = { priorVariance };
+        estimate.covariance = { priorVariance() };
         estimate.minTailLatencyMs = known.least_tail_ms();
         for (const FleetSchema::TailEstimate::Pressure& pair : known.pressures()) {
             const std::size_t index = coefficientIndex(estimate, pair.image());
@@ -203,7 +273,7 @@
                 continue;
             estimate.coefficients[index] = pair.pressure();
             estimate.covariance[index * estimate.coefficients.size() + index]
-                = std::min(priorVariance, 1 / pair.weight());
+                = std::min(priorVariance(), 1 / pair.weight());
         }
     }
 }
--- a/src/libs/fleet/taillatencymodel.h
+++ b/src/libs/fleet/taillatencymodel.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "tailaccount.h"
+
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace FleetSchema {
@@ -41,6 +44,31 @@
     void addSample(
         const std::string& criticalImage, std::span<const ImageShare> colocated, double tailLatencyMs);
 
+    /*!
+        Updates the pressures with a sample of a task whose own utilization is known, so that one sample tells
+        much more. Only if the own utilization is stated to be known.
+
+        \param addedUtilization what the colocated images added.
+        \param weight weight of the sample, 0 to 1.
+    */
+    void addColocationSample(const std::string& criticalImage, std::span<const ImageShare> colocated,
+        double addedUtilization, double weight);
+
+    /*! Takes note of a tail latency without learning anything about pressures. */
+    void addTailLatency(const std::string& criticalImage, double tailLatencyMs);
+
+    /*!
+        States that pressures are learned by addColocationSample() from now on. All shards of a node share the
+        model, so it holds for all of them, and is not taken back while the node runs.
+    */
+    void setOwnUtilizationKnown() { isOwnUtilizationKnown_ = true; }
+
+    /*! \return whether setOwnUtilizationKnown() was called. */
+    bool isOwnUtilizationKnown() const { return isOwnUtilizationKnown_; }
+
+    /*! \return a pressure limited such that pairs of images that must not meet all compare alike. */
+    double comparablePressure(double pressure) const;
+
     /*! \return the total utilization, 0 to 1, that corresponds to a tail latency. */
     double utilization(const std::string& criticalImage, double tailLatencyMs) const;
 
@@ -56,6 +84,12 @@
     /*! \return the utilization that the colocated images add. */
     double addedUtilization(const std::string& criticalImage, std::span<const ImageShare> colocated) const;
 
+    /*! Counts a reported tail latency, with the cause if the target is missed. */
+    void count(std::optional<OverTargetCause> cause);
+
+    /*! \return what was counted since the last call. */
+    TailAccount takeAccount() { return std::exchange(account_, {}); }
+
     /*! \return this node's own estimates, for other nodes and for its next incarnation. */
     FleetSchema::TailKnowledge knowledge() const;
 
@@ -89,12 +123,17 @@
 
     WeightedPressure combinedPressure(const std::string& criticalImage, std::string_view colocated) const;
     std::optional<double> minTailLatency(const std::string& criticalImage) const;
-    static std::size_t coefficientIndex(Estimate& estimate, std::string_view image);
+    Estimate& estimateOf(const std::string& criticalImage, double tailLatencyMs);
+    std::size_t coefficientIndex(Estimate& estimate, std::string_view image) const;
     static double coefficientWeight(const Estimate& estimate, std::size_t index);
-    static void update(Estimate& estimate, std::span<const double> features, double measured);
+    double priorVariance() const;
+    double minKnownWeight() const;
+    void update(Estimate& estimate, std::span<const double> features, double measured) const;
 
     std::map<std::string, Estimate, std::less<>> estimates_;
     std::map<std::string, PeerEstimate, std::less<>> peerEstimates_;
+    bool isOwnUtilizationKnown_ = false;
+    TailAccount account_;
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -89,7 +89,14 @@
     Utils::TimePoint throttledSince {}; //!< Since when speedPercent is below 100.
     bool wasThrottled = false; //!< The run time of the attempt is not representative.
     std::int64_t reportedLoad = 0; //!< As in Ports::RunningAttempt.
-    double ownUtilization = 0.5; //!< Utilization of a latency-critical task without colocated tasks.
+    //! Utilization of a latency-critical task without colocated tasks; if the load is shared, to be expected
+    //! while a task that starts now runs.
+    double ownUtilization = 0.5;
+    bool sharesLoad = false; //!< The task's load is taken from the tasks of its step, see sharedload.h.
+    double ownUtilizationSoon = 0.5; //!< Expected when a changed speed shows; only if the load is shared.
+    double totalUtilization = 0; //!< As last reported; the same.
+    double addedUtilization = 0; //!< What the colocated tasks are expected to add to it; the same.
+    Utils::TimePoint figureAt {}; //!< When it was reported.
     //! Since when the tail latency is over the target, or not clearly below it again; the clock's epoch if it
     //! is not.
     Utils::TimePoint overTargetSince {};
--- a/src/libs/fleet/taskgrouping.cpp
+++ b/src/libs/fleet/taskgrouping.cpp
@@ -28,10 +28,13 @@
 InterferenceCache::Pressure pressureOf(
     const std::string& criticalImage, std::string_view colocated, const InterferenceView& view)
 {
-    if (view.cache)
-        return view.cache->pressure(criticalImage, colocated);
-    return { view.model.pressure(criticalImage, colocated),
-        view.model.isPressureKnown(criticalImage, colocated) };
+    if (!view.cache) {
+        return { view.model.comparablePressure(view.model.pressure(criticalImage, colocated)),
+            view.model.isPressureKnown(criticalImage, colocated) };
+    }
+    InterferenceCache::Pressure pressure = view.cache->pressure(criticalImage, colocated);
+    pressure.value = view.model.comparablePressure(pressure.value);
+    return pressure;
 }
 
 bool isLatencyCritical(const Task& task)
@@ -104,14 +107,14 @@
 double maxPressureOn(const Worker& worker, std::string_view colocated, const InterferenceView& view)
 {
     if (view.cache)
-        return view.cache->maxPressure(worker, colocated);
+        return view.model.comparablePressure(view.cache->maxPressure(worker, colocated));
     double maxPressure = 0;
     for (const Task* task : worker.tasks) {
         if (isLatencyCritical(*task))
             maxPressure
                 = std::max(maxPressure, view.model.pressure(task->job->step(*task).image(), colocated));
     }
-    return maxPressure;
+    return view.model.comparablePressure(maxPressure);
 }
 
 } // namespace
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -15,6 +15,14 @@
 
 struct Task;
 
+/*! Best-effort attempt that a worker has reported with a figure. */
+struct RunningBestEffort {
+    const Task* task = nullptr; //!< For comparison only, as the job may be gone.
+    std::uint32_t attempt = 0;
+
+    bool operator==(const RunningBestEffort&) const = default;
+};
+
 /*! A worker of a shard with the resources committed on it. */
 struct Worker {
     Ports::WorkerInfo info;
@@ -41,6 +49,11 @@
     int criticalTaskCount = 0; //!< Open attempts of latency-critical tasks.
     std::vector<Task*> tasks; //!< Tasks with an open attempt on the worker.
 
+    bool isOwnUtilizationKnown = false; //!< As in TailLatencyModel; the same for all workers of a shard.
+    std::vector<RunningBestEffort> runningBestEffort; //!< As of the latest report with figures.
+    Utils::TimePoint bestEffortEndedAt {}; //!< When one of them was last found to be gone.
+    Utils::TimePoint figuresUsedAt {}; //!< When figures of a report were last used as samples.
+
     std::int64_t bornMs = 0; //!< Incarnation that last reported; 0 if none has.
     Utils::TimePoint restartNoticedAt {};
     //! The incarnation has answered a call with its own fencing token, so it rejects calls that were meant
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -58,6 +58,10 @@
 // Others need not wait for the end of a probe, which may take long or be throttled to zero.
 constexpr std::chrono::milliseconds probeInterval { 500 };
 
+// A task that has waited for longer takes a worker that bears what best-effort tasks add there on average,
+// not also its variation.
+constexpr std::chrono::milliseconds variationWaitLimit { 600 };
+
 enum class BestEffortDemand { Counts, IsIgnored };
 
 bool isMostlyIdle(std::span<Worker* const> workers, BestEffortDemand bestEffortDemand)
@@ -111,6 +115,9 @@
     const Utils::Duration wait = waitOf(task, now);
     SearchTerms terms;
     terms.mayProbe = task.failures == 0 || wait >= probeDelayOfFailedTask;
+    const bool isVariationKnown = !workers.empty() && workers.front()->isOwnUtilizationKnown;
+    if (isVariationKnown && task.job->step(task).leftover_processors() && wait < variationWaitLimit)
+        terms.variation = pressureVariation;
     const bool mayHaveWaited = task.job->step(task).leftover_processors() && wait >= idleFleetWaitLimit;
     if (steps && mayHaveWaited)
         steps->spend(StepKind::Search, task.job->tasks.size() + 2 * workers.size());
@@ -138,11 +145,11 @@
         }));
 }
 
-double headroomFor(
-    const FleetSchema::StepSpec& step, const Worker& worker, const InterferenceView& view, double speed = 1)
+double headroomFor(const FleetSchema::StepSpec& step, const Worker& worker, const InterferenceView& view,
+    double speed = 1, double variation = 0)
 {
-    return view.cache ? view.cache->headroomAfterAdding(worker, step, speed)
-                      : headroomAfterAdding(worker, step, view.model, speed);
+    return view.cache ? view.cache->headroomAfterAdding(worker, step, speed, variation)
+                      : headroomAfterAdding(worker, step, view.model, speed, variation);
 }
 
 double utilizationAddedBy(
@@ -194,7 +201,7 @@
     // A task larger than its worker would wait forever, so a worker without best-effort tasks accepts it.
     if (worker.bestEffortMilliProcessors > 0 && step.milli_processors() > processorsFor(worker, terms))
         return PlacementObstacle::Full;
-    if (headroomFor(step, worker, view, terms.speed) < 0)
+    if (headroomFor(step, worker, view, terms.speed, terms.variation) < 0)
         return PlacementObstacle::Interference;
     if (!hasTaskOverTarget(worker, now))
         return PlacementObstacle::None;
--- a/src/libs/fleet/workerchoice.h
+++ b/src/libs/fleet/workerchoice.h
@@ -39,6 +39,8 @@
 struct SearchTerms {
     //! Share of full speed for which a worker must have headroom to start a best-effort task.
     double speed = 1;
+    //! Share by which what best-effort tasks add on a worker may rise without using up its headroom.
+    double variation = 0;
     //! A best-effort task may start, throttled to zero, where latency-critical tasks are over their target.
     bool mayStartThrottledToZero = false;
     //! The task may be started on a quarantined worker to see whether that still fails.
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -37,6 +37,7 @@
     options.workerListLimit = workerListLimit;
     options.maxRowBytes = maxRowBytes(context);
     options.retention = std::chrono::seconds(settings.retention_s());
+    options.sharedLoadMinWorkers = settings.shared_load_min_workers();
     options.interferenceLimit = milliseconds(settings.interference_ms());
     options.availabilityDelay = milliseconds(settings.disruption_notice_ms());
     return options;
--- a/src/libs/fleetnode/taillatencyexchange.cpp
+++ b/src/libs/fleetnode/taillatencyexchange.cpp
@@ -73,8 +73,20 @@
     model_.setPeerKnowledge(others);
 }
 
+void TailLatencyExchange::reportAccount()
+{
+    const Fleet::TailAccount account = model_.takeAccount();
+    context_.metrics.add("geraniumquay_tail_figures_total", {}, static_cast<double>(account.figures));
+    for (std::size_t cause = 0; cause < Fleet::overTargetCauseCount; ++cause) {
+        context_.metrics.add("geraniumquay_tail_figures_over_target_total",
+            Telemetry::label("cause", Fleet::overTargetCauseNames[cause]),
+            static_cast<double>(account.overTarget[cause]));
+    }
+}
+
 void TailLatencyExchange::write()
 {
+    reportAccount();
     const FleetSchema::TailKnowledge knowledge = model_.knowledge();
     if (!hasReadFormerRow_ || knowledge.estimates().empty())
         return read();
--- a/src/libs/fleetnode/taillatencyexchange.h
+++ b/src/libs/fleetnode/taillatencyexchange.h
@@ -37,6 +37,7 @@
 private:
     void read();
     void onRows(const Utils::Result<Ports::RowPage>& result);
+    void reportAccount();
     void write();
 
     NodeContext& context_;
