Count a copy of a table as current from when it was asked for

Cause: the time at which an answer was handled counted, so a node that was paused between an answer's arrival and its handling relied on an old copy of the operator's evacuations for up to 4 s more, and could start tasks in an evacuated domain until its next read. Found by review.

Change: a read counts from its start, a call that returns changes from its sending, and one without changes from the end of its wait at the latest.

Result: two cases of tst_tablewatcher, which fail with the former rule.

--- a/src/libs/fleetnode/tablewatcher.cpp
+++ b/src/libs/fleetnode/tablewatcher.cpp
@@ -93,7 +93,7 @@
     rows_ = std::move(partialCopy_);
     copyReadStartedAt_ = readStartedAt_;
     partialCopy_.clear();
-    onReadSucceeded();
+    onReadSucceeded(copyReadStartedAt_);
     onChange_(rows_);
     if (mode_ == Mode::Follow)
         return follow();
@@ -113,8 +113,8 @@
 {
     callSentAt_ = context_.now();
     // After a failure, the copy is old already, and what has changed meanwhile must not wait for a change.
-    const Utils::Duration wait = isFailing_ ? Utils::Duration::zero() : Utils::Duration(longPollWait);
-    context_.store.follow(table_, version_, wait,
+    callWait_ = isFailing_ ? Utils::Duration::zero() : Utils::Duration(longPollWait);
+    context_.store.follow(table_, version_, callWait_,
         [this, weak = std::weak_ptr<bool>(alive_)](const Utils::Result<Ports::RowPage>& result) {
             if (weak.lock())
                 onChanges(result);
@@ -130,8 +130,9 @@
         timer_.start(nextRetryPause(), [this, isHistoryLost] { isHistoryLost ? start() : follow(); });
         return;
     }
-    onReadSucceeded();
     const Ports::RowPage& page = Utils::value(result);
+    // A call without a change ends when its wait does; one with changes may have ended at any moment.
+    onReadSucceeded(page.rows.empty() ? std::min(context_.now(), callSentAt_ + callWait_) : callSentAt_);
     recordRead(page, longPollWait);
     version_ = std::max(version_, page.version);
     bool isChanged = false;
@@ -161,13 +162,13 @@
     isFailing_ = true;
 }
 
-void TableWatcher::onReadSucceeded()
+void TableWatcher::onReadSucceeded(Utils::TimePoint currentAt)
 {
     if (isFailing_)
         Utils::log(Utils::LogLevel::Info, "table-regained", { { "table", table_ } });
     isFailing_ = false;
     retryPause_ = {};
-    currentAt_ = context_.now();
+    currentAt_ = currentAt;
 }
 
 // The duration of a call includes the wait for changes, which may take as long as expected.
--- a/src/libs/fleetnode/tablewatcher.h
+++ b/src/libs/fleetnode/tablewatcher.h
@@ -52,7 +52,10 @@
     /*! \return when the read that the copy is from was started; the clock's epoch if there is none. */
     Utils::TimePoint readStartedAt() const { return copyReadStartedAt_; }
 
-    /*! \return when the copy was last known to be up to date; the clock's epoch if never. */
+    /*!
+        \return when the copy was last known to be up to date, by when calls were sent and not by when their
+            answers were handled: a process may be paused in between. The clock's epoch if never.
+    */
     Utils::TimePoint currentAt() const { return currentAt_; }
 
 private:
@@ -62,7 +65,7 @@
     void restart(const Utils::Error& error);
     void onChanges(const Utils::Result<Ports::RowPage>& result);
     void onReadFailed(const Utils::Error& error);
-    void onReadSucceeded();
+    void onReadSucceeded(Utils::TimePoint currentAt);
     void recordRead(const Ports::RowPage& page, Utils::Duration expected);
     Utils::Duration nextRetryPause();
 
@@ -76,6 +79,7 @@
     std::uint64_t version_ = 0;
     Utils::TimePoint currentAt_ {};
     Utils::TimePoint callSentAt_ {}; //!< Of the call in progress.
+    Utils::Duration callWait_ {}; //!< Time for which that call waits for a change.
     Utils::TimePoint lastLoggedAt_ {}; //!< When a long or large read was last logged.
     Utils::TimePoint readStartedAt_ {}; //!< Start of the latest read of the whole table.
     Utils::TimePoint copyReadStartedAt_ {}; //!< Start of the read that rows_ was last replaced by.
--- a/tests/auto/fleetnode/tst_tablewatcher.cpp
+++ b/tests/auto/fleetnode/tst_tablewatcher.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace std::chrono_literals;
 using FleetNode::TableWatcher;
 
@@ -151,3 +153,39 @@
     fixture.io.run_for(300ms);
     CHECK(fixture.reportedSizes.size() == 2);
 }
+
+// Guards against starts in a failure domain that was evacuated while the process was paused.
+TEST_CASE("A copy counts as current from when it was asked for, however late the answer is handled")
+{
+    WatcherFixture fixture(1h, TableWatcher::Mode::Follow);
+    Ports::RowPage change;
+    change.version = 11;
+    change.rows.push_back(makeRow("second"));
+    fixture.store.changes.push_back(change);
+    fixture.watcher.start();
+    const Utils::TimePoint readSent = fixture.context.now();
+    std::this_thread::sleep_for(20ms);
+    fixture.io.restart();
+    fixture.io.poll_one();
+    CHECK(fixture.watcher.currentAt() <= readSent);
+    const Utils::TimePoint followSent = fixture.context.now();
+    std::this_thread::sleep_for(20ms);
+    fixture.runReady();
+    REQUIRE(fixture.reportedSizes.size() == 2);
+    CHECK(fixture.watcher.currentAt() <= followSent);
+    CHECK(fixture.watcher.currentAt() > readSent);
+}
+
+TEST_CASE("A copy is not current for longer than the call without a change waited")
+{
+    WatcherFixture fixture(0ms, TableWatcher::Mode::Follow);
+    fixture.store.changes.push_back({});
+    fixture.watcher.start();
+    fixture.io.restart();
+    fixture.io.poll_one();
+    const Utils::TimePoint sentBefore = fixture.context.now();
+    std::this_thread::sleep_for(2s);
+    fixture.runReady();
+    CHECK(fixture.watcher.currentAt() < sentBefore + 1900ms);
+    CHECK(fixture.watcher.currentAt() > sentBefore + 1s);
+}
