--- a/src/libs/fleet/interference.cpp
+++ b/src/libs/fleet/interference.cpp
@@ -21,7 +21,7 @@
 constexpr double throttlingMargin = 0.05;
 // Speeds change in steps of this size, so that small changes of the load cause no commands.
 constexpr int speedStepPercent = 25;
-// Utilization kept free beside a task whose own utilization is known: figures are in whole milliseconds.
+// Utilization kept free beside a task whose own utilization is known: measurements are in whole milliseconds.
 constexpr double sharedLoadMargin = 0.02;
 // Time for which a latency-critical task may be over its target. After that, all best-effort tasks on its
 // worker are throttled to zero, whatever the model predicts.
--- a/src/libs/fleet/shardscheduler.cpp
+++ b/src/libs/fleet/shardscheduler.cpp
@@ -153,7 +153,7 @@
     task.sharesLoad = false;
     task.totalUtilization = 0;
     task.addedUtilization = 0;
-    task.figureAt = {};
+    task.measuredAt = {};
     task.overTargetSince = {};
     task.isStopAnswered = false;
     task.isConfirmed = false;
--- a/src/libs/fleet/sharedload.cpp
+++ b/src/libs/fleet/sharedload.cpp
@@ -19,12 +19,12 @@
 
 using std::chrono::milliseconds;
 
-// Reports come more often than the figures change, which are means of half a second.
-constexpr milliseconds figureInterval { 450 };
-// Figures still contain what an ended best-effort task has added, but no report lists it.
+// Reports come more often than the measurements change, which are means of half a second.
+constexpr milliseconds measurementInterval { 450 };
+// Measurements still contain what an ended best-effort task has added, but no report lists it.
 constexpr milliseconds endSettlingTime { 600 };
-// Older figures of other tasks do not show the load of this moment.
-constexpr milliseconds maxFigureAge { 1100 };
+// Older measurements of other tasks do not show the load of this moment.
+constexpr milliseconds maxMeasurementAge { 1100 };
 // Of the utilizations that the tasks of a step suggest, this quantile is taken: above the median, as unknown
 // pressures that are assumed too high lower some of them, and below those of tasks beside a pressure that is
 // not known yet.
@@ -41,7 +41,7 @@
 // load's cycle and is throttled at the peak.
 constexpr double peakShare = 0.5;
 
-bool hasFigure(const Task& task)
+bool hasMeasurement(const Task& task)
 {
     return task.job->step(task).tail_target_ms() > 0 && task.phase == TaskPhase::Running
         && task.progressPercent >= 100 && task.reportedLoad > 0;
@@ -71,7 +71,7 @@
     std::size_t taskCount = 0; //!< Number of tasks that show it.
 };
 
-// The task itself must have a figure of now.
+// The task itself must have a measurement of now.
 OwnUtilization ownUtilizationOfStep(const Task& task, Utils::TimePoint now)
 {
     const std::size_t taskCount = task.job->step(task).count();
@@ -79,7 +79,7 @@
     std::vector<double> values;
     for (std::size_t offset = 0; offset < std::min(taskCount, maxComparedTasks); ++offset) {
         const Task& other = first[(task.index + offset) % taskCount];
-        if (hasFigure(other) && now - other.figureAt < maxFigureAge)
+        if (hasMeasurement(other) && now - other.measuredAt < maxMeasurementAge)
             values.push_back(std::max(0.0, other.totalUtilization - other.addedUtilization));
     }
     const auto last = static_cast<double>(values.size() - 1);
@@ -88,7 +88,7 @@
     return { *quantile, values.size() };
 }
 
-// Updates the model with a figure of a task, beside \p colocated, that was not used yet.
+// Updates the model with a measurement of a task, beside \p colocated, that was not used yet.
 void learn(const Task& task, double formerTotal, std::span<const ImageShare> colocated,
     const OwnUtilization& own, TailLatencyModel& model)
 {
@@ -123,26 +123,26 @@
 void processSharedLoads(Worker& worker, TailLatencyModel& model, Utils::TimePoint now)
 {
     noteEnds(worker, now);
-    const bool isNewFigure = now - worker.figuresUsedAt >= figureInterval;
+    const bool isNewMeasurement = now - worker.measurementsUsedAt >= measurementInterval;
     const bool isSettled = now - worker.bestEffortEndedAt >= endSettlingTime;
     const std::vector<ImageShare> colocated = reportedShares(worker);
     for (Task* task : worker.tasks) {
-        if (!hasFigure(*task))
+        if (!hasMeasurement(*task))
             continue;
         const std::string& image = task->job->step(*task).image();
         const double formerTotal = task->totalUtilization;
         model.addTailLatency(image, static_cast<double>(task->reportedLoad));
         task->totalUtilization = model.utilization(image, static_cast<double>(task->reportedLoad));
         task->addedUtilization = model.addedUtilization(image, colocated);
-        task->figureAt = now;
+        task->measuredAt = now;
         StepLoad& load = task->job->stepLoads[task->step];
-        // Figures of different workers change at different moments, so each report makes the load more
+        // Measurements of different workers change at different moments, so each report makes the load more
         // current.
         const OwnUtilization own = ownUtilizationOfStep(*task, now);
         load.add(now, own.value);
-        if (isNewFigure)
+        if (isNewMeasurement)
             model.count(causeOf(*task, own.value, model));
-        if (isNewFigure && isSettled)
+        if (isNewMeasurement && isSettled)
             learn(*task, formerTotal, colocated, own, model);
         task->ownUtilizationSoon = load.soon();
         task->ownUtilization
@@ -150,8 +150,8 @@
         task->sharesLoad = true;
         noteTarget(*task, now);
     }
-    if (isNewFigure)
-        worker.figuresUsedAt = now;
+    if (isNewMeasurement)
+        worker.measurementsUsedAt = now;
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/sharedload.h
+++ b/src/libs/fleet/sharedload.h
@@ -15,7 +15,7 @@
     best-effort tasks add. The other tasks of the step, beside other best-effort tasks, show the load of this
     moment, so a single report tells the pressure of the images beside a task.
 
-    \param worker worker whose tasks hold the reported figures.
+    \param worker worker whose tasks hold the reported measurements.
 */
 void processSharedLoads(Worker& worker, TailLatencyModel& model, Utils::TimePoint now);
 
--- a/src/libs/fleet/stepload.cpp
+++ b/src/libs/fleet/stepload.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds slopeInterval { 700 };
 // A changed speed takes effect after 100 ms, and reports are means of half a second.
 constexpr double speedHorizonS = 0.7;
-// Limits what a jump of the reported figures is taken for.
+// Limits what a jump of the reported measurements is taken for.
 constexpr double maxRise = 0.12;
 // peakCount intervals are 12 s; the load of users swings within about ten.
 constexpr milliseconds peakInterval { 500 };
--- a/src/libs/fleet/tailaccount.h
+++ b/src/libs/fleet/tailaccount.h
@@ -20,7 +20,7 @@
 
 /*! Counts the reported tail latencies of latency-critical tasks, each the mean of half a second. */
 struct TailAccount {
-    std::uint64_t figures = 0;
+    std::uint64_t measurements = 0;
     std::array<std::uint64_t, overTargetCauseCount> overTarget {}; //!< By cause.
 };
 
--- a/src/libs/fleet/taillatencymodel.cpp
+++ b/src/libs/fleet/taillatencymodel.cpp
@@ -216,7 +216,7 @@
 
 void TailLatencyModel::count(std::optional<OverTargetCause> cause)
 {
-    ++account_.figures;
+    ++account_.measurements;
     if (cause)
         ++account_.overTarget[static_cast<std::size_t>(*cause)];
 }
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -96,7 +96,7 @@
     double ownUtilizationSoon = 0.5; //!< Expected when a changed speed shows; only if the load is shared.
     double totalUtilization = 0; //!< As last reported; the same.
     double addedUtilization = 0; //!< What the colocated tasks are expected to add to it; the same.
-    Utils::TimePoint figureAt {}; //!< When it was reported.
+    Utils::TimePoint measuredAt {}; //!< When it was reported.
     //! Since when the tail latency is over the target, or not clearly below it again; the clock's epoch if it
     //! is not.
     Utils::TimePoint overTargetSince {};
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -15,7 +15,7 @@
 
 struct Task;
 
-/*! Best-effort attempt that a worker has reported with a figure. */
+/*! Best-effort attempt that a worker has reported with a measurement. */
 struct RunningBestEffort {
     const Task* task = nullptr; //!< For comparison only, as the job may be gone.
     std::uint32_t attempt = 0;
@@ -50,9 +50,9 @@
     std::vector<Task*> tasks; //!< Tasks with an open attempt on the worker.
 
     bool isOwnUtilizationKnown = false; //!< As in TailLatencyModel; the same for all workers of a shard.
-    std::vector<RunningBestEffort> runningBestEffort; //!< As of the latest report with figures.
+    std::vector<RunningBestEffort> runningBestEffort; //!< As of the latest report with measurements.
     Utils::TimePoint bestEffortEndedAt {}; //!< When one of them was last found to be gone.
-    Utils::TimePoint figuresUsedAt {}; //!< When figures of a report were last used as samples.
+    Utils::TimePoint measurementsUsedAt {}; //!< When measurements of a report were last used as samples.
 
     std::int64_t bornMs = 0; //!< Incarnation that last reported; 0 if none has.
     Utils::TimePoint restartNoticedAt {};
--- a/src/libs/fleetnode/taillatencyexchange.cpp
+++ b/src/libs/fleetnode/taillatencyexchange.cpp
@@ -76,9 +76,10 @@
 void TailLatencyExchange::reportAccount()
 {
     const Fleet::TailAccount account = model_.takeAccount();
-    context_.metrics.add("geraniumquay_tail_figures_total", {}, static_cast<double>(account.figures));
+    context_.metrics.add(
+        "geraniumquay_tail_measurements_total", {}, static_cast<double>(account.measurements));
     for (std::size_t cause = 0; cause < Fleet::overTargetCauseCount; ++cause) {
-        context_.metrics.add("geraniumquay_tail_figures_over_target_total",
+        context_.metrics.add("geraniumquay_tail_measurements_over_target_total",
             Telemetry::label("cause", Fleet::overTargetCauseNames[cause]),
             static_cast<double>(account.overTarget[cause]));
     }
--- a/tests/auto/fleet/tst_sharedload.cpp
+++ b/tests/auto/fleet/tst_sharedload.cpp
@@ -26,7 +26,7 @@
 constexpr double hotPressure = 3;
 constexpr double mildPressure = 0.2;
 constexpr std::size_t workerCount = 12;
-constexpr Utils::Duration figureInterval = 500ms;
+constexpr Utils::Duration measurementInterval = 500ms;
 
 double loadAt(Utils::TimePoint time)
 {
@@ -81,7 +81,7 @@
         task.reportedLoad = 2240;
     }
 
-    // Reports figures in whole milliseconds, as workers do.
+    // Reports measurements in whole milliseconds, as workers do.
     void report(Fleet::Worker& worker)
     {
         double utilization = loadAt(now);
@@ -97,19 +97,19 @@
         Fleet::processSharedLoads(worker, model, now);
     }
 
-    // Lets the other workers report after a worker has, and time pass until the next figures.
+    // Lets the other workers report after a worker has, and time pass until the next measurements.
     void finishInterval(const Fleet::Worker& reported)
     {
         for (const auto& worker : workers) {
             if (worker.get() != &reported)
                 report(*worker);
         }
-        now += figureInterval;
+        now += measurementInterval;
     }
 
     void play(Utils::Duration duration)
     {
-        for (const Utils::TimePoint end = now + duration; now < end; now += figureInterval) {
+        for (const Utils::TimePoint end = now + duration; now < end; now += measurementInterval) {
             for (const auto& worker : workers)
                 report(*worker);
         }
@@ -134,12 +134,12 @@
     CHECK(fleet.model.isPressureKnown("serving", "hot"));
 }
 
-TEST_CASE("An overload is not taken for the small pressure that its limited figures suggest")
+TEST_CASE("An overload is not taken for the small pressure that its limited measurements suggest")
 {
     SharedLoadFixture fleet;
     fleet.play(8s);
     const double learned = fleet.model.pressure("serving", "hot");
-    // Three more tasks on one worker overload it, so its figures do not grow with what they add.
+    // Three more tasks on one worker overload it, so its measurements do not grow with what they add.
     for (int count = 0; count < 3; ++count)
         fleet.addBestEffort("hot", *fleet.workers[0]);
     fleet.play(8s);
@@ -156,8 +156,8 @@
     for (int round = 0; round < 5; ++round) {
         // What had overloaded the task is gone.
         critical.totalUtilization = 0.98;
-        for (const std::int64_t figure : { 150, 100, 60, 45 }) {
-            critical.reportedLoad = figure;
+        for (const std::int64_t measurement : { 150, 100, 60, 45 }) {
+            critical.reportedLoad = measurement;
             Fleet::processSharedLoads(worker, fleet.model, fleet.now);
             fleet.finishInterval(worker);
         }
@@ -177,7 +177,7 @@
     for (int round = 0; round < 30; ++round) {
         fleet.report(worker);
         fleet.finishInterval(worker);
-        // The figure still contains the hot task, which this report no longer lists.
+        // The measurement still contains the hot task, which this report no longer lists.
         hot.reportedLoad = 0;
         Fleet::processSharedLoads(worker, fleet.model, fleet.now);
         fleet.finishInterval(worker);
@@ -192,7 +192,7 @@
 TEST_CASE("A task that is alone in its step still learns, from the mean of a cycle")
 {
     SharedLoadFixture fleet;
-    for (Utils::TimePoint end = fleet.now + 60s; fleet.now < end; fleet.now += figureInterval)
+    for (Utils::TimePoint end = fleet.now + 60s; fleet.now < end; fleet.now += measurementInterval)
         fleet.report(*fleet.workers[0]);
     // Own load and what one neighbour adds all the time cannot be told apart, so nothing may run away.
     CHECK(fleet.model.pressure("serving", "hot") >= 0);
@@ -232,7 +232,7 @@
     CHECK(Fleet::searchTermsOf(mild, fleet.pointers, fleet.now).variation == 0);
 }
 
-TEST_CASE("Figures over the target are counted by their cause")
+TEST_CASE("Measurements over the target are counted by their cause")
 {
     SharedLoadFixture fleet;
     fleet.play(10s);
@@ -240,9 +240,9 @@
     fleet.workers[3]->tasks.front()->reportedLoad = 30;
     Fleet::processSharedLoads(*fleet.workers[3], fleet.model, fleet.now);
     const Fleet::TailAccount account = fleet.model.takeAccount();
-    CHECK(account.figures == 1);
+    CHECK(account.measurements == 1);
     CHECK(account.overTarget[static_cast<std::size_t>(Fleet::OverTargetCause::Unexpected)] == 1);
-    CHECK(fleet.model.takeAccount().figures == 0);
+    CHECK(fleet.model.takeAccount().measurements == 0);
 }
 
 TEST_CASE("The peak of a step's load is remembered for a cycle and then forgotten")
