--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -525,6 +525,8 @@
 
     async def run():
         world = World(folder)
+        # Ends the processes of the case also if the script is stopped.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             if not os.access(PROGRAM, os.X_OK):
                 raise RuntimeError("the program has not been built")
