--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,9 +15,9 @@
 PAUSE_SECONDS = 0.1
 TASK_MS = 1500
 # The shares of the starts that the unhealthy minion answers with 503, and whose connection it resets after it has carried
-# them out; together under the 0.45 of the site file.
-REJECTED_SHARE = 0.22
-RESET_SHARE = 0.22
+# them out; together the 0.4 of `fleetbench kinds`.
+REJECTED_SHARE = 0.2
+RESET_SHARE = 0.2
 UNHEALTHY_MINIONS = 1
 # The minion is unhealthy for the first of these times out of each of the second.
 UNHEALTHY_SECONDS, PERIOD_SECONDS = 6.5, 8.0
@@ -25,7 +25,7 @@
 
 async def case(world, has_trouble):
     await world.start(["zone-a", "zone-a", "zone-b"], [("m-%02d" % number, "zone-a", "ka", "ra-%d" % (number // 4))
-                                                       for number in range(8)])
+                                                       for number in range(12)])
     await asyncio.sleep(7)
     chance = random.Random(9)
     began_at = world.now()
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,7 +7,7 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common-2"))
 
-from standins import CANCEL_SECONDS, PREFIX, Node, main  # noqa: E402  pylint: disable=wrong-import-position
+from standins import CANCEL_SECONDS, CONTACT_SECONDS, PREFIX, main  # noqa: E402  pylint: disable=wrong-import-position
 
 # No round begins later than this, so that the script ends in time.
 LAST_ROUND_SECONDS = 78
@@ -56,17 +56,14 @@
     if has_trouble:
         await asyncio.sleep(max(0, began_at + SECOND_LOSS_SECONDS - world.now()))
         await first.kill()
+    # Only the third machine is up, so it is the one that starts what is started.
     await asyncio.sleep(OBSERVED_SECONDS)
     late = [start for start in world.starts if start[2].startswith(job) and start[0] > cancelled_at + CANCEL_SECONDS]
     if has_trouble:
-        # Two new machines take the places of those that are gone.
-        for lost in (first, second):
-            zone = "zone-a" if lost is first else "zone-b"
-            world.nodes[world.nodes.index(lost)] = Node(world, world.next_number, zone)
-            world.next_number += 1
-        for node in world.nodes:
-            if node.process is None:
-                await node.start()
+        await world.replace(first)
+        await world.replace(second)
+    if third.started_at > began_at - CONTACT_SECONDS:
+        raise RuntimeError("the third machine has not been in touch for long enough")
     return ["UNASKED: task %s is started on %s %.2f s after the cancelling of its job was acknowledged, while only %s is up"
             % (task_name, minion, at - cancelled_at, third.name) for at, minion, task_name, _ in late]
 
@@ -75,7 +72,6 @@
     minions = [("m-%s%d" % (zone[-1], number), zone, "k" + zone[-1], "r%s-%d" % (zone[-1], number % 2))
                for zone in ("zone-a", "zone-b") for number in range(6)]
     await world.start(["zone-a", "zone-b", "zone-c"], minions)
-    world.next_number = len(world.nodes)
     await asyncio.sleep(6)
     broken = []
     for _ in range(ROUNDS):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -15,8 +15,8 @@
 CRASH_AFTER_SECONDS = 0.01
 DOWN_SECONDS = 2.0
 OBSERVED_SECONDS = 75
-# The rule: not three starts more after three crashes.
-CRASHES, MORE_STARTS = 3, 3
+# The rule: not three starts more after three minions have crashed.
+MINIONS, MORE_STARTS = 3, 3
 
 
 async def case(world, has_trouble):
@@ -29,7 +29,7 @@
 
     async def crash(minion):
         await asyncio.sleep(CRASH_AFTER_SECONDS)
-        crashes.append(world.now())
+        crashes.append((world.now(), minion.identity))
         world.note("minion crashes", minion=minion.identity, crashes=len(crashes))
         await minion.crash_for(DOWN_SECONDS)
 
@@ -63,10 +63,13 @@
             break
     loading.cancel()
     starts = [at for at, _, task, _ in world.starts if task.startswith(deadly)]
-    after = [at for at in starts if len(crashes) >= CRASHES and at > crashes[CRASHES - 1]]
-    world.note("starts", all=len(starts), after_three_crashes=len(after), state=state)
-    if has_trouble and len(crashes) < CRASHES:
-        raise RuntimeError("not three crashes")
+    # The time from which three different minions have crashed.
+    third = next((at for number, (at, _) in enumerate(crashes)
+                  if len({identity for _, identity in crashes[:number + 1]}) == MINIONS), None)
+    after = [at for at in starts if third is not None and at > third]
+    world.note("starts", all=len(starts), after_three_minions=len(after), state=state)
+    if has_trouble and third is None and state != "failed":
+        raise RuntimeError("not three minions have crashed")
     if not has_trouble and state != "completed":
         return ["the job is shown as %s" % state]
     if len(after) >= MORE_STARTS:
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -7,10 +7,12 @@
 import asyncio
 import base64
 import bisect
+import ctypes
 import json
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -33,6 +35,15 @@
 # The bounds of the pages that the checks use, in seconds.
 CONTACT_SECONDS = 4.0
 CANCEL_SECONDS = 3.0
+# Time after which a machine that is gone for good is replaced (`replace_core`, `x` in the site file).
+REPLACE_SECONDS = 2.0
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Lets the kernel end a process when the script ends, however that happens."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 def encode(fields):
@@ -373,11 +384,13 @@
     def __init__(self, world, number, zone):
         self.world = world
         self.number = number
+        self.zone = zone
         self.name = "frontend-%s-%d" % (zone, number)
         self.ip = "127.%d.%d.%d" % (*world.net, number + 1)
         self.settings = os.path.join(world.folder, self.name + ".ini")
         self.log = os.path.join(world.folder, self.name + ".log")
         self.process = None
+        self.started_at = 0.0
         values = {"node_name": self.name, "zone": zone, "region": ZONES[zone], "listen.frontend": self.ip + ":8161",
                   "listen.readiness_addr": self.ip + ":8167", "ip": self.ip, "internal_ports.0": "7720",
                   "advice": "", "platform.addr": "127.0.0.1:%d" % world.store.port, "platform.row_bytes": "65536",
@@ -391,7 +404,8 @@
     async def start(self):
         with open(self.log, "a", encoding="utf-8") as log:
             self.process = await asyncio.create_subprocess_exec(
-                PROGRAM, "--config", self.settings, stdout=log, stderr=log, cwd=ROOT)
+                PROGRAM, "--config", self.settings, stdout=log, stderr=log, cwd=ROOT, preexec_fn=end_with_parent)
+        self.started_at = self.world.now()
         self.world.note("node started", node=self.name)
 
     async def kill(self):
@@ -464,6 +478,10 @@
 
     def on_run_started(self, minion, task, run):
         self.note("run started", minion=minion.identity, task=task, attempt=run["attempt"])
+        # Runs whose end is due are over.
+        for other in self.minions:
+            if other.is_up and not other.is_dark:
+                other.tick()
         runs = self.running.setdefault(task, set())
         if runs:
             self.doubled.append(task)
@@ -490,6 +508,7 @@
             self.minions.append(Minion(self, identity, zone, kind, rack))
             await self.minions[-1].come_up()
         self.nodes = [Node(self, number, zone) for number, zone in enumerate(node_zones)]
+        self.next_number = len(self.nodes)
         for node in self.nodes:
             await node.start()
 
@@ -502,6 +521,19 @@
             await asyncio.sleep(0.5)
         raise RuntimeError("no job was accepted")
 
+    async def lose(self, node):
+        """Removes a machine for good; a new one comes at another address."""
+        await node.kill()
+        await asyncio.sleep(REPLACE_SECONDS)
+        await self.replace(node)
+
+    async def replace(self, node):
+        """Adds a machine in the place of one that was removed."""
+        new = Node(self, self.next_number, node.zone)
+        self.next_number += 1
+        self.nodes[self.nodes.index(node)] = new
+        await new.start()
+
     async def wait_for(self, condition, seconds):
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
@@ -528,17 +560,19 @@
     async def run():
         world = World(folder)
         # Ends the processes of the case also if the script is stopped.
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             if not os.access(PROGRAM, os.X_OK):
                 raise RuntimeError("the program has not been built")
             broken = await asyncio.wait_for(case(world, has_trouble), 110)
-        except (RuntimeError, OSError, asyncio.TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
             world.note("could not run", error=repr(error))
             print("could not run: %r" % error)
             return 2
         finally:
             await world.stop()
+            shutil.rmtree(world.folder, ignore_errors=True)
         for line in broken:
             world.note("RULE BROKEN: " + line)
             print("RULE BROKEN: " + line)
