fleet: Take a rejected repetition of a start for an unknown outcome

Cause: the HTTP client sends an idempotent request again if its connection ends without a response, and handed the second response on as if there had been one sending. The scheduler took each rejection for the end of the attempt, and also Unavailable, which the client reported if the second sending was not possible at all.

A response now tells that it belongs to a repeated request, and an exchange that was sent before fails with OutcomeUnknown. The scheduler requeues a start only if no byte was sent or the only sending was rejected. All other rejections take the way of an unanswered start: a stop, then a report without the attempt or the end of the lease. This holds for every kind of rejection, as each speaks of one sending. An accepted repetition still confirms the attempt: the worker has it.

The log event start-repeated and a counter tell how often it happens.

--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -50,9 +50,13 @@
     return elapsed >= least && elapsed <= most;
 }
 
-bool isRejected(Ports::CommandOutcome outcome)
+// Whether the worker may have carried out the start or may still do so, although it has not accepted it.
+bool isOutcomeUnknown(const Utils::Result<Ports::CommandReply>& reply)
 {
-    return outcome != Ports::CommandOutcome::Done;
+    if (!Utils::isOk(reply))
+        return Utils::error(reply).code != Utils::ErrorCode::Unavailable;
+    const Ports::CommandReply& answer = Utils::value(reply);
+    return answer.outcome != Ports::CommandOutcome::Done && !answer.isNotExecuted();
 }
 
 } // namespace
@@ -264,20 +268,22 @@
     Task* task = findOpenTask(id, key, attempt);
     if (!task || (task->phase != TaskPhase::Sent && task->phase != TaskPhase::Stopping))
         return;
-    task->worker->isStartFailing = !Utils::isOk(reply);
-    task->worker->failedStarts = Utils::isOk(reply) ? 0 : task->worker->failedStarts + 1;
+    const bool isAnswered = Utils::isOk(reply) && !isOutcomeUnknown(reply);
+    task->worker->isStartFailing = !isAnswered;
+    task->worker->failedStarts = isAnswered ? 0 : task->worker->failedStarts + 1;
+    if (isOutcomeUnknown(reply)) {
+        if (task->phase == TaskPhase::Sent)
+            giveUpStart(*task, now);
+        return;
+    }
     // Pause before the next attempt after a start was rejected or could not be sent.
     constexpr milliseconds rejectionPause { 100 };
     const auto retryAt
         = [&] { return now + std::max<Utils::Duration>(rejectionPause, pauseAfterLostStart(*task, now)); };
     if (!Utils::isOk(reply)) {
-        if (Utils::error(reply).code == Utils::ErrorCode::Unavailable) {
-            output_.attemptEnded(id, key, attempt, "not-sent");
-            task->avoidedWorker = id;
-            requeue(*task, retryAt());
-        } else if (task->phase == TaskPhase::Sent) {
-            giveUpStart(*task, now);
-        }
+        output_.attemptEnded(id, key, attempt, "not-sent");
+        task->avoidedWorker = id;
+        requeue(*task, retryAt());
         return;
     }
     const Ports::CommandOutcome outcome = Utils::value(reply).outcome;
@@ -287,7 +293,7 @@
     // The end of the lease in the start counts also if the start is rejected.
     if (!task->isConfirmed)
         noteUnanswered(*task->worker, task->sentAt);
-    if (isRejected(outcome)) {
+    if (outcome != Ports::CommandOutcome::Done) {
         const bool isOtherIncarnation = outcome == Ports::CommandOutcome::IncarnationMismatch;
         // The report of the new incarnation tells its clock.
         if (isOtherIncarnation)
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -265,6 +265,8 @@
     void connect(const Ports::WorkerInfo& info);
     Utils::Duration startTime() const;
     std::uint64_t tokenFor(const std::string& worker) const;
+    void logStartReply(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
+        const Utils::Result<Ports::CommandReply>& reply);
     void checkFencing(
         const std::string& worker, std::uint64_t token, const Utils::Result<Ports::CommandReply>& reply);
     WorkerConnection* findConnection(const std::string& worker);
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -36,8 +36,7 @@
                              const Utils::Result<Ports::CommandReply>& result) {
         if (!weak.lock() || isClosed_)
             return;
-        if (!Utils::isOk(result))
-            Utils::logError("start-unanswered", Utils::error(result));
+        logStartReply(worker, task, attempt, result);
         scheduler_.onStartReply(worker, task, attempt, result, context_.now());
         checkFencing(worker, token, result);
         requestRound();
@@ -65,6 +64,22 @@
     connection->agent().start(command, onReply);
 }
 
+// Logs an answer that does not tell whether the start was carried out.
+void ShardHost::logStartReply(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
+    const Utils::Result<Ports::CommandReply>& reply)
+{
+    if (!Utils::isOk(reply))
+        return Utils::logError("start-unanswered", Utils::error(reply));
+    if (!Utils::value(reply).isToRepeatedCommand)
+        return;
+    const bool isAccepted = Utils::value(reply).outcome == Ports::CommandOutcome::Done;
+    const char* const result = isAccepted ? "accepted" : "rejected";
+    context_.metrics.add("geraniumquay_attempt_starts_repeated_total", Telemetry::label("result", result));
+    Utils::log(Utils::LogLevel::Warning, "start-repeated",
+        { { "job", task.job }, { "task", describe(task) }, { "attempt", std::to_string(attempt) },
+            { "worker", worker }, { "shard", shard_ }, { "result", result } });
+}
+
 void ShardHost::stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt)
 {
     // A successor may have adopted the attempt. The scheduler repeats the command while the attempt is open.
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -77,7 +77,8 @@
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
 
-    void start(std::optional<tcp::socket> socket, const TimeLimits& limits, bool mayConnect)
+    //! \param wasSent whether the request was sent before, on another connection.
+    void start(std::optional<tcp::socket> socket, const TimeLimits& limits, bool mayConnect, bool wasSent)
     {
         const auto now = asio::steady_timer::clock_type::now();
         end_ = now + limits.end;
@@ -85,6 +86,7 @@
         receivedAt_ = now;
         waitUntil(now + limits.start);
         mayConnect_ = mayConnect;
+        isRepeated_ = wasSent;
         if (!socket || !Internal::isIdle(*socket))
             return mayConnect ? connect() : failLater("the connection has been closed");
         socket_ = std::move(*socket);
@@ -198,6 +200,7 @@
         if (!isUnanswered || !isIdempotent_ || !mayConnect_)
             return fail(errorCode.message(), false, isUnanswered);
         closeSocket();
+        isRepeated_ = true;
         connect();
     }
 
@@ -214,12 +217,14 @@
             response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
         response.body = std::move(message.body());
         response.isFirstOnConnection = isNewConnection_;
+        response.isToRepeatedRequest = isRepeated_;
         finish(std::move(response), std::move(socket), false);
     }
 
     void fail(const std::string& reason, bool isPeerAbsent = false, bool isUnanswered = false)
     {
-        const auto code = isSent_ ? Utils::ErrorCode::OutcomeUnknown : Utils::ErrorCode::Unavailable;
+        const bool mayBeCarriedOut = isSent_ || isRepeated_;
+        const auto code = mayBeCarriedOut ? Utils::ErrorCode::OutcomeUnknown : Utils::ErrorCode::Unavailable;
         finish(Utils::Error { code, "http.exchange", endpoint_.toString(), reason, isPeerAbsent },
             std::nullopt, isUnanswered);
     }
@@ -259,6 +264,7 @@
     bool isNewConnection_ = false;
     bool mayConnect_ = true;
     bool isSent_ = false;
+    bool isRepeated_ = false; //!< The request was sent before, on a connection that ended without a response.
     bool isComplete_ = false; //!< The whole response was received.
 };
 
@@ -278,7 +284,7 @@
     void exchange(Request request, const TimeLimits& limits, ResponseHandler handler)
     {
         if (request.peerProcess == 0 || !check_)
-            return run(std::move(request), limits, true, std::move(handler));
+            return run(std::move(request), limits, { .mayConnect = true }, std::move(handler));
         const bool isPeerKnown = idleSocket_ && peerProcess_ != 0 && Internal::isIdle(*idleSocket_);
         if (isPeerKnown && peerProcess_ == request.peerProcess)
             return runOnKnownConnection(std::move(request), limits, std::move(handler));
@@ -301,9 +307,14 @@
 private:
     using ResultHandler = std::function<void(Utils::Result<Response>, bool isUnanswered)>;
 
-    void run(Request request, const TimeLimits& limits, bool mayConnect, ResponseHandler handler)
+    struct Sending {
+        bool mayConnect = false;
+        bool wasSent = false; //!< The request may have been carried out before.
+    };
+
+    void run(Request request, const TimeLimits& limits, Sending sending, ResponseHandler handler)
     {
-        run(std::move(request), limits, mayConnect,
+        run(std::move(request), limits, sending,
             [handler = std::move(handler)](
                 Utils::Result<Response> result, bool) { handler(std::move(result)); });
     }
@@ -313,7 +324,7 @@
     {
         Request copy = request;
         const auto startedAt = asio::steady_timer::clock_type::now();
-        run(std::move(request), limits, false,
+        run(std::move(request), limits, Sending(),
             [this, copy = std::move(copy), limits, startedAt, handler = std::move(handler)](
                 Utils::Result<Response> result, bool isUnanswered) mutable {
                 if (!isUnanswered || !copy.isIdempotent)
@@ -323,7 +334,7 @@
             });
     }
 
-    void run(Request request, const TimeLimits& limits, bool mayConnect, ResultHandler handler)
+    void run(Request request, const TimeLimits& limits, Sending sending, ResultHandler handler)
     {
         const auto exchange = std::make_shared<Exchange>(context_, endpoint_, std::move(request), limits_,
             [self = shared_from_this(), handler = std::move(handler)](Utils::Result<Response> result,
@@ -336,7 +347,8 @@
                 handler(std::move(result), isUnanswered);
             });
         exchange_ = exchange;
-        exchange->start(std::exchange(idleSocket_, std::nullopt), limits, mayConnect);
+        exchange->start(
+            std::exchange(idleSocket_, std::nullopt), limits, sending.mayConnect, sending.wasSent);
     }
 
     // Sends the request once the response to another one shows that the server's process is the right one.
@@ -364,9 +376,10 @@
                     "http.peer-check", endpoint_.toString(), "another process answers at the address" });
             const auto elapsed = asio::steady_timer::clock_type::now() - startedAt;
             // The server may have closed the connection after its response, as HTTP allows at any time.
-            run(std::move(request), limits.after(elapsed), true, std::move(handler));
+            run(std::move(request), limits.after(elapsed), { .mayConnect = true, .wasSent = wasSent },
+                std::move(handler));
         };
-        run(check_->makeRequest(), limits, true, onResponse);
+        run(check_->makeRequest(), limits, { .mayConnect = true }, onResponse);
     }
 
     asio::io_context& context_;
--- a/src/libs/http/clientconnection.h
+++ b/src/libs/http/clientconnection.h
@@ -20,8 +20,8 @@
 
 /*!
     Receives the response or an error: Unavailable if no byte of the request was sent, OutcomeUnknown if the
-    server may have executed the request, or NotFound if it was not sent because another process than
-    Request::peerProcess has taken the place of the server.
+    server may have executed the request, also by an earlier sending, or NotFound if it was not sent because
+    another process than Request::peerProcess has taken the place of the server.
 */
 using ResponseHandler = std::function<void(Utils::Result<Response>)>;
 
--- a/src/libs/http/message.h
+++ b/src/libs/http/message.h
@@ -41,6 +41,9 @@
     std::vector<Header> headers;
     std::string body;
     bool isFirstOnConnection = false; //!< Set by the client that received the response.
+    //! Set by the client: the request was sent before and got no response, so the server may have carried it
+    //! out even if this response rejects it.
+    bool isToRepeatedRequest = false;
 };
 
 } // namespace Http
--- a/src/libs/ports/workeragent.h
+++ b/src/libs/ports/workeragent.h
@@ -11,7 +11,7 @@
 
 namespace Ports {
 
-/*! Whether a worker executed a command, or why it did not. */
+/*! Whether a worker executed a command, or why it did not. Speaks of the latest sending of the command. */
 enum class CommandOutcome {
     Done, //!< Executed, now or by an earlier copy of the command.
     Fenced, //!< The worker has seen a command with a higher epoch.
@@ -28,6 +28,12 @@
 struct CommandReply {
     CommandOutcome outcome = CommandOutcome::Done;
     std::int64_t clockMs = 0; //!< Current time of the worker's clock; 0: unknown.
+    //! An earlier sending got no answer, so the worker may have executed the command even if it rejects it
+    //! now.
+    bool isToRepeatedCommand = false;
+
+    /*! \return whether the command has certainly not been executed. */
+    bool isNotExecuted() const { return outcome != CommandOutcome::Done && !isToRepeatedCommand; }
 };
 
 /*! Right of a shard's owner to send a command to a worker. */
--- a/tests/auto/http/scriptedpeer.cpp
+++ b/tests/auto/http/scriptedpeer.cpp
@@ -28,6 +28,11 @@
     return { "127.0.0.1", acceptor_.local_endpoint().port() };
 }
 
+void ScriptedPeer::stopListening()
+{
+    acceptor_.close();
+}
+
 ScriptedPeer::Socket ScriptedPeer::accept()
 {
     const auto limit = std::chrono::steady_clock::now() + waitLimit;
--- a/tests/auto/http/scriptedpeer.h
+++ b/tests/auto/http/scriptedpeer.h
@@ -26,6 +26,9 @@
     /*! Returns the address that clients connect to. */
     Http::Endpoint endpoint() const;
 
+    /*! Refuses connections from now on. */
+    void stopListening();
+
     /*! Returns the next connection of a client; waits for it. */
     Socket accept();
 
--- a/tests/auto/usersplatform/tst_workerclient.cpp
+++ b/tests/auto/usersplatform/tst_workerclient.cpp
@@ -1,6 +1,7 @@
 #include "../http/scriptedpeer.h"
 
 #include <platform/workerclient.h>
+#include <utils/bootclock.h>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
@@ -43,7 +44,7 @@
         command.attempt = 1;
         command.leaseUntilMs = 9000;
         command.workerStartUnixMs = workerStartUnixMs;
-        command.authority.epoch = 3;
+        command.authority = { 3, sendBy };
         reply.reset();
         client.start(
             command, [this](Utils::Result<Ports::CommandReply> result) { reply = std::move(result); });
@@ -56,6 +57,23 @@
         return Utils::value(*reply).outcome;
     }
 
+    // Starts an attempt on a connection that the worker has answered on before and ends without an answer.
+    void startOnEndedConnection()
+    {
+        start(7);
+        receiveOnNewConnection();
+        answer(connections[0], 7);
+        receive(connections[0]);
+        answer(connections[0], 7);
+        CHECK(awaitOutcome() == Ports::CommandOutcome::Done);
+        CHECK_FALSE(Utils::value(*reply).isToRepeatedCommand);
+        sendBy = clock.now() + sendTime;
+        start(7);
+        CHECK(receive(connections[0]).target == "/run-start");
+        connections[0].close();
+        CHECK(receiveOnNewConnection().target == "/hold");
+    }
+
     // Waits for a request on the connection.
     ReceivedCall receive(ScriptedPeer::Socket& connection)
     {
@@ -99,6 +117,9 @@
     ScriptedPeer peer;
     UsersPlatform::WorkerClient client { loop.context(), peer.endpoint(), "i-1" };
     std::vector<ScriptedPeer::Socket> connections; //!< Accepted by the worker.
+    Utils::BootClock clock;
+    Utils::TimePoint sendBy = Utils::TimePoint::max(); //!< Of starts.
+    Utils::Duration sendTime = 10s; //!< For the start whose connection ends.
     std::optional<Utils::Result<Ports::WorkerReport>> report;
     std::optional<Utils::Result<Ports::CommandReply>> reply;
 };
@@ -281,6 +302,50 @@
     }
 }
 
+// Guards against second runs: a start that is taken for refused is sent to another worker at once.
+TEST_CASE("An answer to a start that was sent again tells that the first sending got none")
+{
+    Fixture fixture;
+    fixture.startOnEndedConnection();
+    fixture.answer(fixture.connections[1], 7);
+    CHECK(fixture.receive(fixture.connections[1]).target == "/run-start");
+    SECTION("if it is accepted")
+    {
+        fixture.answer(fixture.connections[1], 7);
+        CHECK(fixture.awaitOutcome() == Ports::CommandOutcome::Done);
+    }
+    SECTION("if it is rejected")
+    {
+        ScriptedPeer::send(
+            fixture.connections[1], "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}");
+        CHECK(fixture.awaitOutcome() == Ports::CommandOutcome::Rejected);
+        CHECK_FALSE(Utils::value(*fixture.reply).isNotExecuted());
+    }
+    CHECK(Utils::value(*fixture.reply).isToRepeatedCommand);
+}
+
+TEST_CASE("The outcome of a start is unknown if its first sending got no answer and it cannot be sent again")
+{
+    Fixture fixture;
+    SECTION("as the worker does not listen any more")
+    {
+        fixture.startOnEndedConnection();
+        fixture.peer.stopListening();
+        fixture.answer(fixture.connections[1], 7);
+        fixture.connections[1].close();
+    }
+    SECTION("as the right to send it has ended")
+    {
+        fixture.sendTime = 300ms;
+        fixture.startOnEndedConnection();
+        std::this_thread::sleep_for(fixture.sendBy - fixture.clock.now() + 10ms);
+        fixture.answer(fixture.connections[1], 7);
+    }
+    fixture.loop.runUntil([&] { return fixture.reply.has_value(); });
+    REQUIRE_FALSE(Utils::isOk(*fixture.reply));
+    CHECK(Utils::error(*fixture.reply).code == Utils::ErrorCode::OutcomeUnknown);
+}
+
 TEST_CASE("A poll is sent again without a lease if the server closes a kept connection without a response")
 {
     Fixture fixture;
