fleet: Do not take a rejected stop for one that was answered

A start that was still on its way could then be carried out after the attempt counted as ended, so that the task ran twice.

Only Done and Superseded show that the worker will not carry the start out any more. After other answers the stop is repeated.

--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -332,7 +332,7 @@
     if (!task || task->phase != TaskPhase::Stopping || !Utils::isOk(reply))
         return;
     const Ports::CommandOutcome outcome = Utils::value(reply).outcome;
-    if (outcome == Ports::CommandOutcome::Rejected || outcome == Ports::CommandOutcome::Fenced)
+    if (outcome != Ports::CommandOutcome::Done && outcome != Ports::CommandOutcome::Superseded)
         return;
     // The first answer counts: from a stopLimit after it, a report without the attempt shows its end.
     if (task->isStopAnswered)
--- a/tests/auto/fleet/tst_startreplies.cpp
+++ b/tests/auto/fleet/tst_startreplies.cpp
@@ -108,3 +108,19 @@
         CHECK(fixture.output.stops.empty());
     }
 }
+
+// Guards against second runs: the stop did not reach the worker, which may carry out the start later.
+TEST_CASE("A stop that the worker has rejected does not show that an attempt is over")
+{
+    for (const CommandOutcome rejection : rejections) {
+        if (rejection == CommandOutcome::Superseded)
+            continue;
+        CAPTURE(static_cast<int>(rejection));
+        StartFixture fixture;
+        fixture.answerStart(CommandOutcome::Rejected, true);
+        fixture.answerStop(rejection);
+        fixture.advance(2s, {});
+        CHECK(fixture.output.starts.size() == 1);
+        CHECK(fixture.output.stops.size() > 2);
+    }
+}
