fleet: Start hosted tasks after a takeover only if the job is known active

Cause: the new owner asked the origin shard's owner whether the job was still active, and counted the job as active after 1.5 s without an answer. A longer wait would only move the bound.

The limit is gone. From the second question on, the new owner also reads the job's record in the origin shard's partition of the store. Owners report only stored states, so the record tells what the owner would have said, and a start needs the store anyway. A job that the origin shard does not know any more has ended; that answer was ignored before.

Questions go first to jobs whose tasks wait and then to those that were not asked about for the longest time. Before, the first jobs by identifier were asked each time, so that beyond some 60 jobs the others were started after the limit without a question.

JobRouter reads stored states with the same function now.

--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -133,11 +133,17 @@
     virtual void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) = 0;
 
     /*!
-        Asks the shard that delegated tasks of a job for the job's state. The scheduler repeats the call until
-        onOriginState() is called or it waits no longer.
+        Asks the owner of the shard that accepted a job for the job's state. The scheduler repeats the call
+        until onOriginState() is called.
     */
     virtual void queryOrigin(const std::string& originShard, const std::string& job) = 0;
 
+    /*!
+        Reads the job's state, to be passed to onOriginState(), from the store, as the shard may have no
+       owner. The scheduler repeats the call while tasks of the job wait for it.
+    */
+    virtual void readOrigin(const std::string& originShard, const std::string& job) = 0;
+
     /*! Reports that an attempt has ended, or is known not to run, for \p reason. */
     virtual void attemptEnded(
         const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
--- a/src/libs/fleet/shardorigin.cpp
+++ b/src/libs/fleet/shardorigin.cpp
@@ -1,47 +1,55 @@
 // Hosted jobs of ShardScheduler after a takeover. The origin shard may have ended such a job while this shard
-// had no owner that could be told, so a new owner asks before it starts tasks of the job.
+// had no owner that could be told, so a new owner asks before it starts tasks of the job. The origin shard
+// may have no owner either, so the job's stored state decides if no answer comes.
 
 #include "shardscheduler.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace Fleet {
 
 namespace {
 
 using std::chrono::milliseconds;
 
-// Time for which a new owner waits for the origin shard's answer. If it does not come, the job counts as
-// active, because a task must not wait for long beside free workers.
-constexpr milliseconds originAnswerLimit { 1500 };
 constexpr milliseconds originQueryInterval { 300 };
 // Bounds the processor time of a tick.
-constexpr int maxQueriesPerTick = 20;
+constexpr std::size_t maxQueriesPerTick = 20;
+
+// Jobs whose tasks wait come first, and then those that were not asked about for the longest time.
+bool isAskedBefore(const Job* left, const Job* right)
+{
+    return std::tuple(!left->isOriginAwaited, left->originQueriedAt)
+        < std::tuple(!right->isOriginAwaited, right->originQueriedAt);
+}
 
 } // namespace
 
-bool ShardScheduler::awaitsOrigin(Job& job, Utils::TimePoint now)
+bool ShardScheduler::awaitsOrigin(Job& job)
 {
-    if (!job.isOriginUnconfirmed)
-        return false;
-    if (job.originAwaitedSince == Utils::TimePoint {})
-        job.originAwaitedSince = now;
-    if (now - job.originAwaitedSince >= originAnswerLimit)
-        job.isOriginUnconfirmed = false;
-    else
-        hasWaitingTasks_ = true;
-    return job.isOriginUnconfirmed;
+    job.isOriginAwaited = job.isOriginUnconfirmed;
+    hasWaitingTasks_ = hasWaitingTasks_ || job.isOriginAwaited;
+    return job.isOriginAwaited;
 }
 
 void ShardScheduler::queryOrigins(Utils::TimePoint now)
 {
-    int queryCount = 0;
+    std::vector<Job*> unconfirmed;
     for (const auto& [id, job] : jobs_) {
-        if (!job->isOriginUnconfirmed || !job->isActive() || now - job->originQueriedAt < originQueryInterval)
-            continue;
-        if (++queryCount > maxQueriesPerTick)
-            return;
-        job->originQueriedAt = now;
-        output_.queryOrigin(job->originShard, id);
+        if (job->isOriginUnconfirmed && job->isActive() && now - job->originQueriedAt >= originQueryInterval)
+            unconfirmed.push_back(job.get());
     }
+    const std::size_t count = std::min(unconfirmed.size(), maxQueriesPerTick);
+    const auto end = unconfirmed.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(unconfirmed.begin(), end, unconfirmed.end(), isAskedBefore);
+    std::for_each(unconfirmed.begin(), end, [&](Job* job) {
+        const bool isRepeated = job->originQueriedAt != Utils::TimePoint {};
+        job->originQueriedAt = now;
+        output_.queryOrigin(job->originShard, job->spec.id());
+        if (isRepeated && job->isOriginAwaited)
+            output_.readOrigin(job->originShard, job->spec.id());
+    });
 }
 
 void ShardScheduler::onOriginState(const std::string& id, FleetSchema::JobState state, std::int64_t nowUnixMs)
@@ -50,6 +58,7 @@
     if (!job || !job->isOriginUnconfirmed)
         return;
     job->isOriginUnconfirmed = false;
+    job->isOriginAwaited = false;
     for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence)
         visitAgain(*job, occurrence);
     isScheduleDue_ = true;
--- a/src/libs/fleet/shardpass.cpp
+++ b/src/libs/fleet/shardpass.cpp
@@ -188,7 +188,7 @@
 {
     Job& job = *candidate.job;
     const std::uint32_t occurrence = candidate.occurrence;
-    const bool isAwaitingOrigin = awaitsOrigin(job, now);
+    const bool isAwaitingOrigin = awaitsOrigin(job);
     if (isAwaitingOrigin)
         visitAgain(job, occurrence);
     const auto stepCount = static_cast<std::uint32_t>(job.stepOffsets.size());
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -346,7 +346,7 @@
     void sendPartStarts(Job& job, Utils::TimePoint now);
     std::string_view findStartObstacle(std::span<Task* const> tasks, Utils::TimePoint now) const;
     void markWaiting(Task& task, Utils::TimePoint now);
-    bool awaitsOrigin(Job& job, Utils::TimePoint now);
+    bool awaitsOrigin(Job& job);
     void queryOrigins(Utils::TimePoint now);
     void updateDemand();
     void improveGrouping(Utils::TimePoint now);
--- a/src/libs/fleetnode/jobrouter.cpp
+++ b/src/libs/fleetnode/jobrouter.cpp
@@ -1,5 +1,7 @@
 #include "jobrouter.h"
 
+#include "storedjobstate.h"
+
 #include "utils/log/log.h"
 
 namespace FleetNode {
@@ -212,28 +214,21 @@
     answer(call, failure(outcome, "the owner of shard " + call->request.shard() + " does not answer"));
 }
 
-// Owners report only stored states, so the stored state is what the owner would have answered.
 void JobRouter::answerFromStore(const CallPointer& call)
 {
-    Ports::RowRange range;
-    range.table = jobTable;
-    range.partition = call->request.shard();
-    range.from = call->request.query();
-    range.limit = 1;
-    context_.store.read(range, [this, call](const Utils::Result<Ports::RowPage>& result) {
-        if (!Utils::isOk(result))
-            return answer(call, failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString()));
-        const std::vector<Ports::Row>& rows = Utils::value(result).rows;
-        FleetSchema::JobRecord record;
-        if (rows.empty() || rows.front().name.key != call->request.query())
-            return answer(call, failure(Ports::CallerOutcome::NoSuchJob, "no such job"));
-        if (!record.ParseFromString(rows.front().value))
-            return answer(call, failure(Ports::CallerOutcome::Unavailable, "the job's record is damaged"));
-        Ports::CallerResponse response;
-        response.hasState = true;
-        response.state = record.state();
-        answer(call, response);
-    });
+    readStoredJobState(context_, call->request.shard(), call->request.query(),
+        [this, call](const Utils::Result<FleetSchema::JobState>& result) {
+            Ports::CallerResponse response;
+            if (Utils::isOk(result)) {
+                response.hasState = true;
+                response.state = Utils::value(result);
+            } else if (Utils::error(result).code == Utils::ErrorCode::NotFound) {
+                response = failure(Ports::CallerOutcome::NoSuchJob, "no such job");
+            } else {
+                response = failure(Ports::CallerOutcome::Unavailable, Utils::error(result).toString());
+            }
+            answer(call, response);
+        });
 }
 
 } // namespace FleetNode
--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -68,6 +68,8 @@
     , writer_(
           context, shard_, [this] { close("taken-over"); }, [this] { onBatchRejected(); })
     , formerOwnerInquiry_(context, otherShards, shard_)
+    , originReader_(
+          context, [this](const std::string& job, FleetSchema::JobState state) { onOriginState(job, state); })
     , roundTimer_(context.io)
     , loadTimer_(context.io)
     , closeTimer_(context.io)
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -2,6 +2,7 @@
 
 #include "formerownerinquiry.h"
 #include "nodecontext.h"
+#include "originreader.h"
 #include "passmonitor.h"
 #include "shardwriter.h"
 #include "timer.h"
@@ -216,6 +217,7 @@
     void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         std::uint32_t crashes) override;
     void queryOrigin(const std::string& originShard, const std::string& job) override;
+    void readOrigin(const std::string& originShard, const std::string& job) override;
     void quarantineChanged(const std::string& worker, Utils::Duration time) override;
     void taskWaiting(const Fleet::WaitReport& report) override;
     void workerLost(const Fleet::WorkerLoss& loss) override;
@@ -247,6 +249,7 @@
     void callOtherShard(
         const FleetSchema::PeerRequest& request, std::function<void(const FleetSchema::PeerReply&)> onAnswer);
     void callUntilStored(const FleetSchema::PeerRequest& request, std::function<void()> onStored);
+    void onOriginState(const std::string& job, FleetSchema::JobState state);
     void onLeaseReport(const FleetSchema::LeaseReport& report);
     void onTookOver(const Fleet::LeaseEnds& statedEnds);
     bool isOwnerGone(const FleetSchema::ShardRecord& former) const;
@@ -284,6 +287,7 @@
     Utils::TimePoint formerStartEnd_ {}; //!< Until when they may send starts.
     Fleet::JobRowReader rowReader_; //!< Used while the jobs are loaded.
     FormerOwnerInquiry formerOwnerInquiry_;
+    OriginReader originReader_;
     std::optional<FinalState> finalState_;
     std::vector<Ports::WorkerInfo> workers_;
     Utils::TimePoint workersReadAt_ {}; //!< When workers_ started to be read.
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -287,13 +287,26 @@
     request.set_shard(originShard);
     request.set_query(job);
     callOtherShard(request, [this, job](const FleetSchema::PeerReply& reply) {
-        if (reply.outcome() != FleetSchema::PEER_OK)
-            return;
-        scheduler_.onOriginState(job, reply.state(), NodeContext::nowUnixMs());
-        requestRound();
+        if (reply.outcome() == FleetSchema::PEER_OK)
+            onOriginState(job, reply.state());
+        else if (reply.outcome() == FleetSchema::PEER_UNKNOWN_JOB)
+            onOriginState(job, FleetSchema::JOB_COMPLETED);
     });
 }
 
+void ShardHost::readOrigin(const std::string& originShard, const std::string& job)
+{
+    originReader_.read(originShard, job);
+}
+
+void ShardHost::onOriginState(const std::string& job, FleetSchema::JobState state)
+{
+    if (isClosed_)
+        return;
+    scheduler_.onOriginState(job, state, NodeContext::nowUnixMs());
+    requestRound();
+}
+
 // Does not retry, because the scheduler repeats a call that is not made or gets no reply.
 void ShardHost::callOtherShard(
     const FleetSchema::PeerRequest& request, std::function<void(const FleetSchema::PeerReply&)> onAnswer)
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -392,6 +392,18 @@
         });
 }
 
+void EmulatedOwner::readOrigin(const std::string& originShard, const std::string& job)
+{
+    if (!fleet_.isStoreReachable(node_))
+        return;
+    const auto& rows = fleet_.rows(EmulatedFleet::shardNumber(originShard));
+    const auto row = rows.find(job);
+    const FleetSchema::JobState state = row == rows.end() ? FleetSchema::JOB_COMPLETED : row->second.state();
+    // Time of the answer.
+    runLater(2 + fleet_.time().random(10),
+        [this, job, state] { scheduler_->onOriginState(job, state, fleet_.nowMs()); });
+}
+
 void EmulatedOwner::attemptEnded(
     const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::string_view reason)
 {
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -94,6 +94,7 @@
     void cancelDelegatedTasks(const std::string& shard, const FleetSchema::JobSpec& job) override;
     void sendTaskResult(const std::string& originShard, const FleetSchema::TaskResult& result) override;
     void queryOrigin(const std::string& originShard, const std::string& job) override;
+    void readOrigin(const std::string& originShard, const std::string& job) override;
     void attemptEnded(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         std::string_view reason) override;
     void capacityChanged(const Fleet::CapacityChange&) override { }
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -54,6 +54,7 @@
     void cancelDelegatedTasks(const std::string&, const FleetSchema::JobSpec&) override { }
     void sendTaskResult(const std::string&, const FleetSchema::TaskResult&) override { }
     void queryOrigin(const std::string&, const std::string&) override { }
+    void readOrigin(const std::string&, const std::string&) override { }
     void attemptEnded(const std::string&, const Ports::TaskKey& task, std::uint32_t attempt,
         std::string_view reason) override
     {
--- a/tests/auto/fleet/fleetfixtures.h
+++ b/tests/auto/fleet/fleetfixtures.h
@@ -89,6 +89,10 @@
     {
         originQueries.emplace_back(originShard, job);
     }
+    void readOrigin(const std::string& originShard, const std::string& job) override
+    {
+        originReads.emplace_back(originShard, job);
+    }
     void attemptEnded(const std::string&, const Ports::TaskKey&, std::uint32_t, std::string_view) override { }
     void capacityChanged(const Fleet::CapacityChange& change) override { capacityChanges.push_back(change); }
     void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t,
@@ -131,6 +135,7 @@
     std::vector<std::pair<std::string, std::string>> delegationCancels;
     std::vector<std::pair<std::string, FleetSchema::TaskResult>> results;
     std::vector<std::pair<std::string, std::string>> originQueries;
+    std::vector<std::pair<std::string, std::string>> originReads;
     std::vector<Fleet::AttemptStart> starts;
     std::vector<Command> stops;
     std::vector<Command> throttles;
