--- a/tests/auto/fleet/gangfixture.h
+++ b/tests/auto/fleet/gangfixture.h
@@ -95,6 +95,11 @@
             if (isStored(*shards[target]))
                 from.scheduler.onDelegatedTasksCancelled(spec.id(), target);
         }
+        for (; count.originQueries < from.output.originQueries.size(); ++count.originQueries) {
+            const std::string& job = from.output.originQueries[count.originQueries].second;
+            if (const auto state = origin().scheduler.state(job))
+                from.scheduler.onOriginState(job, *state, testStartUnixMs);
+        }
         for (; count.readyParts < from.output.readyParts.size(); ++count.readyParts) {
             const FleetSchema::GangPart part = from.output.readyParts[count.readyParts];
             if (carriesReady)
@@ -151,6 +156,7 @@
         std::size_t delegations = 0;
         std::size_t results = 0;
         std::size_t cancels = 0;
+        std::size_t originQueries = 0;
         std::size_t readyParts = 0;
         std::size_t starts = 0;
     };
