fleet: Count crashes of workers that had not answered the start

Each crash takes down all that runs on the worker.

Cause: endLostAttempt() returned before it counted if no answer had confirmed the start, because the worker might have crashed before the start reached it. Such an end was recorded nowhere, so it was repeated without a bound.

A start that was sent and not answered is now counted when its worker is known to have crashed, in a count of its own that is stored, passed to other shards and taken over like the other one. It does not fail the job, but sets the task apart as two crashes do. A start of a task that shares its worker only with proven tasks has no other suspect, so from then on an unanswered one counts like an answered one.

The event worker-crashed tells both counts.

--- a/src/libs/fleet/crashpolicy.cpp
+++ b/src/libs/fleet/crashpolicy.cpp
@@ -28,14 +28,14 @@
 
 bool isSuspect(const Task& task)
 {
-    return task.crashes > 0 && !task.isProven;
+    return task.suspectedCrashes() > 0 && !task.isProven;
 }
 
 int isolationOf(const Task& task)
 {
     if (!isSuspect(task))
         return 0;
-    return task.crashes >= crashesToIsolation ? 2 : 1;
+    return task.suspectedCrashes() >= crashesToIsolation ? fullIsolation : 1;
 }
 
 bool isKeptApart(const Task& task, const Worker& worker)
@@ -46,7 +46,7 @@
             return false;
         if (isolation > 0 && isSuspect(*other))
             return true;
-        return isolation == 2 || other->crashes >= crashesToIsolation;
+        return isolation == fullIsolation || other->suspectedCrashes() >= crashesToIsolation;
     });
 }
 
--- a/src/libs/fleet/failedsearches.cpp
+++ b/src/libs/fleet/failedsearches.cpp
@@ -43,7 +43,7 @@
         if (steps_)
             steps_->spend(StepKind::Search, job.tasks.size());
         entry->second = std::any_of(
-            job.tasks.begin(), job.tasks.end(), [](const Task& task) { return task.crashes > 0; });
+            job.tasks.begin(), job.tasks.end(), [](const Task& task) { return task.suspectedCrashes() > 0; });
     }
     return entry->second;
 }
--- a/src/libs/fleet/job.cpp
+++ b/src/libs/fleet/job.cpp
@@ -190,6 +190,7 @@
         stored.set_attempt(task.attempt);
         stored.set_failures(task.failures);
         stored.set_crashes(task.provedCrashes());
+        stored.set_unanswered_crashes(task.unansweredCrashes);
         addPresumedCrashes(task, *stored.mutable_presumed_crashes());
         if (task.phase == TaskPhase::Delegated)
             stored.set_lent_to(task.hostShard);
--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crashcount.h"
 #include "gangshare.h"
 #include "waitreport.h"
 #include "workerloss.h"
@@ -167,8 +168,8 @@
 
         \param crashes the task's latest starts in a row that ended like this.
     */
-    virtual void workerCrashed(
-        const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::uint32_t crashes)
+    virtual void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
+        const CrashCount& crashes)
         = 0;
 
     /*!
--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -9,32 +9,43 @@
 
 namespace Fleet {
 
+namespace {
+
+CrashCount crashCountOf(const Task& task)
+{
+    return { task.provedCrashes(), task.unansweredCrashes };
+}
+
+} // namespace
+
 // Ends an attempt that no longer runs. If its worker has crashed, the attempt may be the cause.
 void ShardScheduler::endLostAttempt(
     Task& task, std::string_view reason, CrashEvidence evidence, Utils::TimePoint now, std::int64_t nowUnixMs)
 {
     const Ports::WorkerInfo& worker = task.worker->info;
     output_.attemptEnded(worker.id, keyOf(task), task.attempt, reason);
-    // A start that the worker never confirmed may have reached it only after the crash, or not at all.
-    if (!task.hasStarted) {
-        requeue(task, now + pauseAfterLostStart(task, now));
-        return;
-    }
-    if (evidence == CrashEvidence::None || task.isProven) {
-        requeue(task, now);
+    const bool wasSent = task.phase != TaskPhase::Held;
+    if (!wasSent || evidence == CrashEvidence::None || task.isProven) {
+        requeue(task, task.hasStarted ? now : now + pauseAfterLostStart(task, now));
         return;
     }
-    ++task.crashes;
     task.avoidedWorker = worker.id;
     task.crashedAddress = worker.address;
-    if (evidence == CrashEvidence::Proved) {
-        output_.workerCrashed(worker.id, keyOf(task), task.attempt, task.provedCrashes());
+    // An unanswered start may have reached the worker only after the crash. It counts against the task if no
+    // other task can have been the cause, and until then makes that so.
+    if (!task.hasStarted && isolationOf(task) != fullIsolation) {
+        ++task.unansweredCrashes;
+        output_.workerCrashed(worker.id, keyOf(task), task.attempt, crashCountOf(task));
+    } else if (evidence == CrashEvidence::Proved) {
+        ++task.crashes;
+        output_.workerCrashed(worker.id, keyOf(task), task.attempt, crashCountOf(task));
     } else {
+        ++task.crashes;
         task.presumedCrashes.push_back({ worker.id, task.workerBornMs, task.attempt, now });
         task.worker->watchedUntil = now + crashVerdictDelay;
         presumedCrashes_[worker.id].insert(keyOf(task));
     }
-    requeue(task, now + pauseAfterCrash(task.crashes));
+    requeue(task, now + pauseAfterCrash(task.suspectedCrashes()));
     if (task.job->isActive())
         failJobIfExhausted(task, now, nowUnixMs);
 }
@@ -115,7 +126,7 @@
     if (isOver || !task.job->isActive())
         return;
     markDirty(*task.job);
-    output_.workerCrashed(crash.worker, keyOf(task), crash.attempt, task.provedCrashes());
+    output_.workerCrashed(crash.worker, keyOf(task), crash.attempt, crashCountOf(task));
     failJobIfExhausted(task, now, nowUnixMs);
 }
 
@@ -165,10 +176,11 @@
         task.startClockMs = 0;
         task.isProven = false;
     }
-    if (!recordRunning(task, clockMs) || task.crashes == 0)
+    if (!recordRunning(task, clockMs) || task.suspectedCrashes() == 0)
         return;
     forgetPresumedCrashes(task);
     task.crashes = 0;
+    task.unansweredCrashes = 0;
     markDirty(*task.job);
     isScheduleDue_ = true;
 }
--- a/src/libs/fleet/sharddelegation.cpp
+++ b/src/libs/fleet/sharddelegation.cpp
@@ -221,6 +221,7 @@
     transfer.set_occurrence(task.occurrence);
     transfer.set_failures(task.failures);
     transfer.set_crashes(task.provedCrashes());
+    transfer.set_unanswered_crashes(task.unansweredCrashes);
     transfer.set_waited_ms(idleMs(task, now));
     transfer.set_part_size(task.part.size);
     transfer.set_origin_shard(task.job->isHosted() ? task.job->originShard : options_.shard);
@@ -289,6 +290,7 @@
         task->failures = std::max(task->failures, transfer.failures());
         forgetPresumedCrashes(*task);
         task->crashes = transfer.crashes();
+        task->unansweredCrashes = transfer.unanswered_crashes();
         task->checkpoint = transfer.checkpoint();
         task->hostShard.clear();
         task->waitingSince = {};
@@ -365,6 +367,7 @@
     result.set_attempt(task.attempt);
     result.set_failures(task.failures);
     result.set_crashes(task.provedCrashes());
+    result.set_unanswered_crashes(task.unansweredCrashes);
     result.set_waited_ms(idleMs(task, now));
     result.set_checkpoint(task.checkpoint);
     output_.sendTaskResult(task.job->originShard, result);
@@ -397,6 +400,7 @@
         task->attempt = std::max(task->attempt, result.attempt());
         task->failures = std::max(task->failures, result.failures());
         task->crashes = result.crashes();
+        task->unansweredCrashes = result.unanswered_crashes();
         task->checkpoint = result.checkpoint();
         job->isStarted = job->isStarted || task->attempt > 0;
         // The host shard may have recorded the last attempt without a start. A failure or a crash shows one.
--- a/src/libs/fleet/shardrestore.cpp
+++ b/src/libs/fleet/shardrestore.cpp
@@ -166,6 +166,7 @@
             end.set_done(isDone);
             end.set_failures(task.failures);
             end.set_crashes(task.provedCrashes());
+            end.set_unanswered_crashes(task.unansweredCrashes);
             addPresumedCrashes(task, *end.mutable_presumed_crashes());
             end.set_checkpoint(task.checkpoint);
         }
@@ -187,6 +188,7 @@
         task->failures = std::max(task->failures, end.failures());
         job->hasBegun = job->hasBegun || end.done() || end.failures() > 0;
         restoreCrashes(*task, end.crashes(), end.presumed_crashes(), now);
+        task->unansweredCrashes = end.unanswered_crashes();
         if (!end.checkpoint().empty())
             task->checkpoint = end.checkpoint();
         if (end.done() && !job->step(*task).lasting()) {
@@ -210,6 +212,7 @@
     task.attempt = stored.attempt();
     task.failures = stored.failures();
     restoreCrashes(task, stored.crashes(), stored.presumed_crashes(), now);
+    task.unansweredCrashes = stored.unanswered_crashes();
     task.checkpoint = stored.checkpoint();
     task.hostShard = stored.lent_to();
     task.transferNumber = stored.transfer();
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -43,6 +43,8 @@
     std::uint32_t failures = 0;
     std::uint32_t crashes = 0; //!< Latest starts in a row after which the worker crashed, proved or not.
     std::vector<PresumedCrash> presumedCrashes; //!< Those of them that are not proved.
+    //! Further such starts, which were not answered: the worker may have crashed before they reached it.
+    std::uint32_t unansweredCrashes = 0;
     std::string checkpoint; //!< Latest known checkpoint; may be empty.
     Worker* worker = nullptr; //!< Worker of the open attempt; null if there is none.
     std::int64_t workerBornMs = 0; //!< Incarnation of the worker that the attempt was assigned to.
@@ -107,6 +109,9 @@
         return crashes - static_cast<std::uint32_t>(presumedCrashes.size());
     }
 
+    /*! \return the latest starts in a row that may have crashed their worker. */
+    std::uint32_t suspectedCrashes() const { return crashes + unansweredCrashes; }
+
     /*! \return whether there is an attempt that runs or may still start to run. */
     bool isOpen() const
     {
--- a/src/libs/fleet/workerchoice.cpp
+++ b/src/libs/fleet/workerchoice.cpp
@@ -292,7 +292,7 @@
             = worker.info.id == task.avoidedWorker || worker.info.address == task.crashedAddress;
         if (hasCrashed)
             cost += crashedWorkerWeight;
-        if (task.crashes >= crashesToIsolation)
+        if (task.suspectedCrashes() >= crashesToIsolation)
             cost += suspectColocationWeight * static_cast<double>(worker.tasks.size());
     }
     if (step.tail_target_ms() > 0) {
--- a/src/libs/fleet/workerranking.cpp
+++ b/src/libs/fleet/workerranking.cpp
@@ -31,7 +31,7 @@
 bool WorkerRanking::isFor(const Table& table, const Task& task, const SearchTerms& terms)
 {
     return table.terms == terms && (table.task->failures > 0) == (task.failures > 0)
-        && table.task->crashes == task.crashes && table.task->isProven == task.isProven;
+        && table.task->suspectedCrashes() == task.suspectedCrashes() && table.task->isProven == task.isProven;
 }
 
 Worker* WorkerRanking::choose(const Task& task, const InterferenceView& view, Utils::TimePoint now)
@@ -82,7 +82,8 @@
     const Task& ranked = *table.task;
     const bool avoidsOthers = ranked.avoidedWorker != task.avoidedWorker;
     // Only after a crash.
-    const bool avoidsOtherAddress = task.crashes > 0 && ranked.crashedAddress != task.crashedAddress;
+    const bool avoidsOtherAddress
+        = task.suspectedCrashes() > 0 && ranked.crashedAddress != task.crashedAddress;
     if (!avoidsOthers && !avoidsOtherAddress)
         return;
     notePositions();
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -215,7 +215,7 @@
         std::string_view how) override;
     void capacityChanged(const Fleet::CapacityChange& change) override;
     void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
-        std::uint32_t crashes) override;
+        const Fleet::CrashCount& crashes) override;
     void queryOrigin(const std::string& originShard, const std::string& job) override;
     void readOrigin(const std::string& originShard, const std::string& job) override;
     void quarantineChanged(const std::string& worker, Utils::Duration time) override;
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -186,13 +186,14 @@
             { "current", describe(change.current) }, { "committed", describe(change.committed) } });
 }
 
-void ShardHost::workerCrashed(
-    const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::uint32_t crashes)
+void ShardHost::workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
+    const Fleet::CrashCount& crashes)
 {
     context_.metrics.add("geraniumquay_worker_crashes_total");
     Utils::log(Utils::LogLevel::Warning, "worker-crashed",
         { { "job", task.job }, { "task", describe(task) }, { "attempt", std::to_string(attempt) },
-            { "worker", worker }, { "crashes", std::to_string(crashes) } });
+            { "worker", worker }, { "crashes", std::to_string(crashes.proved) },
+            { "unanswered", std::to_string(crashes.unanswered) } });
 }
 
 void ShardHost::quarantineChanged(const std::string& worker, Utils::Duration time)
--- a/src/tools/gqemulate/emulatedfleet.cpp
+++ b/src/tools/gqemulate/emulatedfleet.cpp
@@ -296,7 +296,13 @@
         return std::nullopt;
     }
     const Ports::CommandReply reply = carryOutStart(*worker, id, command, shard, false);
-    return worker->answers() ? std::optional(reply) : std::nullopt;
+    if (!worker->answers())
+        return std::nullopt;
+    if (scenario_.crashesBeforeAnswer && workload_.behavior(command.task).crashesWorker) {
+        waitChecker_.onStartUnanswered(command.task, id);
+        return std::nullopt;
+    }
+    return reply;
 }
 
 void EmulatedFleet::repeatOnceUp(const std::string& id, std::function<void(FleetWorker&)> call)
--- a/src/tools/gqemulate/emulatedowner.cpp
+++ b/src/tools/gqemulate/emulatedowner.cpp
@@ -412,10 +412,12 @@
         failedTasks_.insert(task);
 }
 
-void EmulatedOwner::workerCrashed(
-    const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt, std::uint32_t crashes)
+void EmulatedOwner::workerCrashed(const std::string& worker, const Ports::TaskKey& task,
+    std::uint32_t attempt, const Fleet::CrashCount& crashes)
 {
-    attemptEnded(worker, task, attempt, "worker crashed, number " + std::to_string(crashes));
+    attemptEnded(worker, task, attempt,
+        "worker crashed, number " + std::to_string(crashes.proved) + ", unanswered "
+            + std::to_string(crashes.unanswered));
 }
 
 void EmulatedOwner::taskWaiting(const Fleet::WaitReport& report)
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -99,7 +99,7 @@
         std::string_view reason) override;
     void capacityChanged(const Fleet::CapacityChange&) override { }
     void workerCrashed(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
-        std::uint32_t crashes) override;
+        const Fleet::CrashCount& crashes) override;
     void quarantineChanged(const std::string& worker, Utils::Duration time) override;
     void taskWaiting(const Fleet::WaitReport& report) override;
     void workerLost(const Fleet::WorkerLoss&) override { }
--- a/src/tools/gqemulate/emulatedshard.cpp
+++ b/src/tools/gqemulate/emulatedshard.cpp
@@ -393,7 +393,9 @@
         = isDelayed ? 2000 + static_cast<std::int64_t>(random_() % 6000) : randomLatencyMs();
     // A delayed command counts as received by the worker, so it is lost if the worker restarts meanwhile.
     const std::int64_t bornMs = findWorker(start.worker)->info().startedUnixMs;
-    scheduleEvent(delay, [this, command, isDelayed, bornMs, id = start.worker, epoch = epoch_] {
+    const bool isAnswered
+        = !isDelayed && !(scenario_.crashesBeforeAnswer && taskBehavior(start.task).crashesWorker);
+    scheduleEvent(delay, [this, command, isDelayed, isAnswered, bornMs, id = start.worker, epoch = epoch_] {
         SimulatedWorker& worker = *findWorker(id);
         if (!worker.isUp || !worker.isReachable || worker.info().startedUnixMs != bornMs)
             return;
@@ -406,12 +408,12 @@
             if (epoch == epoch_)
                 checker_.onStartedByOwner(command.task, nowMs_);
         }
-        if (!isDelayed && owner_ && epoch == epoch_)
+        if (isAnswered && owner_ && epoch == epoch_)
             owner_->onStartReply(id, command.task, command.attempt, reply, now());
     });
-    scheduleEvent(commandTimeoutMs, [this, command, id = start.worker, epoch = epoch_] {
+    scheduleEvent(commandTimeoutMs, [this, command, isAnswered, id = start.worker, epoch = epoch_] {
         // The scheduler ignores this error if the answer to the start has arrived.
-        if (owner_ && epoch == epoch_ && !findWorker(id)->isReachable) {
+        if (owner_ && epoch == epoch_ && (!isAnswered || !findWorker(id)->isReachable)) {
             owner_->onStartReply(id, command.task, command.attempt,
                 Utils::Error { Utils::ErrorCode::OutcomeUnknown, "start", id, "no answer" }, now());
         }
--- a/src/tools/gqemulate/emulatedshard.h
+++ b/src/tools/gqemulate/emulatedshard.h
@@ -61,12 +61,12 @@
         trace(task.job, "attempt " + std::to_string(attempt) + " over: " + std::string(reason));
     }
     void capacityChanged(const Fleet::CapacityChange&) override { }
-    void workerCrashed(
-        const std::string&, const Ports::TaskKey& task, std::uint32_t attempt, std::uint32_t crashes) override
+    void workerCrashed(const std::string&, const Ports::TaskKey& task, std::uint32_t attempt,
+        const Fleet::CrashCount& crashes) override
     {
         trace(task.job,
             "attempt " + std::to_string(attempt) + " over: worker crashed, number "
-                + std::to_string(crashes));
+                + std::to_string(crashes.proved) + ", unanswered " + std::to_string(crashes.unanswered));
     }
     void quarantineChanged(const std::string&, Utils::Duration) override { }
     void taskWaiting(const Fleet::WaitReport&) override { }
--- a/src/tools/gqemulate/fleetscenario.h
+++ b/src/tools/gqemulate/fleetscenario.h
@@ -82,6 +82,7 @@
     bool hasWorkerDisturbances = false; //!< Stops take time, and the list of workers is read less often.
     bool hasEvacuations = false; //!< Nodes read the operator's evacuations.
     bool hasDeadlyTasks = false; //!< Some jobs have a task that crashes each worker that starts it.
+    bool crashesBeforeAnswer = false; //!< The worker has not answered the start of such a task by then.
     bool hasHopelessTasks = false; //!< More tasks fail always, and more failures are allowed.
     bool hasSilentDepartures = false; //!< Calls to workers that have left are not refused.
     ConnectionKind connections = ConnectionKind::EndWithProcess;
--- a/src/tools/gqemulate/main.cpp
+++ b/src/tools/gqemulate/main.cpp
@@ -23,6 +23,7 @@
     bool hasStatedLease = false;
     bool hasWorkerDisturbances = true;
     bool hasDeadlyTasks = true;
+    bool crashesBeforeAnswer = false;
     bool hasCuts = false;
     bool hasFailures = false;
     bool hasRestarts = false;
@@ -71,7 +72,7 @@
     stream
         << "Usage: gqemulate [--fleet] [--waves] [--owner-loss] [--stated-lease]\n"
         << "                 [--variant NAME] [--seed N] [--days N] [--calm]\n"
-        << "                 [--no-deadly] [--no-crashes] [--cuts] [--failures] [--restarts]\n"
+        << "                 [--no-deadly] [--unanswered] [--no-crashes] [--cuts] [--failures] [--restarts]\n"
         << "                 [--connections] [--evacuations]\n"
         << "                 [--full-shards] [--step-ns N] [--share S] [--shards N]\n"
         << "                 [--workers N] [--load P]\n"
@@ -89,6 +90,7 @@
         << "  --days N     number of days with seeds from there on (1)\n"
         << "  --calm       days without faults\n"
         << "  --no-deadly  days without tasks that crash workers\n"
+        << "  --unanswered workers that a task crashes have not answered its start by then\n"
         << "  --no-crashes days without tasks that crash workers, workers that crash together, and\n"
         << "               capacities that shrink\n"
         << "  --cuts       fleet days on which workers run on while they are cut off\n"
@@ -132,8 +134,9 @@
 constexpr Switch switches[] = { { 'c', &Options::withoutFaults }, { 'f', &Options::isFleet },
     { 'w', &Options::hasWaves }, { 'o', &Options::hasOwnerLoss }, { 'l', &Options::hasStatedLease },
     { 'n', &Options::hasWorkerDisturbances, false }, { 'D', &Options::hasDeadlyTasks, false },
-    { 'C', &Options::hasCuts }, { 'F', &Options::hasFailures }, { 'S', &Options::hasFullShards },
-    { 'R', &Options::hasRestarts }, { 'N', &Options::hasConnections }, { 'E', &Options::hasEvacuations } };
+    { 'U', &Options::crashesBeforeAnswer }, { 'C', &Options::hasCuts }, { 'F', &Options::hasFailures },
+    { 'S', &Options::hasFullShards }, { 'R', &Options::hasRestarts }, { 'N', &Options::hasConnections },
+    { 'E', &Options::hasEvacuations } };
 
 // Returns whether the option has no value.
 bool applySwitch(int flag, Options& options)
@@ -184,18 +187,19 @@
 
 bool parseOptions(int argc, char** argv, Options& options)
 {
-    static const option flags[] = { { "seed", required_argument, nullptr, 's' },
-        { "days", required_argument, nullptr, 'd' }, { "calm", no_argument, nullptr, 'c' },
-        { "trace", required_argument, nullptr, 't' }, { "fleet", no_argument, nullptr, 'f' },
-        { "waves", no_argument, nullptr, 'w' }, { "owner-loss", no_argument, nullptr, 'o' },
-        { "stated-lease", no_argument, nullptr, 'l' }, { "variant", required_argument, nullptr, 'v' },
-        { "no-crashes", no_argument, nullptr, 'n' }, { "no-deadly", no_argument, nullptr, 'D' },
-        { "cuts", no_argument, nullptr, 'C' }, { "failures", no_argument, nullptr, 'F' },
-        { "restarts", no_argument, nullptr, 'R' }, { "connections", no_argument, nullptr, 'N' },
-        { "full-shards", no_argument, nullptr, 'S' }, { "step-ns", required_argument, nullptr, 'p' },
-        { "share", required_argument, nullptr, 'P' }, { "workers", required_argument, nullptr, 'W' },
-        { "load", required_argument, nullptr, 'L' }, { "shards", required_argument, nullptr, 'H' },
-        { "evacuations", no_argument, nullptr, 'E' }, { nullptr, 0, nullptr, 0 } };
+    static const option flags[]
+        = { { "seed", required_argument, nullptr, 's' }, { "days", required_argument, nullptr, 'd' },
+              { "calm", no_argument, nullptr, 'c' }, { "trace", required_argument, nullptr, 't' },
+              { "fleet", no_argument, nullptr, 'f' }, { "waves", no_argument, nullptr, 'w' },
+              { "owner-loss", no_argument, nullptr, 'o' }, { "stated-lease", no_argument, nullptr, 'l' },
+              { "variant", required_argument, nullptr, 'v' }, { "no-crashes", no_argument, nullptr, 'n' },
+              { "no-deadly", no_argument, nullptr, 'D' }, { "unanswered", no_argument, nullptr, 'U' },
+              { "cuts", no_argument, nullptr, 'C' }, { "failures", no_argument, nullptr, 'F' },
+              { "restarts", no_argument, nullptr, 'R' }, { "connections", no_argument, nullptr, 'N' },
+              { "full-shards", no_argument, nullptr, 'S' }, { "step-ns", required_argument, nullptr, 'p' },
+              { "share", required_argument, nullptr, 'P' }, { "workers", required_argument, nullptr, 'W' },
+              { "load", required_argument, nullptr, 'L' }, { "shards", required_argument, nullptr, 'H' },
+              { "evacuations", no_argument, nullptr, 'E' }, { nullptr, 0, nullptr, 0 } };
     for (int flag = 0; (flag = getopt_long(argc, argv, "", flags, nullptr)) != -1;) {
         if (!applySwitch(flag, options) && !applyValue(flag, optarg, options))
             return false;
@@ -218,6 +222,7 @@
     if (options.hasWorkerDisturbances && !options.withoutFaults)
         Emulate::addWorkerDisturbances(scenario);
     scenario.hasDeadlyTasks = scenario.hasDeadlyTasks && options.hasDeadlyTasks;
+    scenario.crashesBeforeAnswer = options.crashesBeforeAnswer;
     scenario.traceJob = options.traceJob;
     const Emulate::ScenarioResult result = Emulate::runScenario(scenario);
     totals.jobs += result.jobs;
@@ -278,6 +283,7 @@
 {
     Emulate::FleetScenario scenario = fleetScenario(options, seed);
     scenario.hasDeadlyTasks = scenario.hasDeadlyTasks && options.hasDeadlyTasks;
+    scenario.crashesBeforeAnswer = options.crashesBeforeAnswer;
     scenario.variant = options.variant;
     scenario.traceJob = options.traceJob;
     if (!scenario.traceJob.empty()) {
--- a/src/tools/gqemulate/scenario.h
+++ b/src/tools/gqemulate/scenario.h
@@ -42,6 +42,7 @@
     std::vector<Fault> faults;
     bool hasWorkerDisturbances = false; //!< Stops take time, and the list of workers is read less often.
     bool hasDeadlyTasks = false; //!< Some jobs have a task that crashes each worker that starts it.
+    bool crashesBeforeAnswer = false; //!< The worker has not answered the start of such a task by then.
     std::string traceJob; //!< Job whose events are printed; empty: none.
 };
 
