soak: Let workers reject starts, or carry them out without an answer

In storms a share of the workers rejects a fifth of the starts with 503 and carries out another fifth, but ends the connection without an answer. Half of the tasks that crash their workers do so before the answer. Both draw from a random stream of their own.

--- a/tests/auto/usersplatform/soak/faultinjector.py
+++ b/tests/auto/usersplatform/soak/faultinjector.py
@@ -164,6 +164,15 @@
             if self.is_storm or kind == pool.shrink_capacities:
                 self.soak.keep([asyncio.create_task(kind())])
 
+    async def make_workers_unhealthy(self, deadline):
+        """Lets workers reject starts and break their connections in storms, by a random stream of its own, so that the
+        other faults of a seed stay the same."""
+        random = self.soak.health
+        while time.monotonic() < deadline:
+            await asyncio.sleep(random.uniform(0.5, 4))
+            if self.is_storm:
+                self.soak.keep([asyncio.create_task(self.soak.pool.make_several_unhealthy(random))])
+
     async def cut_workers(self, deadline):
         """Cuts workers off in storms, by a random stream of its own, so that the other faults of a seed stay the same."""
         random = self.soak.cuts
--- a/tests/auto/usersplatform/soak/soak.py
+++ b/tests/auto/usersplatform/soak/soak.py
@@ -76,6 +76,7 @@
         self.failures = random.Random("failures %d" % seed)
         self.slowness = random.Random("slow nodes %d" % seed)
         self.timing = random.Random("timing %d" % seed)
+        self.health = random.Random("health %d" % seed)
         self.restarts = random.Random("restarts %d" % seed)
         self.connections = ConnectionBehaviors(connections, random.Random("connections %d" % seed))
         self.has_only_restarts = has_only_restarts
@@ -184,6 +185,7 @@
                      and self.disturbances.random() < DEADLY_SHARE)
         if is_deadly:
             shape["deadly"] = "%d.%d" % (self.disturbances.randrange(len(phases)), self.disturbances.randrange(count))
+            shape["is_unanswered"] = self.health.random() < 0.5
         if (self.has_failures and not is_deadly and not is_big and not is_long_running
                 and self.failures.random() < HOPELESS_SHARE):
             shape["hopeless"] = "%d.%d" % (self.failures.randrange(len(phases)), self.failures.randrange(count))
@@ -358,7 +360,9 @@
             if self.has_only_failures:
                 self.last_big_job_at = deadline - SECONDS_WITHOUT_BIG_JOBS
             clients = [ConnectionClient(self, number) for number in range(self.size.connections)]
-            disturbances = [self.injector.disturb_workers(deadline)] if self.has_crashes else []
+            disturbances = []
+            if self.has_crashes:
+                disturbances += [self.injector.disturb_workers(deadline), self.injector.make_workers_unhealthy(deadline)]
             if self.has_cuts:
                 disturbances.append(self.injector.cut_workers(deadline))
             if self.has_failures:
--- a/tests/auto/usersplatform/soak/standinplatform.py
+++ b/tests/auto/usersplatform/soak/standinplatform.py
@@ -15,6 +15,9 @@
 CAPACITY_NOTICE_SECONDS = 4.0 + 1.5
 # Time from the start of a task that crashes workers to the crash.
 CRASH_SECONDS = 0.01
+# Shares of the starts that an unhealthy worker rejects, and carries out but does not answer.
+REJECTED_SHARE = 0.2
+UNANSWERED_SHARE = 0.2
 # Time after which a long-running task fails on a worker that fails what it starts.
 FAILURE_MS = 300
 MAX_CONNECTIONS = 4096
@@ -210,6 +213,7 @@
         self.crash = None  # Called when a task crashes the worker.
         self.is_down = False
         self.is_silent = False
+        self.health = None  # Random numbers while it answers only a part of the starts.
         self.active_failures = 0  # Times, which may overlap, in which it fails what it starts.
         self.is_cut_off = False  # It runs on, but neither the nodes nor the store are in touch with it.
         self.proxy = None
@@ -340,7 +344,7 @@
             return 409, {"wall_clock_ms": self.clock_ms(), "born": self.started_unix_ms, "reason": "fence"}
         self.highest_epoch = max(self.highest_epoch, call.get("fencing_token", 0))
         if target == "/run-start":
-            return self.start_attempt(call)
+            return self.start_unhealthily(call) if self.health else self.start_attempt(call)
         if target == "/run-stop":
             run = self.runs.get(call["task"])
             self.refused_attempts[call["task"]] = max(self.refused_attempts.get(call["task"], 0), call["attempt"])
@@ -350,6 +354,16 @@
             return await self.poll(call)
         return 200, {"wall_clock_ms": self.clock_ms(), "born": self.started_unix_ms}
 
+    def start_unhealthily(self, call):
+        """Raises ConnectionResetError, which ends the connection, for a start that gets no answer."""
+        draw = self.health.random()
+        if draw < REJECTED_SHARE:
+            return 503, {}
+        answer = self.start_attempt(call)
+        if draw < REJECTED_SHARE + UNANSWERED_SHARE:
+            raise ConnectionResetError
+        return answer
+
     def start_attempt(self, call):
         task, attempt = call["task"], call["attempt"]
         known = self.runs.get(task)
@@ -374,6 +388,8 @@
         self.checker.on_attempt_started(self, task, attempt)
         if is_deadly:
             asyncio.get_running_loop().call_later(CRASH_SECONDS, self.crash, self)
+            if shape["is_unanswered"]:
+                return None
         return 200, fields
 
     async def poll(self, call):
--- a/tests/auto/usersplatform/soak/workerpool.py
+++ b/tests/auto/usersplatform/soak/workerpool.py
@@ -12,6 +12,7 @@
 CUT_SHARE = 0.17
 # Workers that restart together, and how long they are down before they are cut off.
 RESTARTED_SHARE = 0.4
+UNHEALTHY_SHARE = 0.15
 LONGEST_RESTART_SECONDS = 0.9
 REPORTS = ("at once", "at once", "at once", "late", "never")
 HEARTBEAT_SECONDS = 1.5
@@ -314,6 +315,17 @@
             for worker in chosen:
                 worker.active_failures -= 1
 
+    async def make_several_unhealthy(self, random):
+        """Lets some workers reject a part of the starts and carry out another part without an answer."""
+        chosen = random.sample(self.workers, max(1, int(len(self.workers) * UNHEALTHY_SHARE)))
+        self.log_event("%d workers are unhealthy" % len(chosen))
+        with self.faults:
+            for worker in chosen:
+                worker.health = random
+            await asyncio.sleep(random.uniform(2, 6.5))
+            for worker in chosen:
+                worker.health = None
+
     async def crash_several(self):
         """Lets one worker, 30% of a zone's workers or all of a rack crash at the same moment."""
         model = self.disturbances.choice(self.workers)
