--- a/src/libs/fleet/job.h
+++ b/src/libs/fleet/job.h
@@ -54,7 +54,7 @@
     std::string originShard; //!< Shard that delegated tasks of the job to this one; empty if it is this one.
     //! A former owner of this host shard may have missed that the origin shard has ended the job.
     bool isOriginUnconfirmed = false;
-    bool isOriginAwaited = false; //!< Tasks wait for the state of the job in the origin shard.
+    bool isOriginAwaited = false; //!< Tasks wait for this to be confirmed.
     Utils::TimePoint originQueriedAt {}; //!< The clock's epoch: not yet.
     //! Tasks of the job were delegated to or by this shard, and if the job has ended, its end is not known
     //! there.
--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -31,9 +31,10 @@
     }
     task.avoidedWorker = worker.id;
     task.crashedAddress = worker.address;
-    // An unanswered start may have reached the worker only after the crash. It counts against the task if no
-    // other task can have been the cause, and until then makes that so.
-    if (!task.hasStarted && isolationOf(task) != fullIsolation) {
+    // An unanswered start may have reached the worker only after the crash, so that another task was the
+    // cause, unless there was no other suspect. It leads to the isolation of the task.
+    const bool isCause = task.hasStarted || isolationOf(task) == fullIsolation;
+    if (!isCause) {
         ++task.unansweredCrashes;
         output_.workerCrashed(worker.id, keyOf(task), task.attempt, crashCountOf(task));
     } else if (evidence == CrashEvidence::Proved) {
--- a/src/libs/fleet/task.h
+++ b/src/libs/fleet/task.h
@@ -43,7 +43,8 @@
     std::uint32_t failures = 0;
     std::uint32_t crashes = 0; //!< Latest starts in a row after which the worker crashed, proved or not.
     std::vector<PresumedCrash> presumedCrashes; //!< Those of them that are not proved.
-    //! Further such starts, which were not answered: the worker may have crashed before they reached it.
+    //! Further such starts, which were not answered: the worker may have crashed before they reached it. They
+    //! lead to the isolation of the task, but not to the end of its job.
     std::uint32_t unansweredCrashes = 0;
     std::string checkpoint; //!< Latest known checkpoint; may be empty.
     Worker* worker = nullptr; //!< Worker of the open attempt; null if there is none.
