--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -341,6 +341,8 @@
     start.checkpoint = task.checkpoint;
     start.leaseUntilMs = extendLease(worker, startLease(), LeaseSource::Start, now);
     start.workerBornMs = worker.bornMs;
+    if (worker.answeredAt != Utils::TimePoint {})
+        start.answerAgeMs = std::chrono::duration_cast<milliseconds>(now - worker.answeredAt).count();
     output_.startAttempt(start);
 }
 
--- a/src/libs/fleet/shardincarnations.cpp
+++ b/src/libs/fleet/shardincarnations.cpp
@@ -148,6 +148,7 @@
     Worker& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report, Utils::TimePoint now)
 {
     worker.leasePolledAt = {};
+    worker.answeredAt = now;
     if (!report.isFirstOnConnection)
         worker.provedAcknowledgement = std::max(worker.provedAcknowledgement, worker.sentAcknowledgement);
     if (!worker.isFenced && sentAt > worker.restartNoticedAt)
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -271,6 +271,8 @@
     const bool isAnswered = Utils::isOk(reply) && !isOutcomeUnknown(reply);
     task->worker->isStartFailing = !isAnswered;
     task->worker->failedStarts = isAnswered ? 0 : task->worker->failedStarts + 1;
+    if (Utils::isOk(reply))
+        task->worker->answeredAt = now;
     if (isOutcomeUnknown(reply)) {
         if (task->phase == TaskPhase::Sent)
             giveUpStart(*task, now);
@@ -331,6 +333,7 @@
     Task* task = findOpenTask(id, key, attempt);
     if (!task || task->phase != TaskPhase::Stopping || !Utils::isOk(reply))
         return;
+    task->worker->answeredAt = now;
     const Ports::CommandOutcome outcome = Utils::value(reply).outcome;
     if (outcome != Ports::CommandOutcome::Done && outcome != Ports::CommandOutcome::Superseded)
         return;
--- a/src/libs/fleet/shardwaits.cpp
+++ b/src/libs/fleet/shardwaits.cpp
@@ -192,6 +192,7 @@
         report.reportAgeMs
             = worker->clockSeenAt == Utils::TimePoint {} ? -1 : toMs(now - worker->clockSeenAt);
         report.leaseRemainingMs = toMs(worker->lease.end() - now);
+        report.runRemainingMs = toMs(latestRunEnd(task) - now);
     }
     output_.taskWaiting(report);
 }
--- a/src/libs/fleet/waitreport.h
+++ b/src/libs/fleet/waitreport.h
@@ -28,6 +28,9 @@
     bool isWorkerResponsive = false;
     std::int64_t reportAgeMs = -1; //!< Age of the worker's latest report; -1 if there is none.
     std::int64_t leaseRemainingMs = 0; //!< Time until the worker's lease has certainly expired.
+    //! Time until the open attempt is certainly over if the worker stays silent; longer than its lease while
+    //! an unanswered start may still be carried out.
+    std::int64_t runRemainingMs = 0;
 
     std::string hostShard; //!< Shard that the task is delegated to; empty if it is not.
     bool isDelegationStored = false;
--- a/src/libs/fleet/worker.h
+++ b/src/libs/fleet/worker.h
@@ -70,6 +70,7 @@
     std::int64_t clockMs = 0; //!< The worker's clock at clockSeenAt; 0 if unknown.
     Utils::TimePoint clockSeenAt {};
     Utils::TimePoint clockAskedAt {}; //!< When the poll was sent whose answer told the clock.
+    Utils::TimePoint answeredAt {}; //!< When the worker last answered a call; the clock's epoch if never.
     bool isResponsive = false; //!< The worker answers polls.
     //! A start could not be sent, or a worker that answers would have answered it; until the next report.
     bool isStartFailing = false;
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -44,7 +44,8 @@
     context_.metrics.add("geraniumquay_attempt_starts_total");
     Utils::log(Utils::LogLevel::Info, "attempt-started",
         { { "job", start.task.job }, { "task", describe(start.task) },
-            { "attempt", std::to_string(start.attempt) }, { "worker", start.worker }, { "shard", shard_ } });
+            { "attempt", std::to_string(start.attempt) }, { "worker", start.worker }, { "shard", shard_ },
+            { "answer_age_ms", std::to_string(start.answerAgeMs) } });
     if (!connection) {
         boost::asio::post(context_.io, [onReply, worker = start.worker] {
             onReply(Utils::Error {
@@ -68,8 +69,14 @@
 void ShardHost::logStartReply(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
     const Utils::Result<Ports::CommandReply>& reply)
 {
-    if (!Utils::isOk(reply))
-        return Utils::logError("start-unanswered", Utils::error(reply));
+    if (!Utils::isOk(reply)) {
+        const Utils::Error& error = Utils::error(reply);
+        const char* const sent = error.code == Utils::ErrorCode::Unavailable ? "no" : "yes";
+        context_.metrics.add("geraniumquay_attempt_starts_unanswered_total", Telemetry::label("sent", sent));
+        return Utils::log(Utils::LogLevel::Warning, "start-unanswered",
+            { { "job", task.job }, { "task", describe(task) }, { "attempt", std::to_string(attempt) },
+                { "worker", worker }, { "shard", shard_ }, { "sent", sent }, { "error", error.toString() } });
+    }
     if (!Utils::value(reply).isToRepeatedCommand)
         return;
     const bool isAccepted = Utils::value(reply).outcome == Ports::CommandOutcome::Done;
@@ -222,7 +229,8 @@
             { "worker_listed", report.isWorkerListed ? "true" : "false" },
             { "worker_responsive", report.isWorkerResponsive ? "true" : "false" },
             { "report_age_ms", std::to_string(report.reportAgeMs) },
-            { "lease_ms", std::to_string(report.leaseRemainingMs) }, { "lent_to", report.hostShard },
+            { "lease_ms", std::to_string(report.leaseRemainingMs) },
+            { "run_end_ms", std::to_string(report.runRemainingMs) }, { "lent_to", report.hostShard },
             { "lent_stored", report.isDelegationStored ? "true" : "false" },
             { "commit_age_ms", std::to_string(sinceConfirmed) } });
 }
--- a/tests/auto/fleet/tst_shardwaits.cpp
+++ b/tests/auto/fleet/tst_shardwaits.cpp
@@ -88,3 +88,19 @@
     CHECK_FALSE(fixture.output.waits[0].isWorkerResponsive);
     CHECK(fixture.output.waits[0].leaseRemainingMs > 0);
 }
+
+TEST_CASE("A task whose start was not answered is reported with the time until the attempt is over")
+{
+    SchedulerFixture fixture(1);
+    fixture.scheduler.submit(makeJob("job", { makeStep(1, 1000, 60'000) }), 1, fixture.now, testStartUnixMs);
+    fixture.now += 400ms;
+    fixture.scheduleAndCommit();
+    REQUIRE(fixture.output.starts.size() == 1);
+    CHECK(fixture.output.starts[0].answerAgeMs == 400);
+    fixture.scheduler.onPollFailed("w0");
+    fixture.scheduler.onPollFailed("w0");
+    tick(fixture, 3500ms);
+    REQUIRE(fixture.output.waits.size() == 1);
+    CHECK(fixture.output.waits[0].phase == "stopping");
+    CHECK(fixture.output.waits[0].runRemainingMs > fixture.output.waits[0].leaseRemainingMs);
+}
