fleet: Check that a worker answers before a long-running task is started there

The next start went to a worker that had lost power meanwhile: the connection to it was open, its entry listed, and its poll may wait for 1.5 s, so it counted as answering. A start that gets no answer may be carried out for 5 s, also by another incarnation, which then may hold the longest lease, so the task was started elsewhere only after 15.4 s.

Nothing shortens that wait without a guess. Instead, the start of a long-running task now follows an answer of the worker: a poll without lease and acknowledgement on the same connection, as on connections whose process is not known. If it is not answered within 350 ms, nothing was sent, and the task goes to another worker at once. The wait remains if the worker is lost within a round trip.

--- a/src/libs/fleet/scheduleroptions.h
+++ b/src/libs/fleet/scheduleroptions.h
@@ -43,6 +43,9 @@
     //! Timeout after which an unanswered start is stopped; longer than the round trip to a worker of
     //! another region.
     Utils::Duration startTimeout = std::chrono::milliseconds(700);
+    //! Time in which a worker must answer a check before a long-running task is started there; half of
+    //! startTimeout, so that the start keeps the other half.
+    Utils::Duration startCheckLimit = std::chrono::milliseconds(350);
     //! Longest time after which a call that was not answered may still be carried out, also by the next
     //! incarnation of its worker.
     Utils::Duration callDelayLimit = std::chrono::milliseconds(5000);
--- a/src/libs/fleet/scheduleroutput.h
+++ b/src/libs/fleet/scheduleroutput.h
@@ -29,6 +29,7 @@
     std::string checkpoint;
     std::int64_t leaseUntilMs = 0; //!< In the worker's clock.
     std::int64_t workerBornMs = 0; //!< Incarnation of the worker whose clock this is.
+    Utils::Duration checkLimit {}; //!< As in Ports::StartCommand.
     std::int64_t answerAgeMs = -1; //!< Time since the worker's latest answer to any call; -1 if none came.
 };
 
--- a/src/libs/fleet/shardcommits.cpp
+++ b/src/libs/fleet/shardcommits.cpp
@@ -341,6 +341,10 @@
     start.checkpoint = task.checkpoint;
     start.leaseUntilMs = extendLease(worker, startLease(), LeaseSource::Start, now);
     start.workerBornMs = worker.bornMs;
+    // An unanswered start is waited for until no incarnation can run it, which is longer than a long-running
+    // task may be without a run.
+    if (task.job->step(task).lasting())
+        start.checkLimit = options_.startCheckLimit;
     if (worker.answeredAt != Utils::TimePoint {})
         start.answerAgeMs = std::chrono::duration_cast<milliseconds>(now - worker.answeredAt).count();
     output_.startAttempt(start);
--- a/src/libs/fleetnode/shardhostoutput.cpp
+++ b/src/libs/fleetnode/shardhostoutput.cpp
@@ -60,6 +60,7 @@
     command.checkpoint = start.checkpoint;
     command.leaseUntilMs = start.leaseUntilMs;
     command.workerStartUnixMs = start.workerBornMs;
+    command.checkLimit = start.checkLimit;
     command.authority
         = { tokenFor(start.worker), std::min(passRightEnd(), workersReadAt_ + workerListLimit) };
     connection->agent().start(command, onReply);
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -286,10 +286,11 @@
         if (request.peerProcess == 0 || !check_)
             return run(std::move(request), limits, { .mayConnect = true }, std::move(handler));
         const bool isPeerKnown = idleSocket_ && peerProcess_ != 0 && Internal::isIdle(*idleSocket_);
-        if (isPeerKnown && peerProcess_ == request.peerProcess)
+        const bool isRightPeer = isPeerKnown && peerProcess_ == request.peerProcess;
+        if (isRightPeer && request.peerCheckLimit == Utils::Duration::zero())
             return runOnKnownConnection(std::move(request), limits, std::move(handler));
         // The process may have ended without closing the connection.
-        if (isPeerKnown)
+        if (isPeerKnown && !isRightPeer)
             idleSocket_.reset();
         checkPeer(std::move(request), limits, std::move(handler));
     }
@@ -379,7 +380,10 @@
             run(std::move(request), limits.after(elapsed), { .mayConnect = true, .wasSent = wasSent },
                 std::move(handler));
         };
-        run(check_->makeRequest(), limits, { .mayConnect = true }, onResponse);
+        const bool isLimited = request.peerCheckLimit != Utils::Duration::zero();
+        const TimeLimits checkLimits
+            = isLimited ? TimeLimits::total(std::min(limits.start, request.peerCheckLimit)) : limits;
+        run(check_->makeRequest(), checkLimits, { .mayConnect = true }, onResponse);
     }
 
     asio::io_context& context_;
--- a/src/libs/http/message.h
+++ b/src/libs/http/message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "utils/clock.h"
+
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -33,6 +35,11 @@
     //! answers the check, the request is not sent and ends with ErrorCode::NotFound. The process may still
     //! be replaced between the check and the request. 0: any process.
     std::int64_t peerProcess = 0;
+    //! The process must answer a check within this time right before the request is sent, also on a
+    //! connection on which it has answered before: its host may have lost power since. Otherwise the request
+    //! is not sent and ends with ErrorCode::Unavailable. 0: a connection that leads to the process needs no
+    //! check.
+    Utils::Duration peerCheckLimit {};
 };
 
 /*! A complete HTTP response. */
--- a/src/libs/ports/workeragent.h
+++ b/src/libs/ports/workeragent.h
@@ -53,6 +53,9 @@
     std::int64_t leaseUntilMs = 0; //!< Expiry of the lease, on the worker's clock.
     //! Start time of the incarnation that the command is meant for; no other one carries it out. 0: any.
     std::int64_t workerStartUnixMs = 0;
+    //! The worker must answer another call within this time right before the command is sent, or the command
+    //! is not sent (Unavailable). 0: an earlier answer on the connection suffices.
+    Utils::Duration checkLimit {};
     Authority authority;
 };
 
--- a/src/tools/gqemulate/emulatedowner.h
+++ b/src/tools/gqemulate/emulatedowner.h
@@ -79,6 +79,8 @@
 private:
     static constexpr std::int64_t storeRetryMs = 200;
 
+    using StartHandler = std::function<void(const Utils::Result<Ports::CommandReply>&)>;
+
     void startAttempt(const Fleet::AttemptStart& start) override;
     void stopAttempt(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt) override;
     void throttleAttempt(
@@ -110,6 +112,10 @@
 
     std::uint64_t tokenFor(const std::string& worker) const;
     bool isForbiddenProbe(const Fleet::AttemptStart& start) const;
+    void startIfAnswering(
+        const Fleet::AttemptStart& start, const Ports::StartCommand& command, const StartHandler& onReply);
+    void sendStart(
+        const std::string& worker, const Ports::StartCommand& command, const StartHandler& onReply);
     void runLater(std::int64_t delayMs, std::function<void()> function);
     void restoreJobs();
     Fleet::FormerLeases formerLeases() const;
--- a/src/tools/gqemulate/emulatedshard.cpp
+++ b/src/tools/gqemulate/emulatedshard.cpp
@@ -388,6 +388,18 @@
     command.leaseUntilMs = start.leaseUntilMs;
     command.workerStartUnixMs = start.workerBornMs;
     command.authority.epoch = tokenFor(start.worker);
+    const SimulatedWorker& target = *findWorker(start.worker);
+    const bool isChecked = start.checkLimit != Utils::Duration::zero();
+    if (isChecked && !(target.isUp && target.isReachable)) {
+        const auto limitMs = std::chrono::duration_cast<milliseconds>(start.checkLimit).count();
+        return scheduleEvent(limitMs, [this, command, id = start.worker, epoch = epoch_] {
+            if (owner_ && epoch == epoch_) {
+                owner_->onStartReply(id, command.task, command.attempt,
+                    Utils::Error { Utils::ErrorCode::Unavailable, "start", id, "the check was not answered" },
+                    now());
+            }
+        });
+    }
     const bool isDelayed = areCommandsDelayed_ && random_() % 2 == 0;
     const std::int64_t delay
         = isDelayed ? 2000 + static_cast<std::int64_t>(random_() % 6000) : randomLatencyMs();
--- a/tests/auto/usersplatform/tst_workerclient.cpp
+++ b/tests/auto/usersplatform/tst_workerclient.cpp
@@ -44,6 +44,7 @@
         command.attempt = 1;
         command.leaseUntilMs = 9000;
         command.workerStartUnixMs = workerStartUnixMs;
+        command.checkLimit = checkLimit;
         command.authority = { 3, sendBy };
         reply.reset();
         client.start(
@@ -119,6 +120,7 @@
     std::vector<ScriptedPeer::Socket> connections; //!< Accepted by the worker.
     Utils::BootClock clock;
     Utils::TimePoint sendBy = Utils::TimePoint::max(); //!< Of starts.
+    Utils::Duration checkLimit {}; //!< Of starts.
     Utils::Duration sendTime = 10s; //!< For the start whose connection ends.
     std::optional<Utils::Result<Ports::WorkerReport>> report;
     std::optional<Utils::Result<Ports::CommandReply>> reply;
@@ -236,6 +238,46 @@
     CHECK(Utils::error(*fixture.reply).code == Utils::ErrorCode::Unavailable);
 }
 
+// Guards against starts on workers that have lost power while the connection to them stayed open.
+TEST_CASE("A start that needs a check follows an answer of the worker, also on a connection that is known")
+{
+    Fixture fixture;
+    fixture.checkLimit = 200ms;
+    fixture.start(7);
+    fixture.receiveOnNewConnection();
+    fixture.answer(fixture.connections[0], 7);
+    fixture.receive(fixture.connections[0]);
+    fixture.answer(fixture.connections[0], 7);
+    CHECK(fixture.awaitOutcome() == Ports::CommandOutcome::Done);
+
+    fixture.start(7);
+    const ReceivedCall check = fixture.receive(fixture.connections[0]);
+    CHECK(check.target == "/hold");
+    CHECK(check.body.at("ack_cursor").as_int64() == 0);
+    CHECK_FALSE(check.body.contains("until_ms"));
+    SECTION("and is sent there after it")
+    {
+        fixture.answer(fixture.connections[0], 7);
+        CHECK(fixture.receive(fixture.connections[0]).target == "/run-start");
+        fixture.answer(fixture.connections[0], 7);
+        CHECK(fixture.awaitOutcome() == Ports::CommandOutcome::Done);
+    }
+    SECTION("and is not sent without it")
+    {
+        fixture.loop.runUntil([&] { return fixture.reply.has_value(); });
+        REQUIRE_FALSE(Utils::isOk(*fixture.reply));
+        CHECK(Utils::error(*fixture.reply).code == Utils::ErrorCode::Unavailable);
+        CHECK(ScriptedPeer::readAvailable(fixture.connections[0]) == 0);
+    }
+    SECTION("and is not sent to the next process")
+    {
+        fixture.connections[0].close();
+        CHECK(fixture.receiveOnNewConnection().target == "/hold");
+        fixture.answer(fixture.connections[1], 8);
+        CHECK(fixture.awaitOutcome() == Ports::CommandOutcome::IncarnationMismatch);
+    }
+}
+
 // HTTP lets a server close a connection after any response.
 TEST_CASE("A start reaches a worker that closes each connection after its answer")
 {
