--- a/src/libs/fleetnode/shardhost.cpp
+++ b/src/libs/fleetnode/shardhost.cpp
@@ -132,15 +132,7 @@
     const Schema::DispatchSettings& settings = context_.settings.dispatch();
     return Fleet::findFormerLeases(former, isGone, clock, context_.now(),
         { milliseconds(settings.orphan_grace_ms()), milliseconds(settings.worker_lease_limit_ms()),
-            startTime() });
-}
-
-Utils::Duration ShardHost::startTime() const
-{
-    const Schema::DispatchSettings& settings = context_.settings.dispatch();
-    const milliseconds limit(settings.worker_lease_limit_ms());
-    return Fleet::startTime(
-        renewalTime(settings), std::min(milliseconds(settings.worker_lease_ms()), limit), limit);
+            startTime(settings) });
 }
 
 void ShardHost::loadJobs(const std::string& fromJob)
@@ -347,7 +339,7 @@
 {
     if (isReleaseSent_)
         return Utils::TimePoint::min();
-    return std::min(passRightEnd(), writer_.firstSentAt() + startTime());
+    return std::min(passRightEnd(), writer_.firstSentAt() + startTime(context_.settings.dispatch()));
 }
 
 // A pass assigns no worker once the operator may have evacuated the failure domain without this node's
--- a/src/libs/fleetnode/shardhost.h
+++ b/src/libs/fleetnode/shardhost.h
@@ -266,7 +266,6 @@
     void logWorkerCount();
     void runPass(std::string_view name, const std::function<void(Utils::TimePoint)>& pass);
     void connect(const Ports::WorkerInfo& info);
-    Utils::Duration startTime() const;
     std::uint64_t tokenFor(const std::string& worker) const;
     void logStartReply(const std::string& worker, const Ports::TaskKey& task, std::uint32_t attempt,
         const Utils::Result<Ports::CommandReply>& reply);
