fleet: Store that the answer to a long-running task's start has confirmed it

The successor counted on the longest lease, as if the start of minutes before could still be carried out by another incarnation. That the start was confirmed is stored for that reason, but only if a report was the first to tell: onStartReply() set the flag without marking the job as changed, so onListedAsRunning() found it set and stored nothing. An answer comes before a report nearly always. Both now go through confirm().

The new case of tst_lostworkers fails without the change for an answer.

--- a/src/libs/fleet/shardcrashes.cpp
+++ b/src/libs/fleet/shardcrashes.cpp
@@ -169,9 +169,7 @@
 {
     task.hasStarted = true;
     task.job->hasBegun = true;
-    // Stored, so that a successor need not count on another incarnation.
-    if (!std::exchange(task.isConfirmed, true) && task.job->step(task).lasting())
-        markDirty(*task.job);
+    confirm(task);
     if (task.workerBornMs != task.worker->bornMs) {
         task.workerBornMs = task.worker->bornMs;
         task.startClockMs = 0;
--- a/src/libs/fleet/shardincarnations.cpp
+++ b/src/libs/fleet/shardincarnations.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Fleet {
 
@@ -161,6 +162,14 @@
     worker.mayHoldFormerLease = !worker.isFenced;
 }
 
+// Notes that the incarnation which the attempt was assigned to runs it. Stored for long-running tasks, so that
+// a successor need not count on another incarnation.
+void ShardScheduler::confirm(Task& task)
+{
+    if (!std::exchange(task.isConfirmed, true) && task.job->step(task).lasting())
+        markDirty(*task.job);
+}
+
 void ShardScheduler::noteUnanswered(Worker& worker, Utils::TimePoint sentAt) const
 {
     worker.unansweredUntil = std::max(worker.unansweredUntil, sentAt + options_.callDelayLimit);
--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -290,8 +290,9 @@
     }
     const Ports::CommandOutcome outcome = Utils::value(reply).outcome;
     const std::int64_t clockMs = Utils::value(reply).clockMs;
-    if (task->workerBornMs == task->worker->bornMs)
-        task->isConfirmed = isOfReportedIncarnation(*task->worker, clockMs, task->sentAt, now);
+    if (task->workerBornMs == task->worker->bornMs
+        && isOfReportedIncarnation(*task->worker, clockMs, task->sentAt, now))
+        confirm(*task);
     // The end of the lease in the start counts also if the start is rejected.
     if (!task->isConfirmed)
         noteUnanswered(*task->worker, task->sentAt);
--- a/src/libs/fleet/shardscheduler.h
+++ b/src/libs/fleet/shardscheduler.h
@@ -395,6 +395,7 @@
     void onAnswered(
         Worker& worker, Utils::TimePoint sentAt, const Ports::WorkerReport& report, Utils::TimePoint now);
     std::int64_t extendLease(Worker& worker, Utils::Duration lease, LeaseSource source, Utils::TimePoint now);
+    void confirm(Task& task);
     void noteUnanswered(Worker& worker, Utils::TimePoint sentAt) const;
     static void suspectWorker(Worker& worker);
     void giveUpStart(Task& task, Utils::TimePoint now);
--- a/tests/auto/fleet/tst_lostworkers.cpp
+++ b/tests/auto/fleet/tst_lostworkers.cpp
@@ -156,3 +156,32 @@
     fixture.advance(waitBound);
     CHECK(fixture.running.size() == taskCount);
 }
+
+// Guards against successors that count on the longest lease for attempts that have run for long.
+TEST_CASE("What confirms the start of a long-running task is stored for the next owner")
+{
+    SchedulerFixture fixture(1);
+    fixture.scheduler.submit(
+        makeJob("job", { makeLatencyCriticalStep(1, 2000, "api") }), 1, fixture.now, testStartUnixMs);
+    fixture.scheduleAndCommit();
+    const auto isStoredAsConfirmed = [&fixture] {
+        fixture.scheduleAndCommit();
+        FleetSchema::JobRecord record;
+        REQUIRE(record.ParseFromString(fixture.rows.at("job")));
+        REQUIRE(record.tasks_size() == 1);
+        return record.tasks(0).confirmed();
+    };
+    REQUIRE(fixture.output.starts.size() == 1);
+    CHECK_FALSE(isStoredAsConfirmed());
+    SECTION("an answer")
+    {
+        fixture.confirmStarts();
+    }
+    SECTION("a report")
+    {
+        Ports::WorkerReport report;
+        report.running.push_back({ fixture.output.starts[0].task, 1, {}, 10, 0 });
+        fixture.report("w0", report);
+    }
+    CHECK(isStoredAsConfirmed());
+}
