--- a/tests/auto/usersplatform/soak/soaknode.py
+++ b/tests/auto/usersplatform/soak/soaknode.py
@@ -93,6 +93,7 @@
 
     def __init__(self, number, zone, program, folder, proxy, ports, checker, unplanned, size, has_evacuations=False):
         self.name = "node-%d" % number
+        self.zone = zone
         self.program = program
         self.proxy = proxy
         self.checker = checker
@@ -161,6 +162,11 @@
             self.signal(signal.SIGCONT)
         self.is_busy = False
 
+    def lose_power(self):
+        """Stops the process for good. Its connections stay open, and nobody gets an answer on them."""
+        self.is_busy = self.is_frozen = self.is_end_expected = True
+        self.signal(signal.SIGSTOP)
+
     async def restart_stopped(self, seconds):
         self.is_busy = True
         with self.unplanned.parent:
--- a/tests/auto/usersplatform/soak/workerpool.py
+++ b/tests/auto/usersplatform/soak/workerpool.py
@@ -239,6 +239,21 @@
             await asyncio.sleep(max(0, MISSED_HEARTBEATS * HEARTBEAT_SECONDS - down_seconds))
             self.unlist(worker)
 
+    async def lose_power(self, worker, random):
+        """Ends a worker for good without a sign: its connections stay open, and its entry lapses. A new one comes."""
+        self.log_event("%s loses power" % worker.identity)
+        worker.is_replaced = worker.is_down = worker.is_silent = True
+        worker.proxy.set_mode("silent")
+        worker.end_runs("crashed")
+        self.workers.remove(worker)
+        pause = random.uniform(1, 4)
+        lapse_seconds = MISSED_HEARTBEATS * HEARTBEAT_SECONDS - random.uniform(0, HEARTBEAT_SECONDS)
+        with self.faults:
+            await asyncio.sleep(min(pause, lapse_seconds))
+            await self.add(worker.zone, worker.rack)
+            await asyncio.sleep(max(0, lapse_seconds - pause))
+            self.unlist(worker)
+
     async def cut_off(self, worker, kind, seconds):
         """Cuts a worker off from the nodes and from the store; it runs on under its lease."""
         if worker.is_cut_off or worker.is_down or worker.is_gone:
