--- a/src/libs/fleet/shardincarnations.cpp
+++ b/src/libs/fleet/shardincarnations.cpp
@@ -162,8 +162,8 @@
     worker.mayHoldFormerLease = !worker.isFenced;
 }
 
-// Notes that the incarnation which the attempt was assigned to runs it. Stored for long-running tasks, so that
-// a successor need not count on another incarnation.
+// Notes that the incarnation which the attempt was assigned to runs it. Stored for long-running tasks, so
+// that a successor need not count on another incarnation.
 void ShardScheduler::confirm(Task& task)
 {
     if (!std::exchange(task.isConfirmed, true) && task.job->step(task).lasting())
