--- a/src/libs/fleet/shardreports.cpp
+++ b/src/libs/fleet/shardreports.cpp
@@ -271,6 +271,8 @@
     const bool isAnswered = Utils::isOk(reply) && !isOutcomeUnknown(reply);
     task->worker->isStartFailing = !isAnswered;
     task->worker->failedStarts = isAnswered ? 0 : task->worker->failedStarts + 1;
+    if (Utils::isOk(reply))
+        task->worker->answeredAt = now;
     if (isOutcomeUnknown(reply)) {
         if (task->phase == TaskPhase::Sent)
             giveUpStart(*task, now);
@@ -288,8 +290,9 @@
     }
     const Ports::CommandOutcome outcome = Utils::value(reply).outcome;
     const std::int64_t clockMs = Utils::value(reply).clockMs;
-    if (task->workerBornMs == task->worker->bornMs)
-        task->isConfirmed = isOfReportedIncarnation(*task->worker, clockMs, task->sentAt, now);
+    if (task->workerBornMs == task->worker->bornMs
+        && isOfReportedIncarnation(*task->worker, clockMs, task->sentAt, now))
+        confirm(*task);
     // The end of the lease in the start counts also if the start is rejected.
     if (!task->isConfirmed)
         noteUnanswered(*task->worker, task->sentAt);
@@ -331,6 +334,7 @@
     Task* task = findOpenTask(id, key, attempt);
     if (!task || task->phase != TaskPhase::Stopping || !Utils::isOk(reply))
         return;
+    task->worker->answeredAt = now;
     const Ports::CommandOutcome outcome = Utils::value(reply).outcome;
     if (outcome != Ports::CommandOutcome::Done && outcome != Ports::CommandOutcome::Superseded)
         return;
