tests: Set the times that bound the renewal of leases in the fixture of nodes

The fixture left contact_ms and worker_expiry_ms at 0, so owners in the tests of fleetnode had no right to renew leases, and the check of the owner row's renewal_ms passed with 0 (found by review). It now has the defaults, and the check a lower bound. tst_shardwriter, tst_shardhost and tst_shardownership pass.

--- a/tests/auto/fleetnode/scriptedrowstore.h
+++ b/tests/auto/fleetnode/scriptedrowstore.h
@@ -149,6 +149,8 @@
         settings.mutable_node()->set_name("node-1");
         settings.mutable_table()->set_row_bytes(65'536);
         settings.mutable_dispatch()->set_finish_ms(14'000);
+        settings.mutable_dispatch()->set_contact_ms(4000);
+        settings.mutable_dispatch()->set_worker_expiry_ms(4500);
     }
 
     boost::asio::io_context io { 1 };
--- a/tests/auto/fleetnode/tst_shardwriter.cpp
+++ b/tests/auto/fleetnode/tst_shardwriter.cpp
@@ -73,6 +73,7 @@
     // Both times pass on clocks that may be 2% slow. A second is for the start.
     const FleetSchema::ShardRecord row = fixture.ownerRow();
     CHECK((row.renewal_ms() + row.lease_ms()) * 51 / 50 + 1000 <= dispatch.finish_ms() + 3000);
+    CHECK(row.renewal_ms() > 2000);
 }
 
 TEST_CASE("A transaction whose answer was lost is applied exactly once")
