--- a/tests/auto/fleet/tst_emulatedfailures.cpp
+++ b/tests/auto/fleet/tst_emulatedfailures.cpp
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <string>
 
 namespace {
 
@@ -13,6 +15,13 @@
     return scenario;
 }
 
+// Returns the number of violations of rules whose names start with \p rule.
+std::size_t countOf(const Emulate::FleetResult& result, const std::string& rule)
+{
+    return static_cast<std::size_t>(std::count_if(result.violations.begin(), result.violations.end(),
+        [&](const std::string& violation) { return violation.starts_with(rule); }));
+}
+
 } // namespace
 
 // Guards against tasks that wait for workers that are never tried again after they have failed what they
@@ -26,3 +35,13 @@
         CHECK(result.unfinished == 0);
     }
 }
+
+TEST_CASE("The invariant checker detects starts after an end by workers of a fleet that obey former owners")
+{
+    Emulate::FleetScenario scenario = Emulate::randomFleetScenario(5610, Emulate::FaultMix::All);
+    Emulate::addWorkerDisturbances(scenario);
+    scenario.hasDeadlyTasks = false;
+    CHECK(countOf(Emulate::runFleetScenario(scenario), "started after its end") == 0);
+    scenario.variant = Emulate::FleetVariant::NoEpochFencing;
+    CHECK(countOf(Emulate::runFleetScenario(scenario), "started after its end") > 0);
+}
