--- a/src/tools/gqemulate/emulatedownerstarts.cpp
+++ b/src/tools/gqemulate/emulatedownerstarts.cpp
@@ -4,6 +4,8 @@
 
 #include "emulatedfleet.h"
 
+#include <variant>
+
 namespace Emulate {
 
 namespace {
@@ -30,6 +32,9 @@
                              const Utils::Result<Ports::CommandReply>& reply) {
         if (const auto self = weak.lock())
             self->runLater(0, [owner = self.get(), worker, command, reply] {
+                const auto* const error = std::get_if<Utils::Error>(&reply);
+                if (!error || error->code != Utils::ErrorCode::OutcomeUnknown)
+                    owner->fleet_.onStartResolved(command.task, worker);
                 owner->scheduler_->onStartReply(
                     worker, command.task, command.attempt, reply, owner->fleet_.time().now());
             });
@@ -48,26 +53,17 @@
     sendStart(start.worker, command, onReply);
 }
 
-// Sends the start once the worker has answered a check.
+// Sends the start if the worker would answer a check. The time that the check takes is not emulated.
 void EmulatedOwner::startIfAnswering(
     const Fleet::AttemptStart& start, const Ports::StartCommand& command, const StartHandler& onReply)
 {
-    fleet_.time().schedule(
-        fleet_.time().latencyMs(), [weak = weak_from_this(), &fleet = fleet_, start, command, onReply] {
-            const FleetWorker* const worker = fleet.platform().findWorker(start.worker);
-            const auto self = weak.lock();
-            if (self && worker && worker->answers())
-                return self->runLater(
-                    fleet.time().latencyMs(), [owner = self.get(), start, command, onReply] {
-                        owner->sendStart(start.worker, command, onReply);
-                    });
-            const auto limitMs
-                = std::chrono::duration_cast<std::chrono::milliseconds>(start.checkLimit).count();
-            fleet.time().schedule(limitMs, [onReply, id = start.worker] {
-                onReply(Utils::Error {
-                    Utils::ErrorCode::Unavailable, "start", id, "the check was not answered" });
-            });
-        });
+    const FleetWorker* const worker = fleet_.platform().findWorker(start.worker);
+    if (worker && worker->answers())
+        return sendStart(start.worker, command, onReply);
+    const auto limitMs = std::chrono::duration_cast<std::chrono::milliseconds>(start.checkLimit).count();
+    fleet_.time().schedule(limitMs, [onReply, id = start.worker] {
+        onReply(Utils::Error { Utils::ErrorCode::Unavailable, "start", id, "the check was not answered" });
+    });
 }
 
 void EmulatedOwner::sendStart(
